Lay the skeleton: modules, ids, frames and the interfaces between the parts

Cause: the parts are to be built side by side, so what they share comes first. Ruled out: a wire format per message (one frame type keeps order and ids in one place). Before: nothing. Conclusion: the parts can start.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent: the only process that talks to its upstream, put together. */
+package io.damaskyoke.agent;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Callers, as peers: the OpenAI HTTP API and plain services. */
+package io.damaskyoke.caller;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/exchange/Target.java
@@ -0,0 +1,26 @@
+package io.damaskyoke.exchange;
+
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.ServiceName;
+
+/** What a request is for: a model (or adapter) by its name, or a plain service. */
+public sealed interface Target {
+    /** The name callers use, for messages and the time line. */
+    String name();
+
+    /** A model or adapter, which may have to be loaded first. */
+    record Model(ModelName model) implements Target {
+        @Override
+        public String name() {
+            return model.value();
+        }
+    }
+
+    /** A plain service, which is always running. */
+    record Service(ServiceName service) implements Target {
+        @Override
+        public String name() {
+            return service.value();
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of a process, and their Prometheus text form. */
+package io.damaskyoke.metrics;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Operators, as peers: tickets, status, time line, metrics and health. */
+package io.damaskyoke.operator;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router: everything between callers and agents, put together. */
+package io.damaskyoke.router;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a process, checked as a whole before anything starts. */
+package io.damaskyoke.settings;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The model engine or plain service beside an agent, as a peer. */
+package io.damaskyoke.upstream;
