--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/ControlLoop.java
@@ -0,0 +1,109 @@
+package io.damaskyoke.control;
+
+import io.damaskyoke.metrics.Metrics;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
+import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+
+/**
+ * The control thread as a Pekko actor on a pinned dispatcher: {@code ControlLoop.start(system,
+ * clock, metrics)}. Its mailbox keeps the order in which one thread hands steps over.
+ */
+public final class ControlLoop implements Control {
+    private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
+    private static final String DISPATCHER = "damaskyoke.control-dispatcher";
+
+    private final ActorSystem<?> system;
+    private final ActorRef<Step> actor;
+    private final InstantSource clock;
+
+    private ControlLoop(ActorSystem<?> system, ActorRef<Step> actor, InstantSource clock) {
+        this.system = system;
+        this.actor = actor;
+        this.clock = clock;
+    }
+
+    /** Starts the control thread of a process within its actor system. */
+    public static ControlLoop start(ActorSystem<?> system, InstantSource clock, Metrics metrics) {
+        Objects.requireNonNull(clock, "clock");
+        Props props = DispatcherSelector.fromConfig(DISPATCHER);
+        ActorRef<Step> actor = system.systemActorOf(behavior(metrics), "control", props);
+        return new ControlLoop(system, actor, clock);
+    }
+
+    @Override
+    public void run(Runnable step) {
+        actor.tell(new Step(step));
+    }
+
+    @Override
+    public <T> CompletionStage<T> ask(Supplier<T> step) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        run(() -> completeWith(result, step));
+        return result;
+    }
+
+    @Override
+    public Cancellable after(Duration delay, Runnable step) {
+        var timer =
+                system.scheduler().scheduleOnce(delay, () -> run(step), system.executionContext());
+        return timer::cancel;
+    }
+
+    @Override
+    public Cancellable every(Duration period, Runnable step) {
+        var timer =
+                system.scheduler()
+                        .scheduleWithFixedDelay(
+                                period, period, () -> run(step), system.executionContext());
+        return timer::cancel;
+    }
+
+    @Override
+    public InstantSource clock() {
+        return clock;
+    }
+
+    private static <T> void completeWith(CompletableFuture<T> result, Supplier<T> step) {
+        try {
+            result.complete(step.get());
+        } catch (RuntimeException e) {
+            result.completeExceptionally(e);
+        }
+    }
+
+    private static Behavior<Step> behavior(Metrics metrics) {
+        return Behaviors.receiveMessage(
+                step -> {
+                    runSafely(step, metrics);
+                    return Behaviors.same();
+                });
+    }
+
+    // A step that throws would stop the actor, and with it every decision of the process: callers
+    // would wait for ever. Each step leaves the state whole or throws before it changes it, so
+    // going
+    // on with the next one is safe.
+    private static void runSafely(Step step, Metrics metrics) {
+        metrics.count("control_steps");
+        try {
+            step.body().run();
+        } catch (RuntimeException e) {
+            metrics.count("control_steps_failed");
+            LOG.error("a control step failed", e);
+        }
+    }
+
+    private record Step(Runnable body) {}
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestAction.java
@@ -0,0 +1,23 @@
+package io.damaskyoke.control.routing;
+
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+
+/** What a router is to do for a request. */
+public sealed interface RequestAction {
+    /** Send it to this agent. */
+    record Send(VmId vm) implements RequestAction {}
+
+    /** Leave this agent out for a while. */
+    record Suspend(VmId vm, Duration time) implements RequestAction {}
+
+    /** Tell the agent that nobody waits for the answer any more. */
+    record Cancel(VmId vm, String reason) implements RequestAction {}
+
+    /** Pass the agent's answer on. */
+    record Deliver(VmId vm) implements RequestAction {}
+
+    /** Refuse; this is the final answer. */
+    record Reply(Refusal refusal) implements RequestAction {}
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
@@ -0,0 +1,31 @@
+package io.damaskyoke.control.routing;
+
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.id.VmId;
+
+/** What can happen to a request at its router. */
+public sealed interface RequestInput {
+    /** It came in and was admitted. */
+    record Start() implements RequestInput {}
+
+    /** The agent's answer has begun. */
+    record Served(VmId vm) implements RequestInput {}
+
+    /** The agent refused it. */
+    record Refused(VmId vm, Refusal refusal) implements RequestInput {}
+
+    /** It surely did not leave this process. */
+    record NotSent(VmId vm) implements RequestInput {}
+
+    /** It left, and the way to the agent broke before any answer. */
+    record Lost(VmId vm) implements RequestInput {}
+
+    /** Its deadline has passed. */
+    record DeadlinePassed() implements RequestInput {}
+
+    /** The caller is gone. */
+    record CallerGone() implements RequestInput {}
+
+    /** The key that came with it was withdrawn. */
+    record KeyWithdrawn() implements RequestInput {}
+}
