Add the links between peers and the caller side of exchanges

Cause: routers and agents need one long-lived connection per pair in use, and requests with streamed answers over it. Ruled out: writing from the connection's own thread at once, since such a write overtakes what other threads queued and shows as a gap in the numbers.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/FrameOrder.java
@@ -0,0 +1,112 @@
+package io.damaskyoke.peer;
+
+import io.damaskyoke.peer.wire.ExchangeId;
+import io.damaskyoke.peer.wire.Frame;
+
+/**
+ * The order in which the frames of one answer have to come: {@code Started}, chunks, {@code End};
+ * or {@code Refused} in place of what is left. Numbered from 0 without gaps.
+ *
+ * <p>It looks at each frame and says what to do with it. An answer counts as whole only if each
+ * frame came and the bytes add up to what the last one says.
+ */
+final class FrameOrder {
+    /** What to do with a frame. */
+    enum Verdict {
+        /** The next one in order: take it. */
+        TAKE,
+        /** Of another exchange: drop it. */
+        CROSSED,
+        /** Seen before: drop it. */
+        DOUBLED,
+        /** The answer is over: drop it. */
+        LATE,
+        /** Frames before it are missing: the answer is broken. */
+        GAP,
+        /** Its kind can't come here: the answer is broken. */
+        MISPLACED,
+        /** The bytes don't add up to the announced total: the answer is broken. */
+        WRONG_TOTAL;
+
+        /** True if no more can come of the answer. */
+        boolean breaks() {
+            return this == GAP || this == MISPLACED || this == WRONG_TOTAL;
+        }
+    }
+
+    private enum State {
+        AWAITING {
+            @Override
+            Verdict step(FrameOrder order, Frame frame) {
+                return switch (frame.getKindCase()) {
+                    case STARTED -> order.to(STREAMING);
+                    case REFUSED -> order.to(DONE);
+                    default -> order.broken(Verdict.MISPLACED);
+                };
+            }
+        },
+        STREAMING {
+            @Override
+            Verdict step(FrameOrder order, Frame frame) {
+                return switch (frame.getKindCase()) {
+                    case CHUNK -> order.add(frame.getChunk().getData().size());
+                    case END -> order.end(frame.getEnd().getTotalBytes());
+                    case REFUSED -> order.to(DONE);
+                    default -> order.broken(Verdict.MISPLACED);
+                };
+            }
+        },
+        DONE {
+            @Override
+            Verdict step(FrameOrder order, Frame frame) {
+                return Verdict.LATE;
+            }
+        };
+
+        abstract Verdict step(FrameOrder order, Frame frame);
+    }
+
+    private final ExchangeId id;
+    private final Sequence sequence = new Sequence();
+    private State state = State.AWAITING;
+    private long bytes;
+
+    FrameOrder(ExchangeId id) {
+        this.id = id;
+    }
+
+    /** Looks at the next frame that came. */
+    Verdict next(Frame frame) {
+        if (!frame.getExchange().equals(id)) {
+            return Verdict.CROSSED;
+        }
+        if (state == State.DONE) {
+            return Verdict.LATE;
+        }
+        return switch (sequence.next(frame.getSequence())) {
+            case DOUBLED -> Verdict.DOUBLED;
+            case GAP -> broken(Verdict.GAP);
+            case IN_ORDER -> state.step(this, frame);
+        };
+    }
+
+    private Verdict add(int size) {
+        bytes += size;
+        return Verdict.TAKE;
+    }
+
+    private Verdict end(long total) {
+        state = State.DONE;
+        return total == bytes ? Verdict.TAKE : Verdict.WRONG_TOTAL;
+    }
+
+    private Verdict to(State next) {
+        state = next;
+        return Verdict.TAKE;
+    }
+
+    private Verdict broken(Verdict how) {
+        state = State.DONE;
+        return how;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
@@ -0,0 +1,152 @@
+package io.damaskyoke.peer;
+
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Heartbeat;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Runs one connection: hello, then frames and heartbeats, until it ends. */
+final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
+    /** What every connection of a process needs. */
+    record Context(
+            Frame hello,
+            Supplier<Heartbeat> heartbeat,
+            Duration interval,
+            Duration silence,
+            int maxFrameBytes,
+            ClockGuard clock,
+            LinkEvents events) {}
+
+    private final NettyLink link;
+    private final Context context;
+    private Future<?> helloLimit;
+    private Future<?> heartbeats;
+    private Rejection rejection;
+
+    LinkHandler(NettyLink link, Context context) {
+        this.link = link;
+        this.context = context;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        ctx.writeAndFlush(context.hello().toBuilder().setSentAt(context.clock().now()).build());
+        helloLimit =
+                ctx.executor()
+                        .schedule(
+                                () -> reject(ctx, Rejection.NO_HELLO),
+                                context.silence().toMillis(),
+                                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+        if (rejection != null || link.ended()) {
+            return;
+        }
+        if (link.open()) {
+            receive(frame);
+        } else {
+            greet(ctx, frame);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof IdleStateEvent) {
+            context.events().count("peer_silent");
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Rejection.of(cause).ifPresentOrElse(reason -> reject(ctx, reason), () -> brokenOff(ctx));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        cancel(helloLimit);
+        cancel(heartbeats);
+        if (!link.open() && !link.ended() && rejection == null) {
+            rejection = Rejection.GONE_BEFORE_HELLO;
+            context.events().rejected(rejection);
+        }
+        if (link.end(why())) {
+            context.events().closed(link);
+        }
+    }
+
+    private void receive(Frame frame) {
+        context.clock().heard(frame.getSentAt());
+        if (frame.hasHello()) {
+            context.events().count("peer_late_hello");
+            return;
+        }
+        context.events().received(link, frame);
+    }
+
+    private void greet(ChannelHandlerContext ctx, Frame first) {
+        Optional<Rejection> refused = Handshake.check(first, link.expected());
+        if (refused.isPresent()) {
+            reject(ctx, refused.get());
+            return;
+        }
+        cancel(helloLimit);
+        context.clock().heard(first.getSentAt());
+        if (!link.opened(first.getHello())) {
+            ctx.close();
+            return;
+        }
+        Pipeline.allowFullFrames(ctx.pipeline(), context);
+        heartbeats = beat(ctx);
+        context.events().opened(link);
+        link.announce();
+    }
+
+    private Future<?> beat(ChannelHandlerContext ctx) {
+        long interval = context.interval().toMillis();
+        return ctx.executor()
+                .scheduleAtFixedRate(this::heartbeat, 0, interval, TimeUnit.MILLISECONDS);
+    }
+
+    private void heartbeat() {
+        try {
+            link.send(Frame.newBuilder().setHeartbeat(context.heartbeat().get()).build());
+        } catch (RuntimeException e) {
+            context.events().count("peer_heartbeat_failed");
+        }
+    }
+
+    private void reject(ChannelHandlerContext ctx, Rejection reason) {
+        if (rejection == null) {
+            rejection = reason;
+            context.events().rejected(reason);
+        }
+        ctx.close();
+    }
+
+    private void brokenOff(ChannelHandlerContext ctx) {
+        context.events().count("peer_broken_off");
+        ctx.close();
+    }
+
+    private PeerException why() {
+        return rejection == null
+                ? new PeerException(PeerException.Code.UNREACHABLE, "the connection is gone")
+                : new PeerException(
+                        PeerException.Code.REJECTED, "no link with it: " + rejection.label());
+    }
+
+    private static void cancel(Future<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/OutgoingExchange.java
@@ -0,0 +1,222 @@
+package io.damaskyoke.peer;
+
+import io.damaskyoke.exchange.ExchangeException;
+import io.damaskyoke.exchange.ExchangeException.Code;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.peer.wire.Cancel;
+import io.damaskyoke.peer.wire.Credit;
+import io.damaskyoke.peer.wire.End;
+import io.damaskyoke.peer.wire.ExchangeId;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Invoke;
+import io.damaskyoke.peer.wire.Started;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * The caller side of one exchange.
+ *
+ * <p>Numbering a frame and sending it happen under one lock, so that numbers leave in order. Stages
+ * are completed outside of it, since whoever waits for them runs there and then.
+ */
+final class OutgoingExchange implements Exchange {
+    private static final int GRANTS_PER_WINDOW = 4;
+
+    private final ExchangeId id;
+    private final PeerLink link;
+    private final int window;
+    private final Metrics metrics;
+    private final Consumer<OutgoingExchange> over;
+    private final FrameOrder order;
+    private final AnswerBody body = new AnswerBody(this::taken, this::consumerCancelled);
+    private final CompletableFuture<ExchangeResult> result = new CompletableFuture<>();
+    private final CompletableFuture<ExchangeResult.Ending> ending = new CompletableFuture<>();
+    private int sent;
+    private boolean done;
+    private long allowance;
+    private int ungranted;
+
+    OutgoingExchange(
+            ExchangeId id,
+            PeerLink link,
+            int window,
+            Metrics metrics,
+            Consumer<OutgoingExchange> over) {
+        this.id = id;
+        this.link = link;
+        this.window = window;
+        this.metrics = metrics;
+        this.over = over;
+        this.allowance = window;
+        this.order = new FrameOrder(id);
+    }
+
+    ExchangeId id() {
+        return id;
+    }
+
+    @Override
+    public CompletionStage<ExchangeResult> result() {
+        return result.minimalCompletionStage();
+    }
+
+    void begin(Invoke invoke) {
+        boolean left;
+        synchronized (this) {
+            left = done || send(frame().setInvoke(invoke));
+            done |= !left;
+        }
+        if (!left) {
+            over.accept(this);
+            result.complete(new ExchangeResult.NotSent("the link did not take the frame"));
+        }
+    }
+
+    @Override
+    public void cancel(Code code, String reason) {
+        synchronized (this) {
+            if (done) {
+                return;
+            }
+            sendCancel(reason);
+        }
+        fail(code, reason);
+    }
+
+    void received(PeerLink from, Frame frame) {
+        if (from != link) {
+            drop("crossed");
+            return;
+        }
+        FrameOrder.Verdict verdict;
+        synchronized (this) {
+            verdict = done ? FrameOrder.Verdict.LATE : order.next(frame);
+        }
+        if (verdict == FrameOrder.Verdict.TAKE) {
+            take(frame);
+            return;
+        }
+        drop(verdict.name().toLowerCase(Locale.ROOT));
+        if (verdict.breaks()) {
+            cancel(Code.INCOMPLETE, "frames are missing or wrong: " + verdict);
+        }
+    }
+
+    void linkClosed(PeerLink closed) {
+        if (closed == link) {
+            fail(Code.CONNECTION_LOST, "the link closed");
+        }
+    }
+
+    private void take(Frame frame) {
+        switch (frame.getKindCase()) {
+            case STARTED -> started(frame.getStarted());
+            case CHUNK -> chunk(frame);
+            case END -> ended(frame.getEnd());
+            default -> refused(frame);
+        }
+    }
+
+    private void started(Started started) {
+        result.complete(
+                new ExchangeResult.Served(
+                        started.getStatus(),
+                        InvokeCodec.fromWire(started.getHeadersList()),
+                        body.source(),
+                        ending.minimalCompletionStage()));
+    }
+
+    private void chunk(Frame frame) {
+        ByteString data =
+                ByteString.fromByteBuffer(frame.getChunk().getData().asReadOnlyByteBuffer());
+        boolean allowed;
+        synchronized (this) {
+            allowance -= data.size();
+            allowed = allowance >= 0;
+        }
+        if (allowed) {
+            body.add(data);
+        } else {
+            drop("over_credit");
+            cancel(Code.INCOMPLETE, "the peer sent more than it was granted");
+        }
+    }
+
+    private void ended(End end) {
+        if (!finish()) {
+            return;
+        }
+        body.end(null);
+        ending.complete(
+                new ExchangeResult.Ending(end.getTotalBytes(), end.getTokensUsed(), end.getLoad()));
+    }
+
+    private void refused(Frame frame) {
+        if (!finish()) {
+            return;
+        }
+        result.complete(
+                new ExchangeResult.Refused(
+                        RefusalCodec.fromWire(frame.getRefused()),
+                        RefusalCodec.load(frame.getRefused())));
+        breakOff(RefusalCodec.breaking(frame.getRefused()));
+    }
+
+    /** Ends what is pending as lost, and what runs with the code. */
+    private void fail(Code code, String reason) {
+        if (!finish()) {
+            return;
+        }
+        result.complete(new ExchangeResult.Lost(reason));
+        breakOff(new ExchangeException(code, reason));
+    }
+
+    private void breakOff(ExchangeException why) {
+        body.end(why);
+        ending.completeExceptionally(why);
+    }
+
+    private boolean finish() {
+        synchronized (this) {
+            if (done) {
+                return false;
+            }
+            done = true;
+        }
+        over.accept(this);
+        return true;
+    }
+
+    private void consumerCancelled() {
+        cancel(Code.REVOKED, "the consumer cancelled the body");
+    }
+
+    private synchronized void taken(int bytes) {
+        ungranted += bytes;
+        if (done || ungranted < Math.max(1, window / GRANTS_PER_WINDOW)) {
+            return;
+        }
+        allowance += ungranted;
+        send(frame().setCredit(Credit.newBuilder().setBytes(ungranted)));
+        ungranted = 0;
+    }
+
+    private void sendCancel(String reason) {
+        send(frame().setCancel(Cancel.newBuilder().setReason(reason)));
+    }
+
+    private boolean send(Frame.Builder frame) {
+        return link.send(frame.build());
+    }
+
+    private Frame.Builder frame() {
+        return Frame.newBuilder().setExchange(id).setSequence(sent++);
+    }
+
+    private void drop(String reason) {
+        metrics.count("exchange_frames_dropped", "reason", reason);
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/PeerLink.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/PeerLink.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.peer;
 
+import io.damaskyoke.id.Incarnation;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.Hello;
 import java.util.Optional;
@@ -9,6 +10,11 @@
     /** What the other side said of itself; empty until its first frame has come. */
     Optional<Hello> remote();
 
+    /** Which life of which process is at the other end; a restart at the same address differs. */
+    default Optional<Incarnation> incarnation() {
+        return remote().map(hello -> Incarnation.of(hello.getIncarnation()));
+    }
+
     /**
      * Sends a frame, or says at once that it can't.
      *
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetwork.java
@@ -0,0 +1,246 @@
+package io.damaskyoke.peer;
+
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.settings.PeerSettings;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * The links of this process to the other routers and agents.
+ *
+ * <p>{@code PeerNetwork network = PeerNetwork.builder()....build().start();
+ * network.connect(address).thenAccept(link -> link.send(frame));}
+ *
+ * <p>All methods are thread-safe and none but {@link #start()} and {@link #close()} blocks.
+ */
+public final class PeerNetwork implements AutoCloseable {
+    private static final int THREADS = 2;
+    private static final int CONNECT_TIMEOUT_MS = 3_000;
+    private static final int STOP_SECONDS = 2;
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(256 * 1024, 1024 * 1024);
+
+    private final PeerSettings settings;
+    private final InstantSource clock;
+    private final RandomGenerator random;
+    private final Metrics metrics;
+    private final LinkEvents events;
+    private final ClockGuard guard;
+    private final LinkHandler.Context context;
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final ConcurrentMap<PeerAddress, Dialer> dialers = new ConcurrentHashMap<>();
+    private volatile Channel server;
+    private volatile boolean closed;
+
+    PeerNetwork(PeerNetworkBuilder builder) {
+        settings = builder.settings;
+        clock = builder.clock;
+        random = builder.random;
+        metrics = builder.metrics;
+        events = new LinkEvents(builder.timeline, metrics);
+        guard = new ClockGuard(builder.timeline.clock(), clock, metrics);
+        context =
+                new LinkHandler.Context(
+                        builder.helloFrame(),
+                        builder.heartbeat,
+                        settings.heartbeat(),
+                        settings.silence(),
+                        settings.maxFrameBytes(),
+                        guard,
+                        events);
+        builder.listeners.forEach(events::add);
+    }
+
+    /** Collects what a network needs; settings, hello and timeline must be given. */
+    public static PeerNetworkBuilder builder() {
+        return new PeerNetworkBuilder();
+    }
+
+    /**
+     * Listens on the port of the settings; 0 lets the kernel choose one.
+     *
+     * @throws PeerException BIND_FAILED if the port is taken
+     */
+    public PeerNetwork start() {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                        .childHandler(inbound());
+        ChannelFuture bound =
+                bootstrap.bind(settings.host(), settings.port()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new PeerException(
+                    PeerException.Code.BIND_FAILED,
+                    "can't listen on " + settings.host() + ":" + settings.port(),
+                    bound.cause());
+        }
+        server = bound.channel();
+        channels.add(server);
+        return this;
+    }
+
+    /** The port listened on; {@link #start()} comes first. */
+    public int port() {
+        if (server == null) {
+            throw new IllegalStateException("call start() before port()");
+        }
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Adds a listener, which hears of all that happens from now on. */
+    public PeerNetwork listen(PeerListener listener) {
+        events.add(listener);
+        return this;
+    }
+
+    /**
+     * The one connection of this process to that address, opened by this call if need be. Until it
+     * is {@link PeerLink#open() open} it sends nothing, and says so; use {@link #connect} to wait.
+     */
+    public PeerLink link(PeerAddress address) {
+        return want(address);
+    }
+
+    /**
+     * The same connection once it is open, which may take a back-off after a failure. Fails with a
+     * {@link PeerException} when the attempt under way does.
+     */
+    public CompletionStage<PeerLink> connect(PeerAddress address) {
+        return want(address).ready();
+    }
+
+    /** Closes the link to an address and forgets it: for VMs that are off the platform's list. */
+    public void forget(PeerAddress address) {
+        Dialer dialer = dialers.remove(address);
+        if (dialer != null) {
+            dialer.close(closedHere());
+        }
+    }
+
+    /** All open links, whichever side opened them. */
+    public List<PeerLink> links() {
+        return events.open();
+    }
+
+    /** Stops listening and closes all links; listeners hear of each. */
+    @Override
+    public void close() {
+        closed = true;
+        dialers.values().forEach(dialer -> dialer.close(closedHere()));
+        channels.close().awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+        group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private NettyLink want(PeerAddress address) {
+        return dialers.computeIfAbsent(address, this::dialer).want();
+    }
+
+    private Dialer dialer(PeerAddress address) {
+        return new Dialer(
+                clock,
+                new Backoff(random),
+                () -> fresh(Optional.of(address.vm())),
+                (link, wait) -> openAfter(wait, link, address));
+    }
+
+    private NettyLink fresh(Optional<VmId> expected) {
+        return new NettyLink(expected, guard, settings.maxFrameBytes(), metrics);
+    }
+
+    private void openAfter(Duration wait, NettyLink link, PeerAddress address) {
+        try {
+            group.schedule(() -> open(link, address), wait.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            link.end(closedHere());
+        }
+    }
+
+    private void open(NettyLink link, PeerAddress address) {
+        if (closed) {
+            link.end(closedHere());
+        }
+        if (link.ended()) {
+            return;
+        }
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .handler(outbound(link))
+                .connect(address.host(), address.port())
+                .addListener(connected -> unreachable(link, address, connected.cause()));
+    }
+
+    private void unreachable(NettyLink link, PeerAddress address, Throwable cause) {
+        if (cause == null) {
+            return;
+        }
+        metrics.count("peer_connect_failed");
+        link.end(
+                new PeerException(
+                        PeerException.Code.UNREACHABLE, "can't connect to " + address, cause));
+    }
+
+    private ChannelInitializer<Channel> inbound() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                prepare(channel, fresh(Optional.empty()));
+            }
+        };
+    }
+
+    private ChannelInitializer<Channel> outbound(NettyLink link) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                prepare(channel, link);
+            }
+        };
+    }
+
+    private void prepare(Channel channel, NettyLink link) {
+        channels.add(channel);
+        Pipeline.build(channel, link, context);
+        if (closed || link.ended()) {
+            channel.close();
+        }
+    }
+
+    private static PeerException closedHere() {
+        return new PeerException(PeerException.Code.CLOSED, "closed by this process");
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/Pipeline.java
@@ -0,0 +1,48 @@
+package io.damaskyoke.peer;
+
+import io.damaskyoke.peer.wire.Frame;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The stages of a connection: four bytes of length, then a {@link Frame}.
+ *
+ * <p>Until a hello has come only a small frame is let in, so that a stranger can't make this
+ * process keep megabytes for it.
+ */
+final class Pipeline {
+    static final int MAX_HELLO_BYTES = 4096;
+    private static final int LENGTH_BYTES = 4;
+    private static final String FRAMES = "frames";
+
+    private Pipeline() {}
+
+    static void build(Channel channel, NettyLink link, LinkHandler.Context context) {
+        link.attach(channel);
+        long silence = context.silence().toMillis();
+        channel.pipeline()
+                .addLast(new FlushConsolidationHandler())
+                .addLast(new IdleStateHandler(silence, 0, 0, TimeUnit.MILLISECONDS))
+                .addLast(FRAMES, frames(MAX_HELLO_BYTES))
+                .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                .addLast(new ProtobufEncoder())
+                .addLast(new LinkHandler(link, context));
+    }
+
+    static void allowFullFrames(ChannelPipeline pipeline, LinkHandler.Context context) {
+        pipeline.replace(FRAMES, FRAMES, frames(context.maxFrameBytes()));
+    }
+
+    private static LengthFieldBasedFrameDecoder frames(int maxBytes) {
+        return new LengthFieldBasedFrameDecoder(
+                maxBytes + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/Sequence.java
@@ -0,0 +1,25 @@
+package io.damaskyoke.peer;
+
+/** The numbers of the frames of one exchange in one direction: 0, 1, 2 ... as unsigned 32 bits. */
+final class Sequence {
+    /** How a number stands to those before it. */
+    enum Place {
+        IN_ORDER,
+        DOUBLED,
+        GAP
+    }
+
+    private long expected;
+
+    Place next(int number) {
+        long given = Integer.toUnsignedLong(number);
+        if (given < expected) {
+            return Place.DOUBLED;
+        }
+        if (given > expected) {
+            return Place.GAP;
+        }
+        expected++;
+        return Place.IN_ORDER;
+    }
+}
