--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
@@ -32,7 +32,8 @@
     private final Map<VmId, AgentLoad> loads = new HashMap<>();
     private final Map<VmId, Integer> outstanding = new HashMap<>();
     private final Map<VmId, Instant> suspended = new HashMap<>();
-    private final Set<VmId> leaving = new HashSet<>();
+    private final Set<VmId> draining = new HashSet<>();
+    private Set<VmId> leaving = Set.of();
 
     private Fleet(AvailabilityZone here) {
         this.here = here;
@@ -49,8 +50,8 @@
         present.forEach(member -> members.put(member.vm(), member));
         loads.keySet().retainAll(members.keySet());
         suspended.keySet().retainAll(members.keySet());
-        leaving.retainAll(members.keySet());
-        leaving.addAll(listedAsLeaving);
+        draining.retainAll(members.keySet());
+        leaving = Set.copyOf(listedAsLeaving);
     }
 
     /** Takes in what an agent says of its load. */
@@ -60,12 +61,12 @@
 
     /** An agent says that it takes no new work. */
     public void draining(VmId vm) {
-        leaving.add(vm);
+        draining.add(vm);
     }
 
     /** A new life of an agent, which takes work again whatever its last life said. */
     public void returned(VmId vm) {
-        leaving.remove(vm);
+        draining.remove(vm);
         suspended.remove(vm);
         loads.remove(vm);
     }
@@ -131,6 +132,7 @@
         return members.values().stream()
                 .filter(member -> member.pool().equals(pool))
                 .filter(member -> !leaving.contains(member.vm()))
+                .filter(member -> !draining.contains(member.vm()))
                 .filter(member -> !tried.contains(member.vm()))
                 .filter(member -> !isSuspended(member.vm(), now));
     }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -0,0 +1,194 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.control.configuration.Service;
+import io.damaskyoke.control.routing.Fleet;
+import io.damaskyoke.control.routing.Member;
+import io.damaskyoke.control.routing.RequestMachine.AgentChoice;
+import io.damaskyoke.control.routing.RetryBudget;
+import io.damaskyoke.exchange.Answer;
+import io.damaskyoke.exchange.CancelSignal;
+import io.damaskyoke.exchange.Dispatcher;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.exchange.Target;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.peer.ExchangeClient;
+import io.damaskyoke.peer.PeerAddress;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.timeline.Timeline;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Takes requests from the caller side, lets them in or not, and starts a {@link RequestFlow} for
+ * each. Its state belongs to the control thread.
+ */
+final class RequestDispatcher implements Dispatcher {
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+
+    final Control control;
+    final Fleet fleet;
+    final PeerNetwork network;
+    final ExchangeClient client;
+    final Admission admission;
+    final RetryBudget retries;
+    final Metrics metrics;
+    final Timeline timeline;
+    private final Supplier<Configuration> configuration;
+    private final BooleanSupplier confirmed;
+    private final int maxWaiting;
+    private final Set<RequestFlow> flows = new LinkedHashSet<>();
+    private int waiting;
+
+    RequestDispatcher(Parts parts) {
+        this.control = parts.control();
+        this.fleet = parts.fleet();
+        this.network = parts.network();
+        this.client = parts.client();
+        this.admission = parts.admission();
+        this.retries = parts.retries();
+        this.metrics = parts.metrics();
+        this.timeline = parts.timeline();
+        this.configuration = parts.configuration();
+        this.confirmed = parts.confirmed();
+        this.maxWaiting = parts.maxWaiting();
+    }
+
+    /**
+     * What a dispatcher works with.
+     *
+     * @param confirmed whether the configuration in force is known to be the newest
+     * @param maxWaiting requests that may be without an answer at once
+     */
+    record Parts(
+            Control control,
+            Fleet fleet,
+            PeerNetwork network,
+            ExchangeClient client,
+            Admission admission,
+            RetryBudget retries,
+            Metrics metrics,
+            Timeline timeline,
+            Supplier<Configuration> configuration,
+            BooleanSupplier confirmed,
+            int maxWaiting) {}
+
+    @Override
+    public CompletionStage<Answer> dispatch(Request request, CancelSignal cancel) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        control.run(() -> begin(request, cancel, answer));
+        return answer;
+    }
+
+    /** Requests that were let in and are not over, streams included. */
+    int running() {
+        return flows.size();
+    }
+
+    /** Requests that have no answer yet. */
+    int waiting() {
+        return waiting;
+    }
+
+    /** Refuses those that wait with a key that is no longer granted. */
+    void configurationChanged(Configuration now) {
+        for (RequestFlow flow : new ArrayList<>(flows)) {
+            if (!now.granted(flow.request().key())) {
+                flow.keyWithdrawn();
+            }
+        }
+    }
+
+    /** Connects to the agent's VM; fails if that is no longer known. */
+    CompletionStage<PeerLink> connect(VmId vm) {
+        Optional<Member> member = fleet.member(vm);
+        if (member.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new RouterException(RouterException.Code.UNKNOWN_AGENT, "no agent on " + vm));
+        }
+        return network.connect(new PeerAddress(vm, member.get().host(), member.get().port()));
+    }
+
+    /** A flow got its answer. */
+    void answered() {
+        waiting--;
+    }
+
+    /** A flow is over, its body included. */
+    void over(RequestFlow flow) {
+        flows.remove(flow);
+    }
+
+    private void begin(Request request, CancelSignal cancel, CompletableFuture<Answer> answer) {
+        Instant now = control.clock().instant();
+        Optional<Refusal> refusal = atTheDoor(request).or(() -> admission.admit(request, now));
+        if (refusal.isPresent()) {
+            metrics.count("router_refused", "code", refusal.get().code().wireName());
+            answer.complete(new Answer.Refused(refusal.get()));
+            return;
+        }
+        RequestFlow flow = new RequestFlow(this, request, choice(request), answer);
+        flows.add(flow);
+        waiting++;
+        flow.start();
+        cancel.onCancel(() -> control.run(flow::callerGone));
+    }
+
+    private Optional<Refusal> atTheDoor(Request request) {
+        if (!confirmed.getAsBoolean()) {
+            return refusal(
+                    RefusalCode.CONFIGURATION_UNCONFIRMED,
+                    "this router can't confirm that its configuration is the newest");
+        }
+        if (waiting >= maxWaiting) {
+            return refusal(RefusalCode.OVERLOADED, "too many requests wait here");
+        }
+        if (!configuration.get().granted(request.key())) {
+            return Optional.of(
+                    Refusal.notRun(RefusalCode.KEY_WITHDRAWN, "the caller key was withdrawn"));
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Refusal> refusal(RefusalCode code, String message) {
+        return Optional.of(Refusal.notRun(code, message).retryAfter(COME_BACK));
+    }
+
+    private AgentChoice choice(Request request) {
+        if (request.target() instanceof Target.Model target) {
+            return (tried, now) -> holder(target, tried, now);
+        }
+        Target.Service target = (Target.Service) request.target();
+        return (tried, now) -> server(target, tried, now);
+    }
+
+    private Optional<VmId> holder(Target.Model target, Set<VmId> tried, Instant now) {
+        Model model = configuration.get().models().get(target.model());
+        return model == null ? Optional.empty() : fleet.holder(model, tried, now);
+    }
+
+    private Optional<VmId> server(Target.Service target, Set<VmId> tried, Instant now) {
+        Service service = configuration.get().services().get(target.service());
+        return service == null ? Optional.empty() : fleet.server(service.pool(), tried, now);
+    }
+
+    /** The flows under way, for a stop that has reached its limit. */
+    List<RequestFlow> flows() {
+        return List.copyOf(flows);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
@@ -0,0 +1,214 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.routing.RequestAction;
+import io.damaskyoke.control.routing.RequestInput;
+import io.damaskyoke.control.routing.RequestMachine;
+import io.damaskyoke.exchange.Answer;
+import io.damaskyoke.exchange.ExchangeException;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.Exchange;
+import io.damaskyoke.peer.ExchangeResult;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.timeline.EventType;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One request on its way: feeds a {@link RequestMachine} with what happens and carries out what it
+ * decides. Runs on the control thread only.
+ */
+final class RequestFlow {
+    private final RequestDispatcher dispatcher;
+    private final Request request;
+    private final CompletableFuture<Answer> answer;
+    private final RequestMachine machine;
+    private final Control.Cancellable deadline;
+    private Exchange exchange;
+    private ExchangeResult.Served served;
+    private boolean closed;
+
+    RequestFlow(
+            RequestDispatcher dispatcher,
+            Request request,
+            RequestMachine.AgentChoice choice,
+            CompletableFuture<Answer> answer) {
+        this.dispatcher = dispatcher;
+        this.request = request;
+        this.answer = answer;
+        this.machine = RequestMachine.of(request.idempotent(), choice, dispatcher.retries);
+        this.deadline = dispatcher.control.after(timeLeft(), this::deadlinePassed);
+    }
+
+    Request request() {
+        return request;
+    }
+
+    void start() {
+        dispatcher.timeline.add(
+                EventType.REQUEST,
+                request.id().toString(),
+                Map.of(
+                        "workspace", request.workspace().value(),
+                        "target", request.target().name()));
+        feed(new RequestInput.Start());
+    }
+
+    void callerGone() {
+        feed(new RequestInput.CallerGone());
+    }
+
+    void keyWithdrawn() {
+        feed(new RequestInput.KeyWithdrawn());
+    }
+
+    /** Breaks off whatever is left of it, since the process has to end. */
+    void abort() {
+        if (machine.answered() && exchange != null) {
+            exchange.cancel(ExchangeException.Code.REVOKED, "the router has to stop");
+        } else {
+            feed(new RequestInput.DeadlinePassed());
+        }
+    }
+
+    private void deadlinePassed() {
+        if (machine.answered() && exchange != null) {
+            exchange.cancel(ExchangeException.Code.DEADLINE_EXCEEDED, "the deadline has passed");
+        } else {
+            feed(new RequestInput.DeadlinePassed());
+        }
+    }
+
+    private void feed(RequestInput input) {
+        for (RequestAction action : machine.on(input, now())) {
+            carryOut(action);
+        }
+    }
+
+    private void carryOut(RequestAction action) {
+        if (action instanceof RequestAction.Send send) {
+            send(send.vm());
+        } else if (action instanceof RequestAction.Suspend suspend) {
+            dispatcher.fleet.suspend(suspend.vm(), now(), suspend.time());
+            dispatcher.metrics.count("router_agents_suspended");
+        } else if (action instanceof RequestAction.Cancel cancel) {
+            if (exchange != null) {
+                exchange.cancel(cancel.reason());
+            }
+        } else if (action instanceof RequestAction.Deliver) {
+            deliver();
+        } else if (action instanceof RequestAction.Reply reply) {
+            reply(reply.refusal());
+        }
+    }
+
+    private void send(VmId vm) {
+        dispatcher.fleet.sent(vm);
+        exchange = null;
+        dispatcher
+                .connect(vm)
+                .whenComplete(
+                        (link, failure) ->
+                                dispatcher.control.run(() -> connected(vm, link, failure)));
+    }
+
+    private void connected(VmId vm, PeerLink link, Throwable failure) {
+        if (machine.answered()) {
+            dispatcher.fleet.done(vm);
+            return;
+        }
+        if (failure != null) {
+            dispatcher.fleet.done(vm);
+            feed(new RequestInput.NotSent(vm));
+            return;
+        }
+        dispatcher.timeline.add(
+                EventType.HANDED_OVER, request.id().toString(), Map.of("vm", vm.value()));
+        exchange = dispatcher.client.invoke(link, request, timeLeft());
+        exchange.result()
+                .thenAccept(result -> dispatcher.control.run(() -> resulted(vm, result)));
+    }
+
+    private void resulted(VmId vm, ExchangeResult result) {
+        if (result instanceof ExchangeResult.Served begun) {
+            begun(vm, begun);
+        } else if (result instanceof ExchangeResult.Refused refused) {
+            dispatcher.fleet.done(vm);
+            refused.load().ifPresent(load -> dispatcher.fleet.loaded(vm, Loads.fromWire(load)));
+            feed(new RequestInput.Refused(vm, refused.refusal()));
+        } else if (result instanceof ExchangeResult.NotSent) {
+            dispatcher.fleet.done(vm);
+            feed(new RequestInput.NotSent(vm));
+        } else {
+            dispatcher.fleet.done(vm);
+            feed(new RequestInput.Lost(vm));
+        }
+    }
+
+    private void begun(VmId vm, ExchangeResult.Served result) {
+        served = result;
+        result.ending()
+                .whenComplete(
+                        (ending, failure) ->
+                                dispatcher.control.run(() -> ended(vm, ending, failure)));
+        if (machine.answered()) {
+            exchange.cancel("the answer came too late");
+        }
+        feed(new RequestInput.Served(vm));
+    }
+
+    private void ended(VmId vm, ExchangeResult.Ending ending, Throwable failure) {
+        dispatcher.fleet.done(vm);
+        long tokens = request.tokens();
+        if (failure == null) {
+            dispatcher.fleet.loaded(vm, Loads.fromWire(ending.load()));
+            tokens = ending.tokensUsed() > 0 ? ending.tokensUsed() : request.tokens();
+            dispatcher.timeline.add(EventType.ANSWERED, request.id().toString());
+        } else {
+            dispatcher.metrics.count("router_answers_cut");
+        }
+        close(tokens);
+    }
+
+    private void deliver() {
+        dispatcher.answered();
+        dispatcher.metrics.count("router_served");
+        answer.complete(new Answer.Served(served.status(), served.headers(), served.body()));
+    }
+
+    private void reply(Refusal refusal) {
+        dispatcher.answered();
+        dispatcher.metrics.count("router_refused", "code", refusal.code().wireName());
+        dispatcher.timeline.add(
+                EventType.REFUSED,
+                request.id().toString(),
+                Map.of(
+                        "code", refusal.code().wireName(),
+                        "not_run", String.valueOf(refusal.notRun())));
+        answer.complete(new Answer.Refused(refusal));
+        close(refusal.notRun() ? 0 : request.tokens());
+    }
+
+    private void close(long tokens) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        deadline.cancel();
+        dispatcher.admission.settle(request, tokens, now());
+        dispatcher.over(this);
+    }
+
+    private Duration timeLeft() {
+        Duration left = Duration.between(now(), request.deadline());
+        return left.isNegative() ? Duration.ZERO : left;
+    }
+
+    private Instant now() {
+        return dispatcher.control.clock().instant();
+    }
+}
