Put router and agent together over the node's common parts

Cause: the thin path needs both daemons. Ruled out: giving agents leases in the store (2,400 kept alive exceed its writes).

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -0,0 +1,196 @@
+package io.damaskyoke.agent;
+
+import io.damaskyoke.control.serving.ServingInput;
+import io.damaskyoke.control.serving.ServingMachine;
+import io.damaskyoke.id.PoolName;
+import io.damaskyoke.metrics.Prometheus;
+import io.damaskyoke.node.Node;
+import io.damaskyoke.node.ReadyLine;
+import io.damaskyoke.operator.OperatorServer;
+import io.damaskyoke.peer.ExchangeServer;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.Role;
+import io.damaskyoke.peer.wire.Draining;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Heartbeat;
+import io.damaskyoke.platform.Registration;
+import io.damaskyoke.settings.AgentSettings;
+import io.damaskyoke.timeline.EventType;
+import io.damaskyoke.upstream.Engine;
+import io.damaskyoke.upstream.HttpEngine;
+import io.damaskyoke.upstream.HttpUpstream;
+import io.damaskyoke.upstream.Upstream;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.stream.SystemMaterializer;
+
+/**
+ * An agent: {@code Agent agent = Agent.start(settings); ... agent.stop();}
+ *
+ * <p>It is the only process that talks to its upstream. Routers find it by its registration.
+ */
+public final class Agent {
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final Duration GRACE = Duration.ofSeconds(1);
+
+    private final AgentSettings settings;
+    private final Node node;
+    private final RequestRunner runner;
+    private final PeerNetwork network;
+    private final OperatorServer operators;
+    private final Registrar registrar;
+    private volatile boolean draining;
+
+    private Agent(AgentSettings settings) {
+        this.settings = settings;
+        this.node = Node.start(settings.process(), settings.platform(), Role.AGENT);
+        HttpUpstream http = httpUpstream();
+        boolean isEngine = settings.upstream().kind() == AgentSettings.Kind.ENGINE;
+        Engine engine = isEngine ? engine(http) : null;
+        Upstream upstream = isEngine ? engine : http;
+        this.runner = runner(upstream);
+        if (isEngine) {
+            runner.replicas(EngineReplicas.start(node, engine, settings.upstream(), runner::feed));
+        }
+        this.network = startNetwork();
+        this.operators = startOperators();
+        this.registrar = new Registrar(node, registration());
+        registrar.start();
+        node.control().every(TICK, () -> runner.feed(new ServingInput.Tick()));
+    }
+
+    /** Starts an agent and returns once it listens; throws an {@link AgentException} if it can't. */
+    public static Agent start(AgentSettings settings) {
+        try {
+            return new Agent(settings);
+        } catch (CompletionException e) {
+            throw new AgentException(
+                    AgentException.Code.START_FAILED, e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    /** What the process says once it takes work. */
+    public ReadyLine ready() {
+        return node.readyLine(settings.operator().host(), operators.port(), network.port());
+    }
+
+    /**
+     * Ends gracefully: tells the routers, refuses new work as not run, finishes what it has up to
+     * the settings' limit, takes its registration back, and then ends.
+     */
+    public void stop() {
+        node.timeline().add(EventType.DRAINING, node.vm().value());
+        draining = true;
+        Frame leaving = Frame.newBuilder().setDraining(Draining.getDefaultInstance()).build();
+        network.links().forEach(link -> link.send(leaving));
+        registrar.withdraw(settings.platform().storeTimeout());
+        node.control().run(() -> runner.feed(new ServingInput.Drain()));
+        awaitDrained(settings.stop().limit());
+        operators.stop(GRACE).toCompletableFuture().join();
+        network.close();
+        node.close();
+    }
+
+    private HttpUpstream httpUpstream() {
+        return HttpUpstream.builder()
+                .system(node.system().classicSystem())
+                .url(settings.upstream().url())
+                .connectTimeout(settings.upstream().connectTimeout())
+                .maxRunning(settings.upstream().maxRunning())
+                .clock(node.control().clock())
+                .metrics(node.metrics())
+                .build();
+    }
+
+    private Engine engine(HttpUpstream http) {
+        return HttpEngine.builder()
+                .upstream(http)
+                .system(node.system().classicSystem())
+                .url(settings.upstream().url())
+                .connectTimeout(settings.upstream().connectTimeout())
+                .loadTimeout(settings.upstream().loadTimeout())
+                .build();
+    }
+
+    private RequestRunner runner(Upstream upstream) {
+        int maxRunning = settings.upstream().maxRunning();
+        return new RequestRunner(
+                node.control(),
+                ServingMachine.of(maxRunning, settings.upstream().maxWaiting()),
+                upstream,
+                node.configuration()::current,
+                node.metrics(),
+                node.timeline(),
+                maxRunning);
+    }
+
+    private PeerNetwork startNetwork() {
+        ExchangeServer server =
+                ExchangeServer.of(
+                        runner,
+                        node.control().clock(),
+                        SystemMaterializer.get(node.system()).materializer(),
+                        node.metrics());
+        return node.network(settings.peer())
+                .heartbeat(this::heartbeat)
+                .listen(server)
+                .build()
+                .start();
+    }
+
+    private Heartbeat heartbeat() {
+        return Heartbeat.newBuilder()
+                .setConfigSequence(node.configuration().current().sequence())
+                .setLoad(runner.load())
+                .setDraining(draining)
+                .build();
+    }
+
+    private OperatorServer startOperators() {
+        return OperatorServer.builder(node.system())
+                .address(settings.operator().host(), settings.operator().port())
+                .token(settings.operator().token())
+                .status(this::status)
+                .timeline(node.timeline())
+                .metrics(() -> Prometheus.text(node.metrics().registry()))
+                .start()
+                .toCompletableFuture()
+                .orTimeout(START_LIMIT.toSeconds(), TimeUnit.SECONDS)
+                .join();
+    }
+
+    private AgentStatus status() {
+        return AgentStatus.of(node, settings.upstream(), runner.load(), draining);
+    }
+
+    private Registration registration() {
+        return new Registration(
+                node.vm(),
+                node.incarnation(),
+                PoolName.of(settings.upstream().pool()),
+                node.zone(),
+                settings.peer().host(),
+                network.port());
+    }
+
+    private void awaitDrained(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        while (System.nanoTime() < end && !drained()) {
+            sleep(TICK);
+        }
+    }
+
+    private boolean drained() {
+        return node.control().ask(runner::drained).toCompletableFuture().join();
+    }
+
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
@@ -0,0 +1,233 @@
+package io.damaskyoke.agent;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.control.serving.ServingAction;
+import io.damaskyoke.control.serving.ServingInput;
+import io.damaskyoke.control.serving.ServingMachine;
+import io.damaskyoke.exchange.Answer;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.exchange.Target;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.peer.ExchangeHandler;
+import io.damaskyoke.peer.IncomingExchange;
+import io.damaskyoke.peer.wire.Load;
+import io.damaskyoke.timeline.EventType;
+import io.damaskyoke.timeline.Timeline;
+import io.damaskyoke.upstream.Upstream;
+import io.damaskyoke.upstream.UpstreamException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
+
+/**
+ * Takes the requests that routers send and runs them at the upstream: feeds a {@link
+ * ServingMachine} and carries out what it decides. Its state belongs to the control thread.
+ */
+final class RequestRunner implements ExchangeHandler {
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+
+    private final Control control;
+    private final ServingMachine machine;
+    private final Upstream upstream;
+    private final Supplier<Configuration> configuration;
+    private final Metrics metrics;
+    private final Timeline timeline;
+    private final int maxRunning;
+    private final Map<ExchangeId, IncomingExchange> exchanges = new HashMap<>();
+    private Replicas replicas = Replicas.none();
+    private volatile Load load = Load.getDefaultInstance();
+
+    RequestRunner(
+            Control control,
+            ServingMachine machine,
+            Upstream upstream,
+            Supplier<Configuration> configuration,
+            Metrics metrics,
+            Timeline timeline,
+            int maxRunning) {
+        this.control = control;
+        this.machine = machine;
+        this.upstream = upstream;
+        this.configuration = configuration;
+        this.metrics = metrics;
+        this.timeline = timeline;
+        this.maxRunning = maxRunning;
+    }
+
+    /** Says who looks after the models; before the first request. */
+    void replicas(Replicas given) {
+        replicas = given;
+    }
+
+    @Override
+    public void handle(IncomingExchange exchange) {
+        control.run(() -> arrive(exchange));
+    }
+
+    /** Passes on something that happened; control thread only. */
+    void feed(ServingInput input) {
+        for (ServingAction action : machine.on(input, now())) {
+            carryOut(action);
+        }
+        updateLoad();
+    }
+
+    /** True once a drain is done. */
+    boolean drained() {
+        return machine.drained();
+    }
+
+    /** The load as of the last input; any thread. */
+    Load load() {
+        return load;
+    }
+
+    private void arrive(IncomingExchange exchange) {
+        Request request = exchange.request();
+        Optional<Model> model = model(request);
+        if (request.target() instanceof Target.Model && model.isEmpty()) {
+            exchange.refuse(unknown(exchange), load);
+            return;
+        }
+        exchanges.put(request.id(), exchange);
+        exchange.onCancel(() -> control.run(() -> gone(request.id())));
+        feed(
+                new ServingInput.Arrived(
+                        request.id(), request.workspace(), model, request.deadline()));
+    }
+
+    private Optional<Model> model(Request request) {
+        if (request.target() instanceof Target.Model target) {
+            return Optional.ofNullable(configuration.get().models().get(target.model()));
+        }
+        return Optional.empty();
+    }
+
+    // A router may have a newer configuration than this agent. Saying "no such model" then would
+    // refuse a caller for good where a moment's wait or another agent helps.
+    private Refusal unknown(IncomingExchange exchange) {
+        if (exchange.configSequence() > configuration.get().sequence()) {
+            return Refusal.notRun(
+                            RefusalCode.NO_UPSTREAM, "this agent's configuration is not yet there")
+                    .retryAfter(COME_BACK);
+        }
+        return Refusal.notRun(RefusalCode.UNKNOWN_MODEL, "no such model");
+    }
+
+    private void carryOut(ServingAction action) {
+        if (action instanceof ServingAction.Want want) {
+            replicas.want(want.model(), want.workspace(), want.deadline());
+        } else if (action instanceof ServingAction.Use use) {
+            replicas.use(use.model());
+        } else if (action instanceof ServingAction.Leave leave) {
+            replicas.leave(leave.model());
+        } else if (action instanceof ServingAction.Run run) {
+            run(run.id());
+        } else if (action instanceof ServingAction.Refuse refuse) {
+            refuse(refuse.id(), refuse.refusal());
+        }
+    }
+
+    private void run(ExchangeId id) {
+        IncomingExchange exchange = exchanges.get(id);
+        if (exchange.cancelled()) {
+            control.run(() -> finished(id));
+            return;
+        }
+        metrics.count("agent_requests_run");
+        timeline.add(EventType.HANDED_OVER, id.toString());
+        upstream.send(exchange.request())
+                .whenComplete(
+                        (answer, failure) -> {
+                            if (failure == null) {
+                                serve(exchange, answer);
+                            } else {
+                                fail(exchange, failure);
+                            }
+                        });
+    }
+
+    private void serve(IncomingExchange exchange, Answer.Served answer) {
+        ExchangeId id = exchange.request().id();
+        var body =
+                answer.body()
+                        .watchTermination(
+                                (mat, done) -> {
+                                    done.whenComplete(
+                                            (ok, failure) -> control.run(() -> finished(id)));
+                                    return mat;
+                                });
+        exchange.serve(
+                new Answer.Served(answer.status(), answer.headers(), body), this::load, () -> 0L);
+    }
+
+    private void fail(IncomingExchange exchange, Throwable failure) {
+        ExchangeId id = exchange.request().id();
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean notRun = cause instanceof UpstreamException known && known.notRun();
+        Refusal refusal =
+                notRun
+                        ? Refusal.notRun(RefusalCode.NO_UPSTREAM, "the upstream can't be reached")
+                                .retryAfter(COME_BACK)
+                        : Refusal.mayHaveRun(failureCode(exchange), "the upstream did not answer");
+        metrics.count("agent_upstream_failures", "not_run", String.valueOf(notRun));
+        exchange.refuse(refusal, load);
+        control.run(() -> finished(id));
+    }
+
+    private static RefusalCode failureCode(IncomingExchange exchange) {
+        return exchange.request().idempotent()
+                ? RefusalCode.UPSTREAM_FAILED
+                : RefusalCode.OUTCOME_UNKNOWN;
+    }
+
+    private void finished(ExchangeId id) {
+        if (exchanges.remove(id) != null) {
+            timeline.add(EventType.ANSWERED, id.toString());
+            feed(new ServingInput.Finished(id));
+        }
+    }
+
+    private void gone(ExchangeId id) {
+        feed(new ServingInput.Gone(id));
+        // One that runs is finished by the end of its body, which the exchange cancels.
+        if (!machine.isRunning(id)) {
+            exchanges.remove(id);
+        }
+    }
+
+    private void refuse(ExchangeId id, Refusal refusal) {
+        IncomingExchange exchange = exchanges.remove(id);
+        if (exchange != null) {
+            timeline.add(
+                    EventType.REFUSED, id.toString(), Map.of("code", refusal.code().wireName()));
+            exchange.refuse(refusal, load);
+        }
+    }
+
+    private void updateLoad() {
+        Load.Builder now =
+                Load.newBuilder()
+                        .setRunning(machine.running())
+                        .setWaiting(machine.waiting())
+                        .setLimit(maxRunning)
+                        .setMemoryBytes(replicas.memoryBytes())
+                        .setMemoryUsedBytes(replicas.memoryUsedBytes());
+        replicas.loaded().forEach(model -> now.addLoaded(model.value()));
+        replicas.loading().forEach(model -> now.addLoading(model.value()));
+        load = now.build();
+    }
+
+    private Instant now() {
+        return control.clock().instant();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServingMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServingMachine.java
@@ -61,6 +61,11 @@
         return running.size();
     }
 
+    /** True if this request is at the upstream. */
+    public boolean isRunning(ExchangeId id) {
+        return running.containsKey(id);
+    }
+
     /** Requests that wait. */
     public int waiting() {
         return waiting.size();
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -0,0 +1,186 @@
+package io.damaskyoke.node;
+
+import com.typesafe.config.ConfigFactory;
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.ControlLoop;
+import io.damaskyoke.control.MonotonicClock;
+import io.damaskyoke.control.configuration.ConfigurationService;
+import io.damaskyoke.id.AvailabilityZone;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.PeerNetworkBuilder;
+import io.damaskyoke.peer.Role;
+import io.damaskyoke.platform.EtcdStore;
+import io.damaskyoke.platform.HttpVmList;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.VmList;
+import io.damaskyoke.settings.PeerSettings;
+import io.damaskyoke.settings.PlatformSettings;
+import io.damaskyoke.settings.ProcessSettings;
+import io.damaskyoke.timeline.EventType;
+import io.damaskyoke.timeline.HybridClock;
+import io.damaskyoke.timeline.Timeline;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import scala.concurrent.Await;
+
+/**
+ * The parts that every process of the system has: {@code Node.start(settings.process(),
+ * settings.platform(), Role.AGENT)}. {@link #close()} ends them.
+ */
+public final class Node implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(Node.class);
+    private static final Duration CLOSE_LIMIT = Duration.ofSeconds(5);
+
+    private final ProcessSettings process;
+    private final Role role;
+    private final Incarnation incarnation;
+    private final ActorSystem<Void> system;
+    private final Metrics metrics = new Metrics();
+    private final Timeline timeline;
+    private final Control control;
+    private final KeyValueStore store;
+    private final VmList vmList;
+    private final String storePrefix;
+    private final ConfigurationService configuration;
+
+    private Node(ProcessSettings process, PlatformSettings platform, Role role) {
+        this.process = process;
+        this.role = role;
+        this.incarnation =
+                Incarnation.of(process.vm() + ":" + UUID.randomUUID().toString().substring(0, 13));
+        InstantSource clock = MonotonicClock.start();
+        this.timeline =
+                Timeline.of(process.vm(), HybridClock.over(clock), process.timelineEvents());
+        this.system =
+                ActorSystem.create(Behaviors.empty(), "damaskyoke", ConfigFactory.load());
+        this.control = ControlLoop.start(system, clock, metrics);
+        this.store =
+                EtcdStore.builder(system)
+                        .endpoints(platform.store())
+                        .timeout(platform.storeTimeout())
+                        .metrics(metrics)
+                        .timeline(timeline)
+                        .build();
+        this.vmList = HttpVmList.of(system, platform.vmList(), platform.storeTimeout());
+        this.storePrefix = platform.storePrefix();
+        this.configuration =
+                ConfigurationService.builder(control, store, timeline)
+                        .prefix(platform.storePrefix())
+                        .build();
+    }
+
+    /** Starts the parts; the configuration begins to come in. */
+    public static Node start(ProcessSettings process, PlatformSettings platform, Role role) {
+        Node node = new Node(process, platform, role);
+        node.timeline.add(EventType.STARTED, node.incarnation.value());
+        node.configuration.start();
+        LOG.info("{} {} started as {}", role.wireName(), process.vm(), node.incarnation);
+        return node;
+    }
+
+    /** The VM of this process. */
+    public VmId vm() {
+        return VmId.of(process.vm());
+    }
+
+    /** The availability zone of this process. */
+    public AvailabilityZone zone() {
+        return AvailabilityZone.of(process.availabilityZone());
+    }
+
+    /** This life of this process. */
+    public Incarnation incarnation() {
+        return incarnation;
+    }
+
+    /** Runs streams and HTTP. */
+    public ActorSystem<Void> system() {
+        return system;
+    }
+
+    /** The control thread. */
+    public Control control() {
+        return control;
+    }
+
+    /** Counters and histograms. */
+    public Metrics metrics() {
+        return metrics;
+    }
+
+    /** This process's part of the time line. */
+    public Timeline timeline() {
+        return timeline;
+    }
+
+    /** The platform's key-value service. */
+    public KeyValueStore store() {
+        return store;
+    }
+
+    /** The platform's list of VMs. */
+    public VmList vmList() {
+        return vmList;
+    }
+
+    /** What every key of this deployment begins with. */
+    public String storePrefix() {
+        return storePrefix;
+    }
+
+    /** What operators have set. */
+    public ConfigurationService configuration() {
+        return configuration;
+    }
+
+    /** Begins a peer network that says who this process is. */
+    public PeerNetworkBuilder network(PeerSettings settings) {
+        return PeerNetwork.builder()
+                .settings(settings)
+                .hello(vm(), incarnation, zone(), role)
+                .timeline(timeline)
+                .clock(control.clock())
+                .metrics(metrics);
+    }
+
+    /** What this process says on standard output once it takes work. */
+    public ReadyLine readyLine(String host, int operatorPort, int peerPort) {
+        return new ReadyLine(
+                role.wireName(),
+                process.vm(),
+                process.availabilityZone(),
+                "http://" + host + ":" + operatorPort,
+                peerPort,
+                operatorPort);
+    }
+
+    /** Ends the parts; the store's leases and watches go with it. */
+    @Override
+    public void close() {
+        timeline.add(EventType.STOPPED, incarnation.value());
+        configuration.stop();
+        store.close();
+        system.terminate();
+        try {
+            Await.ready(
+                    system.whenTerminated(),
+                    scala.concurrent.duration.Duration.create(
+                            CLOSE_LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+        } catch (TimeoutException e) {
+            LOG.warn("the actor system did not end within {}", CLOSE_LIMIT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.info("{} {} stopped", role.wireName(), process.vm());
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/AgentListener.java
@@ -0,0 +1,47 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.routing.Fleet;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.peer.PeerListener;
+import io.damaskyoke.peer.Role;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Hello;
+
+/** Hears from agents of their load and of their leaving, and tells the fleet. */
+final class AgentListener implements PeerListener {
+    private final Control control;
+    private final Fleet fleet;
+
+    AgentListener(Control control, Fleet fleet) {
+        this.control = control;
+        this.fleet = fleet;
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        link.remote()
+                .filter(hello -> hello.getRole().equals(Role.AGENT.wireName()))
+                .map(Hello::getVm)
+                .map(VmId::of)
+                .ifPresent(vm -> take(vm, frame));
+    }
+
+    private void take(VmId vm, Frame frame) {
+        if (frame.hasDraining()) {
+            control.run(() -> fleet.draining(vm));
+        } else if (frame.hasHeartbeat()) {
+            control.run(() -> heartbeat(vm, frame));
+        }
+    }
+
+    private void heartbeat(VmId vm, Frame frame) {
+        if (frame.getHeartbeat().hasLoad()) {
+            fleet.loaded(vm, Loads.fromWire(frame.getHeartbeat().getLoad()));
+        }
+        if (frame.getHeartbeat().getDraining()) {
+            fleet.draining(vm);
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -0,0 +1,214 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.caller.CallerServer;
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.configuration.KeyHasher;
+import io.damaskyoke.control.configuration.TicketParser;
+import io.damaskyoke.control.routing.Fleet;
+import io.damaskyoke.control.routing.RetryBudget;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.metrics.Prometheus;
+import io.damaskyoke.node.Node;
+import io.damaskyoke.node.ReadyLine;
+import io.damaskyoke.operator.OperatorServer;
+import io.damaskyoke.operator.Tickets;
+import io.damaskyoke.peer.ExchangeClient;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.Role;
+import io.damaskyoke.settings.RouterSettings;
+import io.damaskyoke.timeline.EventType;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A router: {@code Router router = Router.start(settings); ... router.stop();}
+ *
+ * <p>It meets callers and operators, and sends requests on to the agents.
+ */
+public final class Router {
+    private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final long STOP_POLL_MILLIS = 20;
+
+    private final RouterSettings settings;
+    private final Node node;
+    private final AtomicLong counter = new AtomicLong();
+    private final Fleet fleet;
+    private final RequestDispatcher dispatcher;
+    private final PeerNetwork network;
+    private final CallerServer callers;
+    private final OperatorServer operators;
+    private volatile boolean stopping;
+    private volatile boolean closed;
+
+    private Router(RouterSettings settings) {
+        this.settings = settings;
+        this.node = Node.start(settings.process(), settings.platform(), Role.ROUTER);
+        this.fleet = Fleet.from(node.zone());
+        ExchangeClient client =
+                ExchangeClient.of(
+                        settings.peer(),
+                        () -> node.configuration().current().sequence(),
+                        node.metrics());
+        this.network =
+                node.network(settings.peer())
+                        .listen(client)
+                        .listen(new AgentListener(node.control(), fleet))
+                        .build()
+                        .start();
+        this.dispatcher = new RequestDispatcher(parts(client));
+        node.configuration()
+                .onChange(now -> node.control().run(() -> changed(now)));
+        new AgentDirectory(
+                        node.control(),
+                        node.store(),
+                        node.vmList(),
+                        node.storePrefix(),
+                        fleet,
+                        node.metrics())
+                .start(settings.platform().vmListPeriod());
+        this.callers = await(startCallers());
+        this.operators = await(startOperators());
+    }
+
+    /** Starts a router and returns once it listens; throws a {@link RouterException} if it can't. */
+    public static Router start(RouterSettings settings) {
+        try {
+            return new Router(settings);
+        } catch (CompletionException e) {
+            throw new RouterException(
+                    RouterException.Code.START_FAILED, e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    /** What the process says once it takes work. */
+    public ReadyLine ready() {
+        String host = settings.caller().host();
+        return node.readyLine(settings.operator().host(), operators.port(), network.port())
+                .callers("http://" + host + ":" + callers.port());
+    }
+
+    /**
+     * Ends gracefully: turns not ready, waits for the balancer to notice, takes nothing new, lets
+     * what runs finish up to the settings' limit, and then ends.
+     */
+    public void stop() {
+        stopping = true;
+        node.timeline().add(EventType.DRAINING, node.vm().value());
+        sleep(settings.stop().balancerWait());
+        closed = true;
+        callers.unbind();
+        awaitNoneRunning(settings.stop().limit());
+        node.control().ask(this::abortAll).toCompletableFuture().join();
+        callers.terminate(Duration.ofSeconds(1)).toCompletableFuture().join();
+        operators.stop(Duration.ofSeconds(1)).toCompletableFuture().join();
+        network.close();
+        node.close();
+    }
+
+    private RequestDispatcher.Parts parts(ExchangeClient client) {
+        Control control = node.control();
+        return new RequestDispatcher.Parts(
+                control,
+                fleet,
+                network,
+                client,
+                Admission.open(),
+                RetryBudget.of(settings.control().retryBudget()),
+                node.metrics(),
+                node.timeline(),
+                node.configuration()::current,
+                () -> node.configuration().confirmed(settings.control().unconfirmedLimit()),
+                settings.control().maxWaiting());
+    }
+
+    private CompletionStage<CallerServer> startCallers() {
+        return CallerServer.builder()
+                .settings(settings.caller())
+                .dispatcher(dispatcher)
+                .configuration(node.configuration()::current)
+                .hasher(KeyHasher.of(settings.process().keySecret()))
+                .clock(node.control().clock())
+                .metrics(node.metrics())
+                .exchangeIds(() -> new ExchangeId(node.incarnation(), counter.incrementAndGet()))
+                .accepting(() -> !closed)
+                .start(node.system().classicSystem());
+    }
+
+    private CompletionStage<OperatorServer> startOperators() {
+        KeyHasher hasher = KeyHasher.of(settings.process().keySecret());
+        return OperatorServer.builder(node.system())
+                .address(settings.operator().host(), settings.operator().port())
+                .token(settings.operator().token())
+                .tickets(Tickets.of(TicketParser.with(hasher), node.configuration()))
+                .status(this::status)
+                .timeline(node.timeline())
+                .metrics(() -> Prometheus.text(node.metrics().registry()))
+                .ready(this::reasonNotReady)
+                .start();
+    }
+
+    private RouterStatus status() {
+        return node.control().ask(() -> RouterStatus.of(node, fleet, dispatcher))
+                .toCompletableFuture()
+                .orTimeout(START_LIMIT.toSeconds(), TimeUnit.SECONDS)
+                .join();
+    }
+
+    private Optional<String> reasonNotReady() {
+        if (stopping) {
+            return Optional.of("stopping");
+        }
+        if (!node.configuration().confirmed(settings.control().unconfirmedLimit())) {
+            return Optional.of("the configuration is not confirmed");
+        }
+        return Optional.empty();
+    }
+
+    private void changed(Configuration now) {
+        dispatcher.configurationChanged(now);
+    }
+
+    private Void abortAll() {
+        dispatcher.flows().forEach(RequestFlow::abort);
+        return null;
+    }
+
+    private void awaitNoneRunning(Duration limit) {
+        long end = System.nanoTime() + limit.toNanos();
+        while (System.nanoTime() < end && running() > 0) {
+            sleep(Duration.ofMillis(STOP_POLL_MILLIS));
+        }
+    }
+
+    private int running() {
+        return node.control().ask(dispatcher::running).toCompletableFuture().join();
+    }
+
+    private static <T> T await(CompletionStage<T> stage) {
+        try {
+            return stage.toCompletableFuture().get(START_LIMIT.toSeconds(), TimeUnit.SECONDS);
+        } catch (ExecutionException e) {
+            throw new CompletionException(e.getCause());
+        } catch (TimeoutException e) {
+            throw new CompletionException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CompletionException(e);
+        }
+    }
+
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RouterStatus.java
@@ -0,0 +1,52 @@
+package io.damaskyoke.router;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.damaskyoke.control.routing.AgentLoad;
+import io.damaskyoke.control.routing.Fleet;
+import io.damaskyoke.control.routing.Member;
+import io.damaskyoke.node.Node;
+import java.util.List;
+
+/** What {@code /operator/v1/status} says of a router. */
+record RouterStatus(
+        @JsonProperty("vm") String vm,
+        @JsonProperty("role") String role,
+        @JsonProperty("availability_zone") String availabilityZone,
+        @JsonProperty("incarnation") String incarnation,
+        @JsonProperty("config_sequence") long configSequence,
+        @JsonProperty("running") int running,
+        @JsonProperty("waiting") int waiting,
+        @JsonProperty("agents") List<Agent> agents) {
+
+    static RouterStatus of(Node node, Fleet fleet, RequestDispatcher dispatcher) {
+        return new RouterStatus(
+                node.vm().value(),
+                "router",
+                node.zone().value(),
+                node.incarnation().value(),
+                node.configuration().current().sequence(),
+                dispatcher.running(),
+                dispatcher.waiting(),
+                fleet.members().stream()
+                        .map(member -> Agent.of(member, fleet.load(member.vm())))
+                        .toList());
+    }
+
+    /** An agent as this router sees it. */
+    record Agent(
+            @JsonProperty("vm") String vm,
+            @JsonProperty("pool") String pool,
+            @JsonProperty("running") int running,
+            @JsonProperty("waiting") int waiting,
+            @JsonProperty("loaded") List<String> loaded) {
+
+        static Agent of(Member member, AgentLoad load) {
+            return new Agent(
+                    member.vm().value(),
+                    member.pool().value(),
+                    load.running(),
+                    load.waiting(),
+                    load.loaded().stream().map(Object::toString).sorted().toList());
+        }
+    }
+}
