Add the agent side of exchanges

Cause: an agent needs requests rebuilt from frames and answers sent under credit. Change: ExchangeServer, IncomingExchange; a body is pulled only as far as the other side granted; an id is handled once, as far back as RecentIds reaches.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/CreditedBody.java
@@ -0,0 +1,118 @@
+package io.damaskyoke.peer;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.SinkQueueWithCancel;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Takes a body from the upstream only as fast as the other side grants credit. It holds one element
+ * at most, and asks for the next only when that one has been sent.
+ */
+final class CreditedBody {
+    static final int MAX_CHUNK_BYTES = 16 * 1024;
+
+    /** Told once how the body ended. */
+    @FunctionalInterface
+    interface Ended {
+        /** The bytes sent in all, and why the body failed; null if it is whole. */
+        void ended(long total, Throwable why);
+    }
+
+    private final Predicate<ByteString> chunk;
+    private final Ended ended;
+    private SinkQueueWithCancel<ByteString> queue;
+    private Materializer materializer;
+    private ByteString rest = ByteString.emptyByteString();
+    private long credit;
+    private long total;
+    private boolean waiting;
+    private boolean over;
+
+    CreditedBody(Predicate<ByteString> chunk, Ended ended) {
+        this.chunk = chunk;
+        this.ended = ended;
+    }
+
+    void run(Source<ByteString, NotUsed> body, Materializer runBy) {
+        synchronized (this) {
+            materializer = runBy;
+            queue = body.runWith(Sink.queue(1), runBy);
+        }
+        advance();
+    }
+
+    void grant(long bytes) {
+        synchronized (this) {
+            credit += bytes;
+        }
+        advance();
+    }
+
+    void cancel() {
+        synchronized (this) {
+            over = true;
+            if (queue != null) {
+                queue.cancel();
+            }
+        }
+    }
+
+    /** Sends what the credit allows, then asks for more; one thread at a time, in order. */
+    private void advance() {
+        if (step()) {
+            ended.ended(total, new IllegalStateException("the link did not take a chunk"));
+        }
+    }
+
+    /** True if the link failed to take a chunk, which is the end of this body. */
+    private synchronized boolean step() {
+        if (queue == null || over) {
+            return false;
+        }
+        while (!rest.isEmpty() && credit > 0) {
+            if (!sendOne()) {
+                cancel();
+                return true;
+            }
+        }
+        if (rest.isEmpty() && !waiting) {
+            waiting = true;
+            queue.pull().whenCompleteAsync(this::pulled, materializer.executionContext());
+        }
+        return false;
+    }
+
+    private boolean sendOne() {
+        int size = (int) Math.min(Math.min(credit, rest.size()), MAX_CHUNK_BYTES);
+        ByteString next = rest.take(size);
+        rest = rest.drop(size);
+        credit -= size;
+        total += size;
+        return chunk.test(next);
+    }
+
+    private void pulled(Optional<ByteString> element, Throwable failure) {
+        if (failure == null && element.isPresent()) {
+            take(element.get());
+            advance();
+        } else if (stop()) {
+            ended.ended(total, failure);
+        }
+    }
+
+    private synchronized void take(ByteString element) {
+        waiting = false;
+        rest = element;
+    }
+
+    private synchronized boolean stop() {
+        boolean first = !over;
+        over = true;
+        return first;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/ExchangeServer.java
@@ -0,0 +1,167 @@
+package io.damaskyoke.peer;
+
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.peer.wire.ExchangeId;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Load;
+import io.damaskyoke.peer.wire.Refused;
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.pekko.stream.Materializer;
+
+/**
+ * Takes the requests that come over links and hands each to the handler, never one twice.
+ *
+ * <p>{@code network.listen(ExchangeServer.of(handler, clock, materializer, metrics))}
+ */
+public final class ExchangeServer implements PeerListener {
+    private static final Logger LOG = LogManager.getLogger(ExchangeServer.class);
+
+    private final ExchangeHandler handler;
+    private final InstantSource clock;
+    private final Materializer materializer;
+    private final Metrics metrics;
+    private final ConcurrentMap<ExchangeId, ServedExchange> running = new ConcurrentHashMap<>();
+    private final RecentIds recent = new RecentIds();
+
+    private ExchangeServer(
+            ExchangeHandler handler,
+            InstantSource clock,
+            Materializer materializer,
+            Metrics metrics) {
+        this.handler = Objects.requireNonNull(handler, "handler");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.materializer = Objects.requireNonNull(materializer, "materializer");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    /** A server; add it to the listeners of the network whose requests it is to take. */
+    public static ExchangeServer of(
+            ExchangeHandler handler,
+            InstantSource clock,
+            Materializer materializer,
+            Metrics metrics) {
+        return new ExchangeServer(handler, clock, materializer, metrics);
+    }
+
+    /** How many exchanges are under way. */
+    public int running() {
+        return running.size();
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        switch (frame.getKindCase()) {
+            case INVOKE -> invoked(link, frame);
+            case CREDIT, CANCEL -> passOn(link, frame);
+            default -> {}
+        }
+    }
+
+    @Override
+    public void closed(PeerLink link) {
+        running.values().forEach(exchange -> exchange.linkClosed(link));
+    }
+
+    private void invoked(PeerLink link, Frame frame) {
+        ServedExchange exchange;
+        try {
+            exchange = exchange(link, frame);
+        } catch (IllegalArgumentException e) {
+            metrics.count("exchange_malformed");
+            refuse(link, frame.getExchange(), malformed(e.getMessage()));
+            return;
+        }
+        if (taken(link, exchange)) {
+            handle(exchange);
+        }
+    }
+
+    /**
+     * True if the exchange is new.
+     *
+     * <p>What runs is looked up before what has ended, and an exchange is remembered as ended
+     * before it leaves those that run: thus no moment is left in which it is in neither.
+     */
+    private boolean taken(PeerLink link, ServedExchange exchange) {
+        ServedExchange first = running.putIfAbsent(exchange.id(), exchange);
+        if (first != null) {
+            metrics.count("exchange_doubled");
+            if (first.link() != link) {
+                refuse(link, exchange.id(), doubled());
+            }
+            return false;
+        }
+        Optional<Optional<Refused>> before = recent.find(exchange.id());
+        if (before.isEmpty()) {
+            return true;
+        }
+        running.remove(exchange.id(), exchange);
+        metrics.count("exchange_doubled");
+        refuse(link, exchange.id(), before.get().orElseGet(ExchangeServer::doubled));
+        return false;
+    }
+
+    private void handle(ServedExchange exchange) {
+        exchange.endIfLinkGone();
+        try {
+            handler.handle(exchange);
+        } catch (RuntimeException e) {
+            LOG.error("the handler failed for {}", exchange.request().id(), e);
+            metrics.count("exchange_handler_failed");
+            exchange.refuse(
+                    Refusal.mayHaveRun(RefusalCode.INTERNAL, "the agent failed"),
+                    Load.getDefaultInstance());
+        }
+    }
+
+    private void passOn(PeerLink link, Frame frame) {
+        ServedExchange exchange = running.get(frame.getExchange());
+        if (exchange == null) {
+            metrics.count("exchange_frames_dropped", "reason", "unknown");
+        } else {
+            exchange.received(link, frame);
+        }
+    }
+
+    private ServedExchange exchange(PeerLink link, Frame frame) {
+        Request request =
+                InvokeCodec.toRequest(
+                        InvokeCodec.fromWire(frame.getExchange()),
+                        frame.getInvoke(),
+                        clock.instant());
+        if (frame.getSequence() != 0) {
+            throw new IllegalArgumentException("an invocation must be frame 0 of its exchange");
+        }
+        return new ServedExchange(frame, request, link, materializer, metrics, this::ended);
+    }
+
+    private void ended(ServedExchange exchange) {
+        recent.ended(exchange.id(), exchange.wholeRefusal());
+        running.remove(exchange.id(), exchange);
+    }
+
+    private static void refuse(PeerLink link, ExchangeId id, Refused refused) {
+        link.send(Frame.newBuilder().setExchange(id).setRefused(refused).build());
+    }
+
+    private static Refused malformed(String message) {
+        Refusal refusal = Refusal.notRun(RefusalCode.MALFORMED_REQUEST, message);
+        return RefusalCodec.toWire(refusal, Load.getDefaultInstance());
+    }
+
+    private static Refused doubled() {
+        Refusal refusal =
+                Refusal.mayHaveRun(
+                        RefusalCode.OUTCOME_UNKNOWN, "this request has been taken here before");
+        return RefusalCodec.toWire(refusal, Load.getDefaultInstance());
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/OutgoingExchange.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/OutgoingExchange.java
@@ -35,6 +35,7 @@
     private final CompletableFuture<ExchangeResult> result = new CompletableFuture<>();
     private final CompletableFuture<ExchangeResult.Ending> ending = new CompletableFuture<>();
     private int sent;
+    private boolean begun;
     private boolean done;
     private long allowance;
     private int ungranted;
@@ -66,12 +67,11 @@
     void begin(Invoke invoke) {
         boolean left;
         synchronized (this) {
-            left = done || send(frame().setInvoke(invoke));
-            done |= !left;
+            begun = !done && send(frame().setInvoke(invoke));
+            left = begun;
         }
         if (!left) {
-            over.accept(this);
-            result.complete(new ExchangeResult.NotSent("the link did not take the frame"));
+            fail(Code.CONNECTION_LOST, "the link did not take the frame");
         }
     }
 
@@ -170,10 +170,15 @@
         if (!finish()) {
             return;
         }
-        result.complete(new ExchangeResult.Lost(reason));
+        result.complete(unanswered(reason));
         breakOff(new ExchangeException(code, reason));
     }
 
+    /** Before the invocation was handed to the link, an end of any kind means it was not sent. */
+    private synchronized ExchangeResult unanswered(String reason) {
+        return begun ? new ExchangeResult.Lost(reason) : new ExchangeResult.NotSent(reason);
+    }
+
     private void breakOff(ExchangeException why) {
         body.end(why);
         ending.completeExceptionally(why);
