Read settings from TOML and report every fault of a file at once

Cause: a process that stops at the first bad key makes operators start it once per fault; one that shows what it found may print a secret. Ruled out: binding with Jackson's databind, which ends at the first fault and names Java types; quoting the parser's message, which can hold a piece of the file and with it a secret. Change: one table of keys drives the reading, the checks and the operators' page. Secrets stay out of faults and toString.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -0,0 +1,208 @@
+package io.damaskyoke.settings;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+/** The table of keys: it drives both the reading of files and the operators' page. */
+final class Keys {
+    private static final List<Key> PROCESS =
+            List.of(
+                    Key.of("process.vm", Kind.ID, "Name of this VM in the platform's list."),
+                    Key.of(
+                            "process.availability-zone",
+                            Kind.ID,
+                            "Availability zone of this VM; near peers are preferred."),
+                    Key.of(
+                                    "process.key-secret",
+                                    Kind.TEXT,
+                                    "Secret that caller keys are hashed with, 16 bytes or more; the"
+                                            + " same in a whole deployment. Or key-secret-file.")
+                            .optional()
+                            .hidden(),
+                    Key.of(
+                                    "process.key-secret-file",
+                                    Kind.TEXT,
+                                    "File that holds the secret; relative to this one.")
+                            .optional(),
+                    Key.of("process.log-format", Kind.CHOICE, "How log lines look.")
+                            .choices("text", "json")
+                            .fallback("text"),
+                    Key.of(
+                                    "process.timeline-events",
+                                    Kind.INTEGER,
+                                    "Events of the time line kept in memory.")
+                            .range("100", "1000000")
+                            .fallback("2000"));
+
+    private static final List<Key> PLATFORM =
+            List.of(
+                    Key.of("platform.store", Kind.URLS, "The key-value service's endpoints."),
+                    Key.of("platform.store-prefix", Kind.TEXT, "What our keys there begin with.")
+                            .fallback("/damaskyoke/"),
+                    Key.of("platform.store-timeout", Kind.DURATION, "How long one call may take.")
+                            .range("50ms", "1m")
+                            .fallback("2s"),
+                    Key.of("platform.vm-list", Kind.URL, "Where the list of VMs is fetched."),
+                    Key.of("platform.vm-list-period", Kind.DURATION, "How often it is fetched.")
+                            .range("100ms", "10m")
+                            .fallback("5s"));
+
+    private static final List<Key> OPERATOR =
+            List.of(
+                    Key.of("operator.host", Kind.IP, "Address that operators connect to.")
+                            .fallback("0.0.0.0"),
+                    Key.of("operator.port", Kind.INTEGER, "Port for operators; 0 takes a free one.")
+                            .range("0", "65535")
+                            .fallback("8081"),
+                    Key.of(
+                                    "operator.token",
+                                    Kind.TEXT,
+                                    "Token that operators present, 16 bytes or more. Or"
+                                            + " token-file.")
+                            .optional()
+                            .hidden(),
+                    Key.of(
+                                    "operator.token-file",
+                                    Kind.TEXT,
+                                    "File that holds the token; relative to this one.")
+                            .optional());
+
+    private static final List<Key> PEER =
+            List.of(
+                    Key.of("peer.host", Kind.IP, "Address that peers reach this process at."),
+                    Key.of("peer.port", Kind.INTEGER, "Port for peers; 0 takes a free one.")
+                            .range("0", "65535")
+                            .fallback("7400"),
+                    Key.of("peer.max-frame", Kind.SIZE, "Largest frame between processes.")
+                            .range("128KiB", "128MiB")
+                            .fallback("2MiB"),
+                    Key.of("peer.credit", Kind.SIZE, "Bytes in flight for one answer.")
+                            .range("16KiB", "16MiB")
+                            .fallback("256KiB"),
+                    Key.of("peer.heartbeat", Kind.DURATION, "How often an idle link says so.")
+                            .range("50ms", "1m")
+                            .fallback("2s"),
+                    Key.of(
+                                    "peer.silence",
+                                    Kind.DURATION,
+                                    "A link silent for so long is closed; 2 heartbeats or more.")
+                            .range("100ms", "5m")
+                            .fallback("10s"));
+
+    private static final List<Key> STOP =
+            List.of(
+                    Key.of(
+                                    "stop.balancer-wait",
+                                    Kind.DURATION,
+                                    "How long to take requests after turning not ready.")
+                            .range("0s", "5m")
+                            .fallback("5s"),
+                    Key.of(
+                                    "stop.limit",
+                                    Kind.DURATION,
+                                    "How long to wait for running requests; no less than the"
+                                            + " longest deadline, so that a stop cuts none off.")
+                            .range("0s", "24h")
+                            .fallback("10m"));
+
+    private static final List<Key> CALLER =
+            List.of(
+                    Key.of("caller.host", Kind.IP, "Address that callers connect to.")
+                            .fallback("0.0.0.0"),
+                    Key.of("caller.port", Kind.INTEGER, "Port for callers; 0 takes a free one.")
+                            .range("0", "65535")
+                            .fallback("8080"),
+                    Key.of("caller.max-body", Kind.SIZE, "Largest body of a request.")
+                            .range("1KiB", "64MiB")
+                            .fallback("1MiB"),
+                    Key.of("caller.max-header", Kind.SIZE, "Largest header of a request.")
+                            .range("1KiB", "256KiB")
+                            .fallback("16KiB"),
+                    Key.of(
+                                    "caller.header-timeout",
+                                    Kind.DURATION,
+                                    "How long a caller may take to send its header.")
+                            .range("100ms", "5m")
+                            .fallback("10s"),
+                    Key.of("caller.max-connections", Kind.INTEGER, "Callers connected at once.")
+                            .range("1", "100000")
+                            .fallback("4096"),
+                    Key.of(
+                                    "caller.default-deadline",
+                                    Kind.DURATION,
+                                    "Deadline of a request that names none.")
+                            .range("100ms", "24h")
+                            .fallback("60s"),
+                    Key.of("caller.max-deadline", Kind.DURATION, "Longest deadline to ask for.")
+                            .range("100ms", "24h")
+                            .fallback("10m"));
+
+    private static final List<Key> CONTROL =
+            List.of(
+                    Key.of("control.max-waiting", Kind.INTEGER, "Requests that may wait here.")
+                            .range("1", "100000")
+                            .fallback("1000"),
+                    Key.of(
+                                    "control.unconfirmed-limit",
+                                    Kind.DURATION,
+                                    "How long to admit requests with a configuration that neither"
+                                            + " store nor peer confirms.")
+                            .range("1s", "5m")
+                            .fallback("10s"),
+                    Key.of(
+                                    "control.retry-budget",
+                                    Kind.NUMBER,
+                                    "Retries allowed, as a part of the requests.")
+                            .range("0", "1")
+                            .fallback("0.1"),
+                    Key.of(
+                                    "control.placement-lease",
+                                    Kind.DURATION,
+                                    "Term of the lease on computing the placement.")
+                            .range("1s", "5m")
+                            .fallback("10s"),
+                    Key.of("control.seed", Kind.INTEGER, "Seed of the random choices.")
+                            .fallback("1"));
+
+    private static final List<Key> UPSTREAM =
+            List.of(
+                    Key.of("upstream.kind", Kind.CHOICE, "A model engine or a plain service.")
+                            .choices("engine", "service"),
+                    Key.of("upstream.pool", Kind.ID, "Pool of upstreams that it belongs to."),
+                    Key.of("upstream.url", Kind.URL, "Where the upstream listens."),
+                    Key.of("upstream.max-running", Kind.INTEGER, "Requests running there at once.")
+                            .range("1", "100000")
+                            .fallback("16"),
+                    Key.of("upstream.max-waiting", Kind.INTEGER, "Requests that may wait for it.")
+                            .range("0", "100000")
+                            .fallback("64"),
+                    Key.of(
+                                    "upstream.connect-timeout",
+                                    Kind.DURATION,
+                                    "How long connecting to it may take.")
+                            .range("10ms", "1m")
+                            .fallback("2s"),
+                    Key.of(
+                                    "upstream.load-timeout",
+                                    Kind.DURATION,
+                                    "How long a load may take before it counts as failed.")
+                            .range("1s", "24h")
+                            .fallback("5m"),
+                    Key.of("upstream.loads-at-once", Kind.INTEGER, "Loads at once at the engine.")
+                            .range("1", "64")
+                            .fallback("2"));
+
+    /** The keys of a router's file. */
+    static final List<Key> ROUTER =
+            Stream.of(PROCESS, PLATFORM, CALLER, OPERATOR, PEER, CONTROL, STOP)
+                    .flatMap(List::stream)
+                    .toList();
+
+    /** The keys of an agent's file. */
+    static final List<Key> AGENT =
+            Stream.of(PROCESS, PLATFORM, UPSTREAM, OPERATOR, PEER, STOP)
+                    .flatMap(List::stream)
+                    .toList();
+
+    private Keys() {}
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/ProcessSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/ProcessSettings.java
@@ -15,4 +15,18 @@
         /** One JSON object a line, for collectors. */
         JSON
     }
+
+    /** Leaves out the secret, as settings end up in logs. */
+    @Override
+    public String toString() {
+        return "ProcessSettings[vm="
+                + vm
+                + ", availabilityZone="
+                + availabilityZone
+                + ", logFormat="
+                + logFormat
+                + ", timelineEvents="
+                + timelineEvents
+                + "]";
+    }
 }
