Add the command line, logging and the launch script

Cause: daemons need a thin main, and operators a client. Ruled out: a shutdown hook for SIGTERM. A JVM that is shutting down ignores a second SIGTERM, and hooks run beside each other, so logs and Pekko could end before the daemon does. Signals are handled in the process instead; the exit code of a graceful stop is 0. Change: one class per command; exit codes 0, 1 and 2; errors are one line. Log lines are text or JSON by the settings' log-format. Pekko gets few threads and one pinned dispatcher for control. The daemons' starters are placeholders that say so until router and agent exist. Conclusion: 35 tests of the module pass: help and exit codes, signals with processes of their own, both log formats, Pekko's configuration.

--- /dev/null
+++ b/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/TicketSubmitCommand.java
@@ -0,0 +1,42 @@
+package io.damaskyoke.daemons;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** {@code ticket submit}: hands in a change ticket. */
+@Parameters(
+        commandDescription =
+                "Submit a change ticket (JSON) from a file, or from standard input. Submitting"
+                        + " the same ticket twice is safe.")
+final class TicketSubmitCommand implements Command {
+    @ParametersDelegate private final OperatorOptions operator = new OperatorOptions();
+
+    @Parameter(description = "[FILE]")
+    private Path file;
+
+    @Override
+    public int run(Console console) {
+        OperatorClient client = operator.client();
+        String ticket = file == null ? console.input() : read();
+        console.out().println(client.post("tickets", ticket).strip());
+        return ExitCode.OK;
+    }
+
+    @Override
+    public String example() {
+        return "damaskyoke ticket submit --router http://10.0.0.7:8081 --token-file token"
+                + " ticket-17.json";
+    }
+
+    private String read() {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw CommandException.usage(file + " can't be read");
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: starts the daemons and is the operators' client. */
+package io.damaskyoke.daemons;
