--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -38,7 +38,7 @@
             List.of(
                     Key.of("platform.store", Kind.URLS, "The key-value service's endpoints."),
                     Key.of("platform.store-prefix", Kind.TEXT, "What our keys there begin with.")
-                            .fallback("/damaskyoke/"),
+                            .fallback("/damaskyoke"),
                     Key.of("platform.store-timeout", Kind.DURATION, "How long one call may take.")
                             .range("50ms", "1m")
                             .fallback("2s"),
