Take tickets into a log and follow it

Cause: operators need a ticket to hold everywhere once it is accepted, whoever races them. Ruled out: a put after a read, which loses one of two racing tickets. Change: strict parser, rules against the newest state, a submission machine on create-if-absent, a follower that applies in order without gaps, and the service on the control thread.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationDraft.java
@@ -0,0 +1,76 @@
+package io.damaskyoke.control.configuration;
+
+import io.damaskyoke.id.KeyId;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.ServiceName;
+import io.damaskyoke.id.WorkspaceId;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * A configuration while tickets are put into it.
+ *
+ * <p>Opening and closing a draft copies every entry, so the cost of a batch is one copy of the
+ * whole plus one step for each change, however many tickets it has.
+ */
+final class ConfigurationDraft {
+    final Map<WorkspaceId, Workspace> workspaces;
+    final Map<String, CallerKey> keys;
+    final Map<ModelName, Model> models;
+    final Map<ServiceName, Service> services;
+    private final Map<KeyId, String> hashes = new HashMap<>();
+    private final Map<String, Long> lastTicket;
+    private long sequence;
+
+    private ConfigurationDraft(Configuration from) {
+        workspaces = new HashMap<>(from.workspaces());
+        keys = new HashMap<>(from.keys());
+        models = new HashMap<>(from.models());
+        services = new HashMap<>(from.services());
+        lastTicket = new HashMap<>(from.lastTicket());
+        sequence = from.sequence();
+        keys.forEach((hash, key) -> hashes.put(key.id(), hash));
+    }
+
+    static ConfigurationDraft of(Configuration from) {
+        return new ConfigurationDraft(from);
+    }
+
+    void put(Ticket ticket, long atSequence) {
+        for (Change change : ticket.changes()) {
+            put(change);
+            lastTicket.put(change.object(), ticket.number());
+        }
+        sequence = atSequence;
+    }
+
+    Configuration close() {
+        return new Configuration(sequence, workspaces, keys, models, services, lastTicket);
+    }
+
+    private void put(Change change) {
+        if (change instanceof Change.SetWorkspace set) {
+            workspaces.put(set.workspace().id(), set.workspace());
+        } else if (change instanceof Change.RemoveWorkspace remove) {
+            workspaces.remove(remove.id());
+        } else if (change instanceof Change.SetKey set) {
+            put(set.key());
+        } else if (change instanceof Change.SetModel set) {
+            models.put(set.model().name(), set.model());
+        } else if (change instanceof Change.RemoveModel remove) {
+            models.remove(remove.name());
+        } else if (change instanceof Change.SetService set) {
+            services.put(set.service().name(), set.service());
+        } else if (change instanceof Change.RemoveService remove) {
+            services.remove(remove.name());
+        }
+    }
+
+    private void put(CallerKey key) {
+        String before = hashes.put(key.id(), key.hash());
+        if (before != null && keys.get(before).id().equals(key.id())) {
+            keys.remove(before);
+        }
+        keys.put(key.hash(), key);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationRules.java
@@ -0,0 +1,142 @@
+package io.damaskyoke.control.configuration;
+
+import io.damaskyoke.control.configuration.TicketException.Code;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.WorkspaceId;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** What a ticket must keep to against the configuration that it changes. */
+final class ConfigurationRules {
+    private final Configuration before;
+    private final Ticket ticket;
+    private final ConfigurationDraft after;
+
+    private ConfigurationRules(Configuration before, Ticket ticket) {
+        this.before = before;
+        this.ticket = ticket;
+        this.after = ConfigurationDraft.of(before);
+    }
+
+    /** Throws a {@link TicketException} if the ticket can't follow this configuration. */
+    static void check(Configuration before, Ticket ticket) {
+        new ConfigurationRules(before, ticket).check();
+    }
+
+    private void check() {
+        ticket.changes().forEach(this::checkNewest);
+        checkKeysDiffer();
+        after.put(ticket, before.sequence() + 1);
+        ticket.changes().forEach(this::checkReferences);
+    }
+
+    private void checkNewest(Change change) {
+        long last = before.lastTicket().getOrDefault(change.object(), 0L);
+        if (last >= ticket.number()) {
+            throw new TicketException(
+                    Code.OUTDATED,
+                    change.object()
+                            + " was set by ticket "
+                            + last
+                            + ", which is not older than "
+                            + ticket.number());
+        }
+    }
+
+    /**
+     * Two ids with the same caller key would overwrite each other: withdrawing one would leave the
+     * caller in through the other.
+     */
+    private void checkKeysDiffer() {
+        Set<String> seen = new HashSet<>();
+        for (Change change : ticket.changes()) {
+            if (change instanceof Change.SetKey set) {
+                CallerKey key = set.key();
+                boolean taken =
+                        before.key(key.hash()).filter(k -> !k.id().equals(key.id())).isPresent();
+                if (taken || !seen.add(key.hash())) {
+                    throw new TicketException(
+                            Code.KEY_TAKEN, change.object() + " has the caller key of another id");
+                }
+            }
+        }
+    }
+
+    private void checkReferences(Change change) {
+        String object = change.object();
+        if (change instanceof Change.SetKey set) {
+            require(
+                    after.workspaces.containsKey(set.key().workspace()),
+                    object,
+                    "workspace/" + set.key().workspace());
+        } else if (change instanceof Change.SetModel set) {
+            checkModel(object, set.model());
+        } else if (change instanceof Change.SetService set) {
+            checkWorkspaces(object, set.service().workspaces());
+        } else if (change instanceof Change.RemoveWorkspace remove) {
+            require(
+                    before.workspaces().containsKey(remove.id()),
+                    "ticket " + ticket.number(),
+                    object);
+            checkUnused(object, remove.id());
+        } else if (change instanceof Change.RemoveModel remove) {
+            require(
+                    before.models().containsKey(remove.name()),
+                    "ticket " + ticket.number(),
+                    object);
+            checkNoAdapters(object, remove.name());
+        } else if (change instanceof Change.RemoveService remove) {
+            require(
+                    before.services().containsKey(remove.name()),
+                    "ticket " + ticket.number(),
+                    object);
+        }
+    }
+
+    private void checkModel(String object, Model model) {
+        checkWorkspaces(object, model.workspaces());
+        if (model.base().isEmpty()) {
+            return;
+        }
+        Model base = after.models.get(model.base().get());
+        require(base != null, object, "model/" + model.base().get());
+        if (base.base().isPresent()) {
+            throw new TicketException(
+                    Code.BAD_VALUE, object + ": its base " + base.name() + " is an adapter itself");
+        }
+        checkNoAdapters(object, model.name());
+    }
+
+    private void checkWorkspaces(String object, Collection<WorkspaceId> ids) {
+        ids.forEach(id -> require(after.workspaces.containsKey(id), object, "workspace/" + id));
+    }
+
+    private void checkUnused(String object, WorkspaceId id) {
+        boolean used =
+                after.keys.values().stream().anyMatch(k -> k.granted() && k.workspace().equals(id))
+                        || after.models.values().stream().anyMatch(m -> m.workspaces().contains(id))
+                        || after.services.values().stream()
+                                .anyMatch(s -> s.workspaces().contains(id));
+        if (used) {
+            throw new TicketException(
+                    Code.IN_USE, object + " still has granted keys, models or services");
+        }
+    }
+
+    private void checkNoAdapters(String object, ModelName name) {
+        boolean used =
+                after.models.values().stream().anyMatch(m -> m.base().equals(Optional.of(name)));
+        if (used) {
+            throw new TicketException(Code.IN_USE, object + " still has adapters");
+        }
+    }
+
+    private static void require(boolean exists, String who, String what) {
+        if (!exists) {
+            throw new TicketException(
+                    Code.UNKNOWN_OBJECT, who + " refers to " + what + ", which does not exist");
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
@@ -0,0 +1,173 @@
+package io.damaskyoke.control.configuration;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.PlatformException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Reads the log from the store: lists it, watches it, and lists again after the watch has ended and
+ * once a period. Lives on the control thread.
+ *
+ * <p>The periodic listing confirms the configuration and makes up for a watch that is silent
+ * without having ended, as behind a switch that drops packets: its symptom would be a configuration
+ * that stands still while the store goes on. What such a watch can hide is bounded by the period,
+ * and a listing that finds what the watch missed has the watch opened anew.
+ */
+final class LogReader {
+    private static final Logger LOG = LogManager.getLogger(LogReader.class);
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(200);
+    private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(10);
+    private static final int MOST_DOUBLINGS = 6;
+
+    private final Control control;
+    private final ConfigurationLog log;
+    private final LongSupplier sequence;
+    private final Consumer<ConfigurationFollower.Offer> offers;
+    private final Duration period;
+    private final RandomGenerator random;
+    private Optional<KeyValueStore.Watch> watch = Optional.empty();
+    private Optional<Control.Cancellable> timer = Optional.empty();
+    private long watchNumber;
+    private int failures;
+    private boolean reading;
+    private boolean stopped;
+
+    LogReader(
+            Control control,
+            ConfigurationLog log,
+            LongSupplier sequence,
+            Consumer<ConfigurationFollower.Offer> offers,
+            Duration period,
+            RandomGenerator random) {
+        this.control = control;
+        this.log = log;
+        this.sequence = sequence;
+        this.offers = offers;
+        this.period = period;
+        this.random = random;
+    }
+
+    /** Lists from the next entry on, unless a listing is under way. */
+    void read() {
+        if (stopped || reading) {
+            return;
+        }
+        reading = true;
+        timer.ifPresent(Control.Cancellable::cancel);
+        Instant begun = control.clock().instant();
+        long from = sequence.getAsLong() + 1;
+        log.read(from)
+                .whenComplete(
+                        (page, error) ->
+                                control.run(
+                                        () -> {
+                                            reading = false;
+                                            if (error == null) {
+                                                took(page, from, begun);
+                                            } else {
+                                                failed();
+                                            }
+                                        }));
+    }
+
+    void stop() {
+        stopped = true;
+        timer.ifPresent(Control.Cancellable::cancel);
+        closeWatch();
+    }
+
+    private void took(ConfigurationLog.Page page, long from, Instant begun) {
+        if (stopped) {
+            return;
+        }
+        failures = 0;
+        long head = head(page.entries(), from - 1);
+        boolean missed = sequence.getAsLong() < head;
+        offers.accept(
+                new ConfigurationFollower.Offer(
+                        page.entries(), head, page.last() ? Optional.of(begun) : Optional.empty()));
+        if (!page.last() && sequence.getAsLong() >= from) {
+            read();
+            return;
+        }
+        if (missed || watch.isEmpty()) {
+            openWatch(page.revision() + 1);
+        }
+        next(jittered(period));
+    }
+
+    private void failed() {
+        Duration backoff = FIRST_BACKOFF.multipliedBy(1L << Math.min(failures++, MOST_DOUBLINGS));
+        next(jittered(backoff.compareTo(LONGEST_BACKOFF) < 0 ? backoff : LONGEST_BACKOFF));
+    }
+
+    private void next(Duration delay) {
+        if (!stopped) {
+            timer.ifPresent(Control.Cancellable::cancel);
+            timer = Optional.of(control.after(delay, this::read));
+        }
+    }
+
+    private void openWatch(long fromRevision) {
+        closeWatch();
+        long number = ++watchNumber;
+        watch = Optional.of(log.watch(fromRevision, new Listener(number)));
+    }
+
+    private void closeWatch() {
+        watchNumber++;
+        watch.ifPresent(KeyValueStore.Watch::close);
+        watch = Optional.empty();
+    }
+
+    private void ended(long number, PlatformException cause) {
+        if (number == watchNumber && !stopped) {
+            LOG.info("watch of the configuration log ended, listing again: {}", cause.getMessage());
+            closeWatch();
+            failed();
+        }
+    }
+
+    private Duration jittered(Duration duration) {
+        long half = duration.toMillis() / 2;
+        return Duration.ofMillis(half + random.nextLong(half + 1));
+    }
+
+    private static long head(List<LogEntry> entries, long otherwise) {
+        return entries.isEmpty() ? otherwise : entries.get(entries.size() - 1).sequence();
+    }
+
+    /** Hands what a watch says to the control thread. */
+    private final class Listener implements KeyValueStore.WatchListener {
+        private final long number;
+
+        Listener(long number) {
+            this.number = number;
+        }
+
+        @Override
+        public void changed(List<KeyValueStore.Change> changes, long revision) {
+            List<LogEntry> entries = log.entries(changes);
+            long head = entries.stream().mapToLong(LogEntry::sequence).max().orElse(0);
+            control.run(
+                    () ->
+                            offers.accept(
+                                    new ConfigurationFollower.Offer(
+                                            entries, head, Optional.empty())));
+        }
+
+        @Override
+        public void ended(PlatformException cause) {
+            control.run(() -> LogReader.this.ended(number, cause));
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/SubmissionRun.java
@@ -0,0 +1,89 @@
+package io.damaskyoke.control.configuration;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.platform.PlatformException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+/** Carries out what one {@link TicketSubmission} asks for; lives on the control thread. */
+final class SubmissionRun {
+    private final Control control;
+    private final ConfigurationLog log;
+    private final TicketSubmission machine;
+    private final Ticket ticket;
+    private final CompletableFuture<TicketResult> result = new CompletableFuture<>();
+
+    SubmissionRun(Control control, ConfigurationLog log, TicketSubmission machine, Ticket ticket) {
+        this.control = control;
+        this.log = log;
+        this.machine = machine;
+        this.ticket = ticket;
+    }
+
+    CompletionStage<TicketResult> start() {
+        feed(new TicketSubmission.Input.Submit(ticket));
+        return result;
+    }
+
+    private void feed(TicketSubmission.Input input) {
+        machine.on(input, control.clock().instant()).forEach(this::carryOut);
+    }
+
+    private void carryOut(TicketSubmission.Action action) {
+        if (action instanceof TicketSubmission.Action.ReadLog read) {
+            hand(readAll(read.from(), List.of()), input -> input);
+        } else if (action instanceof TicketSubmission.Action.Create create) {
+            hand(
+                    log.create(create.sequence(), create.value()),
+                    TicketSubmission.Input.CommitResult::new);
+        } else if (action instanceof TicketSubmission.Action.Pause pause) {
+            control.after(pause.duration(), () -> feed(new TicketSubmission.Input.Tick()));
+        } else if (action instanceof TicketSubmission.Action.Accepted accepted) {
+            result.complete(
+                    new TicketResult.Accepted(
+                            ticket.number(), accepted.sequence(), ticket.digest()));
+        } else if (action instanceof TicketSubmission.Action.Refused refused) {
+            result.complete(
+                    new TicketResult.Refused(
+                            ticket.number(),
+                            refused.code(),
+                            refused.message(),
+                            refused.outcomeKnown()));
+        }
+    }
+
+    private CompletionStage<TicketSubmission.Input> readAll(long from, List<LogEntry> before) {
+        return log.read(from)
+                .thenCompose(
+                        page -> {
+                            List<LogEntry> all = new ArrayList<>(before);
+                            all.addAll(page.entries());
+                            long head = all.isEmpty() ? 0 : all.get(all.size() - 1).sequence();
+                            if (page.last()) {
+                                return CompletableFuture.completedFuture(
+                                        new TicketSubmission.Input.LogRead(all, head));
+                            }
+                            return readAll(head + 1, all);
+                        });
+    }
+
+    private <T> void hand(CompletionStage<T> stage, Function<T, TicketSubmission.Input> input) {
+        stage.whenComplete(
+                (value, error) ->
+                        control.run(
+                                () -> feed(error == null ? input.apply(value) : failure(error))));
+    }
+
+    private static TicketSubmission.Input failure(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        PlatformException.Code code =
+                cause instanceof PlatformException platform
+                        ? platform.code()
+                        : PlatformException.Code.OUTCOME_UNKNOWN;
+        return new TicketSubmission.Input.StoreFailed(code);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/TicketFields.java
@@ -0,0 +1,124 @@
+package io.damaskyoke.control.configuration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.damaskyoke.control.configuration.TicketException.Code;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+/** One JSON object of a ticket, read strictly; every complaint names the field by its path. */
+final class TicketFields {
+    private final JsonNode node;
+    private final String path;
+
+    private TicketFields(JsonNode node, String path) {
+        this.node = node;
+        this.path = path;
+    }
+
+    static TicketFields of(JsonNode node, String path, Set<String> allowed) {
+        if (!node.isObject()) {
+            throw new TicketException(Code.MALFORMED, path + " must be a JSON object");
+        }
+        node.fieldNames()
+                .forEachRemaining(
+                        name -> {
+                            if (!allowed.contains(name)) {
+                                throw new TicketException(
+                                        Code.UNKNOWN_FIELD,
+                                        path + "." + name + " is not a field of a ticket");
+                            }
+                        });
+        return new TicketFields(node, path);
+    }
+
+    boolean has(String name) {
+        return node.has(name);
+    }
+
+    <T> T id(String name, Function<String, T> type) {
+        String text = text(name);
+        try {
+            return type.apply(text);
+        } catch (IllegalArgumentException e) {
+            throw bad(name, e.getMessage());
+        }
+    }
+
+    String text(String name) {
+        JsonNode value = node.path(name);
+        if (!value.isTextual() || value.textValue().isBlank()) {
+            throw bad(name, "must be a string that is not empty");
+        }
+        return value.textValue();
+    }
+
+    /** Only {@code true} says that an object is removed; anything else would be a slip. */
+    boolean removed() {
+        if (!has("removed")) {
+            return false;
+        }
+        if (!node.path("removed").isBoolean() || !node.path("removed").booleanValue()) {
+            throw bad("removed", "must be true or absent");
+        }
+        if (node.size() > 2) {
+            throw bad("removed", "goes with the name alone");
+        }
+        return true;
+    }
+
+    long whole(String name, long least, long most) {
+        JsonNode value = node.path(name);
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            throw bad(name, "must be a whole number from " + least + " to " + most);
+        }
+        if (value.longValue() < least || value.longValue() > most) {
+            throw bad(name, "must be from " + least + " to " + most + ": " + value);
+        }
+        return value.longValue();
+    }
+
+    double number(String name, double least, double most) {
+        JsonNode value = node.path(name);
+        if (!value.isNumber() || !(value.doubleValue() >= least && value.doubleValue() <= most)) {
+            throw bad(name, "must be a number from " + least + " to " + most);
+        }
+        return value.doubleValue();
+    }
+
+    <T> List<T> list(String name, Function<String, T> type) {
+        List<T> values = new ArrayList<>();
+        for (JsonNode item : array(name)) {
+            if (!item.isTextual()) {
+                throw bad(name, "must be a list of strings");
+            }
+            try {
+                values.add(type.apply(item.textValue()));
+            } catch (IllegalArgumentException e) {
+                throw bad(name, e.getMessage());
+            }
+        }
+        return values;
+    }
+
+    List<TicketFields> objects(String name, Set<String> allowed) {
+        List<TicketFields> objects = new ArrayList<>();
+        for (JsonNode item : array(name)) {
+            objects.add(of(item, name + "[" + objects.size() + "]", allowed));
+        }
+        return objects;
+    }
+
+    TicketException bad(String name, String complaint) {
+        return new TicketException(Code.BAD_VALUE, path + "." + name + ": " + complaint);
+    }
+
+    private Iterable<JsonNode> array(String name) {
+        JsonNode value = node.path(name);
+        if (!value.isMissingNode() && !value.isArray()) {
+            throw bad(name, "must be a list");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/TicketParser.java
@@ -0,0 +1,217 @@
+package io.damaskyoke.control.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.damaskyoke.control.configuration.TicketException.Code;
+import io.damaskyoke.id.KeyId;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.PoolName;
+import io.damaskyoke.id.ServiceName;
+import io.damaskyoke.id.WorkspaceId;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/**
+ * Reads tickets: {@code TicketParser.with(hasher).parse(bytes)}.
+ *
+ * <p>It is strict: an unknown field, a doubled object or a value out of range is a {@link
+ * TicketException} that names the field. Caller keys are hashed here and never kept.
+ */
+public final class TicketParser {
+    /** The largest ticket taken, in bytes of its stored form: half of what the store takes. */
+    public static final int MAX_BYTES = 512 * 1024;
+
+    private static final double MAX_TOKENS = 1e12;
+    private static final double MIN_WEIGHT = 1e-3;
+    private static final double MAX_WEIGHT = 1e6;
+    private static final int MAX_REPLICAS = 100_000;
+    private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern CALL = Pattern.compile("[A-Z]+ /\\S*");
+
+    private static final Set<String> ROOT =
+            Set.of("number", "workspaces", "keys", "models", "services");
+    private static final Set<String> WORKSPACE = Set.of("id", "rate", "burst", "weight", "removed");
+    private static final Set<String> KEY = Set.of("id", "workspace", "key", "hash", "state");
+    private static final Set<String> MODEL =
+            Set.of(
+                    "name",
+                    "version",
+                    "pool",
+                    "memory_bytes",
+                    "max_replicas",
+                    "base",
+                    "workspaces",
+                    "removed");
+    private static final Set<String> SERVICE =
+            Set.of("name", "pool", "idempotent", "workspaces", "removed");
+
+    private static final ObjectMapper JSON =
+            JsonMapper.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private final Optional<KeyHasher> hasher;
+
+    private TicketParser(Optional<KeyHasher> hasher) {
+        this.hasher = hasher;
+    }
+
+    /** A parser for operators' tickets, which may hold caller keys as plain text. */
+    public static TicketParser with(KeyHasher hasher) {
+        return new TicketParser(Optional.of(hasher));
+    }
+
+    /** A parser for stored tickets, which hold hashes only. */
+    static TicketParser stored() {
+        return new TicketParser(Optional.empty());
+    }
+
+    /** The ticket in this JSON, or a {@link TicketException}. */
+    public Ticket parse(byte[] json) {
+        if (json.length > MAX_BYTES) {
+            throw tooLarge();
+        }
+        TicketFields root = TicketFields.of(tree(json), "ticket", ROOT);
+        long number = root.whole("number", 1, Long.MAX_VALUE);
+        List<Change> changes = new ArrayList<>();
+        root.objects("workspaces", WORKSPACE).forEach(item -> changes.add(workspace(item)));
+        root.objects("keys", KEY).forEach(item -> changes.add(key(item)));
+        root.objects("models", MODEL).forEach(item -> changes.add(model(item)));
+        root.objects("services", SERVICE).forEach(item -> changes.add(service(item)));
+        check(number, changes);
+        Ticket ticket = Ticket.of(number, changes);
+        if (ticket.toJson().length > MAX_BYTES) {
+            throw tooLarge();
+        }
+        return ticket;
+    }
+
+    private static JsonNode tree(byte[] json) {
+        try {
+            return JSON.readTree(json);
+        } catch (JsonProcessingException e) {
+            // Jackson's own message may quote the input, and with it a caller key.
+            String where =
+                    e.getLocation() == null ? "" : " near line " + e.getLocation().getLineNr();
+            throw new TicketException(
+                    Code.MALFORMED, "the ticket is not JSON, or has a field twice," + where);
+        } catch (IOException e) {
+            throw new TicketException(Code.MALFORMED, "the ticket can't be read");
+        }
+    }
+
+    private static void check(long number, List<Change> changes) {
+        if (changes.isEmpty()) {
+            throw new TicketException(Code.EMPTY, "ticket " + number + " changes nothing");
+        }
+        Set<String> seen = new HashSet<>();
+        for (Change change : changes) {
+            if (!seen.add(change.object())) {
+                throw new TicketException(
+                        Code.DUPLICATE_OBJECT,
+                        change.object() + " stands twice in ticket " + number);
+            }
+        }
+    }
+
+    private static Change workspace(TicketFields fields) {
+        WorkspaceId id = fields.id("id", WorkspaceId::of);
+        if (fields.removed()) {
+            return new Change.RemoveWorkspace(id);
+        }
+        double weight = fields.has("weight") ? fields.number("weight", MIN_WEIGHT, MAX_WEIGHT) : 1;
+        return new Change.SetWorkspace(
+                new Workspace(
+                        id,
+                        fields.number("rate", 0, MAX_TOKENS),
+                        fields.number("burst", 0, MAX_TOKENS),
+                        weight));
+    }
+
+    private Change key(TicketFields fields) {
+        String state = fields.text("state");
+        if (!state.equals("granted") && !state.equals("withdrawn")) {
+            throw fields.bad("state", "must be granted or withdrawn");
+        }
+        return new Change.SetKey(
+                new CallerKey(
+                        fields.id("id", KeyId::of),
+                        fields.id("workspace", WorkspaceId::of),
+                        hash(fields),
+                        state.equals("granted")));
+    }
+
+    private String hash(TicketFields fields) {
+        if (fields.has("key") == fields.has("hash")) {
+            throw fields.bad("key", "give either key or hash");
+        }
+        if (fields.has("key")) {
+            String text = fields.text("key");
+            return hasher.orElseThrow(() -> fields.bad("key", "is never stored")).hash(text);
+        }
+        String hash = fields.text("hash");
+        if (!HASH.matcher(hash).matches()) {
+            throw fields.bad("hash", "must be 64 lower case hexadecimal digits");
+        }
+        return hash;
+    }
+
+    private static Change model(TicketFields fields) {
+        ModelName name = fields.id("name", ModelName::of);
+        if (fields.removed()) {
+            return new Change.RemoveModel(name);
+        }
+        Optional<ModelName> base =
+                fields.has("base")
+                        ? Optional.of(fields.id("base", ModelName::of))
+                        : Optional.empty();
+        int replicas =
+                fields.has("max_replicas")
+                        ? (int) fields.whole("max_replicas", 1, MAX_REPLICAS)
+                        : 1;
+        return new Change.SetModel(
+                new Model(
+                        name,
+                        fields.text("version"),
+                        fields.id("pool", PoolName::of),
+                        base,
+                        fields.whole("memory_bytes", 1, Long.MAX_VALUE),
+                        replicas,
+                        Set.copyOf(fields.list("workspaces", WorkspaceId::of))));
+    }
+
+    private static Change service(TicketFields fields) {
+        ServiceName name = fields.id("name", ServiceName::of);
+        if (fields.removed()) {
+            return new Change.RemoveService(name);
+        }
+        return new Change.SetService(
+                new Service(
+                        name,
+                        fields.id("pool", PoolName::of),
+                        fields.list("idempotent", TicketParser::call),
+                        Set.copyOf(fields.list("workspaces", WorkspaceId::of))));
+    }
+
+    private static String call(String text) {
+        if (!CALL.matcher(text).matches()) {
+            throw new IllegalArgumentException("must be a method and a path, as in POST /lookup");
+        }
+        return text;
+    }
+
+    private static TicketException tooLarge() {
+        return new TicketException(Code.TOO_LARGE, "a ticket has at most " + MAX_BYTES + " bytes");
+    }
+}
