--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationFollower.java
@@ -54,7 +54,7 @@
         if (current.sequence() < offer.head() && !unreadable) {
             actions.add(new Action.Fetch(current.sequence() + 1));
         }
-        if (current.sequence() == offer.head()) {
+        if (current.sequence() >= offer.head()) {
             offer.confirmedAsOf().ifPresent(this::confirm);
         }
         return actions;
