--- a/damaskyoke/src/main/java/io/damaskyoke/caller/ModelCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/caller/ModelCall.java
@@ -63,7 +63,7 @@
         }
     }
 
-    private static ModelName name(String text) {
+    static ModelName name(String text) {
         try {
             return ModelName.of(text);
         } catch (IllegalArgumentException e) {
--- a/damaskyoke/src/main/java/io/damaskyoke/caller/RequestReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/caller/RequestReader.java
@@ -10,7 +10,6 @@
 import io.damaskyoke.exchange.Target;
 import io.damaskyoke.id.ExchangeId;
 import io.damaskyoke.id.IdempotencyKey;
-import io.damaskyoke.id.ModelName;
 import io.damaskyoke.id.ServiceName;
 import io.damaskyoke.id.WorkspaceId;
 import io.damaskyoke.settings.RouterSettings;
@@ -100,7 +99,7 @@
 
     private static Part modelPart(Admitted admitted, ByteString body, Configuration configuration) {
         ModelCall call = ModelCall.of(admitted.route().kind(), body);
-        model(call.model(), admitted.workspace(), configuration);
+        model(call.model().value(), admitted.workspace(), configuration);
         String path = admitted.head().path() + admitted.head().query();
         return new Part(new Target.Model(call.model()), path, true, call.tokens());
     }
@@ -116,8 +115,9 @@
     }
 
     /** The model, if it is there and open to the workspace; both look the same to the caller. */
-    static Model model(ModelName name, WorkspaceId workspace, Configuration configuration) {
-        return Optional.ofNullable(configuration.models().get(name))
+    static Model model(String name, WorkspaceId workspace, Configuration configuration) {
+        return Optional.ofNullable(ModelCall.name(name))
+                .map(configuration.models()::get)
                 .filter(model -> model.open(workspace))
                 .orElseThrow(
                         () ->
