Keep a connection whole when bytes cross its stop

Cause: on reading the guard again: a request that crosses the stop was pushed to a closed port, which would reset the connection and the answer on it; and a caller whose input ended behind a pipelined request was never probed. Ruled out: cancelling the input at the stop, which resets as well if bytes are unread. Change: such bytes are dropped; the probe timer goes on until the connection ends. HTTP/1.0 callers get no interim responses. Conclusion: found by reading, no test brings the race about; the module's tests pass.

--- a/damaskyoke/src/main/java/io/damaskyoke/caller/ConnectionGuard.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/caller/ConnectionGuard.java
@@ -26,8 +26,9 @@
  *   <li>A head that trickles in holds a connection for ever. From its first byte it has the header
  *       timeout to be complete, however many bytes come meanwhile; then the caller gets a 408.
  *   <li>A caller that closes its sending side may still read, or may be gone; both look the same.
- *       While its request waits it gets {@code 102 Processing} now and then: a live caller skips
- *       that, the system of a dead one resets the connection, and the request is cancelled.
+ *       While its request waits it gets {@code 102 Processing} now and then (HTTP/1.0 callers
+ *       don't): a live caller skips that, the system of a dead one resets the connection, and the
+ *       request is cancelled.
  *   <li>A failed answer would reset the connection, and the reset can overtake the error event
  *       before it. So the connection is closed in order, but without the last chunk, which tells
  *       the caller as well. Only where the end of the connection is the end of the answer, as in
@@ -140,10 +141,7 @@
         }
 
         private void probe() {
-            if (!state.onlyWaiting()) {
-                return;
-            }
-            if (isAvailable(netOut)) {
+            if (state.onlyWaiting() && !state.endsByClose() && isAvailable(netOut)) {
                 push(netOut, PROBE);
             }
             scheduleOnce(Timer.PROBE, pause);
@@ -151,14 +149,19 @@
         }
 
         private final class FromCaller extends AbstractInHandler {
+            /** Bytes that cross our stop belong to a request that no longer gets an answer. */
             @Override
             public void onPush() {
+                ByteString bytes = grab(netIn);
+                if (isClosed(httpOut)) {
+                    return;
+                }
                 fresh = false;
                 used = true;
                 if (state.received()) {
                     scheduleOnce(Timer.HEADER, headerTimeout);
                 }
-                push(httpOut, grab(netIn));
+                push(httpOut, bytes);
             }
 
             @Override
