--- a/damaskyoke/src/main/java/io/damaskyoke/upstream/Engine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/upstream/Engine.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.control.configuration.Model;
 import io.damaskyoke.id.ModelName;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
 /** A model engine: an upstream that can be told what to hold in memory. */
@@ -36,6 +37,12 @@
             int running,
             int waiting) {}
 
-    /** A model in the engine's memory. */
-    record Held(ModelName model, long memoryBytes) {}
+    /**
+     * A model in the engine's memory.
+     *
+     * @param model its name
+     * @param memoryBytes what it takes
+     * @param version which weights, if the engine says so
+     */
+    record Held(ModelName model, long memoryBytes, Optional<String> version) {}
 }
