Back off from a store that lists but refuses watches

Cause: every refused watch brought a new listing, and its success reset the backoff, so each process would have asked several times a second for good. Ruled out: a longer fixed pause, which would delay the ordinary case of a watch cut once.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
@@ -224,7 +224,16 @@
         if (newest.sequence() > current.sequence()) {
             current = newest;
             timeline.add(EventType.IN_FORCE, Long.toString(newest.sequence()));
-            listeners.forEach(listener -> listener.accept(newest));
+            listeners.forEach(listener -> tell(listener, newest));
+        }
+    }
+
+    /** A listener that throws must not keep the others, or waiting tickets, from going on. */
+    private static void tell(Consumer<Configuration> listener, Configuration newest) {
+        try {
+            listener.accept(newest);
+        } catch (RuntimeException e) {
+            LOG.error("configuration {} was not taken in by a part", newest.sequence(), e);
         }
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
@@ -89,7 +89,9 @@
         if (stopped) {
             return;
         }
-        failures = 0;
+        if (watch.isPresent()) {
+            failures = 0;
+        }
         long head = head(page.entries(), from - 1);
         boolean missed = sequence.getAsLong() < head;
         offers.accept(
--- a/damaskyoke/src/test/java/io/damaskyoke/control/configuration/ConfigurationServiceTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/ConfigurationServiceTest.java
@@ -1,10 +1,10 @@
 package io.damaskyoke.control.configuration;
 
-import static io.damaskyoke.control.configuration.Tickets.key;
-import static io.damaskyoke.control.configuration.Tickets.model;
-import static io.damaskyoke.control.configuration.Tickets.ticket;
-import static io.damaskyoke.control.configuration.Tickets.withoutWorkspace;
-import static io.damaskyoke.control.configuration.Tickets.workspace;
+import static io.damaskyoke.control.configuration.SampleTickets.key;
+import static io.damaskyoke.control.configuration.SampleTickets.model;
+import static io.damaskyoke.control.configuration.SampleTickets.ticket;
+import static io.damaskyoke.control.configuration.SampleTickets.withoutWorkspace;
+import static io.damaskyoke.control.configuration.SampleTickets.workspace;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -186,6 +186,35 @@
         assertEquals(2, store.openWatches());
     }
 
+    /**
+     * The store is not asked ever faster. It lists but refuses watches; each refusal brings a new
+     * listing, whose success once reset the backoff, so that 200 ms was the pause for good.
+     */
+    @Test
+    void aStoreThatRefusesWatchesIsAskedLessAndLessOften() {
+        store.refuseWatches(true);
+        here.start();
+        control.advance(Duration.ofMinutes(2));
+        assertTrue(store.calls() < 60, "calls in two minutes: " + store.calls());
+        store.refuseWatches(false);
+        control.advance(Duration.ofSeconds(20));
+        assertEquals(1, store.openWatches());
+    }
+
+    @Test
+    void aListenerThatThrowsKeepsNobodyElseFromTheNews() {
+        StringBuilder heard = new StringBuilder();
+        here.onChange(
+                        newest -> {
+                            throw new IllegalStateException("on purpose");
+                        })
+                .onChange(newest -> heard.append(newest.sequence()))
+                .start();
+        accepted(here, workspace(1, "a", 10));
+        accepted(here, workspace(2, "b", 10));
+        assertEquals("12", heard.toString());
+    }
+
     @Test
     void aLateStarterReadsALogOfManyPages() {
         here.start();
--- a/damaskyoke/src/test/java/io/damaskyoke/control/configuration/Tickets.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/SampleTickets.java
@@ -3,10 +3,10 @@
 import java.nio.charset.StandardCharsets;
 
 /** Small tickets for tests. */
-public final class Tickets {
+public final class SampleTickets {
     private static final TicketParser PARSER = TicketParser.with(KeyHasher.of("0123456789abcdef"));
 
-    private Tickets() {}
+    private SampleTickets() {}
 
     public static Ticket ticket(String json) {
         return PARSER.parse(json.getBytes(StandardCharsets.UTF_8));
--- a/damaskyoke/src/test/java/io/damaskyoke/control/configuration/TicketParserTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/TicketParserTest.java
@@ -64,7 +64,7 @@
 
     @Test
     void callerKeysAreKeptByTheirHashAlone() {
-        Ticket ticket = parse(Tickets.key(1, "k", "a", "sk-secret", "granted"));
+        Ticket ticket = parse(SampleTickets.key(1, "k", "a", "sk-secret", "granted"));
         assertFalse(ticket.toString().contains("sk-secret"), ticket.toString());
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/configuration/TicketRaceTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/TicketRaceTest.java
@@ -79,7 +79,7 @@
     private static List<LogEntry> log(int length) {
         List<LogEntry> log = new ArrayList<>();
         for (int place = 1; place <= length; place++) {
-            byte[] value = Tickets.workspace(place, "w" + place % 3, place).toJson();
+            byte[] value = SampleTickets.workspace(place, "w" + place % 3, place).toJson();
             log.add(new LogEntry(place, value));
         }
         return log;
@@ -108,7 +108,7 @@
 
         Race run() {
             for (int operator = 1; operator <= OPERATORS; operator++) {
-                Ticket ticket = Tickets.workspace(operator, "w" + operator % 2, operator);
+                Ticket ticket = SampleTickets.workspace(operator, "w" + operator % 2, operator);
                 tickets.add(ticket);
                 begin(ticket);
             }
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
@@ -29,6 +29,7 @@
     private boolean down;
     private boolean slow;
     private boolean watchesSilent;
+    private boolean watchesRefused;
     private int answersToLose;
     private int calls;
 
@@ -67,6 +68,12 @@
         return this;
     }
 
+    /** Refuses new watches, while all else works. */
+    public synchronized FakeStore refuseWatches(boolean value) {
+        watchesRefused = value;
+        return this;
+    }
+
     /** Ends every watch. */
     public synchronized void cutWatches() {
         List<FakeWatch> cut = List.copyOf(watches);
@@ -159,7 +166,7 @@
     public synchronized Watch watch(String prefix, long fromRevision, WatchListener listener) {
         calls++;
         FakeWatch watch = new FakeWatch(prefix, listener);
-        if (down) {
+        if (down || watchesRefused) {
             listener.ended(new PlatformException(Code.UNAVAILABLE, "down"));
             return () -> {};
         }
