Decide as a pure machine what an engine holds in memory

Cause: loads, unloads and waiting requests need one owner of the engine's memory that is right through crashes, lost answers and old or low reports. Ruled out, each by a failing run of the random test: - serving what the first report lists: an unload of the process before may be under way. Nothing is served or ordered until a report is younger than the process. - ordering an unload to settle a doubtful load: it can overtake the load, which then holds what was freed. Only a report settles doubt. Also met: a map in the copied rights printed in another order on each run, which the golden file caught; it is sorted now. Change: package control.replicas, with a naive version, a random test against a faulty engine, and a golden file of a session. Requests carry an id through Wanted, Ready and Refuse, since two that wait for one model can differ in deadline. Ready counts as a use until Finished, so no unload fits between answer and sending.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
@@ -0,0 +1,399 @@
+package io.damaskyoke.control.replicas;
+
+import io.damaskyoke.control.Machine;
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.control.replicas.Replica.Phase;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.id.ModelName;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Owns the memory of one engine: loads what requests wait for, unloads what is cheapest to load
+ * again, and tells each request to go ahead or gives it up in time.
+ *
+ * <p>{@code new ReplicaHolder(ReplicaSettings.defaults()).on(new ReplicaInput.Wanted(...), now)}.
+ * It begins without rights, models and inventory, and orders nothing before it has all three. Each
+ * Wanted is answered once: Ready counts as a use until Finished comes, so nothing can be unloaded
+ * between the answer and the sending.
+ */
+public final class ReplicaHolder implements Machine<ReplicaInput, ReplicaAction> {
+    private static final Duration PREFETCH = Duration.ofMinutes(1);
+    private static final Duration SHORT_RETRY = Duration.ofSeconds(1);
+
+    private final ReplicaSettings settings;
+    private final ReplicaTable table;
+    private final LoadCosts costs;
+    private final Victims victims;
+    private final TreeMap<ModelName, Want> wants = new TreeMap<>();
+    private final Failures failures;
+    private final TreeMap<ModelName, Long> owed = new TreeMap<>();
+    private Map<ModelName, Model> models = Map.of();
+    private Rights rights = Rights.of(Map.of());
+    private long lastFencing;
+
+    /** A holder that knows nothing yet. */
+    public ReplicaHolder(ReplicaSettings settings) {
+        this.settings = settings;
+        table = new ReplicaTable(settings);
+        costs = new LoadCosts(settings);
+        victims = new Victims(table, costs);
+        failures = new Failures(settings.retryDelay());
+    }
+
+    @Override
+    public List<ReplicaAction> on(ReplicaInput input, Instant now) {
+        table.startedBy(now);
+        take(input, now);
+        List<ReplicaAction> actions = new ArrayList<>();
+        unloadUnwanted(actions, now);
+        serveWants(actions, now);
+        releaseOwed(actions);
+        return actions;
+    }
+
+    private void take(ReplicaInput input, Instant now) {
+        if (input instanceof ReplicaInput.Wanted wanted) {
+            costs.used(wanted.model(), now);
+            wants.computeIfAbsent(wanted.model(), Want::new).waiters.add(wanted);
+        } else if (input instanceof ReplicaInput.GivenUp gone) {
+            giveUp(gone);
+        } else if (input instanceof ReplicaInput.Finished finished) {
+            finish(finished.model());
+        } else if (input instanceof ReplicaInput.Loaded loaded) {
+            loaded(loaded.model(), now);
+        } else if (input instanceof ReplicaInput.LoadFailed failed) {
+            loadFailed(failed, now);
+        } else if (input instanceof ReplicaInput.Unloaded unloaded) {
+            unloaded(unloaded.model(), now);
+        } else if (input instanceof ReplicaInput.UnloadFailed failed) {
+            unloadFailed(failed.model(), now);
+        } else if (input instanceof ReplicaInput.Reported reported) {
+            table.report(reported.report(), models, now);
+        } else if (input instanceof ReplicaInput.Configured configured) {
+            configure(configured.models());
+        } else if (input instanceof ReplicaInput.RightsChanged changed) {
+            change(changed.rights());
+        }
+    }
+
+    private void giveUp(ReplicaInput.GivenUp gone) {
+        Want want = wants.get(gone.model());
+        if (want != null) {
+            want.waiters.removeIf(waiter -> waiter.request().equals(gone.request()));
+        }
+    }
+
+    private void finish(ModelName model) {
+        Replica replica = table.get(model);
+        if (replica != null && replica.uses > 0) {
+            replica.uses--;
+        }
+    }
+
+    private void loaded(ModelName model, Instant now) {
+        Replica replica = table.get(model);
+        if (replica != null && replica.phase == Phase.LOADING) {
+            costs.loaded(model, Duration.between(replica.since, now));
+            replica.enter(Phase.LOADED, now);
+            failures.over(model);
+        }
+    }
+
+    private void loadFailed(ReplicaInput.LoadFailed failed, Instant now) {
+        Replica replica = table.get(failed.model());
+        if (replica == null || replica.phase != Phase.LOADING) {
+            return;
+        }
+        failures.failed(failed.model(), now);
+        if (failed.mayBeHeld()) {
+            table.doubt(replica, now);
+        } else {
+            table.free(failed.model(), now);
+        }
+    }
+
+    private void unloaded(ModelName model, Instant now) {
+        Replica replica = table.get(model);
+        if (replica != null && replica.phase == Phase.UNLOADING) {
+            table.free(model, now);
+        }
+    }
+
+    private void unloadFailed(ModelName model, Instant now) {
+        Replica replica = table.get(model);
+        if (replica != null && replica.phase == Phase.UNLOADING) {
+            table.doubt(replica, now);
+        }
+    }
+
+    private void configure(Map<ModelName, Model> newModels) {
+        models = Map.copyOf(newModels);
+        failures.retain(models.keySet());
+        costs.retain(models.keySet());
+        table.configured(models);
+    }
+
+    private void change(Rights newRights) {
+        owed.putAll(rights.granted());
+        for (Replica replica : table.all()) {
+            owed.putIfAbsent(replica.name, rights.fencing(replica.name).orElse(lastFencing));
+        }
+        rights = newRights;
+        owed.keySet().removeIf(rights::hold);
+        newRights.everything().ifPresent(this::noteFencing);
+        newRights.granted().values().forEach(this::noteFencing);
+    }
+
+    private void noteFencing(long fencing) {
+        lastFencing = Math.max(lastFencing, fencing);
+    }
+
+    private void unloadUnwanted(List<ReplicaAction> actions, Instant now) {
+        for (Replica replica : List.copyOf(table.all())) {
+            if (replica.phase == Phase.LOADED && !isUsable(replica)) {
+                unload(replica, actions, now);
+            }
+        }
+    }
+
+    private void unload(Replica replica, List<ReplicaAction> actions, Instant now) {
+        if (replica.uses > 0 || table.carriesAdapters(replica.name) || !table.complete()) {
+            return;
+        }
+        replica.enter(Phase.UNLOADING, now);
+        actions.add(new ReplicaAction.Unload(replica.name, fencing(replica.name)));
+    }
+
+    private long fencing(ModelName model) {
+        return rights.fencing(model).orElse(owed.getOrDefault(model, lastFencing));
+    }
+
+    /** True if requests may go to it: loaded, in force, with a right, and so is its base. */
+    private boolean isUsable(Replica replica) {
+        Model model = models.get(replica.name);
+        return replica.phase == Phase.LOADED
+                && !ReplicaTable.lost(replica)
+                && model != null
+                && replica.version.equals(Optional.of(model.version()))
+                && replica.base.equals(model.base())
+                && rights.hold(replica.name)
+                && model.base().map(this::isUsable).orElse(true);
+    }
+
+    private boolean isUsable(ModelName model) {
+        Replica replica = table.get(model);
+        return replica != null && isUsable(replica);
+    }
+
+    private void serveWants(List<ReplicaAction> actions, Instant now) {
+        Pass pass = new Pass(actions, now, slots(now));
+        TreeSet<Want> ordered = new TreeSet<>(Want.BY_DEADLINE);
+        ordered.addAll(wants.values());
+        for (Want want : ordered) {
+            answerNow(want, pass);
+            refuseLate(want, pass);
+            if (!want.isOver(now) && !isUsable(want.model)) {
+                load(want, pass);
+            }
+        }
+        wants.values().removeIf(want -> want.isOver(now) || isDone(want));
+    }
+
+    private boolean isDone(Want want) {
+        return want.waiters.isEmpty() && table.get(want.model) != null;
+    }
+
+    private void answerNow(Want want, Pass pass) {
+        Optional<Refused> refused = refusal(want.model, pass.now);
+        if (refused.isPresent()) {
+            want.prefetchUntil = Instant.MIN;
+        }
+        Replica replica = table.get(want.model);
+        for (ReplicaInput.Wanted waiter : List.copyOf(want.waiters)) {
+            if (!pass.now.isBefore(waiter.deadline())) {
+                refuse(want, waiter, RefusalCode.DEADLINE_UNREACHABLE, Optional.empty(), pass);
+            } else if (refused.isPresent()) {
+                refuse(want, waiter, refused.get().code, refused.get().retryAfter, pass);
+            } else if (replica != null && isUsable(replica)) {
+                replica.uses++;
+                want.waiters.remove(waiter);
+                pass.actions.add(new ReplicaAction.Ready(waiter.request(), want.model));
+            }
+        }
+    }
+
+    /** Why the model can't be had here at all now. */
+    private Optional<Refused> refusal(ModelName name, Instant now) {
+        Model model = models.get(name);
+        if (model == null || !mayHold(model)) {
+            return Optional.of(new Refused(RefusalCode.NO_UPSTREAM, Optional.of(SHORT_RETRY)));
+        }
+        if (isUsable(name)) {
+            return Optional.empty();
+        }
+        if (table.complete() && fullBytes(model) > table.capacity()) {
+            return Optional.of(new Refused(RefusalCode.NO_UPSTREAM, Optional.empty()));
+        }
+        return failures.pause(name, now)
+                .or(() -> model.base().flatMap(base -> failures.pause(base, now)))
+                .map(pause -> new Refused(RefusalCode.LOAD_FAILED, Optional.of(pause)));
+    }
+
+    private boolean mayHold(Model model) {
+        return rights.hold(model.name())
+                && model.base().map(b -> models.containsKey(b) && rights.hold(b)).orElse(true);
+    }
+
+    private long fullBytes(Model model) {
+        return model.memoryBytes() + model.base().map(b -> models.get(b).memoryBytes()).orElse(0L);
+    }
+
+    private void refuseLate(Want want, Pass pass) {
+        if (want.waiters.isEmpty()) {
+            return;
+        }
+        Duration wait = waitFor(want.model, pass);
+        for (ReplicaInput.Wanted waiter : List.copyOf(want.waiters)) {
+            if (pass.now.plus(wait).isAfter(waiter.deadline())) {
+                want.prefetchUntil = pass.now.plus(PREFETCH);
+                refuse(want, waiter, RefusalCode.DEADLINE_UNREACHABLE, Optional.of(wait), pass);
+            }
+        }
+    }
+
+    private Duration waitFor(ModelName model, Pass pass) {
+        Duration load = timeToLoad(model, pass.now);
+        return table.get(model) == null ? pass.slots.add(load) : load;
+    }
+
+    /** How long until the model can serve once a load can be ordered; an overdue load ends soon. */
+    private Duration timeToLoad(ModelName name, Instant now) {
+        Model model = models.get(name);
+        Replica replica = table.get(name);
+        if (replica != null && isUsable(replica)) {
+            return Duration.ZERO;
+        }
+        Duration own = costs.estimate(model);
+        if (replica != null && replica.phase == Phase.LOADING) {
+            Duration left = own.minus(Duration.between(replica.since, now));
+            return left.isNegative() ? Duration.ZERO : left;
+        }
+        return own.plus(model.base().map(b -> timeToLoad(b, now)).orElse(Duration.ZERO));
+    }
+
+    private LoadSlots slots(Instant now) {
+        List<Duration> running =
+                table.all().stream()
+                        .filter(replica -> replica.phase == Phase.LOADING)
+                        .filter(replica -> models.containsKey(replica.name))
+                        .map(replica -> timeToLoad(replica.name, now))
+                        .toList();
+        return new LoadSlots(running, settings.loadsAtOnce());
+    }
+
+    private static void refuse(
+            Want want,
+            ReplicaInput.Wanted waiter,
+            RefusalCode code,
+            Optional<Duration> retryAfter,
+            Pass pass) {
+        want.waiters.remove(waiter);
+        pass.actions.add(new ReplicaAction.Refuse(waiter.request(), want.model, code, retryAfter));
+    }
+
+    /** Orders the load, or its base's first, or the unloads that make room for it. */
+    private void load(Want want, Pass pass) {
+        Model model = models.get(want.model);
+        if (!table.complete() || model == null || !mayHold(model)) {
+            return;
+        }
+        Optional<Model> first = firstToLoad(model);
+        if (first.isEmpty() || failures.pause(first.get().name(), pass.now).isPresent()) {
+            return;
+        }
+        long bytes = missingBytes(model);
+        long free = table.free() - pass.promised;
+        if (free >= bytes && table.count(Phase.LOADING) < settings.loadsAtOnce()) {
+            order(first.get(), pass);
+            pass.promised += bytes - first.get().memoryBytes();
+        } else if (free >= bytes) {
+            pass.promised += bytes;
+        } else {
+            makeRoom(want, model, bytes, bytes - free - table.bytesIn(Phase.UNLOADING), pass);
+        }
+    }
+
+    private Optional<Model> firstToLoad(Model model) {
+        if (model.base().isPresent() && !isUsable(model.base().get())) {
+            return firstToLoad(models.get(model.base().get()));
+        }
+        return table.get(model.name()) == null ? Optional.of(model) : Optional.empty();
+    }
+
+    private long missingBytes(Model model) {
+        long own = table.get(model.name()) == null ? model.memoryBytes() : 0;
+        return own + model.base().map(b -> missingBytes(models.get(b))).orElse(0L);
+    }
+
+    private void order(Model model, Pass pass) {
+        table.reserve(model, pass.now);
+        pass.actions.add(new ReplicaAction.Load(model, fencing(model.name())));
+    }
+
+    private void makeRoom(Want want, Model model, long bytes, long shortfall, Pass pass) {
+        double below =
+                want.waiters.isEmpty()
+                        ? costs.perByte(model, model.memoryBytes(), pass.now)
+                        : Double.MAX_VALUE;
+        Optional<List<Replica>> chosen =
+                victims.toFree(shortfall, neededNow(), models, below, pass.now);
+        if (chosen.isPresent()) {
+            chosen.get().forEach(replica -> unload(replica, pass.actions, pass.now));
+            pass.promised += bytes;
+        }
+    }
+
+    private Set<ModelName> neededNow() {
+        Set<ModelName> needed = new TreeSet<>();
+        for (Want want : wants.values()) {
+            Model model = models.get(want.model);
+            if (model != null) {
+                needed.add(want.model);
+                model.base().ifPresent(needed::add);
+            }
+        }
+        return needed;
+    }
+
+    private void releaseOwed(List<ReplicaAction> actions) {
+        for (ModelName model : List.copyOf(owed.keySet())) {
+            if (table.complete() && table.get(model) == null) {
+                actions.add(new ReplicaAction.Release(model, owed.remove(model)));
+            }
+        }
+    }
+
+    private record Refused(RefusalCode code, Optional<Duration> retryAfter) {}
+
+    /** What one walk over the waiting models, nearest deadline first, has given away so far. */
+    private static final class Pass {
+        private final List<ReplicaAction> actions;
+        private final Instant now;
+        private final LoadSlots slots;
+        private long promised;
+
+        private Pass(List<ReplicaAction> actions, Instant now, LoadSlots slots) {
+            this.actions = actions;
+            this.now = now;
+            this.slots = slots;
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/Victims.java
@@ -0,0 +1,89 @@
+package io.damaskyoke.control.replicas;
+
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.control.replicas.Replica.Phase;
+import io.damaskyoke.id.ModelName;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses what to unload: where the next cold start costs least for the memory it frees. */
+final class Victims {
+    private final ReplicaTable table;
+    private final LoadCosts costs;
+
+    Victims(ReplicaTable table, LoadCosts costs) {
+        this.table = table;
+        this.costs = costs;
+    }
+
+    /**
+     * The cheapest that free so much memory; empty if all together don't. A base comes after its
+     * adapters, since the engine can't keep an adapter without it.
+     *
+     * @param needed models that are waited for, and their bases
+     * @param below only replicas whose cost per byte is lower than this
+     */
+    Optional<List<Replica>> toFree(
+            long bytes,
+            Set<ModelName> needed,
+            Map<ModelName, Model> models,
+            double below,
+            Instant now) {
+        List<Replica> chosen = new ArrayList<>();
+        long freed = 0;
+        while (freed < bytes) {
+            Optional<Replica> next =
+                    table.all().stream()
+                            .filter(replica -> !chosen.contains(replica))
+                            .filter(replica -> isFree(replica, needed))
+                            .filter(replica -> adaptersOf(replica, chosen))
+                            .filter(replica -> cost(replica, models, now) < below)
+                            .min(Comparator.comparingDouble(r -> cost(r, models, now)));
+            if (next.isEmpty()) {
+                return Optional.empty();
+            }
+            chosen.add(next.get());
+            freed += next.get().bytes;
+        }
+        return Optional.of(withoutSuperfluous(chosen, freed - bytes));
+    }
+
+    /** Spares the dearest of those that the last, large one has made superfluous. */
+    private List<Replica> withoutSuperfluous(List<Replica> chosen, long excess) {
+        List<Replica> kept = new ArrayList<>(chosen);
+        long left = excess;
+        for (int i = chosen.size() - 1; i >= 0; i--) {
+            Replica replica = chosen.get(i);
+            boolean carried = replica.base.isPresent() && contains(chosen, replica.base.get());
+            if (replica.bytes <= left && !carried) {
+                kept.remove(replica);
+                left -= replica.bytes;
+            }
+        }
+        return kept;
+    }
+
+    private boolean adaptersOf(Replica base, List<Replica> chosen) {
+        return table.all().stream()
+                .filter(replica -> replica.base.equals(Optional.of(base.name)))
+                .allMatch(chosen::contains);
+    }
+
+    private double cost(Replica replica, Map<ModelName, Model> models, Instant now) {
+        Model model = models.get(replica.name);
+        return model == null ? 0 : costs.perByte(model, replica.bytes, now);
+    }
+
+    private static boolean isFree(Replica replica, Set<ModelName> needed) {
+        return replica.phase == Phase.LOADED && replica.uses == 0 && !needed.contains(replica.name);
+    }
+
+    private static boolean contains(List<Replica> replicas, ModelName name) {
+        return replicas.stream().anyMatch(replica -> replica.name.equals(name));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/replicas/EngineWorld.java
@@ -0,0 +1,245 @@
+package io.damaskyoke.control.replicas;
+
+import io.damaskyoke.control.Machine;
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.PoolName;
+import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.upstream.Engine;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+
+/** An engine with seeded faults around a machine; it knows the truth and checks the rules. */
+final class EngineWorld {
+    static final ReplicaSettings SETTINGS = ReplicaSettings.defaults();
+    private static final long STEP_MILLIS = 250;
+
+    final Random random;
+    final Random traffic;
+    final boolean faults;
+    final long memory;
+    final TreeMap<ModelName, Model> models = new TreeMap<>();
+    final TreeMap<ModelName, Engine.Held> held = new TreeMap<>();
+    final TreeMap<ModelName, Job> loads = new TreeMap<>();
+    final TreeMap<ModelName, Job> unloads = new TreeMap<>();
+    final TreeMap<ModelName, Integer> uses = new TreeMap<>();
+    final TreeMap<Long, ReplicaInput.Wanted> waiting = new TreeMap<>();
+    final Set<Long> served = new TreeSet<>();
+    final List<String> broken = new ArrayList<>();
+    private final List<Engine.Report> history = new ArrayList<>();
+    private final Supplier<Machine<ReplicaInput, ReplicaAction>> maker;
+    private Machine<ReplicaInput, ReplicaAction> machine;
+    private Instant now = Instant.EPOCH;
+    long requests;
+    private long epoch;
+
+    record Job(Model model, Instant end, boolean ok, boolean answered, long epoch) {}
+
+    EngineWorld(
+            long seed,
+            boolean faults,
+            long memory,
+            Supplier<Machine<ReplicaInput, ReplicaAction>> maker) {
+        this.random = new Random(seed);
+        this.traffic = new Random(~seed);
+        this.faults = faults;
+        this.memory = memory;
+        this.maker = maker;
+        add("a", 40, null);
+        add("b", 30, null);
+        add("c", 50, null);
+        add("a-1", 10, "a");
+        add("a-2", 10, "a");
+        add("b-1", 10, "b");
+        history.add(truth());
+        restart();
+    }
+
+    void run(int steps) {
+        for (int i = 0; i < steps; i++) {
+            step(i < steps - 200);
+        }
+        if (!waiting.isEmpty()) {
+            broken.add("never answered: " + waiting);
+        }
+    }
+
+    private void step(boolean busy) {
+        now = now.plusMillis(STEP_MILLIS);
+        finish(loads);
+        finish(unloads);
+        history.add(truth());
+        if (busy && traffic.nextInt(3) == 0) {
+            want();
+        }
+        endSomeUse();
+        if (random.nextInt(4) == 0) {
+            feed(new ReplicaInput.Reported(laggingReport()));
+        }
+        if (faults && busy && random.nextInt(150) == 0) {
+            restart();
+        }
+        if (faults && random.nextInt(100) == 0) {
+            changeVersion();
+        }
+        feed(new ReplicaInput.Tick());
+        for (ReplicaInput.Wanted wanted : waiting.values()) {
+            if (wanted.deadline().isBefore(now)) {
+                broken.add("answered late: " + wanted);
+            }
+        }
+    }
+
+    private void restart() {
+        epoch++;
+        waiting.clear();
+        uses.clear();
+        machine = maker.get();
+        feed(new ReplicaInput.RightsChanged(Rights.all(epoch)));
+        feed(new ReplicaInput.Configured(models));
+    }
+
+    private void feed(ReplicaInput input) {
+        machine.on(input, now).forEach(this::carryOut);
+        long used = memoryUsed();
+        if (used > memory) {
+            broken.add(now + " overcommitted: " + used);
+        }
+    }
+
+    private void carryOut(ReplicaAction action) {
+        if (action instanceof ReplicaAction.Load load) {
+            if (loads.containsKey(load.model().name()) || held.containsKey(load.model().name())) {
+                broken.add("second load: " + load);
+            }
+            loads.put(load.model().name(), job(load.model(), 1_000 + random.nextInt(4_000)));
+        } else if (action instanceof ReplicaAction.Unload unload) {
+            if (uses.getOrDefault(unload.model(), 0) > 0) {
+                broken.add("unloaded in use: " + unload);
+            }
+            unloads.put(unload.model(), job(models.get(unload.model()), 250));
+        } else if (action instanceof ReplicaAction.Ready ready) {
+            answered(ready.request());
+            served.add(ready.request().counter());
+            uses.merge(ready.model(), 1, Integer::sum);
+            Engine.Held is = held.get(ready.model());
+            if (is == null
+                    || !is.version().equals(Optional.of(models.get(ready.model()).version()))) {
+                broken.add("not held in the version in force: " + ready);
+            }
+        } else if (action instanceof ReplicaAction.Refuse refuse) {
+            answered(refuse.request());
+        }
+    }
+
+    private void answered(ExchangeId request) {
+        if (waiting.remove(request.counter()) == null) {
+            broken.add("answered twice: " + request);
+        }
+    }
+
+    private Job job(Model model, long millis) {
+        boolean ok = !faults || random.nextInt(6) > 0;
+        boolean answered = !faults || random.nextInt(6) > 0;
+        return new Job(model, now.plusMillis(millis), ok, answered, epoch);
+    }
+
+    private void finish(TreeMap<ModelName, Job> jobs) {
+        for (Job job : List.copyOf(jobs.values())) {
+            if (job.end.isAfter(now)) {
+                continue;
+            }
+            ModelName name = job.model.name();
+            jobs.remove(name);
+            boolean load = jobs == loads;
+            if (load && job.ok) {
+                held.put(name, held(job.model));
+            } else if (!load && job.ok) {
+                held.remove(name);
+            }
+            if (job.epoch == epoch) {
+                feed(load ? loadAnswer(job, name) : unloadAnswer(job, name));
+            }
+        }
+    }
+
+    private static ReplicaInput loadAnswer(Job job, ModelName name) {
+        return job.ok && job.answered
+                ? new ReplicaInput.Loaded(name)
+                : new ReplicaInput.LoadFailed(name, !job.answered);
+    }
+
+    private static ReplicaInput unloadAnswer(Job job, ModelName name) {
+        return job.ok && job.answered
+                ? new ReplicaInput.Unloaded(name)
+                : new ReplicaInput.UnloadFailed(name);
+    }
+
+    private void want() {
+        List<ModelName> names = List.copyOf(models.keySet());
+        ModelName name = names.get(traffic.nextInt(names.size()));
+        Instant deadline = now.plusMillis(faults ? 500 + traffic.nextInt(60_000) : 600_000);
+        ExchangeId id = new ExchangeId(Incarnation.of("r-1"), requests++);
+        ReplicaInput.Wanted wanted =
+                new ReplicaInput.Wanted(id, name, deadline, WorkspaceId.of("kitchens"));
+        waiting.put(id.counter(), wanted);
+        feed(wanted);
+    }
+
+    private void endSomeUse() {
+        for (ModelName name : List.copyOf(uses.keySet())) {
+            if (uses.get(name) > 0 && random.nextInt(3) == 0) {
+                uses.merge(name, -1, Integer::sum);
+                feed(new ReplicaInput.Finished(name));
+            }
+        }
+    }
+
+    private void changeVersion() {
+        List<ModelName> names = List.copyOf(models.keySet());
+        Model old = models.get(names.get(random.nextInt(names.size())));
+        add(old.name().value(), old.memoryBytes(), old.base().map(ModelName::value).orElse(null));
+        feed(new ReplicaInput.Configured(models));
+    }
+
+    private void add(String name, long bytes, String base) {
+        ModelName id = ModelName.of(name);
+        Model old = models.get(id);
+        String version = "v" + (old == null ? 1 : Integer.parseInt(old.version().substring(1)) + 1);
+        Optional<ModelName> on = Optional.ofNullable(base).map(ModelName::of);
+        models.put(id, new Model(id, version, PoolName.of("p"), on, bytes, 1, Set.of()));
+    }
+
+    /** Up to the settings' lag old, and at times with less memory in use than there is. */
+    private Engine.Report laggingReport() {
+        int lag = (int) (SETTINGS.reportLag().toMillis() / STEP_MILLIS);
+        int age = random.nextInt(Math.min(lag, history.size()));
+        Engine.Report report = history.get(history.size() - 1 - age);
+        long used = faults && random.nextBoolean() ? 0 : report.memoryUsedBytes();
+        return new Engine.Report(memory, used, report.loaded(), report.loading(), List.of(), 0, 0);
+    }
+
+    private Engine.Report truth() {
+        List<Engine.Held> loading = loads.values().stream().map(job -> held(job.model)).toList();
+        return new Engine.Report(
+                memory, memoryUsed(), List.copyOf(held.values()), loading, List.of(), 0, 0);
+    }
+
+    private long memoryUsed() {
+        return held.values().stream().mapToLong(Engine.Held::memoryBytes).sum()
+                + loads.values().stream().mapToLong(job -> job.model.memoryBytes()).sum();
+    }
+
+    private static Engine.Held held(Model model) {
+        return new Engine.Held(model.name(), model.memoryBytes(), Optional.of(model.version()));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/replicas/ReplicaHolderPropertyTest.java
@@ -0,0 +1,53 @@
+package io.damaskyoke.control.replicas;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class ReplicaHolderPropertyTest {
+    private static final int STEPS = 1_000;
+    private static final long TIGHT = 100;
+    private static final long AMPLE = 1_000;
+
+    @Property(seed = "11", tries = 200)
+    void theRulesHoldThroughCrashesLostAnswersAndLyingReports(@ForAll long seed) {
+        // Orders fail, or take effect and lose their answer; reports are old and say too little is
+        // in use; the agent dies at any moment, with loads in flight; versions change. Still:
+        // memory is never exceeded, no model is loaded twice, nothing in use is unloaded, what is
+        // served has the version in force, and each request is answered once and in time.
+        EngineWorld world =
+                new EngineWorld(seed, true, TIGHT, () -> new ReplicaHolder(EngineWorld.SETTINGS));
+        world.run(STEPS);
+        assertEquals(List.of(), world.broken);
+        assertFalse(world.served.isEmpty());
+    }
+
+    @Property(seed = "12", tries = 50)
+    void whereEverythingFitsItServesWhatTheNaiveOneServes(@ForAll long seed) {
+        EngineWorld careful =
+                new EngineWorld(seed, false, AMPLE, () -> new ReplicaHolder(EngineWorld.SETTINGS));
+        EngineWorld naive = new EngineWorld(seed, false, AMPLE, NaiveHolder::new);
+        careful.run(STEPS);
+        naive.run(STEPS);
+        assertEquals(List.of(), careful.broken);
+        assertEquals(List.of(), naive.broken);
+        assertEquals(naive.served, careful.served);
+        assertTrue(careful.served.size() > 200);
+    }
+
+    @Property(seed = "13", tries = 20)
+    void withTightMemoryTheNaiveOneOvercommitsAndThisOneServesAll(@ForAll long seed) {
+        EngineWorld careful =
+                new EngineWorld(seed, false, TIGHT, () -> new ReplicaHolder(EngineWorld.SETTINGS));
+        EngineWorld naive = new EngineWorld(seed, false, TIGHT, NaiveHolder::new);
+        careful.run(STEPS);
+        naive.run(STEPS);
+        assertEquals(List.of(), careful.broken);
+        assertEquals(careful.requests, careful.served.size());
+        assertFalse(naive.broken.isEmpty());
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/replicas/ReplicaHolderSessionTest.java
@@ -0,0 +1,156 @@
+package io.damaskyoke.control.replicas;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.PoolName;
+import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.upstream.Engine;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class ReplicaHolderSessionTest {
+    private static final Model CUT = model("cut-sheet", "v1", null, 60);
+    private static final Model EDGES = model("edges", "v1", "cut-sheet", 10);
+    private static final Model TIDE = model("tide", "v1", null, 50);
+
+    private final ReplicaHolder holder = new ReplicaHolder(ReplicaSettings.defaults());
+    private final StringBuilder lines = new StringBuilder();
+    private Instant now = Instant.EPOCH;
+    private long requests;
+
+    @Test
+    void aWholeSession() {
+        say("An agent starts: a process before it may have left orders behind, so it waits");
+        feed(new ReplicaInput.RightsChanged(Rights.all(7)));
+        feed(configured(CUT, EDGES, TIDE));
+        report(0);
+        want("edges", 120);
+        report(3);
+        say("The adapter's base is loaded first, then the adapter; a second request joins");
+        want("edges", 120);
+        after(12, new ReplicaInput.Loaded(CUT.name()));
+        after(1, new ReplicaInput.Loaded(EDGES.name()));
+        say("No room for tide while edges is in use; too short a deadline is refused at once");
+        want("tide", 5);
+        want("tide", 90);
+        feed(new ReplicaInput.Finished(EDGES.name()));
+        feed(new ReplicaInput.Finished(EDGES.name()));
+        after(1, new ReplicaInput.Unloaded(EDGES.name()));
+        after(1, new ReplicaInput.Unloaded(CUT.name()));
+        say("The engine has no memory for it after all: refused, then tried again after a pause");
+        after(1, new ReplicaInput.LoadFailed(TIDE.name(), false));
+        want("tide", 90);
+        after(1, new ReplicaInput.Tick());
+        want("tide", 90);
+        say("The answer is lost: its memory stays counted until a report settles it");
+        after(9, new ReplicaInput.LoadFailed(TIDE.name(), true));
+        want("cut-sheet", 60);
+        report(1, held(TIDE));
+        report(3, held(TIDE));
+        after(1, new ReplicaInput.Unloaded(TIDE.name()));
+        after(12, new ReplicaInput.Loaded(CUT.name()));
+        say("A new version waits for the running request, then replaces the old one");
+        feed(configured(model("cut-sheet", "v2", null, 60), EDGES, TIDE));
+        want("cut-sheet", 60);
+        feed(new ReplicaInput.Finished(CUT.name()));
+        after(1, new ReplicaInput.Unloaded(CUT.name()));
+        after(12, new ReplicaInput.Loaded(CUT.name()));
+        feed(new ReplicaInput.Finished(CUT.name()));
+        say("The engine was restarted and holds nothing: three reports, then an unload to be sure");
+        report(3);
+        report(3);
+        report(3);
+        after(1, new ReplicaInput.UnloadFailed(CUT.name()));
+        report(3);
+        say("Rights arrive and move away: what is held without one is unloaded and handed back");
+        feed(new ReplicaInput.RightsChanged(Rights.of(Map.of(TIDE.name(), 8L, CUT.name(), 9L))));
+        want("tide", 60);
+        want("edges", 60);
+        after(9, new ReplicaInput.Loaded(TIDE.name()));
+        feed(new ReplicaInput.RightsChanged(Rights.of(Map.of(CUT.name(), 9L))));
+        feed(new ReplicaInput.Finished(TIDE.name()));
+        after(1, new ReplicaInput.Unloaded(TIDE.name()));
+        Approvals.verify(lines);
+    }
+
+    @Test
+    void anAdapterReportedBeforeTheModelsAreKnownIsServedWithoutALoad() {
+        // An agent restarts, and its engine's report is quicker than the configuration. The adapter
+        // must not be taken for a model of another base, unloaded and loaded again.
+        feed(new ReplicaInput.RightsChanged(Rights.all(7)));
+        report(0, held(CUT), held(EDGES));
+        feed(configured(CUT, EDGES));
+        report(3, held(CUT), held(EDGES));
+        lines.setLength(0);
+        want("edges", 1);
+        assertTrue(lines.toString().contains("Ready["), lines.toString());
+    }
+
+    private void say(String what) {
+        lines.append("\n# ").append(what).append('\n');
+    }
+
+    private void want(String model, long seconds) {
+        ExchangeId id = new ExchangeId(Incarnation.of("r"), requests++);
+        Instant deadline = now.plusSeconds(seconds);
+        feed(
+                new ReplicaInput.Wanted(
+                        id, ModelName.of(model), deadline, WorkspaceId.of("kitchens")));
+    }
+
+    private void report(long seconds, Engine.Held... held) {
+        long used = 0;
+        for (Engine.Held each : held) {
+            used += each.memoryBytes();
+        }
+        after(
+                seconds,
+                new ReplicaInput.Reported(
+                        new Engine.Report(100, used, List.of(held), List.of(), List.of(), 0, 0)));
+    }
+
+    private void after(long seconds, ReplicaInput input) {
+        now = now.plusSeconds(seconds);
+        feed(input);
+    }
+
+    private void feed(ReplicaInput input) {
+        lines.append(now.getEpochSecond()).append("s ").append(input).append('\n');
+        for (ReplicaAction action : holder.on(input, now)) {
+            lines.append("    ").append(action).append('\n');
+        }
+    }
+
+    private static ReplicaInput configured(Model... models) {
+        Map<ModelName, Model> named = new TreeMap<>();
+        for (Model model : models) {
+            named.put(model.name(), model);
+        }
+        return new ReplicaInput.Configured(named);
+    }
+
+    private static Engine.Held held(Model model) {
+        return new Engine.Held(model.name(), model.memoryBytes(), Optional.of(model.version()));
+    }
+
+    private static Model model(String name, String version, String base, long bytes) {
+        return new Model(
+                ModelName.of(name),
+                version,
+                PoolName.of("pool"),
+                Optional.ofNullable(base).map(ModelName::of),
+                bytes,
+                1,
+                Set.of());
+    }
+}
