--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/Replica.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/Replica.java
@@ -28,15 +28,16 @@
     Optional<String> version = Optional.empty();
 
     Optional<ModelName> base = Optional.empty();
+
+    /** False for what an engine reported before the models were configured. */
+    boolean baseKnown;
+
     long bytes;
     int uses;
 
     /** Reports in a row that no longer list it although it is loaded. */
     int missing;
 
-    /** In phase UNKNOWN: when to order an unload, which settles it. */
-    Instant recheckAt = Instant.MAX;
-
     Replica(ModelName name, Phase phase, Instant since, long bytes) {
         this.name = name;
         this.phase = phase;
@@ -48,6 +49,5 @@
         phase = next;
         since = now;
         missing = 0;
-        recheckAt = Instant.MAX;
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
@@ -166,18 +166,11 @@
         models = Map.copyOf(newModels);
         failures.retain(models.keySet());
         costs.retain(models.keySet());
-        for (Replica replica : table.all()) {
-            Model model = models.get(replica.name);
-            if (model != null && replica.base.isEmpty() && replica.version.isEmpty()) {
-                replica.base = model.base();
-            }
-        }
+        table.configured(models);
     }
 
     private void change(Rights newRights) {
-        for (Map.Entry<ModelName, Long> old : rights.granted().entrySet()) {
-            owed.put(old.getKey(), old.getValue());
-        }
+        owed.putAll(rights.granted());
         for (Replica replica : table.all()) {
             owed.putIfAbsent(replica.name, rights.fencing(replica.name).orElse(lastFencing));
         }
@@ -193,9 +186,7 @@
 
     private void unloadUnwanted(List<ReplicaAction> actions, Instant now) {
         for (Replica replica : List.copyOf(table.all())) {
-            boolean outdated = replica.phase == Phase.LOADED && !isUsable(replica);
-            boolean doubtful = replica.phase == Phase.UNKNOWN && !now.isBefore(replica.recheckAt);
-            if (outdated || doubtful) {
+            if (replica.phase == Phase.LOADED && !isUsable(replica)) {
                 unload(replica, actions, now);
             }
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaTable.java
@@ -87,20 +87,37 @@
         Replica replica = new Replica(model.name(), Phase.LOADING, now, model.memoryBytes());
         replica.version = Optional.of(model.version());
         replica.base = model.base();
+        replica.baseKnown = true;
         replicas.put(model.name(), replica);
         freed.remove(model.name());
     }
 
+    /** Learns the bases of adapters that were reported before the models were known. */
+    void configured(Map<ModelName, Model> models) {
+        replicas.values().forEach(replica -> learnBase(replica, models));
+    }
+
+    private static void learnBase(Replica replica, Map<ModelName, Model> models) {
+        Model model = models.get(replica.name);
+        if (!replica.baseKnown && model != null) {
+            replica.base = model.base();
+            replica.baseKnown = true;
+        }
+    }
+
     /** Gives the memory back: the engine said that it is free. */
     void free(ModelName name, Instant now) {
         replicas.remove(name);
         freed.put(name, now);
     }
 
-    /** Keeps counting a replica of which nobody knows whether the engine holds it. */
+    /**
+     * Keeps counting a replica of which nobody knows whether the engine holds it. Only a report
+     * settles it: an unload to make sure may overtake a load that still runs, and free what then
+     * comes to be held.
+     */
     void doubt(Replica replica, Instant now) {
         replica.enter(Phase.UNKNOWN, now);
-        replica.recheckAt = now.plus(settings.reportLag()).plus(settings.retryDelay());
     }
 
     /** Takes in a report, given the models in force. */
@@ -129,8 +146,7 @@
             if (replica == null && !freed.containsKey(each.model())) {
                 replica = new Replica(each.model(), phase, adoptedAt(now), each.memoryBytes());
                 replica.version = each.version();
-                Model model = models.get(each.model());
-                replica.base = model == null ? Optional.empty() : model.base();
+                learnBase(replica, models);
                 replicas.put(each.model(), replica);
             }
             if (replica != null) {
@@ -153,9 +169,7 @@
         } else if (replica.phase == Phase.UNKNOWN && loaded != null) {
             replica.enter(Phase.LOADED, now);
             replica.version = loaded.version();
-        } else if (replica.phase == Phase.UNKNOWN && loading != null) {
-            replica.recheckAt = now.plus(settings.retryDelay());
-        } else if (replica.phase == Phase.UNKNOWN && replica.uses == 0) {
+        } else if (replica.phase == Phase.UNKNOWN && loading == null) {
             free(replica.name, now);
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/Rights.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/Rights.java
@@ -1,8 +1,10 @@
 package io.damaskyoke.control.replicas;
 
 import io.damaskyoke.id.ModelName;
+import java.util.Collections;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 
 /**
  * What this VM may hold, with the fencing number for its orders.
@@ -12,9 +14,9 @@
  * @param granted the fencing number of each right
  */
 public record Rights(OptionalLong everything, Map<ModelName, Long> granted) {
-    /** Copies the map. */
+    /** Copies the map in the order of names, so that a session prints the same on each run. */
     public Rights {
-        granted = Map.copyOf(granted);
+        granted = Collections.unmodifiableSortedMap(new TreeMap<>(granted));
     }
 
     /** May hold anything in its pool; the number must be higher than that of earlier processes. */
