Serve the whole path: guess first loads low, tell the engine's versions

Ruled out: a longer deadline in the demo (users' deadlines are theirs). Change: guesses of 3 s and 1 s until a load was seen; versions in the stand-in's report.

--- a/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineModels.java
+++ b/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineModels.java
@@ -33,7 +33,7 @@
     private String role = "";
 
     /** An order to load; {@code base} is null but for an adapter. */
-    record LoadOrder(String model, String kind, String base, long memoryBytes) {
+    record LoadOrder(String model, String version, String kind, String base, long memoryBytes) {
         boolean isAdapter() {
             return kind.equals(ADAPTER);
         }
@@ -47,7 +47,8 @@
                         400, "bad_order", "A load needs memory_bytes, and kind model or adapter");
             }
             String base = adapter ? Json.text(node, "base") : null;
-            return new LoadOrder(Json.text(node, "model"), kind, base, memory);
+            String version = node.path("version").asText("");
+            return new LoadOrder(Json.text(node, "model"), version, kind, base, memory);
         }
     }
 
@@ -179,6 +180,7 @@
             ObjectNode entry = model.isLoaded() ? loaded.addObject() : loading.addObject();
             entry.put("model", model.order.model());
             entry.put("kind", model.order.kind());
+            entry.put("version", model.order.version());
             entry.put("memory_bytes", model.order.memoryBytes());
         }
         node.set("cached_on_disk", Json.tree(onDisk));
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -26,7 +26,9 @@
 import org.apache.pekko.stream.SystemMaterializer;
 
 /**
- * An agent: {@code Agent agent = Agent.start(settings); ... agent.stop();}
+ * An agent.
+ *
+ * <p>{@code Agent agent = Agent.start(settings); ... agent.stop();}
  *
  * <p>It is the only process that talks to its upstream. Routers find it by its registration.
  */
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
@@ -34,6 +34,11 @@
     private static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
     private static final Duration TICK = Duration.ofMillis(200);
 
+    // A guess that is too long refuses the first request of every model, although nobody has seen
+    // it load yet; one that is too short lets one request wait in vain. So the guesses are low.
+    private static final Duration FIRST_MODEL_ESTIMATE = Duration.ofSeconds(3);
+    private static final Duration FIRST_ADAPTER_ESTIMATE = Duration.ofSeconds(1);
+
     private final Control control;
     private final Engine engine;
     private final ReplicaHolder holder;
@@ -49,7 +54,10 @@
         this.control = node.control();
         this.engine = engine;
         this.holder =
-                new ReplicaHolder(ReplicaSettings.defaults().loadsAtOnce(settings.loadsAtOnce()));
+                new ReplicaHolder(
+                        ReplicaSettings.defaults()
+                                .loadsAtOnce(settings.loadsAtOnce())
+                                .firstEstimates(FIRST_MODEL_ESTIMATE, FIRST_ADAPTER_ESTIMATE));
         this.requests = requests;
         this.metrics = node.metrics();
         this.timeline = node.timeline();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaSettings.java
@@ -31,7 +31,7 @@
         return new ReplicaSettings(
                 2,
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(3),
+                Duration.ofSeconds(20),
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(1),
                 Duration.ofMinutes(10));
@@ -42,4 +42,10 @@
         return new ReplicaSettings(
                 limit, reportLag, modelEstimate, adapterEstimate, retryDelay, rateHalfLife);
     }
+
+    /** The same with other guesses for loads that were not seen yet. */
+    public ReplicaSettings firstEstimates(Duration model, Duration adapter) {
+        return new ReplicaSettings(
+                loadsAtOnce, reportLag, model, adapter, retryDelay, rateHalfLife);
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -28,7 +28,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A router: {@code Router router = Router.start(settings); ... router.stop();}
+ * A router.
+ *
+ * <p>{@code Router router = Router.start(settings); ... router.stop();}
  *
  * <p>It meets callers and operators, and sends requests on to the agents.
  */
