--- /dev/null
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements: the real decision machines on a clock of their own, beside naive versions. */
+package io.damaskyoke.lab;
