Merge the time line and the status over all processes; prove failures of processes

Cause: timeline and status showed one router only; at 40 requests a second the common ring of 2,000 events had forgotten a change of state after some 20 s; nothing tested what callers see when whole processes die. Ruled out: routers that collect events from agents (bytes for control at all times, for a question asked now and then); a ring for each event type (a request's story would have holes in it). Change: /operator/v1/processes lists who there is; the command line asks each process at once, merges by hybrid time, names who does not answer. Two rings, changes of state and single requests. Loads carry the request that caused them. Status has store, age of confirmation and sections that parts may add.

--- a/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/OperatorClient.java
+++ b/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/OperatorClient.java
@@ -16,25 +16,35 @@
     private static final String BASE = "/operator/v1/";
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration ONE_OF_MANY_TIMEOUT = Duration.ofSeconds(5);
     private static final int FIRST_NOT_GOOD = 300;
     private static final int FIRST_GOOD = 200;
 
-    private final HttpClient http =
-            HttpClient.newBuilder()
-                    .version(HttpClient.Version.HTTP_1_1)
-                    .connectTimeout(CONNECT_TIMEOUT)
-                    .followRedirects(HttpClient.Redirect.NEVER)
-                    .build();
+    private final HttpClient http;
     private final URI router;
     private final String token;
+    private final Duration timeout;
 
-    private OperatorClient(URI router, String token) {
+    private OperatorClient(HttpClient http, URI router, String token, Duration timeout) {
+        this.http = http;
+        this.timeout = timeout;
         this.router = router;
         this.token = token;
     }
 
     static OperatorClient of(URI router, String token) {
-        return new OperatorClient(router, token);
+        HttpClient http =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(CONNECT_TIMEOUT)
+                        .followRedirects(HttpClient.Redirect.NEVER)
+                        .build();
+        return new OperatorClient(http, router, token, ANSWER_TIMEOUT);
+    }
+
+    /** A client of another process with the same token. */
+    OperatorClient at(URI process) {
+        return new OperatorClient(http, process, token, ONE_OF_MANY_TIMEOUT);
     }
 
     /** The body of a good answer; fails with one line otherwise. */
@@ -63,7 +73,7 @@
         URI url = router.resolve(BASE + path + (parameters.isEmpty() ? "" : "?" + parameters));
         try {
             return HttpRequest.newBuilder(url)
-                    .timeout(ANSWER_TIMEOUT)
+                    .timeout(timeout)
                     .header("Authorization", "Bearer " + token);
         } catch (IllegalArgumentException e) {
             throw CommandException.usage("the token has characters that HTTP doesn't allow");
--- a/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/TimelineCommand.java
+++ b/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/TimelineCommand.java
@@ -3,11 +3,13 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** {@code timeline}: what happened, in order. */
-@Parameters(commandDescription = "Print the time line of events, oldest first.")
+@Parameters(commandDescription = "Print what happened at all processes, causes before effects.")
 final class TimelineCommand implements Command {
     @ParametersDelegate private final OperatorOptions operator = new OperatorOptions();
 
@@ -23,13 +25,27 @@
     @Parameter(names = "--vm", description = "Only events of the process on this VM")
     private String vm;
 
-    @Parameter(names = "--json", description = "Print the router's JSON as it is")
+    @Parameter(names = "--since", description = "Only events since then: 90s, 5m, 2h ago")
+    private String since;
+
+    @Parameter(names = "--json", description = "Print one JSON object an event")
     private boolean json;
 
     @Override
     public int run(Console console) {
-        String answer = operator.client().get("timeline", query());
-        console.out().print(json ? answer.strip() + "\n" : TimelineText.of(answer));
+        List<FleetQuery.Reply> replies = FleetQuery.of(operator.client()).get("timeline", query());
+        for (FleetQuery.Reply reply : replies) {
+            if (!reply.answered()) {
+                console.err().println(reply.vm() + " did not answer: " + reply.fault());
+            }
+        }
+        String merged =
+                TimelineMerge.of(
+                        replies.stream()
+                                .filter(FleetQuery.Reply::answered)
+                                .map(FleetQuery.Reply::body)
+                                .toList());
+        console.out().print(json ? merged : TimelineText.of(merged));
         return ExitCode.OK;
     }
 
@@ -45,6 +61,7 @@
         query.put("workspace", workspace);
         query.put("model", model);
         query.put("vm", vm);
+        query.put("since", since == null ? null : Ago.millis(since, InstantSource.system()));
         query.values().removeIf(value -> value == null);
         return query;
     }
--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/MainTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/MainTest.java
@@ -19,7 +19,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +42,7 @@
                 throw new IllegalStateException("port taken");
             };
     private String input = "";
+    private final Map<String, String> answers = new HashMap<>();
     private int status = 200;
     private String answer = "{}";
     private HttpServer server;
@@ -96,7 +99,8 @@
                 "status --router nonsense --token t",
                 "check-settings --role cook f.toml",
                 "router --settings nowhere.toml",
-                "ticket show --router http://127.0.0.1:1 --token t seventeen"
+                "ticket show --router http://127.0.0.1:1 --token t seventeen",
+                "timeline --router http://127.0.0.1:1 --token t --since yesterday"
             })
     void wrongUsageIsOneLineAndExitCodeTwo(String command) {
         assertEquals(2, run(command.split(" ")));
@@ -156,20 +160,47 @@
     }
 
     @Test
-    void theTimelineIsOneLineAnEvent() {
+    void theTimelineMergesAllProcessesAndNamesThoseThatAreSilent() {
+        answers.put("processes", processes());
         answer =
                 "{\"time\":1000,\"counter\":0,\"process\":\"r1\",\"type\":\"loaded\","
                         + "\"subject\":\"cut-sheet\",\"details\":{\"ms\":\"812\"}}\n";
         assertEquals(0, ask("timeline", "--model", "cut sheet", "--vm", "r1"));
         assertEquals("1970-01-01T00:00:01.000Z r1 loaded cut-sheet ms=812\n", out());
-        assertEquals("GET /operator/v1/timeline?model=cut+sheet&vm=r1 Bearer t0ken ", asked.get(0));
+        assertEquals("GET /operator/v1/timeline?model=cut+sheet&vm=r1 Bearer t0ken ", asked.get(1));
+        assertEquals(
+                List.of(
+                        "a1 did not answer: the list of VMs doesn't show it yet",
+                        "a2 did not answer: http://127.0.0.1:1 can't be reached"
+                                + " (ConnectException)"),
+                err().lines().toList());
+    }
+
+    @Test
+    void theStatusIsATableOfAllProcesses() {
+        answers.put("processes", processes());
+        answer =
+                """
+                {"vm":"r1","role":"router","availability_zone":"kochi-a","config_sequence":7,
+                 "config_confirmed_ms_ago":1200,"store":"down","waiting":2,"running":3,
+                 "draining":true,"agents":[{"vm":"a1"}]}
+                """;
+        assertEquals(0, ask("status"));
+        Approvals.verify(out());
+    }
+
+    @Test
+    void theStatusAsJsonHoldsWhatEachProcessSays() {
+        answers.put("processes", processes());
+        assertEquals(0, ask("status", "--json"));
+        assertTrue(out().startsWith("{\"processes\":{\"r1\":{}},\"not_answering\":{\"a1\""), out());
     }
 
     @Test
     void aTokenComesFromAFileToo() throws IOException {
         Path token = Files.writeString(directory.resolve("token"), "t1ken\n");
-        assertEquals(0, run("status", "--router", url(), "--token-file", token.toString()));
-        assertEquals("GET /operator/v1/status Bearer t1ken ", asked.get(0));
+        assertEquals(0, run("metrics", "--router", url(), "--token-file", token.toString()));
+        assertEquals("GET /operator/v1/metrics Bearer t1ken ", asked.get(0));
     }
 
     @Test
@@ -198,6 +229,15 @@
                 .run(arguments, in, new PrintStream(out, true), new PrintStream(err, true));
     }
 
+    private String processes() {
+        return """
+        [{"vm":"a1","role":"agent","state":"unlisted"},
+         {"vm":"a2","role":"agent","state":"live","operator_url":"http://127.0.0.1:1"},
+         {"vm":"r1","role":"router","state":"live","operator_url":"%s"}]
+        """
+                .formatted(url());
+    }
+
     private String url() {
         return "http://127.0.0.1:" + server.getAddress().getPort();
     }
@@ -221,7 +261,9 @@
                         + token
                         + " "
                         + body);
-        byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
+        String path = exchange.getRequestURI().getPath();
+        String last = path.substring(path.lastIndexOf('/') + 1);
+        byte[] bytes = answers.getOrDefault(last, answer).getBytes(StandardCharsets.UTF_8);
         exchange.sendResponseHeaders(status, bytes.length);
         exchange.getResponseBody().write(bytes);
         exchange.close();
--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/ProcessFleet.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/ProcessFleet.java
@@ -1,18 +1,26 @@
 package io.damaskyoke.daemons;
 
 import java.nio.file.Path;
+import java.util.Set;
 
 /**
- * Ways to harm a {@link TestFleet} whose routers and agents are processes of their own.
+ * Ways to harm a {@link TestFleet} some of whose routers and agents are processes of their own.
  *
- * <p>{@code TestFleet fleet = TestFleet.builder().launcher(ProcessFleet.in(dir)).start()}
+ * <p>{@code TestFleet.builder().launcher(ProcessFleet.in(dir, "engine-1")).start()}
  */
 final class ProcessFleet {
     private ProcessFleet() {}
 
-    /** Launches processes that keep settings and logs in this folder. */
-    static FleetProcess.Launcher in(Path dir) {
-        return (role, name, toml) -> ChildProcess.launch(dir, role, name, toml);
+    /**
+     * Launches these as processes with settings and logs in this folder, and all others, which the
+     * test doesn't harm, in the JVM of the test: a JVM takes seconds to start on a busy machine.
+     */
+    static FleetProcess.Launcher in(Path dir, String... harmed) {
+        Set<String> children = Set.of(harmed);
+        return (role, name, toml) ->
+                children.contains(name)
+                        ? ChildProcess.launch(dir, role, name, toml)
+                        : InJvmProcess.launch(role, name, toml);
     }
 
     /** SIGKILL; returns when it is dead. */
--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TestFleet.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TestFleet.java
@@ -120,6 +120,11 @@
                 callerUrl(router) + "/v1/services/payments/pay", OTHER_KEY, body, headers);
     }
 
+    /** A look-up of the workspace leases, which may be repeated. */
+    HttpResponse<String> lookUp(int router, String path) {
+        return client.get(callerUrl(router) + "/v1/services/payments" + path, OTHER_KEY);
+    }
+
     /** Asks a process's operator port. */
     HttpResponse<String> operator(String name, String path) {
         return client.get(operatorUrl(name) + path, TOKEN);
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -166,7 +166,11 @@
     }
 
     private AgentStatus status() {
-        return AgentStatus.of(node, settings.upstream(), runner.load(), draining);
+        return node.control()
+                .ask(() -> AgentStatus.of(node, settings.upstream(), runner.load(), draining))
+                .toCompletableFuture()
+                .orTimeout(START_LIMIT.toSeconds(), TimeUnit.SECONDS)
+                .join();
     }
 
     private Registration registration() {
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/AgentStatus.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/AgentStatus.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.peer.wire.Load;
 import io.damaskyoke.settings.AgentSettings;
 import java.util.List;
+import java.util.Map;
 
 /** What {@code /operator/v1/status} says of an agent. */
 record AgentStatus(
@@ -13,6 +14,8 @@
         @JsonProperty("availability_zone") String availabilityZone,
         @JsonProperty("incarnation") String incarnation,
         @JsonProperty("config_sequence") long configSequence,
+        @JsonProperty("config_confirmed_ms_ago") Long configConfirmedMillisAgo,
+        @JsonProperty("store") String store,
         @JsonProperty("pool") String pool,
         @JsonProperty("draining") boolean draining,
         @JsonProperty("running") int running,
@@ -20,7 +23,8 @@
         @JsonProperty("memory_bytes") long memoryBytes,
         @JsonProperty("memory_used_bytes") long memoryUsedBytes,
         @JsonProperty("loaded") List<String> loaded,
-        @JsonProperty("loading") List<String> loading) {
+        @JsonProperty("loading") List<String> loading,
+        @JsonProperty("sections") Map<String, Object> sections) {
 
     static AgentStatus of(Node node, AgentSettings.Upstream upstream, Load load, boolean draining) {
         return new AgentStatus(
@@ -29,6 +33,8 @@
                 node.zone().value(),
                 node.incarnation().value(),
                 node.configuration().current().sequence(),
+                node.confirmedMillisAgo(),
+                node.store().up() ? "up" : "down",
                 upstream.pool(),
                 draining,
                 load.getRunning(),
@@ -36,6 +42,7 @@
                 load.getMemoryBytes(),
                 load.getMemoryUsedBytes(),
                 List.copyOf(load.getLoadedList()),
-                List.copyOf(load.getLoadingList()));
+                List.copyOf(load.getLoadingList()),
+                node.sections().read());
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
@@ -20,6 +20,7 @@
 import io.damaskyoke.upstream.UpstreamException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -45,6 +46,7 @@
     private final Consumer<ServingInput> requests;
     private final Metrics metrics;
     private final Timeline timeline;
+    private final Map<ModelName, ExchangeId> causes = new HashMap<>();
 
     private EngineReplicas(
             Node node,
@@ -78,11 +80,13 @@
 
     @Override
     public void want(ExchangeId id, ModelName model, WorkspaceId workspace, Instant deadline) {
+        causes.put(model, id);
         feed(new ReplicaInput.Wanted(id, model, deadline, workspace));
     }
 
     @Override
     public void giveUp(ExchangeId id, ModelName model) {
+        causes.remove(model, id);
         feed(new ReplicaInput.GivenUp(id, model));
     }
 
@@ -150,6 +154,7 @@
         } else if (action instanceof ReplicaAction.Unload unload) {
             unload(unload);
         } else if (action instanceof ReplicaAction.Ready ready) {
+            causes.remove(ready.model());
             later(new ServingInput.Ready(ready.request()));
         } else if (action instanceof ReplicaAction.Refuse refuse) {
             Refusal refusal =
@@ -158,6 +163,7 @@
                             "the model can't be had here now: " + refuse.model(),
                             true,
                             refuse.retryAfter());
+            causes.remove(refuse.model(), refuse.request());
             later(new ServingInput.Unavailable(refuse.request(), refusal));
         } else if (action instanceof ReplicaAction.Release release) {
             timeline.add(EventType.RIGHT_RELEASED, release.model().value());
@@ -173,24 +179,37 @@
     private void load(ReplicaAction.Load order) {
         ModelName model = order.model().name();
         Instant begun = control.clock().instant();
-        timeline.add(EventType.LOAD_BEGUN, model.value());
+        Map<String, String> cause = cause(model);
+        timeline.add(EventType.LOAD_BEGUN, model.value(), cause);
         engine.load(order.model(), order.fencing())
-                .whenComplete((ok, failure) -> control.run(() -> loadEnded(model, begun, failure)));
+                .whenComplete(
+                        (ok, failure) ->
+                                control.run(() -> loadEnded(model, begun, cause, failure)));
     }
 
-    private void loadEnded(ModelName model, Instant begun, Throwable failure) {
+    private void loadEnded(
+            ModelName model, Instant begun, Map<String, String> cause, Throwable failure) {
+        Map<String, String> details = new HashMap<>(cause);
         if (failure == null) {
             long millis = Duration.between(begun, control.clock().instant()).toMillis();
             metrics.histogram("engine_load_ms").update(millis);
-            timeline.add(EventType.LOADED, model.value(), Map.of("ms", String.valueOf(millis)));
+            details.put("ms", String.valueOf(millis));
+            timeline.add(EventType.LOADED, model.value(), details);
             feed(new ReplicaInput.Loaded(model));
             return;
         }
         metrics.count("engine_load_failures");
-        timeline.add(EventType.LOAD_FAILED, model.value(), Map.of("code", code(failure)));
+        details.put("code", code(failure));
+        timeline.add(EventType.LOAD_FAILED, model.value(), details);
         feed(new ReplicaInput.LoadFailed(model, mayBeHeld(failure)));
     }
 
+    /** The last request that wants the model and still waits for it, if any. */
+    private Map<String, String> cause(ModelName model) {
+        ExchangeId request = causes.get(model);
+        return request == null ? Map.of() : Map.of("request", request.toString());
+    }
+
     private void unload(ReplicaAction.Unload order) {
         engine.unload(order.model(), order.fencing())
                 .whenComplete(
--- a/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -46,6 +46,7 @@
     private final Incarnation incarnation;
     private final ActorSystem<Void> system;
     private final Metrics metrics = new Metrics();
+    private final StatusSections sections = new StatusSections();
     private final Timeline timeline;
     private final Control control;
     private final KeyValueStore store;
@@ -117,6 +118,11 @@
         return metrics;
     }
 
+    /** What parts add to this process's status. */
+    public StatusSections sections() {
+        return sections;
+    }
+
     /** This process's part of the time line. */
     public Timeline timeline() {
         return timeline;
@@ -142,6 +148,14 @@
         return configuration;
     }
 
+    /** How long ago the configuration was last confirmed, in milliseconds; null if never. */
+    public Long confirmedMillisAgo() {
+        return configuration
+                .confirmedAt()
+                .map(at -> Duration.between(at, control.clock().instant()).toMillis())
+                .orElse(null);
+    }
+
     /** Begins a peer network that says who this process is. */
     public PeerNetworkBuilder network(PeerSettings settings) {
         return PeerNetwork.builder()
--- a/damaskyoke/src/main/java/io/damaskyoke/operator/EventFilter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/operator/EventFilter.java
@@ -10,12 +10,15 @@
 /**
  * Which events an operator wants, from {@code ?request=&workspace=&model=&vm=&since=}. An event
  * belongs to a request, workspace or model if that is its subject or the detail of that name; to a
- * VM also if it happened there. {@code since} is in milliseconds since 1970.
+ * VM also if it happened there, and a request's target counts as its model. {@code since} is in
+ * milliseconds since 1970.
  */
 final class EventFilter implements Predicate<Event> {
     private static final String VM = "vm";
+    private static final String MODEL = "model";
+    private static final String TARGET = "target";
     private static final String SINCE = "since";
-    private static final Set<String> NAMES = Set.of("request", "workspace", "model", VM, SINCE);
+    private static final Set<String> NAMES = Set.of("request", "workspace", MODEL, VM, SINCE);
 
     private final Map<String, String> wanted;
     private final long since;
@@ -46,7 +49,8 @@
     private static boolean matches(Event event, String name, String value) {
         return event.subject().equals(value)
                 || value.equals(event.details().get(name))
-                || (name.equals(VM) && event.process().equals(value));
+                || (name.equals(VM) && event.process().equals(value))
+                || (name.equals(MODEL) && value.equals(event.details().get(TARGET)));
     }
 
     private static long since(Optional<String> text) {
--- a/damaskyoke/src/main/java/io/damaskyoke/operator/OperatorServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/operator/OperatorServer.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -48,6 +49,7 @@
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
     private static final String ROOT = "/operator/v1/";
     private static final String TICKETS = ROOT + "tickets";
+    private static final String PROCESSES = ROOT + "processes";
     private static final String BEARER = "Bearer ";
     private static final int UNAVAILABLE = 503;
 
@@ -57,6 +59,7 @@
     private final Optional<Supplier<?>> status;
     private final Optional<Timeline> timeline;
     private final Optional<Supplier<String>> metrics;
+    private final Optional<Supplier<CompletionStage<List<ProcessEntry>>>> processes;
     private final Supplier<Optional<String>> reasonNotReady;
     private volatile ServerBinding binding;
 
@@ -67,6 +70,7 @@
         status = Optional.ofNullable(builder.status);
         timeline = Optional.ofNullable(builder.timeline);
         metrics = Optional.ofNullable(builder.metrics);
+        processes = Optional.ofNullable(builder.processes);
         reasonNotReady = builder.ready;
     }
 
@@ -120,6 +124,10 @@
         if (path.startsWith(TICKETS + "/")) {
             return find(request, path.substring(TICKETS.length() + 1), given(tickets));
         }
+        if (path.equals(PROCESSES)) {
+            checkMethod(request, HttpMethods.GET);
+            return given(processes).get().thenApply(OperatorAnswers::json);
+        }
         return switch (path) {
             case ROOT + "status" -> get(request, () -> OperatorAnswers.json(given(status).get()));
             case ROOT + "timeline" -> get(request, () -> events(request));
@@ -242,6 +250,7 @@
         private Supplier<?> status;
         private Timeline timeline;
         private Supplier<String> metrics;
+        private Supplier<CompletionStage<List<ProcessEntry>>> processes;
         private Supplier<Optional<String>> ready = Optional::empty;
 
         private Builder(ClassicActorSystemProvider system) {
@@ -285,6 +294,12 @@
             return this;
         }
 
+        /** Who else belongs to the deployment; left out on agents. */
+        public Builder processes(Supplier<CompletionStage<List<ProcessEntry>>> value) {
+            processes = value;
+            return this;
+        }
+
         /** Why the process is not ready now, or empty if it is. */
         public Builder ready(Supplier<Optional<String>> value) {
             ready = Objects.requireNonNull(value, "ready");
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdStore.java
@@ -128,6 +128,11 @@
     }
 
     /** Closes the watches. Calls under way end within their time limit. */
+    @Override
+    public boolean up() {
+        return health.up();
+    }
+
     @Override
     public void close() {
         watches.forEach(Watch::close);
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/KeyValueStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/KeyValueStore.java
@@ -42,6 +42,11 @@
      */
     Watch watch(String prefix, long fromRevision, WatchListener listener);
 
+    /** False from the first call that failed until one is answered again. */
+    default boolean up() {
+        return true;
+    }
+
     @Override
     void close();
 
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/StoreHealth.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/StoreHealth.java
@@ -26,6 +26,10 @@
         metrics.count("store_calls", "op", op);
     }
 
+    boolean up() {
+        return up.get();
+    }
+
     void answered() {
         if (up.compareAndSet(false, true)) {
             timeline.add(EventType.STORE_UP, SUBJECT);
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -12,6 +12,7 @@
 import io.damaskyoke.node.Node;
 import io.damaskyoke.node.ReadyLine;
 import io.damaskyoke.operator.OperatorServer;
+import io.damaskyoke.operator.ProcessEntry;
 import io.damaskyoke.operator.Tickets;
 import io.damaskyoke.peer.ExchangeClient;
 import io.damaskyoke.peer.PeerNetwork;
@@ -19,6 +20,7 @@
 import io.damaskyoke.settings.RouterSettings;
 import io.damaskyoke.timeline.EventType;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -46,6 +48,7 @@
     private final PeerNetwork network;
     private final CallerServer callers;
     private final OperatorServer operators;
+    private final ProcessList processList;
     private volatile boolean stopping;
     private volatile boolean closed;
 
@@ -74,6 +77,8 @@
                         fleet,
                         node.metrics())
                 .start(settings.platform().vmListPeriod());
+        this.processList =
+                new ProcessList(node.control(), node.vmList(), fleet, node.vm(), this::operatorUrl);
         this.callers = await(startCallers());
         this.operators = await(startOperators());
     }
@@ -152,19 +157,28 @@
                 .tickets(Tickets.of(TicketParser.with(hasher), node.configuration()))
                 .status(this::status)
                 .timeline(node.timeline())
+                .processes(this::processes)
                 .metrics(() -> Prometheus.text(node.metrics().registry()))
                 .ready(this::reasonNotReady)
                 .start();
     }
 
+    private CompletionStage<List<ProcessEntry>> processes() {
+        return processList.read();
+    }
+
     private RouterStatus status() {
         return node.control()
-                .ask(() -> RouterStatus.of(node, fleet, dispatcher))
+                .ask(() -> RouterStatus.of(node, fleet, dispatcher, stopping))
                 .toCompletableFuture()
                 .orTimeout(START_LIMIT.toSeconds(), TimeUnit.SECONDS)
                 .join();
     }
 
+    private String operatorUrl() {
+        return "http://" + settings.operator().host() + ":" + operators.port();
+    }
+
     private Optional<String> reasonNotReady() {
         if (stopping) {
             return Optional.of("stopping");
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RouterStatus.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RouterStatus.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.control.routing.Member;
 import io.damaskyoke.node.Node;
 import java.util.List;
+import java.util.Map;
 
 /** What {@code /operator/v1/status} says of a router. */
 record RouterStatus(
@@ -14,22 +15,30 @@
         @JsonProperty("availability_zone") String availabilityZone,
         @JsonProperty("incarnation") String incarnation,
         @JsonProperty("config_sequence") long configSequence,
+        @JsonProperty("config_confirmed_ms_ago") Long configConfirmedMillisAgo,
+        @JsonProperty("store") String store,
+        @JsonProperty("draining") boolean draining,
         @JsonProperty("running") int running,
         @JsonProperty("waiting") int waiting,
-        @JsonProperty("agents") List<Agent> agents) {
+        @JsonProperty("agents") List<Agent> agents,
+        @JsonProperty("sections") Map<String, Object> sections) {
 
-    static RouterStatus of(Node node, Fleet fleet, RequestDispatcher dispatcher) {
+    static RouterStatus of(Node node, Fleet fleet, RequestDispatcher dispatcher, boolean draining) {
         return new RouterStatus(
                 node.vm().value(),
                 "router",
                 node.zone().value(),
                 node.incarnation().value(),
                 node.configuration().current().sequence(),
+                node.confirmedMillisAgo(),
+                node.store().up() ? "up" : "down",
+                draining,
                 dispatcher.running(),
                 dispatcher.waiting(),
                 fleet.members().stream()
                         .map(member -> Agent.of(member, fleet.load(member.vm())))
-                        .toList());
+                        .toList(),
+                node.sections().read());
     }
 
     /** An agent as this router sees it. */
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -30,7 +30,8 @@
                     Key.of(
                                     "process.timeline-events",
                                     Kind.INTEGER,
-                                    "Events of the time line kept in memory.")
+                                    "Changes of state kept in memory for the time line, and as many"
+                                            + " events of single requests.")
                             .range("100", "1000000")
                             .fallback("2000"));
 
--- a/damaskyoke/src/main/java/io/damaskyoke/timeline/EventType.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/timeline/EventType.java
@@ -2,7 +2,12 @@
 
 import java.util.Locale;
 
-/** What can stand on the time line. */
+/**
+ * What can stand on the time line: changes of state, and what happens to single requests.
+ *
+ * <p>{@link #perRequest()} tells them apart, since requests come by the thousand and would push the
+ * rare changes out of a common ring.
+ */
 public enum EventType {
     /** This process began to live. */
     STARTED,
@@ -41,19 +46,34 @@
     /** A model was taken out of memory. */
     UNLOADED,
     /** An idempotent key was claimed. */
-    CLAIMED,
+    CLAIMED(true),
     /** The outcome of a claim was written down. */
-    CLAIM_SETTLED,
+    CLAIM_SETTLED(true),
     /** A part of a workspace's rate or burst moved. */
     SHARE_MOVED,
     /** A request came in. */
-    REQUEST,
+    REQUEST(true),
     /** A request was handed to an upstream. */
-    HANDED_OVER,
+    HANDED_OVER(true),
     /** A request was answered. */
-    ANSWERED,
+    ANSWERED(true),
     /** A request was refused. */
-    REFUSED;
+    REFUSED(true);
+
+    private final boolean perRequest;
+
+    EventType() {
+        this(false);
+    }
+
+    EventType(boolean perRequest) {
+        this.perRequest = perRequest;
+    }
+
+    /** True if it happens to single requests, and so as often as requests come. */
+    public boolean perRequest() {
+        return perRequest;
+    }
 
     /** The name as printed: {@code ticket-accepted}. */
     public String label() {
