--- a/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/TicketSubmitCommand.java
+++ b/damaskyoke-daemons/src/main/java/io/damaskyoke/daemons/TicketSubmitCommand.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** {@code ticket submit}: hands in a change ticket. */
 @Parameters(
@@ -16,12 +18,15 @@
     @ParametersDelegate private final OperatorOptions operator = new OperatorOptions();
 
     @Parameter(description = "[FILE]")
-    private Path file;
+    private List<Path> files = new ArrayList<>();
 
     @Override
     public int run(Console console) {
         OperatorClient client = operator.client();
-        String ticket = file == null ? console.input() : read();
+        if (files.size() > 1) {
+            throw CommandException.usage("one ticket at a time, found " + files.size() + " files");
+        }
+        String ticket = files.isEmpty() ? console.input() : read(files.get(0));
         console.out().println(client.post("tickets", ticket).strip());
         return ExitCode.OK;
     }
@@ -32,7 +37,7 @@
                 + " ticket-17.json";
     }
 
-    private String read() {
+    private static String read(Path file) {
         try {
             return Files.readString(file);
         } catch (IOException e) {
--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/MainTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/MainTest.java
@@ -141,6 +141,38 @@
         assertEquals("{\"accepted\":true}\n", out());
     }
 
+    @Test
+    void aTicketFromAFileIsPostedAndShownByItsNumber() throws IOException {
+        Path file = Files.writeString(directory.resolve("t.json"), "{\"number\":17}");
+        assertEquals(0, ask("ticket", "submit", file.toString()), err());
+        assertEquals(0, ask("ticket", "show", "17"), err());
+        assertEquals(
+                List.of(
+                        "POST /operator/v1/tickets Bearer t0ken {\"number\":17}",
+                        "GET /operator/v1/tickets/17 Bearer t0ken "),
+                asked);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "router",
+                "agent",
+                "check-settings",
+                "ticket submit",
+                "ticket show",
+                "status",
+                "timeline",
+                "metrics",
+                "key hash"
+            })
+    void theExampleInTheHelpCanBeRead(String command) {
+        run((command + " --help").split(" "));
+        String example = out().lines().reduce((before, last) -> last).orElseThrow();
+        String[] words = example.replaceAll("^Example: damaskyoke | < .*$", "").split(" ");
+        CommandLine.of(router, settings -> () -> {}).parse(words);
+    }
+
     @Test
     void aRefusedTicketIsOneLineAndExitCodeOne() {
         status = 409;
