Claim idempotency keys before a non-idempotent request is sent

Cause: a repeat of a keyed payment at another router ran a second time, since no router knew of the other's first try. Change: RequestMachine claims before it sends; ClaimBatcher commits many claims in one transaction and sends the same one again after a lost answer; the store forgets claims with a lease of the hour. Agents remember keyed outcomes, run a begun payment to its end without its router, and answer ClaimQuery. A service's idempotent calls match whole path segments.

--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -35,10 +35,12 @@
 public final class Agent {
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final int KEYED_OUTCOMES = 1_000;
     private static final Duration GRACE = Duration.ofSeconds(1);
 
     private final AgentSettings settings;
     private final Node node;
+    private final KeyedOutcomes outcomes;
     private final RequestRunner runner;
     private final PeerNetwork network;
     private final OperatorServer operators;
@@ -48,6 +50,7 @@
     private Agent(AgentSettings settings) {
         this.settings = settings;
         this.node = Node.start(settings.process(), settings.platform(), Role.AGENT);
+        this.outcomes = new KeyedOutcomes(node.vm(), KEYED_OUTCOMES);
         HttpUpstream http = httpUpstream();
         boolean isEngine = settings.upstream().kind() == AgentSettings.Kind.ENGINE;
         Engine engine = isEngine ? engine(http) : null;
@@ -127,7 +130,9 @@
                 node.configuration()::current,
                 node.metrics(),
                 node.timeline(),
-                maxRunning);
+                maxRunning,
+                outcomes,
+                SystemMaterializer.get(node.system()).materializer());
     }
 
     private PeerNetwork startNetwork() {
@@ -140,6 +145,7 @@
         return node.network(settings.peer())
                 .heartbeat(this::heartbeat)
                 .listen(server)
+                .listen(new ClaimAnswers(node.control(), outcomes))
                 .build()
                 .start();
     }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/GatheredAnswer.java
@@ -0,0 +1,53 @@
+package io.damaskyoke.agent;
+
+import io.damaskyoke.exchange.Answer;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * An answer whose body was read before anybody wanted it, so that it is known even if the router
+ * goes away in the middle.
+ *
+ * @param answer the same answer
+ * @param body the whole body, or empty if it is too large to keep
+ */
+record GatheredAnswer(Answer.Served answer, Optional<byte[]> body) {
+    /** Reads up to {@code maxBytes}; fails if the upstream breaks off before that. */
+    static CompletionStage<GatheredAnswer> of(
+            Answer.Served answer, int maxBytes, Materializer materializer) {
+        return answer.body()
+                .groupedWeighted(maxBytes + 1L, chunk -> (long) chunk.size())
+                .prefixAndTail(1)
+                .runWith(Sink.head(), materializer)
+                .thenApply(
+                        parts -> {
+                            ByteString first = joined(parts.first());
+                            Source<ByteString, NotUsed> rest =
+                                    parts.second().mapConcat(chunks -> chunks);
+                            return new GatheredAnswer(
+                                    new Answer.Served(
+                                            answer.status(),
+                                            answer.headers(),
+                                            Source.single(first).concat(rest)),
+                                    first.size() <= maxBytes
+                                            ? Optional.of(first.toArray())
+                                            : Optional.empty());
+                        });
+    }
+
+    private static ByteString joined(List<List<ByteString>> groups) {
+        ByteString all = ByteString.emptyByteString();
+        for (List<ByteString> group : groups) {
+            for (ByteString chunk : group) {
+                all = all.concat(chunk);
+            }
+        }
+        return all;
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
@@ -1,6 +1,8 @@
 package io.damaskyoke.agent;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.claims.ClaimRecord;
+import io.damaskyoke.control.claims.ClaimSettings;
 import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.serving.ServingAction;
 import io.damaskyoke.control.serving.ServingInput;
@@ -28,6 +30,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
+import org.apache.pekko.stream.Materializer;
 
 /**
  * Takes the requests that routers send and runs them at the upstream: feeds a {@link
@@ -35,6 +38,7 @@
  */
 final class RequestRunner implements ExchangeHandler {
     private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final int MAX_KEPT_BODY = ClaimSettings.defaults().maxBody();
 
     private final Control control;
     private final ServingMachine machine;
@@ -43,6 +47,8 @@
     private final Metrics metrics;
     private final Timeline timeline;
     private final int maxRunning;
+    private final KeyedOutcomes outcomes;
+    private final Materializer materializer;
     private final Map<ExchangeId, IncomingExchange> exchanges = new HashMap<>();
     private final Map<ExchangeId, CompletableFuture<Answer.Served>> calls = new HashMap<>();
     private Replicas replicas = Replicas.none();
@@ -55,7 +61,9 @@
             Supplier<Configuration> configuration,
             Metrics metrics,
             Timeline timeline,
-            int maxRunning) {
+            int maxRunning,
+            KeyedOutcomes outcomes,
+            Materializer materializer) {
         this.control = control;
         this.machine = machine;
         this.upstream = upstream;
@@ -63,6 +71,8 @@
         this.metrics = metrics;
         this.timeline = timeline;
         this.maxRunning = maxRunning;
+        this.outcomes = outcomes;
+        this.materializer = materializer;
     }
 
     /** Says who looks after the models; before the first request. */
@@ -100,6 +110,14 @@
             exchange.refuse(unknown(exchange), load);
             return;
         }
+        if (KeyedOutcomes.keyed(request)) {
+            Optional<Refusal> before = outcomes.begin(request);
+            if (before.isPresent()) {
+                metrics.count("agent_keys_seen_before");
+                exchange.refuse(before.get(), load);
+                return;
+            }
+        }
         exchanges.put(request.id(), exchange);
         exchange.onCancel(() -> control.run(() -> gone(request.id())));
         feed(
@@ -141,6 +159,7 @@
     private void run(ExchangeId id) {
         IncomingExchange exchange = exchanges.get(id);
         if (exchange.cancelled()) {
+            ended(exchange.request(), true);
             control.run(() -> finished(id));
             return;
         }
@@ -150,7 +169,9 @@
         calls.put(id, call);
         call.whenComplete(
                 (answer, failure) -> {
-                    if (failure == null) {
+                    if (failure == null && KeyedOutcomes.keyed(exchange.request())) {
+                        gather(exchange, answer);
+                    } else if (failure == null) {
                         serve(exchange, answer);
                     } else {
                         fail(exchange, failure);
@@ -158,6 +179,32 @@
                 });
     }
 
+    private void gather(IncomingExchange exchange, Answer.Served answer) {
+        GatheredAnswer.of(answer, MAX_KEPT_BODY, materializer)
+                .whenComplete(
+                        (gathered, failure) -> {
+                            if (failure == null) {
+                                control.run(() -> settle(exchange.request(), gathered));
+                                serve(exchange, gathered.answer());
+                            } else {
+                                fail(exchange, failure);
+                            }
+                        });
+    }
+
+    private void settle(Request request, GatheredAnswer gathered) {
+        Answer.Served answer = gathered.answer();
+        outcomes.settled(
+                request,
+                new ClaimRecord.Outcome(answer.status(), answer.headers(), gathered.body()));
+    }
+
+    private void ended(Request request, boolean notRun) {
+        if (KeyedOutcomes.keyed(request)) {
+            outcomes.ended(request, notRun);
+        }
+    }
+
     private void serve(IncomingExchange exchange, Answer.Served answer) {
         ExchangeId id = exchange.request().id();
         var body =
@@ -182,6 +229,7 @@
                                 .retryAfter(COME_BACK)
                         : Refusal.mayHaveRun(failureCode(exchange), "the upstream did not answer");
         metrics.count("agent_upstream_failures", "not_run", String.valueOf(notRun));
+        control.run(() -> ended(exchange.request(), notRun));
         exchange.refuse(refusal, load);
         control.run(() -> finished(id));
     }
@@ -202,13 +250,25 @@
 
     private void gone(ExchangeId id) {
         feed(new ServingInput.Gone(id));
-        if (machine.isRunning(id)) {
-            cancelCall(id);
+        if (!machine.isRunning(id)) {
+            IncomingExchange dropped = exchanges.remove(id);
+            if (dropped != null) {
+                ended(dropped.request(), true);
+            }
+        } else if (finishes(id)) {
+            metrics.count("agent_keyed_requests_finished_alone");
         } else {
-            exchanges.remove(id);
+            cancelCall(id);
         }
     }
 
+    // A payment that has begun can't be taken back by cancelling its call; that would only hide
+    // what came of it. So it goes on without its router, and its outcome is kept for the repeat.
+    private boolean finishes(ExchangeId id) {
+        IncomingExchange exchange = exchanges.get(id);
+        return exchange != null && KeyedOutcomes.keyed(exchange.request());
+    }
+
     // Once the answer has begun this does nothing: its body is then cancelled by the exchange, and
     // the end of the body finishes the request.
     private void cancelCall(ExchangeId id) {
@@ -223,6 +283,7 @@
         if (exchange != null) {
             timeline.add(
                     EventType.REFUSED, id.toString(), Map.of("code", refusal.code().wireName()));
+            ended(exchange.request(), refusal.notRun());
             exchange.refuse(refusal, load);
         }
     }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/claims/ClaimRecord.java
@@ -0,0 +1,122 @@
+package io.damaskyoke.control.claims;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.damaskyoke.exchange.Header;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import java.io.IOException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What stands in the store under an idempotency key, and what an agent answers about one.
+ *
+ * @param exchange the request that holds the claim; names its router and that router's life
+ * @param agent the only agent that may have been handed the request
+ * @param digest of method, path and body, so that another request under the key is noticed
+ * @param until when no router waits for the answer any more, by the wall clock
+ * @param state how far it is
+ * @param outcome the answer, once settled
+ */
+public record ClaimRecord(
+        ExchangeId exchange,
+        VmId agent,
+        String digest,
+        Instant until,
+        ClaimState state,
+        Optional<Outcome> outcome) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /**
+     * The answer of the one run.
+     *
+     * @param body the whole body, or empty if it was too large to keep or was cut
+     */
+    public record Outcome(int status, List<Header> headers, Optional<byte[]> body) {
+        /** Copies the headers. */
+        public Outcome {
+            headers = List.copyOf(headers);
+        }
+    }
+
+    /** A new claim for a request that is about to go to this agent. */
+    public static ClaimRecord claimed(
+            ExchangeId exchange, VmId agent, String digest, Instant until) {
+        return new ClaimRecord(
+                exchange, agent, digest, until, ClaimState.CLAIMED, Optional.empty());
+    }
+
+    /** The same claim, its answer written down. */
+    public ClaimRecord settled(Outcome answer) {
+        return new ClaimRecord(
+                exchange, agent, digest, until, ClaimState.SETTLED, Optional.of(answer));
+    }
+
+    /** The same claim in another state, without an answer. */
+    public ClaimRecord in(ClaimState other) {
+        return new ClaimRecord(exchange, agent, digest, until, other, Optional.empty());
+    }
+
+    /** The stored form, JSON in UTF-8. */
+    public byte[] toJson() {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("exchange", exchange.origin().value());
+        node.put("counter", exchange.counter());
+        node.put("agent", agent.value());
+        node.put("digest", digest);
+        node.put("until", until.toEpochMilli());
+        node.put("state", state.name());
+        outcome.ifPresent(answer -> write(answer, node.putObject("outcome")));
+        try {
+            return JSON.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new ClaimException(ClaimException.Code.UNREADABLE, "can't write a claim", e);
+        }
+    }
+
+    /** Reads the stored form; throws a {@link ClaimException} if it is anything else. */
+    public static ClaimRecord parse(byte[] json) {
+        try {
+            JsonNode node = JSON.readTree(json);
+            JsonNode answer = node.get("outcome");
+            return new ClaimRecord(
+                    new ExchangeId(
+                            Incarnation.of(node.path("exchange").asText()),
+                            node.path("counter").asLong()),
+                    VmId.of(node.path("agent").asText()),
+                    node.path("digest").asText(),
+                    Instant.ofEpochMilli(node.path("until").asLong()),
+                    ClaimState.valueOf(node.path("state").asText()),
+                    answer == null ? Optional.empty() : Optional.of(readOutcome(answer)));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new ClaimException(ClaimException.Code.UNREADABLE, "not a claim", e);
+        }
+    }
+
+    private static void write(Outcome answer, ObjectNode into) {
+        into.put("status", answer.status());
+        ArrayNode headers = into.putArray("headers");
+        answer.headers().forEach(header -> headers.add(header.name()).add(header.value()));
+        answer.body().ifPresent(body -> into.put("body", body));
+    }
+
+    private static Outcome readOutcome(JsonNode node) throws IOException {
+        List<Header> headers = new ArrayList<>();
+        JsonNode texts = node.path("headers");
+        for (int i = 0; i + 1 < texts.size(); i += 2) {
+            headers.add(new Header(texts.get(i).asText(), texts.get(i + 1).asText()));
+        }
+        JsonNode body = node.get("body");
+        return new Outcome(
+                node.path("status").asInt(),
+                headers,
+                body == null ? Optional.empty() : Optional.of(body.binaryValue()));
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/Service.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/Service.java
@@ -12,7 +12,7 @@
  * @param name as in {@code /v1/services/NAME/...}
  * @param pool the upstreams that serve it
  * @param idempotent calls that may be repeated although their method is unsafe, each as {@code
- *     "POST /lookup"}: method and path prefix
+ *     "POST /lookup"}: method and leading path segments
  * @param workspaces who may use it; empty means every workspace
  */
 public record Service(
@@ -33,6 +33,21 @@
     /** True if a call may be repeated: a safe method, or one that operators marked. */
     public boolean idempotent(String method, String path) {
         return SAFE_METHODS.contains(method)
-                || idempotent.stream().anyMatch(prefix -> (method + " " + path).startsWith(prefix));
+                || idempotent.stream()
+                        .anyMatch(call -> covers(call, method + " " + pathOnly(path)));
+    }
+
+    // Matched as plain text, "POST /lookup" would cover POST /lookupandpay as well, and a payment
+    // whose agent died would be sent again; so a call covers whole path segments only.
+    private static boolean covers(String call, String asked) {
+        return asked.startsWith(call)
+                && (asked.length() == call.length()
+                        || call.endsWith("/")
+                        || asked.charAt(call.length()) == '/');
+    }
+
+    private static String pathOnly(String path) {
+        int query = path.indexOf('?');
+        return query < 0 ? path : path.substring(0, query);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestAction.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestAction.java
@@ -9,6 +9,15 @@
     /** Send it to this agent. */
     record Send(VmId vm) implements RequestAction {}
 
+    /** Claim its idempotency key for a run at this agent, or move the claim there. */
+    record Claim(VmId vm) implements RequestAction {}
+
+    /** Take the claim back: the request surely did not run and will not. */
+    record Release() implements RequestAction {}
+
+    /** Pass on the answer that was recorded for the key. */
+    record Replay() implements RequestAction {}
+
     /** Leave this agent out for a while. */
     record Suspend(VmId vm, Duration time) implements RequestAction {}
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
@@ -20,6 +20,15 @@
     /** It left, and the way to the agent broke before any answer. */
     record Lost(VmId vm) implements RequestInput {}
 
+    /** Its idempotency key is claimed for a run at this agent. */
+    record Claimed(VmId vm) implements RequestInput {}
+
+    /** Its key can't be claimed now, or a request under the same key came before. */
+    record ClaimRefused(Refusal refusal) implements RequestInput {}
+
+    /** A request under the same key ran before, and its answer is known. */
+    record AnsweredBefore() implements RequestInput {}
+
     /** Its deadline has passed. */
     record DeadlinePassed() implements RequestInput {}
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestMachine.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -19,17 +20,22 @@
  *
  * <p>A request that may have reached an upstream is sent again only if it is idempotent. One that
  * surely did not run goes elsewhere as long as the retry budget and other agents last.
+ *
+ * <p>A request with an idempotency key is claimed before it is sent. The claim names the agent, so
+ * the way to another agent leads through the claim again.
  */
 public final class RequestMachine implements Machine<RequestInput, RequestAction> {
     private static final Duration SUSPENSION = Duration.ofSeconds(2);
     private static final Duration COME_BACK = Duration.ofSeconds(1);
 
     private final boolean idempotent;
+    private final boolean keyed;
     private final AgentChoice choice;
     private final RetryBudget budget;
     private final Set<VmId> tried = new HashSet<>();
     private State state = State.NEW;
     private VmId current;
+    private boolean claimHeld;
     private boolean mayHaveRun;
     private Refusal lastRefusal;
 
@@ -40,8 +46,10 @@
         Optional<VmId> next(Set<VmId> tried, Instant now);
     }
 
-    private RequestMachine(boolean idempotent, AgentChoice choice, RetryBudget budget) {
+    private RequestMachine(
+            boolean idempotent, boolean keyed, AgentChoice choice, RetryBudget budget) {
         this.idempotent = idempotent;
+        this.keyed = keyed;
         this.choice = choice;
         this.budget = budget;
     }
@@ -50,6 +58,16 @@
     public static RequestMachine of(boolean idempotent, AgentChoice choice, RetryBudget budget) {
         return new RequestMachine(
                 idempotent,
+                false,
+                Objects.requireNonNull(choice, "choice"),
+                Objects.requireNonNull(budget, "budget"));
+    }
+
+    /** A machine for a non-idempotent request whose idempotency key has to be claimed first. */
+    public static RequestMachine keyed(AgentChoice choice, RetryBudget budget) {
+        return new RequestMachine(
+                false,
+                true,
                 Objects.requireNonNull(choice, "choice"),
                 Objects.requireNonNull(budget, "budget"));
     }
@@ -81,6 +99,22 @@
                 return request.giveUp(input);
             }
         },
+        /** Its key is being claimed for an agent, or the claim is being moved to one. */
+        CLAIMING {
+            @Override
+            List<RequestAction> step(RequestMachine request, RequestInput input, Instant now) {
+                if (input instanceof RequestInput.Claimed claimed) {
+                    return request.fromCurrent(claimed.vm()) ? request.claimed() : List.of();
+                }
+                if (input instanceof RequestInput.ClaimRefused refused) {
+                    return request.reply(refused.refusal());
+                }
+                if (input instanceof RequestInput.AnsweredBefore) {
+                    return request.replay();
+                }
+                return request.giveUp(input);
+            }
+        },
         /** An agent has it and has not answered. */
         SENT {
             @Override
@@ -106,7 +140,10 @@
         ANSWERED {
             @Override
             List<RequestAction> step(RequestMachine request, RequestInput input, Instant now) {
-                return List.of();
+                if (input instanceof RequestInput.Claimed) {
+                    return request.claimedTooLate();
+                }
+                return request.surelyNotRun(input) ? request.release() : List.of();
             }
         };
 
@@ -124,10 +161,50 @@
         }
         current = next.get();
         tried.add(current);
+        if (keyed) {
+            state = State.CLAIMING;
+            return List.of(new RequestAction.Claim(current));
+        }
+        return send();
+    }
+
+    private List<RequestAction> send() {
         state = State.SENT;
         return List.of(new RequestAction.Send(current));
     }
 
+    private List<RequestAction> claimed() {
+        claimHeld = true;
+        return send();
+    }
+
+    private List<RequestAction> replay() {
+        state = State.ANSWERED;
+        return List.of(new RequestAction.Replay());
+    }
+
+    // The claim was granted after the request had been given up, so it was never sent. Left alone,
+    // the claim would make every repeat of the key end as "outcome unknown".
+    private List<RequestAction> claimedTooLate() {
+        claimHeld = true;
+        return release();
+    }
+
+    private List<RequestAction> release() {
+        if (!claimHeld) {
+            return List.of();
+        }
+        claimHeld = false;
+        return List.of(new RequestAction.Release());
+    }
+
+    private boolean surelyNotRun(RequestInput input) {
+        if (input instanceof RequestInput.Refused refused) {
+            return fromCurrent(refused.vm()) && refused.refusal().notRun();
+        }
+        return input instanceof RequestInput.NotSent notSent && fromCurrent(notSent.vm());
+    }
+
     private List<RequestAction> deliver() {
         state = State.ANSWERED;
         return List.of(new RequestAction.Deliver(current));
@@ -192,10 +269,15 @@
         return List.of();
     }
 
+    // A claimed request goes on when its caller has left: its answer is recorded, and the caller
+    // who
+    // comes back with the key gets it. Cancelled, its outcome would stay unknown for ever.
     private List<RequestAction> cancelAndReply(RefusalCode code, String message) {
-        mayHaveRun |= state == State.SENT;
+        boolean sent = state == State.SENT;
+        boolean finishes = claimHeld && code != RefusalCode.KEY_WITHDRAWN;
+        mayHaveRun |= sent;
         List<RequestAction> reply = reply(Refusal.notRun(code, message));
-        if (current == null) {
+        if (!sent || finishes) {
             return reply;
         }
         return concat(new RequestAction.Cancel(current, message), reply);
@@ -205,11 +287,20 @@
     // broke. Passed on, it makes the caller send a payment again; so what any try may have done
     // decides what the caller is told.
     private List<RequestAction> reply(Refusal refusal) {
+        boolean notRun = refusal.notRun() && !mayHaveRun && !earlierTryPossible(refusal);
         state = State.ANSWERED;
-        boolean notRun = refusal.notRun() && !mayHaveRun;
         Refusal honest =
                 new Refusal(refusal.code(), refusal.message(), notRun, refusal.retryAfter());
-        return List.of(new RequestAction.Reply(honest));
+        List<RequestAction> actions = new ArrayList<>(mayHaveRun ? List.of() : release());
+        actions.add(new RequestAction.Reply(honest));
+        return actions;
+    }
+
+    // As long as the key is not claimed here, nobody here knows whether it came before, at another
+    // router, and ran. "Not run" would then be true of this try and false of the payment, and the
+    // caller would pay again under another key.
+    private boolean earlierTryPossible(Refusal refusal) {
+        return keyed && !claimHeld && refusal.code() != RefusalCode.KEY_REUSED;
     }
 
     private static boolean worthAnotherAgent(RefusalCode code) {
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/exchange/AnswerRecorder.java
@@ -0,0 +1,45 @@
+package io.damaskyoke.exchange;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+/** Keeps a copy of an answer's body as it passes by. */
+public final class AnswerRecorder {
+    private final int maxBytes;
+    private final Consumer<Optional<byte[]>> whole;
+    private ByteString kept = ByteString.emptyByteString();
+    private boolean tooLarge;
+
+    private AnswerRecorder(int maxBytes, Consumer<Optional<byte[]>> whole) {
+        this.maxBytes = maxBytes;
+        this.whole = whole;
+    }
+
+    /**
+     * The same body, which can be run once as before.
+     *
+     * @param whole told when the body has passed whole, with a copy of it if it has at most {@code
+     *     maxBytes}; never told of a body that was cut or cancelled
+     */
+    public static Source<ByteString, NotUsed> tap(
+            Source<ByteString, NotUsed> body, int maxBytes, Consumer<Optional<byte[]>> whole) {
+        AnswerRecorder recorder = new AnswerRecorder(maxBytes, whole);
+        return body.map(recorder::pass).concatLazy(Source.lazySource(recorder::end));
+    }
+
+    private ByteString pass(ByteString chunk) {
+        tooLarge |= kept.size() + chunk.size() > maxBytes;
+        kept = tooLarge ? ByteString.emptyByteString() : kept.concat(chunk);
+        return chunk;
+    }
+
+    // Reached only when the body has completed. A stream's own signal of termination would not do:
+    // it reports a consumer that stops half-way as success, and half an answer would be recorded.
+    private Source<ByteString, NotUsed> end() {
+        whole.accept(tooLarge ? Optional.empty() : Optional.of(kept.toArray()));
+        return Source.empty();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/exchange/RefusalCode.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/exchange/RefusalCode.java
@@ -22,6 +22,8 @@
     REQUEST_TIMEOUT(408, "invalid_request_error"),
     /** The same idempotent key is being run right now. */
     IN_PROGRESS(409, "conflict_error"),
+    /** The idempotent key's request ran and was answered, but its answer was not kept. */
+    ANSWER_NOT_KEPT(409, "conflict_error"),
     /** The body exceeds the limit of the settings. */
     BODY_TOO_LARGE(413, "invalid_request_error"),
     /** The body is not of a type that this path takes. */
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/ClaimQueries.java
@@ -0,0 +1,86 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.claims.ClaimException;
+import io.damaskyoke.control.claims.ClaimRecord;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.peer.PeerListener;
+import io.damaskyoke.peer.wire.ClaimOutcome;
+import io.damaskyoke.peer.wire.ClaimQuery;
+import io.damaskyoke.peer.wire.ExchangeId;
+import io.damaskyoke.peer.wire.Frame;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/** Asks agents what they know of an idempotency key; no answer in time counts as nothing. */
+final class ClaimQueries implements PeerListener {
+    private static final Duration LIMIT = Duration.ofSeconds(1);
+
+    private final Control control;
+    private final ConcurrentMap<ExchangeId, CompletableFuture<Optional<ClaimRecord>>> asked =
+            new ConcurrentHashMap<>();
+
+    ClaimQueries(Control control) {
+        this.control = control;
+    }
+
+    /** What the agent knows of the request's key; never fails. */
+    CompletionStage<Optional<ClaimRecord>> ask(CompletionStage<PeerLink> agent, Request request) {
+        ExchangeId id =
+                ExchangeId.newBuilder()
+                        .setIncarnation(request.id().origin().value())
+                        .setCounter(request.id().counter())
+                        .build();
+        CompletableFuture<Optional<ClaimRecord>> answer = new CompletableFuture<>();
+        asked.put(id, answer);
+        Control.Cancellable limit = control.after(LIMIT, () -> answer.complete(Optional.empty()));
+        agent.whenComplete((link, failure) -> send(link, id, request, answer));
+        answer.whenComplete(
+                (told, failure) -> {
+                    limit.cancel();
+                    asked.remove(id, answer);
+                });
+        return answer;
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        CompletableFuture<Optional<ClaimRecord>> answer =
+                frame.hasClaimOutcome() ? asked.get(frame.getExchange()) : null;
+        if (answer != null) {
+            answer.complete(record(frame.getClaimOutcome()));
+        }
+    }
+
+    private static void send(
+            PeerLink link,
+            ExchangeId id,
+            Request request,
+            CompletableFuture<Optional<ClaimRecord>> answer) {
+        ClaimQuery query =
+                ClaimQuery.newBuilder()
+                        .setWorkspace(request.workspace().value())
+                        .setIdempotencyKey(request.idempotencyKey().orElseThrow().value())
+                        .build();
+        Frame frame = Frame.newBuilder().setExchange(id).setClaimQuery(query).build();
+        if (link == null || !link.send(frame)) {
+            answer.complete(Optional.empty());
+        }
+    }
+
+    private static Optional<ClaimRecord> record(ClaimOutcome told) {
+        if (told.getOutcome().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(ClaimRecord.parse(told.getOutcome().toByteArray()));
+        } catch (ClaimException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/ClaimStore.java
@@ -0,0 +1,130 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.claims.ClaimAction;
+import io.damaskyoke.control.claims.ClaimAction.Result;
+import io.damaskyoke.control.claims.ClaimBatcher;
+import io.damaskyoke.control.claims.ClaimInput;
+import io.damaskyoke.control.claims.ClaimSettings;
+import io.damaskyoke.control.claims.ClaimWrite;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.PlatformException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+
+/** Carries out what a {@link ClaimBatcher} decides, over the store. Control thread only. */
+final class ClaimStore {
+    private final Control control;
+    private final KeyValueStore store;
+    private final Metrics metrics;
+    private final ClaimBatcher batcher;
+    private final ClaimLease lease;
+    private final Map<Long, CompletableFuture<Result>> submitted = new HashMap<>();
+    private Control.Cancellable timer = () -> {};
+    private long lastId;
+
+    ClaimStore(
+            Control control,
+            KeyValueStore store,
+            Metrics metrics,
+            ClaimSettings settings,
+            RandomGenerator random) {
+        this.control = control;
+        this.store = store;
+        this.metrics = metrics;
+        this.batcher = ClaimBatcher.of(settings, random);
+        this.lease = new ClaimLease(store, settings.retention());
+    }
+
+    /** The lease of the last commit, which holds what it wrote. */
+    long lease() {
+        return lease.id();
+    }
+
+    /** Writes when the batcher sees fit; the result comes on the control thread. */
+    CompletionStage<Result> write(
+            String key,
+            Optional<Long> before,
+            Optional<byte[]> value,
+            long ownLease,
+            Instant giveUp,
+            boolean urgent) {
+        long id = ++lastId;
+        CompletableFuture<Result> result = new CompletableFuture<>();
+        submitted.put(id, result);
+        feed(
+                new ClaimInput.Submit(
+                        new ClaimWrite(id, key, before, value, ownLease, giveUp, urgent)));
+        return result;
+    }
+
+    private void feed(ClaimInput input) {
+        for (ClaimAction action : batcher.on(input, now())) {
+            carryOut(action);
+        }
+    }
+
+    private void carryOut(ClaimAction action) {
+        if (action instanceof ClaimAction.Commit commit) {
+            commit(commit.writes());
+        } else if (action instanceof ClaimAction.Done done) {
+            control.run(() -> submitted.remove(done.id()).complete(done.result()));
+        } else if (action instanceof ClaimAction.WakeAt wake) {
+            timer.cancel();
+            Duration wait = Duration.between(now(), wake.time());
+            timer = control.after(wait, () -> feed(new ClaimInput.Tick()));
+        }
+    }
+
+    private void commit(List<ClaimWrite> writes) {
+        metrics.count("claim_commits");
+        metrics.histogram("claim_commit_size").update(writes.size());
+        lease.present(now())
+                .whenComplete((id, failure) -> control.run(() -> leased(writes, id, failure)));
+    }
+
+    private void leased(List<ClaimWrite> writes, Long id, Throwable failure) {
+        if (failure != null) {
+            failed(false);
+            return;
+        }
+        lease.use(id, now());
+        store.commit(
+                        writes.stream().map(ClaimWrite::condition).toList(),
+                        writes.stream().map(write -> write.write(id)).toList())
+                .whenComplete((result, error) -> control.run(() -> committed(result, error)));
+    }
+
+    private void committed(KeyValueStore.TxnResult result, Throwable error) {
+        if (error == null) {
+            feed(new ClaimInput.Answered(result));
+        } else {
+            failed(mayHaveTakenEffect(error));
+        }
+    }
+
+    private void failed(boolean mayHaveTakenEffect) {
+        metrics.count("claim_commits_failed", "unknown", String.valueOf(mayHaveTakenEffect));
+        lease.forget();
+        feed(new ClaimInput.Failed(mayHaveTakenEffect));
+    }
+
+    private static boolean mayHaveTakenEffect(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        return !(cause instanceof PlatformException known
+                && known.code() == PlatformException.Code.UNAVAILABLE);
+    }
+
+    private Instant now() {
+        return control.clock().instant();
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -0,0 +1,273 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.claims.ClaimAction.Result;
+import io.damaskyoke.control.claims.ClaimException;
+import io.damaskyoke.control.claims.ClaimKeys;
+import io.damaskyoke.control.claims.ClaimRecord;
+import io.damaskyoke.control.claims.ClaimRecord.Outcome;
+import io.damaskyoke.control.claims.ClaimSettings;
+import io.damaskyoke.control.claims.RepeatPolicy;
+import io.damaskyoke.control.claims.RepeatPolicy.Verdict;
+import io.damaskyoke.exchange.AnswerRecorder;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.node.Node;
+import io.damaskyoke.peer.ExchangeResult;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.timeline.EventType;
+import io.damaskyoke.timeline.Timeline;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Claims idempotency keys for requests: {@code claims.claim(request, vm).thenAccept(...)}. Results
+ * come on the control thread, and all methods belong to it.
+ */
+final class Claims {
+    private static final Duration COME_BACK = Duration.ofSeconds(2);
+    private static final Duration CLOCK_MARGIN = Duration.ofSeconds(5);
+    private static final Duration KEEP_TRYING = Duration.ofMinutes(5);
+
+    private final Control control;
+    private final ClaimStore store;
+    private final ClaimQueries queries;
+    private final Metrics metrics;
+    private final Timeline timeline;
+    private final String prefix;
+    private final ClaimSettings settings;
+    private final Materializer materializer;
+
+    Claims(
+            Control control,
+            ClaimStore store,
+            ClaimQueries queries,
+            Metrics metrics,
+            Timeline timeline,
+            String storePrefix,
+            ClaimSettings settings,
+            Materializer materializer) {
+        this.control = control;
+        this.store = store;
+        this.queries = queries;
+        this.metrics = metrics;
+        this.timeline = timeline;
+        this.prefix = storePrefix;
+        this.settings = settings;
+        this.materializer = materializer;
+    }
+
+    /** The claims of a router; the seed spreads its retries. */
+    static Claims start(Node node, ClaimQueries queries, long seed) {
+        ClaimSettings settings = ClaimSettings.defaults();
+        return new Claims(
+                node.control(),
+                new ClaimStore(
+                        node.control(),
+                        node.store(),
+                        node.metrics(),
+                        settings,
+                        new Random(seed ^ node.incarnation().value().hashCode())),
+                queries,
+                node.metrics(),
+                node.timeline(),
+                node.storePrefix(),
+                settings,
+                SystemMaterializer.get(node.system()).materializer());
+    }
+
+    /**
+     * Claims the request's key for a run at this agent.
+     *
+     * @param connect reaches an agent that has to be asked about an earlier run
+     */
+    CompletionStage<ClaimResult> claim(
+            Request request, VmId vm, Function<VmId, CompletionStage<PeerLink>> connect) {
+        return new Attempt(request, vm, connect).write(Optional.empty());
+    }
+
+    /** Moves a claim whose request surely did not run at its agent to another one. */
+    CompletionStage<ClaimResult> move(
+            HeldClaim held,
+            Request request,
+            VmId vm,
+            Function<VmId, CompletionStage<PeerLink>> connect) {
+        return new Attempt(request, vm, connect).write(Optional.of(held.revision()));
+    }
+
+    /** Takes a claim back whose request surely did not run and will not; tried for minutes. */
+    void release(HeldClaim held) {
+        metrics.count("claims_released");
+        store.write(
+                held.key(),
+                Optional.of(held.revision()),
+                Optional.empty(),
+                held.lease(),
+                now().plus(KEEP_TRYING),
+                false);
+    }
+
+    /** The answer's body, which is written down once it has passed whole. */
+    Source<ByteString, NotUsed> recorded(HeldClaim held, ExchangeResult.Served served) {
+        return AnswerRecorder.tap(
+                served.body(),
+                settings.maxBody(),
+                body ->
+                        control.run(
+                                () ->
+                                        settle(
+                                                held,
+                                                new Outcome(
+                                                        served.status(), served.headers(), body))));
+    }
+
+    /** Writes down an answer whose caller has gone, for the time when that one comes back. */
+    void recordUnwanted(HeldClaim held, ExchangeResult.Served served) {
+        recorded(held, served).runWith(Sink.ignore(), materializer);
+    }
+
+    private void settle(HeldClaim held, Outcome outcome) {
+        ClaimRecord settled = held.record().settled(outcome);
+        store.write(
+                        held.key(),
+                        Optional.of(held.revision()),
+                        Optional.of(settled.toJson()),
+                        held.lease(),
+                        now().plus(KEEP_TRYING),
+                        false)
+                .thenAccept(result -> settled(held.record(), result));
+    }
+
+    private void settled(ClaimRecord record, Result result) {
+        boolean written = result instanceof Result.Written;
+        metrics.count("claims_settled", "written", String.valueOf(written));
+        if (written) {
+            timeline.add(EventType.CLAIM_SETTLED, record.exchange().toString());
+        }
+    }
+
+    private Instant now() {
+        return control.clock().instant();
+    }
+
+    /** One wish to claim, with what it finds on its way. */
+    private final class Attempt {
+        private final Request request;
+        private final Function<VmId, CompletionStage<PeerLink>> connect;
+        private final String key;
+        private final ClaimRecord mine;
+        private final Instant giveUp;
+
+        Attempt(Request request, VmId vm, Function<VmId, CompletionStage<PeerLink>> connect) {
+            this.request = request;
+            this.connect = connect;
+            this.key =
+                    ClaimKeys.storeKey(
+                            prefix, request.workspace(), request.idempotencyKey().orElseThrow());
+            this.mine =
+                    ClaimRecord.claimed(
+                            request.id(),
+                            vm,
+                            ClaimKeys.digest(request),
+                            request.deadline().plus(CLOCK_MARGIN));
+            this.giveUp = now().plus(settings.wait(Duration.between(now(), request.deadline())));
+        }
+
+        CompletionStage<ClaimResult> write(Optional<Long> before) {
+            return store.write(key, before, Optional.of(mine.toJson()), 0, giveUp, true)
+                    .thenCompose(this::written);
+        }
+
+        private CompletionStage<ClaimResult> written(Result result) {
+            if (result instanceof Result.Written written) {
+                timeline.add(
+                        EventType.CLAIMED,
+                        request.id().toString(),
+                        Map.of("agent", mine.agent().value()));
+                metrics.count("claims", "result", "held");
+                return done(
+                        new ClaimResult.Held(
+                                new HeldClaim(key, mine, written.revision(), store.lease())));
+            }
+            if (result instanceof Result.Conflict conflict) {
+                return conflict.found().map(this::repeat).orElseGet(() -> write(Optional.empty()));
+            }
+            metrics.count("claims", "result", "store_unavailable");
+            return done(new ClaimResult.Refused(unavailable()));
+        }
+
+        private CompletionStage<ClaimResult> repeat(Entry entry) {
+            ClaimRecord found;
+            try {
+                found = ClaimRecord.parse(entry.value());
+            } catch (ClaimException e) {
+                metrics.count("claims", "result", "unreadable");
+                return done(new ClaimResult.Refused(unreadable()));
+            }
+            Verdict verdict = RepeatPolicy.fromStore(found, mine.digest());
+            if (!(verdict instanceof Verdict.AskAgent)) {
+                return follow(verdict, entry, found);
+            }
+            return queries.ask(connect.apply(found.agent()), request)
+                    .thenCompose(told -> control.ask(() -> told))
+                    .thenCompose(
+                            told ->
+                                    follow(
+                                            RepeatPolicy.fromAgent(found, told, now()),
+                                            entry,
+                                            found));
+        }
+
+        private CompletionStage<ClaimResult> follow(
+                Verdict verdict, Entry entry, ClaimRecord found) {
+            if (verdict instanceof Verdict.TakeOver) {
+                metrics.count("claims", "result", "taken_over");
+                return write(Optional.of(entry.modRevision()));
+            }
+            if (verdict instanceof Verdict.Replay replay) {
+                metrics.count("claims", "result", "repeat");
+                HeldClaim held = new HeldClaim(key, found, entry.modRevision(), entry.lease());
+                if (!found.equals(replay.settled())) {
+                    settle(held, replay.settled().outcome().orElseThrow());
+                }
+                return done(new ClaimResult.Before(replay.settled()));
+            }
+            Refusal refusal = ((Verdict.Refuse) verdict).refusal();
+            metrics.count("claims", "result", refusal.code().wireName());
+            return done(new ClaimResult.Refused(refusal));
+        }
+
+        private CompletionStage<ClaimResult> done(ClaimResult result) {
+            return CompletableFuture.completedFuture(result);
+        }
+    }
+
+    private static Refusal unavailable() {
+        return Refusal.mayHaveRun(
+                        RefusalCode.STORE_UNAVAILABLE,
+                        "this try was not run, since its key can't be checked now; an earlier try"
+                                + " with the same key may have run")
+                .retryAfter(COME_BACK);
+    }
+
+    private static Refusal unreadable() {
+        return Refusal.mayHaveRun(
+                RefusalCode.OUTCOME_UNKNOWN, "the record of this key can't be read");
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -47,6 +47,7 @@
     final ExchangeClient client;
     final Admission admission;
     final RetryBudget retries;
+    final Claims claims;
     final Metrics metrics;
     final Timeline timeline;
     private final Supplier<Configuration> configuration;
@@ -62,6 +63,7 @@
         this.client = parts.client();
         this.admission = parts.admission();
         this.retries = parts.retries();
+        this.claims = parts.claims();
         this.metrics = parts.metrics();
         this.timeline = parts.timeline();
         this.configuration = parts.configuration();
@@ -82,6 +84,7 @@
             ExchangeClient client,
             Admission admission,
             RetryBudget retries,
+            Claims claims,
             Metrics metrics,
             Timeline timeline,
             Supplier<Configuration> configuration,
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.router;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.claims.ClaimRecord;
 import io.damaskyoke.control.routing.RequestAction;
 import io.damaskyoke.control.routing.RequestInput;
 import io.damaskyoke.control.routing.RequestMachine;
@@ -30,6 +31,8 @@
     private final Control.Cancellable deadline;
     private Exchange exchange;
     private ExchangeResult.Served served;
+    private HeldClaim claim;
+    private ClaimRecord before;
     private boolean closed;
 
     RequestFlow(
@@ -40,10 +43,17 @@
         this.dispatcher = dispatcher;
         this.request = request;
         this.answer = answer;
-        this.machine = RequestMachine.of(request.idempotent(), choice, dispatcher.retries);
+        this.machine =
+                keyed(request)
+                        ? RequestMachine.keyed(choice, dispatcher.retries)
+                        : RequestMachine.of(request.idempotent(), choice, dispatcher.retries);
         this.deadline = dispatcher.control.after(timeLeft(), this::deadlinePassed);
     }
 
+    private static boolean keyed(Request request) {
+        return !request.idempotent() && request.idempotencyKey().isPresent();
+    }
+
     Request request() {
         return request;
     }
@@ -92,6 +102,12 @@
     private void carryOut(RequestAction action) {
         if (action instanceof RequestAction.Send send) {
             send(send.vm());
+        } else if (action instanceof RequestAction.Claim wanted) {
+            claim(wanted.vm());
+        } else if (action instanceof RequestAction.Release) {
+            dispatcher.claims.release(claim);
+        } else if (action instanceof RequestAction.Replay) {
+            replay();
         } else if (action instanceof RequestAction.Suspend suspend) {
             dispatcher.fleet.suspend(suspend.vm(), now(), suspend.time());
             dispatcher.metrics.count("router_agents_suspended");
@@ -106,6 +122,26 @@
         }
     }
 
+    private void claim(VmId vm) {
+        Claims claims = dispatcher.claims;
+        (claim == null
+                        ? claims.claim(request, vm, dispatcher::connect)
+                        : claims.move(claim, request, vm, dispatcher::connect))
+                .thenAccept(result -> claimed(vm, result));
+    }
+
+    private void claimed(VmId vm, ClaimResult result) {
+        if (result instanceof ClaimResult.Held held) {
+            claim = held.claim();
+            feed(new RequestInput.Claimed(vm));
+        } else if (result instanceof ClaimResult.Before found) {
+            before = found.settled();
+            feed(new RequestInput.AnsweredBefore());
+        } else {
+            feed(new RequestInput.ClaimRefused(((ClaimResult.Refused) result).refusal()));
+        }
+    }
+
     private void send(VmId vm) {
         dispatcher.fleet.sent(vm);
         exchange = null;
@@ -117,11 +153,7 @@
     }
 
     private void connected(VmId vm, PeerLink link, Throwable failure) {
-        if (machine.answered()) {
-            dispatcher.fleet.done(vm);
-            return;
-        }
-        if (failure != null) {
+        if (machine.answered() || failure != null) {
             dispatcher.fleet.done(vm);
             feed(new RequestInput.NotSent(vm));
             return;
@@ -154,7 +186,9 @@
                 .whenComplete(
                         (ending, failure) ->
                                 dispatcher.control.run(() -> ended(vm, ending, failure)));
-        if (machine.answered()) {
+        if (machine.answered() && claim != null) {
+            dispatcher.claims.recordUnwanted(claim, result);
+        } else if (machine.answered()) {
             exchange.cancel("the answer came too late");
         }
         feed(new RequestInput.Served(vm));
@@ -176,7 +210,19 @@
     private void deliver() {
         dispatcher.answered();
         dispatcher.metrics.count("router_served");
-        answer.complete(new Answer.Served(served.status(), served.headers(), served.body()));
+        answer.complete(
+                new Answer.Served(
+                        served.status(),
+                        served.headers(),
+                        claim == null ? served.body() : dispatcher.claims.recorded(claim, served)));
+    }
+
+    private void replay() {
+        dispatcher.answered();
+        dispatcher.metrics.count("router_served");
+        dispatcher.timeline.add(EventType.ANSWERED, request.id().toString());
+        answer.complete(ClaimReplay.of(before));
+        close(0);
     }
 
     private void reply(Refusal refusal) {
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -58,13 +58,15 @@
                         settings.peer(),
                         () -> node.configuration().current().sequence(),
                         node.metrics());
+        ClaimQueries queries = new ClaimQueries(node.control());
         this.network =
                 node.network(settings.peer())
                         .listen(client)
+                        .listen(queries)
                         .listen(new AgentListener(node.control(), fleet))
                         .build()
                         .start();
-        this.dispatcher = new RequestDispatcher(parts(client));
+        this.dispatcher = new RequestDispatcher(parts(client, queries));
         node.configuration().onChange(now -> node.control().run(() -> changed(now)));
         new AgentDirectory(
                         node.control(),
@@ -115,7 +117,7 @@
         node.close();
     }
 
-    private RequestDispatcher.Parts parts(ExchangeClient client) {
+    private RequestDispatcher.Parts parts(ExchangeClient client, ClaimQueries queries) {
         Control control = node.control();
         return new RequestDispatcher.Parts(
                 control,
@@ -124,6 +126,7 @@
                 client,
                 Admission.open(),
                 RetryBudget.of(settings.control().retryBudget()),
+                Claims.start(node, queries, settings.control().seed()),
                 node.metrics(),
                 node.timeline(),
                 node.configuration()::current,
