--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.agent;
 
+import io.damaskyoke.control.claims.KeyedOutcomes;
 import io.damaskyoke.control.serving.ServingInput;
 import io.damaskyoke.control.serving.ServingMachine;
 import io.damaskyoke.id.PoolName;
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/ClaimAnswers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/ClaimAnswers.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.claims.ClaimRecord;
+import io.damaskyoke.control.claims.KeyedOutcomes;
 import io.damaskyoke.id.IdempotencyKey;
 import io.damaskyoke.id.WorkspaceId;
 import io.damaskyoke.peer.PeerLink;
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.claims.ClaimRecord;
 import io.damaskyoke.control.claims.ClaimSettings;
+import io.damaskyoke.control.claims.KeyedOutcomes;
 import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.serving.ServingAction;
 import io.damaskyoke.control.serving.ServingInput;
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/KeyedOutcomes.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/claims/KeyedOutcomes.java
@@ -1,7 +1,5 @@
-package io.damaskyoke.agent;
+package io.damaskyoke.control.claims;
 
-import io.damaskyoke.control.claims.ClaimRecord;
-import io.damaskyoke.control.claims.ClaimState;
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.exchange.RefusalCode;
 import io.damaskyoke.exchange.Request;
@@ -15,22 +13,23 @@
 
 /**
  * What became of the last requests with an idempotency key at this agent. When a router dies with
- * an answer in its hands, its successor learns the outcome here. Control thread only.
+ * an answer in its hands, its successor learns the outcome here. Not thread-safe.
  */
-final class KeyedOutcomes {
+public final class KeyedOutcomes {
     private static final Duration COME_BACK = Duration.ofSeconds(1);
 
     private final VmId vm;
     private final int capacity;
     private final Map<Key, ClaimRecord> records = new LinkedHashMap<>();
 
-    KeyedOutcomes(VmId vm, int capacity) {
+    /** A memory of so many keys at the agent of this VM. */
+    public KeyedOutcomes(VmId vm, int capacity) {
         this.vm = vm;
         this.capacity = capacity;
     }
 
     /** True if the request's outcome is to be remembered. */
-    static boolean keyed(Request request) {
+    public static boolean keyed(Request request) {
         return !request.idempotent() && request.idempotencyKey().isPresent();
     }
 
@@ -38,7 +37,7 @@
      * Takes note that a request came; a refusal if another one with its key is here or was. Routers
      * send none such as long as the store keeps its word, so this is the second line.
      */
-    Optional<Refusal> begin(Request request) {
+    public Optional<Refusal> begin(Request request) {
         Key key = key(request);
         ClaimRecord before = records.get(key);
         if (before != null && before.state() != ClaimState.NOT_RUN) {
@@ -49,17 +48,17 @@
     }
 
     /** The request was answered. */
-    void settled(Request request, ClaimRecord.Outcome outcome) {
+    public void settled(Request request, ClaimRecord.Outcome outcome) {
         change(request, record(request).settled(outcome));
     }
 
     /** The request surely did not run and will not, or may have run. */
-    void ended(Request request, boolean notRun) {
+    public void ended(Request request, boolean notRun) {
         change(request, record(request).in(notRun ? ClaimState.NOT_RUN : ClaimState.UNKNOWN));
     }
 
     /** What is known of a key. */
-    Optional<ClaimRecord> find(WorkspaceId workspace, IdempotencyKey key) {
+    public Optional<ClaimRecord> find(WorkspaceId workspace, IdempotencyKey key) {
         return Optional.ofNullable(records.get(new Key(workspace, key)));
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -142,7 +142,8 @@
         recorded(held, served).runWith(Sink.ignore(), materializer);
     }
 
-    private void settle(HeldClaim held, Outcome outcome) {
+    /** Writes down the answer of a claim's request; tried for minutes. */
+    void settle(HeldClaim held, Outcome outcome) {
         ClaimRecord settled = held.record().settled(outcome);
         store.write(
                         held.key(),
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
@@ -0,0 +1,346 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.control.claims.ClaimRecord;
+import io.damaskyoke.control.claims.KeyedOutcomes;
+import io.damaskyoke.control.routing.RequestAction;
+import io.damaskyoke.control.routing.RequestInput;
+import io.damaskyoke.control.routing.RequestMachine;
+import io.damaskyoke.control.routing.RetryBudget;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.FakeStore;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * Routers, agents and a store that fail at random, and callers who repeat payments; everything that
+ * must not happen is noted in {@link #broken}.
+ */
+final class ClaimWorld {
+    private static final int LENGTH_MILLIS = 60_000;
+    private static final int ROUTERS = 3;
+    private static final int AGENTS = 2;
+    private static final int KEYS = 4;
+    private static final int TRIES = 40;
+    private static final Duration DEADLINE = Duration.ofSeconds(8);
+
+    final List<String> broken = new ArrayList<>();
+    final Map<String, Integer> executions = new TreeMap<>();
+    final Map<String, Integer> answers = new TreeMap<>();
+    private final Map<String, String> settled = new HashMap<>();
+    private final Map<ExchangeId, Boolean> saidNotRun = new HashMap<>();
+    private final SameThreadControl control = new SameThreadControl();
+    private final FakeStore store = new FakeStore();
+    private final Random random;
+    private final boolean naive;
+    private final List<ClaimRouter> routers = new ArrayList<>();
+    private final Map<VmId, FakeAgent> agents = new TreeMap<>();
+    private int lives;
+
+    ClaimWorld(long seed, boolean naive) {
+        this.random = new Random(seed);
+        this.naive = naive;
+        for (int i = 0; i < ROUTERS; i++) {
+            routers.add(router());
+        }
+        for (int i = 0; i < AGENTS; i++) {
+            VmId vm = VmId.of("agent-" + i);
+            agents.put(vm, new FakeAgent(vm));
+        }
+    }
+
+    void run() {
+        for (int i = 0; i < TRIES; i++) {
+            at(LENGTH_MILLIS, this::payAtRandom);
+        }
+        for (int i = 0; i < 6; i++) {
+            at(LENGTH_MILLIS, () -> failStore(random.nextInt(3)));
+            at(LENGTH_MILLIS, () -> replaceRouter(random.nextInt(ROUTERS)));
+            at(LENGTH_MILLIS, () -> agent(random.nextInt(AGENTS)).die());
+        }
+        control.advance(Duration.ofMillis(2L * LENGTH_MILLIS));
+    }
+
+    private void replaceRouter(int number) {
+        routers.get(number).life().end();
+        routers.set(number, router());
+    }
+
+    private ClaimRouter router() {
+        return ClaimRouter.start(new Life(control), store, "router:" + ++lives, random.nextLong());
+    }
+
+    private void failStore(int how) {
+        if (how == 0) {
+            store.down(true);
+            at(5_000, () -> store.down(false));
+        } else if (how == 1) {
+            store.slow(true);
+            at(5_000, store::release);
+        } else {
+            store.loseAnswers(1 + random.nextInt(3));
+        }
+    }
+
+    private void payAtRandom() {
+        ClaimRouter router = routers.get(random.nextInt(ROUTERS));
+        String key = "pay-" + random.nextInt(KEYS);
+        new Flow(router, router.request(key, control.clock().instant().plus(DEADLINE))).start();
+    }
+
+    private void at(int withinMillis, Runnable step) {
+        control.after(Duration.ofMillis(random.nextInt(withinMillis)), step);
+    }
+
+    private void soon(Runnable step) {
+        at(400, step);
+    }
+
+    private FakeAgent agent(int number) {
+        return agents.get(VmId.of("agent-" + number));
+    }
+
+    private static String key(Request request) {
+        return request.idempotencyKey().orElseThrow().value();
+    }
+
+    private void answered(Request request, String answer) {
+        answers.merge("served", 1, Integer::sum);
+        String first = settled.putIfAbsent(key(request), answer);
+        if (!naive && first != null && !first.equals(answer)) {
+            broken.add(key(request) + " was answered as " + first + " and as " + answer);
+        }
+    }
+
+    private void refused(Request request, Refusal refusal) {
+        answers.merge(refusal.code().wireName() + " " + refusal.notRun(), 1, Integer::sum);
+        if (!refusal.notRun()) {
+            return;
+        }
+        saidNotRun.put(request.id(), true);
+        if (executions.getOrDefault(key(request), 0) > 0) {
+            broken.add(request.id() + " was told not run, but " + key(request) + " has run");
+        }
+    }
+
+    private void execute(Request request) {
+        if (executions.merge(key(request), 1, Integer::sum) > 1) {
+            broken.add(key(request) + " ran again");
+        }
+        if (saidNotRun.containsKey(request.id())) {
+            broken.add(request.id() + " ran after it was refused as not run");
+        }
+    }
+
+    /** What a router's flow does, over agents that answer after random times or never. */
+    private final class Flow {
+        private final ClaimRouter router;
+        private final Request request;
+        private final RequestMachine machine;
+        private HeldClaim claim;
+        private ClaimRecord before;
+
+        Flow(ClaimRouter router, Request request) {
+            this.router = router;
+            this.request = request;
+            RequestMachine.AgentChoice choice =
+                    (tried, now) ->
+                            agents.keySet().stream().filter(vm -> !tried.contains(vm)).findFirst();
+            RetryBudget budget = RetryBudget.of(1);
+            this.machine =
+                    naive
+                            ? RequestMachine.of(true, choice, budget)
+                            : RequestMachine.keyed(choice, budget);
+        }
+
+        void start() {
+            feed(new RequestInput.Start());
+            router.life().after(DEADLINE, () -> feed(new RequestInput.DeadlinePassed()));
+            if (random.nextInt(4) == 0) {
+                soon(() -> feed(new RequestInput.CallerGone()));
+            }
+        }
+
+        private void feed(RequestInput input) {
+            if (router.life().over()) {
+                return;
+            }
+            for (RequestAction action : machine.on(input, control.clock().instant())) {
+                carryOut(action);
+            }
+        }
+
+        private void carryOut(RequestAction action) {
+            if (action instanceof RequestAction.Claim wanted) {
+                router.claim(claim, request, wanted.vm(), agents)
+                        .thenAccept(result -> claimed(wanted.vm(), result));
+            } else if (action instanceof RequestAction.Release) {
+                router.claims().release(claim);
+            } else if (action instanceof RequestAction.Send send) {
+                soon(() -> agents.get(send.vm()).invoked(this));
+            } else if (action instanceof RequestAction.Replay) {
+                answered(request, new String(before.outcome().get().body().get()));
+            } else if (action instanceof RequestAction.Reply reply) {
+                refused(request, reply.refusal());
+            }
+        }
+
+        private void claimed(VmId vm, ClaimResult result) {
+            if (result instanceof ClaimResult.Held held) {
+                claim = held.claim();
+                feed(new RequestInput.Claimed(vm));
+            } else if (result instanceof ClaimResult.Before found) {
+                before = found.settled();
+                feed(new RequestInput.AnsweredBefore());
+            } else {
+                feed(new RequestInput.ClaimRefused(((ClaimResult.Refused) result).refusal()));
+            }
+        }
+
+        private void served(VmId vm, ClaimRecord.Outcome outcome) {
+            if (router.life().over()) {
+                return;
+            }
+            boolean wanted = !machine.answered();
+            feed(new RequestInput.Served(vm));
+            if (wanted) {
+                answered(request, new String(outcome.body().get()));
+            }
+            if (claim != null) {
+                router.claims().settle(claim, outcome);
+            }
+        }
+    }
+
+    /** An agent that loses frames, refuses, runs, breaks off, and dies with all it knows. */
+    final class FakeAgent implements ClaimRouter.Asked {
+        private final VmId vm;
+        private KeyedOutcomes outcomes;
+        private int life;
+
+        FakeAgent(VmId vm) {
+            this.vm = vm;
+            this.outcomes = new KeyedOutcomes(vm, 100);
+        }
+
+        void die() {
+            life++;
+            outcomes = new KeyedOutcomes(vm, 100);
+        }
+
+        @Override
+        public Optional<ClaimRecord> find(Request request) {
+            return outcomes.find(request.workspace(), request.idempotencyKey().orElseThrow());
+        }
+
+        void invoked(Flow flow) {
+            int chance = random.nextInt(10);
+            if (chance == 0) {
+                soon(() -> flow.feed(new RequestInput.NotSent(vm)));
+            } else if (chance == 1) {
+                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+            } else {
+                arrived(flow, chance);
+            }
+        }
+
+        private void arrived(Flow flow, int chance) {
+            Optional<Refusal> known = naive ? Optional.empty() : outcomes.begin(flow.request);
+            if (known.isPresent()) {
+                soon(() -> flow.feed(new RequestInput.Refused(vm, known.get())));
+            } else if (chance == 2) {
+                outcomes.ended(flow.request, true);
+                Refusal busy = Refusal.notRun(RefusalCode.OVERLOADED, "busy");
+                soon(() -> flow.feed(new RequestInput.Refused(vm, busy)));
+            } else {
+                int born = life;
+                soon(() -> run(flow, chance, born));
+            }
+        }
+
+        private void run(Flow flow, int chance, int born) {
+            if (life != born) {
+                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+                return;
+            }
+            execute(flow.request);
+            String answer = "run by " + flow.request.id();
+            ClaimRecord.Outcome outcome =
+                    new ClaimRecord.Outcome(200, List.of(), Optional.of(answer.getBytes()));
+            if (chance == 3) {
+                outcomes.ended(flow.request, false);
+                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+                return;
+            }
+            outcomes.settled(flow.request, outcome);
+            if (chance == 4) {
+                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+            } else {
+                soon(() -> flow.served(vm, outcome));
+            }
+        }
+    }
+
+    /** The control thread of a process that can die. */
+    static final class Life implements Control {
+        private final SameThreadControl control;
+        private boolean over;
+
+        Life(SameThreadControl control) {
+            this.control = control;
+        }
+
+        void end() {
+            over = true;
+        }
+
+        boolean over() {
+            return over;
+        }
+
+        @Override
+        public void run(Runnable step) {
+            control.run(whileAlive(step));
+        }
+
+        @Override
+        public <T> java.util.concurrent.CompletionStage<T> ask(
+                java.util.function.Supplier<T> step) {
+            return control.ask(step);
+        }
+
+        @Override
+        public Cancellable after(Duration delay, Runnable step) {
+            return control.after(delay, whileAlive(step));
+        }
+
+        @Override
+        public Cancellable every(Duration period, Runnable step) {
+            return control.every(period, whileAlive(step));
+        }
+
+        @Override
+        public java.time.InstantSource clock() {
+            return control.clock();
+        }
+
+        private Runnable whileAlive(Runnable step) {
+            return () -> {
+                if (!over) {
+                    step.run();
+                }
+            };
+        }
+    }
+}
