Take a claim back whose write was lost; golden session, crossed answers, path segments

Change: a claim that may stand in the store although its request was refused is written again and removed, so that repeats aren't told of an unknown outcome.

--- a/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -174,6 +174,7 @@
         private final String key;
         private final ClaimRecord mine;
         private final Instant giveUp;
+        private Optional<Long> condition = Optional.empty();
 
         Attempt(Request request, VmId vm, Function<VmId, CompletionStage<PeerLink>> connect) {
             this.request = request;
@@ -191,6 +192,7 @@
         }
 
         CompletionStage<ClaimResult> write(Optional<Long> before) {
+            condition = before;
             return store.write(key, before, Optional.of(mine.toJson()), 0, giveUp, true)
                     .thenCompose(this::written);
         }
@@ -202,17 +204,37 @@
                         request.id().toString(),
                         Map.of("agent", mine.agent().value()));
                 metrics.count("claims", "result", "held");
-                return done(
-                        new ClaimResult.Held(
-                                new HeldClaim(key, mine, written.revision(), store.lease())));
+                return done(new ClaimResult.Held(held(written)));
             }
             if (result instanceof Result.Conflict conflict) {
                 return conflict.found().map(this::repeat).orElseGet(() -> write(Optional.empty()));
             }
             metrics.count("claims", "result", "store_unavailable");
+            if (((Result.GaveUp) result).mayHaveTakenEffect()) {
+                takeBack();
+            }
             return done(new ClaimResult.Refused(unavailable()));
         }
 
+        // The claim may stand in the store although its request was refused. Left there, each
+        // repeat
+        // would be told that the outcome is unknown of a payment that never ran. Writing the same
+        // claim again tells whether it stands and at which revision, so that it can be removed.
+        private void takeBack() {
+            Instant end = now().plus(KEEP_TRYING);
+            store.write(key, condition, Optional.of(mine.toJson()), 0, end, false)
+                    .thenAccept(
+                            result -> {
+                                if (result instanceof Result.Written written) {
+                                    release(held(written));
+                                }
+                            });
+        }
+
+        private HeldClaim held(Result.Written written) {
+            return new HeldClaim(key, mine, written.revision(), store.lease());
+        }
+
         private CompletionStage<ClaimResult> repeat(Entry entry) {
             ClaimRecord found;
             try {
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/claims/ClaimBatcherSessionTest.java
@@ -0,0 +1,121 @@
+package io.damaskyoke.control.claims;
+
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.KeyValueStore.TxnResult;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class ClaimBatcherSessionTest {
+    private final ClaimBatcher batcher = ClaimBatcher.of(ClaimSettings.defaults(), new Random(1));
+    private final StringBuilder lines = new StringBuilder();
+    private long now;
+
+    @Test
+    void aWholeSession() {
+        say("Two claims come within the gathering time and share a transaction");
+        claim(1, "a", 10_000);
+        after(2);
+        claim(2, "b", 10_000);
+        tick(5);
+        say("While it is under way others wait, two of them for the same key");
+        claim(3, "c", 10_000);
+        claim(4, "c", 10_000);
+        claim(5, "d", 10_000);
+        answered(true, 7);
+        tick(5);
+        say("The key d exists, so nothing took effect; c goes again without it");
+        answered(false, 8, entry("d", "by another", 3));
+        answered(true, 9);
+        say("The second claim of c finds the first");
+        answered(false, 9, entry("c", "claim 3", 9));
+        say("An answer is lost though the claim was written: sent again, it finds itself");
+        claim(6, "e", 10_000);
+        tick(5);
+        feed("lost", new ClaimInput.Failed(true));
+        tick(60);
+        answered(false, 12, entry("e", "claim 6", 11));
+        say("An outage: pauses grow, and a claim whose time is up is given up");
+        claim(7, "f", 100);
+        tick(5);
+        feed("store down", new ClaimInput.Failed(false));
+        tick(50);
+        feed("store down", new ClaimInput.Failed(false));
+        tick(100);
+        say("A settlement that nobody waits for is gathered for longer");
+        settle(8, "a", 7);
+        tick(100);
+        tick(150);
+        answered(true, 13);
+        Approvals.verify(lines);
+    }
+
+    private void claim(long id, String key, long millis) {
+        submit(id, key, Optional.empty(), "claim " + id, millis, true);
+    }
+
+    private void settle(long id, String key, long revision) {
+        submit(id, key, Optional.of(revision), "answer " + id, 60_000, false);
+    }
+
+    private void submit(
+            long id, String key, Optional<Long> before, String value, long millis, boolean urgent) {
+        Instant giveUp = Instant.ofEpochMilli(now + millis);
+        Optional<byte[]> bytes = Optional.of(value.getBytes(StandardCharsets.UTF_8));
+        feed(
+                "submit " + id + " for " + key,
+                new ClaimInput.Submit(new ClaimWrite(id, key, before, bytes, 0, giveUp, urgent)));
+    }
+
+    private void answered(boolean committed, long revision, Entry... found) {
+        feed(
+                committed ? "committed at " + revision : "not committed",
+                new ClaimInput.Answered(new TxnResult(committed, revision, List.of(found))));
+    }
+
+    private static Entry entry(String key, String value, long revision) {
+        return new Entry(key, value.getBytes(StandardCharsets.UTF_8), revision, 1, 0);
+    }
+
+    private void tick(long millis) {
+        after(millis);
+        feed("tick", new ClaimInput.Tick());
+    }
+
+    private void after(long millis) {
+        now += millis;
+    }
+
+    private void say(String what) {
+        lines.append("\n# ").append(what).append('\n');
+    }
+
+    private void feed(String what, ClaimInput input) {
+        lines.append(now).append(" ms ").append(what).append('\n');
+        for (ClaimAction action : batcher.on(input, Instant.ofEpochMilli(now))) {
+            lines.append("    ").append(text(action)).append('\n');
+        }
+    }
+
+    private static String text(ClaimAction action) {
+        if (action instanceof ClaimAction.Commit commit) {
+            return "commit " + commit.writes().stream().map(ClaimWrite::id).toList();
+        }
+        if (action instanceof ClaimAction.Done done) {
+            return "done " + done.id() + ": " + text(done.result());
+        }
+        return "wake at " + ((ClaimAction.WakeAt) action).time().toEpochMilli() + " ms";
+    }
+
+    private static String text(ClaimAction.Result result) {
+        if (result instanceof ClaimAction.Result.Conflict conflict) {
+            return "conflict with revision "
+                    + conflict.found().map(entry -> "" + entry.modRevision()).orElse("none");
+        }
+        return result.toString();
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/ServiceTest.java
@@ -0,0 +1,42 @@
+package io.damaskyoke.control.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.id.PoolName;
+import io.damaskyoke.id.ServiceName;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ServiceTest {
+    private final Service leases =
+            new Service(
+                    ServiceName.of("leases"),
+                    PoolName.of("leases"),
+                    List.of("POST /lookup", "PUT /notes/"),
+                    Set.of());
+
+    @Test
+    void aMarkedCallCoversItsPathAndWhatIsBelow() {
+        assertTrue(leases.idempotent("POST", "/lookup"));
+        assertTrue(leases.idempotent("POST", "/lookup?bed=7"));
+        assertTrue(leases.idempotent("POST", "/lookup/north"));
+        assertTrue(leases.idempotent("PUT", "/notes/7"));
+    }
+
+    @Test
+    void aMarkedCallDoesNotCoverAPathThatMerelyBeginsLikeIt() {
+        // An operator marks lookups as idempotent. Compared as text, the mark would also cover a
+        // payment at /lookupandpay, which would then be run again when its agent dies.
+        assertFalse(leases.idempotent("POST", "/lookupandpay"));
+        assertFalse(leases.idempotent("POST", "/lookup-and-pay?x=/"));
+        assertFalse(leases.idempotent("PUT", "/lookup"));
+        assertFalse(leases.idempotent("POST", "/"));
+    }
+
+    @Test
+    void safeMethodsMayBeRepeatedUnmarked() {
+        assertTrue(leases.idempotent("GET", "/pay"));
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/control/routing/RequestMachineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/routing/RequestMachineTest.java
@@ -90,6 +90,57 @@
         assertTrue(refusal.retryAfter().isPresent());
     }
 
+    // The caller sees an answer from the second agent. The first refused and surely did not run it;
+    // the claim, which names the agent to ask about the outcome, moves before the request does.
+    @Test
+    void aClaimedPaymentGoesToAnotherAgentOnlyAfterItsClaimHas() {
+        RequestMachine request = claimed();
+        Refusal busy = Refusal.notRun(RefusalCode.OVERLOADED, "busy");
+        assertEquals(
+                List.of(new RequestAction.Claim(TWO)),
+                request.on(new RequestInput.Refused(ONE, busy), NOW));
+        assertEquals(
+                List.of(new RequestAction.Send(TWO)),
+                request.on(new RequestInput.Claimed(TWO), NOW));
+    }
+
+    // The caller is told "not run" and may pay another way. The claim goes with it, or a repeat of
+    // the key would be told for a day that its outcome is unknown.
+    @Test
+    void aClaimedPaymentThatSurelyDidNotRunGivesItsClaimBack() {
+        RequestMachine request = claimed();
+        Refusal no = Refusal.notRun(RefusalCode.KEY_WITHDRAWN, "withdrawn");
+        List<RequestAction> actions = request.on(new RequestInput.Refused(ONE, no), NOW);
+        assertEquals(new RequestAction.Release(), actions.get(0));
+        assertEquals(true, refusalIn(actions).notRun());
+    }
+
+    // The store is out, so nobody knows whether the key came before and ran at another router. "Not
+    // run" would be true of this try only, and the caller would pay again under another key.
+    @Test
+    void aPaymentThatCouldNotBeClaimedIsNotCalledNotRun() {
+        RequestMachine request = RequestMachine.keyed(BOTH, RetryBudget.of(0.2));
+        request.on(new RequestInput.Start(), NOW);
+        assertEquals(false, refusalIn(request.on(new RequestInput.DeadlinePassed(), NOW)).notRun());
+        assertEquals(
+                List.of(new RequestAction.Release()),
+                request.on(new RequestInput.Claimed(ONE), NOW));
+    }
+
+    // The buyer leaves while the payment runs. It is not cancelled, so that its answer is there
+    // when the buyer comes back; if the agent then says that it never ran, the claim is given back.
+    @Test
+    void aClaimedPaymentGoesOnWithoutItsCaller() {
+        RequestMachine request = claimed();
+        List<RequestAction> actions = request.on(new RequestInput.CallerGone(), NOW);
+        assertEquals(1, actions.size());
+        assertEquals(false, refusalIn(actions).notRun());
+        Refusal late = Refusal.notRun(RefusalCode.DEADLINE_UNREACHABLE, "too late");
+        assertEquals(
+                List.of(new RequestAction.Release()),
+                request.on(new RequestInput.Refused(ONE, late), NOW));
+    }
+
     @Test
     void withNoAgentTheCallerIsToldWhenToComeBack() {
         RequestMachine request =
@@ -106,6 +157,16 @@
         return request;
     }
 
+    private static RequestMachine claimed() {
+        RequestMachine request = RequestMachine.keyed(BOTH, RetryBudget.of(0.2));
+        assertEquals(
+                List.of(new RequestAction.Claim(ONE)), request.on(new RequestInput.Start(), NOW));
+        assertEquals(
+                List.of(new RequestAction.Send(ONE)),
+                request.on(new RequestInput.Claimed(ONE), NOW));
+        return request;
+    }
+
     private static Refusal refusalIn(List<RequestAction> actions) {
         RequestAction last = actions.get(actions.size() - 1);
         return assertInstanceOf(RequestAction.Reply.class, last).refusal();
--- a/damaskyoke/src/test/java/io/damaskyoke/peer/ExchangeTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/peer/ExchangeTest.java
@@ -25,6 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -232,6 +233,37 @@
         assertEquals(1, count(metrics, "exchange_frames_dropped{reason=\"doubled\"}"));
     }
 
+    @Test
+    void crossedAnswersNeverMix() throws Exception {
+        // Twenty callers wait on one link. The agent answers them in reverse order and all at once,
+        // so their frames interleave; frames of an answer that is over come once more. Each caller
+        // gets its own answer whole.
+        List<Exchange> exchanges = new ArrayList<>();
+        for (long id = 1; id <= 20; id++) {
+            exchanges.add(invoke(id));
+        }
+        List<IncomingExchange> taken = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            taken.add(0, taken());
+        }
+        taken.forEach(each -> serve(each, numbered(each.request().id().counter())));
+        for (int i = 0; i < 20; i++) {
+            String body = get(collected(served(exchanges.get(i)))).utf8String();
+            assertEquals(((i + 1) + " ".repeat(200)).repeat(200), body);
+        }
+        Frame.Builder late = Frame.newBuilder().setExchange(InvokeCodec.toWire(request(1).id()));
+        taken.get(0).link().send(late.setSequence(1).setEnd(End.getDefaultInstance()).build());
+        Exchange next = invoke(21);
+        serve(taken(), numbered(21));
+        String body = get(collected(served(next))).utf8String();
+        assertEquals(("21" + " ".repeat(200)).repeat(200), body);
+        assertEquals(0, client.running());
+    }
+
+    private static Source<ByteString, NotUsed> numbered(long id) {
+        return Source.repeat(ByteString.fromString(id + " ".repeat(200))).take(200);
+    }
+
     @Test
     void noKeyAndNoKeyIdIsInTheBytesOfAnInvocation() {
         Header key = new Header("authorization", "Bearer planted-secret");
