--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationDraft.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationDraft.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.id.WorkspaceId;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * A configuration while tickets are put into it.
@@ -44,6 +45,17 @@
         sequence = atSequence;
     }
 
+    /** Lets a snapshot say which ticket last set each object. */
+    void lastTickets(Consumer<Map<String, Long>> change) {
+        change.accept(lastTicket);
+    }
+
+    /** Closes it as of this entry, also if nothing was put into it. */
+    Configuration close(long atSequence) {
+        sequence = atSequence;
+        return close();
+    }
+
     Configuration close() {
         return new Configuration(sequence, workspaces, keys, models, services, lastTicket);
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationFollower.java
@@ -16,7 +16,8 @@
         implements Machine<ConfigurationFollower.Offer, ConfigurationFollower.Action> {
     private static final TicketParser STORED = TicketParser.stored();
 
-    private final TicketHistory history = new TicketHistory();
+    private final LogTail tail = new LogTail();
+    private TicketHistory history = new TicketHistory();
     private Configuration current = Configuration.EMPTY;
     private Optional<Instant> confirmedAt = Optional.empty();
 
@@ -60,6 +61,27 @@
         return actions;
     }
 
+    /** Jumps to a snapshot, unless what is applied is as new. */
+    public List<Action> restore(Snapshot snapshot) {
+        if (snapshot.sequence() <= current.sequence()) {
+            return List.of();
+        }
+        current = snapshot.configuration();
+        history = snapshot.history();
+        tail.clear();
+        return List.of(new Action.Apply(current));
+    }
+
+    /** What has been applied, for others to start from. */
+    public Snapshot snapshot() {
+        return new Snapshot(current, history.copy());
+    }
+
+    /** The newest entries applied, as many as are kept. */
+    LogTail tail() {
+        return tail;
+    }
+
     /** The newest configuration applied. */
     public Configuration current() {
         return current;
@@ -108,6 +130,7 @@
         try {
             Ticket ticket = STORED.parse(entry.value());
             draft.put(ticket, entry.sequence());
+            tail.add(entry);
             history.add(
                     new TicketHistory.Accepted(ticket.number(), entry.sequence(), ticket.digest()));
             return true;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
@@ -3,7 +3,9 @@
 import io.damaskyoke.platform.KeyValueStore;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 /** The log of tickets in the platform's store: one key for each sequence number. */
@@ -15,23 +17,56 @@
 
     private final KeyValueStore store;
     private final String folder;
+    private final SnapshotStore snapshots;
 
     ConfigurationLog(KeyValueStore store, String prefix) {
         this.store = store;
         this.folder = prefix + FOLDER;
+        this.snapshots = new SnapshotStore(store, prefix);
     }
 
-    /** Some entries in order, where the store stood then, and whether more may follow. */
-    record Page(List<LogEntry> entries, long revision, boolean last) {}
+    /**
+     * Some entries in order, where the store stood then, and whether more may follow; and the
+     * newest snapshot, if the log no longer reaches back to the entry asked for.
+     */
+    record Page(Optional<Snapshot> snapshot, List<LogEntry> entries, long revision, boolean last) {}
 
     CompletionStage<Page> read(long from) {
-        return store.range(key(from), key(Long.MAX_VALUE), PAGE).thenApply(this::page);
+        return store.range(key(from), key(Long.MAX_VALUE), PAGE)
+                .thenCompose(listing -> whole(page(listing), from));
     }
 
+    SnapshotStore snapshots() {
+        return snapshots;
+    }
+
+    /** Removes the entries up to this one, a page at a time; the newest must be above it. */
+    CompletionStage<Void> shorten(long upTo) {
+        return store.range(folder, key(Math.max(0, upTo) + 1), PAGE)
+                .thenCompose(
+                        old -> {
+                            if (old.entries().isEmpty()) {
+                                return CompletableFuture.completedFuture(null);
+                            }
+                            return store.commit(List.of(), SnapshotStore.deletions(old))
+                                    .thenCompose(done -> shorten(upTo));
+                        });
+    }
+
+    /**
+     * Creates an entry if it is absent and the one before it is there.
+     *
+     * <p>Without the second condition a process that was paused while the log was shortened could
+     * create a place anew that was given out and removed: a ticket accepted and never in force.
+     */
     CompletionStage<Boolean> create(long sequence, byte[] value) {
         String key = key(sequence);
+        KeyValueStore.Condition reachable =
+                sequence == 1
+                        ? snapshots.none()
+                        : new KeyValueStore.Condition.Present(key(sequence - 1));
         return store.commit(
-                        List.of(new KeyValueStore.Condition.Absent(key)),
+                        List.of(new KeyValueStore.Condition.Absent(key), reachable),
                         List.of(new KeyValueStore.Write.Put(key, value, 0)))
                 .thenApply(KeyValueStore.TxnResult::committed);
     }
@@ -45,9 +80,23 @@
         return entriesOf(changes.stream().flatMap(change -> change.entry().stream()).toList());
     }
 
+    private CompletionStage<Page> whole(Page page, long from) {
+        if (page.entries().isEmpty() || page.entries().get(0).sequence() <= from) {
+            return CompletableFuture.completedFuture(page);
+        }
+        return snapshots
+                .read()
+                .thenApply(
+                        snapshot ->
+                                new Page(snapshot, page.entries(), page.revision(), page.last()));
+    }
+
     private Page page(KeyValueStore.Listing listing) {
         return new Page(
-                entriesOf(listing.entries()), listing.revision(), listing.entries().size() < PAGE);
+                Optional.empty(),
+                entriesOf(listing.entries()),
+                listing.revision(),
+                listing.entries().size() < PAGE);
     }
 
     private List<LogEntry> entriesOf(List<KeyValueStore.Entry> found) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
@@ -42,6 +42,7 @@
     private final RandomGenerator random;
     private final ConfigurationLog log;
     private final LogReader reader;
+    private final SnapshotWriter snapshotWriter;
     private final ConfigurationFollower follower = new ConfigurationFollower();
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
@@ -63,8 +64,18 @@
                         log,
                         () -> follower.current().sequence(),
                         this::take,
+                        this::restore,
                         builder.pollPeriod,
                         random);
+        reader.follow(builder.direct);
+        snapshotWriter =
+                new SnapshotWriter(
+                        control,
+                        log.snapshots(),
+                        log,
+                        follower::snapshot,
+                        reader::following,
+                        random);
     }
 
     /** Begins a service on this control thread and store. */
@@ -89,6 +100,39 @@
         control.run(reader::stop);
     }
 
+    /**
+     * Whether to keep a watch on the store and read it once a period, as relays do, or to read it
+     * only on {@link #refresh()}. For the control thread.
+     */
+    public void direct(boolean value) {
+        reader.follow(value);
+    }
+
+    /** Reads the store once, from the next entry on. For the control thread. */
+    public void refresh() {
+        reader.read();
+    }
+
+    /** The entries from this number on, if all are still held. For the control thread. */
+    public Optional<List<LogEntry>> entries(long from) {
+        if (from > current.sequence()) {
+            return Optional.of(List.of());
+        }
+        return follower.tail().reaches(from)
+                ? Optional.of(follower.tail().from(from))
+                : Optional.empty();
+    }
+
+    /** All that is in force, for a process that starts. For the control thread. */
+    public Snapshot snapshot() {
+        return follower.snapshot();
+    }
+
+    /** Takes a snapshot from a peer, unless what is in force is as new. */
+    public void offer(Snapshot snapshot) {
+        control.run(() -> restore(snapshot));
+    }
+
     /** What is in force here; safe from any thread. */
     public Configuration current() {
         return current;
@@ -170,7 +214,7 @@
         submitting = true;
         Waiting next = waiting.remove();
         TicketSubmission machine = TicketSubmission.on(follower, random);
-        new SubmissionRun(control, log, machine, next.ticket())
+        new SubmissionRun(control, log, machine, next.ticket(), this::restore)
                 .start()
                 .thenAccept(result -> control.run(() -> submitted(next, result)));
     }
@@ -206,6 +250,11 @@
         done.result().complete(result);
     }
 
+    private void restore(Snapshot snapshot) {
+        follower.restore(snapshot);
+        publish();
+    }
+
     private void take(ConfigurationFollower.Offer offer) {
         for (ConfigurationFollower.Action action : follower.on(offer, control.clock().instant())) {
             if (action instanceof ConfigurationFollower.Action.Fetch) {
@@ -225,6 +274,7 @@
             current = newest;
             timeline.add(EventType.IN_FORCE, Long.toString(newest.sequence()));
             listeners.forEach(listener -> tell(listener, newest));
+            snapshotWriter.reached(newest.sequence());
         }
     }
 
@@ -255,6 +305,7 @@
         private final Timeline timeline;
         private String prefix = "/damaskyoke";
         private Duration pollPeriod = Duration.ofSeconds(5);
+        private boolean direct = true;
         private RandomGenerator random = new SplittableRandom();
 
         private Builder(Control control, KeyValueStore store, Timeline timeline) {
@@ -278,6 +329,12 @@
             return this;
         }
 
+        /** Whether to follow the store from the start; see {@link #direct}. True if not set. */
+        public Builder direct(boolean value) {
+            direct = value;
+            return this;
+        }
+
         /** Where jitter comes from; seeded in tests. */
         public Builder random(RandomGenerator value) {
             random = Objects.requireNonNull(value, "random");
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
@@ -32,6 +32,7 @@
     private final ConfigurationLog log;
     private final LongSupplier sequence;
     private final Consumer<ConfigurationFollower.Offer> offers;
+    private final Consumer<Snapshot> snapshots;
     private final Duration period;
     private final RandomGenerator random;
     private Optional<KeyValueStore.Watch> watch = Optional.empty();
@@ -39,6 +40,7 @@
     private long watchNumber;
     private int failures;
     private boolean reading;
+    private boolean following = true;
     private boolean stopped;
 
     LogReader(
@@ -46,12 +48,14 @@
             ConfigurationLog log,
             LongSupplier sequence,
             Consumer<ConfigurationFollower.Offer> offers,
+            Consumer<Snapshot> snapshots,
             Duration period,
             RandomGenerator random) {
         this.control = control;
         this.log = log;
         this.sequence = sequence;
         this.offers = offers;
+        this.snapshots = snapshots;
         this.period = period;
         this.random = random;
     }
@@ -79,6 +83,29 @@
                                         }));
     }
 
+    /**
+     * Whether to keep a watch and read once a period, or only when asked to.
+     *
+     * <p>Thirty processes of a fleet follow by themselves; if all did, each entry would come out of
+     * the store as many times as there are processes, and each waiting watch counts as a call.
+     */
+    void follow(boolean value) {
+        if (following == value) {
+            return;
+        }
+        following = value;
+        if (following) {
+            read();
+            return;
+        }
+        timer.ifPresent(Control.Cancellable::cancel);
+        closeWatch();
+    }
+
+    boolean following() {
+        return following;
+    }
+
     void stop() {
         stopped = true;
         timer.ifPresent(Control.Cancellable::cancel);
@@ -92,6 +119,11 @@
         if (watch.isPresent()) {
             failures = 0;
         }
+        page.snapshot().ifPresent(snapshots);
+        if (gap(page)) {
+            failed();
+            return;
+        }
         long head = head(page.entries(), from - 1);
         boolean missed = sequence.getAsLong() < head;
         offers.accept(
@@ -101,6 +133,9 @@
             read();
             return;
         }
+        if (!following) {
+            return;
+        }
         if (missed || watch.isEmpty()) {
             openWatch(page.revision() + 1);
         }
@@ -113,7 +148,7 @@
     }
 
     private void next(Duration delay) {
-        if (!stopped) {
+        if (!stopped && following) {
             timer.ifPresent(Control.Cancellable::cancel);
             timer = Optional.of(control.after(delay, this::read));
         }
@@ -144,6 +179,12 @@
         return Duration.ofMillis(half + random.nextLong(half + 1));
     }
 
+    /** True if entries are missing before those read: the snapshot that has them comes later. */
+    private boolean gap(ConfigurationLog.Page page) {
+        return !page.entries().isEmpty()
+                && page.entries().get(0).sequence() > sequence.getAsLong() + 1;
+    }
+
     private static long head(List<LogEntry> entries, long otherwise) {
         return entries.isEmpty() ? otherwise : entries.get(entries.size() - 1).sequence();
     }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/Snapshot.java
@@ -0,0 +1,103 @@
+package io.damaskyoke.control.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/**
+ * All that following the log up to one entry leaves behind: the configuration, and which ticket
+ * numbers were accepted. Who has it needs no entry up to {@link #sequence()}.
+ */
+public record Snapshot(Configuration configuration, TicketHistory history) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** The number of the last entry that is in it. */
+    public long sequence() {
+        return configuration.sequence();
+    }
+
+    /** The stored form: compressed JSON, the same for the same snapshot. */
+    public byte[] encode() {
+        ObjectNode root = JsonNodeFactory.instance.objectNode().put("sequence", sequence());
+        ObjectNode last = root.putObject("last_ticket");
+        new TreeMap<>(configuration.lastTicket()).forEach(last::put);
+        root.put("floor", history.floor());
+        ArrayNode accepted = root.putArray("accepted");
+        for (TicketHistory.Accepted each : history.all()) {
+            accepted.addArray().add(each.number()).add(each.sequence()).add(each.digest());
+        }
+        try {
+            ArrayNode objects = root.putArray("objects");
+            for (Change change : objects()) {
+                objects.add(JSON.readTree(Ticket.of(1, List.of(change)).toJson()));
+            }
+            return zipped(JSON.writeValueAsBytes(root));
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory can't fail", e);
+        }
+    }
+
+    /** Reads the stored form, or throws a {@link TicketException} with {@code BAD_VALUE}. */
+    public static Snapshot decode(byte[] bytes) {
+        try (GZIPInputStream unzipped = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+            return read(JSON.readTree(unzipped));
+        } catch (IOException | RuntimeException e) {
+            throw new TicketException(
+                    TicketException.Code.BAD_VALUE, "can't read a snapshot: " + e.getMessage());
+        }
+    }
+
+    private static Snapshot read(JsonNode root) throws JsonProcessingException {
+        ConfigurationDraft draft = ConfigurationDraft.of(Configuration.EMPTY);
+        long sequence = root.get("sequence").longValue();
+        // One object at a time, since all together may be larger than a ticket can be.
+        for (JsonNode object : root.get("objects")) {
+            draft.put(TicketParser.stored().parse(JSON.writeValueAsBytes(object)), sequence);
+        }
+        draft.lastTickets(
+                tickets -> {
+                    tickets.clear();
+                    root.get("last_ticket")
+                            .fields()
+                            .forEachRemaining(
+                                    each -> tickets.put(each.getKey(), each.getValue().asLong()));
+                });
+        TicketHistory history = new TicketHistory(root.get("floor").longValue());
+        for (JsonNode each : root.get("accepted")) {
+            history.add(
+                    new TicketHistory.Accepted(
+                            each.get(0).longValue(),
+                            each.get(1).longValue(),
+                            each.get(2).textValue()));
+        }
+        return new Snapshot(draft.close(sequence), history);
+    }
+
+    private List<Change> objects() {
+        List<Change> all = new ArrayList<>();
+        configuration.workspaces().values().forEach(it -> all.add(new Change.SetWorkspace(it)));
+        configuration.keys().values().forEach(it -> all.add(new Change.SetKey(it)));
+        configuration.models().values().forEach(it -> all.add(new Change.SetModel(it)));
+        configuration.services().values().forEach(it -> all.add(new Change.SetService(it)));
+        return all;
+    }
+
+    private static byte[] zipped(byte[] plain) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (GZIPOutputStream zip = new GZIPOutputStream(out)) {
+            zip.write(plain);
+        }
+        return out.toByteArray();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/SubmissionRun.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/SubmissionRun.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Carries out what one {@link TicketSubmission} asks for; lives on the control thread. */
@@ -15,13 +16,20 @@
     private final ConfigurationLog log;
     private final TicketSubmission machine;
     private final Ticket ticket;
+    private final Consumer<Snapshot> snapshots;
     private final CompletableFuture<TicketResult> result = new CompletableFuture<>();
 
-    SubmissionRun(Control control, ConfigurationLog log, TicketSubmission machine, Ticket ticket) {
+    SubmissionRun(
+            Control control,
+            ConfigurationLog log,
+            TicketSubmission machine,
+            Ticket ticket,
+            Consumer<Snapshot> snapshots) {
         this.control = control;
         this.log = log;
         this.machine = machine;
         this.ticket = ticket;
+        this.snapshots = snapshots;
     }
 
     CompletionStage<TicketResult> start() {
@@ -60,6 +68,8 @@
         return log.read(from)
                 .thenCompose(
                         page -> {
+                            page.snapshot()
+                                    .ifPresent(it -> control.run(() -> snapshots.accept(it)));
                             List<LogEntry> all = new ArrayList<>(before);
                             all.addAll(page.entries());
                             long head = all.isEmpty() ? 0 : all.get(all.size() - 1).sequence();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/TicketHistory.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/TicketHistory.java
@@ -1,5 +1,7 @@
 package io.damaskyoke.control.configuration;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -12,12 +14,22 @@
  * without that floor the history would grow as long as the system lives. What is held depends on
  * the log alone, hence all processes judge alike.
  */
-final class TicketHistory {
+public final class TicketHistory {
     static final int CAPACITY = 16_384;
 
     private final TreeMap<Long, Accepted> accepted = new TreeMap<>();
     private long floor;
 
+    /** An empty history. */
+    TicketHistory() {
+        this(0);
+    }
+
+    /** An empty history that knows nothing of numbers up to the floor. */
+    TicketHistory(long floor) {
+        this.floor = floor;
+    }
+
     /** One accepted ticket. */
     record Accepted(long number, long sequence, String digest) {}
 
@@ -32,6 +44,23 @@
         return Optional.ofNullable(accepted.get(number));
     }
 
+    /** One that later additions to this one leave as it is. */
+    TicketHistory copy() {
+        TicketHistory copy = new TicketHistory(floor);
+        copy.accepted.putAll(accepted);
+        return copy;
+    }
+
+    /** All that are held, by number. */
+    Collection<Accepted> all() {
+        return List.copyOf(accepted.values());
+    }
+
+    /** The highest number that is no longer held; 0 if none was dropped. */
+    long floor() {
+        return floor;
+    }
+
     /** True if nobody can say any more whether the number was used. */
     boolean forgotten(long number) {
         return number <= floor;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RegistrationTable.java
@@ -0,0 +1,83 @@
+package io.damaskyoke.control.relay;
+
+import io.damaskyoke.id.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The agents' registrations as of one revision of the store, and what has changed since others.
+ *
+ * <p>Revisions are the store's own, so a process may take its next changes from another relay. A
+ * removal is remembered as long as the table lives; a table that began later than what the asker
+ * knows can't know of removals in between, and gives all it has.
+ */
+public final class RegistrationTable {
+    private final Map<VmId, Row> rows = new TreeMap<>();
+    private long since;
+    private long revision;
+
+    /**
+     * A registration, or the end of one.
+     *
+     * @param value the stored JSON; empty if it was removed
+     * @param revision of the store when it was set or removed
+     */
+    public record Row(VmId vm, byte[] value, long revision) {
+        /** True if there is no registration any more. */
+        public boolean removed() {
+            return value.length == 0;
+        }
+    }
+
+    /**
+     * What a process needs to come to {@code revision}; {@code full}: what is not in it is gone.
+     */
+    public record Delta(List<Row> rows, long revision, boolean full) {}
+
+    /** The store's revision that the table stands for; 0 before the first reading. */
+    public long revision() {
+        return revision;
+    }
+
+    /** All registrations there are. */
+    public List<Row> all() {
+        return rows.values().stream().filter(row -> !row.removed()).toList();
+    }
+
+    /** Takes a change; one that is older than what is known changes nothing. */
+    public void put(Row row) {
+        Row before = rows.get(row.vm());
+        if (before == null || before.revision() < row.revision()) {
+            rows.put(row.vm(), row);
+        }
+        revision = Math.max(revision, row.revision());
+    }
+
+    /** Takes a delta, unless the table is newer. */
+    public void take(Delta delta) {
+        if (delta.revision() < revision) {
+            return;
+        }
+        if (delta.full()) {
+            rows.clear();
+            since = delta.revision();
+        }
+        delta.rows().forEach(this::put);
+        revision = delta.revision();
+    }
+
+    /** What has changed since that revision; all if the table doesn't know that. */
+    public Delta since(long known) {
+        if (known > revision) {
+            return new Delta(List.of(), known, false);
+        }
+        if (known < since || known == 0) {
+            return new Delta(all(), revision, true);
+        }
+        List<Row> changed = new ArrayList<>();
+        rows.values().stream().filter(row -> row.revision() > known).forEach(changed::add);
+        return new Delta(changed, revision, false);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelayMachine.java
@@ -0,0 +1,231 @@
+package io.damaskyoke.control.relay;
+
+import io.damaskyoke.control.Machine;
+import io.damaskyoke.id.AvailabilityZone;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.VmList.Role;
+import io.damaskyoke.platform.VmList.Vm;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides where a process gets its configuration from: from the store, if the plan makes it a relay
+ * of its zone; else from the zone's relays, and from the store only if they are silent.
+ *
+ * <p>A peer's confirmation counts from the moment at which it was <em>asked</em>, less the age that
+ * it gives. Counted from its arrival, an answer that had waited in the buffers of a process stopped
+ * for a minute would confirm a configuration a minute old: a withdrawn key would go on working.
+ */
+public final class RelayMachine implements Machine<RelayInput, RelayAction> {
+    private static final int MOST_PROBES = 64;
+    private static final int MOST_DOUBLINGS = 4;
+
+    private final VmId self;
+    private final AvailabilityZone zone;
+    private final RelaySettings settings;
+    private final RandomGenerator random;
+    private final Map<Long, Sent> probes = new LinkedHashMap<>();
+    private final Map<VmId, Instant> answered = new HashMap<>();
+    private final Set<VmId> waitedFor = new HashSet<>();
+    private List<Vm> relays = List.of();
+    private List<Vm> routers = List.of();
+    private boolean relay;
+    private long lastProbe;
+    private int turn;
+    private int storeTries;
+    private Optional<Instant> begun = Optional.empty();
+    private Optional<Instant> confirmed = Optional.empty();
+    private Instant probeDue = Instant.MIN;
+    private Instant storeDue = Instant.MAX;
+
+    private record Sent(Vm peer, Instant at) {}
+
+    private RelayMachine(
+            VmId self, AvailabilityZone zone, RelaySettings settings, RandomGenerator random) {
+        this.self = self;
+        this.zone = zone;
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** A machine for the process on this VM, which knows of no other yet. */
+    public static RelayMachine of(
+            VmId self, AvailabilityZone zone, RelaySettings settings, RandomGenerator random) {
+        return new RelayMachine(self, zone, settings, random);
+    }
+
+    @Override
+    public List<RelayAction> on(RelayInput input, Instant now) {
+        begun = begun.or(() -> Optional.of(now));
+        List<RelayAction> actions = new ArrayList<>();
+        if (input instanceof RelayInput.Listed listed) {
+            take(listed.vms(), actions);
+        } else if (input instanceof RelayInput.Answered answer) {
+            take(answer, now, actions);
+        } else if (input instanceof RelayInput.Behind behind) {
+            catchUp(behind.peer(), now, actions);
+        } else if (input instanceof RelayInput.Confirmed store) {
+            confirm(store.asOf());
+        } else {
+            tick(now, actions);
+        }
+        return actions;
+    }
+
+    /** True while this process is a relay of its zone. */
+    public boolean relay() {
+        return relay;
+    }
+
+    private void take(List<Vm> listed, List<RelayAction> actions) {
+        List<Vm> chosen = RelayPlan.relays(listed, zone);
+        boolean chosenHere = chosen.stream().anyMatch(vm -> vm.id().equals(self));
+        List<Vm> others = chosen.stream().filter(vm -> !vm.id().equals(self)).toList();
+        routers =
+                listed.stream()
+                        .filter(vm -> vm.role() == Role.ROUTER && !vm.id().equals(self))
+                        .toList();
+        if (!others.equals(relays)) {
+            relays = others;
+            actions.add(new RelayAction.Follow(others));
+        }
+        if (chosenHere != relay) {
+            relay = chosenHere;
+            actions.add(new RelayAction.Watch(relay));
+        }
+    }
+
+    private void take(RelayInput.Answered answer, Instant now, List<RelayAction> actions) {
+        Sent sent = probes.remove(answer.probe());
+        if (sent == null || !sent.peer().id().equals(answer.from())) {
+            return;
+        }
+        answered.put(answer.from(), now);
+        waitedFor.remove(answer.from());
+        answer.confirmedAge()
+                .map(sent.at()::minus)
+                .ifPresent(
+                        asOf -> {
+                            confirm(asOf);
+                            actions.add(new RelayAction.Confirm(answer.head(), asOf));
+                        });
+    }
+
+    private void catchUp(VmId peer, Instant now, List<RelayAction> actions) {
+        relays.stream()
+                .filter(vm -> vm.id().equals(peer))
+                .findFirst()
+                .ifPresent(vm -> probe(vm, now, actions));
+    }
+
+    private void tick(Instant now, List<RelayAction> actions) {
+        askAnother(now, actions);
+        if (!now.isBefore(probeDue)) {
+            probeDue = now.plus(jittered(settings.probe()));
+            nextRelay().ifPresent(vm -> probe(vm, now, actions));
+            if (unconfirmed(now)) {
+                anyRouter().ifPresent(vm -> probe(vm, now, actions));
+            }
+        }
+        if (!relay && (silent(now) || unconfirmed(now))) {
+            askStore(now, actions);
+        } else {
+            storeDue = Instant.MAX;
+            storeTries = 0;
+        }
+    }
+
+    /** A frozen relay costs its followers one answer's time, not a turn. */
+    private void askAnother(Instant now, List<RelayAction> actions) {
+        Instant limit = now.minus(settings.answer());
+        List<Vm> late =
+                probes.values().stream()
+                        .filter(sent -> sent.at().isBefore(limit))
+                        .map(Sent::peer)
+                        .filter(vm -> waitedFor.add(vm.id()))
+                        .toList();
+        if (!late.isEmpty()) {
+            relays.stream()
+                    .filter(vm -> !waitedFor.contains(vm.id()))
+                    .findFirst()
+                    .ifPresent(vm -> probe(vm, now, actions));
+        }
+    }
+
+    private void probe(Vm peer, Instant now, List<RelayAction> actions) {
+        probes.put(++lastProbe, new Sent(peer, now));
+        if (probes.size() > MOST_PROBES) {
+            probes.remove(probes.keySet().iterator().next());
+        }
+        actions.add(new RelayAction.Probe(peer, lastProbe));
+    }
+
+    private void askStore(Instant now, List<RelayAction> actions) {
+        if (storeDue.equals(Instant.MAX)) {
+            storeDue = relays.isEmpty() ? now : now.plus(jittered(settings.answer()));
+        }
+        if (now.isBefore(storeDue)) {
+            return;
+        }
+        actions.add(new RelayAction.AskStore());
+        storeDue = now.plus(jittered(storePause()));
+        storeTries++;
+    }
+
+    private Duration storePause() {
+        Duration pause =
+                settings.storePeriod().multipliedBy(1L << Math.min(storeTries, MOST_DOUBLINGS));
+        Duration longest = settings.longestStorePeriod();
+        return pause.compareTo(longest) < 0 ? pause : longest;
+    }
+
+    private void confirm(Instant asOf) {
+        if (confirmed.isEmpty() || confirmed.get().isBefore(asOf)) {
+            confirmed = Optional.of(asOf);
+            storeTries = 0;
+        }
+    }
+
+    private boolean unconfirmed(Instant now) {
+        Instant since = confirmed.orElse(begun.orElse(now));
+        return now.isAfter(since.plus(settings.patience()));
+    }
+
+    /**
+     * True if no relay has answered for too long; a relay that was never asked counts as silent.
+     */
+    private boolean silent(Instant now) {
+        Instant limit = now.minus(settings.silence());
+        return relays.stream()
+                .map(vm -> answered.getOrDefault(vm.id(), begun.orElse(now)))
+                .noneMatch(at -> at.isAfter(limit));
+    }
+
+    private Optional<Vm> nextRelay() {
+        List<Vm> ready = relays.stream().filter(vm -> !waitedFor.contains(vm.id())).toList();
+        List<Vm> choice = ready.isEmpty() || turn % MOST_DOUBLINGS == 0 ? relays : ready;
+        return choice.isEmpty()
+                ? Optional.empty()
+                : Optional.of(choice.get(Math.floorMod(turn++, choice.size())));
+    }
+
+    private Optional<Vm> anyRouter() {
+        return routers.isEmpty()
+                ? Optional.empty()
+                : Optional.of(routers.get(random.nextInt(routers.size())));
+    }
+
+    private Duration jittered(Duration duration) {
+        long half = duration.toMillis() / 2;
+        return Duration.ofMillis(half + random.nextLong(half + 1));
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntries.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntries.java
@@ -49,6 +49,7 @@
             io.damaskyoke.peer.wire.ConfigEntries.class, io.damaskyoke.peer.wire.ConfigEntries.Builder.class);
   }
 
+  private int bitField0_;
   public static final int HEAD_SEQUENCE_FIELD_NUMBER = 1;
   private long headSequence_ = 0L;
   /**
@@ -143,6 +144,59 @@
     return entries_.get(index);
   }
 
+  public static final int PROBE_FIELD_NUMBER = 5;
+  private long probe_ = 0L;
+  /**
+   * <pre>
+   * of the fetch that this answers; 0: a push
+   * </pre>
+   *
+   * <code>uint64 probe = 5;</code>
+   * @return The probe.
+   */
+  @java.lang.Override
+  public long getProbe() {
+    return probe_;
+  }
+
+  public static final int SNAPSHOT_FIELD_NUMBER = 6;
+  private io.damaskyoke.peer.wire.SnapshotChunk snapshot_;
+  /**
+   * <pre>
+   * set where the entries wanted are no longer kept
+   * </pre>
+   *
+   * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+   * @return Whether the snapshot field is set.
+   */
+  @java.lang.Override
+  public boolean hasSnapshot() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * set where the entries wanted are no longer kept
+   * </pre>
+   *
+   * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+   * @return The snapshot.
+   */
+  @java.lang.Override
+  public io.damaskyoke.peer.wire.SnapshotChunk getSnapshot() {
+    return snapshot_ == null ? io.damaskyoke.peer.wire.SnapshotChunk.getDefaultInstance() : snapshot_;
+  }
+  /**
+   * <pre>
+   * set where the entries wanted are no longer kept
+   * </pre>
+   *
+   * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+   */
+  @java.lang.Override
+  public io.damaskyoke.peer.wire.SnapshotChunkOrBuilder getSnapshotOrBuilder() {
+    return snapshot_ == null ? io.damaskyoke.peer.wire.SnapshotChunk.getDefaultInstance() : snapshot_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -169,6 +223,12 @@
     for (int i = 0; i < entries_.size(); i++) {
       output.writeMessage(4, entries_.get(i));
     }
+    if (probe_ != 0L) {
+      output.writeUInt64(5, probe_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(6, getSnapshot());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -194,6 +254,14 @@
           }
           size += 1 * count;
         }
+    if (probe_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, probe_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, getSnapshot());
+    }
     return size;
   }
   @java.lang.Override
@@ -226,6 +294,13 @@
         != other.getConfirmedAgeMs()) return false;
     if (!getEntriesList()
         .equals(other.getEntriesList())) return false;
+    if (getProbe()
+        != other.getProbe()) return false;
+    if (hasSnapshot() != other.hasSnapshot()) return false;
+    if (hasSnapshot()) {
+      if (!getSnapshot()
+          .equals(other.getSnapshot())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -250,6 +325,13 @@
       hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
       hash = (53 * hash) + getEntriesList().hashCode();
     }
+    hash = (37 * hash) + PROBE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getProbe());
+    if (hasSnapshot()) {
+      hash = (37 * hash) + SNAPSHOT_FIELD_NUMBER;
+      hash = (53 * hash) + getSnapshot().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -369,13 +451,20 @@
 
     // Construct using io.damaskyoke.peer.wire.ConfigEntries.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetEntriesFieldBuilder();
+        internalGetSnapshotFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -391,6 +480,12 @@
         entriesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      probe_ = 0L;
+      snapshot_ = null;
+      if (snapshotBuilder_ != null) {
+        snapshotBuilder_.dispose();
+        snapshotBuilder_ = null;
+      }
       return this;
     }
 
@@ -446,6 +541,17 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.confirmedAgeMs_ = confirmedAgeMs_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.probe_ = probe_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.snapshot_ = snapshotBuilder_ == null
+            ? snapshot_
+            : snapshotBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -495,6 +601,12 @@
           }
         }
       }
+      if (other.getProbe() != 0L) {
+        setProbe(other.getProbe());
+      }
+      if (other.hasSnapshot()) {
+        mergeSnapshot(other.getSnapshot());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -547,6 +659,18 @@
               }
               break;
             } // case 34
+            case 40: {
+              probe_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              input.readMessage(
+                  internalGetSnapshotFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -966,6 +1090,205 @@
       return entriesBuilder_;
     }
 
+    private long probe_ ;
+    /**
+     * <pre>
+     * of the fetch that this answers; 0: a push
+     * </pre>
+     *
+     * <code>uint64 probe = 5;</code>
+     * @return The probe.
+     */
+    @java.lang.Override
+    public long getProbe() {
+      return probe_;
+    }
+    /**
+     * <pre>
+     * of the fetch that this answers; 0: a push
+     * </pre>
+     *
+     * <code>uint64 probe = 5;</code>
+     * @param value The probe to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProbe(long value) {
+
+      probe_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * of the fetch that this answers; 0: a push
+     * </pre>
+     *
+     * <code>uint64 probe = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProbe() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      probe_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private io.damaskyoke.peer.wire.SnapshotChunk snapshot_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.damaskyoke.peer.wire.SnapshotChunk, io.damaskyoke.peer.wire.SnapshotChunk.Builder, io.damaskyoke.peer.wire.SnapshotChunkOrBuilder> snapshotBuilder_;
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     * @return Whether the snapshot field is set.
+     */
+    public boolean hasSnapshot() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     * @return The snapshot.
+     */
+    public io.damaskyoke.peer.wire.SnapshotChunk getSnapshot() {
+      if (snapshotBuilder_ == null) {
+        return snapshot_ == null ? io.damaskyoke.peer.wire.SnapshotChunk.getDefaultInstance() : snapshot_;
+      } else {
+        return snapshotBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    public Builder setSnapshot(io.damaskyoke.peer.wire.SnapshotChunk value) {
+      if (snapshotBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        snapshot_ = value;
+      } else {
+        snapshotBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    public Builder setSnapshot(
+        io.damaskyoke.peer.wire.SnapshotChunk.Builder builderForValue) {
+      if (snapshotBuilder_ == null) {
+        snapshot_ = builderForValue.build();
+      } else {
+        snapshotBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    public Builder mergeSnapshot(io.damaskyoke.peer.wire.SnapshotChunk value) {
+      if (snapshotBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0) &&
+          snapshot_ != null &&
+          snapshot_ != io.damaskyoke.peer.wire.SnapshotChunk.getDefaultInstance()) {
+          getSnapshotBuilder().mergeFrom(value);
+        } else {
+          snapshot_ = value;
+        }
+      } else {
+        snapshotBuilder_.mergeFrom(value);
+      }
+      if (snapshot_ != null) {
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    public Builder clearSnapshot() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      snapshot_ = null;
+      if (snapshotBuilder_ != null) {
+        snapshotBuilder_.dispose();
+        snapshotBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    public io.damaskyoke.peer.wire.SnapshotChunk.Builder getSnapshotBuilder() {
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return internalGetSnapshotFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    public io.damaskyoke.peer.wire.SnapshotChunkOrBuilder getSnapshotOrBuilder() {
+      if (snapshotBuilder_ != null) {
+        return snapshotBuilder_.getMessageOrBuilder();
+      } else {
+        return snapshot_ == null ?
+            io.damaskyoke.peer.wire.SnapshotChunk.getDefaultInstance() : snapshot_;
+      }
+    }
+    /**
+     * <pre>
+     * set where the entries wanted are no longer kept
+     * </pre>
+     *
+     * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.damaskyoke.peer.wire.SnapshotChunk, io.damaskyoke.peer.wire.SnapshotChunk.Builder, io.damaskyoke.peer.wire.SnapshotChunkOrBuilder> 
+        internalGetSnapshotFieldBuilder() {
+      if (snapshotBuilder_ == null) {
+        snapshotBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.damaskyoke.peer.wire.SnapshotChunk, io.damaskyoke.peer.wire.SnapshotChunk.Builder, io.damaskyoke.peer.wire.SnapshotChunkOrBuilder>(
+                getSnapshot(),
+                getParentForChildren(),
+                isClean());
+        snapshot_ = null;
+      }
+      return snapshotBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:damaskyoke.peer.ConfigEntries)
   }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntriesOrBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntriesOrBuilder.java
@@ -71,4 +71,41 @@
    */
   io.damaskyoke.peer.wire.ConfigEntryOrBuilder getEntriesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * of the fetch that this answers; 0: a push
+   * </pre>
+   *
+   * <code>uint64 probe = 5;</code>
+   * @return The probe.
+   */
+  long getProbe();
+
+  /**
+   * <pre>
+   * set where the entries wanted are no longer kept
+   * </pre>
+   *
+   * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+   * @return Whether the snapshot field is set.
+   */
+  boolean hasSnapshot();
+  /**
+   * <pre>
+   * set where the entries wanted are no longer kept
+   * </pre>
+   *
+   * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+   * @return The snapshot.
+   */
+  io.damaskyoke.peer.wire.SnapshotChunk getSnapshot();
+  /**
+   * <pre>
+   * set where the entries wanted are no longer kept
+   * </pre>
+   *
+   * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
+   */
+  io.damaskyoke.peer.wire.SnapshotChunkOrBuilder getSnapshotOrBuilder();
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigFetch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigFetch.java
@@ -63,6 +63,51 @@
     return fromSequence_;
   }
 
+  public static final int PROBE_FIELD_NUMBER = 2;
+  private long probe_ = 0L;
+  /**
+   * <pre>
+   * comes back in the answer; the sender remembers when it sent it
+   * </pre>
+   *
+   * <code>uint64 probe = 2;</code>
+   * @return The probe.
+   */
+  @java.lang.Override
+  public long getProbe() {
+    return probe_;
+  }
+
+  public static final int AGENTS_FIELD_NUMBER = 3;
+  private boolean agents_ = false;
+  /**
+   * <pre>
+   * the sender wants the agents' registrations too
+   * </pre>
+   *
+   * <code>bool agents = 3;</code>
+   * @return The agents.
+   */
+  @java.lang.Override
+  public boolean getAgents() {
+    return agents_;
+  }
+
+  public static final int AGENTS_REVISION_FIELD_NUMBER = 4;
+  private long agentsRevision_ = 0L;
+  /**
+   * <pre>
+   * the store's revision up to which it has them; 0: none
+   * </pre>
+   *
+   * <code>uint64 agents_revision = 4;</code>
+   * @return The agentsRevision.
+   */
+  @java.lang.Override
+  public long getAgentsRevision() {
+    return agentsRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -80,6 +125,15 @@
     if (fromSequence_ != 0L) {
       output.writeUInt64(1, fromSequence_);
     }
+    if (probe_ != 0L) {
+      output.writeUInt64(2, probe_);
+    }
+    if (agents_ != false) {
+      output.writeBool(3, agents_);
+    }
+    if (agentsRevision_ != 0L) {
+      output.writeUInt64(4, agentsRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -88,6 +142,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(1, fromSequence_);
     }
+    if (probe_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(2, probe_);
+    }
+    if (agents_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, agents_);
+    }
+    if (agentsRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, agentsRevision_);
+    }
     return size;
   }
   @java.lang.Override
@@ -114,6 +180,12 @@
 
     if (getFromSequence()
         != other.getFromSequence()) return false;
+    if (getProbe()
+        != other.getProbe()) return false;
+    if (getAgents()
+        != other.getAgents()) return false;
+    if (getAgentsRevision()
+        != other.getAgentsRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -128,6 +200,15 @@
     hash = (37 * hash) + FROM_SEQUENCE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getFromSequence());
+    hash = (37 * hash) + PROBE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getProbe());
+    hash = (37 * hash) + AGENTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAgents());
+    hash = (37 * hash) + AGENTS_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgentsRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -260,6 +341,9 @@
       super.clear();
       bitField0_ = 0;
       fromSequence_ = 0L;
+      probe_ = 0L;
+      agents_ = false;
+      agentsRevision_ = 0L;
       return this;
     }
 
@@ -296,6 +380,15 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.fromSequence_ = fromSequence_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.probe_ = probe_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.agents_ = agents_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.agentsRevision_ = agentsRevision_;
+      }
     }
 
     @java.lang.Override
@@ -313,6 +406,15 @@
       if (other.getFromSequence() != 0L) {
         setFromSequence(other.getFromSequence());
       }
+      if (other.getProbe() != 0L) {
+        setProbe(other.getProbe());
+      }
+      if (other.getAgents() != false) {
+        setAgents(other.getAgents());
+      }
+      if (other.getAgentsRevision() != 0L) {
+        setAgentsRevision(other.getAgentsRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -342,6 +444,21 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              probe_ = input.readUInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 24: {
+              agents_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              agentsRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -403,6 +520,138 @@
       return this;
     }
 
+    private long probe_ ;
+    /**
+     * <pre>
+     * comes back in the answer; the sender remembers when it sent it
+     * </pre>
+     *
+     * <code>uint64 probe = 2;</code>
+     * @return The probe.
+     */
+    @java.lang.Override
+    public long getProbe() {
+      return probe_;
+    }
+    /**
+     * <pre>
+     * comes back in the answer; the sender remembers when it sent it
+     * </pre>
+     *
+     * <code>uint64 probe = 2;</code>
+     * @param value The probe to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProbe(long value) {
+
+      probe_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * comes back in the answer; the sender remembers when it sent it
+     * </pre>
+     *
+     * <code>uint64 probe = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProbe() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      probe_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean agents_ ;
+    /**
+     * <pre>
+     * the sender wants the agents' registrations too
+     * </pre>
+     *
+     * <code>bool agents = 3;</code>
+     * @return The agents.
+     */
+    @java.lang.Override
+    public boolean getAgents() {
+      return agents_;
+    }
+    /**
+     * <pre>
+     * the sender wants the agents' registrations too
+     * </pre>
+     *
+     * <code>bool agents = 3;</code>
+     * @param value The agents to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgents(boolean value) {
+
+      agents_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the sender wants the agents' registrations too
+     * </pre>
+     *
+     * <code>bool agents = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgents() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      agents_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long agentsRevision_ ;
+    /**
+     * <pre>
+     * the store's revision up to which it has them; 0: none
+     * </pre>
+     *
+     * <code>uint64 agents_revision = 4;</code>
+     * @return The agentsRevision.
+     */
+    @java.lang.Override
+    public long getAgentsRevision() {
+      return agentsRevision_;
+    }
+    /**
+     * <pre>
+     * the store's revision up to which it has them; 0: none
+     * </pre>
+     *
+     * <code>uint64 agents_revision = 4;</code>
+     * @param value The agentsRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentsRevision(long value) {
+
+      agentsRevision_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the store's revision up to which it has them; 0: none
+     * </pre>
+     *
+     * <code>uint64 agents_revision = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgentsRevision() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      agentsRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:damaskyoke.peer.ConfigFetch)
   }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigFetchOrBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigFetchOrBuilder.java
@@ -19,4 +19,34 @@
    * @return The fromSequence.
    */
   long getFromSequence();
+
+  /**
+   * <pre>
+   * comes back in the answer; the sender remembers when it sent it
+   * </pre>
+   *
+   * <code>uint64 probe = 2;</code>
+   * @return The probe.
+   */
+  long getProbe();
+
+  /**
+   * <pre>
+   * the sender wants the agents' registrations too
+   * </pre>
+   *
+   * <code>bool agents = 3;</code>
+   * @return The agents.
+   */
+  boolean getAgents();
+
+  /**
+   * <pre>
+   * the store's revision up to which it has them; 0: none
+   * </pre>
+   *
+   * <code>uint64 agents_revision = 4;</code>
+   * @return The agentsRevision.
+   */
+  long getAgentsRevision();
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Frame.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Frame.java
@@ -67,6 +67,7 @@
     DRAINING(30),
     CONFIG_FETCH(40),
     CONFIG_ENTRIES(41),
+    REGISTRATIONS(42),
     TOKEN_TRANSFER(50),
     TOKEN_REQUEST(51),
     ORDER(60),
@@ -102,6 +103,7 @@
         case 30: return DRAINING;
         case 40: return CONFIG_FETCH;
         case 41: return CONFIG_ENTRIES;
+        case 42: return REGISTRATIONS;
         case 50: return TOKEN_TRANSFER;
         case 51: return TOKEN_REQUEST;
         case 60: return ORDER;
@@ -563,6 +565,37 @@
     return io.damaskyoke.peer.wire.ConfigEntries.getDefaultInstance();
   }
 
+  public static final int REGISTRATIONS_FIELD_NUMBER = 42;
+  /**
+   * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+   * @return Whether the registrations field is set.
+   */
+  @java.lang.Override
+  public boolean hasRegistrations() {
+    return kindCase_ == 42;
+  }
+  /**
+   * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+   * @return The registrations.
+   */
+  @java.lang.Override
+  public io.damaskyoke.peer.wire.Registrations getRegistrations() {
+    if (kindCase_ == 42) {
+       return (io.damaskyoke.peer.wire.Registrations) kind_;
+    }
+    return io.damaskyoke.peer.wire.Registrations.getDefaultInstance();
+  }
+  /**
+   * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+   */
+  @java.lang.Override
+  public io.damaskyoke.peer.wire.RegistrationsOrBuilder getRegistrationsOrBuilder() {
+    if (kindCase_ == 42) {
+       return (io.damaskyoke.peer.wire.Registrations) kind_;
+    }
+    return io.damaskyoke.peer.wire.Registrations.getDefaultInstance();
+  }
+
   public static final int TOKEN_TRANSFER_FIELD_NUMBER = 50;
   /**
    * <code>.damaskyoke.peer.TokenTransfer token_transfer = 50;</code>
@@ -808,6 +841,9 @@
     if (kindCase_ == 41) {
       output.writeMessage(41, (io.damaskyoke.peer.wire.ConfigEntries) kind_);
     }
+    if (kindCase_ == 42) {
+      output.writeMessage(42, (io.damaskyoke.peer.wire.Registrations) kind_);
+    }
     if (kindCase_ == 50) {
       output.writeMessage(50, (io.damaskyoke.peer.wire.TokenTransfer) kind_);
     }
@@ -890,6 +926,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(41, (io.damaskyoke.peer.wire.ConfigEntries) kind_);
     }
+    if (kindCase_ == 42) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(42, (io.damaskyoke.peer.wire.Registrations) kind_);
+    }
     if (kindCase_ == 50) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(50, (io.damaskyoke.peer.wire.TokenTransfer) kind_);
@@ -997,6 +1037,10 @@
         if (!getConfigEntries()
             .equals(other.getConfigEntries())) return false;
         break;
+      case 42:
+        if (!getRegistrations()
+            .equals(other.getRegistrations())) return false;
+        break;
       case 50:
         if (!getTokenTransfer()
             .equals(other.getTokenTransfer())) return false;
@@ -1093,6 +1137,10 @@
         hash = (37 * hash) + CONFIG_ENTRIES_FIELD_NUMBER;
         hash = (53 * hash) + getConfigEntries().hashCode();
         break;
+      case 42:
+        hash = (37 * hash) + REGISTRATIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getRegistrations().hashCode();
+        break;
       case 50:
         hash = (37 * hash) + TOKEN_TRANSFER_FIELD_NUMBER;
         hash = (53 * hash) + getTokenTransfer().hashCode();
@@ -1300,6 +1348,9 @@
       if (configEntriesBuilder_ != null) {
         configEntriesBuilder_.clear();
       }
+      if (registrationsBuilder_ != null) {
+        registrationsBuilder_.clear();
+      }
       if (tokenTransferBuilder_ != null) {
         tokenTransferBuilder_.clear();
       }
@@ -1421,6 +1472,10 @@
           configEntriesBuilder_ != null) {
         result.kind_ = configEntriesBuilder_.build();
       }
+      if (kindCase_ == 42 &&
+          registrationsBuilder_ != null) {
+        result.kind_ = registrationsBuilder_.build();
+      }
       if (kindCase_ == 50 &&
           tokenTransferBuilder_ != null) {
         result.kind_ = tokenTransferBuilder_.build();
@@ -1517,6 +1572,10 @@
           mergeConfigEntries(other.getConfigEntries());
           break;
         }
+        case REGISTRATIONS: {
+          mergeRegistrations(other.getRegistrations());
+          break;
+        }
         case TOKEN_TRANSFER: {
           mergeTokenTransfer(other.getTokenTransfer());
           break;
@@ -1670,6 +1729,13 @@
               kindCase_ = 41;
               break;
             } // case 330
+            case 338: {
+              input.readMessage(
+                  internalGetRegistrationsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 42;
+              break;
+            } // case 338
             case 402: {
               input.readMessage(
                   internalGetTokenTransferFieldBuilder().getBuilder(),
@@ -3667,6 +3733,146 @@
       return configEntriesBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.damaskyoke.peer.wire.Registrations, io.damaskyoke.peer.wire.Registrations.Builder, io.damaskyoke.peer.wire.RegistrationsOrBuilder> registrationsBuilder_;
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     * @return Whether the registrations field is set.
+     */
+    @java.lang.Override
+    public boolean hasRegistrations() {
+      return kindCase_ == 42;
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     * @return The registrations.
+     */
+    @java.lang.Override
+    public io.damaskyoke.peer.wire.Registrations getRegistrations() {
+      if (registrationsBuilder_ == null) {
+        if (kindCase_ == 42) {
+          return (io.damaskyoke.peer.wire.Registrations) kind_;
+        }
+        return io.damaskyoke.peer.wire.Registrations.getDefaultInstance();
+      } else {
+        if (kindCase_ == 42) {
+          return registrationsBuilder_.getMessage();
+        }
+        return io.damaskyoke.peer.wire.Registrations.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    public Builder setRegistrations(io.damaskyoke.peer.wire.Registrations value) {
+      if (registrationsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        registrationsBuilder_.setMessage(value);
+      }
+      kindCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    public Builder setRegistrations(
+        io.damaskyoke.peer.wire.Registrations.Builder builderForValue) {
+      if (registrationsBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        registrationsBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    public Builder mergeRegistrations(io.damaskyoke.peer.wire.Registrations value) {
+      if (registrationsBuilder_ == null) {
+        if (kindCase_ == 42 &&
+            kind_ != io.damaskyoke.peer.wire.Registrations.getDefaultInstance()) {
+          kind_ = io.damaskyoke.peer.wire.Registrations.newBuilder((io.damaskyoke.peer.wire.Registrations) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 42) {
+          registrationsBuilder_.mergeFrom(value);
+        } else {
+          registrationsBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 42;
+      return this;
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    public Builder clearRegistrations() {
+      if (registrationsBuilder_ == null) {
+        if (kindCase_ == 42) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 42) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        registrationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    public io.damaskyoke.peer.wire.Registrations.Builder getRegistrationsBuilder() {
+      return internalGetRegistrationsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    @java.lang.Override
+    public io.damaskyoke.peer.wire.RegistrationsOrBuilder getRegistrationsOrBuilder() {
+      if ((kindCase_ == 42) && (registrationsBuilder_ != null)) {
+        return registrationsBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 42) {
+          return (io.damaskyoke.peer.wire.Registrations) kind_;
+        }
+        return io.damaskyoke.peer.wire.Registrations.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.damaskyoke.peer.wire.Registrations, io.damaskyoke.peer.wire.Registrations.Builder, io.damaskyoke.peer.wire.RegistrationsOrBuilder> 
+        internalGetRegistrationsFieldBuilder() {
+      if (registrationsBuilder_ == null) {
+        if (!(kindCase_ == 42)) {
+          kind_ = io.damaskyoke.peer.wire.Registrations.getDefaultInstance();
+        }
+        registrationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.damaskyoke.peer.wire.Registrations, io.damaskyoke.peer.wire.Registrations.Builder, io.damaskyoke.peer.wire.RegistrationsOrBuilder>(
+                (io.damaskyoke.peer.wire.Registrations) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 42;
+      onChanged();
+      return registrationsBuilder_;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         io.damaskyoke.peer.wire.TokenTransfer, io.damaskyoke.peer.wire.TokenTransfer.Builder, io.damaskyoke.peer.wire.TokenTransferOrBuilder> tokenTransferBuilder_;
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/FrameOrBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/FrameOrBuilder.java
@@ -237,6 +237,21 @@
    */
   io.damaskyoke.peer.wire.ConfigEntriesOrBuilder getConfigEntriesOrBuilder();
 
+  /**
+   * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+   * @return Whether the registrations field is set.
+   */
+  boolean hasRegistrations();
+  /**
+   * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+   * @return The registrations.
+   */
+  io.damaskyoke.peer.wire.Registrations getRegistrations();
+  /**
+   * <code>.damaskyoke.peer.Registrations registrations = 42;</code>
+   */
+  io.damaskyoke.peer.wire.RegistrationsOrBuilder getRegistrationsOrBuilder();
+
   /**
    * <code>.damaskyoke.peer.TokenTransfer token_transfer = 50;</code>
    * @return Whether the tokenTransfer field is set.
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
@@ -106,6 +106,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_damaskyoke_peer_ConfigEntries_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_damaskyoke_peer_SnapshotChunk_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_damaskyoke_peer_SnapshotChunk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_damaskyoke_peer_Registrations_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_damaskyoke_peer_Registrations_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_damaskyoke_peer_AgentRegistration_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_damaskyoke_peer_AgentRegistration_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_damaskyoke_peer_ConfigEntry_descriptor;
   static final 
@@ -152,7 +167,7 @@
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\017damaskyoke.peer\"2\n\nExchang" +
       "eId\022\023\n\013incarnation\030\001 \001(\t\022\017\n\007counter\030\002 \001(" +
-      "\004\"\273\007\n\005Frame\022-\n\010exchange\030\001 \001(\0132\033.damaskyo" +
+      "\004\"\364\007\n\005Frame\022-\n\010exchange\030\001 \001(\0132\033.damaskyo" +
       "ke.peer.ExchangeId\022\020\n\010sequence\030\002 \001(\r\022\017\n\007" +
       "sent_at\030\003 \001(\006\022\'\n\005hello\030\n \001(\0132\026.damaskyok" +
       "e.peer.HelloH\000\022/\n\theartbeat\030\013 \001(\0132\032.dama" +
@@ -168,58 +183,69 @@
       "iningH\000\0224\n\014config_fetch\030( \001(\0132\034.damaskyo" +
       "ke.peer.ConfigFetchH\000\0228\n\016config_entries\030" +
       ") \001(\0132\036.damaskyoke.peer.ConfigEntriesH\000\022" +
-      "8\n\016token_transfer\0302 \001(\0132\036.damaskyoke.pee" +
-      "r.TokenTransferH\000\0226\n\rtoken_request\0303 \001(\013" +
-      "2\035.damaskyoke.peer.TokenRequestH\000\022\'\n\005ord" +
-      "er\030< \001(\0132\026.damaskyoke.peer.OrderH\000\022/\n\tin" +
-      "ventory\030= \001(\0132\032.damaskyoke.peer.Inventor" +
-      "yH\000\0222\n\013claim_query\030F \001(\0132\033.damaskyoke.pe" +
-      "er.ClaimQueryH\000\0226\n\rclaim_outcome\030G \001(\0132\035" +
-      ".damaskyoke.peer.ClaimOutcomeH\000B\006\n\004kind\"" +
-      "b\n\005Hello\022\017\n\007version\030\001 \001(\r\022\n\n\002vm\030\002 \001(\t\022\023\n" +
-      "\013incarnation\030\003 \001(\t\022\031\n\021availability_zone\030" +
-      "\004 \001(\t\022\014\n\004role\030\005 \001(\t\"\210\001\n\tHeartbeat\022\027\n\017con" +
-      "fig_sequence\030\001 \001(\004\022\021\n\tconfirmed\030\002 \001(\010\022\030\n" +
-      "\020confirmed_age_ms\030\003 \001(\004\022#\n\004load\030\004 \001(\0132\025." +
-      "damaskyoke.peer.Load\022\020\n\010draining\030\005 \001(\010\"\211" +
-      "\001\n\004Load\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(" +
-      "\r\022\024\n\014memory_bytes\030\003 \001(\004\022\031\n\021memory_used_b" +
-      "ytes\030\004 \001(\004\022\016\n\006loaded\030\005 \003(\t\022\017\n\007loading\030\006 " +
-      "\003(\t\022\r\n\005limit\030\007 \001(\r\"%\n\006Header\022\014\n\004name\030\001 \001" +
-      "(\t\022\r\n\005value\030\002 \001(\t\"\225\002\n\006Invoke\022\021\n\tworkspac" +
-      "e\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022" +
-      "\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers" +
-      "\030\006 \003(\0132\027.damaskyoke.peer.Header\022\014\n\004body\030" +
-      "\007 \001(\014\022\024\n\014time_left_ms\030\010 \001(\004\022\022\n\nidempoten" +
-      "t\030\t \001(\010\022\027\n\017idempotency_key\030\n \001(\t\022\024\n\014cred" +
-      "it_bytes\030\013 \001(\r\022\020\n\010priority\030\014 \001(\r\022\027\n\017conf" +
-      "ig_sequence\030\r \001(\004\"C\n\007Started\022\016\n\006status\030\001" +
-      " \001(\r\022(\n\007headers\030\002 \003(\0132\027.damaskyoke.peer." +
-      "Header\"\025\n\005Chunk\022\014\n\004data\030\001 \001(\014\"T\n\003End\022\023\n\013" +
-      "total_bytes\030\001 \001(\004\022\023\n\013tokens_used\030\002 \001(\004\022#" +
-      "\n\004load\030\003 \001(\0132\025.damaskyoke.peer.Load\"v\n\007R" +
-      "efused\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\t\022\017\n" +
-      "\007not_run\030\003 \001(\010\022\026\n\016retry_after_ms\030\004 \001(\004\022#" +
-      "\n\004load\030\005 \001(\0132\025.damaskyoke.peer.Load\"\030\n\006C" +
-      "ancel\022\016\n\006reason\030\001 \001(\t\"\027\n\006Credit\022\r\n\005bytes" +
-      "\030\001 \001(\r\"\n\n\010Draining\"$\n\013ConfigFetch\022\025\n\rfro" +
-      "m_sequence\030\001 \001(\004\"\202\001\n\rConfigEntries\022\025\n\rhe" +
-      "ad_sequence\030\001 \001(\004\022\021\n\tconfirmed\030\002 \001(\010\022\030\n\020" +
-      "confirmed_age_ms\030\003 \001(\004\022-\n\007entries\030\004 \003(\0132" +
-      "\034.damaskyoke.peer.ConfigEntry\"/\n\013ConfigE" +
-      "ntry\022\020\n\010sequence\030\001 \001(\004\022\016\n\006ticket\030\002 \001(\014\"G" +
-      "\n\rTokenTransfer\022\021\n\tworkspace\030\001 \001(\t\022\016\n\006to" +
-      "kens\030\002 \001(\004\022\023\n\013transfer_id\030\003 \001(\t\"1\n\014Token" +
-      "Request\022\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
-      "(\004\"z\n\005Order\022)\n\004verb\030\001 \001(\0162\033.damaskyoke.p" +
-      "eer.Order.Verb\022\r\n\005model\030\002 \001(\t\022\017\n\007fencing" +
-      "\030\003 \001(\004\"&\n\004Verb\022\010\n\004NONE\020\000\022\010\n\004LOAD\020\001\022\n\n\006UN" +
-      "LOAD\020\002\"+\n\tInventory\022\016\n\006rights\030\001 \003(\t\022\016\n\006l" +
-      "oaded\030\002 \003(\t\"8\n\nClaimQuery\022\021\n\tworkspace\030\001" +
-      " \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\"Z\n\014ClaimOu" +
-      "tcome\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_" +
-      "key\030\002 \001(\t\022\r\n\005state\030\003 \001(\t\022\017\n\007outcome\030\004 \001(" +
-      "\014B\035\n\027io.damaskyoke.peer.wireH\001P\001b\006proto3"
+      "7\n\rregistrations\030* \001(\0132\036.damaskyoke.peer" +
+      ".RegistrationsH\000\0228\n\016token_transfer\0302 \001(\013" +
+      "2\036.damaskyoke.peer.TokenTransferH\000\0226\n\rto" +
+      "ken_request\0303 \001(\0132\035.damaskyoke.peer.Toke" +
+      "nRequestH\000\022\'\n\005order\030< \001(\0132\026.damaskyoke.p" +
+      "eer.OrderH\000\022/\n\tinventory\030= \001(\0132\032.damasky" +
+      "oke.peer.InventoryH\000\0222\n\013claim_query\030F \001(" +
+      "\0132\033.damaskyoke.peer.ClaimQueryH\000\0226\n\rclai" +
+      "m_outcome\030G \001(\0132\035.damaskyoke.peer.ClaimO" +
+      "utcomeH\000B\006\n\004kind\"b\n\005Hello\022\017\n\007version\030\001 \001" +
+      "(\r\022\n\n\002vm\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\t\022\031\n\021a" +
+      "vailability_zone\030\004 \001(\t\022\014\n\004role\030\005 \001(\t\"\210\001\n" +
+      "\tHeartbeat\022\027\n\017config_sequence\030\001 \001(\004\022\021\n\tc" +
+      "onfirmed\030\002 \001(\010\022\030\n\020confirmed_age_ms\030\003 \001(\004" +
+      "\022#\n\004load\030\004 \001(\0132\025.damaskyoke.peer.Load\022\020\n" +
+      "\010draining\030\005 \001(\010\"\211\001\n\004Load\022\017\n\007running\030\001 \001(" +
+      "\r\022\017\n\007waiting\030\002 \001(\r\022\024\n\014memory_bytes\030\003 \001(\004" +
+      "\022\031\n\021memory_used_bytes\030\004 \001(\004\022\016\n\006loaded\030\005 " +
+      "\003(\t\022\017\n\007loading\030\006 \003(\t\022\r\n\005limit\030\007 \001(\r\"%\n\006H" +
+      "eader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\225\002\n\006I" +
+      "nvoke\022\021\n\tworkspace\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022" +
+      "\017\n\007service\030\003 \001(\t\022\016\n\006method\030\004 \001(\t\022\014\n\004path" +
+      "\030\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027.damaskyoke.pee" +
+      "r.Header\022\014\n\004body\030\007 \001(\014\022\024\n\014time_left_ms\030\010" +
+      " \001(\004\022\022\n\nidempotent\030\t \001(\010\022\027\n\017idempotency_" +
+      "key\030\n \001(\t\022\024\n\014credit_bytes\030\013 \001(\r\022\020\n\010prior" +
+      "ity\030\014 \001(\r\022\027\n\017config_sequence\030\r \001(\004\"C\n\007St" +
+      "arted\022\016\n\006status\030\001 \001(\r\022(\n\007headers\030\002 \003(\0132\027" +
+      ".damaskyoke.peer.Header\"\025\n\005Chunk\022\014\n\004data" +
+      "\030\001 \001(\014\"T\n\003End\022\023\n\013total_bytes\030\001 \001(\004\022\023\n\013to" +
+      "kens_used\030\002 \001(\004\022#\n\004load\030\003 \001(\0132\025.damaskyo" +
+      "ke.peer.Load\"v\n\007Refused\022\014\n\004code\030\001 \001(\t\022\017\n" +
+      "\007message\030\002 \001(\t\022\017\n\007not_run\030\003 \001(\010\022\026\n\016retry" +
+      "_after_ms\030\004 \001(\004\022#\n\004load\030\005 \001(\0132\025.damaskyo" +
+      "ke.peer.Load\"\030\n\006Cancel\022\016\n\006reason\030\001 \001(\t\"\027" +
+      "\n\006Credit\022\r\n\005bytes\030\001 \001(\r\"\n\n\010Draining\"\\\n\013C" +
+      "onfigFetch\022\025\n\rfrom_sequence\030\001 \001(\004\022\r\n\005pro" +
+      "be\030\002 \001(\004\022\016\n\006agents\030\003 \001(\010\022\027\n\017agents_revis" +
+      "ion\030\004 \001(\004\"\303\001\n\rConfigEntries\022\025\n\rhead_sequ" +
+      "ence\030\001 \001(\004\022\021\n\tconfirmed\030\002 \001(\010\022\030\n\020confirm" +
+      "ed_age_ms\030\003 \001(\004\022-\n\007entries\030\004 \003(\0132\034.damas" +
+      "kyoke.peer.ConfigEntry\022\r\n\005probe\030\005 \001(\004\0220\n" +
+      "\010snapshot\030\006 \001(\0132\036.damaskyoke.peer.Snapsh" +
+      "otChunk\"M\n\rSnapshotChunk\022\020\n\010sequence\030\001 \001" +
+      "(\004\022\r\n\005index\030\002 \001(\r\022\r\n\005count\030\003 \001(\r\022\014\n\004data" +
+      "\030\004 \001(\014\"c\n\rRegistrations\022\020\n\010revision\030\001 \001(" +
+      "\004\022\014\n\004full\030\002 \001(\010\0222\n\006agents\030\003 \003(\0132\".damask" +
+      "yoke.peer.AgentRegistration\"@\n\021AgentRegi" +
+      "stration\022\n\n\002vm\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010r" +
+      "evision\030\003 \001(\004\"/\n\013ConfigEntry\022\020\n\010sequence" +
+      "\030\001 \001(\004\022\016\n\006ticket\030\002 \001(\014\"G\n\rTokenTransfer\022" +
+      "\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\023\n\013tr" +
+      "ansfer_id\030\003 \001(\t\"1\n\014TokenRequest\022\021\n\tworks" +
+      "pace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"z\n\005Order\022)\n\004v" +
+      "erb\030\001 \001(\0162\033.damaskyoke.peer.Order.Verb\022\r" +
+      "\n\005model\030\002 \001(\t\022\017\n\007fencing\030\003 \001(\004\"&\n\004Verb\022\010" +
+      "\n\004NONE\020\000\022\010\n\004LOAD\020\001\022\n\n\006UNLOAD\020\002\"+\n\tInvent" +
+      "ory\022\016\n\006rights\030\001 \003(\t\022\016\n\006loaded\030\002 \003(\t\"8\n\nC" +
+      "laimQuery\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempote" +
+      "ncy_key\030\002 \001(\t\"Z\n\014ClaimOutcome\022\021\n\tworkspa" +
+      "ce\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005sta" +
+      "te\030\003 \001(\t\022\017\n\007outcome\030\004 \001(\014B\035\n\027io.damaskyo" +
+      "ke.peer.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -236,7 +262,7 @@
     internal_static_damaskyoke_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_Frame_descriptor,
-        new java.lang.String[] { "Exchange", "Sequence", "SentAt", "Hello", "Heartbeat", "Invoke", "Started", "Chunk", "End", "Refused", "Cancel", "Credit", "Draining", "ConfigFetch", "ConfigEntries", "TokenTransfer", "TokenRequest", "Order", "Inventory", "ClaimQuery", "ClaimOutcome", "Kind", });
+        new java.lang.String[] { "Exchange", "Sequence", "SentAt", "Hello", "Heartbeat", "Invoke", "Started", "Chunk", "End", "Refused", "Cancel", "Credit", "Draining", "ConfigFetch", "ConfigEntries", "Registrations", "TokenTransfer", "TokenRequest", "Order", "Inventory", "ClaimQuery", "ClaimOutcome", "Kind", });
     internal_static_damaskyoke_peer_Hello_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_damaskyoke_peer_Hello_fieldAccessorTable = new
@@ -314,51 +340,69 @@
     internal_static_damaskyoke_peer_ConfigFetch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_ConfigFetch_descriptor,
-        new java.lang.String[] { "FromSequence", });
+        new java.lang.String[] { "FromSequence", "Probe", "Agents", "AgentsRevision", });
     internal_static_damaskyoke_peer_ConfigEntries_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_damaskyoke_peer_ConfigEntries_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_ConfigEntries_descriptor,
-        new java.lang.String[] { "HeadSequence", "Confirmed", "ConfirmedAgeMs", "Entries", });
-    internal_static_damaskyoke_peer_ConfigEntry_descriptor =
+        new java.lang.String[] { "HeadSequence", "Confirmed", "ConfirmedAgeMs", "Entries", "Probe", "Snapshot", });
+    internal_static_damaskyoke_peer_SnapshotChunk_descriptor =
       getDescriptor().getMessageType(16);
+    internal_static_damaskyoke_peer_SnapshotChunk_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_damaskyoke_peer_SnapshotChunk_descriptor,
+        new java.lang.String[] { "Sequence", "Index", "Count", "Data", });
+    internal_static_damaskyoke_peer_Registrations_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_damaskyoke_peer_Registrations_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_damaskyoke_peer_Registrations_descriptor,
+        new java.lang.String[] { "Revision", "Full", "Agents", });
+    internal_static_damaskyoke_peer_AgentRegistration_descriptor =
+      getDescriptor().getMessageType(18);
+    internal_static_damaskyoke_peer_AgentRegistration_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_damaskyoke_peer_AgentRegistration_descriptor,
+        new java.lang.String[] { "Vm", "Value", "Revision", });
+    internal_static_damaskyoke_peer_ConfigEntry_descriptor =
+      getDescriptor().getMessageType(19);
     internal_static_damaskyoke_peer_ConfigEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_ConfigEntry_descriptor,
         new java.lang.String[] { "Sequence", "Ticket", });
     internal_static_damaskyoke_peer_TokenTransfer_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(20);
     internal_static_damaskyoke_peer_TokenTransfer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_TokenTransfer_descriptor,
         new java.lang.String[] { "Workspace", "Tokens", "TransferId", });
     internal_static_damaskyoke_peer_TokenRequest_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(21);
     internal_static_damaskyoke_peer_TokenRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_TokenRequest_descriptor,
         new java.lang.String[] { "Workspace", "Tokens", });
     internal_static_damaskyoke_peer_Order_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(22);
     internal_static_damaskyoke_peer_Order_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_Order_descriptor,
         new java.lang.String[] { "Verb", "Model", "Fencing", });
     internal_static_damaskyoke_peer_Inventory_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(23);
     internal_static_damaskyoke_peer_Inventory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_Inventory_descriptor,
         new java.lang.String[] { "Rights", "Loaded", });
     internal_static_damaskyoke_peer_ClaimQuery_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_damaskyoke_peer_ClaimQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_ClaimQuery_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", });
     internal_static_damaskyoke_peer_ClaimOutcome_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_damaskyoke_peer_ClaimOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_ClaimOutcome_descriptor,
