Have relays pass on configuration and registrations

Cause: each process polled the store every five seconds and each router listed all agents as often. Change: a node joins its network, asks its zone's relays in turn, takes pushes from both, and asks the store only if they are silent; routers take the agents' registrations as deltas by the store's revision. The list of VMs is read by one reader of the node.

--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -57,6 +57,7 @@
             runner.replicas(EngineReplicas.start(node, engine, settings.upstream(), runner::feed));
         }
         this.network = startNetwork();
+        node.join(network);
         this.operators = startOperators();
         this.registrar = new Registrar(node, registration());
         registrar.start();
@@ -145,11 +146,7 @@
     }
 
     private Heartbeat heartbeat() {
-        return Heartbeat.newBuilder()
-                .setConfigSequence(node.configuration().current().sequence())
-                .setLoad(runner.load())
-                .setDraining(draining)
-                .build();
+        return node.heartbeat().setLoad(runner.load()).setDraining(draining).build();
     }
 
     private OperatorServer startOperators() {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/relay/RegistrationTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RegistrationTable.java
@@ -2,18 +2,23 @@
 
 import io.damaskyoke.id.VmId;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * The agents' registrations as of one revision of the store, and what has changed since others.
  *
- * <p>Revisions are the store's own, so a process may take its next changes from another relay. A
- * removal is remembered as long as the table lives; a table that began later than what the asker
- * knows can't know of removals in between, and gives all it has.
+ * <p>Revisions are the store's own, so a process may take its next changes from another relay. The
+ * last {@value #MOST_REMOVALS} removals are remembered; an asker who knows less than they cover
+ * gets all there is.
  */
 public final class RegistrationTable {
+    static final int MOST_REMOVALS = 4_096;
+
     private final Map<VmId, Row> rows = new TreeMap<>();
     private long since;
     private long revision;
@@ -52,6 +57,9 @@
         if (before == null || before.revision() < row.revision()) {
             rows.put(row.vm(), row);
         }
+        if (row.removed()) {
+            forgetOldRemovals();
+        }
         revision = Math.max(revision, row.revision());
     }
 
@@ -61,8 +69,8 @@
             return;
         }
         if (delta.full()) {
-            rows.clear();
-            since = delta.revision();
+            since = revision == 0 ? delta.revision() : since;
+            removeAllBut(delta);
         }
         delta.rows().forEach(this::put);
         revision = delta.revision();
@@ -80,4 +88,26 @@
         rows.values().stream().filter(row -> row.revision() > known).forEach(changed::add);
         return new Delta(changed, revision, false);
     }
+
+    private void removeAllBut(Delta delta) {
+        Set<VmId> kept = delta.rows().stream().map(Row::vm).collect(Collectors.toSet());
+        for (Row row : all()) {
+            if (!kept.contains(row.vm())) {
+                put(new Row(row.vm(), new byte[0], delta.revision()));
+            }
+        }
+    }
+
+    private void forgetOldRemovals() {
+        List<Row> removals =
+                rows.values().stream()
+                        .filter(Row::removed)
+                        .sorted(Comparator.comparingLong(Row::revision).reversed())
+                        .toList();
+        for (Row old :
+                removals.subList(Math.min(MOST_REMOVALS, removals.size()), removals.size())) {
+            rows.remove(old.vm());
+            since = Math.max(since, old.revision());
+        }
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelayMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelayMachine.java
@@ -86,6 +86,13 @@
         return relay;
     }
 
+    /** True if one of the relays followed answered when it was last asked. */
+    public boolean answered() {
+        return relays.stream()
+                .map(Vm::id)
+                .anyMatch(vm -> answered.containsKey(vm) && !waitedFor.contains(vm));
+    }
+
     private void take(List<Vm> listed, List<RelayAction> actions) {
         List<Vm> chosen = RelayPlan.relays(listed, zone);
         boolean chosenHere = chosen.stream().anyMatch(vm -> vm.id().equals(self));
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/AgentRegistrations.java
@@ -0,0 +1,177 @@
+package io.damaskyoke.node;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.relay.RegistrationTable;
+import io.damaskyoke.control.relay.RegistrationTable.Delta;
+import io.damaskyoke.control.relay.RegistrationTable.Row;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.PlatformException;
+import io.damaskyoke.platform.Registration;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The agents' registrations as far as this process knows them: a relay watches them in the store,
+ * the others take them from relays. What can't be read stays as it was. Lives on the control
+ * thread.
+ */
+final class AgentRegistrations {
+    private static final Duration RETRY = Duration.ofSeconds(2);
+    private static final Duration RELIST = Duration.ofMinutes(5);
+
+    private final Control control;
+    private final KeyValueStore store;
+    private final String prefix;
+    private final Metrics metrics;
+    private final RegistrationTable table = new RegistrationTable();
+    private final List<Consumer<List<Row>>> listeners = new ArrayList<>();
+    private Optional<KeyValueStore.Watch> watch = Optional.empty();
+    private Optional<Control.Cancellable> timer = Optional.empty();
+    private Instant lastListed = Instant.MIN;
+    private boolean watching;
+    private boolean listing;
+    private long watchNumber;
+
+    AgentRegistrations(Control control, KeyValueStore store, String storePrefix, Metrics metrics) {
+        this.control = control;
+        this.store = store;
+        this.prefix = storePrefix + Registration.PREFIX;
+        this.metrics = metrics;
+    }
+
+    /** Hears of all registrations whenever one has changed. */
+    void onChange(Consumer<List<Row>> listener) {
+        listeners.add(listener);
+    }
+
+    RegistrationTable table() {
+        return table;
+    }
+
+    /** Whether to watch the store, as relays do. */
+    void watch(boolean value) {
+        watching = value;
+        if (value) {
+            list();
+        } else {
+            closeWatch();
+        }
+    }
+
+    /** Lists once, unless that was done within the pause. */
+    void refresh(Duration pause) {
+        if (watching || control.clock().instant().isBefore(lastListed.plus(pause))) {
+            return;
+        }
+        list();
+    }
+
+    /** Takes what a relay sent. */
+    void take(Delta delta) {
+        long before = table.revision();
+        table.take(delta);
+        if (!delta.rows().isEmpty() || before == 0 || delta.full()) {
+            tell();
+        }
+    }
+
+    private void list() {
+        if (listing) {
+            return;
+        }
+        listing = true;
+        lastListed = control.clock().instant();
+        store.list(prefix)
+                .whenComplete((found, failure) -> control.run(() -> listed(found, failure)));
+    }
+
+    private void listed(KeyValueStore.Listing found, Throwable failure) {
+        listing = false;
+        if (failure != null) {
+            metrics.count("agent_listing_failures");
+            again(RETRY);
+            return;
+        }
+        List<Row> rows = found.entries().stream().map(this::row).toList();
+        take(new Delta(rows, found.revision(), true));
+        if (watching) {
+            openWatch(found.revision() + 1);
+            again(RELIST);
+        }
+    }
+
+    private void again(Duration pause) {
+        timer.ifPresent(Control.Cancellable::cancel);
+        timer = watching ? Optional.of(control.after(pause, this::list)) : Optional.empty();
+    }
+
+    private void openWatch(long from) {
+        closeWatch();
+        long number = watchNumber;
+        watch = Optional.of(store.watch(prefix, from, new Listener(number)));
+    }
+
+    private void closeWatch() {
+        watchNumber++;
+        watch.ifPresent(KeyValueStore.Watch::close);
+        watch = Optional.empty();
+        timer.ifPresent(Control.Cancellable::cancel);
+    }
+
+    private Row row(KeyValueStore.Entry entry) {
+        return new Row(vm(entry.key()), entry.value(), entry.modRevision());
+    }
+
+    private VmId vm(String key) {
+        return VmId.of(key.substring(prefix.length()));
+    }
+
+    private void changed(long number, List<KeyValueStore.Change> changes, long revision) {
+        if (number != watchNumber) {
+            return;
+        }
+        for (KeyValueStore.Change change : changes) {
+            table.put(
+                    change.entry()
+                            .map(this::row)
+                            .orElseGet(() -> new Row(vm(change.key()), new byte[0], revision)));
+        }
+        tell();
+    }
+
+    private void tell() {
+        List<Row> all = table.all();
+        listeners.forEach(listener -> listener.accept(all));
+    }
+
+    /** Hands what the watch says to the control thread. */
+    private final class Listener implements KeyValueStore.WatchListener {
+        private final long number;
+
+        Listener(long number) {
+            this.number = number;
+        }
+
+        @Override
+        public void changed(List<KeyValueStore.Change> changes, long revision) {
+            control.run(() -> AgentRegistrations.this.changed(number, changes, revision));
+        }
+
+        @Override
+        public void ended(PlatformException cause) {
+            control.run(
+                    () -> {
+                        if (number == watchNumber) {
+                            closeWatch();
+                            again(RETRY);
+                        }
+                    });
+        }
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -5,6 +5,9 @@
 import io.damaskyoke.control.ControlLoop;
 import io.damaskyoke.control.MonotonicClock;
 import io.damaskyoke.control.configuration.ConfigurationService;
+import io.damaskyoke.control.relay.RegistrationTable.Row;
+import io.damaskyoke.control.relay.RelayMachine;
+import io.damaskyoke.control.relay.RelaySettings;
 import io.damaskyoke.id.AvailabilityZone;
 import io.damaskyoke.id.Incarnation;
 import io.damaskyoke.id.VmId;
@@ -12,6 +15,7 @@
 import io.damaskyoke.peer.PeerNetwork;
 import io.damaskyoke.peer.PeerNetworkBuilder;
 import io.damaskyoke.peer.Role;
+import io.damaskyoke.peer.wire.Heartbeat;
 import io.damaskyoke.platform.EtcdStore;
 import io.damaskyoke.platform.HttpVmList;
 import io.damaskyoke.platform.KeyValueStore;
@@ -24,9 +28,12 @@
 import io.damaskyoke.timeline.Timeline;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -40,6 +47,8 @@
 public final class Node implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(Node.class);
     private static final Duration CLOSE_LIMIT = Duration.ofSeconds(5);
+    private static final Duration CONFIRM_PERIOD = Duration.ofSeconds(2);
+    private static final int SELDOM = 12;
 
     private final ProcessSettings process;
     private final Role role;
@@ -52,6 +61,10 @@
     private final VmList vmList;
     private final String storePrefix;
     private final ConfigurationService configuration;
+    private final AgentRegistrations agents;
+    private final RelayMachine relays;
+    private final VmListReader listReader;
+    private final Duration listPeriod;
 
     private Node(ProcessSettings process, PlatformSettings platform, Role role) {
         this.process = process;
@@ -75,7 +88,14 @@
         this.configuration =
                 ConfigurationService.builder(control, store, timeline)
                         .prefix(platform.storePrefix())
+                        .pollPeriod(CONFIRM_PERIOD)
+                        .direct(false)
                         .build();
+        this.agents = new AgentRegistrations(control, store, storePrefix, metrics);
+        this.relays =
+                RelayMachine.of(vm(), zone(), RelaySettings.standard(), new SplittableRandom());
+        this.listPeriod = platform.vmListPeriod();
+        this.listReader = new VmListReader(control, vmList, this::listPause, metrics);
     }
 
     /** Starts the parts; the configuration begins to come in. */
@@ -142,6 +162,46 @@
         return configuration;
     }
 
+    /** Hears of each reading of the platform's list of VMs, on the control thread. */
+    public void onVmList(Consumer<List<VmList.Vm>> listener) {
+        listReader.onRead(listener);
+    }
+
+    /**
+     * Hears of all registrations of agents, in their stored form, whenever one has changed; on the
+     * control thread.
+     */
+    public void onAgents(Consumer<List<byte[]>> listener) {
+        agents.onChange(rows -> listener.accept(rows.stream().map(Row::value).toList()));
+    }
+
+    /**
+     * Takes part in the passing on of configuration and registrations over this network; call it
+     * once, after all listeners were added.
+     */
+    public void join(PeerNetwork network) {
+        RelayClient client =
+                new RelayClient(
+                        new RelayClient.Parts(
+                                control,
+                                configuration,
+                                agents,
+                                new RelayServer(control, configuration, agents.table(), metrics),
+                                relays,
+                                metrics,
+                                role == Role.ROUTER,
+                                listPeriod),
+                        network);
+        listReader.onRead(client::listed);
+        control.run(client::start);
+        control.run(listReader::read);
+    }
+
+    /** What the heartbeats of every process say; add to it. */
+    public Heartbeat.Builder heartbeat() {
+        return Heartbeat.newBuilder().setConfigSequence(configuration.current().sequence());
+    }
+
     /** Begins a peer network that says who this process is. */
     public PeerNetworkBuilder network(PeerSettings settings) {
         return PeerNetwork.builder()
@@ -149,6 +209,7 @@
                 .hello(vm(), incarnation, zone(), role)
                 .timeline(timeline)
                 .clock(control.clock())
+                .heartbeat(() -> heartbeat().build())
                 .metrics(metrics);
     }
 
@@ -163,10 +224,20 @@
                 operatorPort);
     }
 
+    /**
+     * Agents need the list for nothing but to find their relays, and read it seldom once they have
+     * found them: 2,400 of them reading 2,780 lines every few seconds would be the list's main use.
+     */
+    private Duration listPause() {
+        boolean seldom = role == Role.AGENT && !relays.relay() && relays.answered();
+        return seldom ? listPeriod.multipliedBy(SELDOM) : listPeriod;
+    }
+
     /** Ends the parts; the store's leases and watches go with it. */
     @Override
     public void close() {
         timeline.add(EventType.STOPPED, incarnation.value());
+        control.run(listReader::stop);
         configuration.stop();
         store.close();
         system.terminate();
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
@@ -0,0 +1,52 @@
+package io.damaskyoke.node;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.VmList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Reads the platform's list of VMs again and again; a failed reading changes nothing. */
+final class VmListReader {
+    private final Control control;
+    private final VmList list;
+    private final Supplier<Duration> pause;
+    private final Metrics metrics;
+    private final List<Consumer<List<VmList.Vm>>> listeners = new ArrayList<>();
+    private boolean stopped;
+
+    /** A reader that waits for {@code pause}, asked each time, between two readings. */
+    VmListReader(Control control, VmList list, Supplier<Duration> pause, Metrics metrics) {
+        this.control = control;
+        this.list = list;
+        this.pause = pause;
+        this.metrics = metrics;
+    }
+
+    /** Hears of each list read, on the control thread. */
+    void onRead(Consumer<List<VmList.Vm>> listener) {
+        listeners.add(listener);
+    }
+
+    void read() {
+        if (!stopped) {
+            list.read().whenComplete((vms, failure) -> control.run(() -> took(vms, failure)));
+        }
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void took(List<VmList.Vm> vms, Throwable failure) {
+        if (failure == null) {
+            listeners.forEach(listener -> listener.accept(vms));
+        } else {
+            metrics.count("vm_list_failures");
+        }
+        control.after(pause.get(), this::read);
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/router/AgentDirectory.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/AgentDirectory.java
@@ -1,15 +1,12 @@
 package io.damaskyoke.router;
 
-import io.damaskyoke.control.Control;
 import io.damaskyoke.control.routing.Fleet;
 import io.damaskyoke.control.routing.Member;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
-import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.PlatformException;
 import io.damaskyoke.platform.Registration;
 import io.damaskyoke.platform.VmList;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -19,13 +16,10 @@
 
 /**
  * Keeps a router's {@link Fleet} up to date from the agents' registrations and the list of VMs.
- * What it can't read it leaves as it was, so that an outage of either takes nobody out of service.
+ * Where either can't be read it hears nothing and leaves things as they were, so that an outage
+ * takes nobody out of service. All of it runs on the control thread.
  */
 final class AgentDirectory {
-    private final Control control;
-    private final KeyValueStore store;
-    private final VmList vmList;
-    private final String prefix;
     private final Fleet fleet;
     private final Metrics metrics;
     private final Map<VmId, Registration> registered = new TreeMap<>();
@@ -33,38 +27,13 @@
     private Set<VmId> listed = Set.of();
     private Set<VmId> leaving = Set.of();
 
-    AgentDirectory(
-            Control control,
-            KeyValueStore store,
-            VmList vmList,
-            String storePrefix,
-            Fleet fleet,
-            Metrics metrics) {
-        this.control = control;
-        this.store = store;
-        this.vmList = vmList;
-        this.prefix = storePrefix + Registration.PREFIX;
+    AgentDirectory(Fleet fleet, Metrics metrics) {
         this.fleet = fleet;
         this.metrics = metrics;
     }
 
-    /** Reads both now and then once a period. */
-    Control.Cancellable start(Duration period) {
-        refresh();
-        return control.every(period, this::refresh);
-    }
-
-    private void refresh() {
-        vmList.read().whenComplete((vms, failure) -> control.run(() -> takeList(vms, failure)));
-        store.list(prefix)
-                .whenComplete((found, failure) -> control.run(() -> takeFound(found, failure)));
-    }
-
-    private void takeList(List<VmList.Vm> vms, Throwable failure) {
-        if (failure != null) {
-            metrics.count("vm_list_failures");
-            return;
-        }
+    /** Takes the platform's list as it was read. */
+    void listed(List<VmList.Vm> vms) {
         Set<VmId> present = new HashSet<>();
         Set<VmId> onTheirWay = new HashSet<>();
         for (VmList.Vm vm : vms) {
@@ -79,24 +48,19 @@
         publish();
     }
 
-    private void takeFound(KeyValueStore.Listing found, Throwable failure) {
-        if (failure != null) {
-            metrics.count("agent_listing_failures");
-            return;
-        }
+    /** Takes all registrations that there are, in their stored form. */
+    void registered(List<byte[]> found) {
         Map<VmId, Registration> now = new TreeMap<>();
-        for (KeyValueStore.Entry entry : found.entries()) {
-            read(entry, now);
-        }
+        found.forEach(value -> read(value, now));
         now.values().forEach(this::noticeNewLife);
         registered.clear();
         registered.putAll(now);
         publish();
     }
 
-    private void read(KeyValueStore.Entry entry, Map<VmId, Registration> into) {
+    private void read(byte[] value, Map<VmId, Registration> into) {
         try {
-            Registration registration = Registration.parse(entry.value());
+            Registration registration = Registration.parse(value);
             into.put(registration.vm(), registration);
         } catch (PlatformException e) {
             metrics.count("agent_registrations_unreadable");
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -66,14 +66,10 @@
                         .start();
         this.dispatcher = new RequestDispatcher(parts(client));
         node.configuration().onChange(now -> node.control().run(() -> changed(now)));
-        new AgentDirectory(
-                        node.control(),
-                        node.store(),
-                        node.vmList(),
-                        node.storePrefix(),
-                        fleet,
-                        node.metrics())
-                .start(settings.platform().vmListPeriod());
+        AgentDirectory agents = new AgentDirectory(fleet, node.metrics());
+        node.onVmList(agents::listed);
+        node.onAgents(agents::registered);
+        node.join(network);
         this.callers = await(startCallers());
         this.operators = await(startOperators());
     }
