--- a/damaskyoke/src/main/java/io/damaskyoke/control/relay/RegistrationTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RegistrationTable.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.control.relay;
 
 import io.damaskyoke.id.VmId;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -19,7 +20,10 @@
 public final class RegistrationTable {
     static final int MOST_REMOVALS = 4_096;
 
+    private static final int MOST_GAPS = 16;
+
     private final Map<VmId, Row> rows = new TreeMap<>();
+    private final ArrayDeque<Gap> gaps = new ArrayDeque<>();
     private long since;
     private long revision;
 
@@ -41,6 +45,13 @@
      */
     public record Delta(List<Row> rows, long revision, boolean full) {}
 
+    /** Revisions between which the table may have missed an agent that came and went. */
+    private record Gap(long after, long before) {
+        boolean holds(long known) {
+            return after < known && known < before;
+        }
+    }
+
     /** The store's revision that the table stands for; 0 before the first reading. */
     public long revision() {
         return revision;
@@ -69,7 +80,7 @@
             return;
         }
         if (delta.full()) {
-            since = revision == 0 ? delta.revision() : since;
+            jump(delta.revision());
             removeAllBut(delta);
         }
         delta.rows().forEach(this::put);
@@ -81,7 +92,7 @@
         if (known > revision) {
             return new Delta(List.of(), known, false);
         }
-        if (known < since || known == 0) {
+        if (known < since || known == 0 || gaps.stream().anyMatch(gap -> gap.holds(known))) {
             return new Delta(all(), revision, true);
         }
         List<Row> changed = new ArrayList<>();
@@ -89,6 +100,17 @@
         return new Delta(changed, revision, false);
     }
 
+    private void jump(long to) {
+        if (revision == 0) {
+            since = to;
+            return;
+        }
+        gaps.add(new Gap(revision, to));
+        if (gaps.size() > MOST_GAPS) {
+            since = Math.max(since, gaps.remove().before());
+        }
+    }
+
     private void removeAllBut(Delta delta) {
         Set<VmId> kept = delta.rows().stream().map(Row::vm).collect(Collectors.toSet());
         for (Row row : all()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelayMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelayMachine.java
@@ -19,7 +19,8 @@
 
 /**
  * Decides where a process gets its configuration from: from the store, if the plan makes it a relay
- * of its zone; else from the zone's relays, and from the store only if they are silent.
+ * of its zone; else from those whom the {@link RelayPlan} names, here called its relays too, and
+ * from the store only if they are silent.
  *
  * <p>A peer's confirmation counts from the moment at which it was <em>asked</em>, less the age that
  * it gives. Counted from its arrival, an answer that had waited in the buffers of a process stopped
@@ -94,9 +95,9 @@
     }
 
     private void take(List<Vm> listed, List<RelayAction> actions) {
-        List<Vm> chosen = RelayPlan.relays(listed, zone);
-        boolean chosenHere = chosen.stream().anyMatch(vm -> vm.id().equals(self));
-        List<Vm> others = chosen.stream().filter(vm -> !vm.id().equals(self)).toList();
+        RelayPlan plan = RelayPlan.of(listed, zone);
+        boolean chosenHere = plan.relays().stream().anyMatch(vm -> vm.id().equals(self));
+        List<Vm> others = plan.parents(self);
         routers =
                 listed.stream()
                         .filter(vm -> vm.role() == Role.ROUTER && !vm.id().equals(self))
@@ -177,20 +178,31 @@
     }
 
     private void askStore(Instant now, List<RelayAction> actions) {
+        boolean silent = silent(now);
         if (storeDue.equals(Instant.MAX)) {
-            storeDue = relays.isEmpty() ? now : now.plus(jittered(settings.answer()));
+            storeDue = now.plus(firstPause(silent));
         }
         if (now.isBefore(storeDue)) {
             return;
         }
         actions.add(new RelayAction.AskStore());
-        storeDue = now.plus(jittered(storePause()));
+        storeDue = now.plus(jittered(storePause(silent)));
         storeTries++;
     }
 
-    private Duration storePause() {
-        Duration pause =
-                settings.storePeriod().multipliedBy(1L << Math.min(storeTries, MOST_DOUBLINGS));
+    private Duration firstPause(boolean silent) {
+        if (relays.isEmpty()) {
+            return Duration.ZERO;
+        }
+        Duration most = silent ? settings.answer() : settings.unconfirmedPeriod();
+        return Duration.ofMillis(random.nextLong(most.toMillis()));
+    }
+
+    // Relays that answer but are unconfirmed can't reach the store either, as a rule. In an outage
+    // this holds for the whole fleet, which must not spend it asking.
+    private Duration storePause(boolean silent) {
+        Duration first = silent ? settings.storePeriod() : settings.unconfirmedPeriod();
+        Duration pause = first.multipliedBy(1L << Math.min(storeTries, MOST_DOUBLINGS));
         Duration longest = settings.longestStorePeriod();
         return pause.compareTo(longest) < 0 ? pause : longest;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelaySettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RelaySettings.java
@@ -10,8 +10,9 @@
  * @param silence how long no relay may have answered before the store is asked
  * @param patience how long the configuration may be unconfirmed before the store is asked, although
  *     relays answer
- * @param storePeriod how often the store is asked then, at first; the pause doubles up to {@code
- *     longestStorePeriod} while that confirms nothing
+ * @param storePeriod how often the store is asked while relays are silent, at first; the pause
+ *     doubles up to {@code longestStorePeriod} as long as that confirms nothing
+ * @param unconfirmedPeriod the same while relays answer but can't confirm
  * @param longestStorePeriod the longest of these pauses
  */
 public record RelaySettings(
@@ -20,15 +21,17 @@
         Duration silence,
         Duration patience,
         Duration storePeriod,
+        Duration unconfirmedPeriod,
         Duration longestStorePeriod) {
-    /** What fits a limit of ten seconds for admitting unconfirmed, and 3 KB/s at a relay. */
+    /** What fits a limit of ten seconds for admitting unconfirmed, and 3 KB/s at a process. */
     public static RelaySettings standard() {
         return new RelaySettings(
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(4),
-                Duration.ofSeconds(6),
+                Duration.ofSeconds(8),
                 Duration.ofSeconds(4),
-                Duration.ofSeconds(20));
+                Duration.ofSeconds(20),
+                Duration.ofSeconds(60));
     }
 }
