Give loads a durable right from the store's placement table

Cause: two routers with different views of the fleet sent a model's first requests to different agents, and each loaded it: the limit of replicas was a habit of routing and bound nobody. Ruled out: load orders pushed by a lease holder (a paused one orders what has moved since); pushing rights over peer links (a paused router can show a restarted agent a right that has moved). Change: rights stand in 64 shards, swapped by compare and swap only, each swap checked to be a legal change of what was read and based on the newest configuration. An agent takes its rights from the store itself, loads under them without asking, and removes one only when its engine holds nothing of the model. A lease picks which router plans. A restarted agent takes no report in before it knows rights and models, as it would unload all its engine holds in an outage.

--- a/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
@@ -5,7 +5,6 @@
 import io.damaskyoke.control.replicas.ReplicaHolder;
 import io.damaskyoke.control.replicas.ReplicaInput;
 import io.damaskyoke.control.replicas.ReplicaSettings;
-import io.damaskyoke.control.replicas.Rights;
 import io.damaskyoke.control.serving.ServingInput;
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.id.ExchangeId;
@@ -20,10 +19,12 @@
 import io.damaskyoke.upstream.UpstreamException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -45,6 +46,9 @@
     private final Consumer<ServingInput> requests;
     private final Metrics metrics;
     private final Timeline timeline;
+    private final Map<ExchangeId, ReplicaInput.Wanted> asking = new HashMap<>();
+    private RightsFollower rights;
+    private BooleanSupplier configured = () -> false;
 
     private EngineReplicas(
             Node node,
@@ -78,12 +82,29 @@
 
     @Override
     public void want(ExchangeId id, ModelName model, WorkspaceId workspace, Instant deadline) {
-        feed(new ReplicaInput.Wanted(id, model, deadline, workspace));
+        ReplicaInput.Wanted wanted = new ReplicaInput.Wanted(id, model, deadline, workspace);
+        if (rights != null && !rights.hold(model)) {
+            asking.put(id, wanted);
+            rights.refresh(() -> asked(id));
+        } else {
+            feed(wanted);
+        }
+    }
+
+    // A router may know of a right that was granted since we last read the table. The first request
+    // of a new model would be refused by the one VM that may serve it; so we read once more first.
+    private void asked(ExchangeId id) {
+        ReplicaInput.Wanted wanted = asking.remove(id);
+        if (wanted != null) {
+            feed(wanted);
+        }
     }
 
     @Override
     public void giveUp(ExchangeId id, ModelName model) {
-        feed(new ReplicaInput.GivenUp(id, model));
+        if (asking.remove(id) == null) {
+            feed(new ReplicaInput.GivenUp(id, model));
+        }
     }
 
     @Override
@@ -111,17 +132,24 @@
         return holder.memoryUsedBytes();
     }
 
-    // Fencing numbers must grow from one life of the agent to the next, or an engine that checks
-    // them would refuse the orders of the new life; the clock's milliseconds do.
     private void begin(Node node) {
-        long fencing = control.clock().millis();
-        feed(new ReplicaInput.RightsChanged(Rights.all(fencing)));
+        this.rights =
+                RightsFollower.start(
+                        node,
+                        granted -> feed(new ReplicaInput.RightsChanged(granted)),
+                        holder::isClearOf);
         feed(new ReplicaInput.Configured(node.configuration().current().models()));
         node.configuration()
                 .onChange(
                         now -> control.run(() -> feed(new ReplicaInput.Configured(now.models()))));
+        configured = () -> node.configuration().current().sequence() > 0;
         report();
-        control.every(TICK, () -> feed(new ReplicaInput.Tick()));
+        control.every(TICK, this::tick);
+    }
+
+    private void tick() {
+        feed(new ReplicaInput.Tick());
+        rights.tick();
     }
 
     private void report() {
@@ -129,10 +157,13 @@
                 .whenComplete((report, failure) -> control.run(() -> reported(report, failure)));
     }
 
+    // An agent that restarts while the store is down knows neither rights nor models. By the report
+    // alone it would take all that the engine holds for unwanted and unload it, and every model on
+    // the VM would start cold. Without a report the holder orders nothing.
     private void reported(Engine.Report report, Throwable failure) {
-        if (failure == null) {
+        if (failure == null && rights.isKnown() && configured.getAsBoolean()) {
             feed(new ReplicaInput.Reported(report));
-        } else {
+        } else if (failure != null) {
             metrics.count("engine_report_failures");
         }
         control.after(REPORT_PERIOD, this::report);
@@ -159,8 +190,6 @@
                             true,
                             refuse.retryAfter());
             later(new ServingInput.Unavailable(refuse.request(), refusal));
-        } else if (action instanceof ReplicaAction.Release release) {
-            timeline.add(EventType.RIGHT_RELEASED, release.model().value());
         }
     }
 
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RightsFollower.java
@@ -0,0 +1,149 @@
+package io.damaskyoke.agent;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.placement.PlacementFeed;
+import io.damaskyoke.control.placement.PlacementStore;
+import io.damaskyoke.control.placement.PlacementTable;
+import io.damaskyoke.control.placement.PollingFeed;
+import io.damaskyoke.control.placement.Right;
+import io.damaskyoke.control.placement.Shard;
+import io.damaskyoke.control.replicas.Rights;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.node.Node;
+import io.damaskyoke.timeline.EventType;
+import io.damaskyoke.timeline.Timeline;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * What the placement table lets this VM hold: tells the holder, and hands back what it is asked to
+ * release once the engine surely holds nothing of it. Control thread only.
+ */
+final class RightsFollower {
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+
+    private final Control control;
+    private final VmId vm;
+    private final PlacementStore store;
+    private final PlacementFeed feed;
+    private final Consumer<Rights> holder;
+    private final Predicate<ModelName> isClear;
+    private final Metrics metrics;
+    private final Timeline timeline;
+    private final long life;
+    private final Set<Integer> swapping = new HashSet<>();
+    private PlacementTable table = PlacementTable.UNREAD;
+    private Map<ModelName, Long> granted = Map.of();
+
+    private RightsFollower(Node node, Consumer<Rights> holder, Predicate<ModelName> isClear) {
+        this.control = node.control();
+        this.vm = node.vm();
+        this.store = new PlacementStore(node.store(), node.storePrefix());
+        this.feed = new PollingFeed(control, store, PERIOD, node.metrics());
+        this.holder = holder;
+        this.isClear = isClear;
+        this.metrics = node.metrics();
+        this.timeline = node.timeline();
+        this.life = control.clock().millis();
+    }
+
+    /** Begins to read; the holder hears nothing before the store has answered once. */
+    static RightsFollower start(Node node, Consumer<Rights> holder, Predicate<ModelName> isClear) {
+        RightsFollower follower = new RightsFollower(node, holder, isClear);
+        follower.feed.start(follower::take);
+        return follower;
+    }
+
+    /** True once the store has said what this VM may hold. */
+    boolean isKnown() {
+        return table.isRead();
+    }
+
+    /** True if this VM may hold the model. */
+    boolean hold(ModelName model) {
+        return granted.containsKey(model);
+    }
+
+    /** Asks the store again, and runs the step then, whatever came of it. */
+    void refresh(Runnable afterwards) {
+        feed.refresh(afterwards);
+    }
+
+    /** Hands back what can be; wanted a few times a second. */
+    void tick() {
+        table.shards().forEach(this::handBack);
+    }
+
+    private void take(PlacementTable newer) {
+        boolean first = !table.isRead();
+        table = newer;
+        Map<ModelName, Long> now = new TreeMap<>();
+        for (Right right : newer.of(vm)) {
+            if (right.usable()) {
+                now.put(right.model(), orderNumber(right));
+            }
+        }
+        if (first || !now.equals(granted)) {
+            note(now);
+            granted = now;
+            holder.accept(Rights.of(now));
+        }
+        tick();
+    }
+
+    // The right outlives this process, so its number alone would not tell the engine an order of
+    // this life from one that the last life sent and the network delayed.
+    private long orderNumber(Right right) {
+        return Math.max(right.fencing(), life);
+    }
+
+    private void note(Map<ModelName, Long> now) {
+        for (ModelName model : now.keySet()) {
+            if (!granted.containsKey(model)) {
+                timeline.add(EventType.RIGHT_GRANTED, model.value());
+            }
+        }
+    }
+
+    private void handBack(int number, PlacementTable.Stored stored) {
+        Shard changed =
+                stored.shard()
+                        .without(this::isReleased)
+                        .map(right -> right.vm().equals(vm) ? right.cleared() : right);
+        if (changed.equals(stored.shard()) || !swapping.add(number)) {
+            return;
+        }
+        store.change(number, stored, vm, read -> changed)
+                .whenComplete(
+                        (done, failure) ->
+                                control.run(() -> swapped(number, stored, done, failure)));
+    }
+
+    private boolean isReleased(Right right) {
+        return right.vm().equals(vm) && right.releasing() && isClear.test(right.model());
+    }
+
+    private void swapped(
+            int number, PlacementTable.Stored stored, Boolean done, Throwable failure) {
+        swapping.remove(number);
+        if (failure != null) {
+            metrics.count("placement_write_failures");
+        } else if (done) {
+            released(stored.shard().rights())
+                    .forEach(model -> timeline.add(EventType.RIGHT_RELEASED, model.value()));
+        }
+        feed.refresh();
+    }
+
+    private List<ModelName> released(List<Right> rights) {
+        return rights.stream().filter(this::isReleased).map(Right::model).toList();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
@@ -2,7 +2,6 @@
 
 import io.damaskyoke.platform.KeyValueStore;
 import java.util.List;
-import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 
@@ -11,14 +10,14 @@
     /** Entries asked for at once; small ones in practice, half a megabyte each at worst. */
     static final int PAGE = 64;
 
-    private static final String FOLDER = "/config/log/";
-
     private final KeyValueStore store;
+    private final String prefix;
     private final String folder;
 
     ConfigurationLog(KeyValueStore store, String prefix) {
         this.store = store;
-        this.folder = prefix + FOLDER;
+        this.prefix = prefix;
+        this.folder = prefix + LogKeys.FOLDER;
     }
 
     /** Some entries in order, where the store stood then, and whether more may follow. */
@@ -66,7 +65,6 @@
     }
 
     private String key(long sequence) {
-        long shown = Math.min(sequence, 9_999_999_999_999_999L);
-        return folder + String.format(Locale.ROOT, "%016d", shown);
+        return LogKeys.entry(prefix, sequence);
     }
 }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogKeys.java
@@ -0,0 +1,21 @@
+package io.damaskyoke.control.configuration;
+
+import java.util.Locale;
+
+/** Where the entries of the configuration log stand in the store. */
+public final class LogKeys {
+    static final String FOLDER = "/config/log/";
+
+    private static final long HIGHEST = 9_999_999_999_999_999L;
+
+    private LogKeys() {}
+
+    /**
+     * The key of one entry. A write that must not be based on an old configuration has the store
+     * check that the entry after its own is absent.
+     */
+    public static String entry(String storePrefix, long sequence) {
+        long shown = Math.min(sequence, HIGHEST);
+        return storePrefix + FOLDER + String.format(Locale.ROOT, "%016d", shown);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementStore.java
@@ -0,0 +1,120 @@
+package io.damaskyoke.control.placement;
+
+import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.configuration.LogKeys;
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.KeyValueStore.Condition;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.UnaryOperator;
+
+/**
+ * The placement table in the platform's store. Every write is checked to be a legal change of what
+ * was read, and takes effect only if that still stands. Whoever gets no clear answer reads again.
+ */
+public final class PlacementStore {
+    private static final String FOLDER = "/placement/";
+    private static final String LEASE = "/placement-lease";
+
+    private final KeyValueStore store;
+    private final String prefix;
+
+    /** The table under this prefix. */
+    public PlacementStore(KeyValueStore store, String prefix) {
+        this.store = store;
+        this.prefix = prefix;
+    }
+
+    /** The whole table by one call. */
+    public CompletionStage<PlacementTable> read() {
+        return store.list(prefix + FOLDER).thenApply(this::table);
+    }
+
+    /**
+     * Swaps a shard for what a planner wants. True if it took effect; it doesn't if the shard was
+     * written meanwhile, or if a configuration newer than the planner's has been accepted.
+     */
+    public CompletionStage<Boolean> plan(Planner.Proposal proposal, Configuration configuration) {
+        check(
+                Transition.ofPlanner(
+                        proposal.read(),
+                        proposal.value(),
+                        name -> maxReplicas(configuration, name)));
+        // A planner with an old configuration would give more rights than the newest allows. The
+        // log has one key for each number, so the absence of the next one says there is no newer.
+        Condition newest =
+                new Condition.Absent(LogKeys.entry(prefix, configuration.sequence() + 1));
+        return swap(proposal.shard(), proposal.value(), proposal.modRevision(), List.of(newest));
+    }
+
+    /** Swaps a shard for what a holder, or somebody who hears from the VM, makes of it. */
+    public CompletionStage<Boolean> change(
+            int number, PlacementTable.Stored read, VmId holder, UnaryOperator<Shard> change) {
+        Shard value = change.apply(read.shard());
+        check(Transition.ofHolder(read.shard(), value, holder));
+        return swap(number, value, read.modRevision(), List.of());
+    }
+
+    /** Writes the planner's key under the lease; false if another process has it. */
+    public CompletionStage<Boolean> acquireLease(long lease, byte[] holder) {
+        return store.commit(
+                        List.of(new Condition.Absent(prefix + LEASE)),
+                        List.of(new Write.Put(prefix + LEASE, holder, lease)))
+                .thenApply(KeyValueStore.TxnResult::committed);
+    }
+
+    private CompletionStage<Boolean> swap(
+            int number, Shard value, long modRevision, List<Condition> more) {
+        String key = key(number);
+        List<Condition> conditions = new ArrayList<>(more);
+        conditions.add(
+                modRevision == 0
+                        ? new Condition.Absent(key)
+                        : new Condition.Unchanged(key, modRevision));
+        return store.commit(conditions, List.of(new Write.Put(key, value.toJson(), 0)))
+                .thenApply(KeyValueStore.TxnResult::committed);
+    }
+
+    private PlacementTable table(KeyValueStore.Listing listing) {
+        Map<Integer, PlacementTable.Stored> shards = new HashMap<>();
+        for (KeyValueStore.Entry entry : listing.entries()) {
+            shards.put(
+                    number(entry.key()),
+                    new PlacementTable.Stored(Shard.parse(entry.value()), entry.modRevision()));
+        }
+        return new PlacementTable(listing.revision(), shards);
+    }
+
+    private String key(int number) {
+        return prefix + FOLDER + String.format(Locale.ROOT, "%03d", number);
+    }
+
+    private int number(String key) {
+        try {
+            return Integer.parseInt(key.substring((prefix + FOLDER).length()));
+        } catch (NumberFormatException e) {
+            throw new PlacementException(
+                    PlacementException.Code.UNREADABLE, "not the key of a shard: " + key, e);
+        }
+    }
+
+    private static int maxReplicas(Configuration configuration, ModelName name) {
+        Model model = configuration.models().get(name);
+        return model == null ? 0 : model.maxReplicas();
+    }
+
+    private static void check(Optional<String> wrong) {
+        if (wrong.isPresent()) {
+            throw new PlacementException(PlacementException.Code.ILLEGAL_CHANGE, wrong.get());
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/Shard.java
@@ -0,0 +1,101 @@
+package io.damaskyoke.control.placement;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import java.io.IOException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+
+/**
+ * The rights of some models, as one value in the store. An adapter's rights are in the shard of its
+ * base, so that both can change at once.
+ *
+ * @param lastFencing the highest fencing number ever given here
+ * @param rights by model, then VM
+ */
+public record Shard(long lastFencing, List<Right> rights) {
+    /** How many shards there are; a deployment must never change it. */
+    public static final int COUNT = 64;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Comparator<Right> ORDER =
+            Comparator.comparing((Right right) -> right.model().value())
+                    .thenComparing(right -> right.vm().value());
+
+    /** What stands where nothing was written yet. */
+    public static final Shard EMPTY = new Shard(0, List.of());
+
+    /** Sorts the rights, so that equal tables have equal bytes. */
+    public Shard {
+        rights = rights.stream().sorted(ORDER).toList();
+    }
+
+    /** The shard of a model; for an adapter pass its base. */
+    public static int number(ModelName model) {
+        return Math.floorMod(model.value().hashCode(), COUNT);
+    }
+
+    /** The same without these rights. */
+    public Shard without(Predicate<Right> which) {
+        return new Shard(lastFencing, rights.stream().filter(which.negate()).toList());
+    }
+
+    /** The same with each right passed through the change. */
+    public Shard map(UnaryOperator<Right> change) {
+        return new Shard(lastFencing, rights.stream().map(change).toList());
+    }
+
+    /** The stored form. */
+    public byte[] toJson() {
+        try {
+            List<StoredRight> stored = rights.stream().map(StoredRight::of).toList();
+            return JSON.writeValueAsBytes(new Stored(lastFencing, stored));
+        } catch (JsonProcessingException e) {
+            throw new PlacementException(
+                    PlacementException.Code.UNREADABLE, "can't write a shard", e);
+        }
+    }
+
+    /** Reads the stored form, or throws a {@link PlacementException}. */
+    public static Shard parse(byte[] json) {
+        try {
+            Stored stored = JSON.readValue(json, Stored.class);
+            return new Shard(
+                    stored.fencing(), stored.rights().stream().map(StoredRight::right).toList());
+        } catch (IOException | IllegalArgumentException e) {
+            throw new PlacementException(
+                    PlacementException.Code.UNREADABLE, "can't read a shard", e);
+        }
+    }
+
+    private record Stored(
+            @JsonProperty("fencing") long fencing,
+            @JsonProperty("rights") List<StoredRight> rights) {}
+
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+    private record StoredRight(
+            @JsonProperty("model") String model,
+            @JsonProperty("vm") String vm,
+            @JsonProperty("fencing") long fencing,
+            @JsonProperty("releasing") boolean releasing,
+            @JsonProperty("suspected") boolean suspected) {
+        static StoredRight of(Right right) {
+            return new StoredRight(
+                    right.model().value(),
+                    right.vm().value(),
+                    right.fencing(),
+                    right.releasing(),
+                    right.suspected());
+        }
+
+        Right right() {
+            return new Right(ModelName.of(model), VmId.of(vm), fencing, releasing, suspected);
+        }
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
@@ -70,6 +70,14 @@
         return in(Phase.LOADING);
     }
 
+    /**
+     * True if the engine surely holds nothing of the model and has no order about it, by an
+     * inventory that is younger than this process. Only then may a right to it be handed back.
+     */
+    public boolean isClearOf(ModelName model) {
+        return table.complete() && table.get(model) == null;
+    }
+
     /** What the engine has for models, in bytes; 0 before its first report. */
     public long memoryBytes() {
         return table.capacity();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
@@ -34,6 +34,7 @@
     private final Map<VmId, Instant> suspended = new HashMap<>();
     private final Set<VmId> draining = new HashSet<>();
     private Set<VmId> leaving = Set.of();
+    private Map<ModelName, Set<VmId>> holders = Map.of();
 
     private Fleet(AvailabilityZone here) {
         this.here = here;
@@ -54,6 +55,16 @@
         leaving = Set.copyOf(listedAsLeaving);
     }
 
+    /** Takes in who may hold a replica of each model; requests go nowhere else. */
+    public void placed(Map<ModelName, Set<VmId>> newHolders) {
+        holders = Map.copyOf(newHolders);
+    }
+
+    /** True if some VM may hold the model. */
+    public boolean isPlaced(ModelName model) {
+        return holders.containsKey(model);
+    }
+
     /** Takes in what an agent says of its load. */
     public void loaded(VmId vm, AgentLoad load) {
         loads.put(vm, load);
@@ -103,8 +114,8 @@
 
     /**
      * The agent for a model. One that has it in memory and is not full is best; else one that is
-     * loading it; else the first of its homes, on which all routers agree without talking, so that
-     * a burst of first requests at many routers meets at one agent.
+     * loading it; else the first of those with a right to it, on which all routers agree without
+     * talking, so that a burst of first requests at many routers meets at one agent.
      */
     public Optional<VmId> holder(Model model, Set<VmId> tried, Instant now) {
         List<Member> homes = homes(model, tried, now);
@@ -122,9 +133,10 @@
 
     private List<Member> homes(Model model, Set<VmId> tried, Instant now) {
         String name = model.base().orElse(model.name()).value();
+        Set<VmId> mayHold = holders.getOrDefault(model.name(), Set.of());
         return choosable(model.pool(), tried, now)
+                .filter(member -> mayHold.contains(member.vm()))
                 .sorted(Comparator.comparingInt((Member member) -> weight(name, member)).reversed())
-                .limit(model.maxReplicas())
                 .toList();
     }
 
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/LastHeard.java
@@ -0,0 +1,36 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.peer.PeerListener;
+import io.damaskyoke.peer.wire.Frame;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+
+/** When a frame last came from each VM; may be asked on any thread. */
+final class LastHeard implements PeerListener {
+    private static final Duration LATELY = Duration.ofSeconds(10);
+
+    private final InstantSource clock;
+    private final Map<VmId, Instant> last = new ConcurrentHashMap<>();
+
+    LastHeard(InstantSource clock) {
+        this.clock = clock;
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        link.remote().ifPresent(hello -> last.put(VmId.of(hello.getVm()), clock.instant()));
+    }
+
+    /** The VMs heard from in the last seconds; the others are forgotten. */
+    Set<VmId> lately(Instant now) {
+        last.values().removeIf(at -> at.plus(LATELY).isBefore(now));
+        return last.keySet().stream().collect(Collectors.toUnmodifiableSet());
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
@@ -0,0 +1,248 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.placement.PlacementException;
+import io.damaskyoke.control.placement.PlacementFeed;
+import io.damaskyoke.control.placement.PlacementStore;
+import io.damaskyoke.control.placement.PlacementTable;
+import io.damaskyoke.control.placement.Planner;
+import io.damaskyoke.control.placement.PollingFeed;
+import io.damaskyoke.control.placement.Right;
+import io.damaskyoke.control.routing.Fleet;
+import io.damaskyoke.control.routing.Member;
+import io.damaskyoke.exchange.Request;
+import io.damaskyoke.exchange.Target;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.node.Node;
+import io.damaskyoke.peer.PeerAddress;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.platform.VmList;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A router's part in the placement: tells its fleet who may hold what, plans while it has the
+ * lease, and clears suspicions of VMs that it hears from. Control thread only.
+ */
+final class Placement {
+    private static final Logger LOG = LogManager.getLogger(Placement.class);
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final Duration QUICK = Duration.ofMillis(100);
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final Duration GONE_AFTER = Duration.ofSeconds(30);
+    private static final Duration SUSPECT_TIME = Duration.ofSeconds(15);
+
+    private final Control control;
+    private final Fleet fleet;
+    private final Supplier<Configuration> configuration;
+    private final PlacementStore store;
+    private final PlacementFeed feed;
+    private final PlacementLease lease;
+    private final Planner planner = new Planner(GONE_AFTER, SUSPECT_TIME);
+    private final VmList vmList;
+    private final LastHeard heard;
+    private final BooleanSupplier confirmed;
+    private final Metrics metrics;
+    private final Map<VmId, Member> known = new HashMap<>();
+    private final List<Waiter> waiters = new ArrayList<>();
+    private final Set<Integer> swapping = new HashSet<>();
+    private PlacementTable table = PlacementTable.UNREAD;
+    private PeerNetwork network;
+    private boolean planning;
+
+    Placement(
+            Node node,
+            Fleet fleet,
+            LastHeard heard,
+            Duration leaseTerm,
+            BooleanSupplier confirmed) {
+        this.control = node.control();
+        this.fleet = fleet;
+        this.configuration = node.configuration()::current;
+        this.store = new PlacementStore(node.store(), node.storePrefix());
+        this.feed = new PollingFeed(control, store, PERIOD, node.metrics());
+        this.lease = new PlacementLease(node, store, leaseTerm);
+        this.vmList = node.vmList();
+        this.heard = heard;
+        this.confirmed = confirmed;
+        this.metrics = node.metrics();
+    }
+
+    private record Waiter(ModelName model, Instant until, Runnable step) {}
+
+    /** Begins; the network is for a last try to reach a VM that seems to be gone. */
+    void start(PeerNetwork peers) {
+        network = peers;
+        control.run(
+                () -> {
+                    lease.start(this::plan);
+                    feed.start(this::take);
+                    control.every(PERIOD, this::plan);
+                    control.every(QUICK, this::serveWaiters);
+                });
+    }
+
+    /** Plans at once, as there may be new models. */
+    void configurationChanged() {
+        plan();
+    }
+
+    /**
+     * Runs the step once some VM may hold the request's model. A model whose ticket was accepted a
+     * moment ago has no right yet; its first request would be refused although a planner is about
+     * to give one. After a few seconds the step runs anyway and finds no upstream.
+     */
+    void whenPlaced(Request request, Runnable step) {
+        if (request.target() instanceof Target.Model target && !fleet.isPlaced(target.model())) {
+            Instant limit = control.clock().instant().plus(PATIENCE);
+            Instant until = request.deadline().isBefore(limit) ? request.deadline() : limit;
+            waiters.add(new Waiter(target.model(), until, step));
+            plan();
+        } else {
+            step.run();
+        }
+    }
+
+    private void serveWaiters() {
+        if (waiters.isEmpty()) {
+            return;
+        }
+        feed.refresh();
+        serve(control.clock().instant());
+    }
+
+    private void serve(Instant now) {
+        for (Waiter waiter : List.copyOf(waiters)) {
+            if (fleet.isPlaced(waiter.model) || !now.isBefore(waiter.until)) {
+                waiters.remove(waiter);
+                waiter.step.run();
+            }
+        }
+    }
+
+    private void take(PlacementTable newer) {
+        table = newer;
+        fleet.placed(newer.holders());
+        newer.shards().forEach(this::clearSuspicions);
+        serve(control.clock().instant());
+    }
+
+    private void clearSuspicions(int number, PlacementTable.Stored stored) {
+        Set<VmId> alive = heard.lately(control.clock().instant());
+        for (Right right : stored.shard().rights()) {
+            if (right.suspected() && alive.contains(right.vm())) {
+                metrics.count("placement_suspicions_cleared");
+                swap(
+                        number,
+                        () ->
+                                store.change(
+                                        number,
+                                        stored,
+                                        right.vm(),
+                                        read ->
+                                                read.map(
+                                                        each ->
+                                                                alive.contains(each.vm())
+                                                                        ? each.cleared()
+                                                                        : each)));
+                return;
+            }
+        }
+    }
+
+    private void plan() {
+        fleet.members().forEach(member -> known.put(member.vm(), member));
+        if (planning || !lease.held() || !confirmed.getAsBoolean()) {
+            return;
+        }
+        planning = true;
+        vmList.read().whenComplete((vms, failure) -> control.run(() -> listed(vms, failure)));
+    }
+
+    private void listed(List<VmList.Vm> vms, Throwable failure) {
+        planning = false;
+        if (failure != null || !lease.held()) {
+            return;
+        }
+        Map<VmId, VmList.Vm> listed = new HashMap<>();
+        vms.forEach(vm -> listed.put(vm.id(), vm));
+        Configuration now = configuration.get();
+        table.all().map(Right::vm).filter(vm -> !listed.containsKey(vm)).forEach(this::tryToReach);
+        Planner.View view =
+                new Planner.View(
+                        table,
+                        now.models(),
+                        candidates(listed),
+                        listed.keySet(),
+                        heard.lately(control.clock().instant()));
+        planner.on(view, control.clock().instant()).forEach(proposal -> propose(proposal, now));
+    }
+
+    private List<Planner.Candidate> candidates(Map<VmId, VmList.Vm> listed) {
+        return fleet.members().stream()
+                .filter(member -> listed.containsKey(member.vm()))
+                .map(
+                        member ->
+                                new Planner.Candidate(
+                                        member.vm(),
+                                        member.pool(),
+                                        member.zone(),
+                                        listed.get(member.vm()).state() == VmList.State.LEAVING))
+                .toList();
+    }
+
+    // A link that opens brings heartbeats, and those are word from the VM.
+    private void tryToReach(VmId vm) {
+        Member member = known.get(vm);
+        if (member != null) {
+            network.link(new PeerAddress(vm, member.host(), member.port()));
+        }
+    }
+
+    private void propose(Planner.Proposal proposal, Configuration now) {
+        try {
+            swap(proposal.shard(), () -> store.plan(proposal, now));
+        } catch (PlacementException e) {
+            metrics.count("placement_proposals_refused");
+            LOG.error("a proposal for shard {} is not legal", proposal.shard(), e);
+        }
+    }
+
+    private void swap(int number, Supplier<CompletionStage<Boolean>> write) {
+        if (swapping.contains(number)) {
+            return;
+        }
+        CompletionStage<Boolean> written = write.get();
+        swapping.add(number);
+        written.whenComplete(
+                (done, failure) ->
+                        control.run(
+                                () -> {
+                                    swapping.remove(number);
+                                    count(done, failure);
+                                    feed.refresh();
+                                }));
+    }
+
+    private void count(Boolean done, Throwable failure) {
+        if (failure != null) {
+            metrics.count("placement_write_failures");
+        } else {
+            metrics.count(done ? "placement_writes" : "placement_writes_overtaken");
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/PlacementLease.java
@@ -0,0 +1,84 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.placement.LeaseAction;
+import io.damaskyoke.control.placement.LeaseInput;
+import io.damaskyoke.control.placement.LeaseMachine;
+import io.damaskyoke.control.placement.PlacementStore;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.node.Node;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.timeline.EventType;
+import io.damaskyoke.timeline.Timeline;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+/** Carries a {@link LeaseMachine}'s actions out at the store. Control thread only. */
+final class PlacementLease {
+    private static final Duration TICK = Duration.ofMillis(250);
+
+    private final Control control;
+    private final KeyValueStore store;
+    private final PlacementStore table;
+    private final Timeline timeline;
+    private final Incarnation self;
+    private final LeaseMachine machine;
+    private Runnable won = () -> {};
+
+    PlacementLease(Node node, PlacementStore table, Duration term) {
+        this.control = node.control();
+        this.store = node.store();
+        this.table = table;
+        this.timeline = node.timeline();
+        this.self = node.incarnation();
+        this.machine = new LeaseMachine(term);
+    }
+
+    /** Begins to try for it. */
+    void start(Runnable whenWon) {
+        won = whenWon;
+        feed(new LeaseInput.Tick());
+        control.every(TICK, () -> feed(new LeaseInput.Tick()));
+    }
+
+    boolean held() {
+        return machine.held(control.clock().instant());
+    }
+
+    private void feed(LeaseInput input) {
+        machine.on(input, control.clock().instant()).forEach(this::carryOut);
+    }
+
+    private void carryOut(LeaseAction action) {
+        if (action instanceof LeaseAction.Grant grant) {
+            answer(store.grantLease(grant.term()), LeaseInput.Granted::new);
+        } else if (action instanceof LeaseAction.Acquire acquire) {
+            byte[] value = self.value().getBytes(StandardCharsets.UTF_8);
+            answer(table.acquireLease(acquire.lease(), value), LeaseInput.Acquired::new);
+        } else if (action instanceof LeaseAction.Keep keep) {
+            answer(
+                    store.keepAlive(keep.lease()),
+                    alive -> new LeaseInput.Kept(alive, keep.askedAt()));
+        } else if (action instanceof LeaseAction.Revoke revoke) {
+            store.revokeLease(revoke.lease());
+        } else if (action instanceof LeaseAction.Won) {
+            timeline.add(EventType.LEASE_WON, self.value());
+            won.run();
+        } else if (action instanceof LeaseAction.Lost) {
+            timeline.add(EventType.LEASE_LOST, self.value());
+        }
+    }
+
+    private <T> void answer(CompletionStage<T> stage, Function<T, LeaseInput> input) {
+        stage.whenComplete(
+                (value, failure) ->
+                        control.run(
+                                () ->
+                                        feed(
+                                                failure == null
+                                                        ? input.apply(value)
+                                                        : new LeaseInput.Failed())));
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -31,6 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -52,6 +53,7 @@
     private final Supplier<Configuration> configuration;
     private final BooleanSupplier confirmed;
     private final int maxWaiting;
+    private final BiConsumer<Request, Runnable> whenPlaced;
     private final Set<RequestFlow> flows = new LinkedHashSet<>();
     private int waiting;
 
@@ -67,6 +69,7 @@
         this.configuration = parts.configuration();
         this.confirmed = parts.confirmed();
         this.maxWaiting = parts.maxWaiting();
+        this.whenPlaced = parts.whenPlaced();
     }
 
     /**
@@ -74,6 +77,7 @@
      *
      * @param confirmed whether the configuration in force is known to be the newest
      * @param maxWaiting requests that may be without an answer at once
+     * @param whenPlaced runs the step once some VM may hold the request's model
      */
     record Parts(
             Control control,
@@ -86,7 +90,8 @@
             Timeline timeline,
             Supplier<Configuration> configuration,
             BooleanSupplier confirmed,
-            int maxWaiting) {}
+            int maxWaiting,
+            BiConsumer<Request, Runnable> whenPlaced) {}
 
     @Override
     public CompletionStage<Answer> dispatch(Request request, CancelSignal cancel) {
@@ -145,7 +150,7 @@
         RequestFlow flow = new RequestFlow(this, request, choice(request), answer);
         flows.add(flow);
         waiting++;
-        flow.start();
+        whenPlaced.accept(request, flow::start);
         cancel.onCancel(() -> control.run(flow::callerGone));
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -42,6 +42,7 @@
     private final Node node;
     private final AtomicLong counter = new AtomicLong();
     private final Fleet fleet;
+    private final Placement placement;
     private final RequestDispatcher dispatcher;
     private final PeerNetwork network;
     private final CallerServer callers;
@@ -58,10 +59,13 @@
                         settings.peer(),
                         () -> node.configuration().current().sequence(),
                         node.metrics());
+        LastHeard heard = new LastHeard(node.control().clock());
+        this.placement = placement(heard);
         this.network =
                 node.network(settings.peer())
                         .listen(client)
                         .listen(new AgentListener(node.control(), fleet))
+                        .listen(heard)
                         .build()
                         .start();
         this.dispatcher = new RequestDispatcher(parts(client));
@@ -74,6 +78,7 @@
                         fleet,
                         node.metrics())
                 .start(settings.platform().vmListPeriod());
+        placement.start(network);
         this.callers = await(startCallers());
         this.operators = await(startOperators());
     }
@@ -128,7 +133,17 @@
                 node.timeline(),
                 node.configuration()::current,
                 () -> node.configuration().confirmed(settings.control().unconfirmedLimit()),
-                settings.control().maxWaiting());
+                settings.control().maxWaiting(),
+                placement::whenPlaced);
+    }
+
+    private Placement placement(LastHeard heard) {
+        return new Placement(
+                node,
+                fleet,
+                heard,
+                settings.control().placementLease(),
+                () -> node.configuration().confirmed(settings.control().unconfirmedLimit()));
     }
 
     private CompletionStage<CallerServer> startCallers() {
@@ -177,6 +192,7 @@
 
     private void changed(Configuration now) {
         dispatcher.configurationChanged(now);
+        placement.configurationChanged();
     }
 
     private Void abortAll() {
