--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/EngineVm.java
@@ -0,0 +1,242 @@
+package io.damaskyoke.control.placement;
+
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.control.replicas.ReplicaAction;
+import io.damaskyoke.control.replicas.ReplicaHolder;
+import io.damaskyoke.control.replicas.ReplicaInput;
+import io.damaskyoke.control.replicas.ReplicaSettings;
+import io.damaskyoke.control.replicas.Rights;
+import io.damaskyoke.id.AvailabilityZone;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.upstream.Engine;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** A VM of the world: an engine that ignores fencing, and an agent that can die beside it. */
+final class EngineVm {
+    static final long MEMORY = 100;
+    private static final int LAG = 7;
+
+    final VmId id;
+    final AvailabilityZone zone;
+    private final PlacementWorld world;
+    private final Map<ModelName, Model> held = new TreeMap<>();
+    private final Map<ModelName, Job> jobs = new TreeMap<>();
+    private final List<Engine.Report> history = new ArrayList<>();
+    private final List<Use> uses = new ArrayList<>();
+    private ReplicaHolder holder;
+    private PlacementTable table;
+    private int agentDownFor;
+    private int vmDownFor;
+    private int life;
+
+    private record Use(ModelName model, Instant end) {}
+
+    private record Job(Model model, boolean load, Instant end, int life) {}
+
+    EngineVm(PlacementWorld world, VmId id, AvailabilityZone zone) {
+        this.world = world;
+        this.id = id;
+        this.zone = zone;
+        startAgent();
+    }
+
+    boolean isUp() {
+        return vmDownFor == 0;
+    }
+
+    boolean agentLives() {
+        return isUp() && agentDownFor == 0;
+    }
+
+    boolean holds(ModelName model) {
+        return held.containsKey(model) || jobs.containsKey(model);
+    }
+
+    long usedBytes() {
+        long loading =
+                jobs.values().stream()
+                        .filter(Job::load)
+                        .mapToLong(job -> job.model.memoryBytes())
+                        .sum();
+        return loading + held.values().stream().mapToLong(Model::memoryBytes).sum();
+    }
+
+    /** The agent dies; what it has ordered goes on at the engine. */
+    void killAgent() {
+        agentDownFor = 1 + world.random.nextInt(40);
+        life++;
+    }
+
+    /** The whole VM goes, and comes back empty under its old name. */
+    void lose(int steps) {
+        vmDownFor = steps;
+        life++;
+        held.clear();
+        jobs.clear();
+    }
+
+    void recover() {
+        vmDownFor = Math.min(vmDownFor, 1);
+        agentDownFor = Math.min(agentDownFor, 1);
+    }
+
+    void want(ModelName model) {
+        if (agentLives()) {
+            ExchangeId request = new ExchangeId(Incarnation.of("r"), world.requests++);
+            Instant deadline = world.now.plusSeconds(20);
+            feed(new ReplicaInput.Wanted(request, model, deadline, WorkspaceId.of("w")));
+        }
+    }
+
+    void step() {
+        if (vmDownFor > 0) {
+            vmDownFor--;
+            agentDownFor = 1;
+            history.clear();
+            return;
+        }
+        endJobs();
+        history.add(truth());
+        if (agentDownFor > 0) {
+            agentDownFor--;
+            if (agentDownFor == 0) {
+                startAgent();
+            }
+            return;
+        }
+        if (world.random.nextInt(4) == 0) {
+            world.store.read().thenAccept(this::take);
+        }
+        if (table.isRead() && world.random.nextInt(4) == 0) {
+            int age = world.random.nextInt(Math.min(LAG, history.size()));
+            feed(new ReplicaInput.Reported(history.get(history.size() - 1 - age)));
+        }
+        endUses();
+        feed(new ReplicaInput.Tick());
+        handBack();
+    }
+
+    private void endUses() {
+        for (Use use : List.copyOf(uses)) {
+            if (!use.end.isAfter(world.now)) {
+                uses.remove(use);
+                feed(new ReplicaInput.Finished(use.model));
+            }
+        }
+    }
+
+    private void startAgent() {
+        uses.clear();
+        holder = new ReplicaHolder(ReplicaSettings.defaults());
+        table = PlacementTable.UNREAD;
+        feed(new ReplicaInput.Configured(world.models));
+        if (world.ownView()) {
+            feed(new ReplicaInput.RightsChanged(Rights.all(life + 1)));
+        }
+    }
+
+    private void take(PlacementTable newer) {
+        if (newer.revision() < table.revision()) {
+            return;
+        }
+        table = newer;
+        if (!world.ownView()) {
+            Map<ModelName, Long> rights = new TreeMap<>();
+            newer.of(id).stream()
+                    .filter(Right::usable)
+                    .forEach(right -> rights.put(right.model(), right.fencing()));
+            feed(new ReplicaInput.RightsChanged(Rights.of(rights)));
+        }
+    }
+
+    private void handBack() {
+        table.shards()
+                .forEach(
+                        (number, stored) -> {
+                            Shard changed = handedBack(stored.shard());
+                            if (!changed.equals(stored.shard())) {
+                                world.store.change(number, stored, id, read -> changed);
+                            }
+                        });
+    }
+
+    private Shard handedBack(Shard shard) {
+        boolean clears = world.policy != Policy.TIMEOUT_ONLY;
+        return shard.without(right -> mine(right) && isReleased(right))
+                .map(right -> mine(right) && clears ? right.cleared() : right);
+    }
+
+    private boolean mine(Right right) {
+        return right.vm().equals(id);
+    }
+
+    private boolean isReleased(Right right) {
+        boolean blind = world.policy == Policy.BLIND_RELEASE;
+        return right.releasing() && (blind || holder.isClearOf(right.model()));
+    }
+
+    private void feed(ReplicaInput input) {
+        holder.on(input, world.now).forEach(this::carryOut);
+    }
+
+    private void carryOut(ReplicaAction action) {
+        if (action instanceof ReplicaAction.Load load) {
+            Instant end = world.now.plusMillis(1_000 + world.random.nextInt(4_000));
+            jobs.put(load.model().name(), new Job(load.model(), true, end, life));
+        } else if (action instanceof ReplicaAction.Unload unload) {
+            Instant end = world.now.plusMillis(250);
+            Model model = world.models.get(unload.model());
+            jobs.put(unload.model(), new Job(model, false, end, life));
+        } else if (action instanceof ReplicaAction.Ready ready) {
+            world.served++;
+            Instant end = world.now.plusMillis(world.random.nextInt(10_000));
+            uses.add(new Use(ready.model(), end));
+        }
+    }
+
+    private void endJobs() {
+        for (Job job : List.copyOf(jobs.values())) {
+            ModelName name = job.model.name();
+            if (job.end.isAfter(world.now)) {
+                continue;
+            }
+            jobs.remove(name);
+            if (job.load) {
+                held.put(name, job.model);
+            } else {
+                held.remove(name);
+            }
+            if (job.life == life && agentLives()) {
+                feed(answer(job, name));
+            }
+        }
+    }
+
+    private ReplicaInput answer(Job job, ModelName name) {
+        boolean lost = world.faults && world.random.nextInt(6) == 0;
+        if (job.load) {
+            return lost ? new ReplicaInput.LoadFailed(name, true) : new ReplicaInput.Loaded(name);
+        }
+        return lost ? new ReplicaInput.UnloadFailed(name) : new ReplicaInput.Unloaded(name);
+    }
+
+    private Engine.Report truth() {
+        List<Engine.Held> loading =
+                jobs.values().stream().filter(Job::load).map(job -> heldAs(job.model)).toList();
+        List<Engine.Held> loaded = held.values().stream().map(EngineVm::heldAs).toList();
+        return new Engine.Report(MEMORY, usedBytes(), loaded, loading, List.of(), 0, 0);
+    }
+
+    private static Engine.Held heldAs(Model model) {
+        return new Engine.Held(model.name(), model.memoryBytes(), Optional.of(model.version()));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/PlacementPropertyTest.java
@@ -0,0 +1,75 @@
+package io.damaskyoke.control.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.configuration.Model;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class PlacementPropertyTest {
+    private static final int STEPS = 3_000;
+    private static final int SEEDS = 20;
+    private static final int CALM = 800;
+
+    @Property(seed = "21", tries = 60)
+    void noMoreReplicasThanDecidedThroughEveryFault(@ForAll long seed) {
+        // Three routers plan at once and are frozen and thawed with proposals in hand; agents die
+        // in the middle of loads; VMs vanish and come back, or are only mislaid by the list; the
+        // store goes down and loses answers; reports are old; engines obey any order. After each
+        // step no model is held by more engines than decided, and no engine holds too much.
+        PlacementWorld world = new PlacementWorld(seed, Policy.OURS);
+        world.run(STEPS);
+        assertEquals(List.of(), world.broken);
+        assertTrue(world.served > 0);
+    }
+
+    @Property(seed = "22", tries = 20)
+    void afterTheFaultsEveryModelHasItsRightsAgain(@ForAll long seed) {
+        // Safety could be had by never moving a right, and a model whose VM is gone would be
+        // refused for ever. Once the faults end, all rights stand where they are of use.
+        PlacementWorld world = new PlacementWorld(seed, Policy.OURS);
+        world.run(STEPS / 3);
+        world.calm(CALM);
+        PlacementTable table = world.store.read().toCompletableFuture().join();
+        for (Model model : world.models.values()) {
+            int holders = table.holders().get(model.name()).size();
+            assertEquals(model.maxReplicas(), holders, model.name().value());
+        }
+        assertTrue(table.all().noneMatch(right -> right.releasing() || right.suspected()));
+        assertEquals(List.of(), world.broken);
+    }
+
+    @Test
+    void routersThatChooseByTheirOwnViewLoadTooMany() {
+        // Each router takes the first of the VMs that it sees, and agents load whatever they are
+        // asked for. Two views of the list are enough for a second copy.
+        assertEquals(SEEDS, brokenWorlds(Policy.OWN_VIEW));
+    }
+
+    @Test
+    void aRightTakenOnATimeoutAloneIsUsedByTwo() {
+        // The list mislays a VM that lives, and the store is out of its reach. Its right is given
+        // to another, which loads the model while the first one still holds it.
+        assertTrue(brokenWorlds(Policy.TIMEOUT_ONLY) > 0);
+    }
+
+    @Test
+    void aRightHandedBackBeforeTheEngineIsClearIsUsedByTwo() {
+        // The VM is to leave. Its agent confirms the release at once, and the new holder has
+        // loaded the model before the old engine lets go of it: an answer still streams there.
+        assertTrue(brokenWorlds(Policy.BLIND_RELEASE) > 0);
+    }
+
+    private static int brokenWorlds(Policy policy) {
+        int broken = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            PlacementWorld world = new PlacementWorld(seed, policy);
+            world.run(STEPS);
+            broken += world.broken.isEmpty() ? 0 : 1;
+        }
+        return broken;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/PlannerRouter.java
@@ -0,0 +1,115 @@
+package io.damaskyoke.control.placement;
+
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** A router of the world: it always believes that it has the lease, and is frozen at times. */
+final class PlannerRouter {
+    private final PlacementWorld world;
+    private final Planner planner;
+    private final List<Planner.Proposal> delayed = new ArrayList<>();
+    private PlacementTable table = PlacementTable.UNREAD;
+    private int frozenFor;
+
+    PlannerRouter(PlacementWorld world) {
+        this.world = world;
+        this.planner =
+                world.policy == Policy.TIMEOUT_ONLY
+                        ? new Planner(Duration.ofSeconds(5), Duration.ZERO)
+                        : new Planner(PlacementWorld.GONE_AFTER, PlacementWorld.SUSPECT_TIME);
+    }
+
+    void freeze(int steps) {
+        frozenFor = steps;
+    }
+
+    void thaw() {
+        frozenFor = 0;
+    }
+
+    void step() {
+        if (frozenFor > 0) {
+            frozenFor--;
+            return;
+        }
+        if (!world.ownView()) {
+            delayed.forEach(proposal -> world.store.plan(proposal, world.configuration()));
+            delayed.clear();
+            plan();
+        }
+        if (world.random.nextInt(2) == 0) {
+            world.store.read().thenAccept(this::take);
+        }
+        if (world.random.nextInt(3) == 0) {
+            send();
+        }
+    }
+
+    private void take(PlacementTable newer) {
+        if (newer.revision() >= table.revision()) {
+            table = newer;
+        }
+    }
+
+    private void plan() {
+        Set<VmId> listed = world.listed(8);
+        List<Planner.Candidate> candidates =
+                listed.stream().map(vm -> world.vms.get(vm)).map(this::candidate).toList();
+        Planner.View view = new Planner.View(table, world.models, candidates, listed, heard());
+        for (Planner.Proposal proposal : planner.on(view, world.now)) {
+            if (world.faults && world.random.nextInt(4) == 0) {
+                delayed.add(proposal);
+            } else {
+                world.store.plan(proposal, world.configuration());
+            }
+        }
+    }
+
+    private Planner.Candidate candidate(EngineVm vm) {
+        return new Planner.Candidate(
+                vm.id, PlacementWorld.POOL, vm.zone, world.leaving.contains(vm.id));
+    }
+
+    private Set<VmId> heard() {
+        if (world.policy == Policy.TIMEOUT_ONLY) {
+            return Set.of();
+        }
+        Set<VmId> heard = new HashSet<>();
+        world.vms.values().stream()
+                .filter(vm -> vm.agentLives() && world.random.nextInt(3) > 0)
+                .forEach(vm -> heard.add(vm.id));
+        return heard;
+    }
+
+    private void send() {
+        List<Model> models = List.copyOf(world.models.values());
+        Model model = models.get(world.random.nextInt(models.size()));
+        List<VmId> homes = homes(model);
+        if (!homes.isEmpty()) {
+            world.vms.get(homes.get(world.random.nextInt(homes.size()))).want(model.name());
+        }
+    }
+
+    // The naive router's homes are the first of the VMs that it believes to be there.
+    private List<VmId> homes(Model model) {
+        if (!world.ownView()) {
+            return List.copyOf(table.holders().getOrDefault(model.name(), Set.of()));
+        }
+        return world.listed(world.routers.indexOf(this) * 8).stream()
+                .sorted(Comparator.comparing(vm -> rank(model.name(), vm)))
+                .limit(model.maxReplicas())
+                .collect(Collectors.toList());
+    }
+
+    private static int rank(ModelName model, VmId vm) {
+        return (model.value() + vm.value()).hashCode() * 0x9e3779b1;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/TransitionTest.java
@@ -0,0 +1,94 @@
+package io.damaskyoke.control.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.configuration.Model;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.PoolName;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class TransitionTest {
+    private static final ModelName CUT = ModelName.of("cut");
+    private static final VmId ONE = VmId.of("one");
+    private static final VmId TWO = VmId.of("two");
+    private static final Right HELD = Right.granted(CUT, ONE, 5);
+    private static final Shard READ = new Shard(5, List.of(HELD));
+
+    @Test
+    void aPlannerTakesOnlyWhatIsSuspected() {
+        assertTrue(plan(READ, new Shard(5, List.of())).isPresent());
+        Shard suspected = new Shard(5, List.of(HELD.suspected(true)));
+        assertEquals(Optional.empty(), plan(suspected, new Shard(5, List.of())));
+    }
+
+    @Test
+    void aRightThatMovesIsNeverCountedTwice() {
+        Shard moved = new Shard(6, List.of(HELD.toRelease(), Right.granted(CUT, TWO, 6)));
+        assertTrue(plan(READ, moved).isPresent());
+    }
+
+    @Test
+    void anOldFencingNumberIsNotGivenAgain() {
+        Shard empty = new Shard(5, List.of());
+        Shard again = new Shard(5, List.of(Right.granted(CUT, TWO, 5)));
+        assertTrue(plan(empty, again).isPresent());
+    }
+
+    @Test
+    void aHolderRemovesOnlyItsOwnRightAndOnlyWhenAsked() {
+        Shard none = new Shard(5, List.of());
+        Shard asked = new Shard(5, List.of(HELD.toRelease()));
+        assertTrue(Transition.ofHolder(READ, none, ONE).isPresent());
+        assertTrue(Transition.ofHolder(asked, none, TWO).isPresent());
+        assertEquals(Optional.empty(), Transition.ofHolder(asked, none, ONE));
+    }
+
+    @Test
+    void aPlannerWithAnOldConfigurationChangesNothing() {
+        // A router was paused before an operator lowered the limit. It thaws, reads the table, and
+        // would give the rights that its old configuration allows. The log has gone on, so the
+        // swap fails.
+        FakeStore fake = new FakeStore();
+        PlacementStore store = new PlacementStore(fake, "t");
+        Planner.Proposal grant =
+                new Planner.Proposal(
+                        1, Shard.EMPTY, new Shard(1, List.of(Right.granted(CUT, ONE, 1))), 0);
+        fake.commit(
+                List.of(), List.of(new Write.Put("t/config/log/0000000000000002", new byte[0], 0)));
+        assertEquals(false, store.plan(grant, configuration(1)).toCompletableFuture().join());
+        assertEquals(true, store.plan(grant, configuration(2)).toCompletableFuture().join());
+    }
+
+    @Test
+    void anIllegalProposalNeverReachesTheStore() {
+        PlacementStore store = new PlacementStore(new FakeStore(), "t");
+        Planner.Proposal taking = new Planner.Proposal(1, READ, Shard.EMPTY, 3);
+        assertThrows(PlacementException.class, () -> store.plan(taking, configuration(1)));
+    }
+
+    @Test
+    void aShardReadsBackAsWritten() {
+        Shard shard = new Shard(9, List.of(HELD.toRelease(), Right.granted(CUT, TWO, 9)));
+        assertEquals(shard, Shard.parse(shard.toJson()));
+    }
+
+    private static Optional<String> plan(Shard read, Shard proposed) {
+        return Transition.ofPlanner(read, proposed, model -> 1);
+    }
+
+    private static Configuration configuration(long sequence) {
+        Model cut = new Model(CUT, "v1", PoolName.of("p"), Optional.empty(), 1, 1, Set.of());
+        return new Configuration(
+                sequence, Map.of(), Map.of(), Map.of(CUT, cut), Map.of(), Map.of());
+    }
+}
