Measure cold starts with the real machines on a clock of their own

Planner, fleets and holders run against small fakes of engine and weight store, beside routers that load where they like on engines that unload the least recently used.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import io.damaskyoke.lab.coldstart.ColdStarts;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -17,7 +18,7 @@
  */
 public final class Measure {
     /** Every experiment there is. */
-    private static final List<Experiment> EXPERIMENTS = List.of();
+    private static final List<Experiment> EXPERIMENTS = List.of(new ColdStarts());
 
     @Parameter(names = "--deployment", description = "malabar or tiramkawi", required = true)
     private String deployment;
