--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
@@ -2,7 +2,6 @@
 
 import io.damaskyoke.platform.KeyValueStore;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -13,15 +12,15 @@
     /** Entries asked for at once; small ones in practice, half a megabyte each at worst. */
     static final int PAGE = 64;
 
-    private static final String FOLDER = "/config/log/";
-
     private final KeyValueStore store;
+    private final String prefix;
     private final String folder;
     private final SnapshotStore snapshots;
 
     ConfigurationLog(KeyValueStore store, String prefix) {
         this.store = store;
-        this.folder = prefix + FOLDER;
+        this.prefix = prefix;
+        this.folder = prefix + LogKeys.FOLDER;
         this.snapshots = new SnapshotStore(store, prefix);
     }
 
@@ -115,7 +114,6 @@
     }
 
     private String key(long sequence) {
-        long shown = Math.min(sequence, 9_999_999_999_999_999L);
-        return folder + String.format(Locale.ROOT, "%016d", shown);
+        return LogKeys.entry(prefix, sequence);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -44,6 +44,7 @@
     private final Node node;
     private final AtomicLong counter = new AtomicLong();
     private final Fleet fleet;
+    private final Placement placement;
     private final RequestDispatcher dispatcher;
     private final PeerNetwork network;
     private final CallerServer callers;
@@ -62,11 +63,14 @@
                         () -> node.configuration().current().sequence(),
                         node.metrics());
         ClaimQueries queries = new ClaimQueries(node.control());
+        LastHeard heard = new LastHeard(node.control().clock());
+        this.placement = placement(heard);
         this.network =
                 node.network(settings.peer())
                         .listen(client)
                         .listen(queries)
                         .listen(new AgentListener(node.control(), fleet))
+                        .listen(heard)
                         .build()
                         .start();
         this.dispatcher = new RequestDispatcher(parts(client, queries));
@@ -77,6 +81,7 @@
         node.onVmList(agents::listed);
         node.onAgents(agents::registered);
         node.join(network);
+        placement.start(network);
         this.callers = await(startCallers());
         this.operators = await(startOperators());
     }
@@ -132,7 +137,17 @@
                 node.timeline(),
                 node.configuration()::current,
                 () -> node.configuration().confirmed(settings.control().unconfirmedLimit()),
-                settings.control().maxWaiting());
+                settings.control().maxWaiting(),
+                placement::whenPlaced);
+    }
+
+    private Placement placement(LastHeard heard) {
+        return new Placement(
+                node,
+                fleet,
+                heard,
+                settings.control().placementLease(),
+                () -> node.configuration().confirmed(settings.control().unconfirmedLimit()));
     }
 
     private CompletionStage<CallerServer> startCallers() {
@@ -190,6 +205,7 @@
 
     private void changed(Configuration now) {
         dispatcher.configurationChanged(now);
+        placement.configurationChanged();
     }
 
     private Void abortAll() {
