--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -0,0 +1,149 @@
+package io.damaskyoke.control.rates;
+
+import io.damaskyoke.control.configuration.Workspace;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One workspace at one router: its own bucket, what it has borrowed and lent, and who waits.
+ *
+ * <p>At each moment own tokens, loans on their way and loans not spent add up to no more than this
+ * router's part of the burst and what others lent it: what is lent lowers the lender's cap until it
+ * is spent or has run out.
+ */
+final class Account {
+    private static final double DEMAND_SECONDS = 2.0;
+    private static final double NANOS = 1e9;
+
+    final Bucket bucket;
+    final ArrayDeque<Held> held = new ArrayDeque<>();
+    final Map<VmId, List<String>> spent = new HashMap<>();
+    final Set<VmId> unanswered = new HashSet<>();
+    Workspace workspace;
+    RateInput.Row row;
+    Lowering lowering;
+    String ask = "";
+    Instant askedAt = Instant.MIN;
+    private final ArrayDeque<Borrowed> borrowed = new ArrayDeque<>();
+    private final Map<String, Lent> lent = new HashMap<>();
+    private double demand;
+    private Instant demandAt;
+    private long writtenOver = -1;
+    private Instant writtenUntil = Instant.MIN;
+
+    Account(Workspace workspace, Instant now) {
+        this.workspace = workspace;
+        this.bucket = new Bucket(now);
+        this.demandAt = now;
+    }
+
+    /** A request that waits for tokens. */
+    record Held(ExchangeId id, long tokens, Instant until) {}
+
+    /** A write under way that lowers our part; it counts before the store has confirmed it. */
+    record Lowering(int part, long revision) {}
+
+    private record Lent(double tokens, Instant until) {}
+
+    private static final class Borrowed {
+        private final VmId from;
+        private final String loan;
+        private final Instant until;
+        private double tokens;
+
+        Borrowed(VmId from, String loan, double tokens, Instant until) {
+            this.from = from;
+            this.loan = loan;
+            this.tokens = tokens;
+            this.until = until;
+        }
+    }
+
+    /** Brings everything up to now, with this part of the whole. */
+    void advance(int part, Instant now) {
+        bucket.refill(now);
+        lent.values().removeIf(loan -> !now.isBefore(loan.until()));
+        borrowed.removeIf(loan -> usedUp(loan, now));
+        double portion = part / (double) ShareTable.WHOLE;
+        double cap = Math.max(0, portion * workspace.burst() - lentOut());
+        bucket.resize(portion * workspace.rate(), cap);
+    }
+
+    private boolean usedUp(Borrowed loan, Instant now) {
+        if (loan.tokens > 0 && now.isBefore(loan.until)) {
+            return false;
+        }
+        bucket.giveBack(loan.tokens);
+        spent.computeIfAbsent(loan.from, vm -> new ArrayList<>()).add(loan.loan);
+        return true;
+    }
+
+    double available() {
+        return bucket.tokens() + borrowed.stream().mapToDouble(loan -> loan.tokens).sum();
+    }
+
+    /** Takes the tokens, borrowed ones first as they run out; false if there are not enough. */
+    boolean take(long tokens) {
+        if (available() < tokens) {
+            return false;
+        }
+        double left = tokens;
+        for (Borrowed loan : borrowed) {
+            double part = Math.min(left, loan.tokens);
+            loan.tokens -= part;
+            left -= part;
+        }
+        bucket.take(left);
+        return true;
+    }
+
+    void borrow(VmId from, String loan, long tokens, Instant until) {
+        borrowed.add(new Borrowed(from, loan, tokens, until));
+    }
+
+    void lend(String loan, long tokens, Instant until) {
+        bucket.take(tokens);
+        lent.put(loan, new Lent(tokens, until));
+    }
+
+    double lentOut() {
+        return lent.values().stream().mapToDouble(Lent::tokens).sum();
+    }
+
+    /** Notes a write over this revision; no other is tried before it has shown, or failed to. */
+    void written(long revision, Instant until) {
+        writtenOver = revision;
+        writtenUntil = until;
+    }
+
+    /** True while a write is under way and may still land. */
+    boolean writing(Instant now) {
+        long revision = row == null ? 0 : row.revision();
+        return writtenOver == revision && now.isBefore(writtenUntil);
+    }
+
+    void repaid(String loan) {
+        lent.remove(loan);
+    }
+
+    /** Notes that somebody asked for tokens here, let in or not. */
+    void wanted(double tokens, Instant now) {
+        demand = Math.max(0, demand(now) + tokens / DEMAND_SECONDS);
+        demandAt = now;
+    }
+
+    /** Tokens a second that were asked for here of late. */
+    double demand(Instant now) {
+        double seconds = Math.max(0, Duration.between(demandAt, now).toNanos() / NANOS);
+        return demand * Math.exp(-seconds / DEMAND_SECONDS);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -0,0 +1,368 @@
+package io.damaskyoke.control.rates;
+
+import io.damaskyoke.control.Machine;
+import io.damaskyoke.control.configuration.Workspace;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * One router's part in keeping every workspace within its rate over all routers.
+ *
+ * <p>It spends its share from a bucket of its own, asks other routers for tokens where that is
+ * short and lends to them where it is not, and lets its share follow its demand. Each request that
+ * arrives leads to exactly one {@code Admit} or {@code Refuse}, at the latest at the first tick
+ * after the holding time.
+ */
+public final class RateMachine implements Machine<RateInput, RateAction> {
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final Duration ASK_GAP = Duration.ofMillis(20);
+    private static final double LOOK_AHEAD_SECONDS = 0.25;
+    private static final double LENDER_MARGIN = 1.1;
+    private static final int MOST_ASKED = 8;
+    private static final int MOST_HELD = 256;
+
+    private final Incarnation self;
+    private final VmId vm;
+    private final RateSettings settings;
+    private final SpendingRight right;
+    private final ShareKeeper keeper;
+    private final Map<WorkspaceId, Account> accounts = new TreeMap<>();
+    private long counter;
+    private boolean reading;
+    private Instant readAt = Instant.MIN;
+
+    private RateMachine(Incarnation self, VmId vm, String address, RateSettings settings) {
+        this.self = self;
+        this.vm = vm;
+        this.settings = settings;
+        this.right = new SpendingRight(vm, settings);
+        this.keeper = new ShareKeeper(self, vm, address, settings, right);
+    }
+
+    /** A machine for this life of the router on this VM, reached at this {@code host:port}. */
+    public static RateMachine of(Incarnation self, VmId vm, String address, RateSettings settings) {
+        return new RateMachine(self, vm, address, settings);
+    }
+
+    @Override
+    public List<RateAction> on(RateInput input, Instant now) {
+        List<RateAction> actions = new ArrayList<>();
+        right.awake(now);
+        if (input instanceof RateInput.Arrived arrived) {
+            arrive(arrived, now, actions);
+        } else if (input instanceof RateInput.Settled settled) {
+            settle(settled, now, actions);
+        } else if (input instanceof RateInput.Asked asked) {
+            asked(asked, now, actions);
+        } else if (input instanceof RateInput.Lent lent) {
+            lent(lent, now, actions);
+        } else if (input instanceof RateInput.Heard heard) {
+            right.heard(heard.from(), now);
+        } else if (input instanceof RateInput.Listed listed) {
+            right.listed(listed.routers(), now);
+        } else if (input instanceof RateInput.Configured configured) {
+            configured(configured.workspaces(), now);
+        } else if (input instanceof RateInput.Read read) {
+            read(read, now, actions);
+        } else if (input instanceof RateInput.NotRead) {
+            reading = false;
+        } else if (input instanceof RateInput.Leave) {
+            keeper.leave();
+        } else {
+            tick(now, actions);
+        }
+        return actions;
+    }
+
+    /** Tokens that this router could spend now, for operators to see. */
+    public double available(WorkspaceId workspace) {
+        Account account = accounts.get(workspace);
+        return account == null ? 0 : account.available();
+    }
+
+    /** Its part of the workspace's whole, in {@link ShareTable#WHOLE}ths. */
+    public int part(WorkspaceId workspace) {
+        Account account = accounts.get(workspace);
+        return account == null ? 0 : keeper.part(account);
+    }
+
+    /** Requests that wait for tokens. */
+    public int held() {
+        return accounts.values().stream().mapToInt(account -> account.held.size()).sum();
+    }
+
+    /** True once a router that leaves has given all its shares back. */
+    public boolean left() {
+        return accounts.values().stream().allMatch(account -> keeper.part(account) == 0);
+    }
+
+    private void configured(Map<WorkspaceId, Workspace> workspaces, Instant now) {
+        accounts.entrySet()
+                .removeIf(
+                        entry ->
+                                !workspaces.containsKey(entry.getKey())
+                                        && entry.getValue().held.isEmpty());
+        workspaces.forEach(
+                (id, workspace) ->
+                        accounts.computeIfAbsent(id, unused -> new Account(workspace, now))
+                                        .workspace =
+                                workspace);
+        accounts.values().forEach(account -> advance(account, now));
+        readAt = Instant.MIN;
+    }
+
+    private void read(RateInput.Read read, Instant now, List<RateAction> actions) {
+        reading = false;
+        right.read(read.askedAt(), now);
+        accounts.forEach(
+                (id, account) -> {
+                    keeper.seen(account, read.rows().get(id), now);
+                    advance(account, now);
+                    admitHeld(account, actions);
+                });
+        keeper.balance(accounts.values(), now, actions);
+    }
+
+    private void tick(Instant now, List<RateAction> actions) {
+        for (Account account : accounts.values()) {
+            advance(account, now);
+            if (usable(account, now)) {
+                admitHeld(account, actions);
+            }
+            refuseHeld(account, now, actions);
+            askForHeld(account, now, actions);
+        }
+        keeper.balance(accounts.values(), now, actions);
+        if (!reading && !now.isBefore(readAt)) {
+            reading = true;
+            readAt = now.plus(settings.readPeriod());
+            actions.add(new RateAction.Read());
+        }
+    }
+
+    private void arrive(RateInput.Arrived arrived, Instant now, List<RateAction> actions) {
+        Account account = accounts.get(arrived.workspace());
+        if (account == null) {
+            actions.add(refuse(arrived.id(), "the workspace is not configured here", COME_BACK));
+            return;
+        }
+        advance(account, now);
+        account.wanted(arrived.tokens(), now);
+        if (arrived.tokens() > account.workspace.burst()) {
+            actions.add(tooLarge(arrived.id()));
+            return;
+        }
+        boolean first = account.held.isEmpty();
+        if (first && usable(account, now) && account.take(arrived.tokens())) {
+            actions.add(new RateAction.Admit(arrived.id()));
+            return;
+        }
+        if (account.held.size() >= MOST_HELD) {
+            actions.add(refuse(arrived.id(), "too many requests wait for the rate", COME_BACK));
+            return;
+        }
+        account.held.add(
+                new Account.Held(arrived.id(), arrived.tokens(), now.plus(settings.hold())));
+        askForHeld(account, now, actions);
+        refuseHeld(account, now, actions);
+    }
+
+    private void settle(RateInput.Settled settled, Instant now, List<RateAction> actions) {
+        Account account = accounts.get(settled.workspace());
+        if (account == null) {
+            return;
+        }
+        advance(account, now);
+        account.wanted(settled.used() - settled.charged(), now);
+        account.bucket.giveBack(settled.charged() - settled.used());
+        if (usable(account, now)) {
+            admitHeld(account, actions);
+        }
+    }
+
+    private void asked(RateInput.Asked asked, Instant now, List<RateAction> actions) {
+        right.heard(asked.from(), now);
+        Account account = accounts.get(asked.workspace());
+        if (account == null) {
+            return;
+        }
+        asked.spent().forEach(account::repaid);
+        advance(account, now);
+        if (asked.tokens() == 0) {
+            return;
+        }
+        long tokens = usable(account, now) ? spare(account, asked.tokens(), now) : 0;
+        String loan = asked.ask() + '/' + vm;
+        if (tokens > 0) {
+            Duration time = settings.loan();
+            long nanos = (long) (time.toNanos() * LENDER_MARGIN);
+            account.lend(loan, tokens, now.plusNanos(nanos));
+        }
+        actions.add(new RateAction.Lend(asked.from(), asked.workspace(), tokens, loan));
+    }
+
+    private static long spare(Account account, long wanted, Instant now) {
+        if (!account.held.isEmpty()) {
+            return 0;
+        }
+        double own = account.demand(now) * LOOK_AHEAD_SECONDS;
+        double spare = account.bucket.tokens() - Math.min(own, account.bucket.tokens() / 2);
+        return Math.max(0, (long) Math.min(wanted, spare));
+    }
+
+    // A loan counts from our asking, not from its coming: the lender's cap is lowered for a little
+    // longer than that, so that a loan which was long on its way is never spent a second time.
+    // An answer that comes twice finds its lender no longer awaited.
+    private void lent(RateInput.Lent lent, Instant now, List<RateAction> actions) {
+        right.heard(lent.from(), now);
+        Account account = accounts.get(lent.workspace());
+        if (account == null) {
+            return;
+        }
+        advance(account, now);
+        boolean awaited =
+                lent.loan().equals(account.ask + '/' + lent.from())
+                        && account.unanswered.remove(lent.from());
+        Instant until = account.askedAt.equals(Instant.MIN) ? now : account.askedAt;
+        until = until.plus(settings.loan());
+        if (awaited && now.isBefore(until) && lent.tokens() > 0) {
+            account.borrow(lent.from(), lent.loan(), lent.tokens(), until);
+        }
+        if (usable(account, now)) {
+            admitHeld(account, actions);
+        }
+        refuseHeld(account, now, actions);
+    }
+
+    private void admitHeld(Account account, List<RateAction> actions) {
+        while (!account.held.isEmpty() && account.take(account.held.peek().tokens())) {
+            actions.add(new RateAction.Admit(account.held.remove().id()));
+        }
+    }
+
+    private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
+        boolean hopeless = usable(account, now) && account.unanswered.isEmpty();
+        boolean askedLately = now.isBefore(account.askedAt.plus(ASK_GAP));
+        while (!account.held.isEmpty()) {
+            Account.Held first = account.held.peek();
+            if (now.isBefore(first.until()) && (!hopeless || askedLately)) {
+                return;
+            }
+            account.held.remove();
+            actions.add(refuse(account, first, now));
+        }
+    }
+
+    private RateAction refuse(Account account, Account.Held request, Instant now) {
+        if (!usable(account, now)) {
+            Refusal refusal =
+                    Refusal.notRun(
+                                    RefusalCode.STORE_UNAVAILABLE,
+                                    "this router can't confirm its share of the rate")
+                            .retryAfter(COME_BACK);
+            return new RateAction.Refuse(request.id(), refusal);
+        }
+        double missing = request.tokens() - account.available();
+        double seconds = Math.max(0, missing) / account.workspace.rate();
+        Duration wait = Duration.ofMillis((long) Math.ceil(seconds * 1000));
+        return refuse(request.id(), "the workspace has used up its rate and burst", wait);
+    }
+
+    private static RateAction refuse(ExchangeId id, String message, Duration wait) {
+        return new RateAction.Refuse(
+                id, Refusal.notRun(RefusalCode.RATE_EXCEEDED, message).retryAfter(wait));
+    }
+
+    private static RateAction tooLarge(ExchangeId id) {
+        return new RateAction.Refuse(
+                id,
+                Refusal.notRun(
+                        RefusalCode.RATE_EXCEEDED,
+                        "the request needs more tokens than the workspace's whole burst"));
+    }
+
+    private void askForHeld(Account account, Instant now, List<RateAction> actions) {
+        tellSpent(account, actions);
+        boolean soon = now.isBefore(account.askedAt.plus(ASK_GAP));
+        if (account.held.isEmpty()
+                || soon
+                || !account.unanswered.isEmpty() && !stale(account, now)) {
+            return;
+        }
+        List<VmId> others = lenders(account);
+        if (others.isEmpty() || !usable(account, now)) {
+            return;
+        }
+        double need = account.held.stream().mapToLong(Account.Held::tokens).sum();
+        need += account.demand(now) * LOOK_AHEAD_SECONDS - account.available();
+        long tokens = (long) Math.ceil(Math.min(need, account.workspace.burst()));
+        if (tokens <= 0) {
+            return;
+        }
+        account.ask = self.value() + '.' + (++counter);
+        account.askedAt = now;
+        account.unanswered.clear();
+        account.unanswered.addAll(others);
+        for (VmId other : others) {
+            actions.add(
+                    new RateAction.Ask(
+                            other, account.workspace.id(), tokens, account.ask, List.of()));
+        }
+    }
+
+    private boolean stale(Account account, Instant now) {
+        return now.isAfter(account.askedAt.plus(settings.hold()));
+    }
+
+    private void tellSpent(Account account, List<RateAction> actions) {
+        account.spent.forEach(
+                (lender, loans) ->
+                        actions.add(
+                                new RateAction.Ask(
+                                        lender,
+                                        account.workspace.id(),
+                                        0,
+                                        "",
+                                        List.copyOf(loans))));
+        account.spent.clear();
+    }
+
+    private List<VmId> lenders(Account account) {
+        if (account.row == null) {
+            return List.of();
+        }
+        return account.row.table().shares().values().stream()
+                .filter(share -> !share.vm().equals(vm) && share.part() > 0)
+                .filter(share -> share.mark().isEmpty())
+                .sorted(Comparator.comparingInt(ShareTable.Share::part).reversed())
+                .limit(MOST_ASKED)
+                .map(ShareTable.Share::vm)
+                .toList();
+    }
+
+    private void advance(Account account, Instant now) {
+        account.advance(keeper.part(account), now);
+    }
+
+    private boolean usable(Account account, Instant now) {
+        Optional<ShareTable> table = Optional.ofNullable(account.row).map(RateInput.Row::table);
+        boolean alone = table.map(found -> found.shares().size() <= 1).orElse(true);
+        boolean marked =
+                table.flatMap(found -> found.share(self))
+                        .map(share -> !share.mark().isEmpty())
+                        .orElse(false);
+        return table.isPresent() && !marked && right.holds(alone, now);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -0,0 +1,188 @@
+package io.damaskyoke.control.rates;
+
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Lets one router's shares follow its demand, and gives back the shares of those that are gone. */
+final class ShareKeeper {
+    private static final double HEADROOM = 1.25;
+    private static final int STEP = ShareTable.WHOLE / 20;
+    private static final long FLEET_WRITES_PER_SECOND = 100;
+    private static final Duration LEAST_GAP = Duration.ofSeconds(1);
+    private static final Duration WRITE_LIMIT = Duration.ofSeconds(10);
+
+    private final Incarnation self;
+    private final VmId vm;
+    private final String address;
+    private final RateSettings settings;
+    private final SpendingRight right;
+    private final Map<String, Instant> marks = new HashMap<>();
+    private final Set<WorkspaceId> filled = new HashSet<>();
+    private Instant next = Instant.MIN;
+    private boolean leaving;
+
+    ShareKeeper(
+            Incarnation self, VmId vm, String address, RateSettings settings, SpendingRight right) {
+        this.self = self;
+        this.vm = vm;
+        this.address = address;
+        this.settings = settings;
+        this.right = right;
+    }
+
+    void leave() {
+        leaving = true;
+        next = Instant.MIN;
+    }
+
+    /** Our part as it counts now: a lowering counts at once, a rise once the store shows it. */
+    int part(Account account) {
+        if (account.row == null) {
+            return 0;
+        }
+        int stored = account.row.table().part(self);
+        return account.lowering == null ? stored : Math.min(stored, account.lowering.part());
+    }
+
+    /**
+     * Takes in what the store has. A lowering whose answer was lost may still land as long as the
+     * row has the revision that it was meant for, and counts until it can no longer.
+     */
+    void seen(Account account, RateInput.Row row, Instant now) {
+        if (row == null || account.row != null && row.revision() < account.row.revision()) {
+            return;
+        }
+        account.row = row;
+        if (account.lowering != null && account.lowering.revision() != row.revision()) {
+            account.lowering = null;
+        }
+        boolean ours = row.table().founder().equals(self);
+        if (ours && filled.add(account.workspace.id())) {
+            account.advance(part(account), now);
+            account.bucket.fill();
+        }
+        row.table().shares().values().stream()
+                .map(ShareTable.Share::mark)
+                .filter(mark -> !mark.isEmpty())
+                .forEach(mark -> marks.putIfAbsent(mark, now));
+    }
+
+    /** Writes what should change, within this router's part of the store's calls. */
+    void balance(Collection<Account> accounts, Instant now, List<RateAction> actions) {
+        for (Account account : accounts) {
+            ShareTable wanted = wanted(account, now);
+            if (wanted == null || account.writing(now)) {
+                continue;
+            }
+            boolean urgent = account.row == null || account.row.table().share(self).isEmpty();
+            if (!urgent && now.isBefore(next)) {
+                continue;
+            }
+            next = now.plus(gap(wanted));
+            write(account, wanted, now, actions);
+        }
+    }
+
+    private void write(Account account, ShareTable wanted, Instant now, List<RateAction> actions) {
+        long revision = account.row == null ? 0 : account.row.revision();
+        if (wanted.part(self) < part(account)) {
+            account.lowering = new Account.Lowering(wanted.part(self), revision);
+            account.advance(part(account), now);
+        }
+        account.written(revision, now.plus(WRITE_LIMIT));
+        actions.add(new RateAction.Write(account.workspace.id(), wanted, revision));
+    }
+
+    private static Duration gap(ShareTable table) {
+        Duration even = Duration.ofMillis(1000L * table.shares().size() / FLEET_WRITES_PER_SECOND);
+        return even.compareTo(LEAST_GAP) > 0 ? even : LEAST_GAP;
+    }
+
+    /** The table as it should be, or null if it may stay. */
+    private ShareTable wanted(Account account, Instant now) {
+        if (!right.fresh(now)) {
+            return null;
+        }
+        if (account.row == null) {
+            return leaving ? null : ShareTable.founded(self, vm, address);
+        }
+        ShareTable table = account.row.table();
+        if (leaving) {
+            boolean may = table.share(self).isPresent() && account.lentOut() == 0;
+            return may ? table.remove(self) : null;
+        }
+        if (table.share(self).isEmpty()) {
+            return table.join(self, vm, address);
+        }
+        ShareTable.Share own = table.share(self).get();
+        int want = want(account, table.shares().size(), now);
+        if (!own.mark().isEmpty()) {
+            return table.set(self, own.part(), want);
+        }
+        ShareTable without = withoutGone(table, account, now);
+        return without != null ? without : moved(account, table, own, want);
+    }
+
+    private ShareTable withoutGone(ShareTable table, Account account, Instant now) {
+        for (Map.Entry<Incarnation, ShareTable.Share> entry : table.shares().entrySet()) {
+            ShareTable.Share share = entry.getValue();
+            boolean other = !entry.getKey().equals(self);
+            if (!other || !right.seemsGone(share.vm(), now)) {
+                continue;
+            }
+            if (share.mark().isEmpty()) {
+                String mark = self.value() + '#' + account.row.revision();
+                return table.mark(entry.getKey(), mark);
+            }
+            Instant since = marks.getOrDefault(share.mark(), now);
+            if (!now.isBefore(since.plus(settings.takeBack()))) {
+                return table.remove(entry.getKey());
+            }
+        }
+        return null;
+    }
+
+    private ShareTable moved(Account account, ShareTable table, ShareTable.Share own, int want) {
+        int target = Math.max(table.target(self, want), lentPart(account));
+        boolean wantChanged = Math.abs(want - own.want()) > STEP;
+        int part = own.part();
+        if (part < target) {
+            part += Math.min(target - part, table.free());
+        } else if (target < part && othersWant(table)) {
+            part = target;
+        }
+        boolean partChanged = Math.abs(part - own.part()) > STEP / 5;
+        return wantChanged || partChanged ? table.set(self, part, want) : null;
+    }
+
+    private boolean othersWant(ShareTable table) {
+        return table.shares().entrySet().stream()
+                .anyMatch(
+                        entry ->
+                                !entry.getKey().equals(self)
+                                        && entry.getValue().mark().isEmpty()
+                                        && entry.getValue().part() < entry.getValue().want());
+    }
+
+    // What is lent stays within our part until it is back, or its taker could fill up beside it.
+    private static int lentPart(Account account) {
+        double part = account.lentOut() / account.workspace.burst();
+        return (int) Math.min(ShareTable.WHOLE, Math.ceil(part * ShareTable.WHOLE));
+    }
+
+    // Everybody wants a little, so that first requests find something where the store is out.
+    private static int want(Account account, int routers, Instant now) {
+        int least = ShareTable.WHOLE / (4 * routers);
+        double part = HEADROOM * account.demand(now) / account.workspace.rate();
+        return Math.max(least, (int) (Math.min(1.0, part) * ShareTable.WHOLE));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -0,0 +1,190 @@
+package io.damaskyoke.control.rates;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * How one workspace's rate and burst are divided among router incarnations, as the store keeps it.
+ * Immutable; each step gives a new table, and no step can make the parts add up to more than {@link
+ * #WHOLE}. Parts are of the whole and not tokens, so a ticket that changes the rate rescales all.
+ *
+ * @param founder who wrote the first table, when nobody could have spent yet
+ * @param shares by incarnation
+ */
+public record ShareTable(Incarnation founder, Map<Incarnation, Share> shares) {
+    /** All of a workspace's rate and burst, in parts. */
+    public static final int WHOLE = 1_000_000;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /**
+     * One incarnation's share.
+     *
+     * @param address where the other routers reach it, {@code host:port}
+     * @param part how much it has, of {@link #WHOLE}
+     * @param want how much it would use
+     * @param mark empty, or who wants to take it back from a router that seems gone
+     */
+    public record Share(VmId vm, String address, int part, int want, String mark) {
+        Share with(int newPart, int newWant) {
+            return new Share(vm, address, newPart, newWant, "");
+        }
+    }
+
+    /** Refuses parts that are negative or add up to more than the whole. */
+    public ShareTable {
+        shares = Collections.unmodifiableMap(new TreeMap<>(shares));
+        long sum = 0;
+        for (Share share : shares.values()) {
+            if (share.part() < 0) {
+                throw new IllegalArgumentException("a part is negative: " + share);
+            }
+            sum += share.part();
+        }
+        if (sum > WHOLE) {
+            throw new IllegalArgumentException("the parts exceed the whole: " + sum);
+        }
+    }
+
+    /** The first table of a workspace: its writer has all. */
+    public static ShareTable founded(Incarnation who, VmId vm, String address) {
+        return new ShareTable(who, Map.of(who, new Share(vm, address, WHOLE, 0, "")));
+    }
+
+    /** What nobody has. */
+    public int free() {
+        return WHOLE - shares.values().stream().mapToInt(Share::part).sum();
+    }
+
+    /** This incarnation's part; 0 if it has none. */
+    public int part(Incarnation who) {
+        return share(who).map(Share::part).orElse(0);
+    }
+
+    /** This incarnation's share. */
+    public Optional<Share> share(Incarnation who) {
+        return Optional.ofNullable(shares.get(who));
+    }
+
+    /**
+     * Adds a new incarnation, which takes the place of earlier ones on its VM: that it runs shows
+     * that they are gone. It takes no more than is then free.
+     */
+    public ShareTable join(Incarnation who, VmId vm, String address) {
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        next.values().removeIf(share -> share.vm().equals(vm));
+        ShareTable without = new ShareTable(founder, next);
+        int fair = WHOLE / (next.size() + 1);
+        next.put(who, new Share(vm, address, Math.min(fair, without.free()), fair, ""));
+        return new ShareTable(founder, next);
+    }
+
+    /** Sets its own part and want; a rise takes at most what is free. Shows that it is alive. */
+    public ShareTable set(Incarnation who, int part, int want) {
+        Share old = shares.get(who);
+        int most = old.part() + free();
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        next.put(who, old.with(Math.min(part, most), want));
+        return new ShareTable(founder, next);
+    }
+
+    /** Says that this incarnation seems gone; only it can say otherwise. */
+    public ShareTable mark(Incarnation gone, String by) {
+        Share old = shares.get(gone);
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        next.put(gone, new Share(old.vm(), old.address(), old.part(), old.want(), by));
+        return new ShareTable(founder, next);
+    }
+
+    /** Takes an incarnation out; its part becomes free. */
+    public ShareTable remove(Incarnation gone) {
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        next.remove(gone);
+        return new ShareTable(founder, next);
+    }
+
+    /**
+     * What an incarnation should have: all wants met if they fit, the rest spread evenly; else
+     * small wants in full and the larger ones cut to one level, so that nobody's want starves.
+     */
+    public int target(Incarnation who, int ownWant) {
+        Map<Incarnation, Integer> wants = new TreeMap<>();
+        shares.forEach((id, share) -> wants.put(id, share.want()));
+        wants.put(who, ownWant);
+        List<Integer> sorted = new ArrayList<>(wants.values());
+        sorted.sort(Comparator.naturalOrder());
+        int left = WHOLE;
+        int others = sorted.size();
+        for (int want : sorted) {
+            if ((long) want * others > left) {
+                return Math.min(ownWant, left / others);
+            }
+            left -= want;
+            others--;
+        }
+        return ownWant + left / sorted.size();
+    }
+
+    /** The stored form. */
+    public byte[] toJson() {
+        try {
+            List<Line> lines = new ArrayList<>();
+            shares.forEach(
+                    (id, share) ->
+                            lines.add(
+                                    new Line(
+                                            id.value(),
+                                            share.vm().value(),
+                                            share.address(),
+                                            share.part(),
+                                            share.want(),
+                                            share.mark())));
+            return JSON.writeValueAsBytes(new Stored(founder.value(), lines));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads the stored form, or throws an {@link IllegalArgumentException}. */
+    public static ShareTable parse(byte[] json) {
+        try {
+            Stored stored = JSON.readValue(json, Stored.class);
+            Map<Incarnation, Share> shares = new TreeMap<>();
+            for (Line line : stored.shares()) {
+                Share share =
+                        new Share(
+                                VmId.of(line.vm()),
+                                line.address(),
+                                line.part(),
+                                line.want(),
+                                line.mark());
+                shares.put(Incarnation.of(line.incarnation()), share);
+            }
+            return new ShareTable(Incarnation.of(stored.founder()), shares);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("can't read a share table", e);
+        }
+    }
+
+    private record Stored(
+            @JsonProperty("founder") String founder, @JsonProperty("shares") List<Line> shares) {}
+
+    private record Line(
+            @JsonProperty("incarnation") String incarnation,
+            @JsonProperty("vm") String vm,
+            @JsonProperty("address") String address,
+            @JsonProperty("part") int part,
+            @JsonProperty("want") int want,
+            @JsonProperty("mark") String mark) {}
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -0,0 +1,88 @@
+package io.damaskyoke.control.rates;
+
+import io.damaskyoke.id.VmId;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Whether this router may still spend its shares, and which others seem gone.
+ *
+ * <p>A router that was frozen or cut off may have had its share taken back meanwhile. If it spent
+ * on after its thaw, the workspace would get its rate twice over; so it stops by itself, on its own
+ * clock, before anybody may take the share, and goes on only after a read of the store.
+ */
+final class SpendingRight {
+    private final VmId self;
+    private final RateSettings settings;
+    private final Map<VmId, Instant> missing = new HashMap<>();
+    private Set<VmId> listed = Set.of();
+    private boolean everListed;
+    private Instant read;
+    private Instant needed = Instant.MIN;
+    private Instant contact = Instant.MIN;
+    private Instant ticked;
+
+    SpendingRight(VmId self, RateSettings settings) {
+        this.self = self;
+        this.settings = settings;
+    }
+
+    /** Notes that this process is running, and whether it was frozen up to now. */
+    void awake(Instant now) {
+        if (ticked != null && now.isAfter(ticked.plus(settings.freeze()))) {
+            needed = now;
+        }
+        ticked = now;
+    }
+
+    void read(Instant askedAt, Instant now) {
+        read = askedAt;
+        contact = now;
+    }
+
+    void heard(VmId other, Instant now) {
+        contact = now;
+        missing.remove(other);
+    }
+
+    void listed(Set<VmId> routers, Instant now) {
+        listed = routers;
+        if (routers.contains(self)) {
+            everListed = true;
+            contact = now;
+        }
+        missing.keySet().removeAll(routers);
+    }
+
+    /** True if shares may be spent; {@code alone} if no other router has any. */
+    boolean holds(boolean alone, Instant now) {
+        if (read == null
+                || read.isBefore(needed)
+                || !now.isBefore(read.plus(settings.validity()))) {
+            return false;
+        }
+        if (alone) {
+            return true;
+        }
+        boolean delisted = everListed && !listed.contains(self);
+        return !delisted && now.isBefore(contact.plus(settings.isolation()));
+    }
+
+    /** True if the store was read lately enough to decide on a write. */
+    boolean fresh(Instant now) {
+        return read != null
+                && !read.isBefore(needed)
+                && now.isBefore(read.plus(settings.isolation()));
+    }
+
+    /** True if that router has been off the list and silent for long enough. */
+    boolean seemsGone(VmId other, Instant now) {
+        if (listed.isEmpty() || listed.contains(other)) {
+            return false;
+        }
+        Instant since = missing.computeIfAbsent(other, vm -> now);
+        return !now.isBefore(since.plus(settings.gone()));
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
@@ -209,17 +209,18 @@
       "\034.damaskyoke.peer.ConfigEntry\"/\n\013ConfigE" +
       "ntry\022\020\n\010sequence\030\001 \001(\004\022\016\n\006ticket\030\002 \001(\014\"G" +
       "\n\rTokenTransfer\022\021\n\tworkspace\030\001 \001(\t\022\016\n\006to" +
-      "kens\030\002 \001(\004\022\023\n\013transfer_id\030\003 \001(\t\"1\n\014Token" +
+      "kens\030\002 \001(\004\022\023\n\013transfer_id\030\003 \001(\t\"T\n\014Token" +
       "Request\022\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
-      "(\004\"z\n\005Order\022)\n\004verb\030\001 \001(\0162\033.damaskyoke.p" +
-      "eer.Order.Verb\022\r\n\005model\030\002 \001(\t\022\017\n\007fencing" +
-      "\030\003 \001(\004\"&\n\004Verb\022\010\n\004NONE\020\000\022\010\n\004LOAD\020\001\022\n\n\006UN" +
-      "LOAD\020\002\"+\n\tInventory\022\016\n\006rights\030\001 \003(\t\022\016\n\006l" +
-      "oaded\030\002 \003(\t\"8\n\nClaimQuery\022\021\n\tworkspace\030\001" +
-      " \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\"Z\n\014ClaimOu" +
-      "tcome\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_" +
-      "key\030\002 \001(\t\022\r\n\005state\030\003 \001(\t\022\017\n\007outcome\030\004 \001(" +
-      "\014B\035\n\027io.damaskyoke.peer.wireH\001P\001b\006proto3"
+      "(\004\022\022\n\nrequest_id\030\003 \001(\t\022\r\n\005spent\030\004 \003(\t\"z\n" +
+      "\005Order\022)\n\004verb\030\001 \001(\0162\033.damaskyoke.peer.O" +
+      "rder.Verb\022\r\n\005model\030\002 \001(\t\022\017\n\007fencing\030\003 \001(" +
+      "\004\"&\n\004Verb\022\010\n\004NONE\020\000\022\010\n\004LOAD\020\001\022\n\n\006UNLOAD\020" +
+      "\002\"+\n\tInventory\022\016\n\006rights\030\001 \003(\t\022\016\n\006loaded" +
+      "\030\002 \003(\t\"8\n\nClaimQuery\022\021\n\tworkspace\030\001 \001(\t\022" +
+      "\027\n\017idempotency_key\030\002 \001(\t\"Z\n\014ClaimOutcome" +
+      "\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002" +
+      " \001(\t\022\r\n\005state\030\003 \001(\t\022\017\n\007outcome\030\004 \001(\014B\035\n\027" +
+      "io.damaskyoke.peer.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -338,7 +339,7 @@
     internal_static_damaskyoke_peer_TokenRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_TokenRequest_descriptor,
-        new java.lang.String[] { "Workspace", "Tokens", });
+        new java.lang.String[] { "Workspace", "Tokens", "RequestId", "Spent", });
     internal_static_damaskyoke_peer_Order_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_damaskyoke_peer_Order_fieldAccessorTable = new
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/TokenRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/TokenRequest.java
@@ -29,6 +29,9 @@
   }
   private TokenRequest() {
     workspace_ = "";
+    requestId_ = "";
+    spent_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -91,6 +94,10 @@
   public static final int TOKENS_FIELD_NUMBER = 2;
   private long tokens_ = 0L;
   /**
+   * <pre>
+   * 0: only tells what is spent
+   * </pre>
+   *
    * <code>uint64 tokens = 2;</code>
    * @return The tokens.
    */
@@ -99,6 +106,106 @@
     return tokens_;
   }
 
+  public static final int REQUEST_ID_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object requestId_ = "";
+  /**
+   * <pre>
+   * the transfer that answers it is named REQUEST_ID/VM
+   * </pre>
+   *
+   * <code>string request_id = 3;</code>
+   * @return The requestId.
+   */
+  @java.lang.Override
+  public java.lang.String getRequestId() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      requestId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * the transfer that answers it is named REQUEST_ID/VM
+   * </pre>
+   *
+   * <code>string request_id = 3;</code>
+   * @return The bytes for requestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestIdBytes() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      requestId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int SPENT_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList spent_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @return A list containing the spent.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getSpentList() {
+    return spent_;
+  }
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @return The count of spent.
+   */
+  public int getSpentCount() {
+    return spent_.size();
+  }
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @param index The index of the element to return.
+   * @return The spent at the given index.
+   */
+  public java.lang.String getSpent(int index) {
+    return spent_.get(index);
+  }
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the spent at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getSpentBytes(int index) {
+    return spent_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -119,6 +226,12 @@
     if (tokens_ != 0L) {
       output.writeUInt64(2, tokens_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, requestId_);
+    }
+    for (int i = 0; i < spent_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, spent_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -130,6 +243,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, tokens_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, requestId_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < spent_.size(); i++) {
+        dataSize += computeStringSizeNoTag(spent_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getSpentList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -158,6 +282,10 @@
         .equals(other.getWorkspace())) return false;
     if (getTokens()
         != other.getTokens()) return false;
+    if (!getRequestId()
+        .equals(other.getRequestId())) return false;
+    if (!getSpentList()
+        .equals(other.getSpentList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +302,12 @@
     hash = (37 * hash) + TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTokens());
+    hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestId().hashCode();
+    if (getSpentCount() > 0) {
+      hash = (37 * hash) + SPENT_FIELD_NUMBER;
+      hash = (53 * hash) + getSpentList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +441,9 @@
       bitField0_ = 0;
       workspace_ = "";
       tokens_ = 0L;
+      requestId_ = "";
+      spent_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -346,6 +483,13 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.tokens_ = tokens_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.requestId_ = requestId_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        spent_.makeImmutable();
+        result.spent_ = spent_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +512,21 @@
       if (other.getTokens() != 0L) {
         setTokens(other.getTokens());
       }
+      if (!other.getRequestId().isEmpty()) {
+        requestId_ = other.requestId_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (!other.spent_.isEmpty()) {
+        if (spent_.isEmpty()) {
+          spent_ = other.spent_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureSpentIsMutable();
+          spent_.addAll(other.spent_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +561,16 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              requestId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              ensureSpentIsMutable();
+              spent_.add(input.readStringRequireUtf8());
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -493,6 +662,10 @@
 
     private long tokens_ ;
     /**
+     * <pre>
+     * 0: only tells what is spent
+     * </pre>
+     *
      * <code>uint64 tokens = 2;</code>
      * @return The tokens.
      */
@@ -501,6 +674,10 @@
       return tokens_;
     }
     /**
+     * <pre>
+     * 0: only tells what is spent
+     * </pre>
+     *
      * <code>uint64 tokens = 2;</code>
      * @param value The tokens to set.
      * @return This builder for chaining.
@@ -513,6 +690,10 @@
       return this;
     }
     /**
+     * <pre>
+     * 0: only tells what is spent
+     * </pre>
+     *
      * <code>uint64 tokens = 2;</code>
      * @return This builder for chaining.
      */
@@ -523,6 +704,245 @@
       return this;
     }
 
+    private java.lang.Object requestId_ = "";
+    /**
+     * <pre>
+     * the transfer that answers it is named REQUEST_ID/VM
+     * </pre>
+     *
+     * <code>string request_id = 3;</code>
+     * @return The requestId.
+     */
+    public java.lang.String getRequestId() {
+      java.lang.Object ref = requestId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the transfer that answers it is named REQUEST_ID/VM
+     * </pre>
+     *
+     * <code>string request_id = 3;</code>
+     * @return The bytes for requestId.
+     */
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the transfer that answers it is named REQUEST_ID/VM
+     * </pre>
+     *
+     * <code>string request_id = 3;</code>
+     * @param value The requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestId(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      requestId_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the transfer that answers it is named REQUEST_ID/VM
+     * </pre>
+     *
+     * <code>string request_id = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestId() {
+      requestId_ = getDefaultInstance().getRequestId();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the transfer that answers it is named REQUEST_ID/VM
+     * </pre>
+     *
+     * <code>string request_id = 3;</code>
+     * @param value The bytes for requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      requestId_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList spent_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureSpentIsMutable() {
+      if (!spent_.isModifiable()) {
+        spent_ = new com.google.protobuf.LazyStringArrayList(spent_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @return A list containing the spent.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getSpentList() {
+      spent_.makeImmutable();
+      return spent_;
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @return The count of spent.
+     */
+    public int getSpentCount() {
+      return spent_.size();
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @param index The index of the element to return.
+     * @return The spent at the given index.
+     */
+    public java.lang.String getSpent(int index) {
+      return spent_.get(index);
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the spent at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getSpentBytes(int index) {
+      return spent_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The spent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSpent(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureSpentIsMutable();
+      spent_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @param value The spent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSpent(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureSpentIsMutable();
+      spent_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @param values The spent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllSpent(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureSpentIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, spent_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSpent() {
+      spent_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * transfers of the receiver that are used up
+     * </pre>
+     *
+     * <code>repeated string spent = 4;</code>
+     * @param value The bytes of the spent to add.
+     * @return This builder for chaining.
+     */
+    public Builder addSpentBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureSpentIsMutable();
+      spent_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:damaskyoke.peer.TokenRequest)
   }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/TokenRequestOrBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/TokenRequestOrBuilder.java
@@ -23,8 +23,73 @@
       getWorkspaceBytes();
 
   /**
+   * <pre>
+   * 0: only tells what is spent
+   * </pre>
+   *
    * <code>uint64 tokens = 2;</code>
    * @return The tokens.
    */
   long getTokens();
+
+  /**
+   * <pre>
+   * the transfer that answers it is named REQUEST_ID/VM
+   * </pre>
+   *
+   * <code>string request_id = 3;</code>
+   * @return The requestId.
+   */
+  java.lang.String getRequestId();
+  /**
+   * <pre>
+   * the transfer that answers it is named REQUEST_ID/VM
+   * </pre>
+   *
+   * <code>string request_id = 3;</code>
+   * @return The bytes for requestId.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
+
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @return A list containing the spent.
+   */
+  java.util.List<java.lang.String>
+      getSpentList();
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @return The count of spent.
+   */
+  int getSpentCount();
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @param index The index of the element to return.
+   * @return The spent at the given index.
+   */
+  java.lang.String getSpent(int index);
+  /**
+   * <pre>
+   * transfers of the receiver that are used up
+   * </pre>
+   *
+   * <code>repeated string spent = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the spent at the given index.
+   */
+  com.google.protobuf.ByteString
+      getSpentBytes(int index);
 }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RatePeers.java
@@ -0,0 +1,119 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.rates.RateAction;
+import io.damaskyoke.control.rates.RateInput;
+import io.damaskyoke.control.rates.ShareTable;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.peer.PeerAddress;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.peer.PeerListener;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.Role;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Hello;
+import io.damaskyoke.peer.wire.TokenRequest;
+import io.damaskyoke.peer.wire.TokenTransfer;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Carries requests for tokens, and tokens, between this router and the others. */
+final class RatePeers implements PeerListener {
+    private final Control control;
+    private final RateAdmission rates;
+    private final Map<VmId, PeerAddress> addresses = new HashMap<>();
+    private final Map<VmId, PeerLink> links = new HashMap<>();
+    private PeerNetwork network;
+
+    RatePeers(Control control, RateAdmission rates) {
+        this.control = control;
+        this.rates = rates;
+    }
+
+    /** Says what to send over; before the first message. */
+    void over(PeerNetwork given) {
+        network = given;
+    }
+
+    /** Takes in where the routers are that have shares. */
+    void known(Collection<RateInput.Row> rows) {
+        addresses.clear();
+        rows.forEach(row -> row.table().shares().values().forEach(this::known));
+    }
+
+    void ask(RateAction.Ask ask) {
+        TokenRequest request =
+                TokenRequest.newBuilder()
+                        .setWorkspace(ask.workspace().value())
+                        .setTokens(ask.tokens())
+                        .setRequestId(ask.ask())
+                        .addAllSpent(ask.spent())
+                        .build();
+        send(ask.to(), Frame.newBuilder().setTokenRequest(request).build());
+    }
+
+    void lend(RateAction.Lend lend) {
+        TokenTransfer transfer =
+                TokenTransfer.newBuilder()
+                        .setWorkspace(lend.workspace().value())
+                        .setTokens(lend.tokens())
+                        .setTransferId(lend.loan())
+                        .build();
+        send(lend.to(), Frame.newBuilder().setTokenTransfer(transfer).build());
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        link.remote()
+                .filter(hello -> hello.getRole().equals(Role.ROUTER.wireName()))
+                .map(Hello::getVm)
+                .map(VmId::of)
+                .ifPresent(vm -> control.run(() -> take(vm, link, frame)));
+    }
+
+    private void take(VmId from, PeerLink link, Frame frame) {
+        links.put(from, link);
+        if (frame.hasTokenRequest()) {
+            TokenRequest request = frame.getTokenRequest();
+            rates.feed(
+                    new RateInput.Asked(
+                            from,
+                            WorkspaceId.of(request.getWorkspace()),
+                            request.getTokens(),
+                            request.getRequestId(),
+                            List.copyOf(request.getSpentList())));
+        } else if (frame.hasTokenTransfer()) {
+            TokenTransfer transfer = frame.getTokenTransfer();
+            rates.feed(
+                    new RateInput.Lent(
+                            from,
+                            WorkspaceId.of(transfer.getWorkspace()),
+                            transfer.getTokens(),
+                            transfer.getTransferId()));
+        } else {
+            rates.feed(new RateInput.Heard(from));
+        }
+    }
+
+    private void known(ShareTable.Share share) {
+        int colon = share.address().lastIndexOf(':');
+        String host = share.address().substring(0, colon);
+        int port = Integer.parseInt(share.address().substring(colon + 1));
+        addresses.put(share.vm(), new PeerAddress(share.vm(), host, port));
+    }
+
+    private void send(VmId to, Frame frame) {
+        PeerLink link = links.get(to);
+        if (link != null && link.open()) {
+            link.send(frame);
+            return;
+        }
+        PeerAddress address = addresses.get(to);
+        if (address != null) {
+            network.connect(address).thenAccept(opened -> opened.send(frame));
+        }
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -136,12 +136,29 @@
 
     private void begin(Request request, CancelSignal cancel, CompletableFuture<Answer> answer) {
         Instant now = control.clock().instant();
-        Optional<Refusal> refusal = atTheDoor(request).or(() -> admission.admit(request, now));
+        Optional<Refusal> refusal = atTheDoor(request);
         if (refusal.isPresent()) {
-            metrics.count("router_refused", "code", refusal.get().code().wireName());
-            answer.complete(new Answer.Refused(refusal.get()));
+            refuse(refusal.get(), answer);
             return;
         }
+        waiting++;
+        admission.admit(
+                request,
+                now,
+                verdict -> {
+                    waiting--;
+                    verdict.ifPresentOrElse(
+                            refused -> refuse(refused, answer),
+                            () -> admitted(request, cancel, answer));
+                });
+    }
+
+    private void refuse(Refusal refusal, CompletableFuture<Answer> answer) {
+        metrics.count("router_refused", "code", refusal.code().wireName());
+        answer.complete(new Answer.Refused(refusal));
+    }
+
+    private void admitted(Request request, CancelSignal cancel, CompletableFuture<Answer> answer) {
         RequestFlow flow = new RequestFlow(this, request, choice(request), answer);
         flows.add(flow);
         waiting++;
@@ -158,11 +175,15 @@
         if (waiting >= maxWaiting) {
             return refusal(RefusalCode.OVERLOADED, "too many requests wait here");
         }
-        if (!configuration.get().granted(request.key())) {
-            return Optional.of(
-                    Refusal.notRun(RefusalCode.KEY_WITHDRAWN, "the caller key was withdrawn"));
+        return withdrawn(request);
+    }
+
+    private Optional<Refusal> withdrawn(Request request) {
+        if (configuration.get().granted(request.key())) {
+            return Optional.empty();
         }
-        return Optional.empty();
+        return Optional.of(
+                Refusal.notRun(RefusalCode.KEY_WITHDRAWN, "the caller key was withdrawn"));
     }
 
     private static Optional<Refusal> refusal(RefusalCode code, String message) {
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -42,6 +42,7 @@
     private final Node node;
     private final AtomicLong counter = new AtomicLong();
     private final Fleet fleet;
+    private final RateAdmission rates;
     private final RequestDispatcher dispatcher;
     private final PeerNetwork network;
     private final CallerServer callers;
@@ -58,13 +59,18 @@
                         settings.peer(),
                         () -> node.configuration().current().sequence(),
                         node.metrics());
+        this.rates = new RateAdmission(node);
+        RatePeers ratePeers = new RatePeers(node.control(), rates);
         this.network =
                 node.network(settings.peer())
                         .listen(client)
                         .listen(new AgentListener(node.control(), fleet))
+                        .listen(ratePeers)
                         .build()
                         .start();
+        ratePeers.over(network);
         this.dispatcher = new RequestDispatcher(parts(client));
+        node.control().run(() -> startRates(ratePeers));
         node.configuration().onChange(now -> node.control().run(() -> changed(now)));
         new AgentDirectory(
                         node.control(),
@@ -109,6 +115,7 @@
         callers.unbind();
         awaitNoneRunning(settings.stop().limit());
         node.control().ask(this::abortAll).toCompletableFuture().join();
+        rates.leave(settings.platform().storeTimeout());
         callers.terminate(Duration.ofSeconds(1)).toCompletableFuture().join();
         operators.stop(Duration.ofSeconds(1)).toCompletableFuture().join();
         network.close();
@@ -122,7 +129,7 @@
                 fleet,
                 network,
                 client,
-                Admission.open(),
+                rates,
                 RetryBudget.of(settings.control().retryBudget()),
                 node.metrics(),
                 node.timeline(),
@@ -131,6 +138,12 @@
                 settings.control().maxWaiting());
     }
 
+    private void startRates(RatePeers peers) {
+        String address = settings.peer().host() + ':' + network.port();
+        Duration listPeriod = settings.platform().vmListPeriod();
+        rates.start(peers, address, node.configuration().current(), listPeriod);
+    }
+
     private CompletionStage<CallerServer> startCallers() {
         return CallerServer.builder()
                 .settings(settings.caller())
@@ -176,6 +189,7 @@
     }
 
     private void changed(Configuration now) {
+        rates.configured(now);
         dispatcher.configurationChanged(now);
     }
 
