Measure rates, and deal shares out in one write

A share given back lay free until its taker's turn, and the workspaces last in order starved of writes. Change: whoever lowers its own part deals it out in the same write; workspaces take turns; a request is refused only after a round of asking brought nothing.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
@@ -17,7 +17,7 @@
  */
 public final class Measure {
     /** Every experiment there is. */
-    private static final List<Experiment> EXPERIMENTS = List.of();
+    private static final List<Experiment> EXPERIMENTS = List.of(new RateExperiment());
 
     @Parameter(names = "--deployment", description = "malabar or tiramkawi", required = true)
     private String deployment;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -21,7 +21,7 @@
  * is spent or has run out.
  */
 final class Account {
-    private static final double DEMAND_SECONDS = 2.0;
+    private static final double DEMAND_SECONDS = 4.0;
     private static final double NANOS = 1e9;
 
     final Bucket bucket;
@@ -33,6 +33,8 @@
     Lowering lowering;
     String ask = "";
     Instant askedAt = Instant.MIN;
+    long askedUpTo;
+    long brought;
     private final ArrayDeque<Borrowed> borrowed = new ArrayDeque<>();
     private final Map<String, Lent> lent = new HashMap<>();
     private double demand;
@@ -46,8 +48,8 @@
         this.demandAt = now;
     }
 
-    /** A request that waits for tokens. */
-    record Held(ExchangeId id, long tokens, Instant until) {}
+    /** A request that waits for tokens; those up to {@link #askedUpTo} were asked for. */
+    record Held(ExchangeId id, long number, long tokens, Instant until) {}
 
     /** A write under way that lowers our part; it counts before the store has confirmed it. */
     record Lowering(int part, long revision) {}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -132,7 +132,7 @@
                     advance(account, now);
                     admitHeld(account, actions);
                 });
-        keeper.balance(accounts.values(), now, actions);
+        keeper.balance(List.copyOf(accounts.values()), now, actions);
     }
 
     private void tick(Instant now, List<RateAction> actions) {
@@ -141,10 +141,10 @@
             if (usable(account, now)) {
                 admitHeld(account, actions);
             }
-            refuseHeld(account, now, actions);
             askForHeld(account, now, actions);
+            refuseHeld(account, now, actions);
         }
-        keeper.balance(accounts.values(), now, actions);
+        keeper.balance(List.copyOf(accounts.values()), now, actions);
         if (!reading && !now.isBefore(readAt)) {
             reading = true;
             readAt = now.plus(settings.readPeriod());
@@ -174,7 +174,8 @@
             return;
         }
         account.held.add(
-                new Account.Held(arrived.id(), arrived.tokens(), now.plus(settings.hold())));
+                new Account.Held(
+                        arrived.id(), ++counter, arrived.tokens(), now.plus(settings.hold())));
         askForHeld(account, now, actions);
         refuseHeld(account, now, actions);
     }
@@ -238,6 +239,7 @@
         Instant until = account.askedAt.equals(Instant.MIN) ? now : account.askedAt;
         until = until.plus(settings.loan());
         if (awaited && now.isBefore(until) && lent.tokens() > 0) {
+            account.brought += lent.tokens();
             account.borrow(lent.from(), lent.loan(), lent.tokens(), until);
         }
         if (usable(account, now)) {
@@ -253,11 +255,13 @@
     }
 
     private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
-        boolean hopeless = usable(account, now) && account.unanswered.isEmpty();
-        boolean askedLately = now.isBefore(account.askedAt.plus(ASK_GAP));
+        boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0;
+        boolean noneToAsk = lenders(account).isEmpty();
+        boolean hopeless = usable(account, now) && (noneToAsk || nothingCame);
         while (!account.held.isEmpty()) {
             Account.Held first = account.held.peek();
-            if (now.isBefore(first.until()) && (!hopeless || askedLately)) {
+            boolean askedFor = noneToAsk || first.number() <= account.askedUpTo;
+            if (now.isBefore(first.until()) && !(hopeless && askedFor)) {
                 return;
             }
             account.held.remove();
@@ -313,6 +317,8 @@
         }
         account.ask = self.value() + '.' + (++counter);
         account.askedAt = now;
+        account.askedUpTo = counter;
+        account.brought = 0;
         account.unanswered.clear();
         account.unanswered.addAll(others);
         for (VmId other : others) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -5,7 +5,6 @@
 import io.damaskyoke.id.WorkspaceId;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,9 +14,10 @@
 /** Lets one router's shares follow its demand, and gives back the shares of those that are gone. */
 final class ShareKeeper {
     private static final double HEADROOM = 1.25;
-    private static final int STEP = ShareTable.WHOLE / 20;
+    private static final int STEP = ShareTable.WHOLE / 8;
+    private static final int LEAST_MOVE = ShareTable.WHOLE / 20;
     private static final long FLEET_WRITES_PER_SECOND = 100;
-    private static final Duration LEAST_GAP = Duration.ofSeconds(1);
+    private static final Duration LEAST_GAP = Duration.ofMillis(200);
     private static final Duration WRITE_LIMIT = Duration.ofSeconds(10);
 
     private final Incarnation self;
@@ -28,6 +28,7 @@
     private final Map<String, Instant> marks = new HashMap<>();
     private final Set<WorkspaceId> filled = new HashSet<>();
     private Instant next = Instant.MIN;
+    private int turn;
     private boolean leaving;
 
     ShareKeeper(
@@ -76,19 +77,23 @@
                 .forEach(mark -> marks.putIfAbsent(mark, now));
     }
 
-    /** Writes what should change, within this router's part of the store's calls. */
-    void balance(Collection<Account> accounts, Instant now, List<RateAction> actions) {
-        for (Account account : accounts) {
-            ShareTable wanted = wanted(account, now);
-            if (wanted == null || account.writing(now)) {
+    /**
+     * Writes what should change, within this router's part of the store's calls. It goes on where
+     * it stopped: from the front each time, the last workspaces' shares would hardly ever move.
+     */
+    void balance(List<Account> accounts, Instant now, List<RateAction> actions) {
+        for (int step = 0; step < accounts.size(); step++) {
+            Account account = accounts.get((turn + step) % accounts.size());
+            ShareTable wanted = account.writing(now) ? null : wanted(account, now);
+            if (wanted == null) {
                 continue;
             }
             boolean urgent = account.row == null || account.row.table().share(self).isEmpty();
-            if (!urgent && now.isBefore(next)) {
-                continue;
+            if (urgent || !now.isBefore(next)) {
+                next = now.plus(gap(wanted));
+                turn = (turn + step + 1) % accounts.size();
+                write(account, wanted, now, actions);
             }
-            next = now.plus(gap(wanted));
-            write(account, wanted, now, actions);
         }
     }
 
@@ -153,15 +158,14 @@
 
     private ShareTable moved(Account account, ShareTable table, ShareTable.Share own, int want) {
         int target = Math.max(table.target(self, want), lentPart(account));
+        boolean give = target < own.part() && othersWant(table);
+        ShareTable dealt = table.dealt(self, give ? target : own.part(), want);
         boolean wantChanged = Math.abs(want - own.want()) > STEP;
-        int part = own.part();
-        if (part < target) {
-            part += Math.min(target - part, table.free());
-        } else if (target < part && othersWant(table)) {
-            part = target;
+        int moved = 0;
+        for (Map.Entry<Incarnation, ShareTable.Share> entry : dealt.shares().entrySet()) {
+            moved += Math.max(0, entry.getValue().part() - table.part(entry.getKey()));
         }
-        boolean partChanged = Math.abs(part - own.part()) > STEP / 5;
-        return wantChanged || partChanged ? table.set(self, part, want) : null;
+        return wantChanged || moved > LEAST_MOVE ? dealt : null;
     }
 
     private boolean othersWant(ShareTable table) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -99,6 +99,43 @@
         return new ShareTable(founder, next);
     }
 
+    /**
+     * Sets its own want, lowers its own part to its target, and deals out that and what is free to
+     * those furthest below theirs. Only the writer's own part can fall, which it has seen to.
+     */
+    public ShareTable dealt(Incarnation who, int part, int want) {
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        next.put(who, shares.get(who).with(part, want));
+        ShareTable dealt = new ShareTable(founder, next);
+        int free = dealt.free();
+        while (free > 0) {
+            Incarnation neediest = dealt.neediest();
+            int lack = neediest == null ? 0 : dealt.lack(neediest);
+            if (lack <= 0) {
+                break;
+            }
+            Share share = next.get(neediest);
+            int more = Math.min(lack, free);
+            next.put(neediest, share.with(share.part() + more, share.want()));
+            free -= more;
+            dealt = new ShareTable(founder, next);
+        }
+        return dealt;
+    }
+
+    private Incarnation neediest() {
+        return shares.entrySet().stream()
+                .filter(entry -> entry.getValue().mark().isEmpty())
+                .map(Map.Entry::getKey)
+                .max(Comparator.comparingInt(this::lack))
+                .orElse(null);
+    }
+
+    private int lack(Incarnation who) {
+        Share share = shares.get(who);
+        return target(who, share.want()) - share.part();
+    }
+
     /** Says that this incarnation seems gone; only it can say otherwise. */
     public ShareTable mark(Incarnation gone, String by) {
         Share old = shares.get(gone);
