--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
@@ -19,7 +19,11 @@
 public final class Measure {
     /** Every experiment there is. */
     private static final List<Experiment> EXPERIMENTS =
-            List.of(new ColdStarts(), new ConfigurationExperiment(), new PaymentOutage());
+            List.of(
+                    new ColdStarts(),
+                    new RateExperiment(),
+                    new ConfigurationExperiment(),
+                    new PaymentOutage());
 
     @Parameter(names = "--deployment", description = "malabar or tiramkawi", required = true)
     private String deployment;
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
@@ -235,17 +235,18 @@
       "evision\030\003 \001(\004\"/\n\013ConfigEntry\022\020\n\010sequence" +
       "\030\001 \001(\004\022\016\n\006ticket\030\002 \001(\014\"G\n\rTokenTransfer\022" +
       "\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\023\n\013tr" +
-      "ansfer_id\030\003 \001(\t\"1\n\014TokenRequest\022\021\n\tworks" +
-      "pace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"z\n\005Order\022)\n\004v" +
-      "erb\030\001 \001(\0162\033.damaskyoke.peer.Order.Verb\022\r" +
-      "\n\005model\030\002 \001(\t\022\017\n\007fencing\030\003 \001(\004\"&\n\004Verb\022\010" +
-      "\n\004NONE\020\000\022\010\n\004LOAD\020\001\022\n\n\006UNLOAD\020\002\"+\n\tInvent" +
-      "ory\022\016\n\006rights\030\001 \003(\t\022\016\n\006loaded\030\002 \003(\t\"8\n\nC" +
-      "laimQuery\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempote" +
-      "ncy_key\030\002 \001(\t\"Z\n\014ClaimOutcome\022\021\n\tworkspa" +
-      "ce\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005sta" +
-      "te\030\003 \001(\t\022\017\n\007outcome\030\004 \001(\014B\035\n\027io.damaskyo" +
-      "ke.peer.wireH\001P\001b\006proto3"
+      "ansfer_id\030\003 \001(\t\"T\n\014TokenRequest\022\021\n\tworks" +
+      "pace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\022\n\nrequest_id" +
+      "\030\003 \001(\t\022\r\n\005spent\030\004 \003(\t\"z\n\005Order\022)\n\004verb\030\001" +
+      " \001(\0162\033.damaskyoke.peer.Order.Verb\022\r\n\005mod" +
+      "el\030\002 \001(\t\022\017\n\007fencing\030\003 \001(\004\"&\n\004Verb\022\010\n\004NON" +
+      "E\020\000\022\010\n\004LOAD\020\001\022\n\n\006UNLOAD\020\002\"+\n\tInventory\022\016" +
+      "\n\006rights\030\001 \003(\t\022\016\n\006loaded\030\002 \003(\t\"8\n\nClaimQ" +
+      "uery\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_k" +
+      "ey\030\002 \001(\t\"Z\n\014ClaimOutcome\022\021\n\tworkspace\030\001 " +
+      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005state\030\003 " +
+      "\001(\t\022\017\n\007outcome\030\004 \001(\014B\035\n\027io.damaskyoke.pe" +
+      "er.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -382,7 +383,7 @@
     internal_static_damaskyoke_peer_TokenRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_TokenRequest_descriptor,
-        new java.lang.String[] { "Workspace", "Tokens", });
+        new java.lang.String[] { "Workspace", "Tokens", "RequestId", "Spent", });
     internal_static_damaskyoke_peer_Order_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_damaskyoke_peer_Order_fieldAccessorTable = new
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -45,6 +45,7 @@
     private final AtomicLong counter = new AtomicLong();
     private final Fleet fleet;
     private final Placement placement;
+    private final RateAdmission rates;
     private final RequestDispatcher dispatcher;
     private final PeerNetwork network;
     private final CallerServer callers;
@@ -65,15 +66,20 @@
         ClaimQueries queries = new ClaimQueries(node.control());
         LastHeard heard = new LastHeard(node.control().clock());
         this.placement = placement(heard);
+        this.rates = new RateAdmission(node);
+        RatePeers ratePeers = new RatePeers(node.control(), rates);
         this.network =
                 node.network(settings.peer())
                         .listen(client)
                         .listen(queries)
                         .listen(new AgentListener(node.control(), fleet))
                         .listen(heard)
+                        .listen(ratePeers)
                         .build()
                         .start();
+        ratePeers.over(network);
         this.dispatcher = new RequestDispatcher(parts(client, queries));
+        node.control().run(() -> startRates(ratePeers));
         node.configuration().onChange(now -> node.control().run(() -> changed(now)));
         this.processList =
                 new ProcessList(node.control(), node.vmList(), fleet, node.vm(), this::operatorUrl);
@@ -117,6 +123,7 @@
         callers.unbind();
         awaitNoneRunning(settings.stop().limit());
         node.control().ask(this::abortAll).toCompletableFuture().join();
+        rates.leave(settings.platform().storeTimeout());
         callers.terminate(Duration.ofSeconds(1)).toCompletableFuture().join();
         operators.stop(Duration.ofSeconds(1)).toCompletableFuture().join();
         network.close();
@@ -130,7 +137,7 @@
                 fleet,
                 network,
                 client,
-                Admission.open(),
+                rates,
                 RetryBudget.of(settings.control().retryBudget()),
                 Claims.start(node, queries, settings.control().seed()),
                 node.metrics(),
@@ -150,6 +157,12 @@
                 () -> node.configuration().confirmed(settings.control().unconfirmedLimit()));
     }
 
+    private void startRates(RatePeers peers) {
+        String address = settings.peer().host() + ':' + network.port();
+        Duration listPeriod = settings.platform().vmListPeriod();
+        rates.start(peers, address, node.configuration().current(), listPeriod);
+    }
+
     private CompletionStage<CallerServer> startCallers() {
         return CallerServer.builder()
                 .settings(settings.caller())
@@ -204,6 +217,7 @@
     }
 
     private void changed(Configuration now) {
+        rates.configured(now);
         dispatcher.configurationChanged(now);
         placement.configurationChanged();
     }
