--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/coldstart/ColdStartRun.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/coldstart/ColdStartRun.java
@@ -37,6 +37,10 @@
 /** One policy through one workload, in steps of 100 ms. */
 final class ColdStartRun {
     private static final long STEP = 100;
+
+    /** Engines begin empty; what the first minutes cost says nothing of the days after them. */
+    private static final long WARM_UP = 300_000;
+
     private static final Duration GONE_AFTER = Duration.ofSeconds(30);
     private static final Duration SUSPECT_TIME = Duration.ofSeconds(15);
 
@@ -113,14 +117,14 @@
             }
             check();
         }
-        refusals += pending.size();
+        pending.values().forEach(this::countRefusal);
         return this;
     }
 
     void ready(SimulatedVm vm, ExchangeId request) {
         Pending done = pending.remove(request);
         fleets.get(done.arrival.router()).done(vm.id);
-        if (done.cold) {
+        if (done.cold && done.arrival.at() >= WARM_UP) {
             coldMillis.add((double) (now - 1_000 - done.arrival.at()));
             boundMillis.add(done.bound);
         }
@@ -161,7 +165,9 @@
 
     private boolean isAt(Pending each, SimulatedVm vm) {
         boolean lost = each.tried.contains(vm.id);
-        refusals += lost ? 1 : 0;
+        if (lost) {
+            countRefusal(each);
+        }
         return lost;
     }
 
@@ -193,7 +199,7 @@
                         ? chooseNaively(model, request.tried, fleet)
                         : fleet.holder(model, request.tried, instant());
         if (to.isEmpty() || !vms.get(to.get()).up) {
-            refusals++;
+            countRefusal(request);
             return;
         }
         fleet.sent(to.get());
@@ -207,6 +213,10 @@
                                 id, model.name(), deadline, WorkspaceId.of("kitchens")));
     }
 
+    private void countRefusal(Pending request) {
+        refusals += request.arrival.at() >= WARM_UP ? 1 : 0;
+    }
+
     // A replica that this router has heard of, or any VM at all.
     private Optional<VmId> chooseNaively(Model model, Set<VmId> tried, Fleet fleet) {
         List<VmId> up =
