--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/LoadCosts.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/LoadCosts.java
@@ -48,7 +48,8 @@
         rates.keySet().retainAll(models);
     }
 
-    private double rate(ModelName model, Instant now) {
+    /** Uses in the last half-life or so. */
+    double rate(ModelName model, Instant now) {
         Rate rate = rates.get(model);
         if (rate == null) {
             return 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
@@ -27,6 +27,7 @@
  */
 public final class ReplicaHolder implements Machine<ReplicaInput, ReplicaAction> {
     private static final Duration PREFETCH = Duration.ofMinutes(1);
+    private static final double IDLE_RATE = 0.5;
     private static final Duration SHORT_RETRY = Duration.ofSeconds(1);
 
     private final ReplicaSettings settings;
@@ -55,6 +56,7 @@
         take(input, now);
         List<ReplicaAction> actions = new ArrayList<>();
         unloadUnwanted(actions, now);
+        unloadIdle(actions, now);
         serveWants(actions, now);
         releaseOwed(actions);
         return actions;
@@ -200,6 +202,20 @@
         }
     }
 
+    /** Lets go of what nobody has used for long, so that its accelerators can rest. */
+    private void unloadIdle(List<ReplicaAction> actions, Instant now) {
+        for (Replica replica : List.copyOf(table.all())) {
+            boolean old =
+                    Duration.between(replica.since, now).compareTo(settings.rateHalfLife()) > 0;
+            if (replica.phase == Phase.LOADED
+                    && old
+                    && !wants.containsKey(replica.name)
+                    && costs.rate(replica.name, now) < IDLE_RATE) {
+                unload(replica, actions, now);
+            }
+        }
+    }
+
     private void unload(Replica replica, List<ReplicaAction> actions, Instant now) {
         if (replica.uses > 0 || table.carriesAdapters(replica.name) || !table.complete()) {
             return;
