Choose among right holders only, and place on VMs that the list lags behind

Cause: the choice of an agent sorted the whole fleet for each request; and an agent that the list did not show yet got no right, so its callers were refused. Ruled out: caching the order (it changes with each load report). Change: Fleet looks up the holders of the model and the pool of the service; the planner counts an agent that was never listed as present, since the list lags.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/bench/Samples.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/bench/Samples.java
@@ -53,6 +53,7 @@
         for (int i = 0; i < agents; i++) {
             fleet.loaded(vm(i), load(i, models));
         }
+        fleet.placed(holders(agents, models));
         return fleet;
     }
 
@@ -77,6 +78,14 @@
         return new Configuration(1, workspaces, keys, models, Map.of(), tickets);
     }
 
+    private static Map<ModelName, Set<VmId>> holders(int agents, int models) {
+        Map<ModelName, Set<VmId>> holders = new HashMap<>();
+        for (int i = 0; i < models; i++) {
+            holders.put(model(i).name(), Set.of(vm(i % agents), vm((i + 1) % agents)));
+        }
+        return holders;
+    }
+
     private static AgentLoad load(int agent, int models) {
         Set<ModelName> loaded =
                 Set.of(model(agent % models).name(), model((agent + models / 2) % models).name());
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
@@ -17,7 +17,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 import scala.util.hashing.MurmurHash3$;
 
 /**
@@ -35,6 +35,7 @@
     private final Set<VmId> draining = new HashSet<>();
     private Set<VmId> leaving = Set.of();
     private Map<ModelName, Set<VmId>> holders = Map.of();
+    private Map<PoolName, List<Member>> pools = Map.of();
 
     private Fleet(AvailabilityZone here) {
         this.here = here;
@@ -49,6 +50,7 @@
     public void update(Collection<Member> present, Set<VmId> listedAsLeaving) {
         members.clear();
         present.forEach(member -> members.put(member.vm(), member));
+        pools = members.values().stream().collect(Collectors.groupingBy(Member::pool));
         loads.keySet().retainAll(members.keySet());
         suspended.keySet().retainAll(members.keySet());
         draining.retainAll(members.keySet());
@@ -128,25 +130,28 @@
 
     /** The agent of a plain service with the least to do, the nearest zone first among equals. */
     public Optional<VmId> server(PoolName pool, Set<VmId> tried, Instant now) {
-        return best(choosable(pool, tried, now).toList(), member -> true);
+        List<Member> servers =
+                pools.getOrDefault(pool, List.of()).stream()
+                        .filter(member -> isChoosable(member.vm(), tried, now))
+                        .toList();
+        return best(servers, member -> true);
     }
 
     private List<Member> homes(Model model, Set<VmId> tried, Instant now) {
         String name = model.base().orElse(model.name()).value();
-        Set<VmId> mayHold = holders.getOrDefault(model.name(), Set.of());
-        return choosable(model.pool(), tried, now)
-                .filter(member -> mayHold.contains(member.vm()))
+        return holders.getOrDefault(model.name(), Set.of()).stream()
+                .map(members::get)
+                .filter(member -> member != null && member.pool().equals(model.pool()))
+                .filter(member -> isChoosable(member.vm(), tried, now))
                 .sorted(Comparator.comparingInt((Member member) -> weight(name, member)).reversed())
                 .toList();
     }
 
-    private Stream<Member> choosable(PoolName pool, Set<VmId> tried, Instant now) {
-        return members.values().stream()
-                .filter(member -> member.pool().equals(pool))
-                .filter(member -> !leaving.contains(member.vm()))
-                .filter(member -> !draining.contains(member.vm()))
-                .filter(member -> !tried.contains(member.vm()))
-                .filter(member -> !isSuspended(member.vm(), now));
+    private boolean isChoosable(VmId vm, Set<VmId> tried, Instant now) {
+        return !leaving.contains(vm)
+                && !draining.contains(vm)
+                && !tried.contains(vm)
+                && !isSuspended(vm, now);
     }
 
     private boolean isSuspended(VmId vm, Instant now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
@@ -62,6 +62,7 @@
     private final Set<Integer> swapping = new HashSet<>();
     private PlacementTable table = PlacementTable.UNREAD;
     private PeerNetwork network;
+    private final Set<VmId> everListed = new HashSet<>();
     private boolean planning;
 
     Placement(
@@ -187,24 +188,39 @@
                         table,
                         now.models(),
                         candidates(listed),
-                        listed.keySet(),
+                        present(listed.keySet()),
                         heard.lately(control.clock().instant()));
         planner.on(view, control.clock().instant()).forEach(proposal -> propose(proposal, now));
     }
 
     private List<Planner.Candidate> candidates(Map<VmId, VmList.Vm> listed) {
         return fleet.members().stream()
-                .filter(member -> listed.containsKey(member.vm()))
                 .map(
                         member ->
                                 new Planner.Candidate(
                                         member.vm(),
                                         member.pool(),
                                         member.zone(),
-                                        listed.get(member.vm()).state() == VmList.State.LEAVING))
+                                        isLeaving(listed.get(member.vm()))))
                 .toList();
     }
 
+    private static boolean isLeaving(VmList.Vm vm) {
+        return vm != null && vm.state() == VmList.State.LEAVING;
+    }
+
+    // The list lags: an agent that registered and was never listed has just come. Taken for gone,
+    // it would lose the rights it loads under, and a model would be held twice.
+    private Set<VmId> present(Set<VmId> listed) {
+        everListed.addAll(listed);
+        Set<VmId> present = new HashSet<>(listed);
+        fleet.members().stream()
+                .map(Member::vm)
+                .filter(vm -> !everListed.contains(vm))
+                .forEach(present::add);
+        return present;
+    }
+
     // A link that opens brings heartbeats, and those are word from the VM.
     private void tryToReach(VmId vm) {
         Member member = known.get(vm);
