--- a/damaskyoke/src/main/java/io/damaskyoke/control/claims/ClaimSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/claims/ClaimSettings.java
@@ -30,7 +30,7 @@
     /** What routers use. */
     public static ClaimSettings defaults() {
         return new ClaimSettings(
-                Duration.ofMillis(5),
+                Duration.ofMillis(10),
                 Duration.ofMillis(250),
                 Duration.ofMillis(50),
                 Duration.ofSeconds(1),
