Wait at a router's stop until its last answers are written down

Cause: answers are written with the next claims or after 250 ms; a router and an agent replaced within that time would leave a repeat with an unknown outcome. Change: a stop waits up to 2 s for changes of claims.

--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/AtMostOnceTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/AtMostOnceTest.java
@@ -137,6 +137,19 @@
         assertEquals(1, fleet.service.executions("pay-9"));
     }
 
+    @Test
+    void aRouterThatStopsWritesItsLastAnswersDown() {
+        // A payment is answered, and its router and its agent are replaced at once, before the
+        // answer would have been written with the next claims. A repeat still gets the answer.
+        HttpResponse<String> first = pay(0, "pay-10", BODY);
+        fleet.stopRouter(0);
+        fleet.stopAgent();
+        fleet.startAgent();
+        await().until(() -> pay(1, "pay-10", BODY).statusCode() == 200);
+        assertEquals(first.body(), pay(1, "pay-10", BODY).body());
+        assertEquals(1, fleet.service.executions("pay-10"));
+    }
+
     private HttpResponse<String> pay(int router, String key, String body) {
         return fleet.pay(router, key, body, LONG).join();
     }
--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/PaymentsFleet.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/PaymentsFleet.java
@@ -17,7 +17,9 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /** Two routers, and one agent beside a service that takes payments, in this JVM. */
@@ -40,13 +42,14 @@
             VmListStandIn.start(0, Duration.ZERO, InstantSource.system());
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<Router> routers = new ArrayList<>();
-    private final Agent agent;
+    private final Set<Integer> stopped = new HashSet<>();
+    private Agent agent;
 
     private PaymentsFleet(Duration work) {
         service = ServiceStandIn.start(0, work, InstantSource.system());
         routers.add(router("router-1"));
         routers.add(router("router-2"));
-        agent = Agent.start(Settings.parseAgent(common("agent-1") + upstream(), "agent.toml"));
+        startAgent();
     }
 
     /** Starts it; returns once both routers know the ticket and the agent. */
@@ -72,10 +75,28 @@
         return http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    void stopRouter(int router) {
+        routers.get(router).stop();
+        stopped.add(router);
+    }
+
+    void stopAgent() {
+        agent.stop();
+    }
+
+    /** Starts an agent that knows nothing, in the place of the one before. */
+    void startAgent() {
+        agent = Agent.start(Settings.parseAgent(common("agent-1") + upstream(), "agent.toml"));
+    }
+
     @Override
     public void close() {
         agent.stop();
-        routers.forEach(Router::stop);
+        for (int router = 0; router < routers.size(); router++) {
+            if (!stopped.contains(router)) {
+                routers.get(router).stop();
+            }
+        }
         service.close();
         list.close();
         store.close();
--- a/damaskyoke/src/main/java/io/damaskyoke/router/ClaimStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/ClaimStore.java
@@ -50,6 +50,11 @@
         return lease.id();
     }
 
+    /** Changes that are not written yet. */
+    int pending() {
+        return submitted.size();
+    }
+
     /** Writes when the batcher sees fit; the result comes on the control thread. */
     CompletionStage<Result> write(
             String key,
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -111,6 +111,11 @@
         return new Attempt(request, vm, connect).write(Optional.of(held.revision()));
     }
 
+    /** Changes of claims that are not written yet; a stop waits a little for them. */
+    int pending() {
+        return store.pending();
+    }
+
     /** Takes a claim back whose request surely did not run and will not; tried for minutes. */
     void release(HeldClaim held) {
         metrics.count("claims_released");
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
 
 /**
  * A router.
@@ -36,6 +37,7 @@
  */
 public final class Router {
     private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final Duration CLAIMS_LIMIT = Duration.ofSeconds(2);
     private static final long STOP_POLL_MILLIS = 20;
 
     private final RouterSettings settings;
@@ -109,7 +111,8 @@
         sleep(settings.stop().balancerWait());
         closed = true;
         callers.unbind();
-        awaitNoneRunning(settings.stop().limit());
+        awaitNone(this::running, settings.stop().limit());
+        awaitNone(this::claimsPending, CLAIMS_LIMIT);
         node.control().ask(this::abortAll).toCompletableFuture().join();
         callers.terminate(Duration.ofSeconds(1)).toCompletableFuture().join();
         operators.stop(Duration.ofSeconds(1)).toCompletableFuture().join();
@@ -187,13 +190,17 @@
         return null;
     }
 
-    private void awaitNoneRunning(Duration limit) {
+    private static void awaitNone(IntSupplier left, Duration limit) {
         long end = System.nanoTime() + limit.toNanos();
-        while (System.nanoTime() < end && running() > 0) {
+        while (System.nanoTime() < end && left.getAsInt() > 0) {
             sleep(Duration.ofMillis(STOP_POLL_MILLIS));
         }
     }
 
+    private int claimsPending() {
+        return node.control().ask(dispatcher.claims::pending).toCompletableFuture().join();
+    }
+
     private int running() {
         return node.control().ask(dispatcher::running).toCompletableFuture().join();
     }
