--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/ClaimWrites.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/ClaimWrites.java
@@ -8,6 +8,7 @@
 import io.damaskyoke.platform.KeyValueStore.TxnResult;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -62,8 +63,7 @@
         private final Random random;
         private final PriorityQueue<Step> steps =
                 new PriorityQueue<>(
-                        java.util.Comparator.comparingLong(Step::at)
-                                .thenComparingLong(Step::number));
+                        Comparator.comparingLong(Step::at).thenComparingLong(Step::number));
         private long now;
         private long number;
         private long commits;
--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/PaymentOutage.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/PaymentOutage.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 
@@ -39,7 +40,7 @@
         HOME_AGENT;
 
         String label() {
-            return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
         }
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
@@ -26,6 +26,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import org.apache.pekko.util.ByteString;
 
 /** The claims of one life of a router, over a fake store and agents that can be asked. */
@@ -89,7 +90,7 @@
 
     CompletionStage<ClaimResult> claim(
             HeldClaim held, Request request, VmId vm, Map<VmId, ? extends Asked> agents) {
-        java.util.function.Function<VmId, CompletionStage<PeerLink>> connect =
+        Function<VmId, CompletionStage<PeerLink>> connect =
                 asked -> CompletableFuture.completedFuture(new Link(agents.get(asked), request));
         return held == null
                 ? claims.claim(request, vm, connect)
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
@@ -15,6 +15,7 @@
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.platform.FakeStore;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +23,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 
 /**
  * Routers, agents and a store that fail at random, and callers who repeat payments; everything that
@@ -315,8 +318,7 @@
         }
 
         @Override
-        public <T> java.util.concurrent.CompletionStage<T> ask(
-                java.util.function.Supplier<T> step) {
+        public <T> CompletionStage<T> ask(Supplier<T> step) {
             return control.ask(step);
         }
 
@@ -331,7 +333,7 @@
         }
 
         @Override
-        public java.time.InstantSource clock() {
+        public InstantSource clock() {
             return control.clock();
         }
 
