--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
@@ -23,7 +23,8 @@
                     new ColdStarts(),
                     new RateExperiment(),
                     new ConfigurationExperiment(),
-                    new PaymentOutage());
+                    new PaymentOutage(),
+                    new ClaimWrites());
 
     @Parameter(names = "--deployment", description = "malabar or tiramkawi", required = true)
     private String deployment;
