Make the spread's simulation give the same rows each time

Cause: two runs of one seed differed by some tenths of a millisecond; followers stood in a map ordered by identity.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/SpreadWorld.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/SpreadWorld.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,7 +58,7 @@
     public final class Process {
         private final VmList.Vm vm;
         private final RelayMachine machine;
-        private final Map<Process, Instant> subscribers = new HashMap<>();
+        private final Map<Process, Instant> subscribers = new LinkedHashMap<>();
         private final List<Runnable> held = new ArrayList<>();
         private List<VmList.Vm> parents = List.of();
         private boolean frozen;
--- a/damaskyoke-lab/src/test/java/io/damaskyoke/lab/SpreadWorldTest.java
+++ b/damaskyoke-lab/src/test/java/io/damaskyoke/lab/SpreadWorldTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,18 @@
 class SpreadWorldTest {
     private static final Duration LIMIT = Duration.ofSeconds(10);
 
+    @Test
+    void theSameSeedGivesTheSameWorld() {
+        assertEquals(reached(), reached());
+    }
+
+    private static List<Instant> reached() {
+        SpreadWorld world = new SpreadWorld(180, 3, 7).advance(Duration.ofSeconds(20));
+        world.accept();
+        world.advance(Duration.ofSeconds(5));
+        return world.processes().stream().map(SpreadWorld.Process::reachedAt).toList();
+    }
+
     /**
      * Callers see no delay. Of each zone one relay is stopped while ticket upon ticket is accepted;
      * the other pushes to the same followers, and these ask it once the stopped one is late.
