Pass no header to upstreams that the caller did not send

Cause: the log of a plain service showed 'timeout-access: <function1>', which the HTTP library adds to requests that it has read. Seen by following the README by hand. Ruled out: a list of such names, which grows with the library. Conclusion: upstreams see what callers sent.

--- a/damaskyoke/src/main/java/io/damaskyoke/caller/CallerHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/caller/CallerHandler.java
@@ -207,7 +207,8 @@
     private static List<Header> headers(HttpRequest http) {
         List<Header> headers = new ArrayList<>();
         for (HttpHeader header : http.getHeaders()) {
-            if (!(header instanceof RawRequestURI)) {
+            // The HTTP library adds some that were never on the wire, such as Timeout-Access.
+            if (header.renderInRequests()) {
                 headers.add(new Header(header.name(), header.value()));
             }
         }
--- a/damaskyoke/src/test/java/io/damaskyoke/caller/CallerServerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/caller/CallerServerTest.java
@@ -90,6 +90,14 @@
         assertEquals("/bed?id=7", requests.peek().path());
     }
 
+    @Test
+    void noHeaderThatTheCallerDidNotSendReachesTheUpstream() throws IOException {
+        ask("PUT /v1/services/ledger/bed", "");
+        List<String> names = requests.peek().headers().stream().map(Header::name).toList();
+        assertFalse(names.contains("Timeout-Access"), names.toString());
+        assertFalse(names.contains("Raw-Request-URI"), names.toString());
+    }
+
     @Test
     void onlyModelsOpenToTheWorkspaceAreListed() throws IOException {
         JsonNode list = json(ask("GET /v1/models", ""));
