--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TimelineMergeTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TimelineMergeTest.java
@@ -40,6 +40,17 @@
                 merged(List.of(agent, router)));
     }
 
+    @Test
+    void withoutTimesOnFramesTheStoryIsToldBackwards() {
+        // The naive version: each process goes by its own wall clock.
+        Timeline router = timeline("router-1", 400);
+        Timeline agent = timeline("agent-1", 0);
+        router.add(EventType.REQUEST, "r");
+        agent.add(EventType.HANDED_OVER, "r");
+        assertEquals(
+                List.of("agent-1 handed-over", "router-1 request"), merged(List.of(agent, router)));
+    }
+
     @Property(seed = "20261203", tries = 200)
     void aChainOfFramesKeepsItsOrderUnderAnySkew(
             @ForAll List<@IntRange(min = -500, max = 500) Integer> skews,
