Let workspaces take turns at an agent, and refuse unreachable deadlines at once

Cause: one line for all; a workspace that sends too much delayed everybody. Change: start-time fair queueing among workspaces by weight, the earliest deadline first within one; a full queue lets another workspace in at the cost of the longest line; learned service times refuse at once what can't be met. The answer's usage.total_tokens goes back to the router, which settles the estimate on it.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
@@ -17,7 +17,8 @@
  */
 public final class Measure {
     /** Every experiment there is. */
-    private static final List<Experiment> EXPERIMENTS = List.of(new RateExperiment());
+    private static final List<Experiment> EXPERIMENTS =
+            List.of(new RateExperiment(), new WaitingExperiment());
 
     @Parameter(names = "--deployment", description = "malabar or tiramkawi", required = true)
     private String deployment;
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -1,8 +1,10 @@
 package io.damaskyoke.agent;
 
+import io.damaskyoke.control.configuration.Workspace;
 import io.damaskyoke.control.serving.ServingInput;
 import io.damaskyoke.control.serving.ServingMachine;
 import io.damaskyoke.id.PoolName;
+import io.damaskyoke.id.WorkspaceId;
 import io.damaskyoke.metrics.Prometheus;
 import io.damaskyoke.node.Node;
 import io.damaskyoke.node.ReadyLine;
@@ -122,7 +124,7 @@
         int maxRunning = settings.upstream().maxRunning();
         return new RequestRunner(
                 node.control(),
-                ServingMachine.of(maxRunning, settings.upstream().maxWaiting()),
+                ServingMachine.of(maxRunning, settings.upstream().maxWaiting(), this::weight),
                 upstream,
                 node.configuration()::current,
                 node.metrics(),
@@ -130,6 +132,11 @@
                 maxRunning);
     }
 
+    private double weight(WorkspaceId id) {
+        Workspace workspace = node.configuration().current().workspaces().get(id);
+        return workspace == null ? 1.0 : workspace.weight();
+    }
+
     private PeerNetwork startNetwork() {
         ExchangeServer server =
                 ExchangeServer.of(
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
@@ -18,6 +18,7 @@
 import io.damaskyoke.peer.wire.Load;
 import io.damaskyoke.timeline.EventType;
 import io.damaskyoke.timeline.Timeline;
+import io.damaskyoke.upstream.TokenUsage;
 import io.damaskyoke.upstream.Upstream;
 import io.damaskyoke.upstream.UpstreamException;
 import java.time.Duration;
@@ -160,8 +161,10 @@
 
     private void serve(IncomingExchange exchange, Answer.Served answer) {
         ExchangeId id = exchange.request().id();
+        TokenUsage usage = new TokenUsage();
         var body =
                 answer.body()
+                        .map(usage::pass)
                         .watchTermination(
                                 (mat, done) -> {
                                     done.whenComplete(
@@ -169,7 +172,9 @@
                                     return mat;
                                 });
         exchange.serve(
-                new Answer.Served(answer.status(), answer.headers(), body), this::load, () -> 0L);
+                new Answer.Served(answer.status(), answer.headers(), body),
+                this::load,
+                () -> usage.total().orElse(0));
     }
 
     private void fail(IncomingExchange exchange, Throwable failure) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServingMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServingMachine.java
@@ -5,49 +5,66 @@
 import io.damaskyoke.exchange.RefusalCode;
 import io.damaskyoke.id.ExchangeId;
 import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.WorkspaceId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 
 /**
  * The requests at one agent: those that wait and those at the upstream.
  *
  * <p>Every request that arrives leads to exactly one {@code Run} or one {@code Refuse}, at the
  * latest at the first tick after its deadline. No more than {@code maxRunning} are at the upstream.
+ * Workspaces take turns by weight, so that one which sends too much delays mostly itself.
  */
 public final class ServingMachine implements Machine<ServingInput, ServingAction> {
     private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final double NANOS = 1e9;
 
     private final int maxRunning;
     private final int maxWaiting;
     private final Map<ExchangeId, Waiting> waiting = new LinkedHashMap<>();
-    private final Map<ExchangeId, Optional<ModelName>> running = new HashMap<>();
+    private final Map<ExchangeId, Running> running = new HashMap<>();
+    private final ServiceTimes times = new ServiceTimes();
+    private final FairOrder order;
     private boolean draining;
 
-    private ServingMachine(int maxRunning, int maxWaiting) {
+    private ServingMachine(int maxRunning, int maxWaiting, ToDoubleFunction<WorkspaceId> weight) {
         this.maxRunning = maxRunning;
         this.maxWaiting = maxWaiting;
+        this.order = new FairOrder(weight);
     }
 
-    /** A machine for an upstream that takes this many at once, before a queue of this length. */
+    /**
+     * A machine for an upstream that takes this many at once, before a queue of this length in
+     * which all workspaces weigh the same.
+     */
     public static ServingMachine of(int maxRunning, int maxWaiting) {
+        return of(maxRunning, maxWaiting, workspace -> 1.0);
+    }
+
+    /** The same, with each workspace's weight in fair waiting. */
+    public static ServingMachine of(
+            int maxRunning, int maxWaiting, ToDoubleFunction<WorkspaceId> weight) {
         if (maxRunning < 1 || maxWaiting < 1) {
             throw new IllegalArgumentException("limits must be at least 1 running and 1 waiting");
         }
-        return new ServingMachine(maxRunning, maxWaiting);
+        return new ServingMachine(maxRunning, maxWaiting, weight);
     }
 
     @Override
     public List<ServingAction> on(ServingInput input, Instant now) {
         List<ServingAction> actions = new ArrayList<>();
         take(input, now, actions);
-        runWhatCan(actions);
+        runWhatCan(now, actions);
         return actions;
     }
 
@@ -79,7 +96,7 @@
         } else if (input instanceof ServingInput.Unavailable refused) {
             unavailable(refused, actions);
         } else if (input instanceof ServingInput.Finished finished) {
-            finish(finished.id(), actions);
+            finish(finished.id(), now, actions);
         } else if (input instanceof ServingInput.Gone gone) {
             gone(gone.id(), actions);
         } else if (input instanceof ServingInput.Drain) {
@@ -95,6 +112,9 @@
             actions.add(new ServingAction.Refuse(arrived.id(), refusal.get()));
             return;
         }
+        if (waiting.size() >= maxWaiting) {
+            makeRoom(actions);
+        }
         waiting.put(arrived.id(), new Waiting(arrived));
         arrived.model().ifPresent(model -> actions.add(want(model, arrived)));
     }
@@ -106,10 +126,75 @@
         if (!now.isBefore(arrived.deadline())) {
             return refusal(RefusalCode.DEADLINE_EXCEEDED, "the deadline has passed");
         }
-        if (waiting.size() >= maxWaiting) {
+        if (waiting.size() >= maxWaiting && !canMakeRoom(arrived)) {
             return refusal(RefusalCode.OVERLOADED, "too many requests wait here");
         }
-        return Optional.empty();
+        return unreachable(arrived, now);
+    }
+
+    // A queue that one workspace has filled would refuse all others, though they keep within their
+    // rates. So a newcomer of another one takes the place of the longest waiting line's last.
+    private boolean canMakeRoom(ServingInput.Arrived arrived) {
+        return waitingOf(longestLine()) > waitingOf(arrived.workspace()) + 1;
+    }
+
+    private void makeRoom(List<ServingAction> actions) {
+        WorkspaceId longest = longestLine();
+        Waiting last = null;
+        for (Waiting request : waiting.values()) {
+            if (request.arrived.workspace().equals(longest)) {
+                last = request;
+            }
+        }
+        waiting.remove(last.arrived.id());
+        letGo(last, actions);
+        Refusal full = refusal(RefusalCode.OVERLOADED, "too many requests wait here").get();
+        actions.add(new ServingAction.Refuse(last.arrived.id(), full));
+    }
+
+    private WorkspaceId longestLine() {
+        Map<WorkspaceId, Integer> lines = new LinkedHashMap<>();
+        waiting.values().forEach(each -> lines.merge(each.arrived.workspace(), 1, Integer::sum));
+        return lines.entrySet().stream().max(Map.Entry.comparingByValue()).get().getKey();
+    }
+
+    private long waitingOf(WorkspaceId workspace) {
+        return waiting.values().stream()
+                .filter(request -> request.arrived.workspace().equals(workspace))
+                .count();
+    }
+
+    // What stands ahead is the own line and, for each of its turns, one turn of every other line:
+    // less than the whole queue where another workspace has filled it.
+    private Optional<Refusal> unreachable(ServingInput.Arrived arrived, Instant now) {
+        Optional<Double> own = times.known(arrived.model());
+        if (own.isEmpty() || running.size() < maxRunning) {
+            return Optional.empty();
+        }
+        double wait = secondsAhead(arrived.workspace()) / maxRunning;
+        double left = Duration.between(now, arrived.deadline()).toMillis() / 1000.0;
+        if (wait + own.get() <= left) {
+            return Optional.empty();
+        }
+        long back = (long) Math.ceil(1000 * Math.max(wait + own.get() - left, 0));
+        Refusal refusal =
+                Refusal.notRun(
+                        RefusalCode.DEADLINE_UNREACHABLE,
+                        "the deadline can't be met with what waits here");
+        return Optional.of(refusal.retryAfter(Duration.ofMillis(back)));
+    }
+
+    private double secondsAhead(WorkspaceId workspace) {
+        long line = waitingOf(workspace) + 1;
+        Map<WorkspaceId, Integer> taken = new HashMap<>();
+        double seconds = 0;
+        for (Waiting request : waiting.values()) {
+            int before = taken.merge(request.arrived.workspace(), 1, Integer::sum);
+            if (request.ready && before <= line) {
+                seconds += times.cost(request.arrived.model());
+            }
+        }
+        return seconds;
     }
 
     private static Optional<Refusal> refusal(RefusalCode code, String message) {
@@ -129,10 +214,12 @@
         }
     }
 
-    private void finish(ExchangeId id, List<ServingAction> actions) {
-        Optional<ModelName> model = running.remove(id);
-        if (model != null) {
-            model.ifPresent(name -> actions.add(new ServingAction.Leave(name)));
+    private void finish(ExchangeId id, Instant now, List<ServingAction> actions) {
+        Running ended = running.remove(id);
+        if (ended != null) {
+            double seconds = Duration.between(ended.since(), now).toNanos() / NANOS;
+            times.took(ended.model(), seconds);
+            ended.model().ifPresent(name -> actions.add(new ServingAction.Leave(name)));
         }
     }
 
@@ -156,18 +243,32 @@
         }
     }
 
-    private void runWhatCan(List<ServingAction> actions) {
-        Iterator<Waiting> all = waiting.values().iterator();
-        while (all.hasNext() && running.size() < maxRunning) {
-            Waiting next = all.next();
-            if (next.ready) {
-                all.remove();
-                running.put(next.arrived.id(), next.arrived.model());
-                actions.add(new ServingAction.Run(next.arrived.id()));
+    private void runWhatCan(Instant now, List<ServingAction> actions) {
+        while (running.size() < maxRunning) {
+            Optional<Waiting> next = next();
+            if (next.isEmpty()) {
+                return;
             }
+            ServingInput.Arrived request = next.get().arrived;
+            waiting.remove(request.id());
+            order.ran(request.workspace(), times.cost(request.model()));
+            running.put(request.id(), new Running(request.model(), now));
+            actions.add(new ServingAction.Run(request.id()));
         }
     }
 
+    /** Of the workspace whose turn it is, the request with the earliest deadline. */
+    private Optional<Waiting> next() {
+        return waiting.values().stream()
+                .filter(request -> request.ready)
+                .min(
+                        Comparator.comparingDouble(
+                                        (Waiting each) -> order.start(each.arrived.workspace()))
+                                .thenComparing(each -> each.arrived.deadline()));
+    }
+
+    private record Running(Optional<ModelName> model, Instant since) {}
+
     private static void letGo(Waiting request, List<ServingAction> actions) {
         ExchangeId id = request.arrived.id();
         request.arrived
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/serving/FairWaitingTest.java
@@ -0,0 +1,143 @@
+package io.damaskyoke.control.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.WorkspaceId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class FairWaitingTest {
+    private static final Instant NOW = Instant.EPOCH;
+    private static final Instant DEADLINE = NOW.plusSeconds(100);
+
+    private ServingMachine agent = ServingMachine.of(1, 4);
+
+    @Test
+    void aModestWorkspaceGoesBeforeTheLineOfAGreedyOne() {
+        // The greedy one's fourth request would otherwise be served before the modest one's first.
+        for (int i = 1; i <= 4; i++) {
+            arrive(i, "greedy", DEADLINE);
+        }
+        arrive(5, "modest", DEADLINE);
+        assertEquals(List.of(new ServingAction.Run(id(5))), finish(1));
+    }
+
+    @Test
+    void aFullQueueLetsAnotherWorkspaceInAtTheCostOfTheLongestLine() {
+        for (int i = 1; i <= 5; i++) {
+            arrive(i, "greedy", DEADLINE);
+        }
+        List<ServingAction> actions = arrive(6, "modest", DEADLINE);
+        ServingAction.Refuse refuse = (ServingAction.Refuse) actions.get(0);
+        assertEquals(id(5), refuse.id());
+        assertEquals(RefusalCode.OVERLOADED, refuse.refusal().code());
+        assertTrue(refuse.refusal().retryAfter().isPresent());
+    }
+
+    @Test
+    void withinAWorkspaceTheEarliestDeadlineGoesFirst() {
+        arrive(1, "kitchens", DEADLINE);
+        arrive(2, "kitchens", DEADLINE);
+        arrive(3, "kitchens", DEADLINE.minusSeconds(50));
+        assertEquals(List.of(new ServingAction.Run(id(3))), finish(1));
+    }
+
+    @Test
+    void aWorkspaceOfTwiceTheWeightGetsTwoTurnsOfThree() {
+        agent = ServingMachine.of(1, 100, each -> each.value().equals("heavy") ? 2.0 : 1.0);
+        for (int i = 1; i <= 30; i++) {
+            arrive(i, i % 2 == 0 ? "heavy" : "light", DEADLINE);
+        }
+        int heavy = 0;
+        long last = 1;
+        for (int turn = 0; turn < 15; turn++) {
+            last = ((ServingAction.Run) finish(last).get(0)).id().counter();
+            heavy += last % 2 == 0 ? 1 : 0;
+        }
+        assertEquals(10, heavy);
+    }
+
+    @Test
+    void aDeadlineThatTheQueueMakesUnreachableIsRefusedAtOnceWithATimeToComeBack() {
+        // Held back until its deadline the caller would learn nothing sooner than that.
+        arrive(1, "kitchens", DEADLINE);
+        agent.on(new ServingInput.Finished(id(1)), NOW.plusSeconds(4));
+        arrive(2, "kitchens", DEADLINE);
+        arrive(3, "kitchens", DEADLINE);
+        List<ServingAction> actions = arrive(4, "kitchens", NOW.plusSeconds(7));
+        ServingAction.Refuse refuse = (ServingAction.Refuse) actions.get(0);
+        assertEquals(RefusalCode.DEADLINE_UNREACHABLE, refuse.refusal().code());
+        assertTrue(refuse.refusal().notRun());
+        assertEquals(Optional.of(Duration.ofSeconds(1)), refuse.refusal().retryAfter());
+    }
+
+    @Property(seed = "31", tries = 100)
+    void eachArrivalIsRunOrRefusedOnceAndInTime(@ForAll long seed) {
+        // Arrivals, ends, callers that go and time in any order: nobody is forgotten, told twice,
+        // or held past the first tick after the deadline.
+        Random random = new Random(seed);
+        agent = ServingMachine.of(3, 10);
+        Map<ExchangeId, Instant> open = new HashMap<>();
+        List<ExchangeId> running = new ArrayList<>();
+        Instant now = NOW;
+        for (int step = 0; step < 300; step++) {
+            now = now.plusMillis(random.nextInt(200));
+            ServingInput input = new ServingInput.Tick();
+            int kind = random.nextInt(4);
+            if (kind <= 1) {
+                Instant deadline = now.plusMillis(random.nextInt(5_000));
+                WorkspaceId line = WorkspaceId.of("workspace-" + random.nextInt(3));
+                input = new ServingInput.Arrived(id(step), line, Optional.empty(), deadline);
+                open.put(id(step), deadline);
+            } else if (kind == 2 && !running.isEmpty()) {
+                ExchangeId done = running.remove(random.nextInt(running.size()));
+                input = new ServingInput.Finished(done);
+            }
+            for (ServingAction action : agent.on(input, now)) {
+                ExchangeId told = told(action);
+                assertTrue(open.remove(told) != null, () -> told + " was told twice");
+                if (action instanceof ServingAction.Run) {
+                    running.add(told);
+                }
+            }
+            assertTrue(running.size() <= 3);
+            if (input instanceof ServingInput.Tick) {
+                Instant tick = now;
+                assertTrue(open.values().stream().allMatch(tick::isBefore));
+            }
+        }
+    }
+
+    private static ExchangeId told(ServingAction action) {
+        return action instanceof ServingAction.Run run
+                ? run.id()
+                : ((ServingAction.Refuse) action).id();
+    }
+
+    private List<ServingAction> arrive(long number, String workspace, Instant deadline) {
+        WorkspaceId line = WorkspaceId.of(workspace);
+        return agent.on(
+                new ServingInput.Arrived(id(number), line, Optional.empty(), deadline), NOW);
+    }
+
+    private List<ServingAction> finish(long number) {
+        return agent.on(new ServingInput.Finished(id(number)), NOW);
+    }
+
+    private static ExchangeId id(long number) {
+        return new ExchangeId(Incarnation.of("router-1:1"), number);
+    }
+}
