--- a/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServiceTimes.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServiceTimes.java
@@ -8,8 +8,11 @@
 /** How long requests run at the upstream, learned for each model as a moving average. */
 final class ServiceTimes {
     private static final double NEWEST = 0.1;
-    private static final double UNKNOWN_SECONDS = 1.0;
-    private static final double LEAST_SECONDS = 0.001;
+
+    /** Small: a guess above the truth makes who ran first wait for turns that it never had. */
+    private static final double UNKNOWN_SECONDS = 0.05;
+
+    private static final double LEAST_SECONDS = 0.01;
 
     private final Map<Optional<ModelName>, Double> seconds = new HashMap<>();
 
