--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.agent;
 
+import io.damaskyoke.control.claims.KeyedOutcomes;
 import io.damaskyoke.control.configuration.Workspace;
 import io.damaskyoke.control.serving.ServingInput;
 import io.damaskyoke.control.serving.ServingMachine;
@@ -37,10 +38,12 @@
 public final class Agent {
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final int KEYED_OUTCOMES = 1_000;
     private static final Duration GRACE = Duration.ofSeconds(1);
 
     private final AgentSettings settings;
     private final Node node;
+    private final KeyedOutcomes outcomes;
     private final RequestRunner runner;
     private final PeerNetwork network;
     private final OperatorServer operators;
@@ -50,6 +53,7 @@
     private Agent(AgentSettings settings) {
         this.settings = settings;
         this.node = Node.start(settings.process(), settings.platform(), Role.AGENT);
+        this.outcomes = new KeyedOutcomes(node.vm(), KEYED_OUTCOMES);
         HttpUpstream http = httpUpstream();
         boolean isEngine = settings.upstream().kind() == AgentSettings.Kind.ENGINE;
         Engine engine = isEngine ? engine(http) : null;
@@ -59,6 +63,7 @@
             runner.replicas(EngineReplicas.start(node, engine, settings.upstream(), runner::feed));
         }
         this.network = startNetwork();
+        node.join(network);
         this.operators = startOperators();
         this.registrar = new Registrar(node, registration());
         registrar.start();
@@ -129,7 +134,9 @@
                 node.configuration()::current,
                 node.metrics(),
                 node.timeline(),
-                maxRunning);
+                maxRunning,
+                outcomes,
+                SystemMaterializer.get(node.system()).materializer());
     }
 
     private double weight(WorkspaceId id) {
@@ -147,16 +154,13 @@
         return node.network(settings.peer())
                 .heartbeat(this::heartbeat)
                 .listen(server)
+                .listen(new ClaimAnswers(node.control(), outcomes))
                 .build()
                 .start();
     }
 
     private Heartbeat heartbeat() {
-        return Heartbeat.newBuilder()
-                .setConfigSequence(node.configuration().current().sequence())
-                .setLoad(runner.load())
-                .setDraining(draining)
-                .build();
+        return node.heartbeat().setLoad(runner.load()).setDraining(draining).build();
     }
 
     private OperatorServer startOperators() {
@@ -173,7 +177,11 @@
     }
 
     private AgentStatus status() {
-        return AgentStatus.of(node, settings.upstream(), runner.load(), draining);
+        return node.control()
+                .ask(() -> AgentStatus.of(node, settings.upstream(), runner.load(), draining))
+                .toCompletableFuture()
+                .orTimeout(START_LIMIT.toSeconds(), TimeUnit.SECONDS)
+                .join();
     }
 
     private Registration registration() {
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/EngineReplicas.java
@@ -5,7 +5,6 @@
 import io.damaskyoke.control.replicas.ReplicaHolder;
 import io.damaskyoke.control.replicas.ReplicaInput;
 import io.damaskyoke.control.replicas.ReplicaSettings;
-import io.damaskyoke.control.replicas.Rights;
 import io.damaskyoke.control.serving.ServingInput;
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.id.ExchangeId;
@@ -20,10 +19,12 @@
 import io.damaskyoke.upstream.UpstreamException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -45,6 +46,10 @@
     private final Consumer<ServingInput> requests;
     private final Metrics metrics;
     private final Timeline timeline;
+    private final Map<ModelName, ExchangeId> causes = new HashMap<>();
+    private final Map<ExchangeId, ReplicaInput.Wanted> asking = new HashMap<>();
+    private RightsFollower rights;
+    private BooleanSupplier configured = () -> false;
 
     private EngineReplicas(
             Node node,
@@ -78,12 +83,31 @@
 
     @Override
     public void want(ExchangeId id, ModelName model, WorkspaceId workspace, Instant deadline) {
-        feed(new ReplicaInput.Wanted(id, model, deadline, workspace));
+        causes.put(model, id);
+        ReplicaInput.Wanted wanted = new ReplicaInput.Wanted(id, model, deadline, workspace);
+        if (rights != null && !rights.hold(model)) {
+            asking.put(id, wanted);
+            rights.refresh(() -> asked(id));
+        } else {
+            feed(wanted);
+        }
+    }
+
+    // A router may know of a right that was granted since we last read the table. The first request
+    // of a new model would be refused by the one VM that may serve it; so we read once more first.
+    private void asked(ExchangeId id) {
+        ReplicaInput.Wanted wanted = asking.remove(id);
+        if (wanted != null) {
+            feed(wanted);
+        }
     }
 
     @Override
     public void giveUp(ExchangeId id, ModelName model) {
-        feed(new ReplicaInput.GivenUp(id, model));
+        causes.remove(model, id);
+        if (asking.remove(id) == null) {
+            feed(new ReplicaInput.GivenUp(id, model));
+        }
     }
 
     @Override
@@ -111,17 +135,24 @@
         return holder.memoryUsedBytes();
     }
 
-    // Fencing numbers must grow from one life of the agent to the next, or an engine that checks
-    // them would refuse the orders of the new life; the clock's milliseconds do.
     private void begin(Node node) {
-        long fencing = control.clock().millis();
-        feed(new ReplicaInput.RightsChanged(Rights.all(fencing)));
+        this.rights =
+                RightsFollower.start(
+                        node,
+                        granted -> feed(new ReplicaInput.RightsChanged(granted)),
+                        holder::isClearOf);
         feed(new ReplicaInput.Configured(node.configuration().current().models()));
         node.configuration()
                 .onChange(
                         now -> control.run(() -> feed(new ReplicaInput.Configured(now.models()))));
+        configured = () -> node.configuration().current().sequence() > 0;
         report();
-        control.every(TICK, () -> feed(new ReplicaInput.Tick()));
+        control.every(TICK, this::tick);
+    }
+
+    private void tick() {
+        feed(new ReplicaInput.Tick());
+        rights.tick();
     }
 
     private void report() {
@@ -129,10 +160,13 @@
                 .whenComplete((report, failure) -> control.run(() -> reported(report, failure)));
     }
 
+    // An agent that restarts while the store is down knows neither rights nor models. By the report
+    // alone it would take all that the engine holds for unwanted and unload it, and every model on
+    // the VM would start cold. Without a report the holder orders nothing.
     private void reported(Engine.Report report, Throwable failure) {
-        if (failure == null) {
+        if (failure == null && rights.isKnown() && configured.getAsBoolean()) {
             feed(new ReplicaInput.Reported(report));
-        } else {
+        } else if (failure != null) {
             metrics.count("engine_report_failures");
         }
         control.after(REPORT_PERIOD, this::report);
@@ -150,6 +184,7 @@
         } else if (action instanceof ReplicaAction.Unload unload) {
             unload(unload);
         } else if (action instanceof ReplicaAction.Ready ready) {
+            causes.remove(ready.model());
             later(new ServingInput.Ready(ready.request()));
         } else if (action instanceof ReplicaAction.Refuse refuse) {
             Refusal refusal =
@@ -158,9 +193,8 @@
                             "the model can't be had here now: " + refuse.model(),
                             true,
                             refuse.retryAfter());
+            causes.remove(refuse.model(), refuse.request());
             later(new ServingInput.Unavailable(refuse.request(), refusal));
-        } else if (action instanceof ReplicaAction.Release release) {
-            timeline.add(EventType.RIGHT_RELEASED, release.model().value());
         }
     }
 
@@ -173,24 +207,37 @@
     private void load(ReplicaAction.Load order) {
         ModelName model = order.model().name();
         Instant begun = control.clock().instant();
-        timeline.add(EventType.LOAD_BEGUN, model.value());
+        Map<String, String> cause = cause(model);
+        timeline.add(EventType.LOAD_BEGUN, model.value(), cause);
         engine.load(order.model(), order.fencing())
-                .whenComplete((ok, failure) -> control.run(() -> loadEnded(model, begun, failure)));
+                .whenComplete(
+                        (ok, failure) ->
+                                control.run(() -> loadEnded(model, begun, cause, failure)));
     }
 
-    private void loadEnded(ModelName model, Instant begun, Throwable failure) {
+    private void loadEnded(
+            ModelName model, Instant begun, Map<String, String> cause, Throwable failure) {
+        Map<String, String> details = new HashMap<>(cause);
         if (failure == null) {
             long millis = Duration.between(begun, control.clock().instant()).toMillis();
             metrics.histogram("engine_load_ms").update(millis);
-            timeline.add(EventType.LOADED, model.value(), Map.of("ms", String.valueOf(millis)));
+            details.put("ms", String.valueOf(millis));
+            timeline.add(EventType.LOADED, model.value(), details);
             feed(new ReplicaInput.Loaded(model));
             return;
         }
         metrics.count("engine_load_failures");
-        timeline.add(EventType.LOAD_FAILED, model.value(), Map.of("code", code(failure)));
+        details.put("code", code(failure));
+        timeline.add(EventType.LOAD_FAILED, model.value(), details);
         feed(new ReplicaInput.LoadFailed(model, mayBeHeld(failure)));
     }
 
+    /** The last request that wants the model and still waits for it, if any. */
+    private Map<String, String> cause(ModelName model) {
+        ExchangeId request = causes.get(model);
+        return request == null ? Map.of() : Map.of("request", request.toString());
+    }
+
     private void unload(ReplicaAction.Unload order) {
         engine.unload(order.model(), order.fencing())
                 .whenComplete(
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
@@ -1,6 +1,9 @@
 package io.damaskyoke.agent;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.claims.ClaimRecord;
+import io.damaskyoke.control.claims.ClaimSettings;
+import io.damaskyoke.control.claims.KeyedOutcomes;
 import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.serving.ServingAction;
 import io.damaskyoke.control.serving.ServingInput;
@@ -29,6 +32,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
+import org.apache.pekko.stream.Materializer;
 
 /**
  * Takes the requests that routers send and runs them at the upstream: feeds a {@link
@@ -36,6 +40,7 @@
  */
 final class RequestRunner implements ExchangeHandler {
     private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final int MAX_KEPT_BODY = ClaimSettings.defaults().maxBody();
 
     private final Control control;
     private final ServingMachine machine;
@@ -44,6 +49,8 @@
     private final Metrics metrics;
     private final Timeline timeline;
     private final int maxRunning;
+    private final KeyedOutcomes outcomes;
+    private final Materializer materializer;
     private final Map<ExchangeId, IncomingExchange> exchanges = new HashMap<>();
     private final Map<ExchangeId, CompletableFuture<Answer.Served>> calls = new HashMap<>();
     private Replicas replicas = Replicas.none();
@@ -56,7 +63,9 @@
             Supplier<Configuration> configuration,
             Metrics metrics,
             Timeline timeline,
-            int maxRunning) {
+            int maxRunning,
+            KeyedOutcomes outcomes,
+            Materializer materializer) {
         this.control = control;
         this.machine = machine;
         this.upstream = upstream;
@@ -64,6 +73,8 @@
         this.metrics = metrics;
         this.timeline = timeline;
         this.maxRunning = maxRunning;
+        this.outcomes = outcomes;
+        this.materializer = materializer;
     }
 
     /** Says who looks after the models; before the first request. */
@@ -101,6 +112,14 @@
             exchange.refuse(unknown(exchange), load);
             return;
         }
+        if (KeyedOutcomes.keyed(request)) {
+            Optional<Refusal> before = outcomes.begin(request);
+            if (before.isPresent()) {
+                metrics.count("agent_keys_seen_before");
+                exchange.refuse(before.get(), load);
+                return;
+            }
+        }
         exchanges.put(request.id(), exchange);
         exchange.onCancel(() -> control.run(() -> gone(request.id())));
         feed(
@@ -142,6 +161,7 @@
     private void run(ExchangeId id) {
         IncomingExchange exchange = exchanges.get(id);
         if (exchange.cancelled()) {
+            ended(exchange.request(), true);
             control.run(() -> finished(id));
             return;
         }
@@ -151,7 +171,9 @@
         calls.put(id, call);
         call.whenComplete(
                 (answer, failure) -> {
-                    if (failure == null) {
+                    if (failure == null && KeyedOutcomes.keyed(exchange.request())) {
+                        gather(exchange, answer);
+                    } else if (failure == null) {
                         serve(exchange, answer);
                     } else {
                         fail(exchange, failure);
@@ -159,6 +181,32 @@
                 });
     }
 
+    private void gather(IncomingExchange exchange, Answer.Served answer) {
+        GatheredAnswer.of(answer, MAX_KEPT_BODY, materializer)
+                .whenComplete(
+                        (gathered, failure) -> {
+                            if (failure == null) {
+                                control.run(() -> settle(exchange.request(), gathered));
+                                serve(exchange, gathered.answer());
+                            } else {
+                                fail(exchange, failure);
+                            }
+                        });
+    }
+
+    private void settle(Request request, GatheredAnswer gathered) {
+        Answer.Served answer = gathered.answer();
+        outcomes.settled(
+                request,
+                new ClaimRecord.Outcome(answer.status(), answer.headers(), gathered.body()));
+    }
+
+    private void ended(Request request, boolean notRun) {
+        if (KeyedOutcomes.keyed(request)) {
+            outcomes.ended(request, notRun);
+        }
+    }
+
     private void serve(IncomingExchange exchange, Answer.Served answer) {
         ExchangeId id = exchange.request().id();
         TokenUsage usage = new TokenUsage();
@@ -187,6 +235,7 @@
                                 .retryAfter(COME_BACK)
                         : Refusal.mayHaveRun(failureCode(exchange), "the upstream did not answer");
         metrics.count("agent_upstream_failures", "not_run", String.valueOf(notRun));
+        control.run(() -> ended(exchange.request(), notRun));
         exchange.refuse(refusal, load);
         control.run(() -> finished(id));
     }
@@ -207,13 +256,25 @@
 
     private void gone(ExchangeId id) {
         feed(new ServingInput.Gone(id));
-        if (machine.isRunning(id)) {
-            cancelCall(id);
+        if (!machine.isRunning(id)) {
+            IncomingExchange dropped = exchanges.remove(id);
+            if (dropped != null) {
+                ended(dropped.request(), true);
+            }
+        } else if (finishes(id)) {
+            metrics.count("agent_keyed_requests_finished_alone");
         } else {
-            exchanges.remove(id);
+            cancelCall(id);
         }
     }
 
+    // A payment that has begun can't be taken back by cancelling its call; that would only hide
+    // what came of it. So it goes on without its router, and its outcome is kept for the repeat.
+    private boolean finishes(ExchangeId id) {
+        IncomingExchange exchange = exchanges.get(id);
+        return exchange != null && KeyedOutcomes.keyed(exchange.request());
+    }
+
     // Once the answer has begun this does nothing: its body is then cancelled by the exchange, and
     // the end of the body finishes the request.
     private void cancelCall(ExchangeId id) {
@@ -228,6 +289,7 @@
         if (exchange != null) {
             timeline.add(
                     EventType.REFUSED, id.toString(), Map.of("code", refusal.code().wireName()));
+            ended(exchange.request(), refusal.notRun());
             exchange.refuse(refusal, load);
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
@@ -2,8 +2,9 @@
 
 import io.damaskyoke.platform.KeyValueStore;
 import java.util.List;
-import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 /** The log of tickets in the platform's store: one key for each sequence number. */
@@ -11,27 +12,60 @@
     /** Entries asked for at once; small ones in practice, half a megabyte each at worst. */
     static final int PAGE = 64;
 
-    private static final String FOLDER = "/config/log/";
-
     private final KeyValueStore store;
+    private final String prefix;
     private final String folder;
+    private final SnapshotStore snapshots;
 
     ConfigurationLog(KeyValueStore store, String prefix) {
         this.store = store;
-        this.folder = prefix + FOLDER;
+        this.prefix = prefix;
+        this.folder = prefix + LogKeys.FOLDER;
+        this.snapshots = new SnapshotStore(store, prefix);
     }
 
-    /** Some entries in order, where the store stood then, and whether more may follow. */
-    record Page(List<LogEntry> entries, long revision, boolean last) {}
+    /**
+     * Some entries in order, where the store stood then, and whether more may follow; and the
+     * newest snapshot, if the log no longer reaches back to the entry asked for.
+     */
+    record Page(Optional<Snapshot> snapshot, List<LogEntry> entries, long revision, boolean last) {}
 
     CompletionStage<Page> read(long from) {
-        return store.range(key(from), key(Long.MAX_VALUE), PAGE).thenApply(this::page);
+        return store.range(key(from), key(Long.MAX_VALUE), PAGE)
+                .thenCompose(listing -> whole(page(listing), from));
+    }
+
+    SnapshotStore snapshots() {
+        return snapshots;
+    }
+
+    /** Removes the entries up to this one, a page at a time; the newest must be above it. */
+    CompletionStage<Void> shorten(long upTo) {
+        return store.range(folder, key(Math.max(0, upTo) + 1), PAGE)
+                .thenCompose(
+                        old -> {
+                            if (old.entries().isEmpty()) {
+                                return CompletableFuture.completedFuture(null);
+                            }
+                            return store.commit(List.of(), SnapshotStore.deletions(old))
+                                    .thenCompose(done -> shorten(upTo));
+                        });
     }
 
+    /**
+     * Creates an entry if it is absent and the one before it is there.
+     *
+     * <p>Without the second condition a process that was paused while the log was shortened could
+     * create a place anew that was given out and removed: a ticket accepted and never in force.
+     */
     CompletionStage<Boolean> create(long sequence, byte[] value) {
         String key = key(sequence);
+        KeyValueStore.Condition reachable =
+                sequence == 1
+                        ? snapshots.none()
+                        : new KeyValueStore.Condition.Present(key(sequence - 1));
         return store.commit(
-                        List.of(new KeyValueStore.Condition.Absent(key)),
+                        List.of(new KeyValueStore.Condition.Absent(key), reachable),
                         List.of(new KeyValueStore.Write.Put(key, value, 0)))
                 .thenApply(KeyValueStore.TxnResult::committed);
     }
@@ -45,9 +79,23 @@
         return entriesOf(changes.stream().flatMap(change -> change.entry().stream()).toList());
     }
 
+    private CompletionStage<Page> whole(Page page, long from) {
+        if (page.entries().isEmpty() || page.entries().get(0).sequence() <= from) {
+            return CompletableFuture.completedFuture(page);
+        }
+        return snapshots
+                .read()
+                .thenApply(
+                        snapshot ->
+                                new Page(snapshot, page.entries(), page.revision(), page.last()));
+    }
+
     private Page page(KeyValueStore.Listing listing) {
         return new Page(
-                entriesOf(listing.entries()), listing.revision(), listing.entries().size() < PAGE);
+                Optional.empty(),
+                entriesOf(listing.entries()),
+                listing.revision(),
+                listing.entries().size() < PAGE);
     }
 
     private List<LogEntry> entriesOf(List<KeyValueStore.Entry> found) {
@@ -66,7 +114,6 @@
     }
 
     private String key(long sequence) {
-        long shown = Math.min(sequence, 9_999_999_999_999_999L);
-        return folder + String.format(Locale.ROOT, "%016d", shown);
+        return LogKeys.entry(prefix, sequence);
     }
 }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/RegistrationTable.java
@@ -0,0 +1,135 @@
+package io.damaskyoke.control.relay;
+
+import io.damaskyoke.id.VmId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * The agents' registrations as of one revision of the store, and what has changed since others.
+ *
+ * <p>Revisions are the store's own, so a process may take its next changes from another relay. The
+ * last {@value #MOST_REMOVALS} removals are remembered; an asker who knows less than they cover
+ * gets all there is.
+ */
+public final class RegistrationTable {
+    static final int MOST_REMOVALS = 4_096;
+
+    private static final int MOST_GAPS = 16;
+
+    private final Map<VmId, Row> rows = new TreeMap<>();
+    private final ArrayDeque<Gap> gaps = new ArrayDeque<>();
+    private long since;
+    private long revision;
+
+    /**
+     * A registration, or the end of one.
+     *
+     * @param value the stored JSON; empty if it was removed
+     * @param revision of the store when it was set or removed
+     */
+    public record Row(VmId vm, byte[] value, long revision) {
+        /** True if there is no registration any more. */
+        public boolean removed() {
+            return value.length == 0;
+        }
+    }
+
+    /**
+     * What a process needs to come to {@code revision}; {@code full}: what is not in it is gone.
+     */
+    public record Delta(List<Row> rows, long revision, boolean full) {}
+
+    /** Revisions between which the table may have missed an agent that came and went. */
+    private record Gap(long after, long before) {
+        boolean holds(long known) {
+            return after < known && known < before;
+        }
+    }
+
+    /** The store's revision that the table stands for; 0 before the first reading. */
+    public long revision() {
+        return revision;
+    }
+
+    /** All registrations there are. */
+    public List<Row> all() {
+        return rows.values().stream().filter(row -> !row.removed()).toList();
+    }
+
+    /** Takes a change; one that is older than what is known changes nothing. */
+    public void put(Row row) {
+        Row before = rows.get(row.vm());
+        if (before == null || before.revision() < row.revision()) {
+            rows.put(row.vm(), row);
+        }
+        if (row.removed()) {
+            forgetOldRemovals();
+        }
+        revision = Math.max(revision, row.revision());
+    }
+
+    /** Takes a delta, unless the table is newer. */
+    public void take(Delta delta) {
+        if (delta.revision() < revision) {
+            return;
+        }
+        if (delta.full()) {
+            jump(delta.revision());
+            removeAllBut(delta);
+        }
+        delta.rows().forEach(this::put);
+        revision = delta.revision();
+    }
+
+    /** What has changed since that revision; all if the table doesn't know that. */
+    public Delta since(long known) {
+        if (known > revision) {
+            return new Delta(List.of(), known, false);
+        }
+        if (known < since || known == 0 || gaps.stream().anyMatch(gap -> gap.holds(known))) {
+            return new Delta(all(), revision, true);
+        }
+        List<Row> changed = new ArrayList<>();
+        rows.values().stream().filter(row -> row.revision() > known).forEach(changed::add);
+        return new Delta(changed, revision, false);
+    }
+
+    private void jump(long to) {
+        if (revision == 0) {
+            since = to;
+            return;
+        }
+        gaps.add(new Gap(revision, to));
+        if (gaps.size() > MOST_GAPS) {
+            since = Math.max(since, gaps.remove().before());
+        }
+    }
+
+    private void removeAllBut(Delta delta) {
+        Set<VmId> kept = delta.rows().stream().map(Row::vm).collect(Collectors.toSet());
+        for (Row row : all()) {
+            if (!kept.contains(row.vm())) {
+                put(new Row(row.vm(), new byte[0], delta.revision()));
+            }
+        }
+    }
+
+    private void forgetOldRemovals() {
+        List<Row> removals =
+                rows.values().stream()
+                        .filter(Row::removed)
+                        .sorted(Comparator.comparingLong(Row::revision).reversed())
+                        .toList();
+        for (Row old :
+                removals.subList(Math.min(MOST_REMOVALS, removals.size()), removals.size())) {
+            rows.remove(old.vm());
+            since = Math.max(since, old.revision());
+        }
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -31,6 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -47,11 +48,13 @@
     final ExchangeClient client;
     final Admission admission;
     final RetryBudget retries;
+    final Claims claims;
     final Metrics metrics;
     final Timeline timeline;
     private final Supplier<Configuration> configuration;
     private final BooleanSupplier confirmed;
     private final int maxWaiting;
+    private final BiConsumer<Request, Runnable> whenPlaced;
     private final Set<RequestFlow> flows = new LinkedHashSet<>();
     private int waiting;
 
@@ -62,11 +65,13 @@
         this.client = parts.client();
         this.admission = parts.admission();
         this.retries = parts.retries();
+        this.claims = parts.claims();
         this.metrics = parts.metrics();
         this.timeline = parts.timeline();
         this.configuration = parts.configuration();
         this.confirmed = parts.confirmed();
         this.maxWaiting = parts.maxWaiting();
+        this.whenPlaced = parts.whenPlaced();
     }
 
     /**
@@ -74,6 +79,7 @@
      *
      * @param confirmed whether the configuration in force is known to be the newest
      * @param maxWaiting requests that may be without an answer at once
+     * @param whenPlaced runs the step once some VM may hold the request's model
      */
     record Parts(
             Control control,
@@ -82,11 +88,13 @@
             ExchangeClient client,
             Admission admission,
             RetryBudget retries,
+            Claims claims,
             Metrics metrics,
             Timeline timeline,
             Supplier<Configuration> configuration,
             BooleanSupplier confirmed,
-            int maxWaiting) {}
+            int maxWaiting,
+            BiConsumer<Request, Runnable> whenPlaced) {}
 
     @Override
     public CompletionStage<Answer> dispatch(Request request, CancelSignal cancel) {
@@ -162,7 +170,7 @@
         RequestFlow flow = new RequestFlow(this, request, choice(request), answer);
         flows.add(flow);
         waiting++;
-        flow.start();
+        whenPlaced.accept(request, flow::start);
         cancel.onCancel(() -> control.run(flow::callerGone));
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -12,6 +12,7 @@
 import io.damaskyoke.node.Node;
 import io.damaskyoke.node.ReadyLine;
 import io.damaskyoke.operator.OperatorServer;
+import io.damaskyoke.operator.ProcessEntry;
 import io.damaskyoke.operator.Tickets;
 import io.damaskyoke.peer.ExchangeClient;
 import io.damaskyoke.peer.PeerNetwork;
@@ -19,6 +20,7 @@
 import io.damaskyoke.settings.RouterSettings;
 import io.damaskyoke.timeline.EventType;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -42,11 +44,13 @@
     private final Node node;
     private final AtomicLong counter = new AtomicLong();
     private final Fleet fleet;
+    private final Placement placement;
     private final RateAdmission rates;
     private final RequestDispatcher dispatcher;
     private final PeerNetwork network;
     private final CallerServer callers;
     private final OperatorServer operators;
+    private final ProcessList processList;
     private volatile boolean stopping;
     private volatile boolean closed;
 
@@ -59,27 +63,31 @@
                         settings.peer(),
                         () -> node.configuration().current().sequence(),
                         node.metrics());
+        ClaimQueries queries = new ClaimQueries(node.control());
+        LastHeard heard = new LastHeard(node.control().clock());
+        this.placement = placement(heard);
         this.rates = new RateAdmission(node);
         RatePeers ratePeers = new RatePeers(node.control(), rates);
         this.network =
                 node.network(settings.peer())
                         .listen(client)
+                        .listen(queries)
                         .listen(new AgentListener(node.control(), fleet))
+                        .listen(heard)
                         .listen(ratePeers)
                         .build()
                         .start();
         ratePeers.over(network);
-        this.dispatcher = new RequestDispatcher(parts(client));
+        this.dispatcher = new RequestDispatcher(parts(client, queries));
         node.control().run(() -> startRates(ratePeers));
         node.configuration().onChange(now -> node.control().run(() -> changed(now)));
-        new AgentDirectory(
-                        node.control(),
-                        node.store(),
-                        node.vmList(),
-                        node.storePrefix(),
-                        fleet,
-                        node.metrics())
-                .start(settings.platform().vmListPeriod());
+        this.processList =
+                new ProcessList(node.control(), node.vmList(), fleet, node.vm(), this::operatorUrl);
+        AgentDirectory agents = new AgentDirectory(fleet, node.metrics());
+        node.onVmList(agents::listed);
+        node.onAgents(agents::registered);
+        node.join(network);
+        placement.start(network);
         this.callers = await(startCallers());
         this.operators = await(startOperators());
     }
@@ -122,7 +130,7 @@
         node.close();
     }
 
-    private RequestDispatcher.Parts parts(ExchangeClient client) {
+    private RequestDispatcher.Parts parts(ExchangeClient client, ClaimQueries queries) {
         Control control = node.control();
         return new RequestDispatcher.Parts(
                 control,
@@ -131,11 +139,22 @@
                 client,
                 rates,
                 RetryBudget.of(settings.control().retryBudget()),
+                Claims.start(node, queries, settings.control().seed()),
                 node.metrics(),
                 node.timeline(),
                 node.configuration()::current,
                 () -> node.configuration().confirmed(settings.control().unconfirmedLimit()),
-                settings.control().maxWaiting());
+                settings.control().maxWaiting(),
+                placement::whenPlaced);
+    }
+
+    private Placement placement(LastHeard heard) {
+        return new Placement(
+                node,
+                fleet,
+                heard,
+                settings.control().placementLease(),
+                () -> node.configuration().confirmed(settings.control().unconfirmedLimit()));
     }
 
     private void startRates(RatePeers peers) {
@@ -165,19 +184,28 @@
                 .tickets(Tickets.of(TicketParser.with(hasher), node.configuration()))
                 .status(this::status)
                 .timeline(node.timeline())
+                .processes(this::processes)
                 .metrics(() -> Prometheus.text(node.metrics().registry()))
                 .ready(this::reasonNotReady)
                 .start();
     }
 
+    private CompletionStage<List<ProcessEntry>> processes() {
+        return processList.read();
+    }
+
     private RouterStatus status() {
         return node.control()
-                .ask(() -> RouterStatus.of(node, fleet, dispatcher))
+                .ask(() -> RouterStatus.of(node, fleet, dispatcher, stopping))
                 .toCompletableFuture()
                 .orTimeout(START_LIMIT.toSeconds(), TimeUnit.SECONDS)
                 .join();
     }
 
+    private String operatorUrl() {
+        return "http://" + settings.operator().host() + ":" + operators.port();
+    }
+
     private Optional<String> reasonNotReady() {
         if (stopping) {
             return Optional.of("stopping");
@@ -191,6 +219,7 @@
     private void changed(Configuration now) {
         rates.configured(now);
         dispatcher.configurationChanged(now);
+        placement.configurationChanged();
     }
 
     private Void abortAll() {
