--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/Measure.java
@@ -22,6 +22,7 @@
             List.of(
                     new ColdStarts(),
                     new RateExperiment(),
+                    new WaitingExperiment(),
                     new ConfigurationExperiment(),
                     new PaymentOutage(),
                     new ClaimWrites());
