--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -345,9 +345,12 @@
         account.spent.clear();
     }
 
+    // A router that starts while the store is out has never seen a share. It has none to spend, so
+    // nothing can be spent twice; but without loans from those that have, it would refuse every
+    // request for as long as the outage lasts.
     private List<VmId> lenders(Account account) {
         if (account.row == null) {
-            return List.of();
+            return right.otherRouters().stream().limit(MOST_ASKED).toList();
         }
         return account.row.table().shares().values().stream()
                 .filter(share -> !share.vm().equals(vm) && share.part() > 0)
@@ -363,6 +366,9 @@
     }
 
     private boolean usable(Account account, Instant now) {
+        if (account.row == null) {
+            return right.neverRead();
+        }
         Optional<ShareTable> table = Optional.ofNullable(account.row).map(RateInput.Row::table);
         boolean alone = table.map(found -> found.shares().size() <= 1).orElse(true);
         boolean marked =
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.id.VmId;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -56,6 +57,16 @@
         missing.keySet().removeAll(routers);
     }
 
+    /** True if this router has not read the store since its start, and so can have no share. */
+    boolean neverRead() {
+        return read == null;
+    }
+
+    /** The other routers on the list, in order. */
+    List<VmId> otherRouters() {
+        return listed.stream().filter(vm -> !vm.equals(self)).sorted().toList();
+    }
+
     /** True if shares may be spent; {@code alone} if no other router has any. */
     boolean holds(boolean alone, Instant now) {
         if (read == null
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
@@ -258,7 +258,7 @@
         if (failure != null) {
             metrics.count("placement_write_failures");
         } else {
-            metrics.count(done ? "placement_writes" : "placement_writes_overtaken");
+            metrics.count("placement_writes", "done", String.valueOf(done));
         }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RateAdmission.java
@@ -185,6 +185,7 @@
         }
         List<VmList.Vm> routers =
                 vms.stream().filter(vm -> vm.role() == VmList.Role.ROUTER).toList();
+        peers.listed(routers);
         feed(
                 new RateInput.Listed(
                         routers.stream().<VmId>map(VmList.Vm::id).collect(Collectors.toSet())));
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RatePeers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RatePeers.java
@@ -15,6 +15,7 @@
 import io.damaskyoke.peer.wire.Hello;
 import io.damaskyoke.peer.wire.TokenRequest;
 import io.damaskyoke.peer.wire.TokenTransfer;
+import io.damaskyoke.platform.VmList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -44,6 +45,14 @@
         rows.forEach(row -> row.table().shares().values().forEach(this::known));
     }
 
+    /** Takes in where the routers on the list are; a share's own address goes before it. */
+    void listed(Collection<VmList.Vm> routers) {
+        routers.forEach(
+                vm ->
+                        addresses.putIfAbsent(
+                                vm.id(), new PeerAddress(vm.id(), vm.address(), vm.peerPort())));
+    }
+
     void ask(RateAction.Ask ask) {
         TokenRequest request =
                 TokenRequest.newBuilder()
