Close idle links, and let answers stand for heartbeats

Ruled out: a longer heartbeat for all (a frozen peer would be noticed later on idle links). Change: no heartbeat in a period in which a request's or answer's frame went out; links that no request used for a minute are closed, never one with a request on it. Before: heartbeats on every link, links never closed. Conclusion: control bytes follow the idle links in use only.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/Fleet.java
@@ -99,6 +99,11 @@
         outstanding.computeIfPresent(vm, (id, count) -> count > 1 ? count - 1 : null);
     }
 
+    /** True while a request that was sent to an agent is not over. */
+    public boolean isBusy(VmId vm) {
+        return outstanding.containsKey(vm);
+    }
+
     /** Where an agent is reached, if it is known. */
     public Optional<Member> member(VmId vm) {
         return Optional.ofNullable(members.get(vm));
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
@@ -116,7 +116,13 @@
                 .scheduleAtFixedRate(this::heartbeat, 0, interval, TimeUnit.MILLISECONDS);
     }
 
+    // Frames of answers show that this side lives as well as heartbeats do. At the design size a
+    // router has some six hundred links that carry answers all the time; heartbeats on each would
+    // alone take several times what a node may send for control.
     private void heartbeat() {
+        if (link.takeCarriedAnExchange()) {
+            return;
+        }
         try {
             link.send(Frame.newBuilder().setHeartbeat(context.heartbeat().get()).build());
         } catch (RuntimeException e) {
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/NettyLink.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/NettyLink.java
@@ -29,6 +29,7 @@
     private volatile State state = State.CONNECTING;
     private volatile Channel channel;
     private volatile Hello remote;
+    private volatile boolean carriedAnExchange;
 
     NettyLink(Optional<VmId> expected, ClockGuard clock, int maxFrameBytes, Metrics metrics) {
         this.expected = expected;
@@ -62,9 +63,19 @@
             metrics.count("peer_frames_too_large");
             return false;
         }
+        if (stamped.hasExchange()) {
+            carriedAnExchange = true;
+        }
         return enqueue(stamped);
     }
 
+    /** True if a request's or answer's frame was sent since this was last asked. */
+    boolean takeCarriedAnExchange() {
+        boolean carried = carriedAnExchange;
+        carriedAnExchange = false;
+        return carried;
+    }
+
     /** The VM that has to answer; empty on a connection that the other side opened. */
     Optional<VmId> expected() {
         return expected;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/IdleLinks.java
@@ -0,0 +1,48 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.PeerAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * Closes a router's links to agents that it has not used for a while. Most models are idle, and a
+ * link to each agent ever used would cost memory and heartbeats at every router for nothing.
+ * Belongs to the control thread.
+ */
+final class IdleLinks {
+    private final Duration limit;
+    private final Consumer<PeerAddress> closer;
+    private final Map<VmId, Used> links = new HashMap<>();
+
+    /** Closes links through {@code closer} once they were unused for {@code limit}. */
+    IdleLinks(Duration limit, Consumer<PeerAddress> closer) {
+        this.limit = limit;
+        this.closer = closer;
+    }
+
+    /** A request is about to use the link. */
+    void used(PeerAddress address, Instant now) {
+        links.put(address.vm(), new Used(address, now));
+    }
+
+    /** Closes what is idle, but for VMs that still have a request. */
+    void closeIdle(Predicate<VmId> busy, Instant now) {
+        Iterator<Used> all = links.values().iterator();
+        while (all.hasNext()) {
+            Used link = all.next();
+            boolean idle = !now.isBefore(link.at().plus(limit));
+            if (idle && !busy.test(link.address().vm())) {
+                all.remove();
+                closer.accept(link.address());
+            }
+        }
+    }
+
+    private record Used(PeerAddress address, Instant at) {}
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -41,6 +41,7 @@
  */
 final class RequestDispatcher implements Dispatcher {
     private static final Duration COME_BACK = Duration.ofSeconds(1);
+    private static final Duration IDLE_LIMIT = Duration.ofMinutes(1);
 
     final Control control;
     final Fleet fleet;
@@ -56,12 +57,14 @@
     private final int maxWaiting;
     private final BiConsumer<Request, Runnable> whenPlaced;
     private final Set<RequestFlow> flows = new LinkedHashSet<>();
+    private final IdleLinks idleLinks;
     private int waiting;
 
     RequestDispatcher(Parts parts) {
         this.control = parts.control();
         this.fleet = parts.fleet();
         this.network = parts.network();
+        this.idleLinks = new IdleLinks(IDLE_LIMIT, network::forget);
         this.client = parts.client();
         this.admission = parts.admission();
         this.retries = parts.retries();
@@ -122,6 +125,11 @@
         }
     }
 
+    /** Closes links that no request has used for a while; to be called now and then. */
+    void closeIdleLinks() {
+        idleLinks.closeIdle(fleet::isBusy, control.clock().instant());
+    }
+
     /** Connects to the agent's VM; fails if that is no longer known. */
     CompletionStage<PeerLink> connect(VmId vm) {
         Optional<Member> member = fleet.member(vm);
@@ -129,7 +137,9 @@
             return CompletableFuture.failedFuture(
                     new RouterException(RouterException.Code.UNKNOWN_AGENT, "no agent on " + vm));
         }
-        return network.connect(new PeerAddress(vm, member.get().host(), member.get().port()));
+        PeerAddress address = new PeerAddress(vm, member.get().host(), member.get().port());
+        idleLinks.used(address, control.clock().instant());
+        return network.connect(address);
     }
 
     /** A flow got its answer. */
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -39,6 +39,7 @@
  */
 public final class Router {
     private static final Duration START_LIMIT = Duration.ofSeconds(20);
+    private static final Duration IDLE_CHECK = Duration.ofSeconds(10);
     private static final Duration CLAIMS_LIMIT = Duration.ofSeconds(2);
     private static final long STOP_POLL_MILLIS = 20;
 
@@ -90,6 +91,7 @@
         node.onAgents(agents::registered);
         node.join(network);
         placement.start(network);
+        node.control().every(IDLE_CHECK, dispatcher::closeIdleLinks);
         this.callers = await(startCallers());
         this.operators = await(startOperators());
     }
