Let a second stop wait for the first one

Cause: Router.stop() and Agent.stop() ask the control thread how much is left to do. Once the process has closed, that thread is gone and nothing answers, so a second stop waits for ever. Ruled out: ending the wait in Control, since a stop that is under way would be run a second time from its start, beside the first one. Change: stop() is one at a time, and a call after the first returns. The fixture in the tests' JVM no longer guards against it, so all fleet tests close their processes that way.

--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/InJvmProcess.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/InJvmProcess.java
@@ -5,13 +5,11 @@
 import io.damaskyoke.node.ReadyLine;
 import io.damaskyoke.router.Router;
 import io.damaskyoke.settings.Settings;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /** A router or an agent in the JVM of the test. */
 final class InJvmProcess implements FleetProcess {
     private final ReadyLine ready;
     private final Runnable stop;
-    private final AtomicBoolean running = new AtomicBoolean(true);
 
     private InJvmProcess(ReadyLine ready, Runnable stop) {
         this.ready = ready;
@@ -34,8 +32,6 @@
 
     @Override
     public void stop() {
-        if (running.getAndSet(false)) {
-            stop.run();
-        }
+        stop.run();
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -48,6 +48,7 @@
     private final PeerNetwork network;
     private final OperatorServer operators;
     private final Registrar registrar;
+    private boolean stopped;
     private volatile boolean draining;
 
     private Agent(AgentSettings settings) {
@@ -89,9 +90,14 @@
 
     /**
      * Ends gracefully: tells the routers, refuses new work as not run, finishes what it has up to
-     * the settings' limit, takes its registration back, and then ends.
+     * the settings' limit, takes its registration back, and then ends. A second call returns when
+     * the first one has.
      */
-    public void stop() {
+    public synchronized void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
         node.timeline().add(EventType.DRAINING, node.vm().value());
         draining = true;
         Frame leaving = Frame.newBuilder().setDraining(Draining.getDefaultInstance()).build();
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -53,6 +53,7 @@
     private final CallerServer callers;
     private final OperatorServer operators;
     private final ProcessList processList;
+    private boolean stopped;
     private volatile boolean stopping;
     private volatile boolean closed;
 
@@ -115,9 +116,14 @@
 
     /**
      * Ends gracefully: turns not ready, waits for the balancer to notice, takes nothing new, lets
-     * what runs finish up to the settings' limit, and then ends.
+     * what runs finish up to the settings' limit, and then ends. A second call returns when the
+     * first one has.
      */
-    public void stop() {
+    public synchronized void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
         stopping = true;
         node.timeline().add(EventType.DRAINING, node.vm().value());
         sleep(settings.stop().balancerWait());
