Look a repeated key up when there is no agent to claim it for

Cause: a claim names the agent that gets the request, so RequestMachine picked an agent first and refused without a look at the store when there was none. A caller who repeated a payment during the outage of its pool was not told that it had been paid until an agent was back. Ruled out: claiming for no agent and taking the claim back, two writes for each repeat of a pool that is down; a read for each repeat, which the store counts as a call like any other. Saying "not run" when the look finds nothing: it holds nothing, so a try at a paused router may claim the key a moment later, and a caller who pays another way then pays twice. Change: RequestMachine asks for a look-up, which is the removal of a claim that must be absent. It changes nothing, finds what stands there, and shares the transactions of the other changes. It waits for one second of an outage at most. An agent that came back meanwhile gets the request. The random worlds of ClaimPropertyTest now leave a router without agents in one choice of eight.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestAction.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestAction.java
@@ -12,6 +12,9 @@
     /** Claim its idempotency key for a run at this agent, or move the claim there. */
     record Claim(VmId vm) implements RequestAction {}
 
+    /** See whether a request under its idempotency key came before, without claiming the key. */
+    record LookUp() implements RequestAction {}
+
     /** Take the claim back: the request surely did not run and will not. */
     record Release() implements RequestAction {}
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
@@ -29,6 +29,9 @@
     /** A request under the same key ran before, and its answer is known. */
     record AnsweredBefore() implements RequestInput {}
 
+    /** Its key was looked up, and nothing is known of it. */
+    record KeyUnknown() implements RequestInput {}
+
     /** Its deadline has passed. */
     record DeadlinePassed() implements RequestInput {}
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestMachine.java
@@ -35,6 +35,7 @@
     private final Set<VmId> tried = new HashSet<>();
     private State state = State.NEW;
     private VmId current;
+    private boolean lookedUp;
     private boolean claimHeld;
     private boolean mayHaveRun;
     private Refusal lastRefusal;
@@ -99,6 +100,22 @@
                 return request.giveUp(input);
             }
         },
+        /** There is no agent to claim its key for, so the key is only looked up. */
+        LOOKING_UP {
+            @Override
+            List<RequestAction> step(RequestMachine request, RequestInput input, Instant now) {
+                if (input instanceof RequestInput.KeyUnknown) {
+                    return request.sendOn(now);
+                }
+                if (input instanceof RequestInput.ClaimRefused refused) {
+                    return request.reply(refused.refusal());
+                }
+                if (input instanceof RequestInput.AnsweredBefore) {
+                    return request.replay();
+                }
+                return request.giveUp(input);
+            }
+        },
         /** Its key is being claimed for an agent, or the claim is being moved to one. */
         CLAIMING {
             @Override
@@ -157,7 +174,7 @@
     private List<RequestAction> sendOn(Instant now) {
         Optional<VmId> next = choice.next(Set.copyOf(tried), now);
         if (next.isEmpty()) {
-            return reply(whyNone());
+            return keyed && !claimHeld && !lookedUp ? lookUp() : reply(whyNone());
         }
         current = next.get();
         tried.add(current);
@@ -168,6 +185,14 @@
         return send();
     }
 
+    // Its pool may be down because of the very payment that is repeated here. Refused unseen, the
+    // caller would not learn until an agent is back that it was paid long ago.
+    private List<RequestAction> lookUp() {
+        lookedUp = true;
+        state = State.LOOKING_UP;
+        return List.of(new RequestAction.LookUp());
+    }
+
     private List<RequestAction> send() {
         state = State.SENT;
         return List.of(new RequestAction.Send(current));
--- a/damaskyoke/src/main/java/io/damaskyoke/router/ClaimResult.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/ClaimResult.java
@@ -11,6 +11,9 @@
     /** A request under the key was answered before. */
     record Before(ClaimRecord settled) implements ClaimResult {}
 
+    /** It was only looked up, and no earlier request under it is known to have run. */
+    record NotFound() implements ClaimResult {}
+
     /** It is not claimed, and the request must not be sent. */
     record Refused(Refusal refusal) implements ClaimResult {}
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.SystemMaterializer;
@@ -43,6 +44,7 @@
 final class Claims {
     private static final Duration COME_BACK = Duration.ofSeconds(2);
     private static final Duration CLOCK_MARGIN = Duration.ofSeconds(5);
+    private static final Duration LOOK_UP_LIMIT = Duration.ofSeconds(1);
     private static final Duration KEEP_TRYING = Duration.ofMinutes(5);
 
     private final Control control;
@@ -102,6 +104,26 @@
         return new Attempt(request, vm, connect).write(Optional.empty());
     }
 
+    /**
+     * Sees what became of the key without claiming it, for a request that has no agent to go to.
+     *
+     * <p>What may not be there and is removed stays as it is, so a look shares the transactions of
+     * the changes and costs no call of its own. A store that is out counts as nothing found.
+     */
+    CompletionStage<ClaimResult> lookUp(
+            Request request, Function<VmId, CompletionStage<PeerLink>> connect) {
+        Earlier earlier = new Earlier(request, connect);
+        Instant giveUp = now().plus(LOOK_UP_LIMIT);
+        return store.write(earlier.key, Optional.empty(), Optional.empty(), 0, giveUp, true)
+                .thenCompose(
+                        result ->
+                                result instanceof Result.Conflict conflict
+                                                && conflict.found().isPresent()
+                                        ? earlier.found(
+                                                conflict.found().get(), revision -> notFound())
+                                        : notFound());
+    }
+
     /** Moves a claim whose request surely did not run at its agent to another one. */
     CompletionStage<ClaimResult> move(
             HeldClaim held,
@@ -172,10 +194,19 @@
         return control.clock().instant();
     }
 
-    /** One wish to claim, with what it finds on its way. */
+    private CompletionStage<ClaimResult> notFound() {
+        metrics.count("claims", "result", "not_found");
+        return done(new ClaimResult.NotFound());
+    }
+
+    private static CompletionStage<ClaimResult> done(ClaimResult result) {
+        return CompletableFuture.completedFuture(result);
+    }
+
+    /** One wish to claim. */
     private final class Attempt {
         private final Request request;
-        private final Function<VmId, CompletionStage<PeerLink>> connect;
+        private final Earlier earlier;
         private final String key;
         private final ClaimRecord mine;
         private final Instant giveUp;
@@ -183,15 +214,13 @@
 
         Attempt(Request request, VmId vm, Function<VmId, CompletionStage<PeerLink>> connect) {
             this.request = request;
-            this.connect = connect;
-            this.key =
-                    ClaimKeys.storeKey(
-                            prefix, request.workspace(), request.idempotencyKey().orElseThrow());
+            this.earlier = new Earlier(request, connect);
+            this.key = earlier.key;
             this.mine =
                     ClaimRecord.claimed(
                             request.id(),
                             vm,
-                            ClaimKeys.digest(request),
+                            earlier.digest,
                             request.deadline().plus(CLOCK_MARGIN));
             this.giveUp = now().plus(settings.wait(Duration.between(now(), request.deadline())));
         }
@@ -212,7 +241,9 @@
                 return done(new ClaimResult.Held(held(written)));
             }
             if (result instanceof Result.Conflict conflict) {
-                return conflict.found().map(this::repeat).orElseGet(() -> write(Optional.empty()));
+                return conflict.found()
+                        .map(entry -> earlier.found(entry, this::takeOver))
+                        .orElseGet(() -> write(Optional.empty()));
             }
             metrics.count("claims", "result", "store_unavailable");
             if (((Result.GaveUp) result).mayHaveTakenEffect()) {
@@ -221,6 +252,11 @@
             return done(new ClaimResult.Refused(unavailable()));
         }
 
+        private CompletionStage<ClaimResult> takeOver(long revision) {
+            metrics.count("claims", "result", "taken_over");
+            return write(Optional.of(revision));
+        }
+
         // The claim may stand in the store although its request was refused. Left there, each
         // repeat
         // would be told that the outcome is unknown of a payment that never ran. Writing the same
@@ -239,8 +275,31 @@
         private HeldClaim held(Result.Written written) {
             return new HeldClaim(key, mine, written.revision(), store.lease());
         }
+    }
+
+    /** What an earlier request under the same key means for this one. */
+    private final class Earlier {
+        private final Request request;
+        private final Function<VmId, CompletionStage<PeerLink>> connect;
+        private final String key;
+        private final String digest;
 
-        private CompletionStage<ClaimResult> repeat(Entry entry) {
+        Earlier(Request request, Function<VmId, CompletionStage<PeerLink>> connect) {
+            this.request = request;
+            this.connect = connect;
+            this.key =
+                    ClaimKeys.storeKey(
+                            prefix, request.workspace(), request.idempotencyKey().orElseThrow());
+            this.digest = ClaimKeys.digest(request);
+        }
+
+        /**
+         * Follows up a claim that stands in the store.
+         *
+         * @param neverRuns what to do if its request surely never runs; gets the claim's revision
+         */
+        CompletionStage<ClaimResult> found(
+                Entry entry, LongFunction<CompletionStage<ClaimResult>> neverRuns) {
             ClaimRecord found;
             try {
                 found = ClaimRecord.parse(entry.value());
@@ -248,9 +307,9 @@
                 metrics.count("claims", "result", "unreadable");
                 return done(new ClaimResult.Refused(unreadable()));
             }
-            Verdict verdict = RepeatPolicy.fromStore(found, mine.digest());
+            Verdict verdict = RepeatPolicy.fromStore(found, digest);
             if (!(verdict instanceof Verdict.AskAgent)) {
-                return follow(verdict, entry, found);
+                return follow(verdict, entry, found, neverRuns);
             }
             return queries.ask(connect.apply(found.agent()), request)
                     .thenCompose(told -> control.ask(() -> told))
@@ -259,14 +318,17 @@
                                     follow(
                                             RepeatPolicy.fromAgent(found, told, now()),
                                             entry,
-                                            found));
+                                            found,
+                                            neverRuns));
         }
 
         private CompletionStage<ClaimResult> follow(
-                Verdict verdict, Entry entry, ClaimRecord found) {
+                Verdict verdict,
+                Entry entry,
+                ClaimRecord found,
+                LongFunction<CompletionStage<ClaimResult>> neverRuns) {
             if (verdict instanceof Verdict.TakeOver) {
-                metrics.count("claims", "result", "taken_over");
-                return write(Optional.of(entry.modRevision()));
+                return neverRuns.apply(entry.modRevision());
             }
             if (verdict instanceof Verdict.Replay replay) {
                 metrics.count("claims", "result", "repeat");
@@ -280,10 +342,6 @@
             metrics.count("claims", "result", refusal.code().wireName());
             return done(new ClaimResult.Refused(refusal));
         }
-
-        private CompletionStage<ClaimResult> done(ClaimResult result) {
-            return CompletableFuture.completedFuture(result);
-        }
     }
 
     private static Refusal unavailable() {
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
@@ -104,6 +104,8 @@
             send(send.vm());
         } else if (action instanceof RequestAction.Claim wanted) {
             claim(wanted.vm());
+        } else if (action instanceof RequestAction.LookUp) {
+            lookUp();
         } else if (action instanceof RequestAction.Release) {
             dispatcher.claims.release(claim);
         } else if (action instanceof RequestAction.Replay) {
@@ -130,10 +132,22 @@
                 .thenAccept(result -> claimed(vm, result));
     }
 
+    private void lookUp() {
+        dispatcher.claims.lookUp(request, dispatcher::connect).thenAccept(this::claimRefused);
+    }
+
     private void claimed(VmId vm, ClaimResult result) {
         if (result instanceof ClaimResult.Held held) {
             claim = held.claim();
             feed(new RequestInput.Claimed(vm));
+        } else {
+            claimRefused(result);
+        }
+    }
+
+    private void claimRefused(ClaimResult result) {
+        if (result instanceof ClaimResult.NotFound) {
+            feed(new RequestInput.KeyUnknown());
         } else if (result instanceof ClaimResult.Before found) {
             before = found.settled();
             feed(new RequestInput.AnsweredBefore());
--- a/damaskyoke/src/test/java/io/damaskyoke/control/routing/RequestMachineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/routing/RequestMachineTest.java
@@ -8,6 +8,7 @@
 import io.damaskyoke.exchange.RefusalCode;
 import io.damaskyoke.id.VmId;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -16,6 +17,7 @@
     private static final Instant NOW = Instant.EPOCH;
     private static final VmId ONE = VmId.of("agent-1");
     private static final VmId TWO = VmId.of("agent-2");
+    private static final RetryBudget BUDGET = RetryBudget.of(0.2);
     private static final RequestMachine.AgentChoice BOTH =
             (tried, now) ->
                     List.of(ONE, TWO).stream().filter(vm -> !tried.contains(vm)).findFirst();
@@ -127,6 +129,42 @@
                 request.on(new RequestInput.Claimed(ONE), NOW));
     }
 
+    // The caller repeats a payment and sees its recorded answer. The pool's last agent is gone, so
+    // there is nobody to claim the key for; it is looked up all the same before any refusal.
+    @Test
+    void aRepeatWithoutAnyAgentIsLookedUpAndGetsItsRecordedAnswer() {
+        RequestMachine request = RequestMachine.keyed((tried, now) -> Optional.empty(), BUDGET);
+        assertEquals(
+                List.of(new RequestAction.LookUp()), request.on(new RequestInput.Start(), NOW));
+        assertEquals(
+                List.of(new RequestAction.Replay()),
+                request.on(new RequestInput.AnsweredBefore(), NOW));
+    }
+
+    // The caller is told to come back with the same key. The look found nothing, but it holds
+    // nothing either: an earlier try may claim the key a moment later, so "not run" is not said.
+    @Test
+    void anUnknownKeyWithoutAnyAgentIsRefusedButNotCalledNotRun() {
+        RequestMachine request = RequestMachine.keyed((tried, now) -> Optional.empty(), BUDGET);
+        request.on(new RequestInput.Start(), NOW);
+        Refusal refusal = refusalIn(request.on(new RequestInput.KeyUnknown(), NOW));
+        assertEquals(RefusalCode.NO_UPSTREAM, refusal.code());
+        assertEquals(false, refusal.notRun());
+        assertTrue(refusal.retryAfter().isPresent());
+    }
+
+    @Test
+    void anAgentThatCameBackDuringTheLookGetsThePayment() {
+        List<VmId> agents = new ArrayList<>();
+        RequestMachine request =
+                RequestMachine.keyed((tried, now) -> agents.stream().findFirst(), BUDGET);
+        request.on(new RequestInput.Start(), NOW);
+        agents.add(ONE);
+        assertEquals(
+                List.of(new RequestAction.Claim(ONE)),
+                request.on(new RequestInput.KeyUnknown(), NOW));
+    }
+
     // The buyer leaves while the payment runs. It is not cancelled, so that its answer is there
     // when the buyer comes back; if the agent then says that it never ran, the claim is given back.
     @Test
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
@@ -90,13 +90,21 @@
 
     CompletionStage<ClaimResult> claim(
             HeldClaim held, Request request, VmId vm, Map<VmId, ? extends Asked> agents) {
-        Function<VmId, CompletionStage<PeerLink>> connect =
-                asked -> CompletableFuture.completedFuture(new Link(agents.get(asked), request));
+        Function<VmId, CompletionStage<PeerLink>> connect = connect(request, agents);
         return held == null
                 ? claims.claim(request, vm, connect)
                 : claims.move(held, request, vm, connect);
     }
 
+    CompletionStage<ClaimResult> lookUp(Request request, Map<VmId, ? extends Asked> agents) {
+        return claims.lookUp(request, connect(request, agents));
+    }
+
+    private Function<VmId, CompletionStage<PeerLink>> connect(
+            Request request, Map<VmId, ? extends Asked> agents) {
+        return asked -> CompletableFuture.completedFuture(new Link(agents.get(asked), request));
+    }
+
     /** Answers a query at once. */
     private final class Link implements PeerLink {
         private final Asked agent;
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
@@ -159,7 +159,11 @@
             this.request = request;
             RequestMachine.AgentChoice choice =
                     (tried, now) ->
-                            agents.keySet().stream().filter(vm -> !tried.contains(vm)).findFirst();
+                            random.nextInt(8) == 0
+                                    ? Optional.empty()
+                                    : agents.keySet().stream()
+                                            .filter(vm -> !tried.contains(vm))
+                                            .findFirst();
             RetryBudget budget = RetryBudget.of(1);
             this.machine =
                     naive
@@ -188,6 +192,8 @@
             if (action instanceof RequestAction.Claim wanted) {
                 router.claim(claim, request, wanted.vm(), agents)
                         .thenAccept(result -> claimed(wanted.vm(), result));
+            } else if (action instanceof RequestAction.LookUp) {
+                router.lookUp(request, agents).thenAccept(this::claimRefused);
             } else if (action instanceof RequestAction.Release) {
                 router.claims().release(claim);
             } else if (action instanceof RequestAction.Send send) {
@@ -203,6 +209,14 @@
             if (result instanceof ClaimResult.Held held) {
                 claim = held.claim();
                 feed(new RequestInput.Claimed(vm));
+            } else {
+                claimRefused(result);
+            }
+        }
+
+        private void claimRefused(ClaimResult result) {
+            if (result instanceof ClaimResult.NotFound) {
+                feed(new RequestInput.KeyUnknown());
             } else if (result instanceof ClaimResult.Before found) {
                 before = found.settled();
                 feed(new RequestInput.AnsweredBefore());
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimsTest.java
@@ -1,10 +1,13 @@
 package io.damaskyoke.router;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import io.damaskyoke.control.SameThreadControl;
 import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.exchange.Request;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.platform.FakeStore;
 import java.time.Duration;
@@ -41,6 +44,36 @@
         assertInstanceOf(ClaimResult.Held.class, claimed("pay-2", 1));
     }
 
+    @Test
+    void aLookNeitherClaimsTheKeyNorRemovesItsClaim() {
+        // A payment's repeat comes while its pool has no agent. The look at a free key leaves it
+        // free, and the look at a claimed one finds the claim and leaves it where it is.
+        assertInstanceOf(ClaimResult.NotFound.class, lookedUp("pay-3"));
+        assertInstanceOf(ClaimResult.Held.class, claimed("pay-3", 1));
+        for (int i = 0; i < 2; i++) {
+            Refusal refusal =
+                    assertInstanceOf(ClaimResult.Refused.class, lookedUp("pay-3")).refusal();
+            assertEquals(RefusalCode.IN_PROGRESS, refusal.code());
+        }
+    }
+
+    @Test
+    void aLookInAnOutageEndsSoonAndFindsNothing() {
+        // Store and agents are gone at once. Waiting out the outage would serve nobody, since there
+        // is nobody to run the payment either; so the caller hears soon when to come back.
+        store.down(true);
+        assertInstanceOf(ClaimResult.NotFound.class, lookedUp("pay-4"));
+    }
+
+    private ClaimResult lookedUp(String key) {
+        Request request = router.request(key, control.clock().instant().plus(DEADLINE));
+        Map<VmId, ClaimRouter.Asked> agents = Map.of(AGENT, asked -> Optional.empty());
+        CompletableFuture<ClaimResult> result =
+                router.lookUp(request, agents).toCompletableFuture();
+        control.advance(Duration.ofSeconds(2));
+        return result.join();
+    }
+
     private ClaimResult claimed(String key, long seconds) {
         CompletableFuture<ClaimResult> result = claim(key);
         control.advance(Duration.ofSeconds(seconds));
