Make the settings of claims keys of the settings file

Cause: routers and agents used ClaimSettings.defaults(), so an operator whose store takes smaller transactions or fewer calls could not say so. Change: table [claims], read by routers; agents read its max-body, since an answer that the agent forgot can't be learnt from it. The defaults are unchanged, and a test compares the two.

--- a/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/Agent.java
@@ -141,6 +141,7 @@
                 node.metrics(),
                 node.timeline(),
                 maxRunning,
+                settings.maxKeptBody(),
                 outcomes,
                 SystemMaterializer.get(node.system()).materializer());
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RequestRunner.java
@@ -2,7 +2,6 @@
 
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.claims.ClaimRecord;
-import io.damaskyoke.control.claims.ClaimSettings;
 import io.damaskyoke.control.claims.KeyedOutcomes;
 import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.serving.ServingAction;
@@ -40,7 +39,6 @@
  */
 final class RequestRunner implements ExchangeHandler {
     private static final Duration COME_BACK = Duration.ofSeconds(1);
-    private static final int MAX_KEPT_BODY = ClaimSettings.defaults().maxBody();
 
     private final Control control;
     private final ServingMachine machine;
@@ -49,6 +47,7 @@
     private final Metrics metrics;
     private final Timeline timeline;
     private final int maxRunning;
+    private final int maxKeptBody;
     private final KeyedOutcomes outcomes;
     private final Materializer materializer;
     private final Map<ExchangeId, IncomingExchange> exchanges = new HashMap<>();
@@ -64,6 +63,7 @@
             Metrics metrics,
             Timeline timeline,
             int maxRunning,
+            int maxKeptBody,
             KeyedOutcomes outcomes,
             Materializer materializer) {
         this.control = control;
@@ -73,6 +73,7 @@
         this.metrics = metrics;
         this.timeline = timeline;
         this.maxRunning = maxRunning;
+        this.maxKeptBody = maxKeptBody;
         this.outcomes = outcomes;
         this.materializer = materializer;
     }
@@ -182,7 +183,7 @@
     }
 
     private void gather(IncomingExchange exchange, Answer.Served answer) {
-        GatheredAnswer.of(answer, MAX_KEPT_BODY, materializer)
+        GatheredAnswer.of(answer, maxKeptBody, materializer)
                 .whenComplete(
                         (gathered, failure) -> {
                             if (failure == null) {
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -76,8 +76,7 @@
     }
 
     /** The claims of a router; the seed spreads its retries. */
-    static Claims start(Node node, ClaimQueries queries, long seed) {
-        ClaimSettings settings = ClaimSettings.defaults();
+    static Claims start(Node node, ClaimQueries queries, ClaimSettings settings, long seed) {
         return new Claims(
                 node.control(),
                 new ClaimStore(
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -148,7 +148,7 @@
                 client,
                 rates,
                 RetryBudget.of(settings.control().retryBudget()),
-                Claims.start(node, queries, settings.control().seed()),
+                Claims.start(node, queries, settings.claims(), settings.control().seed()),
                 node.metrics(),
                 node.timeline(),
                 node.configuration()::current,
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/AgentSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/AgentSettings.java
@@ -11,6 +11,7 @@
  * @param upstream the model engine or plain service beside it
  * @param operator where operators come in
  * @param peer how it talks to other processes
+ * @param maxKeptBody bytes of a keyed request's answer that it remembers
  * @param stop how it ends
  */
 public record AgentSettings(
@@ -19,6 +20,7 @@
         Upstream upstream,
         OperatorSettings operator,
         PeerSettings peer,
+        int maxKeptBody,
         StopSettings stop) {
 
     /** What kind of upstream it is. */
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -165,6 +165,75 @@
                     Key.of("control.seed", Kind.INTEGER, "Seed of the random choices.")
                             .fallback("1"));
 
+    private static final Key CLAIMS_MAX_BODY =
+            Key.of(
+                            "claims.max-body",
+                            Kind.SIZE,
+                            "Bytes of an answer that are kept for repeats of its Idempotency-Key;"
+                                    + " the same in a whole deployment. Agents read this key of the"
+                                    + " table only.")
+                    .range("0B", "256KiB")
+                    .fallback("16KiB");
+
+    private static final List<Key> CLAIMS =
+            List.of(
+                    Key.of(
+                                    "claims.gather",
+                                    Kind.DURATION,
+                                    "How long the claim of an Idempotency-Key waits for others to"
+                                            + " share its transaction.")
+                            .range("0ms", "1s")
+                            .fallback("10ms"),
+                    Key.of(
+                                    "claims.lazy-gather",
+                                    Kind.DURATION,
+                                    "The same for an answer that is written down.")
+                            .range("0ms", "10s")
+                            .fallback("250ms"),
+                    Key.of(
+                                    "claims.retry-first",
+                                    Kind.DURATION,
+                                    "Longest pause after a first failure of the store; doubles.")
+                            .range("1ms", "10s")
+                            .fallback("50ms"),
+                    Key.of("claims.retry-most", Kind.DURATION, "Longest pause after many failures.")
+                            .range("10ms", "1m")
+                            .fallback("1s"),
+                    Key.of(
+                                    "claims.max-operations",
+                                    Kind.INTEGER,
+                                    "Changes in one transaction; the store's own limit is often"
+                                            + " 128.")
+                            .range("1", "128")
+                            .fallback("64"),
+                    Key.of(
+                                    "claims.max-bytes",
+                                    Kind.SIZE,
+                                    "Keys and values in one transaction; the store's own limit is"
+                                            + " often 1.5MiB.")
+                            .range("4KiB", "1MiB")
+                            .fallback("512KiB"),
+                    Key.of(
+                                    "claims.max-pending",
+                                    Kind.INTEGER,
+                                    "Changes that may wait for the store at once.")
+                            .range("1", "100000")
+                            .fallback("256"),
+                    Key.of(
+                                    "claims.max-wait",
+                                    Kind.DURATION,
+                                    "Longest that a request waits for its claim; half of its"
+                                            + " deadline if that is less.")
+                            .range("100ms", "10m")
+                            .fallback("30s"),
+                    CLAIMS_MAX_BODY,
+                    Key.of(
+                                    "claims.retention",
+                                    Kind.DURATION,
+                                    "How long an Idempotency-Key is remembered at least.")
+                            .range("1h", "720h")
+                            .fallback("24h"));
+
     private static final List<Key> UPSTREAM =
             List.of(
                     Key.of("upstream.kind", Kind.CHOICE, "A model engine or a plain service.")
@@ -195,13 +264,13 @@
 
     /** The keys of a router's file. */
     static final List<Key> ROUTER =
-            Stream.of(PROCESS, PLATFORM, CALLER, OPERATOR, PEER, CONTROL, STOP)
+            Stream.of(PROCESS, PLATFORM, CALLER, OPERATOR, PEER, CONTROL, CLAIMS, STOP)
                     .flatMap(List::stream)
                     .toList();
 
     /** The keys of an agent's file. */
     static final List<Key> AGENT =
-            Stream.of(PROCESS, PLATFORM, UPSTREAM, OPERATOR, PEER, STOP)
+            Stream.of(PROCESS, PLATFORM, UPSTREAM, OPERATOR, PEER, List.of(CLAIMS_MAX_BODY), STOP)
                     .flatMap(List::stream)
                     .toList();
 
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/RouterSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/RouterSettings.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.settings;
 
+import io.damaskyoke.control.claims.ClaimSettings;
 import java.time.Duration;
 
 /**
@@ -11,6 +12,7 @@
  * @param operator where operators come in
  * @param peer how it talks to other processes
  * @param control how it decides
+ * @param claims how it claims idempotency keys
  * @param stop how it ends
  */
 public record RouterSettings(
@@ -20,6 +22,7 @@
         OperatorSettings operator,
         PeerSettings peer,
         Control control,
+        ClaimSettings claims,
         StopSettings stop) {
 
     /** Where callers come in, and what they may do. */
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.settings;
 
+import io.damaskyoke.control.claims.ClaimSettings;
 import io.damaskyoke.settings.SettingsException.Code;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -48,6 +49,12 @@
                 values.integer("peer.max-frame")
                         > values.integer("caller.max-body") + FRAME_OVERHEAD_BYTES,
                 "more than caller.max-body and 64KiB, as one frame carries a request");
+        values.require(
+                "claims.retry-most",
+                values.duration("claims.retry-most")
+                                .compareTo(values.duration("claims.retry-first"))
+                        >= 0,
+                "claims.retry-first or more");
         values.throwFaults();
         return new RouterSettings(
                 process(values),
@@ -56,6 +63,7 @@
                 operator(values),
                 peer(values),
                 control(values),
+                claims(values),
                 stop(values));
     }
 
@@ -70,6 +78,7 @@
                 upstream(values),
                 operator(values),
                 peer(values),
+                values.integer("claims.max-body"),
                 stop(values));
     }
 
@@ -155,6 +164,20 @@
                 values.wideInteger("control.seed"));
     }
 
+    private static ClaimSettings claims(Values values) {
+        return new ClaimSettings(
+                values.duration("claims.gather"),
+                values.duration("claims.lazy-gather"),
+                values.duration("claims.retry-first"),
+                values.duration("claims.retry-most"),
+                values.integer("claims.max-operations"),
+                values.integer("claims.max-bytes"),
+                values.integer("claims.max-pending"),
+                values.duration("claims.max-wait"),
+                values.integer("claims.max-body"),
+                values.duration("claims.retention"));
+    }
+
     private static AgentSettings.Upstream upstream(Values values) {
         return new AgentSettings.Upstream(
                 choice(AgentSettings.Kind.class, values.text("upstream.kind")),
--- a/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.damaskyoke.control.claims.ClaimSettings;
 import io.damaskyoke.settings.SettingsException.Code;
 import java.io.IOException;
 import java.net.URI;
@@ -46,6 +47,16 @@
         assertEquals(List.of(URI.create("http://127.0.0.1:2379")), settings.platform().store());
     }
 
+    @Test
+    void claimsAreMadeAsSetAndElseByTheirDefaults() {
+        RouterSettings usual = Settings.parseRouter(SMALLEST_ROUTER, "r.toml");
+        assertEquals(ClaimSettings.defaults(), usual.claims());
+        String own = "claims.max-wait = \"5s\"\nclaims.max-body = \"1KiB\"\n";
+        RouterSettings set = Settings.parseRouter(SMALLEST_ROUTER + own, "r.toml");
+        assertEquals(Duration.ofSeconds(5), set.claims().maxWait());
+        assertEquals(1024, set.claims().maxBody());
+    }
+
     @Test
     void theExamplesAreGood() {
         RouterSettings router = Settings.router(ROOT.resolve("config/router.toml"));
