--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TestFleet.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TestFleet.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,6 +82,10 @@
         return Objects.requireNonNull(services.get(name), name);
     }
 
+    Collection<ServiceStandIn> services() {
+        return services.values();
+    }
+
     FleetProcess process(String name) {
         return Objects.requireNonNull(processes.get(name), name);
     }
@@ -114,8 +119,27 @@
 
     /** A payment of the workspace leases; without an idempotency key if that is empty. */
     CompletableFuture<HttpResponse<String>> pay(int router, String body, String idempotencyKey) {
-        Map<String, String> headers =
-                idempotencyKey.isEmpty() ? Map.of() : Map.of("Idempotency-Key", idempotencyKey);
+        return pay(
+                router,
+                body,
+                idempotencyKey.isEmpty() ? Map.of() : Map.of("Idempotency-Key", idempotencyKey));
+    }
+
+    /** A payment with a key and a deadline. */
+    CompletableFuture<HttpResponse<String>> pay(
+            int router, String body, String idempotencyKey, int deadlineSeconds) {
+        return pay(
+                router,
+                body,
+                Map.of(
+                        "Idempotency-Key",
+                        idempotencyKey,
+                        "Request-Timeout",
+                        Integer.toString(deadlineSeconds)));
+    }
+
+    private CompletableFuture<HttpResponse<String>> pay(
+            int router, String body, Map<String, String> headers) {
         return client.postLater(
                 callerUrl(router) + "/v1/services/payments/pay", OTHER_KEY, body, headers);
     }
