--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/StopTwiceTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/StopTwiceTest.java
@@ -9,7 +9,7 @@
 
 class StopTwiceTest {
     @Test
-    @Timeout(60)
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aProcessThatIsToldToStopTwiceStopsOnce() {
         // A signal comes while an operator's stop is under way, or after it. The second stop would
         // wait for a control thread that has ended, and the process would hang until it is killed.
