Mix failures over the real machines and check every rule after each step

Cause: each machine was tested under its own failures; nothing tested two failures at once over all of them. PlacementWorld and ClaimWorld may now run over a shared store. PlannerRouter sends a delayed proposal with the configuration it was made from, as a frozen process would. Ruled out while writing: requests that seemed to wait past their deadline were the test's own (a shorter freeze cut a longer one short).

--- a/damaskyoke/src/test/java/io/damaskyoke/control/placement/EngineVm.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/EngineVm.java
@@ -15,6 +15,7 @@
 import io.damaskyoke.upstream.Engine;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +38,7 @@
     private int agentDownFor;
     private int vmDownFor;
     private int life;
+    private final Map<ExchangeId, Instant> waiting = new HashMap<>();
 
     private record Use(ModelName model, Instant end) {}
 
@@ -74,12 +76,14 @@
     void killAgent() {
         agentDownFor = 1 + world.random.nextInt(40);
         life++;
+        waiting.clear();
     }
 
     /** The whole VM goes, and comes back empty under its old name. */
     void lose(int steps) {
         vmDownFor = steps;
         life++;
+        waiting.clear();
         held.clear();
         jobs.clear();
     }
@@ -89,10 +93,23 @@
         agentDownFor = Math.min(agentDownFor, 1);
     }
 
+    void faultsNow(List<String> found) {
+        if (usedBytes() > MEMORY) {
+            found.add("memory of " + id + ": " + usedBytes());
+        }
+        waiting.forEach(
+                (request, deadline) -> {
+                    if (deadline.isBefore(world.now)) {
+                        found.add("request " + request + " waits at " + id + " past " + deadline);
+                    }
+                });
+    }
+
     void want(ModelName model) {
         if (agentLives()) {
             ExchangeId request = new ExchangeId(Incarnation.of("r"), world.requests++);
             Instant deadline = world.now.plusSeconds(20);
+            waiting.put(request, deadline);
             feed(new ReplicaInput.Wanted(request, model, deadline, WorkspaceId.of("w")));
         }
     }
@@ -196,7 +213,10 @@
             Instant end = world.now.plusMillis(250);
             Model model = world.models.get(unload.model());
             jobs.put(unload.model(), new Job(model, false, end, life));
+        } else if (action instanceof ReplicaAction.Refuse refuse) {
+            waiting.remove(refuse.request());
         } else if (action instanceof ReplicaAction.Ready ready) {
+            waiting.remove(ready.request());
             world.served++;
             Instant end = world.now.plusMillis(world.random.nextInt(10_000));
             uses.add(new Use(ready.model(), end));
--- a/damaskyoke/src/test/java/io/damaskyoke/control/placement/PlacementWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/PlacementWorld.java
@@ -7,6 +7,7 @@
 import io.damaskyoke.id.PoolName;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -18,12 +19,14 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
 
 /**
  * Three routers that all plan, four VMs with real holders, and a store, with seeded faults. It
  * knows what every engine really holds and checks the rules after each step.
  */
-final class PlacementWorld {
+public final class PlacementWorld {
     static final Duration STEP = Duration.ofMillis(250);
     static final Duration GONE_AFTER = Duration.ofSeconds(30);
     static final Duration SUSPECT_TIME = Duration.ofSeconds(15);
@@ -32,7 +35,9 @@
     final Random random;
     final Policy policy;
     final FakeStore fake = new FakeStore();
-    final PlacementStore store = new PlacementStore(fake, "t");
+    final PlacementStore store;
+    private final IntFunction<Configuration> configurations;
+    private final IntPredicate leads;
     final Map<ModelName, Model> models = new TreeMap<>();
     final List<PlannerRouter> routers = new ArrayList<>();
     final Map<VmId, EngineVm> vms = new TreeMap<>();
@@ -48,6 +53,28 @@
     PlacementWorld(long seed, Policy policy) {
         this.random = new Random(seed);
         this.policy = policy;
+        this.store = new PlacementStore(fake, "t");
+        this.configurations = router -> configuration();
+        this.leads = router -> true;
+        populate();
+    }
+
+    /** A world over somebody else's store, where routers follow a log and plan under a lease. */
+    public PlacementWorld(
+            long seed,
+            Policy policy,
+            KeyValueStore shared,
+            IntFunction<Configuration> configurations,
+            IntPredicate leads) {
+        this.random = new Random(seed);
+        this.policy = policy;
+        this.store = new PlacementStore(shared, "t");
+        this.configurations = configurations;
+        this.leads = leads;
+        populate();
+    }
+
+    private void populate() {
         add("a", 40, 1, null);
         add("b", 30, 2, null);
         add("c", 50, 1, null);
@@ -61,6 +88,85 @@
         }
     }
 
+    /** Lets routers and VMs go on, without faults or checks of this world's own. */
+    public void stepAt(Instant time) {
+        now = time;
+        noteList();
+        routers.forEach(PlannerRouter::step);
+        vms.values().forEach(EngineVm::step);
+    }
+
+    /** Has messages and answers arrive from now on, and everybody come back. */
+    public void endFaults() {
+        faults = false;
+        mislaid.clear();
+        vms.values().forEach(EngineVm::recover);
+        routers.forEach(PlannerRouter::thaw);
+    }
+
+    /** Freezes a router, with proposals in its hands. */
+    public void freezeRouter(int router, int steps) {
+        routers.get(router).freeze(steps);
+    }
+
+    /** Has a router start anew, knowing nothing. */
+    public void replaceRouter(int router) {
+        routers.set(router, new PlannerRouter(this));
+    }
+
+    /** Has a VM go and come back empty after some steps. */
+    public void loseVm(int vm, int steps) {
+        vm(vm).lose(steps);
+    }
+
+    /** Kills an agent beside its engine. */
+    public void killAgent(int vm) {
+        vm(vm).killAgent();
+    }
+
+    /** Leaves a living VM out of the list, or puts it back. */
+    public void mislay(int vm, boolean away) {
+        if (away) {
+            mislaid.add(vm(vm).id);
+        } else {
+            mislaid.remove(vm(vm).id);
+        }
+    }
+
+    /** How many engines hold or load the model. */
+    public long holding(ModelName model) {
+        return vms.values().stream().filter(vm -> vm.holds(model)).count();
+    }
+
+    /** How many requests an engine was ready for. */
+    public int served() {
+        return served;
+    }
+
+    /** The models of the world, as they are before any ticket. */
+    public Map<ModelName, Model> models() {
+        return models;
+    }
+
+    /** What is wrong right now with engines' memory and with requests that wait. */
+    public List<String> faultsNow() {
+        List<String> found = new ArrayList<>();
+        vms.values().forEach(vm -> vm.faultsNow(found));
+        return found;
+    }
+
+    Configuration configurationOf(PlannerRouter router) {
+        return configurations.apply(routers.indexOf(router));
+    }
+
+    boolean leads(PlannerRouter router) {
+        return leads.test(routers.indexOf(router));
+    }
+
+    private EngineVm vm(int number) {
+        return List.copyOf(vms.values()).get(number);
+    }
+
     Configuration configuration() {
         return new Configuration(1, Map.of(), Map.of(), models, Map.of(), Map.of());
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/placement/PlannerRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/PlannerRouter.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.control.placement;
 
+import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.configuration.Model;
 import io.damaskyoke.id.ModelName;
 import io.damaskyoke.id.VmId;
@@ -15,10 +16,13 @@
 final class PlannerRouter {
     private final PlacementWorld world;
     private final Planner planner;
-    private final List<Planner.Proposal> delayed = new ArrayList<>();
+    private final List<Delayed> delayed = new ArrayList<>();
     private PlacementTable table = PlacementTable.UNREAD;
     private int frozenFor;
 
+    /** A proposal in hand, and the configuration that it was worked out from. */
+    private record Delayed(Planner.Proposal proposal, Configuration configuration) {}
+
     PlannerRouter(PlacementWorld world) {
         this.world = world;
         this.planner =
@@ -28,7 +32,7 @@
     }
 
     void freeze(int steps) {
-        frozenFor = steps;
+        frozenFor = Math.max(frozenFor, steps);
     }
 
     void thaw() {
@@ -41,9 +45,11 @@
             return;
         }
         if (!world.ownView()) {
-            delayed.forEach(proposal -> world.store.plan(proposal, world.configuration()));
+            delayed.forEach(late -> world.store.plan(late.proposal, late.configuration));
             delayed.clear();
-            plan();
+            if (world.leads(this)) {
+                plan();
+            }
         }
         if (world.random.nextInt(2) == 0) {
             world.store.read().thenAccept(this::take);
@@ -63,16 +69,22 @@
         Set<VmId> listed = world.listed(8);
         List<Planner.Candidate> candidates =
                 listed.stream().map(vm -> world.vms.get(vm)).map(this::candidate).toList();
-        Planner.View view = new Planner.View(table, world.models, candidates, listed, heard());
+        Planner.View view =
+                new Planner.View(
+                        table, world.configurationOf(this).models(), candidates, listed, heard());
         for (Planner.Proposal proposal : planner.on(view, world.now)) {
             if (world.faults && world.random.nextInt(4) == 0) {
-                delayed.add(proposal);
+                delayed.add(new Delayed(proposal, world.configurationOf(this)));
             } else {
-                world.store.plan(proposal, world.configuration());
+                propose(proposal);
             }
         }
     }
 
+    private void propose(Planner.Proposal proposal) {
+        world.store.plan(proposal, world.configurationOf(this));
+    }
+
     private Planner.Candidate candidate(EngineVm vm) {
         return new Planner.Candidate(
                 vm.id, PlacementWorld.POOL, vm.zone, world.leaving.contains(vm.id));
--- a/damaskyoke/src/test/java/io/damaskyoke/control/placement/Policy.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/Policy.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.control.placement;
 
 /** How the world of a test decides who loads what; all but the first are naive. */
-enum Policy {
+public enum Policy {
     /** Rights by compare and swap, moved on evidence only. */
     OURS,
     /** Each router takes the first of the VMs that it sees, and agents load what they are asked. */
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
@@ -95,6 +95,11 @@
         }
     }
 
+    /** What stands under the prefix, whatever is wrong with the store; no call. */
+    public synchronized List<Entry> contents(String prefix) {
+        return entries.values().stream().filter(entry -> entry.key().startsWith(prefix)).toList();
+    }
+
     /** How many calls came, watches included. */
     public synchronized int calls() {
         return calls;
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
@@ -16,7 +16,7 @@
 import io.damaskyoke.peer.wire.ClaimOutcome;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.Hello;
-import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.timeline.HybridClock;
 import io.damaskyoke.timeline.Timeline;
 import java.time.Instant;
@@ -42,7 +42,8 @@
         Optional<ClaimRecord> find(Request request);
     }
 
-    private ClaimRouter(ClaimWorld.Life life, FakeStore store, Incarnation incarnation, long seed) {
+    private ClaimRouter(
+            ClaimWorld.Life life, KeyValueStore store, Incarnation incarnation, long seed) {
         this.life = life;
         this.incarnation = incarnation;
         this.queries = new ClaimQueries(life);
@@ -60,7 +61,7 @@
                         null);
     }
 
-    static ClaimRouter start(ClaimWorld.Life life, FakeStore store, String name, long seed) {
+    static ClaimRouter start(ClaimWorld.Life life, KeyValueStore store, String name, long seed) {
         return new ClaimRouter(life, store, Incarnation.of(name), seed);
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
@@ -14,9 +14,12 @@
 import io.damaskyoke.id.ExchangeId;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +33,7 @@
  * Routers, agents and a store that fail at random, and callers who repeat payments; everything that
  * must not happen is noted in {@link #broken}.
  */
-final class ClaimWorld {
+public final class ClaimWorld {
     private static final int LENGTH_MILLIS = 60_000;
     private static final int ROUTERS = 3;
     private static final int AGENTS = 2;
@@ -43,8 +46,11 @@
     final Map<String, Integer> answers = new TreeMap<>();
     private final Map<String, String> settled = new HashMap<>();
     private final Map<ExchangeId, Boolean> saidNotRun = new HashMap<>();
-    private final SameThreadControl control = new SameThreadControl();
-    private final FakeStore store = new FakeStore();
+    private final Map<ExchangeId, Flow> waiting =
+            new TreeMap<>(Comparator.comparing(ExchangeId::toString));
+    private final SameThreadControl control;
+    private final FakeStore fake = new FakeStore();
+    private final KeyValueStore store;
     private final Random random;
     private final boolean naive;
     private final List<ClaimRouter> routers = new ArrayList<>();
@@ -54,6 +60,21 @@
     ClaimWorld(long seed, boolean naive) {
         this.random = new Random(seed);
         this.naive = naive;
+        this.control = new SameThreadControl();
+        this.store = fake;
+        populate();
+    }
+
+    /** A world over somebody else's time and store. */
+    public ClaimWorld(long seed, SameThreadControl control, KeyValueStore store) {
+        this.random = new Random(seed);
+        this.naive = false;
+        this.control = control;
+        this.store = store;
+        populate();
+    }
+
+    private void populate() {
         for (int i = 0; i < ROUTERS; i++) {
             routers.add(router());
         }
@@ -75,7 +96,41 @@
         control.advance(Duration.ofMillis(2L * LENGTH_MILLIS));
     }
 
-    private void replaceRouter(int number) {
+    /** A caller pays, or repeats one of a few payments of this round, at one of the routers. */
+    public void pay(int round) {
+        pay("pay-" + round + "-" + random.nextInt(KEYS));
+    }
+
+    /** The life of a router; its control thread stops and ends with it. */
+    public Life life(int router) {
+        return routers.get(router).life();
+    }
+
+    /** Has an agent start anew, knowing nothing. */
+    public void killAgent(int number) {
+        agent(number).die();
+    }
+
+    /** How many payments were served. */
+    public int served() {
+        return answers.getOrDefault("served", 0);
+    }
+
+    /** What has gone wrong so far, and who waits past a deadline. */
+    public List<String> faultsNow() {
+        List<String> found = new ArrayList<>(broken);
+        waiting.values().removeIf(flow -> flow.router.life().over());
+        for (Flow flow : waiting.values()) {
+            boolean late = flow.request.deadline().isBefore(control.clock().instant());
+            if (late && !flow.router.life().frozen()) {
+                found.add(flow.request.id() + " waits past its deadline");
+            }
+        }
+        return found;
+    }
+
+    /** Ends a router's life and begins another. */
+    public void replaceRouter(int number) {
         routers.get(number).life().end();
         routers.set(number, router());
     }
@@ -86,19 +141,22 @@
 
     private void failStore(int how) {
         if (how == 0) {
-            store.down(true);
-            at(5_000, () -> store.down(false));
+            fake.down(true);
+            at(5_000, () -> fake.down(false));
         } else if (how == 1) {
-            store.slow(true);
-            at(5_000, store::release);
+            fake.slow(true);
+            at(5_000, fake::release);
         } else {
-            store.loseAnswers(1 + random.nextInt(3));
+            fake.loseAnswers(1 + random.nextInt(3));
         }
     }
 
     private void payAtRandom() {
+        pay("pay-" + random.nextInt(KEYS));
+    }
+
+    private void pay(String key) {
         ClaimRouter router = routers.get(random.nextInt(ROUTERS));
-        String key = "pay-" + random.nextInt(KEYS);
         new Flow(router, router.request(key, control.clock().instant().plus(DEADLINE))).start();
     }
 
@@ -119,6 +177,7 @@
     }
 
     private void answered(Request request, String answer) {
+        waiting.remove(request.id());
         answers.merge("served", 1, Integer::sum);
         String first = settled.putIfAbsent(key(request), answer);
         if (!naive && first != null && !first.equals(answer)) {
@@ -127,6 +186,7 @@
     }
 
     private void refused(Request request, Refusal refusal) {
+        waiting.remove(request.id());
         answers.merge(refusal.code().wireName() + " " + refusal.notRun(), 1, Integer::sum);
         if (!refusal.notRun()) {
             return;
@@ -167,14 +227,24 @@
                             : RequestMachine.keyed(choice, budget);
         }
 
+        void later(Runnable step) {
+            soon(() -> router.life().run(step));
+        }
+
         void start() {
+            waiting.put(request.id(), this);
             feed(new RequestInput.Start());
             router.life().after(DEADLINE, () -> feed(new RequestInput.DeadlinePassed()));
             if (random.nextInt(4) == 0) {
-                soon(() -> feed(new RequestInput.CallerGone()));
+                later(this::leave);
             }
         }
 
+        private void leave() {
+            waiting.remove(request.id());
+            feed(new RequestInput.CallerGone());
+        }
+
         private void feed(RequestInput input) {
             if (router.life().over()) {
                 return;
@@ -250,9 +320,9 @@
         void invoked(Flow flow) {
             int chance = random.nextInt(10);
             if (chance == 0) {
-                soon(() -> flow.feed(new RequestInput.NotSent(vm)));
+                flow.later(() -> flow.feed(new RequestInput.NotSent(vm)));
             } else if (chance == 1) {
-                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+                flow.later(() -> flow.feed(new RequestInput.Lost(vm)));
             } else {
                 arrived(flow, chance);
             }
@@ -261,11 +331,11 @@
         private void arrived(Flow flow, int chance) {
             Optional<Refusal> known = naive ? Optional.empty() : outcomes.begin(flow.request);
             if (known.isPresent()) {
-                soon(() -> flow.feed(new RequestInput.Refused(vm, known.get())));
+                flow.later(() -> flow.feed(new RequestInput.Refused(vm, known.get())));
             } else if (chance == 2) {
                 outcomes.ended(flow.request, true);
                 Refusal busy = Refusal.notRun(RefusalCode.OVERLOADED, "busy");
-                soon(() -> flow.feed(new RequestInput.Refused(vm, busy)));
+                flow.later(() -> flow.feed(new RequestInput.Refused(vm, busy)));
             } else {
                 int born = life;
                 soon(() -> run(flow, chance, born));
@@ -274,7 +344,7 @@
 
         private void run(Flow flow, int chance, int born) {
             if (life != born) {
-                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+                flow.later(() -> flow.feed(new RequestInput.Lost(vm)));
                 return;
             }
             execute(flow.request);
@@ -283,22 +353,23 @@
                     new ClaimRecord.Outcome(200, List.of(), Optional.of(answer.getBytes()));
             if (chance == 3) {
                 outcomes.ended(flow.request, false);
-                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+                flow.later(() -> flow.feed(new RequestInput.Lost(vm)));
                 return;
             }
             outcomes.settled(flow.request, outcome);
             if (chance == 4) {
-                soon(() -> flow.feed(new RequestInput.Lost(vm)));
+                flow.later(() -> flow.feed(new RequestInput.Lost(vm)));
             } else {
-                soon(() -> flow.served(vm, outcome));
+                flow.later(() -> flow.served(vm, outcome));
             }
         }
     }
 
     /** The control thread of a process that can die. */
-    static final class Life implements Control {
+    public static final class Life implements Control {
         private final SameThreadControl control;
         private boolean over;
+        private Instant frozenUntil = Instant.MIN;
 
         Life(SameThreadControl control) {
             this.control = control;
@@ -308,10 +379,22 @@
             over = true;
         }
 
-        boolean over() {
+        /** True once the process is gone. */
+        public boolean over() {
             return over;
         }
 
+        /** Stops the process for so long; what comes meanwhile is done right after. */
+        public void freeze(Duration time) {
+            Instant end = control.clock().instant().plus(time);
+            frozenUntil = end.isAfter(frozenUntil) ? end : frozenUntil;
+        }
+
+        /** True while it is stopped. */
+        public boolean frozen() {
+            return control.clock().instant().isBefore(frozenUntil);
+        }
+
         @Override
         public void run(Runnable step) {
             control.run(whileAlive(step));
@@ -339,7 +422,10 @@
 
         private Runnable whileAlive(Runnable step) {
             return () -> {
-                if (!over) {
+                if (!over && frozen()) {
+                    Instant now = control.clock().instant();
+                    control.after(Duration.between(now, frozenUntil), whileAlive(step));
+                } else if (!over) {
                     step.run();
                 }
             };
