--- a/damaskyoke/src/test/java/io/damaskyoke/mixed/TrueLog.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/mixed/TrueLog.java
@@ -5,9 +5,11 @@
 import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.configuration.ConfigurationFollower;
 import io.damaskyoke.control.configuration.LogEntry;
+import io.damaskyoke.control.configuration.Model;
 import io.damaskyoke.control.configuration.SampleTickets;
 import io.damaskyoke.control.configuration.Ticket;
 import io.damaskyoke.control.configuration.TicketSubmission;
+import io.damaskyoke.id.ModelName;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -45,6 +47,16 @@
         return entries;
     }
 
+    /** The most replicas that any configuration allows from that sequence number on. */
+    int mostReplicas(ModelName model, long since) {
+        return configurations.subList((int) since, configurations.size()).stream()
+                .map(configuration -> configuration.models().get(model))
+                .filter(found -> found != null)
+                .mapToInt(Model::maxReplicas)
+                .max()
+                .orElse(0);
+    }
+
     int accepted() {
         return accepted.size();
     }
