Give the life of a process in the claims' world its own file

Change: Life, which can end and be frozen, stands by itself; no behaviour. Checked: claims' tests, the kill scenario and the naive versions pass.

--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
@@ -31,7 +31,7 @@
 
 /** The claims of one life of a router, over a fake store and agents that can be asked. */
 final class ClaimRouter {
-    private final ClaimWorld.Life life;
+    private final Life life;
     private final Incarnation incarnation;
     private final ClaimQueries queries;
     private final Claims claims;
@@ -42,8 +42,7 @@
         Optional<ClaimRecord> find(Request request);
     }
 
-    private ClaimRouter(
-            ClaimWorld.Life life, KeyValueStore store, Incarnation incarnation, long seed) {
+    private ClaimRouter(Life life, KeyValueStore store, Incarnation incarnation, long seed) {
         this.life = life;
         this.incarnation = incarnation;
         this.queries = new ClaimQueries(life);
@@ -61,11 +60,11 @@
                         null);
     }
 
-    static ClaimRouter start(ClaimWorld.Life life, KeyValueStore store, String name, long seed) {
+    static ClaimRouter start(Life life, KeyValueStore store, String name, long seed) {
         return new ClaimRouter(life, store, Incarnation.of(name), seed);
     }
 
-    ClaimWorld.Life life() {
+    Life life() {
         return life;
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimsTest.java
@@ -19,8 +19,7 @@
 
     private final SameThreadControl control = new SameThreadControl();
     private final FakeStore store = new FakeStore();
-    private final ClaimRouter router =
-            ClaimRouter.start(new ClaimWorld.Life(control), store, "router:1", 1);
+    private final ClaimRouter router = ClaimRouter.start(new Life(control), store, "router:1", 1);
 
     @Test
     void aClaimThatWasWrittenThoughItsRequestWasRefusedIsTakenBack() {
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/Life.java
@@ -0,0 +1,76 @@
+package io.damaskyoke.router;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.SameThreadControl;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+/** The control thread of a process that can die and can be frozen. */
+public final class Life implements Control {
+    private final SameThreadControl control;
+    private boolean over;
+    private Instant frozenUntil = Instant.MIN;
+
+    Life(SameThreadControl control) {
+        this.control = control;
+    }
+
+    void end() {
+        over = true;
+    }
+
+    /** True once the process is gone. */
+    public boolean over() {
+        return over;
+    }
+
+    /** Stops the process for so long; what comes meanwhile is done right after. */
+    public void freeze(Duration time) {
+        Instant end = control.clock().instant().plus(time);
+        frozenUntil = end.isAfter(frozenUntil) ? end : frozenUntil;
+    }
+
+    /** True while it is stopped. */
+    public boolean frozen() {
+        return control.clock().instant().isBefore(frozenUntil);
+    }
+
+    @Override
+    public void run(Runnable step) {
+        control.run(whileAlive(step));
+    }
+
+    @Override
+    public <T> CompletionStage<T> ask(Supplier<T> step) {
+        return control.ask(step);
+    }
+
+    @Override
+    public Cancellable after(Duration delay, Runnable step) {
+        return control.after(delay, whileAlive(step));
+    }
+
+    @Override
+    public Cancellable every(Duration period, Runnable step) {
+        return control.every(period, whileAlive(step));
+    }
+
+    @Override
+    public InstantSource clock() {
+        return control.clock();
+    }
+
+    private Runnable whileAlive(Runnable step) {
+        return () -> {
+            if (!over && frozen()) {
+                Instant now = control.clock().instant();
+                control.after(Duration.between(now, frozenUntil), whileAlive(step));
+            } else if (!over) {
+                step.run();
+            }
+        };
+    }
+}
