--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimRouter.java
@@ -16,7 +16,7 @@
 import io.damaskyoke.peer.wire.ClaimOutcome;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.Hello;
-import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.timeline.HybridClock;
 import io.damaskyoke.timeline.Timeline;
 import java.time.Instant;
@@ -31,7 +31,7 @@
 
 /** The claims of one life of a router, over a fake store and agents that can be asked. */
 final class ClaimRouter {
-    private final ClaimWorld.Life life;
+    private final Life life;
     private final Incarnation incarnation;
     private final ClaimQueries queries;
     private final Claims claims;
@@ -42,7 +42,7 @@
         Optional<ClaimRecord> find(Request request);
     }
 
-    private ClaimRouter(ClaimWorld.Life life, FakeStore store, Incarnation incarnation, long seed) {
+    private ClaimRouter(Life life, KeyValueStore store, Incarnation incarnation, long seed) {
         this.life = life;
         this.incarnation = incarnation;
         this.queries = new ClaimQueries(life);
@@ -60,11 +60,11 @@
                         null);
     }
 
-    static ClaimRouter start(ClaimWorld.Life life, FakeStore store, String name, long seed) {
+    static ClaimRouter start(Life life, KeyValueStore store, String name, long seed) {
         return new ClaimRouter(life, store, Incarnation.of(name), seed);
     }
 
-    ClaimWorld.Life life() {
+    Life life() {
         return life;
     }
 
