Confirm the configuration in an outage by the word of every router

Cause: an outage of the store longer than control.unconfirmed-limit stopped all admission, since a router couldn't tell it from being cut off while a key is withdrawn elsewhere.

Ruled out: a longer limit (a cut-off router honours a withdrawn key as long), "an outage is no change" (breaks in the property test), a majority (one router that reaches the store can accept a ticket).

Change: relays that are routers ask every router on the list for its last entry, whether a ticket write of its own is open or of unknown outcome, and whether it confirmed since it started. If all answer, the moment of the first ask is confirmed. Tickets read the log before they write, so that one sent in an outage leaves nothing of unknown outcome, and wait while the list doesn't name their router. Above 64 routers the limit applies as before.

--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TestFleet.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/TestFleet.java
@@ -182,7 +182,7 @@
         try {
             startUpstreams();
             for (int i = 1; i <= settings.routers; i++) {
-                start("router-" + i, "zone-" + i, routerToml());
+                start("router-" + i, "zone-" + i, routerToml() + settings.routerExtra);
             }
             engines.forEach((name, engine) -> agent(name, "engine", "engines", engine.url()));
             services.forEach((name, one) -> agent(name, "service", "payments", one.url()));
@@ -306,6 +306,7 @@
         private boolean listed = true;
         private String ticket = FIRST_TICKET;
         private String extra = "";
+        private String routerExtra = "";
         private FleetProcess.Launcher launcher = InJvmProcess::launch;
 
         private Builder() {}
@@ -360,6 +361,12 @@
             return this;
         }
 
+        /** The same for routers only. */
+        Builder routerExtra(String text) {
+            routerExtra = text;
+            return this;
+        }
+
         /** Starts each router and agent otherwise than in this JVM. */
         Builder launcher(FleetProcess.Launcher value) {
             launcher = value;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
@@ -32,6 +32,9 @@
  * }</pre>
  */
 public final class ConfigurationService {
+    /** How long a ticket waits for this process to be on the list of VMs. */
+    static final Duration LISTING = Duration.ofSeconds(10);
+
     /** Tickets that may wait here; one at a time is brought into the log. */
     static final int MAX_WAITING = 64;
 
@@ -45,7 +48,10 @@
     private final SnapshotWriter snapshotWriter;
     private final ConfigurationFollower follower = new ConfigurationFollower();
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    private final PendingWrites pending = new PendingWrites();
+    private final Instant startedAt;
     private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+    private boolean takesTickets = true;
     private boolean submitting;
     private boolean broken;
     private volatile Configuration current = Configuration.EMPTY;
@@ -55,6 +61,7 @@
 
     private ConfigurationService(Builder builder) {
         control = builder.control;
+        startedAt = builder.control.clock().instant();
         timeline = builder.timeline;
         random = builder.random;
         log = new ConfigurationLog(builder.store, builder.prefix);
@@ -113,6 +120,15 @@
         reader.read();
     }
 
+    /**
+     * Whether to bring tickets into the log; else they wait for a while. A router that the list of
+     * VMs doesn't name must not: in an outage the others couldn't ask it. For the control thread.
+     */
+    public void takeTickets(boolean value) {
+        takesTickets = value;
+        submitNext();
+    }
+
     /** The entries from this number on, if all are still held. For the control thread. */
     public Optional<List<LogEntry>> entries(long from) {
         if (from > current.sequence()) {
@@ -143,6 +159,19 @@
         return confirmedAt;
     }
 
+    /** True if that was since this process started; before, a former life may have known more. */
+    public boolean confirmedInThisLife() {
+        return confirmedAt.filter(at -> !at.isBefore(startedAt)).isPresent();
+    }
+
+    /**
+     * True if no ticket taken here can stand in the log beyond what is in force here: none is being
+     * written, and none has an unknown outcome. For the control thread.
+     */
+    public boolean settled() {
+        return pending.settled(current.sequence());
+    }
+
     /** True if that was known within the limit; safe from any thread. */
     public boolean confirmed(Duration limit) {
         Instant now = control.clock().instant();
@@ -204,17 +233,32 @@
             return;
         }
         waiting.add(next);
+        if (!takesTickets) {
+            control.after(LISTING, () -> giveUp(next));
+        }
         submitNext();
     }
 
+    private void giveUp(Waiting unlisted) {
+        if (!takesTickets && waiting.remove(unlisted)) {
+            finish(
+                    unlisted,
+                    new TicketResult.Refused(
+                            unlisted.ticket().number(),
+                            Code.BUSY,
+                            "this router isn't on the platform's list of VMs; ask another",
+                            true));
+        }
+    }
+
     private void submitNext() {
-        if (submitting || waiting.isEmpty()) {
+        if (submitting || !takesTickets || waiting.isEmpty()) {
             return;
         }
         submitting = true;
         Waiting next = waiting.remove();
-        TicketSubmission machine = TicketSubmission.on(follower, random);
-        new SubmissionRun(control, log, machine, next.ticket(), this::restore)
+        TicketSubmission machine = TicketSubmission.readingFirst(follower, random);
+        new SubmissionRun(control, log, machine, next.ticket(), pending, this::restore)
                 .start()
                 .thenAccept(result -> control.run(() -> submitted(next, result)));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/SubmissionRun.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/SubmissionRun.java
@@ -16,6 +16,7 @@
     private final ConfigurationLog log;
     private final TicketSubmission machine;
     private final Ticket ticket;
+    private final PendingWrites pending;
     private final Consumer<Snapshot> snapshots;
     private final CompletableFuture<TicketResult> result = new CompletableFuture<>();
 
@@ -24,11 +25,13 @@
             ConfigurationLog log,
             TicketSubmission machine,
             Ticket ticket,
+            PendingWrites pending,
             Consumer<Snapshot> snapshots) {
         this.control = control;
         this.log = log;
         this.machine = machine;
         this.ticket = ticket;
+        this.pending = pending;
         this.snapshots = snapshots;
     }
 
@@ -45,9 +48,7 @@
         if (action instanceof TicketSubmission.Action.ReadLog read) {
             hand(readAll(read.from(), List.of()), input -> input);
         } else if (action instanceof TicketSubmission.Action.Create create) {
-            hand(
-                    log.create(create.sequence(), create.value()),
-                    TicketSubmission.Input.CommitResult::new);
+            create(create);
         } else if (action instanceof TicketSubmission.Action.Pause pause) {
             control.after(pause.duration(), () -> feed(new TicketSubmission.Input.Tick()));
         } else if (action instanceof TicketSubmission.Action.Accepted accepted) {
@@ -64,6 +65,23 @@
         }
     }
 
+    private void create(TicketSubmission.Action.Create create) {
+        pending.begun(create.sequence());
+        log.create(create.sequence(), create.value())
+                .whenComplete((done, error) -> control.run(() -> created(done, error)));
+    }
+
+    private void created(Boolean done, Throwable error) {
+        if (error == null) {
+            pending.answered();
+            feed(new TicketSubmission.Input.CommitResult(done));
+        } else {
+            TicketSubmission.Input.StoreFailed failure = failure(error);
+            pending.failed(failure.code());
+            feed(failure);
+        }
+    }
+
     private CompletionStage<TicketSubmission.Input> readAll(long from, List<LogEntry> before) {
         return log.read(from)
                 .thenCompose(
@@ -88,7 +106,7 @@
                                 () -> feed(error == null ? input.apply(value) : failure(error))));
     }
 
-    private static TicketSubmission.Input failure(Throwable error) {
+    private static TicketSubmission.Input.StoreFailed failure(Throwable error) {
         Throwable cause = error instanceof CompletionException ? error.getCause() : error;
         PlatformException.Code code =
                 cause instanceof PlatformException platform
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/TicketSubmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/TicketSubmission.java
@@ -32,6 +32,7 @@
     private int tries;
     private boolean freshlyRead;
     private boolean creating;
+    private boolean readFirst;
     private boolean done;
     private long place;
     private long uncertainPlace;
@@ -82,6 +83,17 @@
         return new TicketSubmission(follower, random);
     }
 
+    /**
+     * The same, which reads the log before it writes. In an outage that read fails, and so the
+     * ticket is refused with nothing written whose outcome all routers would have to wait for.
+     */
+    public static TicketSubmission readingFirst(
+            ConfigurationFollower follower, RandomGenerator random) {
+        TicketSubmission submission = new TicketSubmission(follower, random);
+        submission.readFirst = true;
+        return submission;
+    }
+
     @Override
     public List<Action> on(Input input, Instant now) {
         if (done) {
@@ -89,7 +101,7 @@
         }
         if (input instanceof Input.Submit submit) {
             ticket = submit.ticket();
-            return judge();
+            return readFirst ? read() : judge();
         }
         if (input instanceof Input.LogRead read) {
             follower.on(
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/relay/OutageConfirmation.java
@@ -0,0 +1,147 @@
+package io.damaskyoke.control.relay;
+
+import io.damaskyoke.control.Machine;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Confirms the configuration while nobody reaches the store, by the word of every router.
+ *
+ * <p>Only routers write tickets. If every router says "this is my last entry and no write of mine
+ * is open", then whatever was accepted before the first of them was <em>asked</em> is known. So
+ * that is the moment confirmed; what one accepts after its answer is newer and needs no promise.
+ * One router that is silent, has an open write, or restarted and can't speak for its former life,
+ * is enough for no confirmation: it may have withdrawn a key.
+ */
+public final class OutageConfirmation implements Machine<OutageInput, OutageAction> {
+    /** Routers up to which each relay asks all; see docs/design/configuration.md. */
+    public static final int MOST_ROUTERS = 64;
+
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final long FIRST_NUMBER = 1L << 62;
+
+    private final VmId self;
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private final Map<VmId, Heard> heard = new HashMap<>();
+    private final RouterRoster roster = new RouterRoster();
+    private Set<VmId> listed = Set.of();
+    private Optional<Instant> confirmed = Optional.empty();
+    private Instant due = Instant.MIN;
+    private long lastNumber = FIRST_NUMBER;
+
+    private record Asked(VmId router, Instant at) {}
+
+    private record Heard(Instant askedAt, long head) {}
+
+    private OutageConfirmation(VmId self) {
+        this.self = self;
+    }
+
+    /** A machine for the router on this VM. */
+    public static OutageConfirmation of(VmId self) {
+        return new OutageConfirmation(self);
+    }
+
+    /** True if this number is of an ask of such a machine, not of a relay's probe. */
+    public static boolean isAsk(long number) {
+        return number > FIRST_NUMBER;
+    }
+
+    @Override
+    public List<OutageAction> on(OutageInput input, Instant now) {
+        if (input instanceof OutageInput.Listed list) {
+            listed = Set.copyOf(list.routers());
+            roster.read(listed, list.askedAt());
+        } else if (input instanceof OutageInput.Confirmed other) {
+            confirmedElsewhere(other.asOf());
+        } else if (input instanceof OutageInput.Answered answer) {
+            take(answer, now);
+        } else if (input instanceof OutageInput.Tick tick) {
+            return tick(tick.self(), now);
+        }
+        return List.of();
+    }
+
+    private void confirmedElsewhere(Instant asOf) {
+        if (confirmed.isEmpty() || asOf.isAfter(confirmed.get())) {
+            confirmed = Optional.of(asOf);
+            roster.confirmed(asOf);
+        }
+    }
+
+    private void take(OutageInput.Answered answer, Instant now) {
+        Asked ask = asked.remove(answer.ask());
+        if (ask == null || !ask.router().equals(answer.from())) {
+            return;
+        }
+        OutageInput.Word word = answer.word();
+        boolean firstLife = roster.firstLife(answer.from(), answer.life(), now);
+        if (word.settled() && (word.confirmedInThisLife() || firstLife)) {
+            heard.merge(
+                    answer.from(),
+                    new Heard(ask.at(), word.head()),
+                    (old, fresh) -> old.askedAt().isAfter(fresh.askedAt()) ? old : fresh);
+        }
+    }
+
+    private List<OutageAction> tick(OutageInput.Word own, Instant now) {
+        boolean sighted = confirmed.filter(roster::covers).isPresent();
+        boolean possible = sighted && listed.contains(self) && roster.all().size() <= MOST_ROUTERS;
+        if (!needed(now) || !possible) {
+            return List.of();
+        }
+        List<OutageAction> actions = new ArrayList<>();
+        confirm(own, actions);
+        if (!now.isBefore(due)) {
+            due = now.plus(PERIOD);
+            askAll(now, actions);
+        }
+        return actions;
+    }
+
+    /** True while nothing has confirmed the configuration for seconds; asks go out then. */
+    public boolean needed(Instant now) {
+        return confirmed.filter(at -> now.isAfter(at.plus(PATIENCE))).isPresent();
+    }
+
+    private void confirm(OutageInput.Word own, List<OutageAction> actions) {
+        if (!own.settled() || !own.confirmedInThisLife()) {
+            return;
+        }
+        Instant asOf = roster.lastRead().orElse(Instant.MIN);
+        long head = own.head();
+        for (VmId router : others()) {
+            Heard word = heard.get(router);
+            if (word == null) {
+                return;
+            }
+            asOf = asOf.isBefore(word.askedAt()) ? asOf : word.askedAt();
+            head = Math.max(head, word.head());
+        }
+        // Behind one of them: its entries are on their way, a later tick confirms.
+        if (head == own.head() && asOf.isAfter(confirmed.orElse(Instant.MIN))) {
+            confirmed = Optional.of(asOf);
+            actions.add(new OutageAction.Confirm(head, asOf));
+        }
+    }
+
+    private void askAll(Instant now, List<OutageAction> actions) {
+        asked.values().removeIf(ask -> ask.at().plus(PATIENCE).isBefore(now));
+        for (VmId router : others()) {
+            asked.put(++lastNumber, new Asked(router, now));
+            actions.add(new OutageAction.Ask(router, lastNumber));
+        }
+    }
+
+    private List<VmId> others() {
+        return roster.all().stream().filter(vm -> !vm.equals(self)).toList();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.control.ControlLoop;
 import io.damaskyoke.control.MonotonicClock;
 import io.damaskyoke.control.configuration.ConfigurationService;
+import io.damaskyoke.control.relay.OutageConfirmation;
 import io.damaskyoke.control.relay.RegistrationTable.Row;
 import io.damaskyoke.control.relay.RelayMachine;
 import io.damaskyoke.control.relay.RelaySettings;
@@ -48,6 +49,7 @@
     private static final Logger LOG = LogManager.getLogger(Node.class);
     private static final Duration CLOSE_LIMIT = Duration.ofSeconds(5);
     private static final Duration CONFIRM_PERIOD = Duration.ofSeconds(2);
+    private static final Duration OUTAGE_LIST_PERIOD = Duration.ofSeconds(1);
     private static final int SELDOM = 12;
 
     private final ProcessSettings process;
@@ -64,6 +66,7 @@
     private final ConfigurationService configuration;
     private final AgentRegistrations agents;
     private final RelayMachine relays;
+    private final OutageConfirmation outage;
     private final VmListReader listReader;
     private final Duration listPeriod;
 
@@ -95,6 +98,7 @@
         this.agents = new AgentRegistrations(control, store, storePrefix, metrics);
         this.relays =
                 RelayMachine.of(vm(), zone(), RelaySettings.standard(), new SplittableRandom());
+        this.outage = OutageConfirmation.of(vm());
         this.listPeriod = platform.vmListPeriod();
         this.listReader = new VmListReader(control, vmList, this::listPause, metrics);
     }
@@ -178,7 +182,7 @@
 
     /** Hears of each reading of the platform's list of VMs, on the control thread. */
     public void onVmList(Consumer<List<VmList.Vm>> listener) {
-        listReader.onRead(listener);
+        listReader.onRead((vms, askedAt) -> listener.accept(vms));
     }
 
     /**
@@ -202,6 +206,8 @@
                                 agents,
                                 new RelayServer(control, configuration, agents.table(), metrics),
                                 relays,
+                                outage,
+                                vm(),
                                 metrics,
                                 role == Role.ROUTER,
                                 listPeriod),
@@ -241,8 +247,13 @@
     /**
      * Agents need the list for nothing but to find their relays, and read it seldom once they have
      * found them: 2,400 of them reading 2,780 lines every few seconds would be the list's main use.
+     * Relays that confirm by the word of all routers need to know who these are, as of lately.
      */
     private Duration listPause() {
+        boolean pressing = role == Role.ROUTER && outage.needed(control.clock().instant());
+        if (pressing && relays.relay() && listPeriod.compareTo(OUTAGE_LIST_PERIOD) > 0) {
+            return OUTAGE_LIST_PERIOD;
+        }
         boolean seldom = role == Role.AGENT && !relays.relay() && relays.answered();
         return seldom ? listPeriod.multipliedBy(SELDOM) : listPeriod;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/node/RelayClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/RelayClient.java
@@ -5,11 +5,15 @@
 import io.damaskyoke.control.configuration.ConfigurationService;
 import io.damaskyoke.control.configuration.Snapshot;
 import io.damaskyoke.control.configuration.TicketException;
+import io.damaskyoke.control.relay.OutageAction;
+import io.damaskyoke.control.relay.OutageConfirmation;
+import io.damaskyoke.control.relay.OutageInput;
 import io.damaskyoke.control.relay.RegistrationTable.Delta;
 import io.damaskyoke.control.relay.RegistrationTable.Row;
 import io.damaskyoke.control.relay.RelayAction;
 import io.damaskyoke.control.relay.RelayInput;
 import io.damaskyoke.control.relay.RelayMachine;
+import io.damaskyoke.id.Incarnation;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.peer.PeerAddress;
@@ -19,16 +23,19 @@
 import io.damaskyoke.peer.wire.ConfigEntries;
 import io.damaskyoke.peer.wire.ConfigFetch;
 import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Hello;
 import io.damaskyoke.peer.wire.Registrations;
 import io.damaskyoke.peer.wire.SnapshotChunk;
 import io.damaskyoke.platform.VmList;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Carries out what the {@link RelayMachine} decides, and hands it what peers say. Its state belongs
@@ -43,6 +50,8 @@
     private final AgentRegistrations agents;
     private final RelayServer server;
     private final RelayMachine machine;
+    private final OutageConfirmation outage;
+    private final VmId self;
     private final PeerNetwork network;
     private final Metrics metrics;
     private final boolean wantsAgents;
@@ -50,6 +59,7 @@
     private volatile boolean relay;
     private final Map<PeerLink, ByteArrayOutputStream> snapshots = new HashMap<>();
     private final Map<PeerLink, Pages> pages = new HashMap<>();
+    private final Map<VmId, VmList.Vm> routers = new HashMap<>();
 
     /** Pages of registrations of which the last has not come. */
     private static final class Pages {
@@ -69,6 +79,8 @@
             AgentRegistrations agents,
             RelayServer server,
             RelayMachine machine,
+            OutageConfirmation outage,
+            VmId self,
             Metrics metrics,
             boolean wantsAgents,
             Duration refreshPause) {}
@@ -79,6 +91,8 @@
         this.agents = parts.agents();
         this.server = parts.server();
         this.machine = parts.machine();
+        this.outage = parts.outage();
+        this.self = parts.self();
         this.metrics = parts.metrics();
         this.wantsAgents = parts.wantsAgents();
         this.refreshPause = parts.refreshPause();
@@ -103,7 +117,14 @@
                 .orElse(-1L);
     }
 
-    void listed(List<VmList.Vm> vms) {
+    void listed(List<VmList.Vm> vms, Instant askedAt) {
+        Map<VmId, VmList.Vm> all =
+                vms.stream()
+                        .filter(vm -> vm.role() == VmList.Role.ROUTER)
+                        .collect(Collectors.toMap(VmList.Vm::id, vm -> vm, (one, two) -> two));
+        routers.putAll(all);
+        configuration.takeTickets(all.isEmpty() || all.containsKey(self));
+        feedOutage(new OutageInput.Listed(all.keySet(), askedAt));
         feed(new RelayInput.Listed(vms));
     }
 
@@ -131,7 +152,38 @@
 
     private void tick() {
         configuration.confirmedAt().ifPresent(at -> feed(new RelayInput.Confirmed(at)));
+        configuration.confirmedAt().ifPresent(at -> feedOutage(new OutageInput.Confirmed(at)));
         feed(new RelayInput.Tick());
+        // Relays ask for all: their followers take the confirmation from them.
+        if (relay) {
+            feedOutage(new OutageInput.Tick(ownWord()));
+        }
+    }
+
+    private OutageInput.Word ownWord() {
+        return new OutageInput.Word(
+                configuration.current().sequence(),
+                configuration.settled(),
+                configuration.confirmedInThisLife());
+    }
+
+    /** Agents are not on the list of routers, so that the machine does nothing for them. */
+    private void feedOutage(OutageInput input) {
+        outage.on(input, control.clock().instant()).forEach(this::carryOut);
+    }
+
+    private void carryOut(OutageAction action) {
+        if (action instanceof OutageAction.Ask ask) {
+            metrics.count("outage_asks");
+            fetch(routers.get(ask.router()), ask.number(), false);
+        } else if (action instanceof OutageAction.Confirm confirm) {
+            metrics.count("outage_confirmations");
+            confirm(confirm.head(), confirm.asOf());
+        }
+    }
+
+    private void confirm(long head, Instant asOf) {
+        configuration.offer(new Offer(List.of(), head, Optional.of(asOf)));
     }
 
     private void feed(RelayInput input) {
@@ -155,22 +207,25 @@
                 agents.refresh(refreshPause);
             }
         } else if (action instanceof RelayAction.Confirm confirm) {
-            configuration.offer(new Offer(List.of(), confirm.head(), Optional.of(confirm.asOf())));
+            confirm(confirm.head(), confirm.asOf());
         }
     }
 
     private void probe(RelayAction.Probe probe) {
         metrics.count("relay_probes");
+        fetch(probe.peer(), probe.number(), wantsAgents);
+    }
+
+    private void fetch(VmList.Vm peer, long number, boolean agentsToo) {
         ConfigFetch fetch =
                 ConfigFetch.newBuilder()
                         .setFromSequence(configuration.current().sequence() + 1)
-                        .setProbe(probe.number())
-                        .setAgents(wantsAgents)
+                        .setProbe(number)
+                        .setAgents(agentsToo)
                         .setAgentsRevision(agents.table().revision())
                         .build();
         Frame frame = Frame.newBuilder().setConfigFetch(fetch).build();
-        network.connect(address(probe.peer()))
-                .whenComplete((link, failure) -> sendIfOpen(link, frame));
+        network.connect(address(peer)).whenComplete((link, failure) -> sendIfOpen(link, frame));
     }
 
     private static void sendIfOpen(PeerLink link, Frame frame) {
@@ -209,7 +264,9 @@
     }
 
     private void confirmAndGoOn(PeerLink link, ConfigEntries frame, long before) {
-        if (frame.getProbe() != 0) {
+        if (OutageConfirmation.isAsk(frame.getProbe())) {
+            answeredAsk(link, frame);
+        } else if (frame.getProbe() != 0) {
             Optional<Duration> age =
                     frame.getConfirmed()
                             ? Optional.of(Duration.ofMillis(frame.getConfirmedAgeMs()))
@@ -222,6 +279,19 @@
         }
     }
 
+    private void answeredAsk(PeerLink link, ConfigEntries frame) {
+        OutageInput.Word word =
+                new OutageInput.Word(
+                        frame.getHeadSequence(),
+                        frame.getSettled(),
+                        frame.getConfirmedInThisLife());
+        link.remote()
+                .map(Hello::getIncarnation)
+                .map(Incarnation::of)
+                .map(life -> new OutageInput.Answered(vm(link).get(), life, frame.getProbe(), word))
+                .ifPresent(this::feedOutage);
+    }
+
     private static RelayInput answered(VmId vm, ConfigEntries frame, Optional<Duration> age) {
         return new RelayInput.Answered(vm, frame.getProbe(), frame.getHeadSequence(), age);
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/node/RelayServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/RelayServer.java
@@ -88,7 +88,10 @@
     private ConfigEntries.Builder whatIsNew(PeerLink link, Subscriber subscriber) {
         Configuration current = configuration.current();
         ConfigEntries.Builder answer =
-                ConfigEntries.newBuilder().setHeadSequence(current.sequence());
+                ConfigEntries.newBuilder()
+                        .setHeadSequence(current.sequence())
+                        .setSettled(configuration.settled())
+                        .setConfirmedInThisLife(configuration.confirmedInThisLife());
         Optional<Instant> confirmedAt = configuration.confirmedAt();
         confirmedAt.ifPresent(at -> answer.setConfirmed(true).setConfirmedAgeMs(age(at)));
         Optional<List<LogEntry>> entries = configuration.entries(subscriber.sequence + 1);
--- a/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
@@ -4,9 +4,9 @@
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.VmList;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** Reads the platform's list of VMs again and again; a failed reading changes nothing. */
@@ -15,9 +15,15 @@
     private final VmList list;
     private final Supplier<Duration> pause;
     private final Metrics metrics;
-    private final List<Consumer<List<VmList.Vm>>> listeners = new ArrayList<>();
+    private final List<Listener> listeners = new ArrayList<>();
     private boolean stopped;
 
+    /** Hears of a list, and when it was asked for. */
+    @FunctionalInterface
+    interface Listener {
+        void read(List<VmList.Vm> vms, Instant askedAt);
+    }
+
     /** A reader that waits for {@code pause}, asked each time, between two readings. */
     VmListReader(Control control, VmList list, Supplier<Duration> pause, Metrics metrics) {
         this.control = control;
@@ -27,13 +33,15 @@
     }
 
     /** Hears of each list read, on the control thread. */
-    void onRead(Consumer<List<VmList.Vm>> listener) {
+    void onRead(Listener listener) {
         listeners.add(listener);
     }
 
     void read() {
         if (!stopped) {
-            list.read().whenComplete((vms, failure) -> control.run(() -> took(vms, failure)));
+            Instant askedAt = control.clock().instant();
+            list.read()
+                    .whenComplete((vms, failure) -> control.run(() -> took(vms, askedAt, failure)));
         }
     }
 
@@ -41,9 +49,9 @@
         stopped = true;
     }
 
-    private void took(List<VmList.Vm> vms, Throwable failure) {
+    private void took(List<VmList.Vm> vms, Instant askedAt, Throwable failure) {
         if (failure == null) {
-            listeners.forEach(listener -> listener.accept(vms));
+            listeners.forEach(listener -> listener.read(vms, askedAt));
         } else {
             metrics.count("vm_list_failures");
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntries.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntries.java
@@ -197,6 +197,36 @@
     return snapshot_ == null ? io.damaskyoke.peer.wire.SnapshotChunk.getDefaultInstance() : snapshot_;
   }
 
+  public static final int SETTLED_FIELD_NUMBER = 7;
+  private boolean settled_ = false;
+  /**
+   * <pre>
+   * no ticket write of the sender is under way or of unknown outcome
+   * </pre>
+   *
+   * <code>bool settled = 7;</code>
+   * @return The settled.
+   */
+  @java.lang.Override
+  public boolean getSettled() {
+    return settled_;
+  }
+
+  public static final int CONFIRMED_IN_THIS_LIFE_FIELD_NUMBER = 8;
+  private boolean confirmedInThisLife_ = false;
+  /**
+   * <pre>
+   * the sender has confirmed its configuration since it started
+   * </pre>
+   *
+   * <code>bool confirmed_in_this_life = 8;</code>
+   * @return The confirmedInThisLife.
+   */
+  @java.lang.Override
+  public boolean getConfirmedInThisLife() {
+    return confirmedInThisLife_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -229,6 +259,12 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(6, getSnapshot());
     }
+    if (settled_ != false) {
+      output.writeBool(7, settled_);
+    }
+    if (confirmedInThisLife_ != false) {
+      output.writeBool(8, confirmedInThisLife_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -262,6 +298,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, getSnapshot());
     }
+    if (settled_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, settled_);
+    }
+    if (confirmedInThisLife_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, confirmedInThisLife_);
+    }
     return size;
   }
   @java.lang.Override
@@ -301,6 +345,10 @@
       if (!getSnapshot()
           .equals(other.getSnapshot())) return false;
     }
+    if (getSettled()
+        != other.getSettled()) return false;
+    if (getConfirmedInThisLife()
+        != other.getConfirmedInThisLife()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -332,6 +380,12 @@
       hash = (37 * hash) + SNAPSHOT_FIELD_NUMBER;
       hash = (53 * hash) + getSnapshot().hashCode();
     }
+    hash = (37 * hash) + SETTLED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSettled());
+    hash = (37 * hash) + CONFIRMED_IN_THIS_LIFE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirmedInThisLife());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -486,6 +540,8 @@
         snapshotBuilder_.dispose();
         snapshotBuilder_ = null;
       }
+      settled_ = false;
+      confirmedInThisLife_ = false;
       return this;
     }
 
@@ -551,6 +607,12 @@
             : snapshotBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.settled_ = settled_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.confirmedInThisLife_ = confirmedInThisLife_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -607,6 +669,12 @@
       if (other.hasSnapshot()) {
         mergeSnapshot(other.getSnapshot());
       }
+      if (other.getSettled() != false) {
+        setSettled(other.getSettled());
+      }
+      if (other.getConfirmedInThisLife() != false) {
+        setConfirmedInThisLife(other.getConfirmedInThisLife());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -671,6 +739,16 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              settled_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              confirmedInThisLife_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1289,6 +1367,94 @@
       return snapshotBuilder_;
     }
 
+    private boolean settled_ ;
+    /**
+     * <pre>
+     * no ticket write of the sender is under way or of unknown outcome
+     * </pre>
+     *
+     * <code>bool settled = 7;</code>
+     * @return The settled.
+     */
+    @java.lang.Override
+    public boolean getSettled() {
+      return settled_;
+    }
+    /**
+     * <pre>
+     * no ticket write of the sender is under way or of unknown outcome
+     * </pre>
+     *
+     * <code>bool settled = 7;</code>
+     * @param value The settled to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSettled(boolean value) {
+
+      settled_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * no ticket write of the sender is under way or of unknown outcome
+     * </pre>
+     *
+     * <code>bool settled = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSettled() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      settled_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean confirmedInThisLife_ ;
+    /**
+     * <pre>
+     * the sender has confirmed its configuration since it started
+     * </pre>
+     *
+     * <code>bool confirmed_in_this_life = 8;</code>
+     * @return The confirmedInThisLife.
+     */
+    @java.lang.Override
+    public boolean getConfirmedInThisLife() {
+      return confirmedInThisLife_;
+    }
+    /**
+     * <pre>
+     * the sender has confirmed its configuration since it started
+     * </pre>
+     *
+     * <code>bool confirmed_in_this_life = 8;</code>
+     * @param value The confirmedInThisLife to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmedInThisLife(boolean value) {
+
+      confirmedInThisLife_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the sender has confirmed its configuration since it started
+     * </pre>
+     *
+     * <code>bool confirmed_in_this_life = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmedInThisLife() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      confirmedInThisLife_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:damaskyoke.peer.ConfigEntries)
   }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntriesOrBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/ConfigEntriesOrBuilder.java
@@ -108,4 +108,24 @@
    * <code>.damaskyoke.peer.SnapshotChunk snapshot = 6;</code>
    */
   io.damaskyoke.peer.wire.SnapshotChunkOrBuilder getSnapshotOrBuilder();
+
+  /**
+   * <pre>
+   * no ticket write of the sender is under way or of unknown outcome
+   * </pre>
+   *
+   * <code>bool settled = 7;</code>
+   * @return The settled.
+   */
+  boolean getSettled();
+
+  /**
+   * <pre>
+   * the sender has confirmed its configuration since it started
+   * </pre>
+   *
+   * <code>bool confirmed_in_this_life = 8;</code>
+   * @return The confirmedInThisLife.
+   */
+  boolean getConfirmedInThisLife();
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/wire/Peer.java
@@ -221,32 +221,33 @@
       "\n\006Credit\022\r\n\005bytes\030\001 \001(\r\"\n\n\010Draining\"\\\n\013C" +
       "onfigFetch\022\025\n\rfrom_sequence\030\001 \001(\004\022\r\n\005pro" +
       "be\030\002 \001(\004\022\016\n\006agents\030\003 \001(\010\022\027\n\017agents_revis" +
-      "ion\030\004 \001(\004\"\303\001\n\rConfigEntries\022\025\n\rhead_sequ" +
+      "ion\030\004 \001(\004\"\364\001\n\rConfigEntries\022\025\n\rhead_sequ" +
       "ence\030\001 \001(\004\022\021\n\tconfirmed\030\002 \001(\010\022\030\n\020confirm" +
       "ed_age_ms\030\003 \001(\004\022-\n\007entries\030\004 \003(\0132\034.damas" +
       "kyoke.peer.ConfigEntry\022\r\n\005probe\030\005 \001(\004\0220\n" +
       "\010snapshot\030\006 \001(\0132\036.damaskyoke.peer.Snapsh" +
-      "otChunk\"M\n\rSnapshotChunk\022\020\n\010sequence\030\001 \001" +
-      "(\004\022\r\n\005index\030\002 \001(\r\022\r\n\005count\030\003 \001(\r\022\014\n\004data" +
-      "\030\004 \001(\014\"c\n\rRegistrations\022\020\n\010revision\030\001 \001(" +
-      "\004\022\014\n\004full\030\002 \001(\010\0222\n\006agents\030\003 \003(\0132\".damask" +
-      "yoke.peer.AgentRegistration\"@\n\021AgentRegi" +
-      "stration\022\n\n\002vm\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010r" +
-      "evision\030\003 \001(\004\"/\n\013ConfigEntry\022\020\n\010sequence" +
-      "\030\001 \001(\004\022\016\n\006ticket\030\002 \001(\014\"G\n\rTokenTransfer\022" +
-      "\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\023\n\013tr" +
-      "ansfer_id\030\003 \001(\t\"T\n\014TokenRequest\022\021\n\tworks" +
-      "pace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\022\n\nrequest_id" +
-      "\030\003 \001(\t\022\r\n\005spent\030\004 \003(\t\"z\n\005Order\022)\n\004verb\030\001" +
-      " \001(\0162\033.damaskyoke.peer.Order.Verb\022\r\n\005mod" +
-      "el\030\002 \001(\t\022\017\n\007fencing\030\003 \001(\004\"&\n\004Verb\022\010\n\004NON" +
-      "E\020\000\022\010\n\004LOAD\020\001\022\n\n\006UNLOAD\020\002\"+\n\tInventory\022\016" +
-      "\n\006rights\030\001 \003(\t\022\016\n\006loaded\030\002 \003(\t\"8\n\nClaimQ" +
-      "uery\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\002 \001(\t\"Z\n\014ClaimOutcome\022\021\n\tworkspace\030\001 " +
-      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005state\030\003 " +
-      "\001(\t\022\017\n\007outcome\030\004 \001(\014B\035\n\027io.damaskyoke.pe" +
-      "er.wireH\001P\001b\006proto3"
+      "otChunk\022\017\n\007settled\030\007 \001(\010\022\036\n\026confirmed_in" +
+      "_this_life\030\010 \001(\010\"M\n\rSnapshotChunk\022\020\n\010seq" +
+      "uence\030\001 \001(\004\022\r\n\005index\030\002 \001(\r\022\r\n\005count\030\003 \001(" +
+      "\r\022\014\n\004data\030\004 \001(\014\"c\n\rRegistrations\022\020\n\010revi" +
+      "sion\030\001 \001(\004\022\014\n\004full\030\002 \001(\010\0222\n\006agents\030\003 \003(\013" +
+      "2\".damaskyoke.peer.AgentRegistration\"@\n\021" +
+      "AgentRegistration\022\n\n\002vm\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\014\022\020\n\010revision\030\003 \001(\004\"/\n\013ConfigEntry\022\020\n" +
+      "\010sequence\030\001 \001(\004\022\016\n\006ticket\030\002 \001(\014\"G\n\rToken" +
+      "Transfer\022\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 " +
+      "\001(\004\022\023\n\013transfer_id\030\003 \001(\t\"T\n\014TokenRequest" +
+      "\022\021\n\tworkspace\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\022\022\n\nr" +
+      "equest_id\030\003 \001(\t\022\r\n\005spent\030\004 \003(\t\"z\n\005Order\022" +
+      ")\n\004verb\030\001 \001(\0162\033.damaskyoke.peer.Order.Ve" +
+      "rb\022\r\n\005model\030\002 \001(\t\022\017\n\007fencing\030\003 \001(\004\"&\n\004Ve" +
+      "rb\022\010\n\004NONE\020\000\022\010\n\004LOAD\020\001\022\n\n\006UNLOAD\020\002\"+\n\tIn" +
+      "ventory\022\016\n\006rights\030\001 \003(\t\022\016\n\006loaded\030\002 \003(\t\"" +
+      "8\n\nClaimQuery\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idem" +
+      "potency_key\030\002 \001(\t\"Z\n\014ClaimOutcome\022\021\n\twor" +
+      "kspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n" +
+      "\005state\030\003 \001(\t\022\017\n\007outcome\030\004 \001(\014B\035\n\027io.dama" +
+      "skyoke.peer.wireH\001P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -347,7 +348,7 @@
     internal_static_damaskyoke_peer_ConfigEntries_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_damaskyoke_peer_ConfigEntries_descriptor,
-        new java.lang.String[] { "HeadSequence", "Confirmed", "ConfirmedAgeMs", "Entries", "Probe", "Snapshot", });
+        new java.lang.String[] { "HeadSequence", "Confirmed", "ConfirmedAgeMs", "Entries", "Probe", "Snapshot", "Settled", "ConfirmedInThisLife", });
     internal_static_damaskyoke_peer_SnapshotChunk_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_damaskyoke_peer_SnapshotChunk_fieldAccessorTable = new
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/OutageConfirmationTest.java
@@ -0,0 +1,341 @@
+package io.damaskyoke.control.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.control.relay.OutageAction;
+import io.damaskyoke.control.relay.OutageConfirmation;
+import io.damaskyoke.control.relay.OutageInput;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.PlatformException.Code;
+import io.damaskyoke.timeline.HybridClock;
+import io.damaskyoke.timeline.Timeline;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Routers lose and find the store and each other, take tickets whose answers are lost, freeze
+ * (their messages wait), restart, come and go. Whatever is confirmed as of a moment must know all
+ * that was accepted before it; else a withdrawn key goes on working. The naive version takes an
+ * outage for "nothing changes".
+ */
+class OutageConfirmationTest {
+    private static final int STEPS = 1_500;
+
+    @Property(seed = "20261203", tries = 300)
+    void nothingAcceptedBeforeTheMomentConfirmedIsMissing(@ForAll long seed) {
+        assertEquals(List.of(), new World(seed, false).run().faults);
+    }
+
+    /** Shows that the test can fail, and that the true version confirms at all. */
+    @Test
+    void theNaiveVersionConfirmsPastAWithdrawnKey() {
+        assertTrue(
+                LongStream.range(0, 20).anyMatch(s -> !new World(s, true).run().faults.isEmpty()));
+        assertTrue(LongStream.range(0, 20).allMatch(s -> new World(s, false).run().confirmed > 0));
+    }
+
+    /**
+     * Peers must not count on a router whose write may have reached the store. The answer is lost
+     * and the store is gone, so the outcome stays unknown after the operator was told so; once the
+     * store is back and the place is known to be taken, the router's word counts again.
+     */
+    @Test
+    void aWriteOfUnknownOutcomeIsOpenUntilItsPlaceIsKnown() {
+        SameThreadControl control = new SameThreadControl();
+        FakeStore store = new FakeStore();
+        ConfigurationService service = service(control, store);
+        assertTrue(service.settled());
+        store.loseAnswerAndGoDown();
+        service.submit(SampleTickets.workspace(1, "a", 10));
+        assertFalse(service.settled());
+        control.advance(Duration.ofMinutes(1));
+        assertFalse(service.settled());
+        store.down(false);
+        service.refresh();
+        assertEquals(1, service.current().sequence());
+        assertTrue(service.settled());
+    }
+
+    /** The others couldn't ask it in an outage; once listed, it brings in what waits. */
+    @Test
+    void aRouterThatTheListDoesNotNameTakesNoTickets() {
+        SameThreadControl control = new SameThreadControl();
+        ConfigurationService service = service(control, new FakeStore());
+        service.takeTickets(false);
+        var late = service.submit(SampleTickets.workspace(1, "a", 10)).toCompletableFuture();
+        control.advance(Duration.ofSeconds(11));
+        assertTrue(late.join() instanceof TicketResult.Refused, late.toString());
+        service.submit(SampleTickets.workspace(2, "b", 10));
+        assertEquals(0, service.current().sequence());
+        service.takeTickets(true);
+        assertEquals(1, service.current().sequence());
+    }
+
+    private static ConfigurationService service(SameThreadControl control, FakeStore store) {
+        Timeline timeline = Timeline.of("r", HybridClock.over(control.clock()), 100);
+        return ConfigurationService.builder(control, store, timeline)
+                .direct(false)
+                .random(new SplittableRandom(1))
+                .build()
+                .start();
+    }
+
+    private static final class Router {
+        private final VmId vm;
+        private OutageConfirmation machine;
+        private PendingWrites pending;
+        private Incarnation life;
+        private Instant listedAt;
+        private Instant started;
+        private Optional<Instant> confirmed;
+        private long head;
+        private boolean writing;
+        private boolean reachesStore = true;
+
+        private Router(int number) {
+            vm = VmId.of("router-" + number);
+        }
+
+        private OutageInput.Word word() {
+            boolean inThisLife = confirmed.filter(at -> !at.isBefore(started)).isPresent();
+            return new OutageInput.Word(head, pending.settled(head), inThisLife);
+        }
+    }
+
+    /** Something on its way; {@code writer} only if it is a write that the store hasn't met. */
+    private record Flight(Optional<Router> writer, Runnable arrival) {}
+
+    private static final class World {
+        private final SplittableRandom random;
+        private final boolean naive;
+        private final List<Router> all = new ArrayList<>();
+        private final List<Router> listed = new ArrayList<>();
+        private final List<Instant> log = new ArrayList<>();
+        private final List<Flight> flying = new ArrayList<>();
+        private final List<String> faults = new ArrayList<>();
+        private Instant now = Instant.EPOCH;
+        private int lives;
+        private int confirmed;
+
+        private World(long seed, boolean naive) {
+            this.random = new SplittableRandom(seed);
+            this.naive = naive;
+        }
+
+        private World run() {
+            for (int i = 0; i < 2 + random.nextInt(3); i++) {
+                join();
+            }
+            for (int step = 0; step < STEPS; step++) {
+                now = now.plusMillis(random.nextInt(200));
+                act(all.get(random.nextInt(all.size())));
+            }
+            return this;
+        }
+
+        private void act(Router one) {
+            int dice = random.nextInt(1_000);
+            if (dice < 250) {
+                tick(one);
+            } else if (dice < 750) {
+                arrive();
+            } else if (dice < 850) {
+                one.machine.on(listing(), now);
+            } else if (dice < 900) {
+                readStore(one);
+            } else if (dice < 940) {
+                follow(one, all.get(random.nextInt(all.size())));
+            } else if (dice < 970) {
+                write(one);
+            } else if (dice < 985) {
+                one.reachesStore = random.nextInt(4) == 0;
+            } else if (dice < 988) {
+                restart(one);
+            } else if (dice < 990) {
+                leave(one);
+            } else if (dice < 992 && all.size() < 6) {
+                join();
+            }
+        }
+
+        private void join() {
+            Router router = new Router(++lives);
+            live(router);
+            router.listedAt = now;
+            all.add(router);
+            listed.add(router);
+        }
+
+        private void live(Router router) {
+            router.life = Incarnation.of(router.vm + ":" + ++lives);
+            router.machine = OutageConfirmation.of(router.vm);
+            router.pending = new PendingWrites();
+            router.started = now;
+            router.confirmed = Optional.empty();
+            router.head = 0;
+            router.writing = false;
+        }
+
+        /** Nobody comes, takes a ticket and goes within ten seconds: see the design note. */
+        private boolean mayGo(Router router) {
+            return now.isAfter(router.listedAt.plusSeconds(11));
+        }
+
+        private void restart(Router router) {
+            if (!mayGo(router)) {
+                return;
+            }
+            flying.removeIf(flight -> flight.writer().equals(Optional.of(router)));
+            live(router);
+        }
+
+        /** A VM goes for good. Its open writes go with it: see the limits in the design note. */
+        private void leave(Router router) {
+            if (all.size() > 2 && mayGo(router)) {
+                flying.removeIf(flight -> flight.writer().equals(Optional.of(router)));
+                all.remove(router);
+                listed.remove(router);
+            }
+        }
+
+        private OutageInput listing() {
+            return new OutageInput.Listed(
+                    listed.stream().map(router -> router.vm).collect(Collectors.toSet()), now);
+        }
+
+        private void readStore(Router router) {
+            if (router.reachesStore) {
+                router.head = log.size();
+                confirm(router, now);
+            }
+        }
+
+        /** What a relay's answer gives its follower. */
+        private void follow(Router one, Router relay) {
+            one.head = Math.max(one.head, relay.head);
+            if (one.head == relay.head) {
+                relay.confirmed.ifPresent(asOf -> confirm(one, asOf));
+            }
+        }
+
+        private void confirm(Router router, Instant asOf) {
+            if (log.stream().skip(router.head).anyMatch(accepted -> accepted.isBefore(asOf))) {
+                faults.add(router.vm + " confirmed " + router.head + " as of " + asOf);
+            }
+            if (router.confirmed.isEmpty() || router.confirmed.get().isBefore(asOf)) {
+                router.confirmed = Optional.of(asOf);
+            }
+            router.machine.on(new OutageInput.Confirmed(router.confirmed.get()), now);
+        }
+
+        private void tick(Router router) {
+            if (naive) {
+                if (!router.reachesStore && router.machine.needed(now)) {
+                    confirm(router, now);
+                }
+                return;
+            }
+            for (OutageAction action :
+                    router.machine.on(new OutageInput.Tick(router.word()), now)) {
+                if (action instanceof OutageAction.Ask ask) {
+                    fly(() -> answer(router, ask));
+                } else if (action instanceof OutageAction.Confirm it && it.head() <= router.head) {
+                    confirmed++;
+                    confirm(router, it.asOf());
+                }
+            }
+        }
+
+        private void answer(Router asker, OutageAction.Ask ask) {
+            Incarnation askerLife = asker.life;
+            all.stream()
+                    .filter(router -> router.vm.equals(ask.router()))
+                    .findFirst()
+                    .ifPresent(
+                            router -> {
+                                OutageInput.Word word = router.word();
+                                Incarnation life = router.life;
+                                fly(() -> take(asker, askerLife, router.vm, life, ask, word));
+                            });
+        }
+
+        private void take(
+                Router asker,
+                Incarnation askerLife,
+                VmId from,
+                Incarnation life,
+                OutageAction.Ask ask,
+                OutageInput.Word word) {
+            if (asker.life.equals(askerLife)) {
+                asker.head = Math.max(asker.head, word.head());
+                asker.machine.on(new OutageInput.Answered(from, life, ask.number(), word), now);
+            }
+        }
+
+        private void write(Router router) {
+            if (router.reachesStore && !router.writing) {
+                long place = router.head + 1;
+                router.writing = true;
+                router.pending.begun(place);
+                Incarnation life = router.life;
+                boolean answerLost = random.nextInt(3) == 0;
+                flying.add(
+                        new Flight(
+                                Optional.of(router),
+                                () -> {
+                                    boolean created = log.size() == place - 1;
+                                    if (created) {
+                                        log.add(now);
+                                    }
+                                    if (!answerLost) {
+                                        fly(() -> written(router, life, place, created));
+                                    }
+                                }));
+                if (answerLost) {
+                    fly(() -> unanswered(router, life));
+                }
+            }
+        }
+
+        private void written(Router router, Incarnation life, long place, boolean created) {
+            if (router.life.equals(life)) {
+                router.writing = false;
+                router.pending.answered();
+                router.head = created ? Math.max(router.head, place) : router.head;
+            }
+        }
+
+        private void unanswered(Router router, Incarnation life) {
+            if (router.life.equals(life)) {
+                router.writing = false;
+                router.pending.failed(Code.OUTCOME_UNKNOWN);
+            }
+        }
+
+        private void fly(Runnable arrival) {
+            flying.add(new Flight(Optional.empty(), arrival));
+        }
+
+        /** One of what is on its way, in any order; some is lost, but no write half-known. */
+        private void arrive() {
+            if (!flying.isEmpty()) {
+                Flight flight = flying.remove(random.nextInt(flying.size()));
+                flight.arrival().run();
+            }
+        }
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
@@ -31,6 +31,7 @@
     private boolean watchesSilent;
     private boolean watchesRefused;
     private int answersToLose;
+    private boolean downAfterLoss;
     private int calls;
 
     /** Refuses every call and ends every watch, as if nothing listened. */
@@ -62,6 +63,13 @@
         return this;
     }
 
+    /** Carries out the next write, loses its answer, and is down from then on. */
+    public synchronized FakeStore loseAnswerAndGoDown() {
+        answersToLose = 1;
+        downAfterLoss = true;
+        return this;
+    }
+
     /** Has watches tell nothing, without ending them. */
     public synchronized FakeStore silenceWatches(boolean value) {
         watchesSilent = value;
@@ -196,6 +204,7 @@
         T value = effect.get();
         if (write && answersToLose > 0) {
             answersToLose--;
+            down = downAfterLoss;
             return failed(Code.OUTCOME_UNKNOWN);
         }
         return CompletableFuture.completedFuture(value);
