Wait in the outage test until both routers confirmed after reading the list

Cause: anOutageLongerThanTheLimitStopsNobody failed in two runs of four with configuration_unconfirmed. Read from the code: the store was taken down before the routers had confirmed again after their first reading of the list of VMs, and nobody can say who came and went before that. Not shown by a trace. Change: the test waits for a confirmation of each router first; the note names the window. The assertions are the same.

--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/OutageFleetTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/OutageFleetTest.java
@@ -7,6 +7,7 @@
 import io.damaskyoke.standins.Fault;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -17,6 +18,9 @@
     private static final Pattern CONFIRMATIONS =
             Pattern.compile("outage_confirmations\\S* ([0-9]+)");
 
+    private static final Pattern AGE =
+            Pattern.compile("(?m)^\\S*configuration_confirmed_age_ms\\S* ([-0-9.E]+)");
+
     // Each comes three seconds after the one before, so that four take longer than the limit.
     private static final int LONGER_THAN_THE_LIMIT = 4;
 
@@ -38,6 +42,9 @@
      */
     @Test
     void anOutageLongerThanTheLimitStopsNobody() {
+        // Who came and went before a router first read the list is settled by a later confirmation.
+        awaitNewConfirmation("router-1");
+        awaitNewConfirmation("router-2");
         fleet.kv().setFault(Fault.of(Fault.Mode.DOWN));
         for (int router = 0; router < 2; router++) {
             int which = router;
@@ -65,6 +72,23 @@
         assertTrue(refused.body().contains("\"not_run\":true"), refused.body());
     }
 
+    private void awaitNewConfirmation(String router) {
+        AtomicLong last = new AtomicLong();
+        await().atMost(LIMIT)
+                .until(
+                        () -> {
+                            long age = confirmedAge(router);
+                            return age < last.getAndSet(age);
+                        });
+    }
+
+    private long confirmedAge(String router) {
+        String metrics = fleet.operator(router, "/operator/v1/metrics").body();
+        Matcher found = AGE.matcher(metrics);
+        assertTrue(found.find(), metrics);
+        return (long) Double.parseDouble(found.group(1));
+    }
+
     private void assertServed(int router) {
         HttpResponse<String> answer = look(router);
         assertEquals(200, answer.statusCode(), answer.body());
