Say "not run" of a keyed request only once its claim is known to be given back

And the door's own refusals (overloaded, rate, withdrawn key) said not_run of a key that nobody had looked for. Ruled out: asking the agent again (it truly did not run it); barring take-overs (repeats would wait). Change: state RELEASING; the reply waits for the release's compare-and-swap, for a second and the deadline at most, and says not_run only if it is confirmed. Refusals at the door say not_run false for claimable requests. The test of the release asserts the two steps, as strict as before, and two new ones say what a taken-over claim and a slow store lead to.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/claims/KeyedOutcomes.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/claims/KeyedOutcomes.java
@@ -30,7 +30,7 @@
 
     /** True if the request's outcome is to be remembered. */
     public static boolean keyed(Request request) {
-        return !request.idempotent() && request.idempotencyKey().isPresent();
+        return request.claimable();
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestInput.java
@@ -40,4 +40,10 @@
 
     /** The key that came with it was withdrawn. */
     record KeyWithdrawn() implements RequestInput {}
+
+    /**
+     * The claim that was to be given back is gone, if {@code confirmed}; else somebody else has it,
+     * or nobody knows yet.
+     */
+    record Released(boolean confirmed) implements RequestInput {}
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/routing/RequestMachine.java
@@ -6,7 +6,6 @@
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -39,6 +38,7 @@
     private boolean claimHeld;
     private boolean mayHaveRun;
     private Refusal lastRefusal;
+    private Refusal pending;
 
     /** Picks an agent that was not tried yet. */
     @FunctionalInterface
@@ -153,6 +153,16 @@
                 return request.giveUp(input);
             }
         },
+        /** It is to be refused as not run, once its claim is known to be given back. */
+        RELEASING {
+            @Override
+            List<RequestAction> step(RequestMachine request, RequestInput input, Instant now) {
+                if (input instanceof RequestInput.Released released) {
+                    return request.released(released.confirmed());
+                }
+                return request.givesUpWaiting(input) ? request.released(false) : List.of();
+            }
+        },
         /** The one answer was given or begun; whatever comes now is late. */
         ANSWERED {
             @Override
@@ -295,8 +305,7 @@
     }
 
     // A claimed request goes on when its caller has left: its answer is recorded, and the caller
-    // who
-    // comes back with the key gets it. Cancelled, its outcome would stay unknown for ever.
+    // who comes back with the key gets it. Cancelled, its outcome would stay unknown for ever.
     private List<RequestAction> cancelAndReply(RefusalCode code, String message) {
         boolean sent = state == State.SENT;
         boolean finishes = claimHeld && code != RefusalCode.KEY_WITHDRAWN;
@@ -313,12 +322,37 @@
     // decides what the caller is told.
     private List<RequestAction> reply(Refusal refusal) {
         boolean notRun = refusal.notRun() && !mayHaveRun && !earlierTryPossible(refusal);
+        if (notRun && claimHeld) {
+            return releaseFirst(refusal);
+        }
+        List<RequestAction> release = mayHaveRun ? List.of() : release();
+        return Stream.concat(release.stream(), finalReply(refusal, notRun).stream()).toList();
+    }
+
+    // While the agent's "not run" was on its way here, a repeat at another router may have taken
+    // the claim over and run. Told "not run", this caller would pay again under another key. The
+    // claim's removal is a compare-and-swap, so if it is confirmed no repeat has taken it.
+    private List<RequestAction> releaseFirst(Refusal refusal) {
+        pending = refusal;
+        state = State.RELEASING;
+        return release();
+    }
+
+    private List<RequestAction> released(boolean confirmed) {
+        return finalReply(pending, confirmed);
+    }
+
+    private boolean givesUpWaiting(RequestInput input) {
+        return input instanceof RequestInput.DeadlinePassed
+                || input instanceof RequestInput.KeyWithdrawn
+                || input instanceof RequestInput.CallerGone;
+    }
+
+    private List<RequestAction> finalReply(Refusal refusal, boolean notRun) {
         state = State.ANSWERED;
         Refusal honest =
                 new Refusal(refusal.code(), refusal.message(), notRun, refusal.retryAfter());
-        List<RequestAction> actions = new ArrayList<>(mayHaveRun ? List.of() : release());
-        actions.add(new RequestAction.Reply(honest));
-        return actions;
+        return List.of(new RequestAction.Reply(honest));
     }
 
     // As long as the key is not claimed here, nobody here knows whether it came before, at another
--- a/damaskyoke/src/main/java/io/damaskyoke/exchange/Request.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/exchange/Request.java
@@ -38,6 +38,11 @@
         Optional<IdempotencyKey> idempotencyKey,
         boolean idempotent,
         long tokens) {
+    /** True for a non-idempotent request with a key, which is claimed before it is sent. */
+    public boolean claimable() {
+        return !idempotent && idempotencyKey.isPresent();
+    }
+
     /** Copies the headers, so that the request cannot change on its way. */
     public Request {
         headers = List.copyOf(headers);
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Claims.java
@@ -137,16 +137,21 @@
         return store.pending();
     }
 
-    /** Takes a claim back whose request surely did not run and will not; tried for minutes. */
-    void release(HeldClaim held) {
+    /**
+     * Takes a claim back whose request surely did not run and will not; tried for minutes. Gives
+     * true once it is known to be gone, false if somebody else has it or the store can't be
+     * reached.
+     */
+    CompletionStage<Boolean> release(HeldClaim held) {
         metrics.count("claims_released");
-        store.write(
-                held.key(),
-                Optional.of(held.revision()),
-                Optional.empty(),
-                held.lease(),
-                now().plus(KEEP_TRYING),
-                false);
+        return store.write(
+                        held.key(),
+                        Optional.of(held.revision()),
+                        Optional.empty(),
+                        held.lease(),
+                        now().plus(KEEP_TRYING),
+                        false)
+                .thenApply(result -> result instanceof Result.Written);
     }
 
     /** The answer's body, which is written down once it has passed whole. */
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -156,7 +156,7 @@
         Instant now = control.clock().instant();
         Optional<Refusal> refusal = atTheDoor(request);
         if (refusal.isPresent()) {
-            refuse(refusal.get(), answer);
+            refuse(request, refusal.get(), answer);
             return;
         }
         waiting++;
@@ -166,14 +166,21 @@
                 verdict -> {
                     waiting--;
                     verdict.ifPresentOrElse(
-                            refused -> refuse(refused, answer),
+                            refused -> refuse(request, refused, answer),
                             () -> admitted(request, cancel, answer));
                 });
     }
 
-    private void refuse(Refusal refusal, CompletableFuture<Answer> answer) {
+    // A payment may come again after it ran at another router. Refused here before anybody looked
+    // for its key, it has not run this time; told "not run", its caller would pay a second time
+    // under another key.
+    private void refuse(Request request, Refusal refusal, CompletableFuture<Answer> answer) {
         metrics.count("router_refused", "code", refusal.code().wireName());
-        answer.complete(new Answer.Refused(refusal));
+        boolean notRun = refusal.notRun() && !request.claimable();
+        answer.complete(
+                new Answer.Refused(
+                        new Refusal(
+                                refusal.code(), refusal.message(), notRun, refusal.retryAfter())));
     }
 
     private void admitted(Request request, CancelSignal cancel, CompletableFuture<Answer> answer) {
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestFlow.java
@@ -24,6 +24,8 @@
  * decides. Runs on the control thread only.
  */
 final class RequestFlow {
+    private static final Duration RELEASE_LIMIT = Duration.ofSeconds(1);
+
     private final RequestDispatcher dispatcher;
     private final Request request;
     private final CompletableFuture<Answer> answer;
@@ -44,16 +46,12 @@
         this.request = request;
         this.answer = answer;
         this.machine =
-                keyed(request)
+                request.claimable()
                         ? RequestMachine.keyed(choice, dispatcher.retries)
                         : RequestMachine.of(request.idempotent(), choice, dispatcher.retries);
         this.deadline = dispatcher.control.after(timeLeft(), this::deadlinePassed);
     }
 
-    private static boolean keyed(Request request) {
-        return !request.idempotent() && request.idempotencyKey().isPresent();
-    }
-
     Request request() {
         return request;
     }
@@ -107,7 +105,7 @@
         } else if (action instanceof RequestAction.LookUp) {
             lookUp();
         } else if (action instanceof RequestAction.Release) {
-            dispatcher.claims.release(claim);
+            release();
         } else if (action instanceof RequestAction.Replay) {
             replay();
         } else if (action instanceof RequestAction.Suspend suspend) {
@@ -132,6 +130,14 @@
                 .thenAccept(result -> claimed(vm, result));
     }
 
+    private void release() {
+        dispatcher
+                .claims
+                .release(claim)
+                .thenAccept(confirmed -> feed(new RequestInput.Released(confirmed)));
+        dispatcher.control.after(RELEASE_LIMIT, () -> feed(new RequestInput.Released(false)));
+    }
+
     private void lookUp() {
         dispatcher.claims.lookUp(request, dispatcher::connect).thenAccept(this::claimRefused);
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/routing/RequestMachineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/routing/RequestMachineTest.java
@@ -106,17 +106,37 @@
                 request.on(new RequestInput.Claimed(TWO), NOW));
     }
 
-    // The caller is told "not run" and may pay another way. The claim goes with it, or a repeat of
-    // the key would be told for a day that its outcome is unknown.
+    // The caller is told "not run" and may pay another way. The claim is given back first, or a
+    // repeat of the key would be told for a day that its outcome is unknown.
     @Test
     void aClaimedPaymentThatSurelyDidNotRunGivesItsClaimBack() {
         RequestMachine request = claimed();
-        Refusal no = Refusal.notRun(RefusalCode.KEY_WITHDRAWN, "withdrawn");
-        List<RequestAction> actions = request.on(new RequestInput.Refused(ONE, no), NOW);
-        assertEquals(new RequestAction.Release(), actions.get(0));
+        assertEquals(List.of(new RequestAction.Release()), refusedByTheAgent(request));
+        List<RequestAction> actions = request.on(new RequestInput.Released(true), NOW);
         assertEquals(true, refusalIn(actions).notRun());
     }
 
+    // The caller is not told "not run". The agent's refusal was on its way when a repeat at another
+    // router asked the agent, took the claim over and ran; the claim can't be given back any more.
+    @Test
+    void aPaymentWhoseClaimWasTakenOverIsNotCalledNotRun() {
+        RequestMachine request = claimed();
+        refusedByTheAgent(request);
+        List<RequestAction> actions = request.on(new RequestInput.Released(false), NOW);
+        assertEquals(false, refusalIn(actions).notRun());
+    }
+
+    // The caller gets its answer by its deadline. The store is out, so nobody can say whether the
+    // claim is given back, and "not run" is not said.
+    @Test
+    void aReleaseThatTakesTooLongDoesNotHoldTheAnswerBack() {
+        RequestMachine request = claimed();
+        refusedByTheAgent(request);
+        List<RequestAction> actions = request.on(new RequestInput.DeadlinePassed(), NOW);
+        assertEquals(false, refusalIn(actions).notRun());
+        assertEquals(List.of(), request.on(new RequestInput.Released(true), NOW));
+    }
+
     // The store is out, so nobody knows whether the key came before and ran at another router. "Not
     // run" would be true of this try only, and the caller would pay again under another key.
     @Test
@@ -205,6 +225,11 @@
         return request;
     }
 
+    private static List<RequestAction> refusedByTheAgent(RequestMachine request) {
+        Refusal no = Refusal.notRun(RefusalCode.KEY_WITHDRAWN, "withdrawn");
+        return request.on(new RequestInput.Refused(ONE, no), NOW);
+    }
+
     private static Refusal refusalIn(List<RequestAction> actions) {
         RequestAction last = actions.get(actions.size() - 1);
         return assertInstanceOf(RequestAction.Reply.class, last).refusal();
--- a/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/ClaimWorld.java
@@ -35,6 +35,7 @@
     private static final int KEYS = 4;
     private static final int TRIES = 40;
     private static final Duration DEADLINE = Duration.ofSeconds(8);
+    private static final Duration RELEASE_LIMIT = Duration.ofSeconds(1);
 
     final List<String> broken = new ArrayList<>();
     final Map<String, Integer> executions = new TreeMap<>();
@@ -260,7 +261,7 @@
             } else if (action instanceof RequestAction.LookUp) {
                 router.lookUp(request, agents).thenAccept(this::claimRefused);
             } else if (action instanceof RequestAction.Release) {
-                router.claims().release(claim);
+                release();
             } else if (action instanceof RequestAction.Send send) {
                 soon(() -> agents.get(send.vm()).invoked(this));
             } else if (action instanceof RequestAction.Replay) {
@@ -270,6 +271,13 @@
             }
         }
 
+        private void release() {
+            router.claims()
+                    .release(claim)
+                    .thenAccept(confirmed -> feed(new RequestInput.Released(confirmed)));
+            router.life().after(RELEASE_LIMIT, () -> feed(new RequestInput.Released(false)));
+        }
+
         private void claimed(VmId vm, ClaimResult result) {
             if (result instanceof ClaimResult.Held held) {
                 claim = held.claim();
