Space the looks at the placement table by the fleet's size

Cause: every router and agent read the whole table each second; 2,780 of them read 2,780 times a second, over the store's 2,000 that serve all else too. Ruled out: a watch for each agent (a waiting watch counts as a call); waits as long as a small budget would ask for, as an agent must find the mark on a suspected right before it may be taken after 15 s. Change: each write of a shard sets a version key in the same transaction; a process looks at that key and reads the table only if it is new. A router with callers that wait for a right looks ever less often while the table stays as it is. Run: PollingFeedTest, TransitionTest, Placement*Test, FleetFailureTest and FleetCommandTest green on a busy machine; the rest of the tests not run. PlacementWorld reads the table itself, not through the feed, so the longer waits are not part of the property test. Conclusion: within the store's reads at the design size; relays for the table remain to be done.

--- a/damaskyoke/src/main/java/io/damaskyoke/agent/RightsFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/agent/RightsFollower.java
@@ -14,7 +14,6 @@
 import io.damaskyoke.node.Node;
 import io.damaskyoke.timeline.EventType;
 import io.damaskyoke.timeline.Timeline;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,8 +27,6 @@
  * release once the engine surely holds nothing of it. Control thread only.
  */
 final class RightsFollower {
-    private static final Duration PERIOD = Duration.ofSeconds(1);
-
     private final Control control;
     private final VmId vm;
     private final PlacementStore store;
@@ -47,7 +44,7 @@
         this.control = node.control();
         this.vm = node.vm();
         this.store = new PlacementStore(node.store(), node.storePrefix());
-        this.feed = new PollingFeed(control, store, PERIOD, node.metrics());
+        this.feed = new PollingFeed(control, store, node.placementPause(), node.metrics());
         this.holder = holder;
         this.isClear = isClear;
         this.metrics = node.metrics();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementFeed.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementFeed.java
@@ -8,7 +8,7 @@
  * paused peer may show a right that has moved since.
  */
 public interface PlacementFeed {
-    /** Begins; the listener hears of each table that is newer than the one before. */
+    /** Begins; the listener hears of each table that is not older than the one before. */
     void start(Consumer<PlacementTable> listener);
 
     /** Looks for a newer one now. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementStore.java
@@ -23,8 +23,11 @@
  */
 public final class PlacementStore {
     private static final String FOLDER = "/placement/";
+    private static final String VERSION = "/placement-version";
     private static final String LEASE = "/placement-lease";
 
+    private static final byte[] NOTHING = {};
+
     private final KeyValueStore store;
     private final String prefix;
 
@@ -34,6 +37,12 @@
         this.prefix = prefix;
     }
 
+    /** A number that changes with every write of a shard; 0 before the first. */
+    public CompletionStage<Long> version() {
+        return store.read(prefix + VERSION)
+                .thenApply(entry -> entry.map(KeyValueStore.Entry::modRevision).orElse(0L));
+    }
+
     /** The whole table by one call. */
     public CompletionStage<PlacementTable> read() {
         return store.list(prefix + FOLDER).thenApply(this::table);
@@ -80,7 +89,9 @@
                 modRevision == 0
                         ? new Condition.Absent(key)
                         : new Condition.Unchanged(key, modRevision));
-        return store.commit(conditions, List.of(new Write.Put(key, value.toJson(), 0)))
+        Write shard = new Write.Put(key, value.toJson(), 0);
+        Write version = new Write.Put(prefix + VERSION, NOTHING, 0);
+        return store.commit(conditions, List.of(shard, version))
                 .thenApply(KeyValueStore.TxnResult::committed);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.control.ControlLoop;
 import io.damaskyoke.control.MonotonicClock;
 import io.damaskyoke.control.configuration.ConfigurationService;
+import io.damaskyoke.control.placement.ReadPace;
 import io.damaskyoke.control.relay.RegistrationTable.Row;
 import io.damaskyoke.control.relay.RelayMachine;
 import io.damaskyoke.control.relay.RelaySettings;
@@ -29,11 +30,13 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -60,6 +63,7 @@
     private final Control control;
     private final KeyValueStore store;
     private final VmList vmList;
+    private int listed;
     private final String storePrefix;
     private final ConfigurationService configuration;
     private final AgentRegistrations agents;
@@ -97,6 +101,7 @@
                 RelayMachine.of(vm(), zone(), RelaySettings.standard(), new SplittableRandom());
         this.listPeriod = platform.vmListPeriod();
         this.listReader = new VmListReader(control, vmList, this::listPause, metrics);
+        listReader.onRead(vms -> listed = vms.size());
     }
 
     /** Starts the parts; the configuration begins to come in. */
@@ -113,6 +118,12 @@
         return VmId.of(process.vm());
     }
 
+    /** How long to wait between two looks at the placement table; control thread only. */
+    public Supplier<Duration> placementPause() {
+        ReadPace pace = new ReadPace(new Random(incarnation.hashCode()));
+        return () -> pace.next(listed);
+    }
+
     /** The availability zone of this process. */
     public AvailabilityZone zone() {
         return AvailabilityZone.of(process.availabilityZone());
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Placement.java
@@ -63,6 +63,8 @@
     private PlacementTable table = PlacementTable.UNREAD;
     private PeerNetwork network;
     private final Set<VmId> everListed = new HashSet<>();
+    private Duration askGap = QUICK;
+    private Instant nextAsk = Instant.MIN;
     private boolean planning;
 
     Placement(
@@ -75,7 +77,7 @@
         this.fleet = fleet;
         this.configuration = node.configuration()::current;
         this.store = new PlacementStore(node.store(), node.storePrefix());
-        this.feed = new PollingFeed(control, store, PERIOD, node.metrics());
+        this.feed = new PollingFeed(control, store, node.placementPause(), node.metrics());
         this.lease = new PlacementLease(node, store, leaseTerm);
         this.vmList = node.vmList();
         this.heard = heard;
@@ -99,6 +101,8 @@
 
     /** Plans at once, as there may be new models. */
     void configurationChanged() {
+        askGap = QUICK;
+        nextAsk = Instant.MIN;
         plan();
     }
 
@@ -118,12 +122,24 @@
         }
     }
 
+    // A model that fits nowhere and is asked for all the time would have each router read ten times
+    // a second for nothing. So the gap grows while the table stays as it is.
+    private static Duration longer(Duration gap) {
+        Duration twice = gap.multipliedBy(2);
+        return twice.compareTo(PATIENCE) < 0 ? twice : PATIENCE;
+    }
+
     private void serveWaiters() {
         if (waiters.isEmpty()) {
             return;
         }
-        feed.refresh();
-        serve(control.clock().instant());
+        Instant now = control.clock().instant();
+        if (!now.isBefore(nextAsk)) {
+            nextAsk = now.plus(askGap);
+            askGap = longer(askGap);
+            feed.refresh();
+        }
+        serve(now);
     }
 
     private void serve(Instant now) {
@@ -136,6 +152,9 @@
     }
 
     private void take(PlacementTable newer) {
+        if (!newer.shards().equals(table.shards())) {
+            askGap = QUICK;
+        }
         table = newer;
         fleet.placed(newer.holders());
         newer.shards().forEach(this::clearSuspicions);
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/PollingFeedTest.java
@@ -0,0 +1,114 @@
+package io.damaskyoke.control.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.id.ModelName;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.FakeStore;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+
+class PollingFeedTest {
+    private static final int SECONDS = 60;
+
+    private final SameThreadControl control = new SameThreadControl();
+    private final FakeStore fake = new FakeStore();
+    private final PlacementStore store = new PlacementStore(fake, "t");
+    private final List<PlacementTable> told = new ArrayList<>();
+
+    @Test
+    void aSmallFleetLooksOnceASecond() {
+        int reads = readsASecond(20);
+        assertTrue(reads >= 15 && reads <= 22, reads + " reads a second");
+    }
+
+    @Test
+    void aFleetOfTheDesignSizeThatLooksEachSecondTakesMoreThanTheStoreGives() {
+        assertTrue(readsASecond(2_780, seed -> () -> ReadPace.SHORTEST) > 2_000);
+    }
+
+    @Test
+    void aFleetOfTheDesignSizeStaysWithinTheBudget() {
+        // 380 routers and 2,400 agents that look each second read 2,780 times a second, and the
+        // store refuses the reads that requests and configuration need. So the wait grows.
+        int reads = readsASecond(2_780);
+        assertTrue(reads > 0 && reads <= ReadPace.BUDGET, reads + " reads a second");
+    }
+
+    @Test
+    void aMarkIsFoundThreeTimesBeforeTheRightMayBeTakenHoweverLargeTheFleet() {
+        // An agent that looks too seldom doesn't find that it is suspected; its right is taken and
+        // the model is loaded elsewhere, while it still holds it.
+        ReadPace pace = new ReadPace(new Random(1));
+        for (int i = 0; i < 1_000; i++) {
+            assertTrue(pace.next(1_000_000).multipliedBy(3).toMillis() < 15_000);
+        }
+    }
+
+    @Test
+    void aWrittenShardIsSeenAndAnUnchangedTableIsNotReadAgain() {
+        feed(pause(20, 1));
+        grant();
+        control.advance(Duration.ofSeconds(2));
+        assertEquals(1, last().all().count());
+        int before = fake.calls();
+        int looks = told.size();
+        control.advance(Duration.ofSeconds(10));
+        assertEquals(told.size() - looks, fake.calls() - before);
+    }
+
+    @Test
+    void aFailedLookKeepsTheTableAndTheNextOneReadsIt() {
+        feed(pause(20, 1));
+        fake.down(true);
+        control.advance(Duration.ofSeconds(3));
+        fake.down(false);
+        grant();
+        control.advance(Duration.ofSeconds(2));
+        assertEquals(1, last().all().count());
+    }
+
+    private int readsASecond(int processes) {
+        return readsASecond(processes, seed -> pause(processes, seed));
+    }
+
+    private int readsASecond(int processes, LongFunction<Supplier<Duration>> pause) {
+        for (int i = 0; i < processes; i++) {
+            feed(pause.apply(i));
+        }
+        int before = fake.calls();
+        control.advance(Duration.ofSeconds(SECONDS));
+        int reads = (fake.calls() - before) / SECONDS;
+        System.out.println(processes + " processes: " + reads + " reads a second");
+        return reads;
+    }
+
+    private static Supplier<Duration> pause(int processes, long seed) {
+        ReadPace pace = new ReadPace(new Random(seed));
+        return () -> pace.next(processes);
+    }
+
+    private void feed(Supplier<Duration> pause) {
+        new PollingFeed(control, store, pause, new Metrics()).start(told::add);
+    }
+
+    private void grant() {
+        PlacementTable.Stored read = new PlacementTable.Stored(Shard.EMPTY, 0);
+        Right right = Right.granted(ModelName.of("cut"), VmId.of("one"), 1);
+        Planner.Proposal proposal =
+                new Planner.Proposal(0, read.shard(), new Shard(1, List.of(right)), 0);
+        store.plan(proposal, TransitionTest.configuration(1));
+    }
+
+    private PlacementTable last() {
+        return told.get(told.size() - 1);
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/control/placement/TransitionTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/TransitionTest.java
@@ -86,7 +86,7 @@
         return Transition.ofPlanner(read, proposed, model -> 1);
     }
 
-    private static Configuration configuration(long sequence) {
+    static Configuration configuration(long sequence) {
         Model cut = new Model(CUT, "v1", PoolName.of("p"), Optional.empty(), 1, 1, Set.of());
         return new Configuration(
                 sequence, Map.of(), Map.of(), Map.of(CUT, cut), Map.of(), Map.of());
