--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/RateSessionTest.java
@@ -0,0 +1,132 @@
+package io.damaskyoke.control.rates;
+
+import io.damaskyoke.control.configuration.Workspace;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class RateSessionTest {
+    private static final WorkspaceId KITCHENS = WorkspaceId.of("kitchens");
+    private static final VmId ONE = VmId.of("router-1");
+    private static final VmId TWO = VmId.of("router-2");
+    private static final Incarnation SELF = Incarnation.of("router-1:1");
+    private static final Incarnation OTHER = Incarnation.of("router-2:1");
+
+    private final RateMachine router =
+            RateMachine.of(SELF, ONE, "127.0.0.1:1", RateSettings.usual());
+    private final StringBuilder lines = new StringBuilder();
+    private ShareTable stored;
+    private long revision;
+    private RateAction.Ask asked;
+    private long now;
+
+    @Test
+    void aWholeSession() {
+        say("The first router founds the table and may spend the whole burst");
+        Workspace workspace = new Workspace(KITCHENS, 100, 500, 1);
+        feed("configured", new RateInput.Configured(Map.of(KITCHENS, workspace)));
+        feed("listed", new RateInput.Listed(Set.of(ONE, TWO)));
+        tick(50);
+        read();
+        read();
+        arrive(1, 400);
+        say("Another one joins; this one lowers its part before it writes that");
+        change(stored.join(OTHER, TWO, "127.0.0.1:2"));
+        read();
+        tick(2_000);
+        read();
+        say("The other asks; it gets what is to spare, and tells when that is spent");
+        feed("asked for 50", new RateInput.Asked(TWO, KITCHENS, 50, "router-2:1.1", List.of()));
+        feed(
+                "told that it is spent",
+                new RateInput.Asked(TWO, KITCHENS, 0, "", List.of("router-2:1.1/router-1")));
+        say("A request beyond what is here is held until the other has lent; a copy is ignored");
+        arrive(2, 300);
+        lent("lent 200", 200);
+        lent("the same once more", 200);
+        say("Nothing is lent for the next one: refused with the time to come back");
+        after(100);
+        arrive(3, 400);
+        lent("lent nothing", 0);
+        say("Larger than the burst: never");
+        arrive(4, 501);
+        say("A freeze of ten seconds: nothing is spent before the store is read");
+        after(10_000);
+        arrive(5, 10);
+        tick(0);
+        read();
+        say("The store is out: shares stay good");
+        tick(2_000);
+        feed("not read", new RateInput.NotRead());
+        arrive(6, 10);
+        say("It stops and gives its share back");
+        feed("leave", new RateInput.Leave());
+        tick(2_000);
+        read();
+        lines.append("left: ").append(router.left()).append('\n');
+        Approvals.verify(lines);
+    }
+
+    private void arrive(long number, long tokens) {
+        feed(
+                "arrives " + number + ", " + tokens + " tokens",
+                new RateInput.Arrived(new ExchangeId(SELF, number), KITCHENS, tokens));
+    }
+
+    private void lent(String what, long tokens) {
+        String loan = asked == null ? "none" : asked.ask() + "/router-2";
+        feed(what, new RateInput.Lent(TWO, KITCHENS, tokens, loan));
+    }
+
+    private void read() {
+        Map<WorkspaceId, RateInput.Row> rows =
+                stored == null ? Map.of() : Map.of(KITCHENS, new RateInput.Row(stored, revision));
+        feed("read", new RateInput.Read(rows, Instant.ofEpochMilli(now)));
+    }
+
+    private void change(ShareTable table) {
+        stored = table;
+        revision++;
+    }
+
+    private void tick(long millis) {
+        after(millis);
+        feed("tick", new RateInput.Tick());
+    }
+
+    private void after(long millis) {
+        now += millis;
+    }
+
+    private void say(String what) {
+        lines.append("\n# ").append(what).append('\n');
+    }
+
+    private void feed(String what, RateInput input) {
+        lines.append(now).append(" ms ").append(what).append('\n');
+        for (RateAction action : router.on(input, Instant.ofEpochMilli(now))) {
+            lines.append("    ").append(text(action)).append('\n');
+            if (action instanceof RateAction.Write write && write.revision() == revision) {
+                change(write.table());
+            } else if (action instanceof RateAction.Ask ask && ask.tokens() > 0) {
+                asked = ask;
+            }
+        }
+    }
+
+    private static String text(RateAction action) {
+        if (action instanceof RateAction.Write write) {
+            String json = new String(write.table().toJson(), StandardCharsets.UTF_8);
+            return "write over " + write.revision() + ": " + json;
+        }
+        return action.toString();
+    }
+}
