--- a/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -105,7 +105,7 @@
         this.outage = OutageConfirmation.of(vm());
         this.listPeriod = platform.vmListPeriod();
         this.listReader = new VmListReader(control, vmList, this::listPause, metrics);
-        listReader.onRead(vms -> listed = vms.size());
+        listReader.onRead((vms, askedAt) -> listed = vms.size());
     }
 
     /** Starts the parts; the configuration begins to come in. */
