--- a/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/replicas/ReplicaHolder.java
@@ -36,10 +36,8 @@
     private final Victims victims;
     private final TreeMap<ModelName, Want> wants = new TreeMap<>();
     private final Failures failures;
-    private final TreeMap<ModelName, Long> owed = new TreeMap<>();
+    private final HeldRights rights = new HeldRights();
     private Map<ModelName, Model> models = Map.of();
-    private Rights rights = Rights.of(Map.of());
-    private long lastFencing;
 
     /** A holder that knows nothing yet. */
     public ReplicaHolder(ReplicaSettings settings) {
@@ -58,7 +56,7 @@
         unloadUnwanted(actions, now);
         unloadIdle(actions, now);
         serveWants(actions, now);
-        releaseOwed(actions);
+        actions.addAll(rights.released(table));
         return actions;
     }
 
@@ -118,7 +116,7 @@
         } else if (input instanceof ReplicaInput.Configured configured) {
             configure(configured.models());
         } else if (input instanceof ReplicaInput.RightsChanged changed) {
-            change(changed.rights());
+            rights.change(changed.rights(), table);
         }
     }
 
@@ -179,21 +177,6 @@
         table.configured(models);
     }
 
-    private void change(Rights newRights) {
-        owed.putAll(rights.granted());
-        for (Replica replica : table.all()) {
-            owed.putIfAbsent(replica.name, rights.fencing(replica.name).orElse(lastFencing));
-        }
-        rights = newRights;
-        owed.keySet().removeIf(rights::hold);
-        newRights.everything().ifPresent(this::noteFencing);
-        newRights.granted().values().forEach(this::noteFencing);
-    }
-
-    private void noteFencing(long fencing) {
-        lastFencing = Math.max(lastFencing, fencing);
-    }
-
     private void unloadUnwanted(List<ReplicaAction> actions, Instant now) {
         for (Replica replica : List.copyOf(table.all())) {
             if (replica.phase == Phase.LOADED && !isUsable(replica)) {
@@ -221,11 +204,7 @@
             return;
         }
         replica.enter(Phase.UNLOADING, now);
-        actions.add(new ReplicaAction.Unload(replica.name, fencing(replica.name)));
-    }
-
-    private long fencing(ModelName model) {
-        return rights.fencing(model).orElse(owed.getOrDefault(model, lastFencing));
+        actions.add(new ReplicaAction.Unload(replica.name, rights.fencing(replica.name)));
     }
 
     /** True if requests may go to it: loaded, in force, with a right, and so is its base. */
@@ -397,7 +376,7 @@
 
     private void order(Model model, Pass pass) {
         table.reserve(model, pass.now);
-        pass.actions.add(new ReplicaAction.Load(model, fencing(model.name())));
+        pass.actions.add(new ReplicaAction.Load(model, rights.fencing(model.name())));
     }
 
     private void makeRoom(Want want, Model model, long bytes, long shortfall, Pass pass) {
@@ -425,14 +404,6 @@
         return needed;
     }
 
-    private void releaseOwed(List<ReplicaAction> actions) {
-        for (ModelName model : List.copyOf(owed.keySet())) {
-            if (table.complete() && table.get(model) == null) {
-                actions.add(new ReplicaAction.Release(model, owed.remove(model)));
-            }
-        }
-    }
-
     private record Refused(RefusalCode code, Optional<Duration> retryAfter) {}
 
     /** What one walk over the waiting models, nearest deadline first, has given away so far. */
