Leave untouched shares of a young workspace to the routers that have not joined

Cause, by the pure machine: the router that writes a workspace's first shares took the whole rate and burst. When it died or froze before it had dealt any out, the others had a part of 0 and nobody to borrow from, and refused the workspace within its rate until the share was taken back a minute later. Ruled out: loans lost on the way (there was no lender), late configuration (the row was read). Change: the founder takes an even part among the routers on the list; the rest stays untouched in the table, and a router that joins gets its part with that part's burst, since nobody can have spent it. Shares still add up to the whole at most. A restart gets its part without a burst. YoungWorkspaceTest: red on the version before (refused), green now.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/bench/ControlBenchmark.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/bench/ControlBenchmark.java
@@ -131,9 +131,10 @@
     }
 
     private void buildRates(int routers) {
-        ShareTable table = ShareTable.founded(router(0), VmId.of("router-0"), "10.0.0.1:7400");
+        ShareTable table =
+                ShareTable.founded(router(0), VmId.of("router-0"), "10.0.0.1:7400", routers);
         for (int i = 1; i < routers; i++) {
-            table = table.join(router(i), VmId.of("router-" + i), "10.0.0.1:7400");
+            table = table.join(router(i), VmId.of("router-" + i), "10.0.0.1:7400", routers);
         }
         int part = ShareTable.WHOLE / routers;
         table = table.set(router(0), part, part);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Bucket.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Bucket.java
@@ -37,11 +37,6 @@
         tokens = Math.min(tokens, cap);
     }
 
-    /** Fills it to its cap; right only where nobody can have spent before. */
-    void fill() {
-        tokens = cap;
-    }
-
     /** Gives tokens back, up to the cap; a negative amount is debt, paid before new admissions. */
     void giveBack(double amount) {
         tokens = Math.min(cap, tokens + amount);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -262,7 +262,7 @@
 
     private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
         boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0;
-        boolean noneToAsk = lenders(account).isEmpty();
+        boolean noneToAsk = lenders(account).isEmpty() && !keeper.awaitsOthers(account);
         boolean hopeless = usable(account, now) && (noneToAsk || nothingCame);
         while (!account.held.isEmpty()) {
             Account.Held first = account.held.peek();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -72,17 +72,24 @@
         if (account.lowering != null && account.lowering.revision() != row.revision()) {
             account.lowering = null;
         }
-        boolean ours = row.table().founder().equals(self);
-        if (ours && filled.add(account.workspace.id())) {
-            account.advance(part(account), now);
-            account.bucket.fill();
-        }
+        row.table().share(self).ifPresent(share -> fill(account, share, now));
         row.table().shares().values().stream()
                 .map(ShareTable.Share::mark)
                 .filter(mark -> !mark.isEmpty())
                 .forEach(mark -> marks.putIfAbsent(mark, now));
     }
 
+    // Nobody has ever had this part of the share, so nobody can have spent its burst. Without it,
+    // the
+    // workspace of a new ticket would be refused within its rate until its buckets have filled.
+    private void fill(Account account, ShareTable.Share own, Instant now) {
+        if (filled.add(account.workspace.id())) {
+            account.advance(part(account), now);
+            double fresh = own.fresh() / (double) ShareTable.WHOLE;
+            account.bucket.giveBack(fresh * account.workspace.burst());
+        }
+    }
+
     /**
      * Writes what should change, within this router's part of the store's calls. It goes on where
      * it stopped: from the front each time, the last workspaces' shares would hardly ever move.
@@ -124,7 +131,7 @@
             return null;
         }
         if (account.row == null) {
-            return leaving ? null : ShareTable.founded(self, vm, address);
+            return leaving ? null : ShareTable.founded(self, vm, address, right.routers());
         }
         ShareTable table = account.row.table();
         if (leaving) {
@@ -132,7 +139,7 @@
             return may ? table.remove(self) : null;
         }
         if (table.share(self).isEmpty()) {
-            return table.join(self, vm, address);
+            return table.join(self, vm, address, right.routers());
         }
         ShareTable.Share own = table.share(self).get();
         int want = want(account, table.shares().size(), now);
@@ -165,7 +172,7 @@
     private ShareTable moved(Account account, ShareTable table, ShareTable.Share own, int want) {
         int target = Math.max(table.target(self, want), lentPart(account));
         boolean give = target < own.part() && othersWant(table);
-        ShareTable dealt = table.dealt(self, give ? target : own.part(), want);
+        ShareTable dealt = table.dealt(self, give ? target : own.part(), want, reserve(table));
         boolean wantChanged = Math.abs(want - own.want()) > STEP;
         int moved = 0;
         for (Map.Entry<Incarnation, ShareTable.Share> entry : dealt.shares().entrySet()) {
@@ -174,6 +181,20 @@
         return wantChanged || moved > LEAST_MOVE ? dealt : null;
     }
 
+    // A router that founds a table and takes the whole takes it along when it dies: the others,
+    // which had nothing yet, then refuse the workspace within its rate until the share is taken
+    // back. So what is untouched waits for those on the list that have not joined.
+    private int reserve(ShareTable table) {
+        return table.shares().size() < right.routers() ? table.untouched() : 0;
+    }
+
+    /**
+     * True while routers on the list have still to take their untouched part, and can lend then.
+     */
+    boolean awaitsOthers(Account account) {
+        return account.row != null && reserve(account.row.table()) > 0;
+    }
+
     private boolean othersWant(ShareTable table) {
         return table.shares().entrySet().stream()
                 .anyMatch(
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -20,9 +20,10 @@
  * #WHOLE}. Parts are of the whole and not tokens, so a ticket that changes the rate rescales all.
  *
  * @param founder who wrote the first table, when nobody could have spent yet
+ * @param untouched what nobody has ever had, of {@link #WHOLE}; no more than is free
  * @param shares by incarnation
  */
-public record ShareTable(Incarnation founder, Map<Incarnation, Share> shares) {
+public record ShareTable(Incarnation founder, int untouched, Map<Incarnation, Share> shares) {
     /** All of a workspace's rate and burst, in parts. */
     public static final int WHOLE = 1_000_000;
 
@@ -35,10 +36,15 @@
      * @param part how much it has, of {@link #WHOLE}
      * @param want how much it would use
      * @param mark empty, or who wants to take it back from a router that seems gone
+     * @param fresh how much of it came with its whole burst, as nobody had ever had it
      */
-    public record Share(VmId vm, String address, int part, int want, String mark) {
+    public record Share(VmId vm, String address, int part, int want, String mark, int fresh) {
         Share with(int newPart, int newWant) {
-            return new Share(vm, address, newPart, newWant, "");
+            return new Share(vm, address, newPart, newWant, "", fresh);
+        }
+
+        Share marked(String by) {
+            return new Share(vm, address, part, want, by, fresh);
         }
     }
 
@@ -55,11 +61,16 @@
         if (sum > WHOLE) {
             throw new IllegalArgumentException("the parts exceed the whole: " + sum);
         }
+        untouched = (int) Math.max(0, Math.min(untouched, WHOLE - sum));
     }
 
-    /** The first table of a workspace: its writer has all. */
-    public static ShareTable founded(Incarnation who, VmId vm, String address) {
-        return new ShareTable(who, Map.of(who, new Share(vm, address, WHOLE, 0, "")));
+    /**
+     * The first table of a workspace among this many routers: its writer has an even part with the
+     * whole burst of that, and the others find theirs untouched.
+     */
+    public static ShareTable founded(Incarnation who, VmId vm, String address, int routers) {
+        ShareTable nobody = new ShareTable(who, WHOLE, Map.of());
+        return nobody.join(who, vm, address, routers);
     }
 
     /** What nobody has. */
@@ -78,16 +89,18 @@
     }
 
     /**
-     * Adds a new incarnation, which takes the place of earlier ones on its VM: that it runs shows
-     * that they are gone. It takes no more than is then free.
+     * Adds a new incarnation among this many routers. It takes the place of earlier ones on its VM:
+     * that it runs shows that they are gone. It takes no more than is then free.
      */
-    public ShareTable join(Incarnation who, VmId vm, String address) {
+    public ShareTable join(Incarnation who, VmId vm, String address, int routers) {
         Map<Incarnation, Share> next = new TreeMap<>(shares);
         next.values().removeIf(share -> share.vm().equals(vm));
-        ShareTable without = new ShareTable(founder, next);
-        int fair = WHOLE / (next.size() + 1);
-        next.put(who, new Share(vm, address, Math.min(fair, without.free()), fair, ""));
-        return new ShareTable(founder, next);
+        ShareTable without = new ShareTable(founder, untouched, next);
+        int fair = WHOLE / Math.max(next.size() + 1, routers);
+        int part = Math.min(fair, without.free());
+        int fresh = Math.min(part, untouched);
+        next.put(who, new Share(vm, address, part, fair, "", fresh));
+        return new ShareTable(founder, untouched - fresh, next);
     }
 
     /** Sets its own part and want; a rise takes at most what is free. Shows that it is alive. */
@@ -96,18 +109,19 @@
         int most = old.part() + free();
         Map<Incarnation, Share> next = new TreeMap<>(shares);
         next.put(who, old.with(Math.min(part, most), want));
-        return new ShareTable(founder, next);
+        return new ShareTable(founder, untouched, next);
     }
 
     /**
      * Sets its own want, lowers its own part to its target, and deals out that and what is free to
-     * those furthest below theirs. Only the writer's own part can fall, which it has seen to.
+     * those furthest below theirs, but for the reserve. Only the writer's own part can fall, which
+     * it has seen to.
      */
-    public ShareTable dealt(Incarnation who, int part, int want) {
+    public ShareTable dealt(Incarnation who, int part, int want, int reserve) {
         Map<Incarnation, Share> next = new TreeMap<>(shares);
         next.put(who, shares.get(who).with(part, want));
-        ShareTable dealt = new ShareTable(founder, next);
-        int free = dealt.free();
+        ShareTable dealt = new ShareTable(founder, untouched, next);
+        int free = dealt.free() - reserve;
         while (free > 0) {
             Incarnation neediest = dealt.neediest();
             int lack = neediest == null ? 0 : dealt.lack(neediest);
@@ -118,7 +132,7 @@
             int more = Math.min(lack, free);
             next.put(neediest, share.with(share.part() + more, share.want()));
             free -= more;
-            dealt = new ShareTable(founder, next);
+            dealt = new ShareTable(founder, untouched, next);
         }
         return dealt;
     }
@@ -140,15 +154,15 @@
     public ShareTable mark(Incarnation gone, String by) {
         Share old = shares.get(gone);
         Map<Incarnation, Share> next = new TreeMap<>(shares);
-        next.put(gone, new Share(old.vm(), old.address(), old.part(), old.want(), by));
-        return new ShareTable(founder, next);
+        next.put(gone, old.marked(by));
+        return new ShareTable(founder, untouched, next);
     }
 
     /** Takes an incarnation out; its part becomes free. */
     public ShareTable remove(Incarnation gone) {
         Map<Incarnation, Share> next = new TreeMap<>(shares);
         next.remove(gone);
-        return new ShareTable(founder, next);
+        return new ShareTable(founder, untouched, next);
     }
 
     /**
@@ -186,8 +200,9 @@
                                             share.address(),
                                             share.part(),
                                             share.want(),
-                                            share.mark())));
-            return JSON.writeValueAsBytes(new Stored(founder.value(), lines));
+                                            share.mark(),
+                                            share.fresh())));
+            return JSON.writeValueAsBytes(new Stored(founder.value(), untouched, lines));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -205,17 +220,20 @@
                                 line.address(),
                                 line.part(),
                                 line.want(),
-                                line.mark());
+                                line.mark(),
+                                line.fresh());
                 shares.put(Incarnation.of(line.incarnation()), share);
             }
-            return new ShareTable(Incarnation.of(stored.founder()), shares);
+            return new ShareTable(Incarnation.of(stored.founder()), stored.untouched(), shares);
         } catch (IOException e) {
             throw new IllegalArgumentException("can't read a share table", e);
         }
     }
 
     private record Stored(
-            @JsonProperty("founder") String founder, @JsonProperty("shares") List<Line> shares) {}
+            @JsonProperty("founder") String founder,
+            @JsonProperty("untouched") int untouched,
+            @JsonProperty("shares") List<Line> shares) {}
 
     private record Line(
             @JsonProperty("incarnation") String incarnation,
@@ -223,5 +241,6 @@
             @JsonProperty("address") String address,
             @JsonProperty("part") int part,
             @JsonProperty("want") int want,
-            @JsonProperty("mark") String mark) {}
+            @JsonProperty("mark") String mark,
+            @JsonProperty("fresh") int fresh) {}
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -67,6 +67,11 @@
         return listed.stream().filter(vm -> !vm.equals(self)).sorted().toList();
     }
 
+    /** How many routers there are, this one with them, as far as the list says. */
+    int routers() {
+        return Math.max(1, listed.contains(self) ? listed.size() : listed.size() + 1);
+    }
+
     /** True if shares may be spent; {@code alone} if no other router has any. */
     boolean holds(boolean alone, Instant now) {
         if (read == null
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/YoungWorkspaceTest.java
@@ -0,0 +1,121 @@
+package io.damaskyoke.control.rates;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.configuration.Workspace;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+class YoungWorkspaceTest {
+    private static final WorkspaceId GROWERS = WorkspaceId.of("growers");
+    private static final long BURST = 600;
+
+    private final Map<String, RateMachine> routers = new TreeMap<>();
+    private ShareTable stored;
+    private long revision;
+    private long now;
+
+    @Test
+    void aRouterServesAYoungWorkspaceThoughItsFounderDied() {
+        // A ticket brings a workspace, one of two routers writes its first shares and dies at once.
+        // The caller repeats its payment at the other router, far below the workspace's rate, and
+        // would be refused for it for as long as the dead router's share counts.
+        start("a", "b");
+        settle("a", "b");
+        routers.remove("a");
+        assertTrue(admitted("b", 200));
+    }
+
+    @Test
+    void allRoutersTogetherHaveOneBurstOfAYoungWorkspace() {
+        // Each router finds its part untouched and starts with that part's burst. Together they may
+        // let in one burst at the first moment, and no more.
+        start("a", "b", "c", "d");
+        settle("a", "b", "c", "d");
+        int admitted = 0;
+        for (int i = 0; i < 40; i++) {
+            admitted += admitted("abcd".substring(i % 4, i % 4 + 1), 50) ? 1 : 0;
+        }
+        assertEquals(BURST / 50, admitted);
+    }
+
+    @Test
+    void aRestartedRouterFindsNothingUntouched() {
+        // A router spends its burst, dies and starts again on the same VM. Its new life gets the
+        // part back, but not the burst, which has been spent.
+        start("a", "b");
+        settle("a", "b");
+        assertTrue(admitted("b", 300));
+        routers.put("b", machine("b", "b:2"));
+        configure(routers.get("b"), Set.of(VmId.of("a"), VmId.of("b")));
+        settle("b");
+        assertEquals(0, routers.get("b").available(GROWERS));
+    }
+
+    private void start(String... names) {
+        Set<VmId> listed = new java.util.TreeSet<>();
+        for (String name : names) {
+            listed.add(VmId.of(name));
+        }
+        for (String name : names) {
+            routers.put(name, machine(name, name + ":1"));
+            configure(routers.get(name), listed);
+        }
+    }
+
+    private static RateMachine machine(String name, String life) {
+        return RateMachine.of(
+                Incarnation.of(life), VmId.of(name), "127.0.0.1:1", RateSettings.usual());
+    }
+
+    private void configure(RateMachine router, Set<VmId> listed) {
+        Workspace workspace = new Workspace(GROWERS, 1, BURST, 1);
+        router.on(new RateInput.Listed(listed), at());
+        router.on(new RateInput.Configured(Map.of(GROWERS, workspace)), at());
+    }
+
+    private void settle(String... names) {
+        for (int step = 0; step < names.length * 2; step++) {
+            for (String name : names) {
+                carryOut(routers.get(name).on(new RateInput.Tick(), at()));
+                read(routers.get(name));
+            }
+        }
+    }
+
+    private void read(RateMachine router) {
+        Map<WorkspaceId, RateInput.Row> rows =
+                stored == null ? Map.of() : Map.of(GROWERS, new RateInput.Row(stored, revision));
+        carryOut(router.on(new RateInput.Read(rows, at()), at()));
+    }
+
+    private void carryOut(List<RateAction> actions) {
+        for (RateAction action : actions) {
+            if (action instanceof RateAction.Write write && write.revision() == revision) {
+                stored = ShareTable.parse(write.table().toJson());
+                revision++;
+            }
+        }
+    }
+
+    private boolean admitted(String name, long tokens) {
+        ExchangeId id = new ExchangeId(Incarnation.of(name + ":1"), ++now);
+        List<RateAction> actions = new ArrayList<>();
+        actions.addAll(routers.get(name).on(new RateInput.Arrived(id, GROWERS, tokens), at()));
+        return actions.contains(new RateAction.Admit(id));
+    }
+
+    private Instant at() {
+        return Instant.ofEpochMilli(0);
+    }
+}
