--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/WorkspaceSpec.java
@@ -0,0 +1,18 @@
+package io.damaskyoke.control.direct;
+
+import io.damaskyoke.control.configuration.Workspace;
+import java.util.OptionalInt;
+
+/**
+ * A workspace as routers that reach upstreams themselves need it.
+ *
+ * @param rated its rate and burst in tokens; a rate of 0 means that there is no limit
+ * @param priority goes before a route's own, if it is set
+ * @param plainTokens what a request that names no tokens counts as
+ */
+public record WorkspaceSpec(Workspace rated, OptionalInt priority, long plainTokens) {
+    /** True if the workspace has a rate to keep within. */
+    public boolean limited() {
+        return rated.rate() > 0;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/AdapterPlanner.java
@@ -0,0 +1,104 @@
+package io.damaskyoke.control.loads;
+
+import io.damaskyoke.control.upstreams.ModelRef;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Brings adapters to engines that hold their model, as requests wait for them.
+ *
+ * <p>The pattern: some hundred adapters of a few busy models, eight places at an engine, each load
+ * a few milliseconds. The one used longest ago and not in use makes way.
+ */
+final class AdapterPlanner {
+    private final DemandBook demand;
+
+    AdapterPlanner(DemandBook demand) {
+        this.demand = demand;
+    }
+
+    /** One order that brings an adapter nearer. */
+    record Step(Engine engine, Verb verb, ModelRef adapter) {}
+
+    List<Step> plan(List<Engine> engines, Instant now) {
+        List<Step> steps = new ArrayList<>();
+        Set<Engine> taken = new HashSet<>();
+        for (LoadInput.Want want : demand.waiting()) {
+            if (want.model().adapted() && !isComing(engines, want.model())) {
+                Step step = step(engines, taken, want.model(), now);
+                if (step != null) {
+                    steps.add(step);
+                    taken.add(step.engine());
+                }
+            }
+        }
+        return steps;
+    }
+
+    private boolean isComing(List<Engine> engines, ModelRef adapter) {
+        for (Engine engine : engines) {
+            boolean ordered = engine.pending() != null && engine.pending().model().equals(adapter);
+            boolean usable = !engine.facts().draining() && !demand.suspect(engine.id());
+            if (ordered || engine.coming().containsKey(adapter)) {
+                return true;
+            }
+            if (usable && engine.held().has(adapter)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Step step(List<Engine> engines, Set<Engine> taken, ModelRef adapter, Instant now) {
+        Step best = null;
+        double least = Double.MAX_VALUE;
+        for (Engine engine : engines) {
+            if (taken.contains(engine)
+                    || !engine.free(now)
+                    || engine.intent() != null
+                    || !engine.has(adapter.model())
+                    || demand.suspect(engine.id())) {
+                continue;
+            }
+            boolean place = engine.adapterCount() < engine.spec().adapterSlots();
+            boolean memory = engine.freeMb() >= engine.adapterMb(adapter.model());
+            ModelRef victim = place && memory ? null : victim(engine);
+            if (!(place && memory) && victim == null) {
+                continue;
+            }
+            double cost = victim == null ? engine.adapterCount() : 100 + victimCost(victim);
+            if (cost < least) {
+                least = cost;
+                best =
+                        victim == null
+                                ? new Step(engine, Verb.LOAD, adapter)
+                                : new Step(engine, Verb.UNLOAD, victim);
+            }
+        }
+        return best;
+    }
+
+    private double victimCost(ModelRef victim) {
+        return demand.perSecond(victim);
+    }
+
+    private ModelRef victim(Engine engine) {
+        ModelRef oldest = null;
+        for (Map.Entry<String, Set<String>> entry : engine.held().adapters().entrySet()) {
+            for (String name : entry.getValue()) {
+                ModelRef each = new ModelRef(entry.getKey(), name);
+                if (demand.running(engine.id(), each) > 0) {
+                    continue;
+                }
+                if (oldest == null || engine.usedAt(each).isBefore(engine.usedAt(oldest))) {
+                    oldest = each;
+                }
+            }
+        }
+        return oldest;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -0,0 +1,159 @@
+package io.damaskyoke.control.loads;
+
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What all routers together need and see; each one's word counts until it is old. */
+final class DemandBook {
+    /** A router says something at least four times a second; silent for this long, it is gone. */
+    private static final Duration VALID = Duration.ofSeconds(2);
+
+    private final Map<VmId, Entry> byRouter = new HashMap<>();
+    private final Map<ModelRef, LoadInput.Want> wants = new HashMap<>();
+    private final Map<String, Double> perSecond = new HashMap<>();
+    private final Map<String, Integer> waiting = new HashMap<>();
+
+    private record Entry(LoadInput.Demanded said, Instant at) {}
+
+    void said(LoadInput.Demanded demanded, Instant now) {
+        byRouter.put(demanded.router(), new Entry(demanded, now));
+        addUp(now);
+    }
+
+    /** Forgets what is too old. */
+    void expire(Instant now) {
+        boolean changed = byRouter.values().removeIf(entry -> entry.at().plus(VALID).isBefore(now));
+        if (changed) {
+            addUp(now);
+        }
+    }
+
+    /** Models and adapters that requests wait for, the most urgent first. */
+    List<LoadInput.Want> waiting() {
+        List<LoadInput.Want> sorted = new ArrayList<>();
+        for (LoadInput.Want want : wants.values()) {
+            if (want.waiting() > 0) {
+                sorted.add(want);
+            }
+        }
+        sorted.sort(
+                Comparator.comparingInt(LoadInput.Want::urgency)
+                        .thenComparing(LoadInput.Want::oldest, Comparator.reverseOrder())
+                        .thenComparing(LoadInput.Want::model));
+        return sorted;
+    }
+
+    /** Requests that wait for the model or one of its adapters. */
+    int waitingFor(String model) {
+        return waiting.getOrDefault(model, 0);
+    }
+
+    /** How long the first request has waited for the model or one of its adapters. */
+    Duration oldest(String model) {
+        Duration oldest = Duration.ZERO;
+        for (LoadInput.Want want : wants.values()) {
+            boolean longer = want.oldest().compareTo(oldest) > 0;
+            if (want.waiting() > 0 && want.model().model().equals(model) && longer) {
+                oldest = want.oldest();
+            }
+        }
+        return oldest;
+    }
+
+    /** Arrivals a second for the model with all its adapters. */
+    double perSecond(String model) {
+        return perSecond.getOrDefault(model, 0.0);
+    }
+
+    /** Arrivals a second for just this model or adapter. */
+    double perSecond(ModelRef model) {
+        LoadInput.Want want = wants.get(model);
+        return want == null ? 0 : want.perSecond();
+    }
+
+    /** Requests for the model, with any adapter, that run at the upstream. */
+    int running(UpstreamId upstream, String model) {
+        return running(upstream).entrySet().stream()
+                .filter(entry -> entry.getKey().model().equals(model))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    /** Requests for just this model or adapter that run at the upstream. */
+    int running(UpstreamId upstream, ModelRef model) {
+        return running(upstream).getOrDefault(model, 0);
+    }
+
+    /** Requests for the model that run anywhere. */
+    int running(String model) {
+        return byRouter.values().stream()
+                .flatMap(entry -> entry.said().running().values().stream())
+                .flatMap(counts -> counts.entrySet().stream())
+                .filter(entry -> entry.getKey().model().equals(model))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    /** True if half of the routers or more find that the upstream fails. */
+    boolean suspect(UpstreamId upstream) {
+        long finding =
+                byRouter.values().stream()
+                        .filter(entry -> entry.said().suspects().contains(upstream))
+                        .count();
+        return finding > 0 && 2 * finding >= byRouter.size();
+    }
+
+    private Map<ModelRef, Integer> running(UpstreamId upstream) {
+        Map<ModelRef, Integer> sum = new HashMap<>();
+        for (Entry entry : byRouter.values()) {
+            entry.said()
+                    .running()
+                    .getOrDefault(upstream, Map.of())
+                    .forEach((model, count) -> sum.merge(model, count, Integer::sum));
+        }
+        return sum;
+    }
+
+    private void addUp(Instant now) {
+        wants.clear();
+        perSecond.clear();
+        waiting.clear();
+        for (Entry entry : byRouter.values()) {
+            Duration age = Duration.between(entry.at(), now);
+            for (LoadInput.Want want : entry.said().wants()) {
+                add(want, age);
+            }
+        }
+    }
+
+    private void add(LoadInput.Want want, Duration age) {
+        perSecond.merge(want.model().model(), want.perSecond(), Double::sum);
+        waiting.merge(want.model().model(), want.waiting(), Integer::sum);
+        LoadInput.Want aged =
+                new LoadInput.Want(
+                        want.model(),
+                        want.waiting(),
+                        want.oldest().plus(age),
+                        want.urgency(),
+                        want.perSecond());
+        wants.merge(want.model(), aged, DemandBook::both);
+    }
+
+    private static LoadInput.Want both(LoadInput.Want one, LoadInput.Want other) {
+        boolean longer = one.oldest().compareTo(other.oldest()) >= 0;
+        return new LoadInput.Want(
+                one.model(),
+                one.waiting() + other.waiting(),
+                longer ? one.oldest() : other.oldest(),
+                Math.min(one.urgency(), other.urgency()),
+                one.perSecond() + other.perSecond());
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -0,0 +1,339 @@
+package io.damaskyoke.control.loads;
+
+import io.damaskyoke.control.Machine;
+import io.damaskyoke.control.direct.EngineSpec;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Decides which upstream loads and unloads which model: {@code planner.on(input, now)}.
+ *
+ * <p>The pattern: many rarely used models, more than memory holds, each asked for every few
+ * seconds, and a few busy ones that change. The first load of a model at an upstream takes seconds
+ * from the weight store; each later one a fraction of a second from the upstream's own memory or
+ * disk. So every model is brought to one upstream as early as the weight store allows, and from
+ * then on takes turns there with others, at once when a request waits for it. Load times and sizes
+ * are those of the configuration.
+ *
+ * <p>One order at a time is under way at an upstream, each with the number of orders it must have
+ * accepted before; so an order that was delayed finds another number and is not carried out, and
+ * memory never holds more than was counted.
+ */
+public final class LoadPlanner implements Machine<LoadInput, LoadAction> {
+    /** Reports lag by about a tenth of a second; asking more often tells nothing new. */
+    private static final Duration REPORT_GAP = Duration.ofMillis(60);
+
+    /** An upstream that carries out an unknown order, perhaps for seconds, is asked this often. */
+    private static final Duration DOUBT_GAP = Duration.ofMillis(150);
+
+    /** A report that isn't answered is asked for again after this. */
+    private static final Duration REPORT_LIMIT = Duration.ofSeconds(1);
+
+    /** After a conflict, the order under way there is given this time. */
+    private static final Duration AFTER_CONFLICT = Duration.ofMillis(80);
+
+    /** An upstream that refused an order is left alone for this. */
+    private static final Duration AFTER_REFUSAL = Duration.ofMillis(500);
+
+    /** An intent whose way is barred this long is given up. */
+    private static final Duration INTENT_LIMIT = Duration.ofSeconds(3);
+
+    private final LoadSettings settings;
+    private final DemandBook demand = new DemandBook();
+    private final Map<UpstreamId, Engine> engines = new TreeMap<>();
+    private final StoreLoads storeLoads;
+    private final Placer placer;
+    private final AdapterPlanner adapters;
+    private Map<String, EngineSpec> specs = new HashMap<>();
+    private long number;
+    private boolean active;
+
+    /** A planner that knows nothing yet. */
+    public LoadPlanner(LoadSettings settings) {
+        this.settings = settings;
+        this.storeLoads = new StoreLoads(settings.ceilingWindow());
+        this.placer = new Placer(demand, storeLoads);
+        this.adapters = new AdapterPlanner(demand);
+    }
+
+    @Override
+    public List<LoadAction> on(LoadInput input, Instant now) {
+        List<LoadAction> actions = new ArrayList<>();
+        if (input instanceof LoadInput.Configured configured) {
+            specs = configured.engines();
+        } else if (input instanceof LoadInput.Listed listed) {
+            listed(listed);
+        } else if (input instanceof LoadInput.Gone gone) {
+            engines.remove(gone.upstream());
+        } else if (input instanceof LoadInput.Demanded demanded) {
+            demanded(demanded, now);
+        } else if (input instanceof LoadInput.Answered answered) {
+            answered(answered, now, actions);
+        } else if (input instanceof LoadInput.Reported reported) {
+            reported(reported, now, actions);
+        } else if (input instanceof LoadInput.NotReported notReported) {
+            find(notReported.upstream()).ifPresent(Engine::silent);
+        } else if (input instanceof LoadInput.Elected) {
+            engines.values().forEach(Engine::forget);
+            active = true;
+        } else if (input instanceof LoadInput.Resigned) {
+            active = false;
+        } else {
+            demand.expire(now);
+        }
+        if (!active) {
+            return List.of();
+        }
+        step(now, actions);
+        return actions;
+    }
+
+    private void listed(LoadInput.Listed listed) {
+        EngineSpec spec = specs.get(listed.facts().service());
+        if (spec == null) {
+            return;
+        }
+        Engine engine = engines.get(listed.facts().id());
+        if (engine == null) {
+            engines.put(listed.facts().id(), new Engine(spec, listed.facts()));
+            return;
+        }
+        engine.listed(listed.facts());
+    }
+
+    private void demanded(LoadInput.Demanded demanded, Instant now) {
+        demand.said(demanded, now);
+        demanded.running()
+                .forEach(
+                        (upstream, counts) ->
+                                find(upstream)
+                                        .ifPresent(
+                                                engine ->
+                                                        counts.keySet()
+                                                                .forEach(
+                                                                        model ->
+                                                                                engine.used(
+                                                                                        model,
+                                                                                        now))));
+    }
+
+    private void reported(LoadInput.Reported report, Instant now, List<LoadAction> actions) {
+        Engine engine = engines.get(report.upstream());
+        if (engine == null) {
+            return;
+        }
+        if (!engine.reported(report)) {
+            return;
+        }
+        if (report.busy()) {
+            // An order that we don't know of: what it brings shows in a later report only.
+            if (engine.pending() == null) {
+                engine.doubt();
+            }
+            return;
+        }
+        finishIfDone(engine, report.held(), now);
+        actions.add(new LoadAction.Tell(engine.id(), engine.held()));
+    }
+
+    // An order that was accepted is over once the upstream is no longer busy, whatever came of it.
+    private void finishIfDone(Engine engine, HeldModels seen, Instant now) {
+        Engine.Pending pending = engine.pending();
+        if (pending == null || !pending.accepted()) {
+            return;
+        }
+        boolean loading = pending.verb() == Verb.LOAD;
+        boolean shows = seen.has(pending.model()) == loading;
+        // A report from just before the load began shows neither the model nor that it is busy.
+        if (!shows && loading && now.isBefore(pending.dueAt().plus(REPORT_LIMIT))) {
+            return;
+        }
+        engine.over();
+        if (shows && loading) {
+            engine.loaded(pending.model(), now);
+        }
+    }
+
+    private void answered(LoadInput.Answered answer, Instant now, List<LoadAction> actions) {
+        Engine engine = engines.get(answer.upstream());
+        Engine.Pending pending = engine == null ? null : engine.pending();
+        if (pending == null || pending.number() != answer.number()) {
+            return;
+        }
+        switch (answer.outcome()) {
+            case ACCEPTED -> accepted(engine, now, actions);
+            case DONE -> done(engine, now, actions);
+            case CONFLICT -> {
+                engine.over();
+                engine.doubt();
+                engine.quiet(now.plus(AFTER_CONFLICT));
+            }
+            default -> {
+                engine.over();
+                engine.doubt();
+                engine.intend(null);
+                engine.quiet(now.plus(AFTER_REFUSAL));
+            }
+        }
+    }
+
+    private void accepted(Engine engine, Instant now, List<LoadAction> actions) {
+        Engine.Pending pending = engine.pending();
+        ModelRef model = pending.model();
+        if (pending.verb() == Verb.UNLOAD) {
+            engine.accepted(now);
+            engine.unloaded(model);
+            actions.add(new LoadAction.Tell(engine.id(), engine.held()));
+            return;
+        }
+        if (model.adapted()) {
+            engine.accepted(now);
+            engine.comes(model, now.plus(engine.adapterTime(model.model())));
+            engine.over();
+            return;
+        }
+        Duration time = pending.source().time(engine.spec().models().get(model.model()));
+        engine.accepted(now.plus(time));
+    }
+
+    private void done(Engine engine, Instant now, List<LoadAction> actions) {
+        Engine.Pending pending = engine.pending();
+        engine.over();
+        if (pending.verb() == Verb.UNLOAD) {
+            engine.counted(engine.held().sequence() + 1);
+            engine.unloaded(pending.model());
+        } else {
+            engine.loaded(pending.model(), now);
+        }
+        actions.add(new LoadAction.Tell(engine.id(), engine.held()));
+    }
+
+    private void step(Instant now, List<LoadAction> actions) {
+        for (Engine engine : engines.values()) {
+            arrive(engine, now, actions);
+            follow(engine, now, actions);
+        }
+        for (Map.Entry<String, EngineSpec> entry : specs.entrySet()) {
+            plan(entry.getValue(), of(entry.getKey()), now, actions);
+        }
+    }
+
+    // Adapters that were on their way are there once their time is over.
+    private static void arrive(Engine engine, Instant now, List<LoadAction> actions) {
+        List<ModelRef> here = new ArrayList<>();
+        engine.coming()
+                .forEach(
+                        (adapter, readyAt) -> {
+                            if (!now.isBefore(readyAt)) {
+                                here.add(adapter);
+                            }
+                        });
+        here.forEach(adapter -> engine.loaded(adapter, now));
+        if (!here.isEmpty()) {
+            actions.add(new LoadAction.Tell(engine.id(), engine.held()));
+        }
+    }
+
+    /** Asks for reports that are due, and takes the next step towards what is intended. */
+    private void follow(Engine engine, Instant now, List<LoadAction> actions) {
+        Engine.Pending pending = engine.pending();
+        if (!engine.known()) {
+            Duration gap = engine.answered() ? DOUBT_GAP : REPORT_LIMIT;
+            if (engine.mayAsk(now, gap)) {
+                ask(engine, now, actions);
+            }
+            return;
+        }
+        if (pending != null) {
+            boolean due = pending.accepted() && !now.isBefore(pending.dueAt());
+            if (due && engine.mayAsk(now, REPORT_GAP)) {
+                ask(engine, now, actions);
+            }
+            if (!pending.accepted() && now.isAfter(pending.sentAt().plus(settings.orderLimit()))) {
+                engine.over();
+                engine.doubt();
+                engine.intend(null);
+            }
+            return;
+        }
+        Engine.Intent intent = engine.intent();
+        if (intent == null || !engine.free(now)) {
+            return;
+        }
+        if (now.isAfter(intent.until()) || engine.has(intent.model())) {
+            engine.intend(null);
+            return;
+        }
+        advance(engine, intent.model(), now, actions);
+    }
+
+    private void advance(Engine engine, String model, Instant now, List<LoadAction> actions) {
+        Optional<Room.Plan> plan = new Room(demand, engines.values()).plan(engine, model, now);
+        if (plan.isEmpty()) {
+            return;
+        }
+        if (!plan.get().victims().isEmpty()) {
+            ModelRef victim = new ModelRef(plan.get().victims().get(0), "");
+            order(engine, Verb.UNLOAD, victim, null, now, actions);
+            return;
+        }
+        LoadSource source = engine.source(model);
+        if (source == LoadSource.STORE) {
+            storeLoads.begun(now);
+        }
+        engine.intend(null);
+        order(engine, Verb.LOAD, new ModelRef(model, ""), source, now, actions);
+    }
+
+    private void plan(EngineSpec spec, List<Engine> here, Instant now, List<LoadAction> actions) {
+        for (AdapterPlanner.Step step : adapters.plan(here, now)) {
+            order(step.engine(), step.verb(), step.adapter(), null, now, actions);
+        }
+        for (Placer.Choice choice : placer.plan(spec, here, now)) {
+            choice.engine().intend(new Engine.Intent(choice.model(), now.plus(INTENT_LIMIT)));
+            advance(choice.engine(), choice.model(), now, actions);
+        }
+    }
+
+    private void order(
+            Engine engine,
+            Verb verb,
+            ModelRef model,
+            LoadSource source,
+            Instant now,
+            List<LoadAction> actions) {
+        number++;
+        long sequence = engine.held().sequence();
+        engine.sent(new Engine.Pending(number, verb, model, source, now, false, now));
+        actions.add(new LoadAction.Order(engine.id(), number, verb, model, sequence));
+    }
+
+    private static void ask(Engine engine, Instant now, List<LoadAction> actions) {
+        engine.asked(now);
+        actions.add(new LoadAction.AskReport(engine.id()));
+    }
+
+    private Optional<Engine> find(UpstreamId id) {
+        return Optional.ofNullable(engines.get(id));
+    }
+
+    private List<Engine> of(String service) {
+        Collection<Engine> all = engines.values();
+        return all.stream().filter(each -> each.facts().service().equals(service)).toList();
+    }
+
+    /** For tests and status: what the planner takes an upstream to hold. */
+    public Optional<HeldModels> held(UpstreamId id) {
+        return find(id).map(Engine::held);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -0,0 +1,173 @@
+package io.damaskyoke.control.upstreams;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * One upstream as this router sees it: what it says of itself, what others say of it, and what this
+ * router's own requests show. Belongs to the traffic thread.
+ */
+public final class Upstream {
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** What an answer said of the load counts less and less, and nothing after this. */
+    private static final double LOAD_FADES_MILLIS = 1_000;
+
+    /** Weight of the newest answer in the usual time: about the last eight count. */
+    private static final double NEWEST = 0.12;
+
+    /** What it says of itself reaches this router a heartbeat and the list's lag later. */
+    private static final Duration OWN_WORD_LAGS = Duration.ofMillis(2_500);
+
+    private final Health health = new Health();
+    private final Map<ModelRef, Integer> running = new TreeMap<>();
+    private UpstreamFacts facts;
+    private HeldModels held;
+    private Instant toldAt = Instant.MIN;
+    private int inFlight;
+    private double othersThen;
+    private Instant loadAt = Instant.MIN;
+    private double usualMillis;
+    private boolean leaving;
+    private Instant fullUntil = Instant.MIN;
+
+    Upstream(UpstreamFacts facts) {
+        this.facts = facts;
+        this.held = facts.held();
+    }
+
+    /** What it says of itself. */
+    public UpstreamFacts facts() {
+        return facts;
+    }
+
+    /** What it holds: by the order giver's word where that is newer than its own. */
+    public HeldModels held() {
+        return held;
+    }
+
+    /** True if new requests may go there: not leaving, and not given up on. */
+    public boolean takes(Instant now) {
+        return !facts.draining() && !leaving && health.takes(now);
+    }
+
+    /** True if this router's requests fail there. */
+    public boolean suspect() {
+        return health.suspect();
+    }
+
+    /** The share of this router's requests that it failed of late. */
+    public double failing() {
+        return health.failing();
+    }
+
+    /**
+     * This router's own requests there, by what they ask for; those without a model are left out.
+     */
+    public Map<ModelRef, Integer> running() {
+        return running;
+    }
+
+    /** The usual time to the first byte of an answer, in milliseconds; 0 if none has come yet. */
+    public double usualMillis() {
+        return usualMillis;
+    }
+
+    /** Requests that are likely to be there now, this router's and the others'. */
+    public double load(Instant now) {
+        double age = loadAt.equals(Instant.MIN) ? LOAD_FADES_MILLIS : millis(loadAt, now);
+        double fresh = Math.max(0, 1 - age / LOAD_FADES_MILLIS);
+        return inFlight + othersThen * fresh;
+    }
+
+    /** True if it has turned a request away a moment ago because it was full. */
+    public boolean full(Instant now) {
+        return now.isBefore(fullUntil);
+    }
+
+    /** A request goes there now. */
+    public void sent(ModelRef model, Instant now) {
+        inFlight++;
+        health.sent(now);
+        if (model != null) {
+            running.merge(model, 1, Integer::sum);
+        }
+    }
+
+    /** A request that went there is over, however it ended. */
+    public void over(ModelRef model) {
+        inFlight--;
+        if (model != null) {
+            running.computeIfPresent(model, (any, count) -> count == 1 ? null : count - 1);
+        }
+    }
+
+    /** The first byte of an answer has come after this time. */
+    public void answered(Duration took) {
+        health.answered();
+        double millis = took.toNanos() / NANOS_PER_MILLI;
+        usualMillis = usualMillis == 0 ? millis : usualMillis + NEWEST * (millis - usualMillis);
+    }
+
+    /** It failed a request: no connection, no answer, or none that can be used. */
+    public void failed(Instant now) {
+        health.failed(now);
+    }
+
+    /** A request was called off before anything was known. */
+    public void calledOff() {
+        health.calledOff();
+    }
+
+    /** It turned a request away, as it was full, for about this time. */
+    public void turnedAway(Instant now, Duration pause) {
+        health.answered();
+        fullUntil = now.plus(pause);
+    }
+
+    /** An answer said how many requests run and wait there. */
+    public void reported(int runningThere, int waitingThere, Instant now) {
+        othersThen = Math.max(0, runningThere + waitingThere - inFlight);
+        loadAt = now;
+    }
+
+    /** An answer said that it is leaving. */
+    public void leaving() {
+        leaving = true;
+    }
+
+    /** The order giver says what it holds. */
+    public void told(HeldModels given, Instant now) {
+        held = given;
+        toldAt = now;
+    }
+
+    /** It refused a request for something that the order giver says it holds. */
+    public void contradicted() {
+        held = facts.held();
+    }
+
+    /** It says something new of itself; a new life forgets what the one before showed. */
+    boolean update(UpstreamFacts given, Instant now) {
+        if (given.revision() < facts.revision()) {
+            return false;
+        }
+        boolean reborn = given.held().startedAt() != facts.held().startedAt();
+        if (reborn) {
+            leaving = false;
+        }
+        facts = given;
+        boolean toldOfLate =
+                !toldAt.equals(Instant.MIN) && now.isBefore(toldAt.plus(OWN_WORD_LAGS));
+        if (reborn || !toldOfLate) {
+            held = given.held();
+        }
+        return true;
+    }
+
+    private static double millis(Instant from, Instant to) {
+        return Duration.between(from, to).toNanos() / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -0,0 +1,93 @@
+package io.damaskyoke.control.upstreams;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** All upstreams, by what the platform's list says. Belongs to the traffic thread. */
+public final class UpstreamTable {
+    private final Map<UpstreamId, Upstream> byId = new TreeMap<>();
+    private final Map<String, List<Upstream>> byService = new HashMap<>();
+    private final Map<UpstreamId, Long> removedAt = new HashMap<>();
+    private long revision;
+
+    /** Takes in what an upstream says; false if something newer is known. */
+    public boolean put(UpstreamFacts facts, Instant now) {
+        revision = Math.max(revision, facts.revision());
+        if (removedAt.getOrDefault(facts.id(), 0L) > facts.revision()) {
+            return false;
+        }
+        Upstream known = byId.get(facts.id());
+        if (known == null) {
+            byId.put(facts.id(), new Upstream(facts));
+            index();
+            return true;
+        }
+        String service = known.facts().service();
+        boolean taken = known.update(facts, now);
+        if (!service.equals(facts.service())) {
+            index();
+        }
+        return taken;
+    }
+
+    /** The list has it no longer, as of this revision. */
+    public boolean remove(UpstreamId id, long at) {
+        revision = Math.max(revision, at);
+        Upstream known = byId.get(id);
+        if (known == null || known.facts().revision() > at) {
+            return false;
+        }
+        removedAt.put(id, at);
+        byId.remove(id);
+        index();
+        return true;
+    }
+
+    /** A whole reading of the list: what it lacks and was older is gone. Gives what is gone. */
+    public List<UpstreamId> retain(Set<UpstreamId> listed, long at) {
+        List<UpstreamId> gone = new ArrayList<>();
+        for (UpstreamId id : new HashSet<>(byId.keySet())) {
+            if (!listed.contains(id) && remove(id, at)) {
+                gone.add(id);
+            }
+        }
+        return gone;
+    }
+
+    /** The upstreams of a service. */
+    public List<Upstream> of(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** The upstream of that name. */
+    public Optional<Upstream> find(UpstreamId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /** All of them. */
+    public Collection<Upstream> all() {
+        return byId.values();
+    }
+
+    /** The store's revision up to which the list was read. */
+    public long revision() {
+        return revision;
+    }
+
+    private void index() {
+        byService.clear();
+        for (Upstream upstream : byId.values()) {
+            byService
+                    .computeIfAbsent(upstream.facts().service(), any -> new ArrayList<>())
+                    .add(upstream);
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -0,0 +1,400 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.SuspendAwareClock;
+import io.damaskyoke.control.configuration.Workspace;
+import io.damaskyoke.control.direct.DirectConfiguration;
+import io.damaskyoke.control.direct.WorkspaceSpec;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.rates.RateSettings;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.http.HttpCall;
+import io.damaskyoke.http.HttpClient;
+import io.damaskyoke.http.HttpLimits;
+import io.damaskyoke.http.HttpServer;
+import io.damaskyoke.id.AvailabilityZone;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.metrics.Prometheus;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.Role;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.rates.RateAdmission;
+import io.damaskyoke.rates.RatePeers;
+import io.damaskyoke.settings.DirectSettings;
+import io.damaskyoke.timeline.HybridClock;
+import io.damaskyoke.timeline.Timeline;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A router that reaches upstreams itself: {@code DirectRouter.start(settings, dialect, stores)}.
+ *
+ * <p>You get it once it listens; it says that it is ready once it knows the configuration and the
+ * upstreams. {@link #stop()} ends it without cutting anything off.
+ */
+public final class DirectRouter {
+    private static final Logger LOG = LogManager.getLogger(DirectRouter.class);
+
+    /** Upstreams are a millisecond away; one that takes longer is dark or drops packets. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
+
+    private static final Duration CHECK = Duration.ofMillis(50);
+    private static final Duration REPORT = Duration.ofMillis(150);
+    private static final Duration GOSSIP = Duration.ofSeconds(1);
+    private static final Duration SWEEP = Duration.ofMillis(500);
+    private static final Duration URGENT_REPORT = Duration.ofMillis(2);
+    private static final Duration LIST_PERIOD = Duration.ofMillis(500);
+    private static final int TIMELINE_EVENTS = 500;
+
+    private final DirectSettings settings;
+    private final Dialect dialect;
+    private final VmId self;
+    private final Incarnation incarnation;
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final InstantSource clock = SuspendAwareClock.start();
+    private final Metrics metrics = new Metrics();
+    private final LoopControl control;
+    private final HttpClient client;
+    private final KeyValueStore store;
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final Membership members;
+    private final Neighbours neighbours;
+    private final OrderLease lease;
+    private final OrderGiver giver;
+    private final ConfigurationHolder configuration;
+    private final UpstreamFollower upstreamFollower;
+    private final Dispatch dispatch;
+    private final Flows flows;
+    private final RateAdmission rates;
+    private final RatePeers ratePeers;
+    private final PeerNetwork network;
+    private final HttpServer callers;
+    private boolean reportPlanned;
+    private long highestFencing;
+    private volatile boolean stopping;
+
+    private DirectRouter(DirectSettings settings, Dialect dialect, StoreFactory stores) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.self = VmId.of(settings.vm());
+        String life = UUID.randomUUID().toString().substring(0, 8);
+        this.incarnation = Incarnation.of(settings.vm() + ":" + life);
+        this.control = new LoopControl(loop, clock);
+        this.client = new HttpClient(loop, CONNECT_TIMEOUT, metrics);
+        this.store = stores.open(settings, client, control, metrics);
+        RouterEntry entry =
+                new RouterEntry(
+                        self,
+                        settings.availabilityZone(),
+                        settings.peer().host(),
+                        settings.peer().port());
+        this.members = new Membership(control, store, settings.storePrefix(), entry);
+        this.neighbours = new Neighbours(control, members);
+        this.lease = new OrderLease(control, store, members, self);
+        UpstreamCalls calls = new UpstreamCalls(client, dialect, control);
+        this.giver = new OrderGiver(control, upstreams, lease, calls, self, neighbours);
+        this.configuration = new ConfigurationHolder(dialect, this::configured);
+        this.upstreamFollower = new UpstreamFollower(control, store, dialect, upstreams);
+        this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock);
+        this.flows = flows();
+        Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
+        this.rates = rates(timeline);
+        this.ratePeers = new RatePeers(control, rates);
+        Ingress ingress =
+                new Ingress(
+                        dialect, configuration, rates, flows, incarnation, new Random(), metrics);
+        this.network = network(timeline);
+        ratePeers.over(network);
+        neighbours.start(network, new PeerHearer());
+        this.callers = serve(settings.callers().host(), settings.callers().port(), ingress);
+        serve(settings.ready().host(), settings.ready().port(), this::answerReady);
+        if (settings.metricsPort() != 0) {
+            serve(settings.peer().host(), settings.metricsPort(), this::answerMetrics);
+        }
+        control.run(this::begin);
+    }
+
+    /** Opens the platform's store over the router's own client. */
+    @FunctionalInterface
+    public interface StoreFactory {
+        /** The store; all its answers come on the router's one thread. */
+        KeyValueStore open(
+                DirectSettings settings,
+                HttpClient client,
+                io.damaskyoke.control.Control control,
+                Metrics metrics);
+    }
+
+    /**
+     * Starts a router and returns once it listens.
+     *
+     * @throws io.damaskyoke.http.HttpException if an address is taken
+     */
+    public static DirectRouter start(
+            DirectSettings settings, Dialect dialect, StoreFactory stores) {
+        DirectRouter router = new DirectRouter(settings, dialect, stores);
+        LOG.info("router {} listens on {}", router.incarnation, settings.callers());
+        return router;
+    }
+
+    /** True if callers should be sent here. */
+    public boolean ready() {
+        return !stopping && configuration.current().isPresent() && upstreamFollower.everRead();
+    }
+
+    /**
+     * Stops: says that it is not ready, serves what is open and what still comes, tells callers
+     * that their connection ends, and returns when nothing is left or the grace is nearly over.
+     */
+    public void stop() {
+        stopping = true;
+        LOG.info("stopping, {} requests open", flows.size());
+        new Shutdown(control, callers, settings.grace(), flows::size).run(this::leave);
+        network.close();
+        store.close();
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        LOG.info("stopped");
+    }
+
+    private void leave() {
+        lease.close();
+        members.leave();
+    }
+
+    private Flows flows() {
+        Flows.RetryBounds bounds =
+                new Flows.RetryBounds(
+                        settings.retryWindow(), settings.retryRatio(), settings.retryExtra());
+        return new Flows(dialect, client, dispatch, clock, bounds, members::size);
+    }
+
+    private RateAdmission rates(Timeline timeline) {
+        RateAdmission.Parts parts =
+                new RateAdmission.Parts(
+                        control, store, members, settings.storePrefix(), metrics, timeline);
+        return new RateAdmission(parts, self, incarnation, rateSettings());
+    }
+
+    // A router that is cut off for the length of a disturbance goes on spending its share, and
+    // nobody takes that back before it must have stopped: gone and takeBack are longer than
+    // isolation. A killed router's next life takes its share over at once. Holding is short, since
+    // a loan from another router takes a few milliseconds and callers want an answer in 300.
+    private static RateSettings rateSettings() {
+        return new RateSettings(
+                Duration.ofMinutes(10),
+                Duration.ofMillis(1_500),
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(35),
+                Duration.ofSeconds(2),
+                Duration.ofMillis(60),
+                Duration.ofSeconds(2));
+    }
+
+    private PeerNetwork network(Timeline timeline) {
+        return PeerNetwork.builder()
+                .settings(settings.peer())
+                .hello(
+                        self,
+                        incarnation,
+                        AvailabilityZone.of(settings.availabilityZone()),
+                        Role.ROUTER)
+                .timeline(timeline)
+                .clock(clock)
+                .metrics(metrics)
+                .threads(1)
+                .listen(ratePeers)
+                .listen(neighbours)
+                .build()
+                .start();
+    }
+
+    private HttpServer serve(String host, int port, io.damaskyoke.http.HttpHandler handler) {
+        return HttpServer.start(
+                loop, new InetSocketAddress(host, port), HttpLimits.usual(), handler);
+    }
+
+    private void begin() {
+        dispatch.onStarved(this::reportSoon);
+        members.start(this::membersChanged);
+        new Follower(control, store, dialect.configurationKey(), new ConfigurationHearer()).start();
+        upstreamFollower.start(new UpstreamHearer());
+        String address = settings.peer().host() + ':' + settings.peer().port();
+        rates.start(ratePeers, address, Map.of(), LIST_PERIOD);
+        giver.start(this::replicasChanged);
+        control.every(CHECK, this::check);
+        control.every(REPORT, this::report);
+        control.every(GOSSIP, this::gossip);
+        control.every(SWEEP, client::sweep);
+    }
+
+    private void check() {
+        dispatch.tick();
+        flows.check();
+    }
+
+    private void configured(DirectConfiguration now) {
+        callers.limits(now.limits());
+        dispatch.configured(now.engines());
+        giver.configured(now);
+        Map<WorkspaceId, Workspace> limited = new HashMap<>();
+        for (WorkspaceSpec workspace : now.workspaces().values()) {
+            if (workspace.limited()) {
+                limited.put(workspace.rated().id(), workspace.rated());
+            }
+        }
+        rates.configured(limited);
+    }
+
+    private void membersChanged() {
+        neighbours.refresh();
+        Map<UpstreamId, HeldModels> news = giver.allNews();
+        if (!news.isEmpty()) {
+            neighbours.tell(giver.fencing(), news);
+        }
+    }
+
+    private void replicasChanged() {
+        dispatch.tick();
+    }
+
+    private void reportSoon() {
+        if (!reportPlanned) {
+            reportPlanned = true;
+            control.after(
+                    URGENT_REPORT,
+                    () -> {
+                        reportPlanned = false;
+                        report();
+                    });
+        }
+    }
+
+    private void report() {
+        LoadInput.Demanded demanded = dispatch.demand(self);
+        Optional<VmId> to = members.giver();
+        if (lease.held()) {
+            giver.demanded(demanded);
+        } else if (to.isPresent() && !to.get().equals(self)) {
+            send(to, demanded);
+        }
+    }
+
+    private void gossip() {
+        send(Optional.empty(), dispatch.demand(self));
+    }
+
+    private void send(Optional<VmId> to, LoadInput.Demanded demanded) {
+        neighbours.report(to, demanded, configuration.revision(), upstreams.revision(), store.up());
+    }
+
+    private void answerReady(HttpCall call) {
+        text(call, ready() ? 200 : 503, ready() ? "ready\n" : "not ready\n");
+    }
+
+    private void answerMetrics(HttpCall call) {
+        text(call, 200, Prometheus.text(metrics.registry()));
+    }
+
+    private static void text(HttpCall call, int status, String text) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Content-Type", "text/plain; charset=utf-8");
+        call.answer(status, headers, Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Hears of the operators' configuration from the store. */
+    private final class ConfigurationHearer implements Follower.Hearer {
+        @Override
+        public void all(List<Entry> entries, long revision) {
+            entries.forEach(this::offer);
+        }
+
+        @Override
+        public void changed(List<Change> changes, long revision) {
+            changes.forEach(change -> change.entry().ifPresent(this::offer));
+        }
+
+        private void offer(Entry entry) {
+            if (entry.key().equals(dialect.configurationKey())) {
+                configuration.offer(entry.value(), entry.modRevision(), "store");
+            }
+        }
+    }
+
+    /** Hears of upstreams, after the table has them. */
+    private final class UpstreamHearer implements UpstreamFollower.Listener {
+        @Override
+        public void listed(UpstreamFacts facts) {
+            giver.listed(facts);
+            dispatch.drain(facts.service());
+        }
+
+        @Override
+        public void gone(UpstreamFacts last) {
+            giver.gone(last.id());
+            client.forget(last.endpoint());
+        }
+    }
+
+    /** Hears what other routers say. */
+    private final class PeerHearer implements Neighbours.Hearer {
+        @Override
+        public void reported(LoadInput.Demanded demanded, long theirs) {
+            giver.demanded(demanded);
+            if (theirs > configuration.revision()) {
+                neighbours.ask(demanded.router(), configuration.revision());
+            }
+        }
+
+        @Override
+        public void told(long fencing, Map<UpstreamId, HeldModels> held) {
+            if (fencing < highestFencing) {
+                return;
+            }
+            highestFencing = fencing;
+            held.forEach(
+                    (id, models) ->
+                            upstreams
+                                    .find(id)
+                                    .ifPresent(each -> each.told(models, clock.instant())));
+            replicasChanged();
+        }
+
+        @Override
+        public void asked(VmId from, long newerThan) {
+            if (configuration.revision() > newerThan) {
+                neighbours.sendConfiguration(from, configuration.revision(), configuration.value());
+            }
+        }
+
+        @Override
+        public void configuration(long revision, byte[] value) {
+            configuration.offer(value, revision, "another router");
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
@@ -0,0 +1,235 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.direct.ServiceSpec;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamChoice;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Sends requests to upstreams, at once or when one can take them, the most urgent first.
+ *
+ * <p>The pattern: most requests find room at once; those for a model that is not loaded wait beside
+ * the others without holding them up, which is why each model has a queue of its own.
+ */
+final class Dispatch {
+    /** Plain services keep a short queue at the upstream busy; a longer one is kept here. */
+    private static final double PLAIN_QUEUEING = 1.5;
+
+    /** A model upstream runs its whole batch at once and needs no queue. */
+    private static final double ENGINE_QUEUEING = 1.0;
+
+    private final UpstreamTable upstreams;
+    private final InstantSource clock;
+    private final UpstreamChoice plain;
+    private final UpstreamChoice engines;
+    private final ArrivalRates rates = new ArrivalRates();
+    private final Map<String, Map<Optional<ModelRef>, TreeSet<Place>>> queues = new HashMap<>();
+    private Set<String> engineServices = Set.of();
+    private Runnable starved = () -> {};
+    private long counter;
+
+    /** A request's place in its queue. */
+    private record Place(Waiter waiter, long number) implements Comparable<Place> {
+        private static final Comparator<Place> ORDER =
+                Comparator.comparingInt((Place place) -> place.waiter().urgency())
+                        .thenComparingLong(Place::number);
+
+        @Override
+        public int compareTo(Place other) {
+            return ORDER.compare(this, other);
+        }
+    }
+
+    Dispatch(UpstreamTable upstreams, String zone, InstantSource clock) {
+        this.upstreams = upstreams;
+        this.clock = clock;
+        this.plain = new UpstreamChoice(zone, PLAIN_QUEUEING);
+        this.engines = new UpstreamChoice(zone, ENGINE_QUEUEING);
+    }
+
+    /** {@code starved} runs when a request waits for a model that no upstream holds. */
+    void onStarved(Runnable action) {
+        starved = action;
+    }
+
+    void configured(List<ServiceSpec> engineSpecs) {
+        Set<String> names = new HashSet<>();
+        engineSpecs.forEach(spec -> names.add(spec.name()));
+        engineServices = names;
+    }
+
+    /** Notes that a caller has asked for a model. */
+    void arrived(ModelRef model) {
+        rates.arrived(model, clock.instant());
+    }
+
+    /** Sends the request now or when an upstream can take it. */
+    void enqueue(Waiter waiter) {
+        queue(waiter).add(new Place(waiter, ++counter));
+        drain(waiter.service());
+        Instant now = clock.instant();
+        boolean waits = contains(waiter);
+        if (waits && waiter.model().isPresent() && !held(waiter, now)) {
+            starved.run();
+        }
+    }
+
+    /** Forgets a request, whose caller has gone or which was answered otherwise. */
+    void forget(Waiter waiter) {
+        Map<Optional<ModelRef>, TreeSet<Place>> groups = queues.get(waiter.service());
+        TreeSet<Place> queue = groups == null ? null : groups.get(waiter.model());
+        if (queue != null) {
+            queue.removeIf(place -> place.waiter() == waiter);
+            if (queue.isEmpty()) {
+                groups.remove(waiter.model());
+            }
+        }
+    }
+
+    /** Something has changed at the service's upstreams: sends what can be sent. */
+    void drain(String service) {
+        Map<Optional<ModelRef>, TreeSet<Place>> groups = queues.get(service);
+        if (groups == null || groups.isEmpty()) {
+            return;
+        }
+        List<TreeSet<Place>> inOrder = new ArrayList<>(groups.values());
+        inOrder.removeIf(TreeSet::isEmpty);
+        inOrder.sort(Comparator.comparing(TreeSet::first));
+        for (TreeSet<Place> queue : inOrder) {
+            drain(service, queue);
+        }
+        groups.values().removeIf(TreeSet::isEmpty);
+    }
+
+    /** Sends what can be sent at all services, and refuses what has waited long enough. */
+    void tick() {
+        Instant now = clock.instant();
+        List<Waiter> late = new ArrayList<>();
+        for (String service : List.copyOf(queues.keySet())) {
+            drain(service);
+            queues.get(service)
+                    .values()
+                    .forEach(
+                            queue ->
+                                    queue.forEach(
+                                            place -> {
+                                                if (!now.isBefore(place.waiter().until())) {
+                                                    late.add(place.waiter());
+                                                }
+                                            }));
+        }
+        late.forEach(this::forget);
+        late.forEach(Waiter::waitedInVain);
+    }
+
+    /** Requests that wait for the service. */
+    int waiting(String service) {
+        return queues.getOrDefault(service, Map.of()).values().stream()
+                .mapToInt(TreeSet::size)
+                .sum();
+    }
+
+    /** What this router needs and sees, for the giver of orders. */
+    LoadInput.Demanded demand(VmId self) {
+        Instant now = clock.instant();
+        Map<ModelRef, Double> perSecond = rates.all(now);
+        Map<ModelRef, LoadInput.Want> wants = new TreeMap<>();
+        perSecond.forEach(
+                (model, rate) ->
+                        wants.put(model, new LoadInput.Want(model, 0, Duration.ZERO, 9, rate)));
+        queues.values()
+                .forEach(
+                        groups ->
+                                groups.forEach(
+                                        (model, queue) ->
+                                                model.filter(any -> !queue.isEmpty())
+                                                        .ifPresent(
+                                                                ref ->
+                                                                        wants.put(
+                                                                                ref,
+                                                                                want(
+                                                                                        ref, queue,
+                                                                                        perSecond,
+                                                                                        now)))));
+        Map<UpstreamId, Map<ModelRef, Integer>> running = new TreeMap<>();
+        Set<UpstreamId> suspects = new HashSet<>();
+        for (Upstream upstream : upstreams.all()) {
+            if (!upstream.running().isEmpty()) {
+                running.put(upstream.facts().id(), new TreeMap<>(upstream.running()));
+            }
+            if (upstream.suspect()) {
+                suspects.add(upstream.facts().id());
+            }
+        }
+        return new LoadInput.Demanded(self, List.copyOf(wants.values()), running, suspects);
+    }
+
+    private static LoadInput.Want want(
+            ModelRef model, TreeSet<Place> queue, Map<ModelRef, Double> rates, Instant now) {
+        Instant oldest = now;
+        for (Place place : queue) {
+            Instant since = place.waiter().since();
+            oldest = since.isBefore(oldest) ? since : oldest;
+        }
+        return new LoadInput.Want(
+                model,
+                queue.size(),
+                Duration.between(oldest, now),
+                queue.first().waiter().urgency(),
+                rates.getOrDefault(model, 0.0));
+    }
+
+    private void drain(String service, TreeSet<Place> queue) {
+        UpstreamChoice choice = engineServices.contains(service) ? engines : plain;
+        while (!queue.isEmpty()) {
+            Place first = queue.first();
+            Waiter waiter = first.waiter();
+            Optional<Upstream> to =
+                    choice.pick(
+                            upstreams.of(service),
+                            waiter.model().orElse(null),
+                            waiter.tried(),
+                            clock.instant());
+            if (to.isEmpty()) {
+                return;
+            }
+            queue.remove(first);
+            waiter.sendTo(to.get());
+        }
+    }
+
+    private boolean held(Waiter waiter, Instant now) {
+        return UpstreamChoice.held(
+                upstreams.of(waiter.service()), waiter.model().orElse(null), now);
+    }
+
+    private boolean contains(Waiter waiter) {
+        return queues
+                .getOrDefault(waiter.service(), Map.of())
+                .getOrDefault(waiter.model(), new TreeSet<>())
+                .stream()
+                .anyMatch(place -> place.waiter() == waiter);
+    }
+
+    private TreeSet<Place> queue(Waiter waiter) {
+        return queues.computeIfAbsent(waiter.service(), any -> new HashMap<>())
+                .computeIfAbsent(waiter.model(), any -> new TreeSet<>());
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/EventSplitter.java
@@ -0,0 +1,100 @@
+package io.damaskyoke.direct;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Cuts a stream of events into whole ones.
+ *
+ * <p>An upstream may break off in the middle of an event. If its beginning had been passed on and
+ * the stream went on elsewhere, the caller would get one piece made of two.
+ */
+final class EventSplitter {
+    private static final byte LINE_END = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+    private static final String ID = "id:";
+
+    private ByteBuf held = Unpooled.EMPTY_BUFFER;
+
+    /** An event as it came, and its id if it has one. */
+    record StreamEvent(ByteBuf bytes, Optional<String> id) {}
+
+    /** Takes in a part, which it releases, and gives the events that are whole now. */
+    List<StreamEvent> take(ByteBuf part) {
+        ByteBuf all = part;
+        if (held.isReadable()) {
+            all = Unpooled.buffer(held.readableBytes() + part.readableBytes());
+            all.writeBytes(held).writeBytes(part);
+            part.release();
+        }
+        held.release();
+        List<StreamEvent> events = new ArrayList<>();
+        int end = endOfEvent(all);
+        while (end >= 0) {
+            ByteBuf event = all.readRetainedSlice(end - all.readerIndex());
+            events.add(new StreamEvent(event, idOf(event)));
+            end = endOfEvent(all);
+        }
+        held = all.isReadable() ? all : Unpooled.EMPTY_BUFFER;
+        if (held != all) {
+            all.release();
+        }
+        return events;
+    }
+
+    /** True if an event has begun and not ended. */
+    boolean unfinished() {
+        return held.isReadable();
+    }
+
+    /** Drops what is held. */
+    void clear() {
+        held.release();
+        held = Unpooled.EMPTY_BUFFER;
+    }
+
+    // An event ends with an empty line.
+    private static int endOfEvent(ByteBuf bytes) {
+        int lineStart = bytes.readerIndex();
+        while (true) {
+            int lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_END);
+            if (lineEnd < 0) {
+                return -1;
+            }
+            int length = lineEnd - lineStart;
+            boolean empty =
+                    length == 0 || length == 1 && bytes.getByte(lineStart) == CARRIAGE_RETURN;
+            if (empty && lineStart > bytes.readerIndex()) {
+                return lineEnd + 1;
+            }
+            lineStart = lineEnd + 1;
+        }
+    }
+
+    private static Optional<String> idOf(ByteBuf event) {
+        int lineStart = event.readerIndex();
+        while (lineStart < event.writerIndex()) {
+            int lineEnd = event.indexOf(lineStart, event.writerIndex(), LINE_END);
+            int length = (lineEnd < 0 ? event.writerIndex() : lineEnd) - lineStart;
+            if (length > ID.length() && startsWithId(event, lineStart)) {
+                String line = event.toString(lineStart, length, StandardCharsets.UTF_8);
+                return Optional.of(line.substring(ID.length()).strip());
+            }
+            if (lineEnd < 0) {
+                break;
+            }
+            lineStart = lineEnd + 1;
+        }
+        return Optional.empty();
+    }
+
+    private static boolean startsWithId(ByteBuf event, int at) {
+        return event.getByte(at) == 'i'
+                && event.getByte(at + 1) == 'd'
+                && event.getByte(at + 2) == ':';
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -0,0 +1,415 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.direct.Route;
+import io.damaskyoke.control.direct.RouteKind;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.http.HttpCall;
+import io.damaskyoke.id.WorkspaceId;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One admitted request from its waiting to its answer: sent to an upstream, sent once more where
+ * that is allowed, answered once.
+ */
+final class Flow implements Waiter {
+    /** The part of a caller's patience that may go by before its request is sent. */
+    private static final double PATIENCE_PART = 0.8;
+
+    /** The part of a caller's whole time that may go by before its request is sent. */
+    private static final double TIME_PART = 0.6;
+
+    /**
+     * Callers of plain services have little time; a repeatable request that got no answer by this
+     * part of it has the rest for a second try.
+     */
+    private static final double SILENT_PART = 0.45;
+
+    /** A stream's events come some ten milliseconds apart; this long without one is no pause. */
+    private static final Duration SILENT_STREAM = Duration.ofMillis(1_500);
+
+    /** An upstream that was full is left alone for this. */
+    private static final Duration FULL_PAUSE = Duration.ofMillis(30);
+
+    /** An upstream that lacks the model is asked again after this, when it may have been loaded. */
+    private static final Duration CONTRADICTED_PAUSE = Duration.ofMillis(120);
+
+    private static final Duration COME_BACK = Duration.ofMillis(700);
+    private static final Duration COME_BACK_COLD = Duration.ofMillis(1_500);
+
+    private final Flows flows;
+    private final HttpCall call;
+    private final CallerRequest request;
+    private final Route route;
+    private final String service;
+    private final Admitted admitted;
+    private final Instant began;
+    private final Instant end;
+    private final Instant until;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private final Map<UpstreamId, Instant> contradicted = new HashMap<>();
+    private Attempt attempt;
+    private Optional<String> lastEvent;
+    private boolean started;
+    private boolean over;
+    private int sends;
+    private int runs;
+    private String why = "";
+
+    /**
+     * How a request was let in.
+     *
+     * @param urgency 0 goes first
+     * @param began when its first byte came
+     * @param giveBack gives back what it was charged, if it turns out not to run
+     */
+    record Admitted(
+            Optional<WorkspaceId> workspace, int urgency, Instant began, Runnable giveBack) {}
+
+    Flow(
+            Flows flows,
+            HttpCall call,
+            CallerRequest request,
+            Route route,
+            String service,
+            Admitted admitted) {
+        this.flows = flows;
+        this.call = call;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.admitted = admitted;
+        this.began = admitted.began();
+        this.lastEvent = request.lastEvent();
+        Duration time = request.deadline().orElse(route.timeout());
+        Duration shorter = time.compareTo(route.timeout()) < 0 ? time : route.timeout();
+        this.end = began.plus(shorter);
+        this.until = began.plus(longestWait(shorter));
+    }
+
+    private Duration longestWait(Duration time) {
+        Duration byTime = part(time, TIME_PART);
+        if (route.kind() != RouteKind.STREAMING) {
+            return byTime;
+        }
+        Duration byPatience = part(route.patience(), PATIENCE_PART);
+        return byPatience.compareTo(byTime) < 0 ? byPatience : byTime;
+    }
+
+    private static Duration part(Duration time, double part) {
+        return Duration.ofNanos((long) (time.toNanos() * part));
+    }
+
+    /** Begins: it waits for an upstream, perhaps no time at all. */
+    void start() {
+        call.onGone(this::callerGone);
+        call.onWritable(this::callerReads);
+        flows.dispatch().enqueue(this);
+    }
+
+    @Override
+    public String service() {
+        return service;
+    }
+
+    @Override
+    public Optional<ModelRef> model() {
+        return request.model();
+    }
+
+    @Override
+    public int urgency() {
+        return admitted.urgency();
+    }
+
+    @Override
+    public Instant since() {
+        return began;
+    }
+
+    @Override
+    public Instant until() {
+        return until;
+    }
+
+    @Override
+    public Set<UpstreamId> tried() {
+        if (contradicted.isEmpty()) {
+            return tried;
+        }
+        Instant now = flows.now();
+        Set<UpstreamId> all = new HashSet<>(tried);
+        contradicted.forEach(
+                (id, pausedUntil) -> {
+                    if (now.isBefore(pausedUntil)) {
+                        all.add(id);
+                    }
+                });
+        return all;
+    }
+
+    HttpCall call() {
+        return call;
+    }
+
+    Route route() {
+        return route;
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    Optional<String> lastEvent() {
+        return lastEvent;
+    }
+
+    /** What is left of the caller's time and the route's. */
+    Duration left(Instant now) {
+        return Duration.between(now, end);
+    }
+
+    Forwarding forwarding(UpstreamId to, Instant now) {
+        return new Forwarding(to, left(now), admitted.workspace(), urgency(), lastEvent);
+    }
+
+    @Override
+    public void sendTo(Upstream upstream) {
+        if (over) {
+            return;
+        }
+        sends++;
+        runs++;
+        attempt = new Attempt(this, flows, upstream);
+        attempt.start();
+    }
+
+    @Override
+    public void waitedInVain() {
+        Duration wait = request.model().isPresent() ? COME_BACK_COLD : COME_BACK;
+        if (started) {
+            breakOff("no upstream for the rest of the stream");
+        } else if (runs > 0) {
+            refuse(Refusal.mayHaveRun(RefusalCode.UPSTREAM_FAILED, "no upstream is left to try"));
+        } else {
+            refuse(
+                    Refusal.notRun(RefusalCode.NO_UPSTREAM, "no upstream could take it in time")
+                            .retryAfter(wait));
+        }
+    }
+
+    /** Looks at the time; called a few times a second. */
+    void check(Instant now) {
+        if (!now.isBefore(end)) {
+            timeUp();
+        } else if (attempt != null && attempt.silent(now, longestSilence())) {
+            attempt.upstream().failed(now);
+            attempt.cancel();
+            attemptFailed("no answer", true);
+        }
+    }
+
+    private Duration longestSilence() {
+        if (route.kind() == RouteKind.STREAMING && route.repeatable()) {
+            return SILENT_STREAM.plus(started ? Duration.ZERO : route.objective());
+        }
+        if (route.repeatable() && flows.retryLeft(service) && sends < route.attempts()) {
+            return part(Duration.between(began, end), SILENT_PART);
+        }
+        return Duration.between(began, end);
+    }
+
+    private void timeUp() {
+        why = "time is up";
+        if (attempt == null && !started && runs == 0) {
+            flows.dispatch().forget(this);
+            refuse(
+                    Refusal.notRun(RefusalCode.DEADLINE_UNREACHABLE, "no upstream in time")
+                            .retryAfter(COME_BACK));
+            return;
+        }
+        flows.dispatch().forget(this);
+        cancelAttempt();
+        if (started) {
+            breakOff("the time is up in the middle of the answer");
+        } else {
+            refuse(Refusal.mayHaveRun(RefusalCode.DEADLINE_EXCEEDED, "no answer in time"));
+        }
+    }
+
+    /** The upstream vouches that it has not run it: another one may, within the retry budget. */
+    void turnedAway(UpstreamAnswer answer) {
+        runs--;
+        Upstream upstream = attempt.upstream();
+        attempt = null;
+        if (answer.misdirected()) {
+            upstream.contradicted();
+            contradicted.put(upstream.facts().id(), flows.now().plus(CONTRADICTED_PAUSE));
+        } else {
+            upstream.turnedAway(flows.now(), FULL_PAUSE);
+        }
+        why = "turned away with " + answer.status();
+        again(true);
+    }
+
+    /** There is no connection, so nothing was sent; trying elsewhere costs nobody anything. */
+    void notConnected() {
+        runs--;
+        sends--;
+        attempt = null;
+        why = "no connection";
+        flows.dispatch().enqueue(this);
+    }
+
+    /** It was sent and failed, so it may have run. */
+    void attemptFailed(String reason, boolean mayTryElsewhere) {
+        why = reason;
+        if (attempt != null) {
+            tried.add(attempt.upstream().facts().id());
+        }
+        attempt = null;
+        if (mayTryElsewhere && route.repeatable() && runs < Math.max(1, route.attempts())) {
+            again(false);
+        } else if (started) {
+            breakOff(reason);
+        } else {
+            refuse(Refusal.mayHaveRun(RefusalCode.UPSTREAM_FAILED, reason));
+        }
+    }
+
+    /** True if a failed answer may be thrown away for a second try. */
+    boolean mayRunAgain() {
+        return route.repeatable() && runs < route.attempts() && flows.retryLeft(service);
+    }
+
+    private void again(boolean notRun) {
+        if (flows.takeRetry(service)) {
+            flows.dispatch().enqueue(this);
+        } else if (started) {
+            breakOff("the retry budget is used up");
+        } else if (notRun && runs == 0) {
+            refuse(
+                    Refusal.notRun(RefusalCode.OVERLOADED, "the upstreams are full")
+                            .retryAfter(COME_BACK));
+        } else {
+            refuse(Refusal.mayHaveRun(RefusalCode.UPSTREAM_FAILED, why));
+        }
+    }
+
+    /** Passes a whole answer on. */
+    void answer(int status, HttpHeaders headers, ByteBuf body) {
+        attempt = null;
+        call.answer(status, headers, body);
+        finish("answered " + status);
+    }
+
+    /** Begins to pass a stream on; a stream that goes on elsewhere has begun already. */
+    void startStream(int status, HttpHeaders headers) {
+        if (!started) {
+            started = true;
+            call.start(status, headers);
+        }
+    }
+
+    boolean started() {
+        return started;
+    }
+
+    void event(ByteBuf bytes, Optional<String> id) {
+        if (id.isPresent()) {
+            lastEvent = id;
+        }
+        call.part(bytes);
+        if (attempt != null && !call.writable()) {
+            attempt.reading(false);
+        }
+    }
+
+    void streamEnded() {
+        attempt = null;
+        call.end();
+        finish("streamed");
+    }
+
+    private void callerReads() {
+        if (attempt != null) {
+            attempt.reading(true);
+        }
+    }
+
+    private void callerGone() {
+        flows.dispatch().forget(this);
+        cancelAttempt();
+        if (runs == 0) {
+            admitted.giveBack().run();
+        }
+        finish("caller gone");
+    }
+
+    private void cancelAttempt() {
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        }
+    }
+
+    private void refuse(Refusal refusal) {
+        if (refusal.notRun()) {
+            admitted.giveBack().run();
+        }
+        HttpHeaders headers = flows.dialect().ownAnswer(request.attempt());
+        Refusals.send(call, headers, refusal);
+        finish("refused " + Refusals.status(refusal) + " " + refusal.message());
+    }
+
+    private void breakOff(String reason) {
+        why = reason;
+        call.abort();
+        finish("broken off");
+    }
+
+    private void finish(String outcome) {
+        if (!over) {
+            over = true;
+            flows.ended(this, outcome);
+        }
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    /** What the decisions went by, for the log. */
+    String describe(Instant now) {
+        StringBuilder text = new StringBuilder(160);
+        text.append("request=").append(request.attempt());
+        text.append(" route=").append(route.name());
+        request.model().ifPresent(model -> text.append(" model=").append(model));
+        admitted.workspace().ifPresent(id -> text.append(" workspace=").append(id));
+        text.append(" sends=").append(sends);
+        text.append(" runs=").append(runs);
+        text.append(" tried=").append(tried);
+        text.append(" ms=").append(Duration.between(began, now).toMillis());
+        if (!why.isEmpty()) {
+            text.append(" why=\"").append(why).append('"');
+        }
+        return text.toString();
+    }
+
+    /** A copy of the body for one try; the caller's own stays for another. */
+    ByteBuf body() {
+        return call.body().isReadable() ? call.body().retainedDuplicate() : Unpooled.EMPTY_BUFFER;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -0,0 +1,115 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.routing.SharedRetryBudget;
+import io.damaskyoke.http.HttpClient;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntSupplier;
+
+/** The requests under way, and what they share. Belongs to the traffic thread. */
+final class Flows {
+    private final Dialect dialect;
+    private final HttpClient client;
+    private final Dispatch dispatch;
+    private final InstantSource clock;
+    private final RetryBounds bounds;
+    private final IntSupplier routers;
+    private final DecisionLog log;
+    private final Set<Flow> open = new LinkedHashSet<>();
+    private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
+
+    /**
+     * What all routers together may send a second time to a service.
+     *
+     * @param window over which it is counted
+     * @param ratio part of the requests
+     * @param extra beyond that part
+     */
+    record RetryBounds(Duration window, double ratio, double extra) {}
+
+    Flows(
+            Dialect dialect,
+            HttpClient client,
+            Dispatch dispatch,
+            InstantSource clock,
+            RetryBounds bounds,
+            IntSupplier routers) {
+        this.dialect = dialect;
+        this.client = client;
+        this.dispatch = dispatch;
+        this.clock = clock;
+        this.bounds = bounds;
+        this.routers = routers;
+        this.log = new DecisionLog(clock);
+    }
+
+    Dialect dialect() {
+        return dialect;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    Dispatch dispatch() {
+        return dispatch;
+    }
+
+    Instant now() {
+        return clock.instant();
+    }
+
+    void begin(Flow flow) {
+        open.add(flow);
+        budget(flow.service()).requested(now());
+        flow.start();
+    }
+
+    /** An upstream of the service has room, or is known to have none. */
+    void roomAt(String service) {
+        dispatch.drain(service);
+    }
+
+    boolean takeRetry(String service) {
+        return budget(service).take(routers.getAsInt(), now());
+    }
+
+    boolean retryLeft(String service) {
+        return budget(service).left(routers.getAsInt(), now());
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    void ended(Flow flow, String outcome) {
+        open.remove(flow);
+        log.ended(flow, outcome);
+    }
+
+    /** Looks at the time of every request; called a few times a second. */
+    void check() {
+        Instant now = now();
+        for (Flow flow : new ArrayList<>(open)) {
+            if (!flow.over()) {
+                flow.check(now);
+            }
+        }
+    }
+
+    int size() {
+        return open.size();
+    }
+
+    private SharedRetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                any -> new SharedRetryBudget(bounds.window(), bounds.ratio(), bounds.extra()));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -0,0 +1,181 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.direct.DirectConfiguration;
+import io.damaskyoke.control.direct.Route;
+import io.damaskyoke.control.direct.WorkspaceSpec;
+import io.damaskyoke.exchange.Refusal;
+import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.http.HttpCall;
+import io.damaskyoke.http.HttpHandler;
+import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.rates.RateAdmission;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.random.RandomGenerator;
+
+/**
+ * Lets callers' requests in: the route, the key, the rate, in this order. What is refused here has
+ * not run, and is told so.
+ */
+final class Ingress implements HttpHandler {
+    private static final int LEAST_URGENT = 9;
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+
+    private final Dialect dialect;
+    private final ConfigurationHolder configuration;
+    private final RateAdmission rates;
+    private final Flows flows;
+    private final Incarnation self;
+    private final InstantSource clock;
+    private final RandomGenerator random;
+    private final Metrics metrics;
+    private long counter;
+
+    Ingress(
+            Dialect dialect,
+            ConfigurationHolder configuration,
+            RateAdmission rates,
+            Flows flows,
+            Incarnation self,
+            RandomGenerator random,
+            Metrics metrics) {
+        this.dialect = dialect;
+        this.configuration = configuration;
+        this.rates = rates;
+        this.flows = flows;
+        this.self = self;
+        this.clock = flows::now;
+        this.random = random;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handle(HttpCall call) {
+        metrics.count("direct_requests");
+        CallerRequest request = dialect.request(call.headers());
+        Optional<DirectConfiguration> current = configuration.current();
+        if (current.isEmpty()) {
+            refuse(
+                    call,
+                    request,
+                    Refusal.notRun(
+                                    RefusalCode.CONFIGURATION_UNCONFIRMED,
+                                    "this router has no configuration yet")
+                            .retryAfter(COME_BACK),
+                    "");
+            return;
+        }
+        Optional<Route> route = configuration.routes().find(request.host(), call.target());
+        if (route.isEmpty()) {
+            refuse(
+                    call,
+                    request,
+                    Refusal.notRun(RefusalCode.UNKNOWN_SERVICE, "no such route"),
+                    request.host() + call.target());
+            return;
+        }
+        Optional<WorkspaceSpec> workspace = request.key().flatMap(current.get()::workspaceOf);
+        boolean open = route.get().anonymous() || current.get().workspaces().isEmpty();
+        if (!open && workspace.isEmpty()) {
+            RefusalCode code =
+                    request.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
+            refuse(
+                    call,
+                    request,
+                    Refusal.notRun(code, "the caller key is missing or unknown"),
+                    "route=" + route.get().name());
+            return;
+        }
+        admit(call, request, route.get(), open ? Optional.empty() : workspace);
+    }
+
+    private void admit(
+            HttpCall call, CallerRequest request, Route route, Optional<WorkspaceSpec> workspace) {
+        Instant now = clock.instant();
+        Duration read = Duration.ofNanos(System.nanoTime() - call.arrivedNanos());
+        Instant began = now.minus(read);
+        if (workspace.isEmpty() || !workspace.get().limited()) {
+            begin(call, request, route, workspace, began, 0);
+            return;
+        }
+        long tokens = request.tokens().orElse(workspace.get().plainTokens());
+        ExchangeId id = new ExchangeId(self, ++counter);
+        rates.admit(
+                id,
+                workspace.get().rated().id(),
+                tokens,
+                refusal -> {
+                    if (refusal.isPresent()) {
+                        refuse(
+                                call,
+                                request,
+                                refusal.get(),
+                                inputs(route, workspace.get(), tokens));
+                    } else {
+                        begin(call, request, route, workspace, began, tokens);
+                    }
+                });
+    }
+
+    private void begin(
+            HttpCall call,
+            CallerRequest request,
+            Route route,
+            Optional<WorkspaceSpec> workspace,
+            Instant began,
+            long charged) {
+        Runnable giveBack =
+                () ->
+                        workspace
+                                .filter(any -> charged > 0)
+                                .ifPresent(each -> rates.settle(each.rated().id(), charged, 0));
+        if (call.over()) {
+            giveBack.run();
+            return;
+        }
+        request.model().ifPresent(flows.dispatch()::arrived);
+        Flow.Admitted admitted =
+                new Flow.Admitted(
+                        workspace.map(each -> each.rated().id()),
+                        urgency(route, workspace),
+                        began,
+                        giveBack);
+        String service = route.service(random.nextDouble());
+        flows.begin(new Flow(flows, call, request, route, service, admitted));
+    }
+
+    private static int urgency(Route route, Optional<WorkspaceSpec> workspace) {
+        OptionalInt own = workspace.map(WorkspaceSpec::priority).orElse(OptionalInt.empty());
+        return Math.max(0, Math.min(LEAST_URGENT, own.orElse(route.priority())));
+    }
+
+    private String inputs(Route route, WorkspaceSpec workspace, long tokens) {
+        WorkspaceId id = workspace.rated().id();
+        return "route="
+                + route.name()
+                + " workspace="
+                + id
+                + " tokens="
+                + tokens
+                + " here="
+                + (long) rates.available(id)
+                + " part="
+                + rates.part(id)
+                + " rate="
+                + (long) workspace.rated().rate()
+                + " burst="
+                + (long) workspace.rated().burst();
+    }
+
+    private void refuse(HttpCall call, CallerRequest request, Refusal refusal, String inputs) {
+        metrics.count("direct_refused", "code", refusal.code().wireName());
+        flows.log().refused(request, refusal, inputs);
+        Refusals.send(call, dialect.ownAnswer(request.attempt()), refusal);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -0,0 +1,205 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.id.AvailabilityZone;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import io.damaskyoke.platform.VmList;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Which routers there are, and who gives the orders: each writes itself into the store under a
+ * lease and watches the others. Control thread only.
+ */
+final class Membership implements VmList {
+    private static final Logger LOG = LogManager.getLogger(Membership.class);
+    private static final String FLEET = "/fleet/";
+    private static final String ROUTERS = FLEET + "routers/";
+    private static final String GIVER = FLEET + "giver";
+
+    /** A router that is killed is missed after this; its next life takes its place at once. */
+    private static final Duration TERM = Duration.ofSeconds(4);
+
+    private static final Duration KEEP = Duration.ofMillis(1_000);
+    private static final Duration RETRY = Duration.ofMillis(300);
+
+    private final Control control;
+    private final KeyValueStore store;
+    private final RouterEntry self;
+    private final String prefix;
+    private final Map<VmId, RouterEntry> routers = new TreeMap<>();
+    private final Follower follower;
+    private Optional<VmId> giver = Optional.empty();
+    private Runnable changed = () -> {};
+    private long lease;
+    private boolean leaving;
+
+    Membership(Control control, KeyValueStore store, String storePrefix, RouterEntry self) {
+        this.control = control;
+        this.store = store;
+        this.self = self;
+        this.prefix = storePrefix;
+        this.follower = new Follower(control, store, prefix + FLEET, new Listener());
+    }
+
+    /** Begins; {@code changed} runs whenever a router or the giver of orders has come or gone. */
+    void start(Runnable whenChanged) {
+        changed = whenChanged;
+        follower.start();
+        register();
+    }
+
+    /** The key that the giver of orders holds. */
+    String giverKey() {
+        return prefix + GIVER;
+    }
+
+    /** Who gives the orders, as far as is known. */
+    Optional<VmId> giver() {
+        return giver;
+    }
+
+    /** True if the store says that nobody gives orders, and said so lately. */
+    boolean vacant() {
+        return follower.upToDate() && giver.isEmpty();
+    }
+
+    /** All routers but this one. */
+    Collection<RouterEntry> others() {
+        return routers.values().stream().filter(each -> !each.vm().equals(self.vm())).toList();
+    }
+
+    Optional<RouterEntry> find(VmId vm) {
+        return Optional.ofNullable(routers.get(vm));
+    }
+
+    /** How many routers there are, this one too. */
+    int size() {
+        return others().size() + 1;
+    }
+
+    /** Takes this router off the list, so that nobody counts on it. */
+    void leave() {
+        leaving = true;
+        if (lease != 0) {
+            store.revokeLease(lease);
+        }
+    }
+
+    @Override
+    public CompletionStage<List<Vm>> read() {
+        List<Vm> vms = new ArrayList<>();
+        for (RouterEntry each : routers.values()) {
+            vms.add(
+                    new Vm(
+                            each.vm(),
+                            Role.ROUTER,
+                            AvailabilityZone.of(each.zone()),
+                            each.host(),
+                            each.port(),
+                            each.port(),
+                            State.LIVE));
+        }
+        return CompletableFuture.completedFuture(vms);
+    }
+
+    private void register() {
+        if (leaving) {
+            return;
+        }
+        store.grantLease(TERM)
+                .whenComplete((granted, failure) -> control.run(() -> granted(granted)));
+    }
+
+    private void granted(Long granted) {
+        if (granted == null) {
+            control.after(RETRY, this::register);
+            return;
+        }
+        lease = granted;
+        String key = prefix + ROUTERS + self.vm();
+        store.commit(List.of(), List.of(new Write.Put(key, self.toJson(), lease)))
+                .whenComplete((result, failure) -> control.run(() -> written(failure == null)));
+    }
+
+    private void written(boolean done) {
+        if (done) {
+            control.after(KEEP, this::keep);
+        } else {
+            control.after(RETRY, this::register);
+        }
+    }
+
+    private void keep() {
+        if (leaving) {
+            return;
+        }
+        store.keepAlive(lease)
+                .whenComplete((alive, failure) -> control.run(() -> kept(failure != null, alive)));
+    }
+
+    private void kept(boolean failed, Boolean alive) {
+        if (failed) {
+            control.after(RETRY, this::keep);
+        } else if (alive) {
+            control.after(KEEP, this::keep);
+        } else {
+            LOG.info("the lease of this router's entry has ended, registering anew");
+            register();
+        }
+    }
+
+    /** Takes in what the store says of the fleet. */
+    private final class Listener implements Follower.Hearer {
+        @Override
+        public void all(List<Entry> entries, long revision) {
+            routers.clear();
+            giver = Optional.empty();
+            entries.forEach(entry -> put(entry.key(), Optional.of(entry)));
+            changed.run();
+        }
+
+        @Override
+        public void changed(List<Change> changes, long revision) {
+            changes.forEach(change -> put(change.key(), change.entry()));
+            changed.run();
+        }
+
+        private void put(String key, Optional<Entry> entry) {
+            if (key.equals(giverKey())) {
+                giver =
+                        entry.map(found -> new String(found.value(), StandardCharsets.UTF_8))
+                                .map(VmId::of);
+                LOG.info("orders are given by {}", giver.map(VmId::value).orElse("nobody"));
+                return;
+            }
+            if (!key.startsWith(prefix + ROUTERS)) {
+                return;
+            }
+            VmId vm = VmId.of(key.substring((prefix + ROUTERS).length()));
+            if (entry.isEmpty()) {
+                routers.remove(vm);
+                return;
+            }
+            try {
+                routers.put(vm, RouterEntry.parse(entry.get().value()));
+            } catch (DirectException e) {
+                LOG.warn("the entry {} is left out: {}", key, e.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -0,0 +1,240 @@
+package io.damaskyoke.direct;
+
+import com.google.protobuf.ByteString;
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.PeerAddress;
+import io.damaskyoke.peer.PeerLink;
+import io.damaskyoke.peer.PeerListener;
+import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.HeldModel;
+import io.damaskyoke.peer.wire.Hello;
+import io.damaskyoke.peer.wire.ModelDemand;
+import io.damaskyoke.peer.wire.ReplicaNews;
+import io.damaskyoke.peer.wire.RouterReport;
+import io.damaskyoke.peer.wire.RunningCount;
+import io.damaskyoke.peer.wire.StoredFetch;
+import io.damaskyoke.peer.wire.StoredNews;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** What direct routers tell each other, as frames. Its methods belong to the control thread. */
+final class Neighbours implements PeerListener {
+    private final Control control;
+    private final Membership members;
+    private final Map<VmId, PeerAddress> connected = new HashMap<>();
+    private PeerNetwork network;
+    private Hearer hearer;
+    private long number;
+
+    /** Hears what other routers say. */
+    interface Hearer {
+        /** A router's needs; {@code configuration} is the revision of what it has in force. */
+        void reported(LoadInput.Demanded demanded, long configuration);
+
+        /** What upstreams hold, by the giver of orders with this fencing token. */
+        void told(long fencing, Map<UpstreamId, HeldModels> held);
+
+        /** A router has an older configuration and asks for ours. */
+        void asked(VmId from, long newerThan);
+
+        /** A router has sent its configuration. */
+        void configuration(long revision, byte[] value);
+    }
+
+    Neighbours(Control control, Membership members) {
+        this.control = control;
+        this.members = members;
+    }
+
+    void start(PeerNetwork given, Hearer hears) {
+        network = given;
+        hearer = hears;
+    }
+
+    /** Connects to the routers that have come, and forgets those that are gone. */
+    void refresh() {
+        Map<VmId, PeerAddress> now = new HashMap<>();
+        members.others().forEach(each -> now.put(each.vm(), each.address()));
+        connected
+                .entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean gone = !entry.getValue().equals(now.get(entry.getKey()));
+                            if (gone) {
+                                network.forget(entry.getValue());
+                            }
+                            return gone;
+                        });
+        connected.putAll(now);
+        connected.values().forEach(network::link);
+    }
+
+    /** Says what this router needs to one other, or to all. */
+    void report(
+            Optional<VmId> to,
+            LoadInput.Demanded demanded,
+            long configuration,
+            long upstreams,
+            boolean storeUp) {
+        RouterReport.Builder report =
+                RouterReport.newBuilder()
+                        .setNumber(++number)
+                        .setConfigurationRevision(configuration)
+                        .setUpstreamsRevision(upstreams)
+                        .setStoreUp(storeUp);
+        demanded.wants().forEach(want -> report.addDemand(demand(want)));
+        demanded.running()
+                .forEach(
+                        (upstream, counts) ->
+                                counts.forEach(
+                                        (model, count) ->
+                                                report.addRunning(
+                                                        running(upstream, model, count))));
+        demanded.suspects().forEach(id -> report.addSuspects(id.value()));
+        Frame frame = Frame.newBuilder().setRouterReport(report).build();
+        if (to.isPresent()) {
+            send(to.get(), frame);
+        } else {
+            sendAll(frame);
+        }
+    }
+
+    /** Tells all others what upstreams hold. */
+    void tell(long fencing, Map<UpstreamId, HeldModels> held) {
+        ReplicaNews.Builder news = ReplicaNews.newBuilder().setFencing(fencing);
+        held.forEach((upstream, models) -> news.addUpstreams(held(upstream, models)));
+        sendAll(Frame.newBuilder().setReplicaNews(news).build());
+    }
+
+    void ask(VmId from, long newerThan) {
+        StoredFetch fetch = StoredFetch.newBuilder().setNewerThan(newerThan).build();
+        send(from, Frame.newBuilder().setStoredFetch(fetch).build());
+    }
+
+    void sendConfiguration(VmId to, long revision, byte[] value) {
+        StoredNews news =
+                StoredNews.newBuilder()
+                        .setRevision(revision)
+                        .setConfiguration(ByteString.copyFrom(value))
+                        .build();
+        send(to, Frame.newBuilder().setStoredNews(news).build());
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        Optional<VmId> from = link.remote().map(Hello::getVm).map(VmId::of);
+        from.ifPresent(vm -> control.run(() -> take(vm, frame)));
+    }
+
+    private void take(VmId from, Frame frame) {
+        if (hearer == null) {
+            return;
+        }
+        if (frame.hasRouterReport()) {
+            RouterReport report = frame.getRouterReport();
+            hearer.reported(demanded(from, report), report.getConfigurationRevision());
+        } else if (frame.hasReplicaNews()) {
+            hearer.told(frame.getReplicaNews().getFencing(), held(frame.getReplicaNews()));
+        } else if (frame.hasStoredFetch()) {
+            hearer.asked(from, frame.getStoredFetch().getNewerThan());
+        } else if (frame.hasStoredNews()) {
+            StoredNews news = frame.getStoredNews();
+            hearer.configuration(news.getRevision(), news.getConfiguration().toByteArray());
+        }
+    }
+
+    private void sendAll(Frame frame) {
+        connected.keySet().forEach(vm -> send(vm, frame));
+    }
+
+    private void send(VmId to, Frame frame) {
+        PeerAddress address = connected.get(to);
+        if (address != null) {
+            network.link(address).send(frame);
+        }
+    }
+
+    private static ModelDemand demand(LoadInput.Want want) {
+        return ModelDemand.newBuilder()
+                .setModel(want.model().model())
+                .setAdapter(want.model().adapter())
+                .setWaiting(want.waiting())
+                .setOldestMs((int) want.oldest().toMillis())
+                .setUrgency(want.urgency())
+                .setPerSecond(want.perSecond())
+                .build();
+    }
+
+    private static RunningCount running(UpstreamId upstream, ModelRef model, int count) {
+        return RunningCount.newBuilder()
+                .setUpstream(upstream.value())
+                .setModel(model.model())
+                .setAdapter(model.adapter())
+                .setRunning(count)
+                .build();
+    }
+
+    private static io.damaskyoke.peer.wire.HeldModels held(UpstreamId upstream, HeldModels held) {
+        var line =
+                io.damaskyoke.peer.wire.HeldModels.newBuilder()
+                        .setUpstream(upstream.value())
+                        .setStartedAt(held.startedAt())
+                        .setSequence(held.sequence());
+        held.adapters()
+                .forEach(
+                        (model, adapters) ->
+                                line.addModels(
+                                        HeldModel.newBuilder()
+                                                .setName(model)
+                                                .addAllAdapters(adapters)));
+        return line.build();
+    }
+
+    private static LoadInput.Demanded demanded(VmId from, RouterReport report) {
+        List<LoadInput.Want> wants = new ArrayList<>();
+        for (ModelDemand demand : report.getDemandList()) {
+            wants.add(
+                    new LoadInput.Want(
+                            new ModelRef(demand.getModel(), demand.getAdapter()),
+                            demand.getWaiting(),
+                            Duration.ofMillis(demand.getOldestMs()),
+                            demand.getUrgency(),
+                            demand.getPerSecond()));
+        }
+        Map<UpstreamId, Map<ModelRef, Integer>> running = new TreeMap<>();
+        for (RunningCount count : report.getRunningList()) {
+            running.computeIfAbsent(UpstreamId.of(count.getUpstream()), any -> new TreeMap<>())
+                    .put(new ModelRef(count.getModel(), count.getAdapter()), count.getRunning());
+        }
+        Set<UpstreamId> suspects = new HashSet<>();
+        report.getSuspectsList().forEach(id -> suspects.add(UpstreamId.of(id)));
+        return new LoadInput.Demanded(from, wants, running, suspects);
+    }
+
+    private static Map<UpstreamId, HeldModels> held(ReplicaNews news) {
+        Map<UpstreamId, HeldModels> all = new HashMap<>();
+        for (var line : news.getUpstreamsList()) {
+            Map<String, Set<String>> adapters = new TreeMap<>();
+            for (HeldModel model : line.getModelsList()) {
+                adapters.put(model.getName(), new HashSet<>(model.getAdaptersList()));
+            }
+            all.put(
+                    UpstreamId.of(line.getUpstream()),
+                    new HeldModels(line.getStartedAt(), line.getSequence(), adapters));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
@@ -0,0 +1,192 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.direct.DirectConfiguration;
+import io.damaskyoke.control.direct.EngineSpec;
+import io.damaskyoke.control.direct.ServiceSpec;
+import io.damaskyoke.control.loads.LoadAction;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.loads.LoadPlanner;
+import io.damaskyoke.control.loads.LoadSettings;
+import io.damaskyoke.control.loads.OrderOutcome;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Feeds a {@link LoadPlanner} and carries out what it decides. Control thread only. */
+final class OrderGiver implements OrderLease.Listener {
+    private static final Logger LOG = LogManager.getLogger(OrderGiver.class);
+    private static final Duration TICK = Duration.ofMillis(20);
+
+    private final Control control;
+    private final UpstreamTable upstreams;
+    private final OrderLease lease;
+    private final UpstreamCalls calls;
+    private final VmId self;
+    private final Neighbours neighbours;
+    private final LoadPlanner planner = new LoadPlanner(LoadSettings.usual());
+    private final Map<UpstreamId, HeldModels> news = new HashMap<>();
+    private Runnable told = () -> {};
+    private Control.Cancellable ticking = () -> {};
+    private boolean flushing;
+
+    OrderGiver(
+            Control control,
+            UpstreamTable upstreams,
+            OrderLease lease,
+            UpstreamCalls calls,
+            VmId self,
+            Neighbours neighbours) {
+        this.control = control;
+        this.upstreams = upstreams;
+        this.lease = lease;
+        this.calls = calls;
+        this.self = self;
+        this.neighbours = neighbours;
+    }
+
+    /** Begins; {@code whenTold} runs after this router's own table has changed. */
+    void start(Runnable whenTold) {
+        told = whenTold;
+        lease.start(this);
+    }
+
+    void configured(DirectConfiguration configuration) {
+        Map<String, EngineSpec> engines = new HashMap<>();
+        for (ServiceSpec service : configuration.engines()) {
+            engines.put(service.name(), service.engine().orElseThrow());
+        }
+        feed(new LoadInput.Configured(engines));
+        upstreams.all().forEach(each -> listed(each.facts()));
+    }
+
+    void listed(UpstreamFacts facts) {
+        feed(new LoadInput.Listed(facts));
+    }
+
+    void gone(UpstreamId upstream) {
+        feed(new LoadInput.Gone(upstream));
+    }
+
+    void demanded(LoadInput.Demanded demanded) {
+        feed(demanded);
+    }
+
+    /** What this router knows better than the list, for a router that has just come. */
+    Map<UpstreamId, HeldModels> allNews() {
+        Map<UpstreamId, HeldModels> all = new HashMap<>();
+        if (lease.held()) {
+            upstreams.all().forEach(each -> all.put(each.facts().id(), each.held()));
+        }
+        return all;
+    }
+
+    long fencing() {
+        return lease.fencing();
+    }
+
+    @Override
+    public void won() {
+        ticking = control.every(TICK, () -> feed(new LoadInput.Tick()));
+        feed(new LoadInput.Elected());
+    }
+
+    @Override
+    public void lost() {
+        ticking.cancel();
+        feed(new LoadInput.Resigned());
+    }
+
+    private void feed(LoadInput input) {
+        planner.on(input, control.clock().instant()).forEach(this::carryOut);
+    }
+
+    private void carryOut(LoadAction action) {
+        if (action instanceof LoadAction.Order order) {
+            give(order);
+        } else if (action instanceof LoadAction.AskReport ask) {
+            askReport(ask.upstream());
+        } else if (action instanceof LoadAction.Tell tell) {
+            tell(tell);
+        }
+    }
+
+    // The lease is looked at for every order: between the decision and now the VM may have slept.
+    private void give(LoadAction.Order order) {
+        Optional<Upstream> to = upstreams.find(order.upstream());
+        if (!lease.held() || to.isEmpty()) {
+            control.run(() -> answered(order, OrderOutcome.REFUSED));
+            return;
+        }
+        Dialect.Order body =
+                new Dialect.Order(
+                        order.verb(),
+                        order.model(),
+                        self.value(),
+                        lease.fencing(),
+                        order.sequence());
+        long began = System.nanoTime();
+        calls.order(
+                to.get().facts(),
+                body,
+                outcome -> {
+                    LOG.info(
+                            "order {} {} upstream={} sequence={} outcome={} ms={}",
+                            order.verb(),
+                            order.model(),
+                            order.upstream(),
+                            order.sequence(),
+                            outcome,
+                            (System.nanoTime() - began) / 1_000_000);
+                    answered(order, outcome);
+                });
+    }
+
+    private void answered(LoadAction.Order order, OrderOutcome outcome) {
+        if (outcome == OrderOutcome.FENCED) {
+            lease.resign("an upstream has seen a higher fencing token");
+        }
+        feed(new LoadInput.Answered(order.upstream(), order.number(), outcome));
+    }
+
+    private void askReport(UpstreamId id) {
+        Optional<Upstream> to = upstreams.find(id);
+        if (to.isEmpty()) {
+            feed(new LoadInput.Gone(id));
+            return;
+        }
+        calls.report(
+                to.get().facts(),
+                report ->
+                        feed(
+                                report.<LoadInput>map(found -> found)
+                                        .orElse(new LoadInput.NotReported(id))));
+    }
+
+    private void tell(LoadAction.Tell tell) {
+        upstreams
+                .find(tell.upstream())
+                .ifPresent(each -> each.told(tell.held(), control.clock().instant()));
+        news.put(tell.upstream(), tell.held());
+        if (!flushing) {
+            flushing = true;
+            control.run(this::flush);
+        }
+    }
+
+    private void flush() {
+        flushing = false;
+        neighbours.tell(lease.fencing(), Map.copyOf(news));
+        news.clear();
+        told.run();
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -0,0 +1,153 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.placement.LeaseAction;
+import io.damaskyoke.control.placement.LeaseInput;
+import io.damaskyoke.control.placement.LeaseMachine;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.KeyValueStore.Condition;
+import io.damaskyoke.platform.KeyValueStore.TxnResult;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Lets one router at a time give orders to upstreams. Its fencing token is the store's revision at
+ * which it became the giver, so each later one's is higher. Control thread only.
+ *
+ * <p>A giver that is frozen, cut off or turned away stops by its own clock before the store's lease
+ * can have ended; the clock counts the time of a freeze.
+ */
+final class OrderLease {
+    private static final Logger LOG = LogManager.getLogger(OrderLease.class);
+    private static final Duration TICK = Duration.ofMillis(150);
+    private static final Duration TERM = Duration.ofMillis(2_400);
+
+    /** Two givers that take turns would undo each other's plans; who was one waits this long. */
+    private static final Duration PAUSE = Duration.ofSeconds(5);
+
+    private final Control control;
+    private final KeyValueStore store;
+    private final Membership members;
+    private final VmId self;
+    private final LeaseMachine machine = new LeaseMachine(TERM);
+    private Listener listener;
+    private long fencing;
+    private Instant notBefore = Instant.MIN;
+    private boolean closed;
+
+    /** Hears when this router becomes the giver of orders, and when it no longer is. */
+    interface Listener {
+        /** Orders may be given from now on. */
+        void won();
+
+        /** No order may be given any more. */
+        void lost();
+    }
+
+    OrderLease(Control control, KeyValueStore store, Membership members, VmId self) {
+        this.control = control;
+        this.store = store;
+        this.members = members;
+        this.self = self;
+    }
+
+    void start(Listener given) {
+        listener = given;
+        control.every(TICK, this::tick);
+    }
+
+    /** True if an order may be given at this moment. */
+    boolean held() {
+        return !closed && machine.held(control.clock().instant());
+    }
+
+    /** Goes along with every order; only while {@link #held()}. */
+    long fencing() {
+        return fencing;
+    }
+
+    /** Gives it up at once, so that another router goes on without waiting for its end. */
+    void resign(String why) {
+        if (held()) {
+            LOG.info("this router gives no more orders: {}", why);
+            store.commit(List.of(), List.of(new Write.Delete(members.giverKey())));
+            listener.lost();
+        }
+        notBefore = control.clock().instant().plus(PAUSE);
+    }
+
+    /** Gives it up for good. */
+    void close() {
+        resign("it stops");
+        closed = true;
+    }
+
+    private void tick() {
+        Instant now = control.clock().instant();
+        boolean mayStand = members.vacant() && !now.isBefore(notBefore);
+        if (!closed && (machine.held(now) || mayStand)) {
+            feed(new LeaseInput.Tick());
+        } else if (!machine.held(now)) {
+            // An end that nobody noticed is noticed here.
+            machine.on(new LeaseInput.Failed(), now).forEach(this::carryOut);
+        }
+    }
+
+    private void feed(LeaseInput input) {
+        machine.on(input, control.clock().instant()).forEach(this::carryOut);
+    }
+
+    private void carryOut(LeaseAction action) {
+        if (action instanceof LeaseAction.Grant grant) {
+            answer(store.grantLease(grant.term()), LeaseInput.Granted::new);
+        } else if (action instanceof LeaseAction.Acquire acquire) {
+            answer(acquire(acquire.lease()), this::acquired);
+        } else if (action instanceof LeaseAction.Keep keep) {
+            answer(
+                    store.keepAlive(keep.lease()),
+                    alive -> new LeaseInput.Kept(alive, keep.askedAt()));
+        } else if (action instanceof LeaseAction.Revoke revoke) {
+            store.revokeLease(revoke.lease());
+        } else if (action instanceof LeaseAction.Won) {
+            LOG.info("this router gives the orders, fencing token {}", fencing);
+            listener.won();
+        } else if (action instanceof LeaseAction.Lost) {
+            LOG.info("this router gives orders no longer: its lease has ended");
+            notBefore = control.clock().instant().plus(PAUSE);
+            listener.lost();
+        }
+    }
+
+    private CompletionStage<TxnResult> acquire(long lease) {
+        byte[] value = self.value().getBytes(StandardCharsets.UTF_8);
+        String key = members.giverKey();
+        return store.commit(
+                List.of(new Condition.Absent(key)), List.of(new Write.Put(key, value, lease)));
+    }
+
+    private LeaseInput acquired(TxnResult result) {
+        if (result.committed()) {
+            fencing = result.revision();
+        }
+        return new LeaseInput.Acquired(result.committed());
+    }
+
+    private <T> void answer(CompletionStage<T> stage, Function<T, LeaseInput> input) {
+        stage.whenComplete(
+                (value, failure) ->
+                        control.run(
+                                () ->
+                                        feed(
+                                                failure == null
+                                                        ? input.apply(value)
+                                                        : new LeaseInput.Failed())));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Shutdown.java
@@ -0,0 +1,89 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.http.HttpServer;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+/**
+ * Ends a router in steps: callers are sent elsewhere, what is open is finished, then all is closed.
+ *
+ * <p>The balancer notices within two or three seconds that a router isn't ready, and sends new
+ * connections until then. Closed at once, those would be lost, and so would requests that cross the
+ * close of a kept connection.
+ */
+final class Shutdown {
+    /** The balancer asks once a second and believes the second no. */
+    private static final Duration BALANCER = Duration.ofMillis(2_600);
+
+    /** What is left for closing when the platform's patience ends. */
+    private static final Duration RESERVE = Duration.ofMillis(700);
+
+    /** A connection idle for so long has no request crossing our close, as a rule. */
+    private static final Duration IDLE = Duration.ofMillis(400);
+
+    private static final long STEP_MILLIS = 50;
+
+    private final Control control;
+    private final HttpServer callers;
+    private final Duration grace;
+    private final IntSupplier open;
+
+    Shutdown(Control control, HttpServer callers, Duration grace, IntSupplier open) {
+        this.control = control;
+        this.callers = callers;
+        this.grace = grace;
+        this.open = open;
+    }
+
+    /** Runs all steps, the duties' end first; blocks until nothing is left or time is short. */
+    void run(Runnable endDuties) {
+        long began = System.nanoTime();
+        long last = began + grace.minus(RESERVE).toNanos();
+        onControl(
+                () -> {
+                    endDuties.run();
+                    callers.drain();
+                });
+        sleepUntil(Math.min(last, began + BALANCER.toNanos()));
+        onControl(callers::stopListening);
+        while (System.nanoTime() < last) {
+            onControl(() -> callers.closeIdle(IDLE));
+            boolean done = ask(() -> open.getAsInt() == 0 && callers.connections() == 0);
+            if (done) {
+                return;
+            }
+            sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS));
+        }
+    }
+
+    private void onControl(Runnable step) {
+        ask(
+                () -> {
+                    step.run();
+                    return true;
+                });
+    }
+
+    private boolean ask(java.util.function.Supplier<Boolean> question) {
+        try {
+            return control.ask(question).toCompletableFuture().join();
+        } catch (CompletionException e) {
+            return true;
+        }
+    }
+
+    private static void sleepUntil(long nanos) {
+        long left = nanos - System.nanoTime();
+        if (left <= 0) {
+            return;
+        }
+        try {
+            TimeUnit.NANOSECONDS.sleep(left);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
@@ -0,0 +1,93 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.loads.OrderOutcome;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.http.ClientRequest;
+import io.damaskyoke.http.Failure;
+import io.damaskyoke.http.HttpClient;
+import io.damaskyoke.http.WholeAnswer;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Orders to upstreams and reports from them, over the traffic's own client. */
+final class UpstreamCalls {
+    private static final Logger LOG = LogManager.getLogger(UpstreamCalls.class);
+    private static final Duration LIMIT = Duration.ofMillis(800);
+    private static final Duration KEPT = Duration.ofSeconds(2);
+    private static final int OK = 200;
+
+    private final HttpClient client;
+    private final Dialect dialect;
+    private final Control control;
+
+    UpstreamCalls(HttpClient client, Dialect dialect, Control control) {
+        this.client = client;
+        this.dialect = dialect;
+        this.control = control;
+    }
+
+    void order(UpstreamFacts to, Dialect.Order order, Consumer<OrderOutcome> then) {
+        HttpHeaders headers = dialect.callHeaders(to.id());
+        headers.set("Content-Type", "application/json");
+        call(
+                to,
+                HttpMethod.POST,
+                dialect.orderPath(),
+                headers,
+                dialect.order(order),
+                answer ->
+                        then.accept(
+                                answer.failure()
+                                        .map(UpstreamCalls::outcome)
+                                        .orElseGet(() -> dialect.outcome(answer.status()))));
+    }
+
+    void report(UpstreamFacts from, Consumer<Optional<LoadInput.Reported>> then) {
+        call(
+                from,
+                HttpMethod.GET,
+                dialect.reportPath(),
+                dialect.callHeaders(from.id()),
+                new byte[0],
+                answer -> then.accept(read(from, answer)));
+    }
+
+    private Optional<LoadInput.Reported> read(UpstreamFacts from, WholeAnswer answer) {
+        if (answer.failure().isPresent() || answer.status() != OK) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(dialect.report(from.id(), answer.body()));
+        } catch (DirectException e) {
+            LOG.warn("the report of {} can't be read: {}", from.id(), e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void call(
+            UpstreamFacts to,
+            HttpMethod method,
+            String path,
+            HttpHeaders headers,
+            byte[] body,
+            Consumer<WholeAnswer> then) {
+        ClientRequest request =
+                new ClientRequest(
+                        method, path, headers, Unpooled.wrappedBuffer(body), any -> true, KEPT);
+        WholeAnswer.Reader reader = new WholeAnswer.Reader(then);
+        var call = client.send(to.endpoint(), request, reader);
+        control.after(LIMIT, () -> reader.expire(call));
+    }
+
+    private static OrderOutcome outcome(Failure failure) {
+        return failure.mayHaveArrived() ? OrderOutcome.UNKNOWN : OrderOutcome.REFUSED;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -0,0 +1,148 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Keeps the table of upstreams up with the platform's list. Control thread only. */
+final class UpstreamFollower implements Follower.Hearer {
+    private static final Logger LOG = LogManager.getLogger(UpstreamFollower.class);
+    private static final Duration LOOK = Duration.ofMillis(200);
+
+    /**
+     * Entries may lapse while the store is out, and are back within two seconds of its return if
+     * their upstream lives. Dropped at once, a whole fleet that still answers would be refused.
+     */
+    private static final Duration RETURN_TIME = Duration.ofMillis(2_200);
+
+    private static final Duration AFTER_OUTAGE = Duration.ofSeconds(3);
+
+    private final Control control;
+    private final KeyValueStore store;
+    private final Dialect dialect;
+    private final UpstreamTable table;
+    private final Follower follower;
+    private Listener listener;
+    private Instant lastDown = Instant.MIN;
+
+    /** Hears what the list says, after the table has it. */
+    interface Listener {
+        /** An upstream has come or says something new. */
+        void listed(UpstreamFacts facts);
+
+        /** An upstream is gone. */
+        void gone(UpstreamFacts last);
+    }
+
+    UpstreamFollower(Control control, KeyValueStore store, Dialect dialect, UpstreamTable table) {
+        this.control = control;
+        this.store = store;
+        this.dialect = dialect;
+        this.table = table;
+        this.follower = new Follower(control, store, dialect.upstreamPrefix(), this);
+    }
+
+    void start(Listener given) {
+        listener = given;
+        follower.start();
+        control.every(LOOK, this::look);
+    }
+
+    boolean everRead() {
+        return follower.everRead();
+    }
+
+    @Override
+    public void all(List<Entry> entries, long revision) {
+        Set<UpstreamId> listed = new HashSet<>();
+        for (Entry entry : entries) {
+            listed.add(id(entry.key()));
+            put(entry);
+        }
+        for (UpstreamId id : List.copyOf(ids())) {
+            if (!listed.contains(id)) {
+                remove(id, revision);
+            }
+        }
+    }
+
+    @Override
+    public void changed(List<Change> changes, long revision) {
+        for (Change change : changes) {
+            if (change.entry().isPresent()) {
+                put(change.entry().get());
+            } else {
+                remove(id(change.key()), revision);
+            }
+        }
+    }
+
+    private void look() {
+        if (!store.up()) {
+            lastDown = control.clock().instant();
+        }
+    }
+
+    private void put(Entry entry) {
+        Optional<UpstreamFacts> facts =
+                dialect.upstream(entry.key(), entry.value(), entry.modRevision());
+        if (facts.isEmpty()) {
+            LOG.warn("the entry {} names no upstream and is left out", entry.key());
+            return;
+        }
+        Optional<UpstreamFacts> before = table.find(facts.get().id()).map(known -> known.facts());
+        if (!table.put(facts.get(), control.clock().instant())) {
+            return;
+        }
+        boolean news = before.isEmpty() || before.get().draining() != facts.get().draining();
+        if (news) {
+            LOG.info(
+                    "upstream {} at {} service={} draining={} holds={}",
+                    facts.get().id(),
+                    facts.get().endpoint(),
+                    facts.get().service(),
+                    facts.get().draining(),
+                    facts.get().held().adapters().keySet());
+        }
+        listener.listed(facts.get());
+    }
+
+    private void remove(UpstreamId id, long revision) {
+        Instant now = control.clock().instant();
+        boolean afterOutage =
+                !lastDown.equals(Instant.MIN) && now.isBefore(lastDown.plus(AFTER_OUTAGE));
+        if (afterOutage) {
+            control.after(RETURN_TIME, () -> removeNow(id, revision));
+        } else {
+            removeNow(id, revision);
+        }
+    }
+
+    private void removeNow(UpstreamId id, long revision) {
+        Optional<UpstreamFacts> last = table.find(id).map(known -> known.facts());
+        if (table.remove(id, revision)) {
+            LOG.info("upstream {} is gone, revision {}", id, revision);
+            listener.gone(last.orElseThrow());
+        }
+    }
+
+    private List<UpstreamId> ids() {
+        return table.all().stream().map(each -> each.facts().id()).toList();
+    }
+
+    private UpstreamId id(String key) {
+        return UpstreamId.of(key.substring(dialect.upstreamPrefix().length()));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -0,0 +1,279 @@
+package io.damaskyoke.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** One connection of the client, and the request that it carries. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    /** A server that names no time is taken to close after five seconds, as common ones do. */
+    private static final long USUAL_KEEP_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** The named time is in whole seconds, so it may be up to one less than it says. */
+    private static final long KEEP_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    private final HttpClient client;
+    private final Endpoint endpoint;
+    private Channel channel;
+    private State state = State.CONNECTING;
+    private ClientRequest request;
+    private AnswerListener listener;
+    private boolean keep;
+    private long keepNanos = USUAL_KEEP_NANOS;
+    private long idleSince;
+    private int number;
+
+    private enum State {
+        CONNECTING,
+        /** The request is written; its answer has not begun. */
+        AWAITING,
+        /** The answer to something else is passing, and is dropped. */
+        SKIPPING,
+        /** The answer is coming in. */
+        READING,
+        IDLE,
+        CLOSED
+    }
+
+    ClientConnection(HttpClient client, Endpoint endpoint) {
+        this.client = client;
+        this.endpoint = endpoint;
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    boolean open() {
+        return state == State.IDLE && channel.isActive();
+    }
+
+    boolean usable(long now, Duration limit) {
+        long idle = now - idleSince;
+        return idle < keepNanos && idle < limit.toNanos();
+    }
+
+    boolean expired(long now) {
+        return now - idleSince >= keepNanos;
+    }
+
+    ClientCall begin(ClientRequest given, AnswerListener hears) {
+        request = given;
+        listener = hears;
+        number++;
+        if (state == State.IDLE) {
+            write();
+        }
+        return new Call(number);
+    }
+
+    void notConnected() {
+        if (state == State.CONNECTING) {
+            request.body().release();
+            fail(Failure.NOT_CONNECTED);
+        }
+    }
+
+    void close() {
+        state = State.CLOSED;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        if (state == State.CLOSED) {
+            channel.close();
+            return;
+        }
+        write();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (state == State.IDLE || state == State.CLOSED || !(message instanceof HttpObject)) {
+            // Bytes that no request is waiting for belong to none that comes later, either.
+            ReferenceCountUtil.release(message);
+            discard();
+            return;
+        }
+        HttpObject object = (HttpObject) message;
+        if (object.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(message);
+            fail(state == State.READING ? Failure.CUT_SHORT : Failure.GARBLED);
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            head(response);
+        }
+        if (message instanceof HttpContent content) {
+            part(content);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        ended();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        ended();
+        context.close();
+    }
+
+    private void write() {
+        state = State.AWAITING;
+        keep = true;
+        HttpHeaders headers = request.headers();
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+        channel.writeAndFlush(
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        request.method(),
+                        request.path(),
+                        request.body(),
+                        headers,
+                        EmptyHttpHeaders.INSTANCE));
+        listener.sent();
+    }
+
+    private void head(HttpResponse response) {
+        int status = response.status().code();
+        if (status < 200) {
+            return;
+        }
+        HttpHeaders headers = response.headers();
+        if (!HttpUtil.isKeepAlive(response)) {
+            keep = false;
+        }
+        if (!request.mine().test(headers)) {
+            state = State.SKIPPING;
+            keep = false;
+            return;
+        }
+        readKeepAlive(headers.get("Keep-Alive"));
+        state = State.READING;
+        listener.head(status, headers);
+    }
+
+    private void readKeepAlive(String value) {
+        int at = value == null ? -1 : value.indexOf("timeout=");
+        if (at < 0) {
+            return;
+        }
+        String digits = value.substring(at + "timeout=".length()).split("[^0-9]", 2)[0];
+        if (digits.isEmpty() || digits.length() > 6) {
+            return;
+        }
+        long named = TimeUnit.SECONDS.toNanos(Long.parseLong(digits));
+        keepNanos = Math.max(0, named - KEEP_MARGIN_NANOS);
+    }
+
+    private void part(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (state != State.READING) {
+            content.release();
+            if (state == State.SKIPPING && last) {
+                state = State.AWAITING;
+            }
+            return;
+        }
+        if (content.content().isReadable()) {
+            listener.part(content.content());
+        } else {
+            content.release();
+        }
+        if (last && state == State.READING) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        AnswerListener told = listener;
+        listener = null;
+        request = null;
+        if (keep && channel.isActive()) {
+            state = State.IDLE;
+            idleSince = System.nanoTime();
+            channel.config().setAutoRead(true);
+            client.keep(this);
+        } else {
+            close();
+        }
+        told.end();
+    }
+
+    private void ended() {
+        if (state == State.IDLE) {
+            discard();
+        } else if (state == State.READING) {
+            fail(Failure.CUT_SHORT);
+        } else if (state == State.AWAITING || state == State.SKIPPING) {
+            fail(Failure.BROKEN);
+        }
+    }
+
+    private void discard() {
+        if (state == State.IDLE) {
+            client.dropped(this);
+        }
+        close();
+    }
+
+    private void fail(Failure failure) {
+        AnswerListener told = listener;
+        listener = null;
+        close();
+        if (told != null) {
+            told.failed(failure);
+        }
+    }
+
+    /** The handle that callers hold; it does nothing once its request is over. */
+    private final class Call implements ClientCall {
+        private final int mine;
+
+        Call(int mine) {
+            this.mine = mine;
+        }
+
+        @Override
+        public void cancel() {
+            if (!current()) {
+                return;
+            }
+            if (state == State.CONNECTING) {
+                request.body().release();
+            }
+            listener = null;
+            close();
+        }
+
+        @Override
+        public void reading(boolean wanted) {
+            if (current() && channel != null) {
+                channel.config().setAutoRead(wanted);
+            }
+        }
+
+        private boolean current() {
+            return mine == number && state != State.IDLE && state != State.CLOSED;
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/Endpoint.java
@@ -0,0 +1,43 @@
+package io.damaskyoke.http;
+
+import io.damaskyoke.http.HttpException.Code;
+import java.net.InetSocketAddress;
+
+/** A host by its IP number, and a port: {@code Endpoint.parse("10.0.0.7:8080")}. */
+public record Endpoint(String host, int port) {
+    private static final int MOST = 65_535;
+
+    /** Refuses an empty host and a port that can't be. */
+    public Endpoint {
+        if (host.isEmpty() || port < 1 || port > MOST) {
+            throw new HttpException(Code.BAD_ENDPOINT, "not a host and port: " + host + ":" + port);
+        }
+    }
+
+    /**
+     * Reads {@code host:port}.
+     *
+     * @throws HttpException BAD_ENDPOINT if the text is anything else
+     */
+    public static Endpoint parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new HttpException(Code.BAD_ENDPOINT, "not host:port: " + text);
+        }
+        try {
+            return new Endpoint(
+                    text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new HttpException(Code.BAD_ENDPOINT, "not host:port: " + text);
+        }
+    }
+
+    InetSocketAddress socket() {
+        return new InetSocketAddress(host, port);
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -0,0 +1,150 @@
+package io.damaskyoke.http;
+
+import io.damaskyoke.metrics.Metrics;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+
+/**
+ * Sends requests and keeps connections: {@code client.send(endpoint, request, listener)}.
+ *
+ * <p>A connection carries one request at a time, and is kept only after a whole answer that neither
+ * side wanted to be the last. One that gets bytes while idle is closed, since they belong to no
+ * request. Belongs to one event loop and is used only there.
+ */
+public final class HttpClient {
+    private static final int MAX_LINE_BYTES = 16 * 1024;
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+    private static final int KEPT_PER_ENDPOINT = 32;
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+
+    private final EventLoop loop;
+    private final Metrics metrics;
+    private final Map<Endpoint, ArrayDeque<ClientConnection>> idle = new HashMap<>();
+    private final Bootstrap bootstrap;
+
+    /** A client on this loop that gives up on a connection after the time. */
+    public HttpClient(EventLoop loop, Duration connectTimeout, Metrics metrics) {
+        this.loop = loop;
+        this.metrics = metrics;
+        this.bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) connectTimeout.toMillis());
+    }
+
+    /** Sends the request over a kept or a new connection; the listener hears the rest. */
+    public ClientCall send(Endpoint to, ClientRequest request, AnswerListener listener) {
+        ClientConnection kept = kept(to, request.idleLimit());
+        if (kept != null) {
+            return kept.begin(request, listener);
+        }
+        metrics.count("http_connects");
+        ClientConnection fresh = new ClientConnection(this, to);
+        ClientCall call = fresh.begin(request, listener);
+        bootstrap
+                .clone()
+                .handler(pipeline(fresh))
+                .connect(to.socket())
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                fresh.notConnected();
+                            }
+                        });
+        return call;
+    }
+
+    /** Closes the idle connections to a server that is gone or no longer to be trusted. */
+    public void forget(Endpoint gone) {
+        ArrayDeque<ClientConnection> connections = idle.remove(gone);
+        if (connections != null) {
+            connections.forEach(ClientConnection::close);
+        }
+    }
+
+    /** Closes idle connections whose time is over; call it now and then. */
+    public void sweep() {
+        long now = System.nanoTime();
+        for (ArrayDeque<ClientConnection> connections : idle.values()) {
+            Iterator<ClientConnection> each = connections.iterator();
+            while (each.hasNext()) {
+                ClientConnection connection = each.next();
+                if (connection.expired(now)) {
+                    each.remove();
+                    connection.close();
+                }
+            }
+        }
+        idle.values().removeIf(ArrayDeque::isEmpty);
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    void keep(ClientConnection connection) {
+        ArrayDeque<ClientConnection> kept =
+                idle.computeIfAbsent(connection.endpoint(), any -> new ArrayDeque<>());
+        if (kept.size() >= KEPT_PER_ENDPOINT) {
+            connection.close();
+        } else {
+            kept.addFirst(connection);
+        }
+    }
+
+    void dropped(ClientConnection connection) {
+        ArrayDeque<ClientConnection> kept = idle.get(connection.endpoint());
+        if (kept != null) {
+            kept.remove(connection);
+        }
+    }
+
+    // The one used last comes first: it is the least likely to be closed by the other side.
+    private ClientConnection kept(Endpoint to, Duration limit) {
+        ArrayDeque<ClientConnection> connections = idle.get(to);
+        while (connections != null && !connections.isEmpty()) {
+            ClientConnection first = connections.peekFirst();
+            if (!first.usable(System.nanoTime(), limit)) {
+                return null;
+            }
+            connections.removeFirst();
+            if (first.open()) {
+                return first;
+            }
+        }
+        return null;
+    }
+
+    private static ChannelInitializer<Channel> pipeline(ClientConnection connection) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                HttpDecoderConfig config =
+                        new HttpDecoderConfig()
+                                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                .setMaxHeaderSize(MAX_HEADER_BYTES);
+                channel.pipeline().addLast(new HttpClientCodec(config, false, false));
+                channel.pipeline().addLast(connection);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -0,0 +1,179 @@
+package io.damaskyoke.http;
+
+import io.damaskyoke.http.HttpException.Code;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Serves HTTP/1.1 on one address: {@code HttpServer.start(loop, endpoint, limits, handler)}.
+ *
+ * <p>A request reaches the handler whole. Requests on one connection are handled one after the
+ * other, so answers can't change places. Belongs to one event loop.
+ */
+public final class HttpServer implements AutoCloseable {
+    private static final int BACKLOG = 1024;
+    private static final int MAX_LINE_BYTES = 8 * 1024;
+    private static final int SWEEP_MILLIS = 250;
+
+    /** Callers use a connection up to its idle time; closing it a little later crosses nothing. */
+    private static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
+
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+
+    private final EventLoop loop;
+    private final HttpHandler handler;
+    private final Set<ServerConnection> connections = new HashSet<>();
+    private HttpLimits limits;
+    private Channel channel;
+    private boolean draining;
+
+    private HttpServer(EventLoop loop, HttpLimits limits, HttpHandler handler) {
+        this.loop = loop;
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /**
+     * Listens at once; not to be called on the loop itself.
+     *
+     * @throws HttpException BIND_FAILED if the address is taken
+     */
+    public static HttpServer start(
+            EventLoop loop, InetSocketAddress at, HttpLimits limits, HttpHandler handler) {
+        HttpServer server = new HttpServer(loop, limits, handler);
+        ChannelFuture bound = server.bootstrap().bind(at).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new HttpException(Code.BIND_FAILED, "can't listen on " + at, bound.cause());
+        }
+        server.channel = bound.channel();
+        loop.scheduleWithFixedDelay(
+                server::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        return server;
+    }
+
+    /** The port listened on. */
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /** Changes the limits; those of size for connections that come from now on. */
+    public void limits(HttpLimits given) {
+        limits = given;
+    }
+
+    /** From now on each answer tells its caller that it was the connection's last. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Closes connections that carry nothing and have not for this long. */
+    public void closeIdle(Duration idle) {
+        long now = System.nanoTime();
+        snapshot().forEach(connection -> connection.closeIfIdle(now, idle.toNanos()));
+    }
+
+    /** Connections that carry a request right now. */
+    public long busy() {
+        return connections.stream().filter(ServerConnection::busy).count();
+    }
+
+    /** Connections that are open. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Takes no new connections; those that are open go on. */
+    public void stopListening() {
+        channel.close();
+    }
+
+    @Override
+    public void close() {
+        channel.close();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    HttpHandler handler() {
+        return handler;
+    }
+
+    void opened(ServerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(ServerConnection connection) {
+        connections.remove(connection);
+    }
+
+    private List<ServerConnection> snapshot() {
+        return new ArrayList<>(connections);
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        long headerNanos = limits.headerTime().toNanos();
+        long idleNanos = limits.idleTime().plus(IDLE_MARGIN).toNanos();
+        snapshot().forEach(connection -> connection.check(now, headerNanos, idleNanos));
+    }
+
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(
+                        new ChannelInitializer<>() {
+                            @Override
+                            protected void initChannel(Channel opened) {
+                                build(opened);
+                            }
+                        });
+    }
+
+    private void build(Channel opened) {
+        ServerConnection connection = new ServerConnection(this);
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_LINE_BYTES)
+                        .setMaxHeaderSize(limits.headerBytes());
+        opened.pipeline()
+                .addLast(
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                                connection.arriving();
+                                context.fireChannelRead(bytes);
+                            }
+                        })
+                .addLast(new StrictRequestDecoder(config))
+                .addLast(new HttpResponseEncoder())
+                .addLast(new HttpObjectAggregator(limits.bodyBytes()))
+                .addLast(connection);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -0,0 +1,175 @@
+package io.damaskyoke.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+
+/** One connection of a caller; its requests are taken one after the other. */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    /** Requests that a caller may send ahead; beyond, its bytes stay in the kernel. */
+    private static final int MOST_AHEAD = 4;
+
+    private final HttpServer server;
+    private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
+    private Channel channel;
+    private HttpCall call;
+    private long arrivingSince;
+    private long idleSince = System.nanoTime();
+    private boolean refused;
+
+    ServerConnection(HttpServer server) {
+        this.server = server;
+    }
+
+    boolean writable() {
+        return channel.isWritable();
+    }
+
+    boolean draining() {
+        return server.draining();
+    }
+
+    boolean busy() {
+        return call != null || arrivingSince != 0 || !ahead.isEmpty();
+    }
+
+    /** The first bytes of a request have come; called by the handler in front of the decoder. */
+    void arriving() {
+        if (arrivingSince == 0) {
+            arrivingSince = System.nanoTime();
+        }
+    }
+
+    /** Ends what has taken too long: half a request is refused, an idle connection closed. */
+    void check(long now, long headerNanos, long idleNanos) {
+        if (call == null && arrivingSince != 0 && now - arrivingSince > headerNanos) {
+            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (!busy() && now - idleSince > idleNanos) {
+            channel.close();
+        }
+    }
+
+    void closeIfIdle(long now, long idleNanos) {
+        if (!busy() && now - idleSince > idleNanos) {
+            channel.close();
+        }
+    }
+
+    void send(Object message) {
+        channel.writeAndFlush(message);
+    }
+
+    void finished(boolean close) {
+        call = null;
+        idleSince = System.nanoTime();
+        if (close) {
+            refused = true;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        if (!ahead.isEmpty()) {
+            begin(ahead.remove());
+        }
+        channel.config().setAutoRead(true);
+    }
+
+    void abort() {
+        call = null;
+        refused = true;
+        channel.close();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        server.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (refused || !(message instanceof FullHttpRequest request)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (request.decoderResult().isFailure()) {
+            Throwable cause = request.decoderResult().cause();
+            request.release();
+            refuse(statusOf(cause));
+            return;
+        }
+        if (call == null && ahead.isEmpty()) {
+            begin(request);
+            return;
+        }
+        ahead.add(request);
+        if (ahead.size() >= MOST_AHEAD) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (call != null && channel.isWritable()) {
+            call.nowWritable();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        server.closed(this);
+        ahead.forEach(FullHttpRequest::release);
+        ahead.clear();
+        HttpCall open = call;
+        call = null;
+        if (open != null) {
+            open.callerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    private void begin(FullHttpRequest request) {
+        long since = arrivingSince == 0 ? System.nanoTime() : arrivingSince;
+        arrivingSince = 0;
+        call = new HttpCall(this, request, since);
+        server.handler().handle(call);
+    }
+
+    private static HttpResponseStatus statusOf(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException
+                || cause instanceof TooLongHttpLineException) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        return HttpResponseStatus.BAD_REQUEST;
+    }
+
+    // What follows a request that can't be read might be taken for a request of its own, so the
+    // connection ends with the refusal.
+    private void refuse(HttpResponseStatus status) {
+        refused = true;
+        if (call != null) {
+            channel.close();
+            return;
+        }
+        var answer =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetwork.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetwork.java
@@ -39,7 +39,6 @@
  * <p>All methods are thread-safe and none but {@link #start()} and {@link #close()} blocks.
  */
 public final class PeerNetwork implements AutoCloseable {
-    private static final int THREADS = 2;
     private static final int CONNECT_TIMEOUT_MS = 3_000;
     private static final int STOP_SECONDS = 2;
     private static final WriteBufferWaterMark WATER_MARK =
@@ -52,8 +51,7 @@
     private final LinkEvents events;
     private final ClockGuard guard;
     private final LinkHandler.Context context;
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final EventLoopGroup group;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final ConcurrentMap<PeerAddress, Dialer> dialers = new ConcurrentHashMap<>();
     private volatile Channel server;
@@ -61,6 +59,7 @@
 
     PeerNetwork(PeerNetworkBuilder builder) {
         settings = builder.settings;
+        group = new MultiThreadIoEventLoopGroup(builder.threads, NioIoHandler.newFactory());
         clock = builder.clock;
         random = builder.random;
         metrics = builder.metrics;
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetworkBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetworkBuilder.java
@@ -25,6 +25,7 @@
     Metrics metrics = new Metrics();
     Supplier<Heartbeat> heartbeat = Heartbeat::getDefaultInstance;
     RandomGenerator random = new Random();
+    int threads = 2;
     final List<PeerListener> listeners = new ArrayList<>();
     private Hello hello;
 
@@ -80,6 +81,15 @@
         return this;
     }
 
+    /** Traffic threads of this network; 2 unless set. */
+    public PeerNetworkBuilder threads(int given) {
+        if (given < 1) {
+            throw new IllegalArgumentException("threads must be at least 1: " + given);
+        }
+        threads = given;
+        return this;
+    }
+
     /** Adds a listener; may be called again. */
     public PeerNetworkBuilder listen(PeerListener listener) {
         listeners.add(Objects.requireNonNull(listener, "listener"));
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/Admission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/Admission.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.router;
+package io.damaskyoke.rates;
 
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.exchange.Request;
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -1,7 +1,7 @@
-package io.damaskyoke.router;
+package io.damaskyoke.rates;
 
 import io.damaskyoke.control.Control;
-import io.damaskyoke.control.configuration.Configuration;
+import io.damaskyoke.control.configuration.Workspace;
 import io.damaskyoke.control.rates.RateAction;
 import io.damaskyoke.control.rates.RateInput;
 import io.damaskyoke.control.rates.RateMachine;
@@ -10,10 +10,10 @@
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.exchange.Request;
 import io.damaskyoke.id.ExchangeId;
+import io.damaskyoke.id.Incarnation;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.id.WorkspaceId;
 import io.damaskyoke.metrics.Metrics;
-import io.damaskyoke.node.Node;
 import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.KeyValueStore.Condition;
 import io.damaskyoke.platform.KeyValueStore.Write;
@@ -34,7 +34,7 @@
  * Lets requests in by their workspace's rate: feeds a {@link RateMachine} and carries out what it
  * decides. Its state belongs to the control thread.
  */
-final class RateAdmission implements Admission {
+public final class RateAdmission implements Admission {
     private static final String PREFIX = "/rates/";
     private static final Duration TICK = Duration.ofMillis(50);
     private static final long POLL_MILLIS = 50;
@@ -45,49 +45,91 @@
     private final String prefix;
     private final Metrics metrics;
     private final Timeline timeline;
-    private final Node node;
+    private final VmId vm;
+    private final Incarnation incarnation;
+    private final RateSettings settings;
     private final Map<ExchangeId, Consumer<Optional<Refusal>>> verdicts = new HashMap<>();
     private RatePeers peers;
     private RateMachine machine;
 
-    RateAdmission(Node node) {
-        this.control = node.control();
-        this.store = node.store();
-        this.vmList = node.vmList();
-        this.prefix = node.storePrefix() + PREFIX;
-        this.metrics = node.metrics();
-        this.timeline = node.timeline();
-        this.node = node;
+    /** Rates of this life of the router on this VM. */
+    public RateAdmission(Parts parts, VmId vm, Incarnation incarnation, RateSettings settings) {
+        this.control = parts.control();
+        this.store = parts.store();
+        this.vmList = parts.vmList();
+        this.prefix = parts.storePrefix() + PREFIX;
+        this.metrics = parts.metrics();
+        this.timeline = parts.timeline();
+        this.vm = vm;
+        this.incarnation = incarnation;
+        this.settings = settings;
     }
 
+    /** What rates need of their process. */
+    public record Parts(
+            Control control,
+            KeyValueStore store,
+            VmList vmList,
+            String storePrefix,
+            Metrics metrics,
+            Timeline timeline) {}
+
     /** Begins; {@code given} reaches the other routers, which reach this one at the address. */
-    void start(RatePeers given, String address, Configuration now, Duration listPeriod) {
+    public void start(
+            RatePeers given,
+            String address,
+            Map<WorkspaceId, Workspace> workspaces,
+            Duration listPeriod) {
         peers = given;
-        machine = RateMachine.of(node.incarnation(), node.vm(), address, RateSettings.usual());
-        configured(now);
+        machine = RateMachine.of(incarnation, vm, address, settings);
+        configured(workspaces);
         control.every(TICK, () -> feed(new RateInput.Tick()));
         control.every(listPeriod, this::readList);
         readList();
     }
 
     /** Takes in what operators have set; control thread. */
-    void configured(Configuration now) {
-        feed(new RateInput.Configured(now.workspaces()));
+    public void configured(Map<WorkspaceId, Workspace> workspaces) {
+        feed(new RateInput.Configured(workspaces));
     }
 
     @Override
     public void admit(Request request, Instant now, Consumer<Optional<Refusal>> verdict) {
-        verdicts.put(request.id(), verdict);
-        feed(new RateInput.Arrived(request.id(), request.workspace(), request.tokens()));
+        admit(request.id(), request.workspace(), request.tokens(), verdict);
+    }
+
+    /** Lets a request in for this many tokens, now or within the holding time, or refuses it. */
+    public void admit(
+            ExchangeId id,
+            WorkspaceId workspace,
+            long tokens,
+            Consumer<Optional<Refusal>> verdict) {
+        verdicts.put(id, verdict);
+        feed(new RateInput.Arrived(id, workspace, tokens));
     }
 
     @Override
     public void settle(Request request, long tokensUsed, Instant now) {
-        feed(new RateInput.Settled(request.workspace(), request.tokens(), tokensUsed));
+        settle(request.workspace(), request.tokens(), tokensUsed);
+    }
+
+    /** A request was charged the one and used the other. */
+    public void settle(WorkspaceId workspace, long charged, long used) {
+        feed(new RateInput.Settled(workspace, charged, used));
+    }
+
+    /** Tokens that this router could spend now. */
+    public double available(WorkspaceId workspace) {
+        return machine.available(workspace);
+    }
+
+    /** Its part of the workspace's whole, in millionths. */
+    public int part(WorkspaceId workspace) {
+        return machine.part(workspace);
     }
 
     /** Gives all shares back, as far as that goes within the limit. */
-    void leave(Duration limit) {
+    public void leave(Duration limit) {
         control.run(() -> feed(new RateInput.Leave()));
         long end = System.nanoTime() + limit.toNanos();
         while (System.nanoTime() < end && !left()) {
@@ -101,7 +143,7 @@
     }
 
     /** Passes on something that happened; control thread only. */
-    void feed(RateInput input) {
+    public void feed(RateInput input) {
         if (machine == null) {
             return;
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.router;
+package io.damaskyoke.rates;
 
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.rates.RateAction;
@@ -22,20 +22,21 @@
 import java.util.Map;
 
 /** Carries requests for tokens, and tokens, between this router and the others. */
-final class RatePeers implements PeerListener {
+public final class RatePeers implements PeerListener {
     private final Control control;
     private final RateAdmission rates;
     private final Map<VmId, PeerAddress> addresses = new HashMap<>();
     private final Map<VmId, PeerLink> links = new HashMap<>();
     private PeerNetwork network;
 
-    RatePeers(Control control, RateAdmission rates) {
+    /** Between this control thread and those rates. */
+    public RatePeers(Control control, RateAdmission rates) {
         this.control = control;
         this.rates = rates;
     }
 
     /** Says what to send over; before the first message. */
-    void over(PeerNetwork given) {
+    public void over(PeerNetwork given) {
         network = given;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -21,6 +21,7 @@
 import io.damaskyoke.peer.PeerAddress;
 import io.damaskyoke.peer.PeerLink;
 import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.rates.Admission;
 import io.damaskyoke.timeline.Timeline;
 import java.time.Duration;
 import java.time.Instant;
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.control.configuration.Configuration;
 import io.damaskyoke.control.configuration.KeyHasher;
 import io.damaskyoke.control.configuration.TicketParser;
+import io.damaskyoke.control.rates.RateSettings;
 import io.damaskyoke.control.routing.Fleet;
 import io.damaskyoke.control.routing.RetryBudget;
 import io.damaskyoke.id.ExchangeId;
@@ -17,6 +18,8 @@
 import io.damaskyoke.peer.ExchangeClient;
 import io.damaskyoke.peer.PeerNetwork;
 import io.damaskyoke.peer.Role;
+import io.damaskyoke.rates.RateAdmission;
+import io.damaskyoke.rates.RatePeers;
 import io.damaskyoke.settings.RouterSettings;
 import io.damaskyoke.timeline.EventType;
 import java.time.Duration;
@@ -70,7 +73,9 @@
         ClaimQueries queries = new ClaimQueries(node.control());
         LastHeard heard = new LastHeard(node.control().clock());
         this.placement = placement(heard);
-        this.rates = new RateAdmission(node);
+        this.rates =
+                new RateAdmission(
+                        rateParts(node), node.vm(), node.incarnation(), RateSettings.usual());
         RatePeers ratePeers = new RatePeers(node.control(), rates);
         this.network =
                 node.network(settings.peer())
@@ -168,10 +173,20 @@
                 () -> node.configuration().confirmed(settings.control().unconfirmedLimit()));
     }
 
+    private static RateAdmission.Parts rateParts(Node node) {
+        return new RateAdmission.Parts(
+                node.control(),
+                node.store(),
+                node.vmList(),
+                node.storePrefix(),
+                node.metrics(),
+                node.timeline());
+    }
+
     private void startRates(RatePeers peers) {
         String address = settings.peer().host() + ':' + network.port();
         Duration listPeriod = settings.platform().vmListPeriod();
-        rates.start(peers, address, node.configuration().current(), listPeriod);
+        rates.start(peers, address, node.configuration().current().workspaces(), listPeriod);
     }
 
     private CompletionStage<CallerServer> startCallers() {
@@ -228,7 +243,7 @@
     }
 
     private void changed(Configuration now) {
-        rates.configured(now);
+        rates.configured(now.workspaces());
         dispatcher.configurationChanged(now);
         placement.configurationChanged();
     }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
@@ -0,0 +1,36 @@
+package io.damaskyoke.settings;
+
+import io.damaskyoke.http.Endpoint;
+import java.time.Duration;
+
+/**
+ * What a router that reaches upstreams itself is told at its start.
+ *
+ * @param vm its name
+ * @param availabilityZone where it runs; near upstreams are preferred
+ * @param callers where callers connect to
+ * @param ready where the balancer asks whether it is ready
+ * @param store the platform's key-value service
+ * @param storePrefix what our keys there begin with
+ * @param storeTimeout how long one call may take
+ * @param metricsPort at the peers' address; 0 for none
+ * @param retryWindow over which second sends are counted
+ * @param retryRatio second sends as a part of the requests, over all routers
+ * @param retryExtra second sends beyond that part, over all routers
+ * @param grace how long a stop may take
+ * @param peer how it talks to other routers
+ */
+public record DirectSettings(
+        String vm,
+        String availabilityZone,
+        Endpoint callers,
+        Endpoint ready,
+        Endpoint store,
+        String storePrefix,
+        Duration storeTimeout,
+        int metricsPort,
+        Duration retryWindow,
+        double retryRatio,
+        double retryExtra,
+        Duration grace,
+        PeerSettings peer) {}
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -263,6 +263,56 @@
                             .fallback("2"));
 
     /** The keys of a router's file. */
+    private static final List<Key> DIRECT_ONLY =
+            List.of(
+                    Key.of(
+                            "direct.callers",
+                            Kind.TEXT,
+                            "Address and port that callers connect to: 10.0.0.7:8080."),
+                    Key.of(
+                            "direct.ready",
+                            Kind.TEXT,
+                            "Address and port on which the balancer asks whether we are ready."),
+                    Key.of("direct.store", Kind.TEXT, "Address and port of the platform's store."),
+                    Key.of("direct.store-prefix", Kind.TEXT, "What our keys there begin with.")
+                            .fallback("damaskyoke"),
+                    Key.of("direct.store-timeout", Kind.DURATION, "How long one call may take.")
+                            .range("50ms", "1m")
+                            .fallback("1500ms"),
+                    Key.of(
+                                    "direct.metrics-port",
+                                    Kind.INTEGER,
+                                    "Port for metrics, at peer.host; 0 for none.")
+                            .range("0", "65535")
+                            .fallback("0"),
+                    Key.of(
+                                    "direct.retry-window",
+                                    Kind.DURATION,
+                                    "Over which second sends are counted, by all routers together.")
+                            .range("1s", "10m")
+                            .fallback("10s"),
+                    Key.of(
+                                    "direct.retry-ratio",
+                                    Kind.NUMBER,
+                                    "Second sends to a service, as a part of its requests.")
+                            .range("0", "1")
+                            .fallback("0.2"),
+                    Key.of(
+                                    "direct.retry-extra",
+                                    Kind.NUMBER,
+                                    "Second sends to a service beyond that part, in one window.")
+                            .range("0", "1000000")
+                            .fallback("20"),
+                    Key.of(
+                                    "direct.grace",
+                                    Kind.DURATION,
+                                    "How long a stop may take before the platform kills.")
+                            .range("1s", "1h")
+                            .fallback("8s"));
+
+    static final List<Key> DIRECT =
+            Stream.of(PROCESS.subList(0, 2), DIRECT_ONLY, PEER).flatMap(List::stream).toList();
+
     static final List<Key> ROUTER =
             Stream.of(PROCESS, PLATFORM, CALLER, OPERATOR, PEER, CONTROL, CLAIMS, STOP)
                     .flatMap(List::stream)
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Kind.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Kind.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.damaskyoke.id.VmId;
 import io.netty.util.NetUtil;
+import java.math.BigDecimal;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.time.Duration;
@@ -81,7 +82,7 @@
         }
     };
 
-    private static final Pattern AMOUNT = Pattern.compile("(\\d{1,12})([A-Za-z]+)");
+    private static final Pattern AMOUNT = Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?)([A-Za-z]+)");
     private static final Map<String, Duration> TIME_UNITS =
             Map.of(
                     "ms", Duration.ofMillis(1),
@@ -160,12 +161,18 @@
             return Optional.empty();
         }
         Duration unit = TIME_UNITS.get(amount.group(2));
-        return Optional.of(unit.multipliedBy(Long.parseLong(amount.group(1))));
+        BigDecimal nanos = new BigDecimal(amount.group(1)).multiply(nanosOf(unit));
+        return Optional.of(Duration.ofNanos(nanos.longValue()));
+    }
+
+    private static BigDecimal nanosOf(Duration unit) {
+        return BigDecimal.valueOf(unit.toNanos());
     }
 
     private static Optional<Object> size(String text) {
         Matcher amount = AMOUNT.matcher(text);
-        if (!amount.matches() || !SIZE_UNITS.containsKey(amount.group(2))) {
+        boolean whole = amount.matches() && !amount.group(1).contains(".");
+        if (!whole || !SIZE_UNITS.containsKey(amount.group(2))) {
             return Optional.empty();
         }
         long unit = SIZE_UNITS.get(amount.group(2));
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.settings;
 
 import io.damaskyoke.control.claims.ClaimSettings;
+import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.settings.SettingsException.Code;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -29,6 +30,35 @@
         return parseAgent(textOf(file), file.toString());
     }
 
+    /** The settings of a router that reaches upstreams itself, read from this TOML file. */
+    public static DirectSettings direct(Path file) {
+        return parseDirect(textOf(file), file.toString());
+    }
+
+    /** The same from TOML text; the file's name stands in the faults. */
+    public static DirectSettings parseDirect(String text, String fileName) {
+        Values values = Values.read(text, fileName, Keys.DIRECT);
+        values.endpoint("direct.callers");
+        values.endpoint("direct.ready");
+        values.endpoint("direct.store");
+        checkSilence(values);
+        values.throwFaults();
+        return new DirectSettings(
+                values.text("process.vm"),
+                values.text("process.availability-zone"),
+                Endpoint.parse(values.text("direct.callers")),
+                Endpoint.parse(values.text("direct.ready")),
+                Endpoint.parse(values.text("direct.store")),
+                values.text("direct.store-prefix"),
+                values.duration("direct.store-timeout"),
+                values.integer("direct.metrics-port"),
+                values.duration("direct.retry-window"),
+                values.number("direct.retry-ratio"),
+                values.number("direct.retry-extra"),
+                values.duration("direct.grace"),
+                peer(values));
+    }
+
     /** A router's settings from TOML text; the file's name stands in the faults. */
     public static RouterSettings parseRouter(String text, String fileName) {
         Values values = Values.read(text, fileName, Keys.ROUTER);
@@ -100,6 +130,10 @@
     private static void checkShared(Values values) {
         values.secret("process.key-secret");
         values.secret("operator.token");
+        checkSilence(values);
+    }
+
+    private static void checkSilence(Values values) {
         values.require(
                 "peer.silence",
                 values.duration("peer.silence")
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.http.HttpException;
 import io.damaskyoke.settings.SettingsException.Code;
 import java.io.IOException;
 import java.net.URI;
@@ -81,6 +83,17 @@
         }
     }
 
+    /** Checks that a text is an IP number and a port. */
+    void endpoint(String key) {
+        boolean good = true;
+        try {
+            Endpoint.parse(text(key));
+        } catch (HttpException e) {
+            good = false;
+        }
+        require(key, good, "an address and port such as \"10.0.0.7:8080\"");
+    }
+
     /** Takes a secret from its key or from the file that KEY-file names, and checks its length. */
     void secret(String key) {
         String fileKey = key + "-file";
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/SuspendAwareClockTest.java
@@ -0,0 +1,48 @@
+package io.damaskyoke.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class SuspendAwareClockTest {
+    private static final Instant START = Instant.ofEpochSecond(1_000);
+
+    private long nanos;
+    private Instant timeOfDay = START;
+    private final SuspendAwareClock clock = new SuspendAwareClock(() -> nanos, () -> timeOfDay);
+
+    @Test
+    void aFreezeCountsThoughTheCounterStoodStill() {
+        // The giver of orders renews its lease, and its VM is frozen for six seconds. The counter
+        // doesn't see the pause; without the leap the lease would look as fresh as before.
+        pass(Duration.ofMillis(100));
+        timeOfDay = timeOfDay.plusSeconds(6);
+        assertEquals(START.plusMillis(6_100), clock.instant());
+    }
+
+    @Test
+    void aClockThatIsSetBackChangesNothing() {
+        pass(Duration.ofMillis(100));
+        timeOfDay = timeOfDay.minusSeconds(2);
+        assertEquals(START.plusMillis(100), clock.instant());
+        timeOfDay = timeOfDay.plusSeconds(2);
+        assertEquals(START.plusMillis(2_100), clock.instant());
+    }
+
+    @Test
+    void smallDriftIsLeftOut() {
+        for (int i = 0; i < 10; i++) {
+            pass(Duration.ofMillis(100));
+            timeOfDay = timeOfDay.plusMillis(50);
+            clock.instant();
+        }
+        assertEquals(START.plusMillis(1_000), clock.instant());
+    }
+
+    private void pass(Duration time) {
+        nanos += time.toNanos();
+        timeOfDay = timeOfDay.plus(time);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -0,0 +1,280 @@
+package io.damaskyoke.control.loads;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.direct.EngineSpec;
+import io.damaskyoke.control.direct.ModelSpec;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class LoadPlannerTest {
+    private static final VmId ROUTER = VmId.of("router-1");
+    private static final UpstreamId ONE = UpstreamId.of("one");
+    private static final UpstreamId TWO = UpstreamId.of("two");
+
+    private final LoadPlanner planner = new LoadPlanner(LoadSettings.usual());
+    private final Map<UpstreamId, HeldModels> truth = new HashMap<>();
+    private Instant now = Instant.ofEpochSecond(100);
+    private LoadAction.Order last;
+    private String lastOrder = "none";
+
+    @Test
+    void aWaitedForModelComesFromTheDiskOfTheUpstreamThatHasIt() {
+        begin(Set.of(), Set.of("g"));
+        assertEquals(List.of("UNLOAD d two 0"), want("g", 1));
+        answer(OrderOutcome.ACCEPTED);
+        report(TWO, false, held(1, "e", "f"));
+        assertEquals("LOAD g two 1", lastOrder);
+    }
+
+    @Test
+    void theModelThatIsAskedForLeastMakesRoom() {
+        begin(Set.of("g"), Set.of());
+        var asked = List.of(want("a", 0, 1.0), want("b", 0, 0.1), want("c", 0, 1.0));
+        demand(asked, Map.of());
+        var more = new ArrayList<>(asked);
+        more.add(want("g", 1, 0.2));
+        assertEquals(List.of("UNLOAD b one 0"), demand(more, Map.of()));
+    }
+
+    @Test
+    void aModelWithRequestsRunningIsSpared() {
+        begin(Set.of("g"), Set.of());
+        assertEquals(
+                List.of("UNLOAD c one 0"),
+                demand(
+                        List.of(want("c", 0, 0.3), want("g", 1, 0.2)),
+                        Map.of(ONE, Map.of(ref("a"), 1, ref("b"), 2))));
+    }
+
+    @Test
+    void nothingIsOrderedBeforeTheUpstreamHasReported() {
+        // A new giver of orders knows from the list what upstreams hold, but not which orders of
+        // the
+        // giver before it are under way. Memory counted from the list alone could be overcommitted.
+        planner.on(new LoadInput.Configured(Map.of("engines", spec())), now);
+        planner.on(new LoadInput.Listed(facts(ONE, held(0, "a"), Set.of("g"))), now);
+        List<LoadAction> actions = planner.on(new LoadInput.Elected(), now);
+        assertEquals(List.of(new LoadAction.AskReport(ONE)), actions);
+        assertEquals(List.of(), want("g", 1));
+    }
+
+    @Test
+    void anUpstreamThatIsBusyWithAnUnknownOrderIsWaitedFor() {
+        // The giver before had ordered a load that is still under way. Its model isn't in the
+        // report yet; once it is, it counts before anything else is ordered.
+        begin(Set.of("g"), Set.of());
+        report(ONE, true, held(1, "a", "b"));
+        assertEquals(List.of(), want("g", 1));
+        now = now.plusMillis(200);
+        report(ONE, false, held(1, "a", "b", "c"));
+        assertEquals("UNLOAD a one 1", lastOrder);
+    }
+
+    @Test
+    void anOrderWithoutAnAnswerIsNotTakenAsRefused() {
+        // The answer to an unload is lost. It may be carried out seconds later, so nothing is
+        // ordered until the upstream has reported; the next order names the same number of accepted
+        // orders, of which the upstream accepts one.
+        begin(Set.of("g"), Set.of());
+        assertEquals(List.of("UNLOAD a one 0"), want("g", 1));
+        answer(OrderOutcome.UNKNOWN);
+        assertEquals(List.of(), tick());
+        now = now.plusSeconds(1);
+        report(ONE, false, held(0, "a", "b", "c"));
+        assertEquals("UNLOAD a one 0", lastOrder);
+    }
+
+    @Test
+    void memoryIsNeverOrderedOverItsBound() {
+        // Requests for all models keep coming, models load and unload, every fourth answer is lost
+        // and its order carried out or not. What an upstream then holds never exceeds its memory.
+        begin(Set.of("d", "e", "f", "g"), Set.of("a", "b", "c", "g"));
+        String all = "abcdefg";
+        for (int step = 0; step < 600; step++) {
+            String model = all.substring(step * 5 % 7, step * 5 % 7 + 1);
+            carryOut(planner.on(demanded(List.of(want(model, 1, 0.5))), now), step);
+            now = now.plusMillis(150);
+            for (UpstreamId id : List.of(ONE, TWO)) {
+                carryOut(report(id, false, truth.get(id)), step);
+                assertTrue(truth.get(id).adapters().size() <= 3, "holds " + truth.get(id));
+            }
+        }
+        assertTrue(truth.get(ONE).sequence() > 20, "orders " + truth.get(ONE).sequence());
+    }
+
+    @Test
+    void anAdapterTakesThePlaceOfTheOneUsedLongestAgo() {
+        begin(Set.of(), Set.of());
+        Map<String, Set<String>> adapters = new HashMap<>();
+        adapters.put("a", Set.of("x", "y"));
+        adapters.put("b", Set.of());
+        adapters.put("c", Set.of());
+        report(ONE, false, new HeldModels(1, 0, adapters));
+        demand(List.of(), Map.of(ONE, Map.of(ModelRef.parse("a/x"), 1)));
+        now = now.plusMillis(50);
+        demand(List.of(), Map.of());
+        assertEquals(List.of("UNLOAD a/y one 0"), want("a/z", 1));
+        answer(OrderOutcome.DONE);
+        assertEquals("LOAD a/z one 1", lastOrder);
+    }
+
+    @Test
+    void aBusyModelGetsASecondReplica() {
+        begin(Set.of(), Set.of("a"));
+        assertEquals(List.of("UNLOAD d two 0"), demand(List.of(want("a", 0, 9.0)), Map.of()));
+    }
+
+    @Test
+    void theStoreIsLeftAloneWhileAnUpstreamHasACopy() {
+        // The only upstream with a copy is busy for a moment. A load from the store would take six
+        // seconds and bar the other upstream for as long.
+        begin(Set.of(), Set.of("g"));
+        report(TWO, true, held(1, "d", "e", "f"));
+        assertEquals(List.of(), want("g", 1));
+    }
+
+    // Two upstreams hold three of seven models each, which is all that they have room for.
+    private void begin(Set<String> onDiskOfOne, Set<String> onDiskOfTwo) {
+        planner.on(new LoadInput.Configured(Map.of("engines", spec())), now);
+        list(ONE, held(0, "a", "b", "c"), onDiskOfOne);
+        list(TWO, held(0, "d", "e", "f"), onDiskOfTwo);
+        planner.on(new LoadInput.Elected(), now);
+        report(ONE, false, truth.get(ONE));
+        report(TWO, false, truth.get(TWO));
+    }
+
+    private void list(UpstreamId id, HeldModels held, Set<String> onDisk) {
+        truth.put(id, held);
+        planner.on(new LoadInput.Listed(facts(id, held, onDisk)), now);
+    }
+
+    private List<LoadAction> report(UpstreamId id, boolean busy, HeldModels held) {
+        List<LoadAction> actions =
+                planner.on(new LoadInput.Reported(id, busy, held, Set.of(), Set.of()), now);
+        orders(actions);
+        return actions;
+    }
+
+    private void answer(OrderOutcome outcome) {
+        orders(planner.on(new LoadInput.Answered(last.upstream(), last.number(), outcome), now));
+    }
+
+    private List<String> tick() {
+        return orders(planner.on(new LoadInput.Tick(), now));
+    }
+
+    private List<String> want(String model, int waiting) {
+        return demand(List.of(want(model, waiting, 0.2)), Map.of());
+    }
+
+    private List<String> demand(
+            List<LoadInput.Want> wants, Map<UpstreamId, Map<ModelRef, Integer>> running) {
+        return orders(planner.on(new LoadInput.Demanded(ROUTER, wants, running, Set.of()), now));
+    }
+
+    private static LoadInput.Demanded demanded(List<LoadInput.Want> wants) {
+        return new LoadInput.Demanded(ROUTER, wants, Map.of(), Set.of());
+    }
+
+    private List<String> orders(List<LoadAction> actions) {
+        List<String> orders = new ArrayList<>();
+        for (LoadAction action : actions) {
+            if (action instanceof LoadAction.Order order) {
+                last = order;
+                lastOrder =
+                        String.join(
+                                " ",
+                                order.verb().name(),
+                                order.model().toString(),
+                                order.upstream().value(),
+                                Long.toString(order.sequence()));
+                orders.add(lastOrder);
+            }
+        }
+        return orders;
+    }
+
+    private void carryOut(List<LoadAction> actions, int step) {
+        for (LoadAction action : actions) {
+            if (!(action instanceof LoadAction.Order order)) {
+                continue;
+            }
+            HeldModels before = truth.get(order.upstream());
+            boolean lost = step % 4 == 0;
+            boolean done = order.sequence() == before.sequence() && (!lost || step % 8 == 0);
+            if (done) {
+                long next = before.sequence() + 1;
+                truth.put(
+                        order.upstream(),
+                        order.verb() == Verb.LOAD
+                                ? before.with(order.model(), next)
+                                : before.without(order.model(), next));
+            }
+            OrderOutcome known = done ? OrderOutcome.ACCEPTED : OrderOutcome.CONFLICT;
+            OrderOutcome outcome = lost ? OrderOutcome.UNKNOWN : known;
+            planner.on(new LoadInput.Answered(order.upstream(), order.number(), outcome), now);
+        }
+    }
+
+    private static LoadInput.Want want(String model, int waiting, double perSecond) {
+        return new LoadInput.Want(
+                ModelRef.parse(model), waiting, Duration.ofMillis(10), 1, perSecond);
+    }
+
+    private static ModelRef ref(String model) {
+        return ModelRef.parse(model);
+    }
+
+    private static HeldModels held(long sequence, String... models) {
+        Map<String, Set<String>> adapters = new HashMap<>();
+        for (String model : models) {
+            adapters.put(model, Set.of());
+        }
+        return new HeldModels(1, sequence, adapters);
+    }
+
+    private static EngineSpec spec() {
+        Map<String, ModelSpec> models = new HashMap<>();
+        for (String name : List.of("a", "b", "c", "d", "e", "f", "g")) {
+            models.put(
+                    name,
+                    new ModelSpec(
+                            name,
+                            60,
+                            Duration.ofSeconds(6),
+                            Duration.ofMillis(600),
+                            Duration.ofMillis(800),
+                            0.1));
+        }
+        return new EngineSpec(32, 90_000, 200, 2, 5, models);
+    }
+
+    private static UpstreamFacts facts(UpstreamId id, HeldModels held, Set<String> onDisk) {
+        return new UpstreamFacts(
+                id,
+                1,
+                "engines",
+                new Endpoint("10.0.0.1", 80),
+                "a",
+                32,
+                false,
+                Duration.ZERO,
+                new HeldModels(1, HeldModels.UNCOUNTED, held.adapters()),
+                Set.of(),
+                onDisk);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/routing/SharedRetryBudgetTest.java
@@ -0,0 +1,60 @@
+package io.damaskyoke.control.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class SharedRetryBudgetTest {
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final int ROUTERS = 4;
+    private static final double RATIO = 0.2;
+    private static final double EXTRA = 52;
+
+    @Test
+    void aRouterWithoutRequestsHasItsEvenPartOfTheExtra() {
+        SharedRetryBudget budget = new SharedRetryBudget(WINDOW, RATIO, EXTRA);
+        int taken = 0;
+        while (budget.take(ROUTERS, Instant.EPOCH)) {
+            taken++;
+        }
+        assertEquals(9, taken);
+    }
+
+    @Test
+    void noSlidingWindowHasMoreThanTheBound() {
+        // Every upstream fails for a while, and each router tries every request once more. Over any
+        // ten seconds the second sends of all routers stay within the common bound.
+        SplittableRandom random = new SplittableRandom(7);
+        List<SharedRetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < ROUTERS; i++) {
+            budgets.add(new SharedRetryBudget(WINDOW, RATIO, EXTRA));
+        }
+        List<Integer> retriesAt = new ArrayList<>();
+        List<Integer> requestsAt = new ArrayList<>();
+        for (int millis = 0; millis < 40_000; millis += 10) {
+            Instant now = Instant.ofEpochMilli(millis);
+            SharedRetryBudget budget = budgets.get(random.nextInt(ROUTERS));
+            budget.requested(now);
+            requestsAt.add(millis);
+            if (budget.take(ROUTERS, now)) {
+                retriesAt.add(millis);
+            }
+        }
+        for (int start = 0; start <= 30_000; start += 500) {
+            long retries = within(retriesAt, start);
+            double bound = RATIO * within(requestsAt, start) + EXTRA;
+            assertTrue(retries <= bound, "from " + start + ": " + retries + " of " + bound);
+        }
+    }
+
+    private static long within(List<Integer> times, int start) {
+        long end = start + WINDOW.toMillis();
+        return times.stream().filter(at -> at >= start && at < end).count();
+    }
+}
