--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamChoiceTest.java
@@ -0,0 +1,157 @@
+package io.damaskyoke.control.upstreams;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.http.Endpoint;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class UpstreamChoiceTest {
+    private static final ModelRef CUT_SHEET = ModelRef.parse("cut-sheet");
+    private static final ModelRef ADAPTED = ModelRef.parse("cut-sheet/a3");
+    private static final int SLOTS = 4;
+
+    private final UpstreamTable table = new UpstreamTable();
+    private final UpstreamChoice choice = new UpstreamChoice("a", 1.0);
+    private Instant now = Instant.ofEpochSecond(100);
+    private long revision;
+
+    @Test
+    void anUpstreamInTheSameZoneGoesFirst() {
+        put("far", "b", false, Map.of());
+        put("near", "a", false, Map.of());
+        assertEquals("near", pick(null));
+    }
+
+    @Test
+    void onlyAnUpstreamThatHoldsTheModelIsPicked() {
+        put("one", "a", false, Map.of("tide-note", Set.of()));
+        put("two", "b", false, Map.of("cut-sheet", Set.of("a1")));
+        assertEquals("two", pick(CUT_SHEET));
+        assertEquals("nobody", pick(ADAPTED));
+    }
+
+    @Test
+    void aFullUpstreamIsLeftOut() {
+        put("one", "a", false, Map.of());
+        put("two", "b", false, Map.of());
+        for (int i = 0; i < SLOTS; i++) {
+            find("one").sent(null, now);
+        }
+        assertEquals("two", pick(null));
+    }
+
+    @Test
+    void anUpstreamThatLeavesGetsNothingNew() {
+        put("one", "a", false, Map.of());
+        put("one", "a", true, Map.of());
+        assertEquals("nobody", pick(null));
+    }
+
+    @Test
+    void whatOthersSendThereCountsAndFades() {
+        put("one", "a", false, Map.of());
+        find("one").reported(SLOTS, 0, now);
+        assertEquals("nobody", pick(null));
+        now = now.plusMillis(900);
+        assertEquals("one", pick(null));
+    }
+
+    @Test
+    void anUpstreamThatFailsThreeTimesOnEndIsTriedOnceLater() {
+        // An upstream fails every request while its health check is good. After three it gets none
+        // for a while, then a single one; when that is answered, it is back.
+        put("one", "a", false, Map.of());
+        for (int i = 0; i < 3; i++) {
+            find("one").failed(now);
+        }
+        assertTrue(find("one").suspect());
+        assertEquals("nobody", pick(null));
+        now = now.plusMillis(800);
+        assertEquals("one", pick(null));
+        find("one").sent(null, now);
+        assertEquals("nobody", pick(null));
+        find("one").answered(Duration.ofMillis(5));
+        assertFalse(find("one").suspect());
+        assertEquals("one", pick(null));
+    }
+
+    @Test
+    void anUpstreamThatFailsSomeRequestsGetsFewer() {
+        put("grey", "a", false, Map.of());
+        put("sound", "b", false, Map.of());
+        find("grey").failed(now);
+        find("grey").answered(Duration.ofMillis(1));
+        find("sound").answered(Duration.ofMillis(20));
+        assertEquals("sound", pick(null));
+    }
+
+    @Test
+    void theOrderGiversWordGoesBeforeAnOlderOneOfTheUpstream() {
+        // The giver has just had a model unloaded. The upstream's own entry, which lags by a second
+        // or two, still names it; requests must not be sent there for it.
+        put("one", "a", false, Map.of("cut-sheet", Set.of()));
+        find("one").told(new HeldModels(1, 5, Map.of()), now);
+        now = now.plusMillis(1_000);
+        put("one", "a", false, Map.of("cut-sheet", Set.of()));
+        assertEquals("nobody", pick(CUT_SHEET));
+        now = now.plusMillis(2_000);
+        put("one", "a", false, Map.of("cut-sheet", Set.of()));
+        assertEquals("one", pick(CUT_SHEET));
+    }
+
+    @Test
+    void anOlderEntryChangesNothing() {
+        put("one", "a", true, Map.of());
+        UpstreamFacts older = facts("one", "a", false, Map.of(), 0);
+        assertFalse(table.put(older, now));
+        assertEquals("nobody", pick(null));
+    }
+
+    @Test
+    void anEntryFromBeforeTheRemovalDoesNotBringItBack() {
+        put("one", "a", false, Map.of());
+        assertTrue(table.remove(UpstreamId.of("one"), revision + 5));
+        assertFalse(table.put(facts("one", "a", false, Map.of(), revision + 1), now));
+        assertEquals("nobody", pick(null));
+    }
+
+    private String pick(ModelRef model) {
+        Optional<Upstream> picked = choice.pick(table.of("service"), model, Set.of(), now);
+        return picked.map(upstream -> upstream.facts().id().value()).orElse("nobody");
+    }
+
+    private Upstream find(String id) {
+        return table.find(UpstreamId.of(id)).orElseThrow();
+    }
+
+    private void put(String id, String zone, boolean draining, Map<String, Set<String>> models) {
+        table.put(facts(id, zone, draining, models, ++revision), now);
+    }
+
+    private static UpstreamFacts facts(
+            String id,
+            String zone,
+            boolean draining,
+            Map<String, Set<String>> models,
+            long revision) {
+        return new UpstreamFacts(
+                UpstreamId.of(id),
+                revision,
+                "service",
+                new Endpoint("10.0.0.1", 80),
+                zone,
+                SLOTS,
+                draining,
+                Duration.ZERO,
+                new HeldModels(1, HeldModels.UNCOUNTED, models),
+                Set.of(),
+                Set.of());
+    }
+}
