--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -68,6 +68,15 @@
         return oldest;
     }
 
+    /** How many of the model's adapters were asked for of late. */
+    int adaptersAsked(String model) {
+        int count = 0;
+        for (ModelRef each : wants.keySet()) {
+            count += each.adapted() && each.model().equals(model) ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Arrivals a second for the model with all its adapters. */
     double perSecond(String model) {
         return perSecond.getOrDefault(model, 0.0);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadAction.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadAction.java
@@ -10,8 +10,15 @@
      * Give an order; ends in Answered with the same number.
      *
      * @param sequence how many orders the upstream must have accepted before, or it refuses
+     * @param freeMb memory that the planner takes to be free before the order
      */
-    record Order(UpstreamId upstream, long number, Verb verb, ModelRef model, long sequence)
+    record Order(
+            UpstreamId upstream,
+            long number,
+            Verb verb,
+            ModelRef model,
+            long sequence,
+            double freeMb)
             implements LoadAction {}
 
     /** Ask an upstream what it holds; ends in Reported or NotReported. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -296,13 +296,13 @@
     }
 
     private void plan(EngineSpec spec, List<Engine> here, Instant now, List<LoadAction> actions) {
-        for (AdapterPlanner.Step step : adapters.plan(here, now)) {
-            order(step.engine(), step.verb(), step.adapter(), null, now, actions);
-        }
         for (Placer.Choice choice : placer.plan(spec, here, now)) {
             choice.engine().intend(new Engine.Intent(choice.model(), now.plus(INTENT_LIMIT)));
             advance(choice.engine(), choice.model(), now, actions);
         }
+        for (AdapterPlanner.Step step : adapters.plan(here, now)) {
+            order(step.engine(), step.verb(), step.adapter(), null, now, actions);
+        }
     }
 
     private void order(
@@ -314,8 +314,9 @@
             List<LoadAction> actions) {
         number++;
         long sequence = engine.held().sequence();
+        double free = engine.freeMb();
         engine.sent(new Engine.Pending(number, verb, model, source, now, false, now));
-        actions.add(new LoadAction.Order(engine.id(), number, verb, model, sequence));
+        actions.add(new LoadAction.Order(engine.id(), number, verb, model, sequence, free));
     }
 
     private static void ask(Engine engine, Instant now, List<LoadAction> actions) {
@@ -332,8 +333,44 @@
         return all.stream().filter(each -> each.facts().service().equals(service)).toList();
     }
 
-    /** For tests and status: what the planner takes an upstream to hold. */
-    public Optional<HeldModels> held(UpstreamId id) {
-        return find(id).map(Engine::held);
+    /**
+     * Why models that requests have waited for so long are still not placed: each engine that has a
+     * copy, and what bars it. Empty if nothing waits.
+     */
+    public List<String> barred(Duration longerThan, Instant now) {
+        List<String> lines = new ArrayList<>();
+        for (LoadInput.Want want : demand.waiting()) {
+            if (want.oldest().compareTo(longerThan) < 0) {
+                continue;
+            }
+            StringBuilder line = new StringBuilder(want.model().toString());
+            line.append(" waiting=").append(want.waiting());
+            line.append(" ms=").append(want.oldest().toMillis());
+            for (Engine engine : engines.values()) {
+                boolean has = engine.has(want.model().model());
+                if (has || engine.hasCopy(want.model().model())) {
+                    line.append(' ').append(engine.id()).append('=');
+                    line.append(has ? "held," : "copy,").append(state(engine, now));
+                }
+            }
+            lines.add(line.toString());
+        }
+        return lines;
+    }
+
+    private String state(Engine engine, Instant now) {
+        if (demand.suspect(engine.id())) {
+            return "suspect";
+        }
+        if (!engine.known()) {
+            return "unreported";
+        }
+        if (engine.pending() != null) {
+            return engine.pending().verb() + ":" + engine.pending().model();
+        }
+        if (engine.intent() != null) {
+            return "for:" + engine.intent().model();
+        }
+        return engine.free(now) ? "free" : "quiet";
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -26,8 +26,11 @@
     /** Requests that have waited so long though replicas are there ask for one more. */
     private static final Duration CROWDED = Duration.ofMillis(120);
 
-    /** The second replica of a busy model may cost others this, in waiting seconds a second. */
-    private static final double BUSY_GAIN = 0.5;
+    /**
+     * What one more replica of a busy model saves, in seconds for each of its requests: those that
+     * find a slot or an adapter at once, and those that would be lost with the only replica.
+     */
+    private static final double BUSY_GAIN = 0.3;
 
     /** Of what a load ahead of need saves, what it may cost: exchanges must not go to and fro. */
     private static final double AHEAD_PART = 0.4;
@@ -158,7 +161,10 @@
             String model,
             boolean needed,
             Instant now) {
-        double gain = replicas(engines, model) > 0 ? BUSY_GAIN : gain(best, model);
+        double gain =
+                replicas(engines, model) > 0
+                        ? demand.perSecond(model) * BUSY_GAIN
+                        : gain(best, model);
         if (!needed && best.hurt() > gain) {
             return false;
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ReplicaGoal.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ReplicaGoal.java
@@ -12,13 +12,19 @@
 
     private static final int LEAST = 2;
 
+    /**
+     * More replicas than this for their places alone cost more memory than the places are worth.
+     */
+    private static final int MOST_FOR_ADAPTERS = 3;
+
     private ReplicaGoal() {}
 
     static int of(EngineSpec spec, String model, DemandBook demand) {
         if (demand.perSecond(model) < BUSY_PER_SECOND) {
             return 0;
         }
+        int byAdapters = (int) Math.ceil(demand.adaptersAsked(model) / (2.0 * spec.adapterSlots()));
         int byLoad = (int) Math.ceil(demand.running(model) / (spec.slots() * USUAL_PART));
-        return Math.max(LEAST, byLoad);
+        return Math.max(LEAST, Math.max(byLoad, Math.min(byAdapters, MOST_FOR_ADAPTERS)));
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -263,7 +263,8 @@
     private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
         boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0;
         boolean noneToAsk = lenders(account).isEmpty() && !keeper.awaitsOthers(account);
-        boolean hopeless = usable(account, now) && (noneToAsk || nothingCame);
+        boolean hopeless =
+                usable(account, now) && (noneToAsk || nothingCame) && !filling(account, now);
         while (!account.held.isEmpty()) {
             Account.Held first = account.held.peek();
             boolean askedFor = noneToAsk || first.number() <= account.askedUpTo;
@@ -276,6 +277,21 @@
         }
     }
 
+    // What fills up here within the holding time needs no loan. A router that has just started
+    // holds
+    // no tokens yet; without this it would refuse for as long as it takes to fill for one request,
+    // though callers are well within their rate.
+    private boolean filling(Account account, Instant now) {
+        Account.Held first = account.held.peek();
+        if (first == null) {
+            return false;
+        }
+        double missing = first.tokens() - account.available();
+        double seconds = Duration.between(now, first.until()).toMillis() / 1000.0;
+        double part = keeper.part(account) / (double) ShareTable.WHOLE;
+        return missing <= part * account.workspace.rate() * seconds;
+    }
+
     // A small request that came behind a large one is due at about the same time. Refused with it,
     // its caller would be told that the rate is used up while there are tokens for it.
     private void admitBehind(Account account, Instant now, List<RateAction> actions) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -94,6 +94,7 @@
     private final RatePeers ratePeers;
     private final PeerNetwork network;
     private final HttpServer callers;
+    private final LoopLag lag = new LoopLag(CHECK);
     private boolean reportPlanned;
     private long highestFencing;
     private volatile boolean stopping;
@@ -202,8 +203,8 @@
 
     // A router that is cut off for the length of a disturbance goes on spending its share, and
     // nobody takes that back before it must have stopped: gone and takeBack are longer than
-    // isolation. A killed router's next life takes its share over at once. Holding is short, since
-    // a loan from another router takes a few milliseconds and callers want an answer in 300.
+    // isolation. A killed router's next life takes its share over at once. Holding is half of what
+    // callers want an answer in; a loan from another router takes a few milliseconds.
     private static RateSettings rateSettings() {
         return new RateSettings(
                 Duration.ofMinutes(10),
@@ -212,8 +213,8 @@
                 Duration.ofSeconds(5),
                 Duration.ofSeconds(35),
                 Duration.ofSeconds(2),
-                Duration.ofMillis(60),
-                Duration.ofSeconds(2));
+                Duration.ofMillis(150),
+                Duration.ofSeconds(3));
     }
 
     private PeerNetwork network(Timeline timeline) {
@@ -254,6 +255,12 @@
     }
 
     private void check() {
+        lag.ticked(clock.instant());
+        if (lag.slow() && lease.held()) {
+            lease.resign("this VM is slow");
+        } else if (lag.slow()) {
+            lease.standBack();
+        }
         dispatch.tick();
         flows.check();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
@@ -16,6 +16,7 @@
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,10 @@
     private static final Logger LOG = LogManager.getLogger(OrderGiver.class);
     private static final Duration TICK = Duration.ofMillis(20);
 
+    private static final Duration EXPLAIN_GAP = Duration.ofSeconds(1);
+    private static final Duration LONG_WAIT = Duration.ofMillis(800);
+    private static final int MOST_EXPLAINED = 4;
+
     private final Control control;
     private final UpstreamTable upstreams;
     private final OrderLease lease;
@@ -38,6 +43,7 @@
     private Runnable told = () -> {};
     private Control.Cancellable ticking = () -> {};
     private boolean flushing;
+    private Instant explainedAt = Instant.EPOCH;
 
     OrderGiver(
             Control control,
@@ -96,10 +102,21 @@
 
     @Override
     public void won() {
-        ticking = control.every(TICK, () -> feed(new LoadInput.Tick()));
+        ticking = control.every(TICK, this::tick);
         feed(new LoadInput.Elected());
     }
 
+    private void tick() {
+        feed(new LoadInput.Tick());
+        Instant now = control.clock().instant();
+        if (explainedAt.plus(EXPLAIN_GAP).isBefore(now)) {
+            explainedAt = now;
+            planner.barred(LONG_WAIT, now).stream()
+                    .limit(MOST_EXPLAINED)
+                    .forEach(line -> LOG.info("still waits: {}", line));
+        }
+    }
+
     @Override
     public void lost() {
         ticking.cancel();
@@ -140,11 +157,14 @@
                 body,
                 outcome -> {
                     LOG.info(
-                            "order {} {} upstream={} sequence={} outcome={} ms={}",
+                            "order {} {} upstream={} sequence={} free_mb={} holds={} outcome={}"
+                                    + " ms={}",
                             order.verb(),
                             order.model(),
                             order.upstream(),
                             order.sequence(),
+                            (long) order.freeMb(),
+                            to.get().held().adapters().keySet(),
                             outcome,
                             (System.nanoTime() - began) / 1_000_000);
                     answered(order, outcome);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -84,6 +84,11 @@
         notBefore = control.clock().instant().plus(PAUSE);
     }
 
+    /** Leaves it to others for a while, if it isn't held. */
+    void standBack() {
+        notBefore = control.clock().instant().plus(PAUSE);
+    }
+
     /** Gives it up for good. */
     void close() {
         resign("it stops");
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
@@ -20,7 +20,10 @@
 /** Orders to upstreams and reports from them, over the traffic's own client. */
 final class UpstreamCalls {
     private static final Logger LOG = LogManager.getLogger(UpstreamCalls.class);
-    private static final Duration LIMIT = Duration.ofMillis(800);
+
+    /** Upstreams answer orders and reports within a few milliseconds. */
+    private static final Duration LIMIT = Duration.ofMillis(400);
+
     private static final Duration KEPT = Duration.ofSeconds(2);
     private static final int OK = 200;
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -226,7 +226,10 @@
             }
             OrderOutcome known = done ? OrderOutcome.ACCEPTED : OrderOutcome.CONFLICT;
             OrderOutcome outcome = lost ? OrderOutcome.UNKNOWN : known;
-            planner.on(new LoadInput.Answered(order.upstream(), order.number(), outcome), now);
+            carryOut(
+                    planner.on(
+                            new LoadInput.Answered(order.upstream(), order.number(), outcome), now),
+                    step);
         }
     }
 
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
@@ -0,0 +1,195 @@
+package io.damaskyoke.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.damaskyoke.metrics.Metrics;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+
+class HttpClientTest {
+    private static final EventLoopGroup GROUP =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final String OK = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 2\r\n\r\nok";
+
+    private final HttpClient client =
+            new HttpClient((EventLoop) GROUP.next(), Duration.ofMillis(500), new Metrics());
+
+    @AfterAll
+    static void stop() {
+        GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aWholeAnswerKeepsTheConnection() {
+        try (RawServer server = new RawServer(OK)) {
+            assertEquals("200 ok", ask(server));
+            assertEquals("200 ok", ask(server));
+            assertEquals(1, server.connections());
+        }
+    }
+
+    @Test
+    void aRequestThatWantsAFreshConnectionGetsOne() {
+        try (RawServer server = new RawServer(OK)) {
+            assertEquals("200 ok", ask(server));
+            assertEquals("200 ok", ask(server.endpoint(), Duration.ZERO));
+            assertEquals(2, server.connections());
+        }
+    }
+
+    @Test
+    void anAnswerThatEndsTheConnectionIsNotFollowedByAnother() {
+        String last =
+                "HTTP/1.1 200 OK\r\nTry: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+        try (RawServer server = new RawServer(last)) {
+            assertEquals("200 ok", ask(server));
+            assertEquals("200 ok", ask(server));
+            assertEquals(2, server.connections());
+        }
+    }
+
+    @Test
+    void anAnswerWithFewerBytesThanItSaysIsCutShort() {
+        // The server announces five bytes, sends two and closes. Passed on as a success, the caller
+        // would take half an answer for the whole.
+        String cut = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 5\r\n\r\nok" + RawServer.CLOSE;
+        try (RawServer server = new RawServer(cut)) {
+            assertEquals("CUT_SHORT", ask(server));
+        }
+    }
+
+    @Test
+    void aStreamWithoutItsLastChunkIsCutShort() {
+        String cut =
+                "HTTP/1.1 200 OK\r\nTry: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                        + RawServer.CLOSE;
+        try (RawServer server = new RawServer(cut)) {
+            assertEquals("CUT_SHORT", ask(server));
+        }
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() {
+        String open = "HTTP/1.1 200 OK\r\nTry: 1\r\n\r\nok" + RawServer.CLOSE;
+        try (RawServer server = new RawServer(open)) {
+            assertEquals("200 ok", ask(server));
+        }
+    }
+
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsCutShort() {
+        // The same bytes, but the connection is reset: nobody knows whether there was more.
+        String reset = "HTTP/1.1 200 OK\r\nTry: 1\r\n\r\nok" + RawServer.RESET;
+        try (RawServer server = new RawServer(reset)) {
+            assertEquals("CUT_SHORT", ask(server));
+        }
+    }
+
+    @Test
+    void aConnectionThatEndsBeforeTheAnswerIsBroken() {
+        try (RawServer server = new RawServer(RawServer.CLOSE)) {
+            assertEquals("BROKEN", ask(server));
+        }
+    }
+
+    @Test
+    void nonsenseIsNoAnswer() {
+        try (RawServer server = new RawServer("nonsense\r\n\r\n" + RawServer.CLOSE)) {
+            assertEquals("GARBLED", ask(server));
+        }
+    }
+
+    @Test
+    void nothingListensSoNothingWasSent() {
+        RawServer server = new RawServer(OK);
+        Endpoint gone = server.endpoint();
+        server.close();
+        assertEquals("NOT_CONNECTED", ask(gone, LIMIT));
+    }
+
+    @Test
+    void theLateAnswerToAnEarlierRequestIsPassedOver() {
+        // The server answers the first request twice. The second answer arrives where the next
+        // request's is due, and without a look at whose it is would become that request's answer.
+        String other = "HTTP/1.1 200 OK\r\nTry: 0\r\nContent-Length: 5\r\n\r\nother";
+        try (RawServer server = new RawServer(other + OK)) {
+            assertEquals("200 ok", ask(server));
+        }
+    }
+
+    @Test
+    void bytesOnAnIdleConnectionEndIt() {
+        try (RawServer server = new RawServer(OK + OK, OK)) {
+            assertEquals("200 ok", ask(server));
+            assertEquals("200 ok", ask(server));
+            assertEquals(2, server.connections());
+        }
+    }
+
+    private String ask(RawServer server) {
+        return ask(server.endpoint(), LIMIT);
+    }
+
+    private String ask(Endpoint to, Duration idleLimit) {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        GROUP.next().execute(() -> send(to, idleLimit, outcome));
+        return outcome.orTimeout(LIMIT.toSeconds(), TimeUnit.SECONDS).join();
+    }
+
+    private void send(Endpoint to, Duration idleLimit, CompletableFuture<String> outcome) {
+        ClientRequest request =
+                new ClientRequest(
+                        HttpMethod.GET,
+                        "/",
+                        new DefaultHttpHeaders(),
+                        Unpooled.EMPTY_BUFFER,
+                        headers -> headers.get("Try", "1").equals("1"),
+                        idleLimit);
+        client.send(to, request, new Recorder(outcome));
+    }
+
+    /** Tells an answer as its status and body, and a failure as its name. */
+    private static final class Recorder implements AnswerListener {
+        private final CompletableFuture<String> outcome;
+        private final StringBuilder text = new StringBuilder();
+
+        Recorder(CompletableFuture<String> outcome) {
+            this.outcome = outcome;
+        }
+
+        @Override
+        public void head(int status, HttpHeaders headers) {
+            text.append(status).append(' ');
+        }
+
+        @Override
+        public void part(ByteBuf data) {
+            text.append(data.toString(StandardCharsets.US_ASCII));
+            data.release();
+        }
+
+        @Override
+        public void end() {
+            outcome.complete(text.toString());
+        }
+
+        @Override
+        public void failed(Failure failure) {
+            outcome.complete(failure.name());
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
@@ -0,0 +1,104 @@
+package io.damaskyoke.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A server that answers the n-th request on any connection with the n-th text, byte for byte. */
+final class RawServer implements AutoCloseable {
+    static final String CLOSE = "<close>";
+    static final String RESET = "<reset>";
+
+    private final ServerSocket server;
+    private final List<String> answers;
+    private final AtomicInteger next = new AtomicInteger();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    RawServer(String... answers) {
+        this.answers = List.of(answers);
+        try {
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        Thread accepting = new Thread(this::accept, "raw-server");
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    Endpoint endpoint() {
+        return new Endpoint("127.0.0.1", server.getLocalPort());
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                connections.incrementAndGet();
+                Thread serving = new Thread(() -> serve(socket), "raw-connection");
+                serving.setDaemon(true);
+                serving.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            while (readRequest(socket.getInputStream())) {
+                String answer = answers.get(Math.min(next.getAndIncrement(), answers.size() - 1));
+                boolean reset = answer.endsWith(RESET);
+                boolean close = reset || answer.endsWith(CLOSE);
+                String text = answer.replace(CLOSE, "").replace(RESET, "");
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().flush();
+                if (reset) {
+                    socket.setSoLinger(true, 0);
+                }
+                if (close) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The client has closed the connection, which ends this one's work.
+        }
+    }
+
+    private static boolean readRequest(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int read = in.read();
+            if (read < 0) {
+                return false;
+            }
+            head.append((char) read);
+        }
+        int at = head.indexOf("content-length: ");
+        int length = 0;
+        if (at >= 0) {
+            int from = at + "content-length: ".length();
+            length = Integer.parseInt(head.substring(from, head.indexOf("\r\n", from)));
+        }
+        return in.readNBytes(length).length == length;
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
