Count the fleet once in a round of planning; a resigning giver ends its own lease only

Cause of two givers: a resignation removed the giver's key by name, at each slow tick, and so its successors'; it ends the own lease now. A second way: a router that stood took over the entry that had come meanwhile; only an own earlier life's is. A giver that was restarted takes its own entry over at once.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -20,6 +20,11 @@
     private final Map<ModelRef, LoadInput.Want> wants = new HashMap<>();
     private final Map<String, Double> perSecond = new HashMap<>();
     private final Map<String, Integer> waiting = new HashMap<>();
+    private final Map<UpstreamId, Map<ModelRef, Integer>> runningAt = new HashMap<>();
+    private final Map<UpstreamId, Map<String, Integer>> runningModels = new HashMap<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private final Map<String, Integer> adaptersAsked = new HashMap<>();
+    private final Map<UpstreamId, Integer> suspecting = new HashMap<>();
 
     private record Entry(LoadInput.Demanded said, Instant at) {}
 
@@ -70,11 +75,7 @@
 
     /** How many of the model's adapters were asked for of late. */
     int adaptersAsked(String model) {
-        int count = 0;
-        for (ModelRef each : wants.keySet()) {
-            count += each.adapted() && each.model().equals(model) ? 1 : 0;
-        }
-        return count;
+        return adaptersAsked.getOrDefault(model, 0);
     }
 
     /** Arrivals a second for the model with all its adapters. */
@@ -90,59 +91,62 @@
 
     /** Requests for the model, with any adapter, that run at the upstream. */
     int running(UpstreamId upstream, String model) {
-        return running(upstream).entrySet().stream()
-                .filter(entry -> entry.getKey().model().equals(model))
-                .mapToInt(Map.Entry::getValue)
-                .sum();
+        return runningModels.getOrDefault(upstream, Map.of()).getOrDefault(model, 0);
     }
 
     /** Requests for just this model or adapter that run at the upstream. */
     int running(UpstreamId upstream, ModelRef model) {
-        return running(upstream).getOrDefault(model, 0);
+        return runningAt.getOrDefault(upstream, Map.of()).getOrDefault(model, 0);
     }
 
     /** Requests for the model that run anywhere. */
     int running(String model) {
-        return byRouter.values().stream()
-                .flatMap(entry -> entry.said().running().values().stream())
-                .flatMap(counts -> counts.entrySet().stream())
-                .filter(entry -> entry.getKey().model().equals(model))
-                .mapToInt(Map.Entry::getValue)
-                .sum();
+        return running.getOrDefault(model, 0);
     }
 
     /** True if half of the routers or more find that the upstream fails. */
     boolean suspect(UpstreamId upstream) {
-        long finding =
-                byRouter.values().stream()
-                        .filter(entry -> entry.said().suspects().contains(upstream))
-                        .count();
+        int finding = suspecting.getOrDefault(upstream, 0);
         return finding > 0 && 2 * finding >= byRouter.size();
     }
 
-    private Map<ModelRef, Integer> running(UpstreamId upstream) {
-        Map<ModelRef, Integer> sum = new HashMap<>();
-        for (Entry entry : byRouter.values()) {
-            entry.said()
-                    .running()
-                    .getOrDefault(upstream, Map.of())
-                    .forEach((model, count) -> sum.merge(model, count, Integer::sum));
-        }
-        return sum;
-    }
-
     private void addUp(Instant now) {
         wants.clear();
         perSecond.clear();
         waiting.clear();
+        adaptersAsked.clear();
+        suspecting.clear();
+        addUpRunning();
         for (Entry entry : byRouter.values()) {
             Duration age = Duration.between(entry.at(), now);
             for (LoadInput.Want want : entry.said().wants()) {
                 add(want, age);
             }
+            entry.said().suspects().forEach(id -> suspecting.merge(id, 1, Integer::sum));
         }
     }
 
+    private void addUpRunning() {
+        runningAt.clear();
+        runningModels.clear();
+        running.clear();
+        for (Entry entry : byRouter.values()) {
+            entry.said().running().forEach(this::addRunning);
+        }
+    }
+
+    private void addRunning(UpstreamId upstream, Map<ModelRef, Integer> counts) {
+        Map<ModelRef, Integer> here = runningAt.computeIfAbsent(upstream, any -> new HashMap<>());
+        Map<String, Integer> models =
+                runningModels.computeIfAbsent(upstream, any -> new HashMap<>());
+        counts.forEach(
+                (model, count) -> {
+                    here.merge(model, count, Integer::sum);
+                    models.merge(model.model(), count, Integer::sum);
+                    running.merge(model.model(), count, Integer::sum);
+                });
+    }
+
     private void add(LoadInput.Want want, Duration age) {
         perSecond.merge(want.model().model(), want.perSecond(), Double::sum);
         waiting.merge(want.model().model(), want.waiting(), Integer::sum);
@@ -153,10 +157,16 @@
                         want.oldest().plus(age),
                         want.urgency(),
                         want.perSecond());
-        wants.merge(want.model(), aged, DemandBook::both);
+        if (wants.put(want.model(), both(wants.get(want.model()), aged)) == null
+                && want.model().adapted()) {
+            adaptersAsked.merge(want.model().model(), 1, Integer::sum);
+        }
     }
 
     private static LoadInput.Want both(LoadInput.Want one, LoadInput.Want other) {
+        if (one == null) {
+            return other;
+        }
         boolean longer = one.oldest().compareTo(other.oldest()) >= 0;
         return new LoadInput.Want(
                 one.model(),
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
@@ -117,6 +117,13 @@
         askedAt = Instant.MIN;
     }
 
+    /** How long its present order will take, as far as that is known. */
+    Duration barredFor(Instant now) {
+        return pending == null || !pending.dueAt().isAfter(now)
+                ? Duration.ZERO
+                : Duration.between(now, pending.dueAt());
+    }
+
     /** True if an order may be given now. */
     boolean free(Instant now) {
         return known && pending == null && !now.isBefore(quietUntil) && !facts.draining();
@@ -229,6 +236,13 @@
         return inMemory.contains(model) || onDisk.contains(model);
     }
 
+    /** Models that it can load without the store. */
+    Set<String> copies() {
+        Set<String> all = new HashSet<>(onDisk);
+        all.addAll(inMemory);
+        return all;
+    }
+
     LoadSource source(String model) {
         if (inMemory.contains(model)) {
             return LoadSource.MEMORY;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -45,6 +45,9 @@
     /** An upstream that refused an order is left alone for this. */
     private static final Duration AFTER_REFUSAL = Duration.ofMillis(500);
 
+    /** What is loaded ahead of need is looked for this often; what is waited for, at once. */
+    private static final Duration AHEAD_GAP = Duration.ofMillis(200);
+
     /** An intent whose way is barred this long is given up. */
     private static final Duration INTENT_LIMIT = Duration.ofSeconds(3);
 
@@ -57,6 +60,7 @@
     private Map<String, EngineSpec> specs = new HashMap<>();
     private long number;
     private boolean active;
+    private Instant aheadAt = Instant.MIN;
 
     /** A planner that knows nothing yet. */
     public LoadPlanner(LoadSettings settings) {
@@ -91,7 +95,7 @@
         } else {
             demand.expire(now);
         }
-        if (!active) {
+        if (!active || input instanceof LoadInput.Listed) {
             return List.of();
         }
         step(now, actions);
@@ -226,6 +230,9 @@
         for (Map.Entry<String, EngineSpec> entry : specs.entrySet()) {
             plan(entry.getValue(), of(entry.getKey()), now, actions);
         }
+        if (!now.isBefore(aheadAt)) {
+            aheadAt = now.plus(AHEAD_GAP);
+        }
     }
 
     // Adapters that were on their way are there once their time is over.
@@ -278,7 +285,8 @@
     }
 
     private void advance(Engine engine, String model, Instant now, List<LoadAction> actions) {
-        Optional<Room.Plan> plan = new Room(demand, engines.values()).plan(engine, model, now);
+        FleetView fleet = new FleetView(of(engine.facts().service()), demand);
+        Optional<Room.Plan> plan = new Room(demand, fleet).plan(engine, model, now);
         if (plan.isEmpty()) {
             return;
         }
@@ -296,7 +304,8 @@
     }
 
     private void plan(EngineSpec spec, List<Engine> here, Instant now, List<LoadAction> actions) {
-        for (Placer.Choice choice : placer.plan(spec, here, now)) {
+        boolean ahead = !now.isBefore(aheadAt);
+        for (Placer.Choice choice : placer.plan(spec, here, ahead, now)) {
             choice.engine().intend(new Engine.Intent(choice.model(), now.plus(INTENT_LIMIT)));
             advance(choice.engine(), choice.model(), now, actions);
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -7,9 +7,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Picks an engine for each model that needs one: because requests wait for it, because it is busy,
@@ -23,6 +25,14 @@
      */
     private static final Duration LONGEST_FOR_COPY = Duration.ofMillis(3_000);
 
+    /**
+     * The same for a busy model, and how long its engines must still be barred to be given up on.
+     */
+    private static final Duration LONGEST_IF_BUSY = Duration.ofMillis(1_200);
+
+    /** A model with its only copy at an engine that is barred weighs at least this. */
+    private static final double SOLE_COPY = 0.05;
+
     /** Requests that have waited so long though replicas are there ask for one more. */
     private static final Duration CROWDED = Duration.ofMillis(120);
 
@@ -54,152 +64,157 @@
 
     private record Offer(Engine engine, LoadSource source, double cost, double hurt) {}
 
-    List<Choice> plan(EngineSpec spec, List<Engine> engines, Instant now) {
+    List<Choice> plan(EngineSpec spec, List<Engine> engines, boolean ahead, Instant now) {
+        Round round = new Round(spec, engines, new FleetView(engines, demand), now);
         List<Choice> choices = new ArrayList<>();
-        Set<Engine> taken = new HashSet<>();
-        for (String model : needed(spec, engines)) {
-            place(spec, engines, model, true, taken, now).ifPresent(choices::add);
-        }
-        for (String model : busy(spec, engines)) {
-            place(spec, engines, model, false, taken, now).ifPresent(choices::add);
+        for (String model : round.needed()) {
+            round.place(model, true).ifPresent(choices::add);
         }
-        for (String model : absent(spec, engines)) {
-            place(spec, engines, model, false, taken, now).ifPresent(choices::add);
+        if (ahead) {
+            round.busy().forEach(model -> round.place(model, false).ifPresent(choices::add));
+            round.absent().forEach(model -> round.place(model, false).ifPresent(choices::add));
         }
         return choices;
     }
 
-    private List<String> needed(EngineSpec spec, List<Engine> engines) {
-        Set<String> models = new java.util.LinkedHashSet<>();
-        for (LoadInput.Want want : demand.waiting()) {
-            String model = want.model().model();
-            if (!spec.models().containsKey(model) || coming(engines, model) > 0) {
-                continue;
-            }
-            boolean nowhere = replicas(engines, model) == 0;
-            boolean crowded = !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
-            if (nowhere || crowded) {
-                models.add(model);
-            }
+    /** One look at all engines of a service. */
+    private final class Round {
+        private final EngineSpec spec;
+        private final List<Engine> engines;
+        private final FleetView fleet;
+        private final Room room;
+        private final Instant now;
+        private final Set<Engine> taken = new HashSet<>();
+
+        Round(EngineSpec spec, List<Engine> engines, FleetView fleet, Instant now) {
+            this.spec = spec;
+            this.engines = engines;
+            this.fleet = fleet;
+            this.room = new Room(demand, fleet);
+            this.now = now;
         }
-        return List.copyOf(models);
-    }
 
-    private List<String> busy(EngineSpec spec, List<Engine> engines) {
-        List<String> models = new ArrayList<>();
-        for (String model : spec.models().keySet()) {
-            int have = replicas(engines, model) + coming(engines, model);
-            if (have < ReplicaGoal.of(spec, model, demand) && coming(engines, model) == 0) {
-                models.add(model);
+        Set<String> needed() {
+            Set<String> models = new LinkedHashSet<>();
+            for (LoadInput.Want want : demand.waiting()) {
+                String model = want.model().model();
+                if (!spec.models().containsKey(model) || fleet.coming(model) > 0) {
+                    continue;
+                }
+                boolean crowded =
+                        !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
+                if (fleet.replicas(model) == 0 || crowded) {
+                    models.add(model);
+                }
             }
+            return models;
         }
-        models.sort(Comparator.comparingDouble(model -> -demand.perSecond(model)));
-        return models;
-    }
 
-    private List<String> absent(EngineSpec spec, List<Engine> engines) {
-        List<String> models = new ArrayList<>();
-        for (String model : spec.models().keySet()) {
-            if (replicas(engines, model) == 0 && coming(engines, model) == 0) {
-                models.add(model);
-            }
+        List<String> busy() {
+            return byDemand(
+                    model ->
+                            fleet.coming(model) == 0
+                                    && fleet.replicas(model)
+                                            < ReplicaGoal.of(spec, model, demand));
         }
-        models.sort(Comparator.comparingDouble(model -> -demand.perSecond(model)));
-        return models;
-    }
 
-    private Optional<Choice> place(
-            EngineSpec spec,
-            List<Engine> engines,
-            String model,
-            boolean needed,
-            Set<Engine> taken,
-            Instant now) {
-        Offer best = null;
-        Room room = new Room(demand, engines);
-        for (Engine engine : engines) {
-            boolean open = engine.free(now) && engine.intent() == null && usable(engine);
-            if (!open || taken.contains(engine) || engine.has(model)) {
-                continue;
-            }
-            Optional<Room.Plan> plan = room.plan(engine, model, now);
-            if (plan.isEmpty()) {
-                continue;
-            }
-            Offer offer = offer(engine, model, plan.get());
-            if (best == null || offer.cost() < best.cost()) {
-                best = offer;
-            }
+        List<String> absent() {
+            return byDemand(model -> fleet.replicas(model) == 0 && fleet.coming(model) == 0);
         }
-        if (best == null || !worthIt(best, spec, engines, model, needed, now)) {
-            return Optional.empty();
-        }
-        taken.add(best.engine());
-        return Optional.of(new Choice(best.engine(), model));
-    }
 
-    private Offer offer(Engine engine, String model, Room.Plan plan) {
-        LoadSource source = engine.source(model);
-        ModelSpec spec = engine.spec().models().get(model);
-        double seconds = source.time(spec).toMillis() / 1000.0;
-        double blocked = 0;
-        for (String held : engine.held().adapters().keySet()) {
-            blocked += demand.perSecond(held) * BLOCKED_WEIGHT;
+        private List<String> byDemand(Predicate<String> wanted) {
+            return spec.models().keySet().stream()
+                    .filter(wanted)
+                    .sorted(
+                            Comparator.comparingDouble(
+                                            (String model) -> -demand.perSecond(model))
+                                    .thenComparing(Comparator.naturalOrder()))
+                    .toList();
         }
-        return new Offer(engine, source, seconds * (1 + blocked) + plan.cost(), plan.cost());
-    }
 
-    private double gain(Offer offer, String model) {
-        double seconds = offer.source().time(offer.engine().spec().models().get(model)).toMillis();
-        return LEAST_GAIN + demand.perSecond(model) * seconds / 1000.0 * AHEAD_PART;
-    }
-
-    private boolean worthIt(
-            Offer best,
-            EngineSpec spec,
-            List<Engine> engines,
-            String model,
-            boolean needed,
-            Instant now) {
-        double gain =
-                replicas(engines, model) > 0
-                        ? demand.perSecond(model) * BUSY_GAIN
-                        : gain(best, model);
-        if (!needed && best.hurt() > gain) {
-            return false;
+        Optional<Choice> place(String model, boolean needed) {
+            Offer best = null;
+            for (Engine engine : engines) {
+                boolean open =
+                        engine.free(now) && engine.intent() == null && fleet.usable(engine);
+                if (!open || taken.contains(engine) || engine.has(model)) {
+                    continue;
+                }
+                Optional<Room.Plan> plan = room.plan(engine, model, now);
+                if (plan.isEmpty()) {
+                    continue;
+                }
+                Offer offer = offer(engine, model, plan.get());
+                if (best == null || offer.cost() < best.cost()) {
+                    best = offer;
+                }
+            }
+            if (best == null || !worthIt(best, model, needed)) {
+                return Optional.empty();
+            }
+            taken.add(best.engine());
+            return Optional.of(new Choice(best.engine(), model));
         }
-        if (best.source() != LoadSource.STORE) {
-            return true;
+
+        private Offer offer(Engine engine, String model, Room.Plan plan) {
+            LoadSource source = engine.source(model);
+            ModelSpec weights = spec.models().get(model);
+            double seconds = source.time(weights).toMillis() / 1000.0;
+            double blocked = 0;
+            for (String held : engine.held().adapters().keySet()) {
+                blocked += demand.perSecond(held) * BLOCKED_WEIGHT;
+            }
+            if (source == LoadSource.STORE) {
+                blocked += soleCopies(engine);
+            }
+            return new Offer(engine, source, seconds * (1 + blocked) + plan.cost(), plan.cost());
         }
-        boolean elsewhere = engines.stream().anyMatch(each -> usable(each) && each.hasCopy(model));
-        if (elsewhere) {
-            return needed
-                    && demand.oldest(model).compareTo(LONGEST_FOR_COPY) > 0
-                    && storeLoads.idle(engines);
+
+        // While it loads from the store, an engine can't bring back what only it has a copy of.
+        private double soleCopies(Engine engine) {
+            double hurt = 0;
+            for (String model : engine.copies()) {
+                if (fleet.copies(model) == 1) {
+                    hurt += SOLE_COPY + demand.perSecond(model);
+                }
+            }
+            return hurt;
         }
-        return storeLoads.allows(spec, engines, needed, now);
-    }
 
-    private int replicas(List<Engine> engines, String model) {
-        return (int) engines.stream().filter(each -> usable(each) && each.has(model)).count();
-    }
+        private boolean worthIt(Offer best, String model, boolean needed) {
+            double gain =
+                    fleet.replicas(model) > 0
+                            ? demand.perSecond(model) * BUSY_GAIN
+                            : gain(best, model);
+            if (!needed && best.hurt() > gain) {
+                return false;
+            }
+            if (best.source() != LoadSource.STORE) {
+                return true;
+            }
+            if (fleet.copies(model) == 0) {
+                return storeLoads.allows(spec, engines, needed, now);
+            }
+            return needed && barred(model) && storeLoads.idle(engines);
+        }
 
-    private int coming(List<Engine> engines, String model) {
-        int count = 0;
-        for (Engine engine : engines) {
-            Engine.Pending pending = engine.pending();
-            boolean ordered =
-                    pending != null
-                            && pending.verb() == Verb.LOAD
-                            && !pending.model().adapted()
-                            && pending.model().model().equals(model);
-            boolean intended = engine.intent() != null && engine.intent().model().equals(model);
-            count += ordered || intended ? 1 : 0;
+        private double gain(Offer offer, String model) {
+            double seconds = offer.source().time(spec.models().get(model)).toMillis() / 1000.0;
+            return LEAST_GAIN + demand.perSecond(model) * seconds * AHEAD_PART;
         }
-        return count;
-    }
 
-    private boolean usable(Engine engine) {
-        return !engine.facts().draining() && !demand.suspect(engine.id());
+        // A rare model waits a while for the engine that has it. For a busy one that is dozens of
+        // requests, all refused, before the first has waited that long.
+        private boolean barred(String model) {
+            boolean busy = ReplicaGoal.busy(model, demand);
+            Duration longest = busy ? LONGEST_IF_BUSY : LONGEST_FOR_COPY;
+            if (demand.oldest(model).compareTo(longest) > 0) {
+                return true;
+            }
+            return busy
+                    && engines.stream()
+                            .filter(each -> fleet.usable(each) && each.hasCopy(model))
+                            .allMatch(each -> each.barredFor(now).compareTo(longest) > 0);
+        }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ReplicaGoal.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ReplicaGoal.java
@@ -19,8 +19,12 @@
 
     private ReplicaGoal() {}
 
+    static boolean busy(String model, DemandBook demand) {
+        return demand.perSecond(model) >= BUSY_PER_SECOND;
+    }
+
     static int of(EngineSpec spec, String model, DemandBook demand) {
-        if (demand.perSecond(model) < BUSY_PER_SECOND) {
+        if (!busy(model, demand)) {
             return 0;
         }
         int byAdapters = (int) Math.ceil(demand.adaptersAsked(model) / (2.0 * spec.adapterSlots()));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -32,11 +31,11 @@
     private static final double IDLE_COST = 0.002;
 
     private final DemandBook demand;
-    private final Collection<Engine> engines;
+    private final FleetView fleet;
 
-    Room(DemandBook demand, Collection<Engine> engines) {
+    Room(DemandBook demand, FleetView fleet) {
         this.demand = demand;
-        this.engines = engines;
+        this.fleet = fleet;
     }
 
     /** What goes, and what that costs in expected waiting seconds a second. */
@@ -86,8 +85,8 @@
 
     private boolean evictable(Engine engine, String model, Instant now) {
         int goal = ReplicaGoal.of(engine.spec(), model, demand);
-        return (demand.waitingFor(model) == 0 || replicas(model) > 1)
-                && (goal == 0 || replicas(model) > goal)
+        return (demand.waitingFor(model) == 0 || fleet.replicas(model) > 1)
+                && (goal == 0 || fleet.replicas(model) > goal)
                 && !engine.justLoaded(model, now, MOMENT);
     }
 
@@ -99,11 +98,7 @@
         double cost = IDLE_COST + demand.perSecond(model) * seconds;
         int running = demand.running(engine.id(), model);
         cost += running == 0 ? 0 : RUN_SECONDS + running * CROWD_SECONDS;
-        return replicas(model) > 1 ? cost * REPLICATED : cost;
-    }
-
-    private long replicas(String model) {
-        return engines.stream().filter(each -> each.has(model)).count();
+        return fleet.replicas(model) > 1 ? cost * REPLICATED : cost;
     }
 
     private static double freed(Engine engine, String model) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/placement/LeaseInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/LeaseInput.java
@@ -18,4 +18,7 @@
 
     /** The store did not answer. */
     record Failed() implements LeaseInput {}
+
+    /** This process gives the lease up before its end. */
+    record Resign() implements LeaseInput {}
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/placement/LeaseMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/LeaseMachine.java
@@ -49,6 +49,9 @@
         if (input instanceof LeaseInput.Tick) {
             return tick(now);
         }
+        if (input instanceof LeaseInput.Resign) {
+            return resign();
+        }
         if (input instanceof LeaseInput.Granted granted && state == State.GRANTING) {
             state = State.ACQUIRING;
             lease = granted.lease();
@@ -98,6 +101,13 @@
         return List.of();
     }
 
+    // Ending the lease takes away just the key under it, and never that of the next holder.
+    private List<LeaseAction> resign() {
+        boolean held = state == State.HELD;
+        state = State.FREE;
+        return held ? List.of(new LeaseAction.Revoke(lease), new LeaseAction.Lost()) : List.of();
+    }
+
     private List<LeaseAction> lose() {
         state = State.FREE;
         return List.of(new LeaseAction.Lost());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -64,6 +64,7 @@
     private static final Duration CHECK = Duration.ofMillis(50);
     private static final Duration REPORT = Duration.ofMillis(150);
     private static final Duration GOSSIP = Duration.ofSeconds(1);
+    private static final Duration COUNTERS = Duration.ofSeconds(10);
     private static final Duration SWEEP = Duration.ofMillis(500);
     private static final Duration URGENT_REPORT = Duration.ofMillis(2);
     private static final Duration LIST_PERIOD = Duration.ofMillis(500);
@@ -252,14 +253,13 @@
         control.every(REPORT, this::report);
         control.every(GOSSIP, this::gossip);
         control.every(SWEEP, client::sweep);
+        control.every(COUNTERS, this::logCounters);
     }
 
     private void check() {
         lag.ticked(clock.instant());
-        if (lag.slow() && lease.held()) {
+        if (lag.slow()) {
             lease.resign("this VM is slow");
-        } else if (lag.slow()) {
-            lease.standBack();
         }
         dispatch.tick();
         flows.check();
@@ -320,6 +320,16 @@
         neighbours.report(to, demanded, configuration.revision(), upstreams.revision(), store.up());
     }
 
+    private void logCounters() {
+        StringBuilder line = new StringBuilder();
+        metrics.registry()
+                .getCounters()
+                .forEach(
+                        (name, count) ->
+                                line.append(name).append('=').append(count.getCount()).append(' '));
+        LOG.info("counters {}", line);
+    }
+
     private void answerReady(HttpCall call) {
         text(call, ready() ? 200 : 503, ready() ? "ready\n" : "not ready\n");
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoopLag.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoopLag.java
@@ -11,21 +11,26 @@
  */
 final class LoopLag {
     /** A tick this late on the average means that each order takes that much longer. */
-    private static final Duration SLOW = Duration.ofMillis(40);
+    private static final Duration SLOW = Duration.ofMillis(60);
 
-    /** Weight of the newest tick: about the last half second counts. */
-    private static final double NEWEST = 0.1;
+    /** Weight of the newest tick: about the last second counts. */
+    private static final double NEWEST = 0.05;
+
+    /** A process that has just started runs slow code for a while; that passes by itself. */
+    private static final int TICKS_TO_WARM_UP = 100;
 
     private final Duration period;
     private Instant due;
     private double lateMillis;
+    private int ticks;
 
     LoopLag(Duration period) {
         this.period = period;
     }
 
     void ticked(Instant now) {
-        if (due != null) {
+        ticks++;
+        if (due != null && ticks > TICKS_TO_WARM_UP) {
             double late = Math.max(0, Duration.between(due, now).toMillis());
             lateMillis += NEWEST * (late - lateMillis);
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -44,6 +44,7 @@
     private final Map<VmId, RouterEntry> routers = new TreeMap<>();
     private final Follower follower;
     private Optional<VmId> giver = Optional.empty();
+    private long giverRevision;
     private Runnable changed = () -> {};
     private long lease;
     private boolean leaving;
@@ -73,9 +74,17 @@
         return giver;
     }
 
-    /** True if the store says that nobody gives orders, and said so lately. */
+    /** Where the entry of an earlier life of this router as giver stands; 0 if there is none. */
+    long ownGiverRevision() {
+        return giver.isPresent() && giver.get().equals(self.vm()) ? giverRevision : 0;
+    }
+
+    /**
+     * True if the store says that nobody gives orders, or that an earlier life of this router does.
+     * That life is over, and its lease need not be waited for.
+     */
     boolean vacant() {
-        return follower.upToDate() && giver.isEmpty();
+        return follower.upToDate() && (giver.isEmpty() || giver.get().equals(self.vm()));
     }
 
     /** All routers but this one. */
@@ -184,6 +193,7 @@
                 giver =
                         entry.map(found -> new String(found.value(), StandardCharsets.UTF_8))
                                 .map(VmId::of);
+                giverRevision = entry.map(Entry::modRevision).orElse(0L);
                 LOG.info("orders are given by {}", giver.map(VmId::value).orElse("nobody"));
                 return;
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -77,15 +77,9 @@
     /** Gives it up at once, so that another router goes on without waiting for its end. */
     void resign(String why) {
         if (held()) {
-            LOG.info("this router gives no more orders: {}", why);
-            store.commit(List.of(), List.of(new Write.Delete(members.giverKey())));
-            listener.lost();
+            LOG.info("this router resigns: {}", why);
         }
-        notBefore = control.clock().instant().plus(PAUSE);
-    }
-
-    /** Leaves it to others for a while, if it isn't held. */
-    void standBack() {
+        feed(new LeaseInput.Resign());
         notBefore = control.clock().instant().plus(PAUSE);
     }
 
@@ -125,7 +119,7 @@
             LOG.info("this router gives the orders, fencing token {}", fencing);
             listener.won();
         } else if (action instanceof LeaseAction.Lost) {
-            LOG.info("this router gives orders no longer: its lease has ended");
+            LOG.info("this router gives orders no longer");
             notBefore = control.clock().instant().plus(PAUSE);
             listener.lost();
         }
@@ -134,8 +128,12 @@
     private CompletionStage<TxnResult> acquire(long lease) {
         byte[] value = self.value().getBytes(StandardCharsets.UTF_8);
         String key = members.giverKey();
-        return store.commit(
-                List.of(new Condition.Absent(key)), List.of(new Write.Put(key, value, lease)));
+        // Another router's entry is never taken over, not even one that came since this router saw
+        // that there was none: both would give orders.
+        long revision = members.ownGiverRevision();
+        Condition condition =
+                revision == 0 ? new Condition.Absent(key) : new Condition.Unchanged(key, revision);
+        return store.commit(List.of(condition), List.of(new Write.Put(key, value, lease)));
     }
 
     private LeaseInput acquired(TxnResult result) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -30,7 +30,6 @@
     private static final Duration AFTER_OUTAGE = Duration.ofSeconds(3);
 
     private final Control control;
-    private final KeyValueStore store;
     private final Dialect dialect;
     private final UpstreamTable table;
     private final Follower follower;
@@ -48,7 +47,6 @@
 
     UpstreamFollower(Control control, KeyValueStore store, Dialect dialect, UpstreamTable table) {
         this.control = control;
-        this.store = store;
         this.dialect = dialect;
         this.table = table;
         this.follower = new Follower(control, store, dialect.upstreamPrefix(), this);
@@ -90,7 +88,7 @@
     }
 
     private void look() {
-        if (!store.up()) {
+        if (follower.everRead() && !follower.upToDate()) {
             lastDown = control.clock().instant();
         }
     }
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/LeaseMachineTest.java
@@ -0,0 +1,51 @@
+package io.damaskyoke.control.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LeaseMachineTest {
+    private static final Duration TERM = Duration.ofSeconds(2);
+
+    private final LeaseMachine machine = new LeaseMachine(TERM);
+    private Instant now = Instant.ofEpochSecond(100);
+
+    @Test
+    void aHolderThatResignsEndsItsOwnLeaseAndHoldsNothing() {
+        // The giver of orders is slow and resigns. It ends its lease, and with it its own key. Were
+        // it to remove the key by name, again at each slow tick, it would remove its successors'.
+        hold(7);
+        assertEquals(
+                List.of(new LeaseAction.Revoke(7), new LeaseAction.Lost()),
+                machine.on(new LeaseInput.Resign(), now));
+        assertFalse(machine.held(now));
+        assertEquals(List.of(), machine.on(new LeaseInput.Resign(), now));
+    }
+
+    @Test
+    void aLateRenewalAfterAResignationChangesNothing() {
+        hold(7);
+        machine.on(new LeaseInput.Resign(), now);
+        machine.on(new LeaseInput.Kept(true, now), now);
+        assertFalse(machine.held(now));
+    }
+
+    @Test
+    void aHolderStopsBeforeItsLeaseCanHaveEnded() {
+        hold(7);
+        assertTrue(machine.held(now.plusMillis(1_700)));
+        assertFalse(machine.held(now.plusMillis(1_800)));
+    }
+
+    private void hold(long lease) {
+        machine.on(new LeaseInput.Tick(), now);
+        machine.on(new LeaseInput.Granted(lease), now);
+        machine.on(new LeaseInput.Acquired(true), now);
+        assertTrue(machine.held(now));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
@@ -0,0 +1,135 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.FakeStore;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+    private final SameThreadControl control = new SameThreadControl();
+    private final FakeStore store = new FakeStore();
+    private final List<String> events = new ArrayList<>();
+
+    @Test
+    void oneRouterAtATimeGivesOrders() {
+        OrderLease one = router("one");
+        OrderLease two = router("two");
+        pass(1_000);
+        assertTrue(one.held());
+        assertFalse(two.held());
+        pass(20_000);
+        assertTrue(one.held());
+        assertEquals(List.of("one won"), events);
+    }
+
+    @Test
+    void aGiverThatStopsIsFollowedAtOnceByAHigherToken() {
+        OrderLease one = router("one");
+        OrderLease two = router("two");
+        pass(1_000);
+        long first = one.fencing();
+        one.close();
+        assertFalse(one.held());
+        pass(400);
+        assertTrue(two.held());
+        assertTrue(two.fencing() > first, two.fencing() + " after " + first);
+    }
+
+    @Test
+    void aGiverThatIsCutOffStopsBeforeItsLeaseCanHaveEnded() {
+        // The store turns the giver away. Its lease ends 2.4 s after the last renewal, and another
+        // router may give orders from then on; the giver must have stopped by its own clock.
+        OrderLease one = router("one");
+        pass(1_000);
+        store.down(true);
+        pass(2_300);
+        assertFalse(one.held());
+        assertEquals(List.of("one won", "one lost"), events);
+    }
+
+    @Test
+    void aRouterThatResignedLetsOthersGoFirst() {
+        // A slow giver resigns and nobody else is there. Were it back at once, it would resign
+        // again
+        // at its next slow tick; and with another router they would take turns.
+        OrderLease one = router("one");
+        pass(1_000);
+        one.resign("slow");
+        pass(4_000);
+        assertFalse(one.held());
+        pass(2_000);
+        assertTrue(one.held());
+    }
+
+    @Test
+    void aResignationDoesNotHarmTheNextGiver() {
+        OrderLease one = router("one");
+        OrderLease two = router("two");
+        pass(1_000);
+        one.resign("slow");
+        pass(400);
+        assertTrue(two.held());
+        one.resign("still slow");
+        pass(3_000);
+        assertTrue(two.held());
+    }
+
+    @Test
+    void aRestartedGiverTakesItsOwnEntryOver() {
+        // All routers are killed and start again. The giver's entry stands for two more seconds,
+        // under the lease of a life that is over; its own next life needn't wait for that.
+        router("one");
+        pass(1_000);
+        events.clear();
+        OrderLease again = router("one");
+        pass(600);
+        assertTrue(again.held());
+        assertEquals(List.of("one won"), events);
+    }
+
+    @Test
+    void twoRoutersThatStandAtOnceDontBothWin() {
+        // Both see that nobody gives orders and ask for a lease each. The store is slow; when it
+        // goes on, one writes its entry, and the other hears of that before its own write leaves.
+        OrderLease one = router("one");
+        OrderLease two = router("two");
+        store.slow(true);
+        pass(200);
+        store.release();
+        pass(1_000);
+        assertTrue(one.held() ^ two.held());
+        assertEquals(1, events.size(), events.toString());
+    }
+
+    private OrderLease router(String name) {
+        VmId vm = VmId.of(name);
+        Membership members =
+                new Membership(control, store, "p", new RouterEntry(vm, "a", "127.0.0.1", 1));
+        members.start(() -> {});
+        OrderLease lease = new OrderLease(control, store, members, vm);
+        lease.start(
+                new OrderLease.Listener() {
+                    @Override
+                    public void won() {
+                        events.add(name + " won");
+                    }
+
+                    @Override
+                    public void lost() {
+                        events.add(name + " lost");
+                    }
+                });
+        return lease;
+    }
+
+    private void pass(long millis) {
+        control.advance(Duration.ofMillis(millis));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -0,0 +1,114 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.direct.DirectConfiguration;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.loads.OrderOutcome;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.http.Endpoint;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A deployment that stores an upstream as the word "ready" or "draining", and no more. */
+final class TestDialect implements Dialect {
+    @Override
+    public String configurationKey() {
+        return "configuration";
+    }
+
+    @Override
+    public String upstreamPrefix() {
+        return "up/";
+    }
+
+    @Override
+    public Optional<UpstreamFacts> upstream(String key, byte[] value, long revision) {
+        String state = new String(value, StandardCharsets.UTF_8);
+        if (!state.equals("ready") && !state.equals("draining")) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new UpstreamFacts(
+                        UpstreamId.of(key.substring(upstreamPrefix().length())),
+                        revision,
+                        "service",
+                        new Endpoint("127.0.0.1", 1),
+                        "a",
+                        4,
+                        state.equals("draining"),
+                        Duration.ZERO,
+                        new HeldModels(1, HeldModels.UNCOUNTED, Map.of()),
+                        Set.of(),
+                        Set.of()));
+    }
+
+    @Override
+    public DirectConfiguration configuration(byte[] value, long revision) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CallerRequest request(HttpHeaders headers) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpHeaders toUpstream(HttpHeaders fromCaller, Forwarding forwarding) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public boolean answers(String attempt, HttpHeaders fromUpstream) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpHeaders toCaller(HttpHeaders fromUpstream) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpHeaders ownAnswer(String attempt) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public String orderPath() {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public byte[] order(Order order) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public OrderOutcome outcome(int status) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpHeaders callHeaders(UpstreamId to) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public String reportPath() {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public LoadInput.Reported report(UpstreamId from, byte[] body) {
+        throw new UnsupportedOperationException();
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
@@ -0,0 +1,101 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UpstreamFollowerTest {
+    private final SameThreadControl control = new SameThreadControl();
+    private final FakeStore store = new FakeStore();
+    private final UpstreamTable table = new UpstreamTable();
+    private final List<String> events = new ArrayList<>();
+    private final UpstreamFollower follower =
+            new UpstreamFollower(control, store, new TestDialect(), table);
+
+    @Test
+    void whatComesLeavesAndGoesIsHeardOf() {
+        start();
+        put("i-1", "ready");
+        put("i-1", "draining");
+        remove("i-1");
+        assertEquals(List.of("i-1 ready", "i-1 draining", "i-1 gone"), events);
+    }
+
+    @Test
+    void anEntryThatLapsedInAnOutageIsKeptUntilItHadTimeToReturn() {
+        // The store is down for some seconds, and the entries of all upstreams lapse. Their
+        // upstreams answer all the while and write themselves anew soon after; a router that drops
+        // them at once refuses everything in between.
+        start();
+        put("i-1", "ready");
+        put("i-2", "ready");
+        store.down(true);
+        pass(1_000);
+        store.down(false);
+        remove("i-1");
+        remove("i-2");
+        pass(500);
+        assertEquals(2, table.all().size());
+        put("i-1", "ready");
+        pass(3_000);
+        assertEquals(1, table.all().size());
+        assertEquals("i-2 gone", events.get(events.size() - 1));
+    }
+
+    @Test
+    void anUnreadableEntryLeavesTheOthersInUse() {
+        start();
+        put("i-1", "ready");
+        put("i-9", "junk");
+        assertEquals(1, table.all().size());
+    }
+
+    @Test
+    void aWatchThatLostItsPlaceIsReadAnew() {
+        start();
+        put("i-1", "ready");
+        store.silenceWatches(true);
+        put("i-2", "ready");
+        store.silenceWatches(false);
+        store.cutWatches();
+        pass(1_000);
+        assertEquals(2, table.all().size());
+    }
+
+    private void start() {
+        follower.start(
+                new UpstreamFollower.Listener() {
+                    @Override
+                    public void listed(UpstreamFacts facts) {
+                        events.add(facts.id() + (facts.draining() ? " draining" : " ready"));
+                    }
+
+                    @Override
+                    public void gone(UpstreamFacts last) {
+                        events.add(last.id() + " gone");
+                    }
+                });
+    }
+
+    private void put(String id, String state) {
+        byte[] value = state.getBytes(StandardCharsets.UTF_8);
+        store.commit(List.of(), List.of(new Write.Put("up/" + id, value, 0)));
+    }
+
+    private void remove(String id) {
+        store.commit(List.of(), List.of(new Write.Delete("up/" + id)));
+    }
+
+    private void pass(long millis) {
+        control.advance(Duration.ofMillis(millis));
+    }
+}
