--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -41,7 +41,13 @@
         }
     }
 
-    /** Models and adapters that requests wait for, the most urgent first. */
+    /**
+     * Models and adapters that requests wait for, in the order in which they are to be served.
+     *
+     * <p>A load for a busy model lets dozens of requests go on, one for a rare model a few. By age
+     * alone, rare models that have waited long for engines that are scarce would keep a busy one
+     * out until all its callers have left, again and again.
+     */
     List<LoadInput.Want> waiting() {
         List<LoadInput.Want> sorted = new ArrayList<>();
         for (LoadInput.Want want : wants.values()) {
@@ -50,12 +56,18 @@
             }
         }
         sorted.sort(
-                Comparator.comparingInt(LoadInput.Want::urgency)
+                Comparator.comparing((LoadInput.Want want) -> !busy(want))
+                        .thenComparingInt(LoadInput.Want::urgency)
+                        .thenComparingInt(want -> -want.waiting())
                         .thenComparing(LoadInput.Want::oldest, Comparator.reverseOrder())
                         .thenComparing(LoadInput.Want::model));
         return sorted;
     }
 
+    private boolean busy(LoadInput.Want want) {
+        return ReplicaGoal.busy(want.model().model(), this);
+    }
+
     /** Requests that wait for the model or one of its adapters. */
     int waitingFor(String model) {
         return waiting.getOrDefault(model, 0);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
@@ -20,7 +20,10 @@
             if (!usable(engine)) {
                 continue;
             }
-            engine.held().adapters().keySet().forEach(each -> replicas.merge(each, 1, Integer::sum));
+            engine.held()
+                    .adapters()
+                    .keySet()
+                    .forEach(each -> replicas.merge(each, 1, Integer::sum));
             engine.copies().forEach(each -> copies.merge(each, 1, Integer::sum));
             count(engine);
         }
@@ -30,9 +33,7 @@
         Engine.Pending pending = engine.pending();
         if (engine.intent() != null) {
             coming.merge(engine.intent().model(), 1, Integer::sum);
-        } else if (pending != null
-                && pending.verb() == Verb.LOAD
-                && !pending.model().adapted()) {
+        } else if (pending != null && pending.verb() == Verb.LOAD && !pending.model().adapted()) {
             coming.merge(pending.model().model(), 1, Integer::sum);
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -101,8 +101,7 @@
                 if (!spec.models().containsKey(model) || fleet.coming(model) > 0) {
                     continue;
                 }
-                boolean crowded =
-                        !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
+                boolean crowded = !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
                 if (fleet.replicas(model) == 0 || crowded) {
                     models.add(model);
                 }
@@ -114,8 +113,7 @@
             return byDemand(
                     model ->
                             fleet.coming(model) == 0
-                                    && fleet.replicas(model)
-                                            < ReplicaGoal.of(spec, model, demand));
+                                    && fleet.replicas(model) < ReplicaGoal.of(spec, model, demand));
         }
 
         List<String> absent() {
@@ -126,8 +124,7 @@
             return spec.models().keySet().stream()
                     .filter(wanted)
                     .sorted(
-                            Comparator.comparingDouble(
-                                            (String model) -> -demand.perSecond(model))
+                            Comparator.comparingDouble((String model) -> -demand.perSecond(model))
                                     .thenComparing(Comparator.naturalOrder()))
                     .toList();
         }
@@ -135,8 +132,7 @@
         Optional<Choice> place(String model, boolean needed) {
             Offer best = null;
             for (Engine engine : engines) {
-                boolean open =
-                        engine.free(now) && engine.intent() == null && fleet.usable(engine);
+                boolean open = engine.free(now) && engine.intent() == null && fleet.usable(engine);
                 if (!open || taken.contains(engine) || engine.has(model)) {
                     continue;
                 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
@@ -13,6 +13,7 @@
  * @param loan how long a lent token may be spent, from the asking on
  * @param hold how long a request may wait for tokens from other routers
  * @param readPeriod between two reads of all tables
+ * @param writeGap between two writes of one router that let shares follow demand
  */
 public record RateSettings(
         Duration validity,
@@ -22,7 +23,8 @@
         Duration takeBack,
         Duration loan,
         Duration hold,
-        Duration readPeriod) {
+        Duration readPeriod,
+        Duration writeGap) {
     /** What the daemons use; docs/design/rates.md says why. */
     public static RateSettings usual() {
         return new RateSettings(
@@ -33,6 +35,7 @@
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(2),
                 Duration.ofMillis(250),
-                Duration.ofSeconds(2));
+                Duration.ofSeconds(2),
+                Duration.ofMillis(200));
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -23,7 +23,6 @@
     private static final int STEP = ShareTable.WHOLE / 8;
     private static final int LEAST_MOVE = ShareTable.WHOLE / 20;
     private static final long FLEET_WRITES_PER_SECOND = 100;
-    private static final Duration LEAST_GAP = Duration.ofMillis(200);
     private static final Duration WRITE_LIMIT = Duration.ofSeconds(10);
 
     private final Incarnation self;
@@ -120,9 +119,9 @@
         actions.add(new RateAction.Write(account.workspace.id(), wanted, revision));
     }
 
-    private static Duration gap(ShareTable table) {
+    private Duration gap(ShareTable table) {
         Duration even = Duration.ofMillis(1000L * table.shares().size() / FLEET_WRITES_PER_SECOND);
-        return even.compareTo(LEAST_GAP) > 0 ? even : LEAST_GAP;
+        return even.compareTo(settings.writeGap()) > 0 ? even : settings.writeGap();
     }
 
     /** The table as it should be, or null if it may stay. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -176,18 +176,16 @@
     public void stop() {
         stopping = true;
         LOG.info("stopping, {} requests open", flows.size());
-        new Shutdown(control, callers, settings.grace(), flows::size).run(this::leave);
+        new Shutdown(control, callers, settings.grace(), flows::size).run(lease::close);
+        // Last, since a router that is off the list may not spend its share, and would refuse what
+        // still comes while the balancer notices.
+        control.run(members::leave);
         network.close();
         store.close();
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
         LOG.info("stopped");
     }
 
-    private void leave() {
-        lease.close();
-        members.leave();
-    }
-
     private Flows flows() {
         Flows.RetryBounds bounds =
                 new Flows.RetryBounds(
@@ -205,7 +203,8 @@
     // A router that is cut off for the length of a disturbance goes on spending its share, and
     // nobody takes that back before it must have stopped: gone and takeBack are longer than
     // isolation. A killed router's next life takes its share over at once. Holding is half of what
-    // callers want an answer in; a loan from another router takes a few milliseconds.
+    // callers want an answer in; a loan from another router takes a few milliseconds, and so shares
+    // need not follow demand at every turn: each write has its price.
     private static RateSettings rateSettings() {
         return new RateSettings(
                 Duration.ofMinutes(10),
@@ -215,7 +214,8 @@
                 Duration.ofSeconds(35),
                 Duration.ofSeconds(2),
                 Duration.ofMillis(150),
-                Duration.ofSeconds(3));
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(1));
     }
 
     private PeerNetwork network(Timeline timeline) {
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.control.loads;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.direct.EngineSpec;
@@ -30,6 +31,7 @@
     private Instant now = Instant.ofEpochSecond(100);
     private LoadAction.Order last;
     private String lastOrder = "none";
+    private final List<String> given = new ArrayList<>();
 
     @Test
     void aWaitedForModelComesFromTheDiskOfTheUpstreamThatHasIt() {
@@ -140,6 +142,20 @@
         assertEquals(List.of("UNLOAD d two 0"), tick());
     }
 
+    @Test
+    void aBusyModelGoesBeforeRareOnesThatHaveWaitedLonger() {
+        // One engine is free and has copies of both. The rare model's requests are more urgent and
+        // older; served first each time, they would keep the busy one's fifty callers out for good.
+        begin(Set.of("g", "h"), Set.of());
+        LoadInput.Want rare = new LoadInput.Want(ref("g"), 2, Duration.ofSeconds(6), 0, 0.3);
+        LoadInput.Want busy = new LoadInput.Want(ref("h"), 50, Duration.ofMillis(900), 2, 15);
+        demand(List.of(rare, busy), Map.of());
+        answer(OrderOutcome.ACCEPTED);
+        report(ONE, false, held(1, "b", "c"));
+        assertTrue(given.contains("LOAD h one 1"), given.toString());
+        assertFalse(given.contains("LOAD g one 1"), given.toString());
+    }
+
     @Test
     void theStoreIsLeftAloneWhileAnUpstreamHasACopy() {
         // The only upstream with a copy is busy for a moment. A load from the store would take six
@@ -205,6 +221,7 @@
                                 order.upstream().value(),
                                 Long.toString(order.sequence()));
                 orders.add(lastOrder);
+                given.add(lastOrder);
             }
         }
         return orders;
@@ -254,7 +271,7 @@
 
     private static EngineSpec spec() {
         Map<String, ModelSpec> models = new HashMap<>();
-        for (String name : List.of("a", "b", "c", "d", "e", "f", "g")) {
+        for (String name : List.of("a", "b", "c", "d", "e", "f", "g", "h")) {
             models.put(
                     name,
                     new ModelSpec(
