--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -99,6 +99,7 @@
     private boolean reportPlanned;
     private long highestFencing;
     private volatile boolean stopping;
+    private boolean stopped;
 
     private DirectRouter(DirectSettings settings, Dialect dialect, StoreFactory stores) {
         this.settings = settings;
@@ -173,7 +174,11 @@
      * Stops: says that it is not ready, serves what is open and what still comes, tells callers
      * that their connection ends, and returns when nothing is left or the grace is nearly over.
      */
-    public void stop() {
+    public synchronized void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
         stopping = true;
         LOG.info("stopping, {} requests open", flows.size());
         new Shutdown(control, callers, settings.grace(), flows::size).run(lease::close);
