Split the direct router and its flow, and take out what nobody calls

No change of behaviour: the pages and the times a request may take have classes of their own, the rates' times stand beside the usual ones, and ten methods without a caller are gone.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
@@ -38,4 +38,26 @@
                 Duration.ofSeconds(2),
                 Duration.ofMillis(200));
     }
+
+    /**
+     * What routers use that reach upstreams themselves.
+     *
+     * <p>A router that is cut off for the length of a disturbance goes on spending its share, and
+     * nobody takes that back before it must have stopped: gone and takeBack together are longer
+     * than isolation. A killed router's next life takes its share over at once. Holding is half of
+     * what callers want an answer in; a loan takes a few milliseconds, and so shares need not
+     * follow demand at every turn: each write has its price.
+     */
+    public static RateSettings direct() {
+        return new RateSettings(
+                Duration.ofMinutes(10),
+                Duration.ofMillis(1_500),
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(35),
+                Duration.ofSeconds(2),
+                Duration.ofMillis(150),
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(1));
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/HeldModels.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/HeldModels.java
@@ -35,13 +35,6 @@
         return names != null && (!wanted.adapted() || names.contains(wanted.adapter()));
     }
 
-    /** True if this says more than the other: a later life, or more orders of the same one. */
-    public boolean newerThan(HeldModels other) {
-        return startedAt != other.startedAt
-                ? startedAt > other.startedAt
-                : sequence > other.sequence;
-    }
-
     /** The same with one more order, which brought this. */
     public HeldModels with(ModelRef loaded, long newSequence) {
         Map<String, Set<String>> next = new TreeMap<>(adapters);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -30,7 +30,6 @@
     private double othersThen;
     private Instant loadAt = Instant.MIN;
     private double usualMillis;
-    private boolean leaving;
     private Instant fullUntil = Instant.MIN;
 
     Upstream(UpstreamFacts facts) {
@@ -50,7 +49,7 @@
 
     /** True if new requests may go there: not leaving, and not given up on. */
     public boolean takes(Instant now) {
-        return !facts.draining() && !leaving && health.takes(now);
+        return !facts.draining() && health.takes(now);
     }
 
     /** True if this router's requests fail there. */
@@ -133,11 +132,6 @@
         loadAt = now;
     }
 
-    /** An answer said that it is leaving. */
-    public void leaving() {
-        leaving = true;
-    }
-
     /** The order giver says what it holds. */
     public void told(HeldModels given, Instant now) {
         held = given;
@@ -155,9 +149,6 @@
             return false;
         }
         boolean reborn = given.held().startedAt() != facts.held().startedAt();
-        if (reborn) {
-            leaving = false;
-        }
         facts = given;
         boolean toldOfLate =
                 !toldAt.equals(Instant.MIN) && now.isBefore(toldAt.plus(OWN_WORD_LAGS));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamChoice.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamChoice.java
@@ -64,14 +64,6 @@
         return all.stream().anyMatch(each -> each.takes(now) && holds(each, model));
     }
 
-    /** Requests that could be sent now before all are full. */
-    public double room(List<Upstream> all, Instant now) {
-        return all.stream()
-                .filter(each -> each.takes(now))
-                .mapToDouble(each -> Math.max(0, limit(each) - each.load(now)))
-                .sum();
-    }
-
     private boolean suits(Upstream upstream, ModelRef model, Instant now) {
         return upstream.takes(now)
                 && !upstream.full(now)
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -4,11 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 
 /** All upstreams, by what the platform's list says. Belongs to the traffic thread. */
@@ -51,17 +49,6 @@
         return true;
     }
 
-    /** A whole reading of the list: what it lacks and was older is gone. Gives what is gone. */
-    public List<UpstreamId> retain(Set<UpstreamId> listed, long at) {
-        List<UpstreamId> gone = new ArrayList<>();
-        for (UpstreamId id : new HashSet<>(byId.keySet())) {
-            if (!listed.contains(id) && remove(id, at)) {
-                gone.add(id);
-            }
-        }
-        return gone;
-    }
-
     /** The upstreams of a service. */
     public List<Upstream> of(String service) {
         return byService.getOrDefault(service, List.of());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -10,7 +10,6 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
-import io.damaskyoke.http.HttpCall;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.http.HttpServer;
@@ -19,7 +18,6 @@
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.id.WorkspaceId;
 import io.damaskyoke.metrics.Metrics;
-import io.damaskyoke.metrics.Prometheus;
 import io.damaskyoke.peer.PeerNetwork;
 import io.damaskyoke.peer.Role;
 import io.damaskyoke.platform.KeyValueStore;
@@ -30,14 +28,11 @@
 import io.damaskyoke.settings.DirectSettings;
 import io.damaskyoke.timeline.HybridClock;
 import io.damaskyoke.timeline.Timeline;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
@@ -135,9 +130,11 @@
         ratePeers.over(network);
         neighbours.start(network, new PeerHearer());
         this.callers = serve(settings.callers().host(), settings.callers().port(), ingress);
-        serve(settings.ready().host(), settings.ready().port(), this::answerReady);
+        Pages pages = new Pages(metrics, this::ready);
+        control.run(() -> control.every(COUNTERS, pages::logCounters));
+        serve(settings.ready().host(), settings.ready().port(), pages::ready);
         if (settings.metricsPort() != 0) {
-            serve(settings.peer().host(), settings.metricsPort(), this::answerMetrics);
+            serve(settings.peer().host(), settings.metricsPort(), pages::metrics);
         }
         control.run(this::begin);
     }
@@ -202,25 +199,7 @@
         RateAdmission.Parts parts =
                 new RateAdmission.Parts(
                         control, store, members, settings.storePrefix(), metrics, timeline);
-        return new RateAdmission(parts, self, incarnation, rateSettings());
-    }
-
-    // A router that is cut off for the length of a disturbance goes on spending its share, and
-    // nobody takes that back before it must have stopped: gone and takeBack are longer than
-    // isolation. A killed router's next life takes its share over at once. Holding is half of what
-    // callers want an answer in; a loan from another router takes a few milliseconds, and so shares
-    // need not follow demand at every turn: each write has its price.
-    private static RateSettings rateSettings() {
-        return new RateSettings(
-                Duration.ofMinutes(10),
-                Duration.ofMillis(1_500),
-                Duration.ofSeconds(30),
-                Duration.ofSeconds(5),
-                Duration.ofSeconds(35),
-                Duration.ofSeconds(2),
-                Duration.ofMillis(150),
-                Duration.ofSeconds(3),
-                Duration.ofSeconds(1));
+        return new RateAdmission(parts, self, incarnation, RateSettings.direct());
     }
 
     private PeerNetwork network(Timeline timeline) {
@@ -258,7 +237,6 @@
         control.every(REPORT, this::report);
         control.every(GOSSIP, this::gossip);
         control.every(SWEEP, client::sweep);
-        control.every(COUNTERS, this::logCounters);
     }
 
     private void check() {
@@ -325,30 +303,6 @@
         neighbours.report(to, demanded, configuration.revision(), upstreams.revision(), store.up());
     }
 
-    private void logCounters() {
-        StringBuilder line = new StringBuilder();
-        metrics.registry()
-                .getCounters()
-                .forEach(
-                        (name, count) ->
-                                line.append(name).append('=').append(count.getCount()).append(' '));
-        LOG.info("counters {}", line);
-    }
-
-    private void answerReady(HttpCall call) {
-        text(call, ready() ? 200 : 503, ready() ? "ready\n" : "not ready\n");
-    }
-
-    private void answerMetrics(HttpCall call) {
-        text(call, 200, Prometheus.text(metrics.registry()));
-    }
-
-    private static void text(HttpCall call, int status, String text) {
-        DefaultHttpHeaders headers = new DefaultHttpHeaders();
-        headers.set("Content-Type", "text/plain; charset=utf-8");
-        call.answer(status, headers, Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
-    }
-
     /** Hears of the operators' configuration from the store. */
     private final class ConfigurationHearer implements Follower.Hearer {
         @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
@@ -139,13 +139,6 @@
         late.forEach(Waiter::waitedInVain);
     }
 
-    /** Requests that wait for the service. */
-    int waiting(String service) {
-        return queues.getOrDefault(service, Map.of()).values().stream()
-                .mapToInt(TreeSet::size)
-                .sum();
-    }
-
     /** What this router needs and sees, for the giver of orders. */
     LoadInput.Demanded demand(VmId self) {
         Instant now = clock.instant();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -1,7 +1,6 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.direct.Route;
-import io.damaskyoke.control.direct.RouteKind;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -25,21 +24,6 @@
  * that is allowed, answered once.
  */
 final class Flow implements Waiter {
-    /** The part of a caller's patience that may go by before its request is sent. */
-    private static final double PATIENCE_PART = 0.8;
-
-    /** The part of a caller's whole time that may go by before its request is sent. */
-    private static final double TIME_PART = 0.6;
-
-    /**
-     * Callers of plain services have little time; a repeatable request that got no answer by this
-     * part of it has the rest for a second try.
-     */
-    private static final double SILENT_PART = 0.45;
-
-    /** A stream's events come some ten milliseconds apart; this long without one is no pause. */
-    private static final Duration SILENT_STREAM = Duration.ofMillis(1_500);
-
     /** An upstream that was full is left alone for this. */
     private static final Duration FULL_PAUSE = Duration.ofMillis(30);
 
@@ -56,6 +40,7 @@
     private final String service;
     private final Admitted admitted;
     private final Instant began;
+    private final Patience patience;
     private final Instant end;
     private final Instant until;
     private final Set<UpstreamId> tried = new HashSet<>();
@@ -93,23 +78,9 @@
         this.admitted = admitted;
         this.began = admitted.began();
         this.lastEvent = request.lastEvent();
-        Duration time = request.deadline().orElse(route.timeout());
-        Duration shorter = time.compareTo(route.timeout()) < 0 ? time : route.timeout();
-        this.end = began.plus(shorter);
-        this.until = began.plus(longestWait(shorter));
-    }
-
-    private Duration longestWait(Duration time) {
-        Duration byTime = part(time, TIME_PART);
-        if (route.kind() != RouteKind.STREAMING) {
-            return byTime;
-        }
-        Duration byPatience = part(route.patience(), PATIENCE_PART);
-        return byPatience.compareTo(byTime) < 0 ? byPatience : byTime;
-    }
-
-    private static Duration part(Duration time, double part) {
-        return Duration.ofNanos((long) (time.toNanos() * part));
+        this.patience = new Patience(route, request.deadline());
+        this.end = began.plus(patience.whole());
+        this.until = began.plus(patience.beforeSending());
     }
 
     /** Begins: it waits for an upstream, perhaps no time at all. */
@@ -222,13 +193,8 @@
     }
 
     private Duration longestSilence() {
-        if (route.kind() == RouteKind.STREAMING && route.repeatable()) {
-            return SILENT_STREAM.plus(started ? Duration.ZERO : route.objective());
-        }
-        if (route.repeatable() && flows.retryLeft(service) && sends < route.attempts()) {
-            return part(Duration.between(began, end), SILENT_PART);
-        }
-        return Duration.between(began, end);
+        boolean second = flows.retryLeft(service) && sends < route.attempts();
+        return patience.betweenBytes(started, second);
     }
 
     private void timeUp() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -92,10 +92,6 @@
         return routers.values().stream().filter(each -> !each.vm().equals(self.vm())).toList();
     }
 
-    Optional<RouterEntry> find(VmId vm) {
-        return Optional.ofNullable(routers.get(vm));
-    }
-
     /** How many routers there are, this one too. */
     int size() {
         return others().size() + 1;
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Pages.java
@@ -0,0 +1,52 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.http.HttpCall;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.metrics.Prometheus;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** What a router says of itself: whether it is ready, and its counters. */
+final class Pages {
+    private static final Logger LOG = LogManager.getLogger(Pages.class);
+
+    private final Metrics metrics;
+    private final BooleanSupplier isReady;
+
+    Pages(Metrics metrics, BooleanSupplier isReady) {
+        this.metrics = metrics;
+        this.isReady = isReady;
+    }
+
+    void ready(HttpCall call) {
+        boolean ready = isReady.getAsBoolean();
+        text(call, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    }
+
+    void metrics(HttpCall call) {
+        text(call, 200, Prometheus.text(metrics.registry()));
+    }
+
+    void logCounters() {
+        StringBuilder line = new StringBuilder();
+        metrics.registry()
+                .getCounters()
+                .forEach(
+                        (name, counter) ->
+                                line.append(' ')
+                                        .append(name)
+                                        .append('=')
+                                        .append(counter.getCount()));
+        LOG.info("counters{}", line);
+    }
+
+    private static void text(HttpCall call, int status, String text) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("Content-Type", "text/plain; charset=utf-8");
+        call.answer(status, headers, Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
@@ -30,7 +30,6 @@
     private final boolean lastOfCaller;
     private Runnable gone = NOTHING;
     private Runnable writable = NOTHING;
-    private boolean started;
     private boolean over;
 
     HttpCall(ServerConnection connection, FullHttpRequest request, long arrivedNanos) {
@@ -85,11 +84,6 @@
         return over;
     }
 
-    /** True once a status was sent, after which no other can be. */
-    public boolean started() {
-        return started;
-    }
-
     /** Sends a whole answer; takes over the body. */
     public void answer(int status, HttpHeaders headers, ByteBuf body) {
         if (over) {
@@ -118,7 +112,6 @@
         if (over) {
             return;
         }
-        started = true;
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         lastHeader(headers);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -91,11 +91,6 @@
         snapshot().forEach(connection -> connection.closeIfIdle(now, idle.toNanos()));
     }
 
-    /** Connections that carry a request right now. */
-    public long busy() {
-        return connections.stream().filter(ServerConnection::busy).count();
-    }
-
     /** Connections that are open. */
     public int connections() {
         return connections.size();
