--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -263,6 +263,13 @@
 
     private void membersChanged() {
         neighbours.refresh();
+        tellAll();
+    }
+
+    // News that was sent while a link was down is lost. The other router would wait for a model
+    // that
+    // is ready, until the upstream's own word has come round seconds later.
+    private void tellAll() {
         Map<UpstreamId, HeldModels> news = giver.allNews();
         if (!news.isEmpty()) {
             neighbours.tell(giver.fencing(), news);
@@ -296,6 +303,7 @@
     }
 
     private void gossip() {
+        tellAll();
         send(Optional.empty(), dispatch.demand(self));
     }
 
@@ -347,6 +355,11 @@
             }
         }
 
+        @Override
+        public void linked() {
+            tellAll();
+        }
+
         @Override
         public void told(long fencing, Map<UpstreamId, HeldModels> held) {
             if (fencing < highestFencing) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -41,6 +41,9 @@
 
     /** Hears what other routers say. */
     interface Hearer {
+        /** A link to another router has opened; what was sent before did not go over it. */
+        void linked();
+
         /** A router's needs; {@code configuration} is the revision of what it has in force. */
         void reported(LoadInput.Demanded demanded, long configuration);
 
@@ -133,6 +136,16 @@
         send(to, Frame.newBuilder().setStoredNews(news).build());
     }
 
+    @Override
+    public void opened(PeerLink link) {
+        control.run(
+                () -> {
+                    if (hearer != null) {
+                        hearer.linked();
+                    }
+                });
+    }
+
     @Override
     public void received(PeerLink link, Frame frame) {
         Optional<VmId> from = link.remote().map(Hello::getVm).map(VmId::of);
