Ask the next few routers for tokens each time, until all were asked

Change: each round asks the next eight; a request is refused for its rate once all were asked in vain or its time to be held is over. With nine routers or fewer nothing changes.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -35,6 +35,8 @@
     Instant askedAt = Instant.MIN;
     long askedUpTo;
     long brought;
+    int dryAsks;
+    int turn;
     private final ArrayDeque<Borrowed> borrowed = new ArrayDeque<>();
     private final Map<String, Lent> lent = new HashMap<>();
     private double demand;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -261,8 +261,10 @@
     }
 
     private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
-        boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0;
-        boolean noneToAsk = lenders(account).isEmpty() && !keeper.awaitsOthers(account);
+        List<VmId> lenders = lenders(account);
+        boolean allAsked = account.dryAsks >= lenders.size();
+        boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0 && allAsked;
+        boolean noneToAsk = lenders.isEmpty() && !keeper.awaitsOthers(account);
         boolean hopeless =
                 usable(account, now) && (noneToAsk || nothingCame) && !filling(account, now);
         while (!account.held.isEmpty()) {
@@ -336,7 +338,7 @@
                 || !account.unanswered.isEmpty() && !stale(account, now)) {
             return;
         }
-        List<VmId> others = lenders(account);
+        List<VmId> others = nextLenders(account);
         if (others.isEmpty() || !usable(account, now)) {
             return;
         }
@@ -349,6 +351,7 @@
         account.ask = self.value() + '.' + (++counter);
         account.askedAt = now;
         account.askedUpTo = counter;
+        account.dryAsks = account.brought == 0 ? account.dryAsks + others.size() : others.size();
         account.brought = 0;
         account.unanswered.clear();
         account.unanswered.addAll(others);
@@ -376,18 +379,32 @@
         account.spent.clear();
     }
 
+    // Each time the next few of them. With dozens of routers a share is less than one request;
+    // those
+    // asked first each time would be empty while the others are full.
+    private List<VmId> nextLenders(Account account) {
+        List<VmId> all = lenders(account);
+        if (all.size() <= MOST_ASKED) {
+            return all;
+        }
+        List<VmId> next = new ArrayList<>();
+        for (int i = 0; i < MOST_ASKED; i++) {
+            next.add(all.get(Math.floorMod(account.turn++, all.size())));
+        }
+        return next;
+    }
+
     // A router that starts while the store is out has never seen a share. It has none to spend, so
     // nothing can be spent twice; but without loans from those that have, it would refuse every
     // request for as long as the outage lasts.
     private List<VmId> lenders(Account account) {
         if (account.row == null) {
-            return right.otherRouters().stream().limit(MOST_ASKED).toList();
+            return right.otherRouters();
         }
         return account.row.table().shares().values().stream()
                 .filter(share -> !share.vm().equals(vm) && share.part() > 0)
                 .filter(share -> share.mark().isEmpty())
                 .sorted(Comparator.comparingInt(ShareTable.Share::part).reversed())
-                .limit(MOST_ASKED)
                 .map(ShareTable.Share::vm)
                 .toList();
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/YoungWorkspaceTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/YoungWorkspaceTest.java
@@ -24,6 +24,7 @@
     private ShareTable stored;
     private long revision;
     private long now;
+    private long millis;
 
     @Test
     void aRouterServesAYoungWorkspaceThoughItsFounderDied() {
@@ -49,6 +50,19 @@
         assertEquals(BURST / 50, admitted);
     }
 
+    @Test
+    void aRequestLargerThanEveryShareIsPaidByAllRoutersTogether() {
+        // Twenty routers share a burst of 600, thirty each. A request for 500 needs the loans of
+        // nearly all of them; asked of the same eight only, it would be refused within the rate.
+        String[] names = new String[20];
+        for (int i = 0; i < names.length; i++) {
+            names[i] = "r" + (char) ('a' + i);
+        }
+        start(names);
+        settle(names);
+        assertTrue(admittedWithLoans("ra", 500));
+    }
+
     @Test
     void aRestartedRouterFindsNothingUntouched() {
         // A router spends its burst, dies and starts again on the same VM. Its new life gets the
@@ -115,7 +129,46 @@
         return actions.contains(new RateAction.Admit(id));
     }
 
+    // Asks are answered a few milliseconds later, round after round, as long as the request is
+    // held.
+    private boolean admittedWithLoans(String name, long tokens) {
+        ExchangeId id = new ExchangeId(Incarnation.of(name + ":1"), ++now);
+        RateMachine borrower = routers.get(name);
+        List<RateAction> actions =
+                new ArrayList<>(borrower.on(new RateInput.Arrived(id, GROWERS, tokens), at()));
+        for (int round = 0; round < 5; round++) {
+            millis += 25;
+            List<RateAction> next = new ArrayList<>();
+            for (RateAction action : actions) {
+                if (action instanceof RateAction.Admit) {
+                    return true;
+                }
+                if (action instanceof RateAction.Ask ask) {
+                    next.addAll(answered(name, borrower, ask));
+                }
+            }
+            next.addAll(borrower.on(new RateInput.Tick(), at()));
+            actions = next;
+        }
+        return actions.contains(new RateAction.Admit(id));
+    }
+
+    private List<RateAction> answered(String name, RateMachine borrower, RateAction.Ask ask) {
+        RateInput.Asked asked =
+                new RateInput.Asked(VmId.of(name), GROWERS, ask.tokens(), ask.ask(), ask.spent());
+        List<RateAction> actions = new ArrayList<>();
+        for (RateAction lent : routers.get(ask.to().value()).on(asked, at())) {
+            if (lent instanceof RateAction.Lend lend) {
+                actions.addAll(
+                        borrower.on(
+                                new RateInput.Lent(ask.to(), GROWERS, lend.tokens(), lend.loan()),
+                                at()));
+            }
+        }
+        return actions;
+    }
+
     private Instant at() {
-        return Instant.ofEpochMilli(0);
+        return Instant.ofEpochMilli(millis);
     }
 }
