Keep upstreams after an outage only if they lapsed in it

Ruled out: the watch (it was read anew 0.2 s after the cut). Change: only what is missing in the first word after an outage of two seconds or more is given time to return.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -27,14 +27,16 @@
      */
     private static final Duration RETURN_TIME = Duration.ofMillis(2_200);
 
-    private static final Duration AFTER_OUTAGE = Duration.ofSeconds(3);
+    /** Entries lapse after three heartbeats of silence; a shorter outage takes none away. */
+    private static final Duration SHORTEST_OUTAGE = Duration.ofSeconds(2);
 
     private final Control control;
     private final Dialect dialect;
     private final UpstreamTable table;
     private final Follower follower;
     private Listener listener;
-    private Instant lastDown = Instant.MIN;
+    private Instant upAt = Instant.MIN;
+    private boolean returning;
 
     /** Hears what the list says, after the table has it. */
     interface Listener {
@@ -64,6 +66,7 @@
 
     @Override
     public void all(List<Entry> entries, long revision) {
+        boolean afterOutage = takeReturning();
         Set<UpstreamId> listed = new HashSet<>();
         for (Entry entry : entries) {
             listed.add(id(entry.key()));
@@ -71,28 +74,40 @@
         }
         for (UpstreamId id : List.copyOf(ids())) {
             if (!listed.contains(id)) {
-                remove(id, revision);
+                remove(id, revision, afterOutage);
             }
         }
     }
 
     @Override
     public void changed(List<Change> changes, long revision) {
+        boolean afterOutage = takeReturning();
         for (Change change : changes) {
             if (change.entry().isPresent()) {
                 put(change.entry().get());
             } else {
-                remove(id(change.key()), revision);
+                remove(id(change.key()), revision, afterOutage);
             }
         }
     }
 
     private void look() {
-        if (follower.everRead() && !follower.upToDate()) {
-            lastDown = control.clock().instant();
+        Instant now = control.clock().instant();
+        if (!follower.everRead() || follower.upToDate()) {
+            upAt = now;
+        } else if (now.isAfter(upAt.plus(SHORTEST_OUTAGE))) {
+            returning = true;
         }
     }
 
+    // What lapsed in the outage is in the first word after it. What goes later leaves for good, and
+    // must get nothing new within seconds.
+    private boolean takeReturning() {
+        boolean first = returning;
+        returning = false;
+        return first;
+    }
+
     private void put(Entry entry) {
         Optional<UpstreamFacts> facts =
                 dialect.upstream(entry.key(), entry.value(), entry.modRevision());
@@ -117,10 +132,7 @@
         listener.listed(facts.get());
     }
 
-    private void remove(UpstreamId id, long revision) {
-        Instant now = control.clock().instant();
-        boolean afterOutage =
-                !lastDown.equals(Instant.MIN) && now.isBefore(lastDown.plus(AFTER_OUTAGE));
+    private void remove(UpstreamId id, long revision, boolean afterOutage) {
         if (afterOutage) {
             control.after(RETURN_TIME, () -> removeNow(id, revision));
         } else {
