Refuse what still waits when a stopping router ends

Change: 1.5 s before the end, what waits is refused as not run, to come back at once; at the very end what runs gets an answer that promises nothing, or a visible cut.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -178,7 +178,7 @@
         stopped = true;
         stopping = true;
         LOG.info("stopping, {} requests open", flows.size());
-        new Shutdown(control, callers, settings.grace(), flows::size).run(lease::close);
+        new Shutdown(control, callers, settings.grace(), flows).run(lease::close);
         // Last, since a router that is off the list may not spend its share, and would refuse what
         // still comes while the balancer notices.
         control.run(members::leave);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -215,6 +215,21 @@
         }
     }
 
+    /**
+     * This router stops. A request that waits is refused, to come back elsewhere at once; one that
+     * runs is ended only if there is no more time for it.
+     */
+    void stop(boolean noMoreTime) {
+        if (attempt == null && !started && runs == 0) {
+            flows.dispatch().forget(this);
+            refuse(
+                    Refusal.notRun(RefusalCode.STOPPING, "this router stops")
+                            .retryAfter(Duration.ZERO));
+        } else if (noMoreTime) {
+            timeUp();
+        }
+    }
+
     /** The upstream vouches that it has not run it: another one may, within the retry budget. */
     void turnedAway(UpstreamAnswer answer) {
         runs--;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -103,6 +103,13 @@
         }
     }
 
+    /**
+     * This router stops: what waits is refused, and what runs is ended if there is no more time.
+     */
+    void stop(boolean noMoreTime) {
+        new ArrayList<>(open).forEach(flow -> flow.stop(noMoreTime));
+    }
+
     int size() {
         return open.size();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Shutdown.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Shutdown.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 
 /**
  * Ends a router in steps: callers are sent elsewhere, what is open is finished, then all is closed.
@@ -24,18 +23,24 @@
     /** A connection idle for so long has no request crossing our close, as a rule. */
     private static final Duration IDLE = Duration.ofMillis(400);
 
+    /**
+     * A request that still waits for a model when so little is left is refused. Closed with the
+     * process, its caller would not know that it has not run, nor come back at once.
+     */
+    private static final Duration WAITING = Duration.ofMillis(1_500);
+
     private static final long STEP_MILLIS = 50;
 
     private final Control control;
     private final HttpServer callers;
     private final Duration grace;
-    private final IntSupplier open;
+    private final Flows flows;
 
-    Shutdown(Control control, HttpServer callers, Duration grace, IntSupplier open) {
+    Shutdown(Control control, HttpServer callers, Duration grace, Flows flows) {
         this.control = control;
         this.callers = callers;
         this.grace = grace;
-        this.open = open;
+        this.flows = flows;
     }
 
     /** Runs all steps, the duties' end first; blocks until nothing is left or time is short. */
@@ -51,12 +56,17 @@
         onControl(callers::stopListening);
         while (System.nanoTime() < last) {
             onControl(() -> callers.closeIdle(IDLE));
-            boolean done = ask(() -> open.getAsInt() == 0 && callers.connections() == 0);
+            if (System.nanoTime() > last - WAITING.toNanos()) {
+                onControl(() -> flows.stop(false));
+            }
+            boolean done = ask(() -> flows.size() == 0 && callers.connections() == 0);
             if (done) {
                 return;
             }
             sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS));
         }
+        onControl(() -> flows.stop(true));
+        sleepUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS));
     }
 
     private void onControl(Runnable step) {
