Call a link without a hello by that name, whichever limit comes first

Cause, by reading: the limit on the hello and the one on silence are both 300 ms in that test, and the same setting in a process. On a busy machine the second can come first; it closed the link without a reason, counted as gone before its hello. Change: silence before the hello counts as no hello. The test stays as it is. Conclusion: the failure is traced and mended; it was not brought about again on purpose.

--- a/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
@@ -59,7 +59,10 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof IdleStateEvent) {
+        if (event instanceof IdleStateEvent && link.remote().isEmpty()) {
+            // This limit and the one on the hello are of the same length, and either may come first.
+            reject(ctx, Rejection.NO_HELLO);
+        } else if (event instanceof IdleStateEvent) {
             context.events().count("peer_silent");
             ctx.close();
         }
