--- a/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/LinkHandler.java
@@ -60,7 +60,8 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof IdleStateEvent && link.remote().isEmpty()) {
-            // This limit and the one on the hello are of the same length, and either may come first.
+            // This limit and the one on the hello are of the same length, and either may come
+            // first.
             reject(ctx, Rejection.NO_HELLO);
         } else if (event instanceof IdleStateEvent) {
             context.events().count("peer_silent");
