--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -267,8 +267,7 @@
     }
 
     // News that was sent while a link was down is lost. The other router would wait for a model
-    // that
-    // is ready, until the upstream's own word has come round seconds later.
+    // that is ready, until the upstream's own word has come round seconds later.
     private void tellAll() {
         Map<UpstreamId, HeldModels> news = giver.allNews();
         if (!news.isEmpty()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -199,14 +199,13 @@
 
     private void timeUp() {
         why = "time is up";
-        if (attempt == null && !started && runs == 0) {
-            flows.dispatch().forget(this);
+        flows.dispatch().forget(this);
+        if (neverSent()) {
             refuse(
                     Refusal.notRun(RefusalCode.DEADLINE_UNREACHABLE, "no upstream in time")
                             .retryAfter(COME_BACK));
             return;
         }
-        flows.dispatch().forget(this);
         cancelAttempt();
         if (started) {
             breakOff("the time is up in the middle of the answer");
@@ -215,12 +214,16 @@
         }
     }
 
+    private boolean neverSent() {
+        return attempt == null && !started && runs == 0;
+    }
+
     /**
      * This router stops. A request that waits is refused, to come back elsewhere at once; one that
      * runs is ended only if there is no more time for it.
      */
     void stop(boolean noMoreTime) {
-        if (attempt == null && !started && runs == 0) {
+        if (neverSent()) {
             flows.dispatch().forget(this);
             refuse(
                     Refusal.notRun(RefusalCode.STOPPING, "this router stops")
@@ -304,10 +307,6 @@
         }
     }
 
-    boolean started() {
-        return started;
-    }
-
     void event(ByteBuf bytes, Optional<String> id) {
         if (id.isPresent()) {
             lastEvent = id;
