Pack models by size, keep adapters that just came, and let busy models outweigh rare ones

(1) With all places for adapters taken, the planner loaded one that was waited for and gave its place to the next before the routers' requests were there: 75 orders in half a second, none of use. (2) Small models stood beside large ones, where no third one fits, so a fifth of all memory was gaps and rare models took turns. (3) A busy model whose only copy was in use never got a second replica, since the store was for models without any copy. (4) Rare models with one waiting request, and models that had been busy fifteen seconds ago, were protected from a model with thirty requests a second.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/AdapterPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/AdapterPlanner.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.control.loads;
 
 import io.damaskyoke.control.upstreams.ModelRef;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -15,6 +16,14 @@
  * a few milliseconds. The one used longest ago and not in use makes way.
  */
 final class AdapterPlanner {
+    /**
+     * An adapter that came or was in use so lately is kept. Routers hear that it is there and send
+     * those who waited, and their word of that comes back up to 150 ms later. Taken away meanwhile,
+     * it is fetched again at once, in turns with the others that wait, and none of them is ever
+     * used.
+     */
+    private static final Duration KEPT = Duration.ofMillis(400);
+
     private final DemandBook demand;
 
     AdapterPlanner(DemandBook demand) {
@@ -66,7 +75,7 @@
             }
             boolean place = engine.adapterCount() < engine.spec().adapterSlots();
             boolean memory = engine.freeMb() >= engine.adapterMb(adapter.model());
-            ModelRef victim = place && memory ? null : victim(engine);
+            ModelRef victim = place && memory ? null : victim(engine, now);
             if (!(place && memory) && victim == null) {
                 continue;
             }
@@ -86,12 +95,12 @@
         return demand.perSecond(victim);
     }
 
-    private ModelRef victim(Engine engine) {
+    private ModelRef victim(Engine engine, Instant now) {
         ModelRef oldest = null;
         for (Map.Entry<String, Set<String>> entry : engine.held().adapters().entrySet()) {
             for (String name : entry.getValue()) {
                 ModelRef each = new ModelRef(entry.getKey(), name);
-                if (demand.running(engine.id(), each) > 0) {
+                if (inUse(engine, each, now)) {
                     continue;
                 }
                 if (oldest == null || engine.usedAt(each).isBefore(engine.usedAt(oldest))) {
@@ -101,4 +110,10 @@
         }
         return oldest;
     }
+
+    private boolean inUse(Engine engine, ModelRef adapter, Instant now) {
+        Instant used = engine.usedAt(adapter);
+        boolean lately = !used.equals(Instant.MIN) && now.isBefore(used.plus(KEPT));
+        return lately || demand.running(engine.id(), adapter) > 0 || demand.waitingFor(adapter) > 0;
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -73,6 +73,12 @@
         return waiting.getOrDefault(model, 0);
     }
 
+    /** Requests that wait for just this model or adapter. */
+    int waitingFor(ModelRef model) {
+        LoadInput.Want want = wants.get(model);
+        return want == null ? 0 : want.waiting();
+    }
+
     /** How long the first request has waited for the model or one of its adapters. */
     Duration oldest(String model) {
         Duration oldest = Duration.ZERO;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -57,6 +57,7 @@
     private final StoreLoads storeLoads;
     private final Placer placer;
     private final AdapterPlanner adapters;
+    private final Map<String, Packing> packings = new HashMap<>();
     private Map<String, EngineSpec> specs = new HashMap<>();
     private long number;
     private boolean active;
@@ -74,7 +75,7 @@
     public List<LoadAction> on(LoadInput input, Instant now) {
         List<LoadAction> actions = new ArrayList<>();
         if (input instanceof LoadInput.Configured configured) {
-            specs = configured.engines();
+            configured(configured.engines());
         } else if (input instanceof LoadInput.Listed listed) {
             listed(listed);
         } else if (input instanceof LoadInput.Gone gone) {
@@ -102,6 +103,12 @@
         return actions;
     }
 
+    private void configured(Map<String, EngineSpec> engines) {
+        specs = engines;
+        packings.clear();
+        engines.forEach((service, spec) -> packings.put(service, Packing.of(spec)));
+    }
+
     private void listed(LoadInput.Listed listed) {
         EngineSpec spec = specs.get(listed.facts().service());
         if (spec == null) {
@@ -228,7 +235,7 @@
             follow(engine, now, actions);
         }
         for (Map.Entry<String, EngineSpec> entry : specs.entrySet()) {
-            plan(entry.getValue(), of(entry.getKey()), now, actions);
+            plan(entry.getKey(), entry.getValue(), now, actions);
         }
         if (!now.isBefore(aheadAt)) {
             aheadAt = now.plus(AHEAD_GAP);
@@ -286,7 +293,8 @@
 
     private void advance(Engine engine, String model, Instant now, List<LoadAction> actions) {
         FleetView fleet = new FleetView(of(engine.facts().service()), demand);
-        Optional<Room.Plan> plan = new Room(demand, fleet).plan(engine, model, now);
+        Optional<Room.Plan> plan =
+                new Room(demand, fleet, packing(engine)).plan(engine, model, now);
         if (plan.isEmpty()) {
             return;
         }
@@ -303,9 +311,15 @@
         order(engine, Verb.LOAD, new ModelRef(model, ""), source, now, actions);
     }
 
-    private void plan(EngineSpec spec, List<Engine> here, Instant now, List<LoadAction> actions) {
+    private Packing packing(Engine engine) {
+        return packings.computeIfAbsent(engine.facts().service(), any -> Packing.of(engine.spec()));
+    }
+
+    private void plan(String service, EngineSpec spec, Instant now, List<LoadAction> actions) {
         boolean ahead = !now.isBefore(aheadAt);
-        for (Placer.Choice choice : placer.plan(spec, here, ahead, now)) {
+        List<Engine> here = of(service);
+        Packing packing = packings.get(service);
+        for (Placer.Choice choice : placer.plan(spec, packing, here, ahead, now)) {
             choice.engine().intend(new Engine.Intent(choice.model(), now.plus(INTENT_LIMIT)));
             advance(choice.engine(), choice.model(), now, actions);
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -64,8 +64,9 @@
 
     private record Offer(Engine engine, LoadSource source, double cost, double hurt) {}
 
-    List<Choice> plan(EngineSpec spec, List<Engine> engines, boolean ahead, Instant now) {
-        Round round = new Round(spec, engines, new FleetView(engines, demand), now);
+    List<Choice> plan(
+            EngineSpec spec, Packing packing, List<Engine> engines, boolean ahead, Instant now) {
+        Round round = new Round(spec, packing, engines, new FleetView(engines, demand), now);
         List<Choice> choices = new ArrayList<>();
         for (String model : round.needed()) {
             round.place(model, true).ifPresent(choices::add);
@@ -86,11 +87,16 @@
         private final Instant now;
         private final Set<Engine> taken = new HashSet<>();
 
-        Round(EngineSpec spec, List<Engine> engines, FleetView fleet, Instant now) {
+        Round(
+                EngineSpec spec,
+                Packing packing,
+                List<Engine> engines,
+                FleetView fleet,
+                Instant now) {
             this.spec = spec;
             this.engines = engines;
             this.fleet = fleet;
-            this.room = new Room(demand, fleet);
+            this.room = new Room(demand, fleet, packing);
             this.now = now;
         }
 
@@ -191,9 +197,20 @@
             if (fleet.copies(model) == 0) {
                 return storeLoads.allows(spec, engines, needed, now);
             }
+            if (!needed && !spareCopy(model)) {
+                return storeLoads.allows(spec, engines, false, now);
+            }
             return needed && barred(model) && storeLoads.idle(engines);
         }
 
+        // A busy model whose only copy is where it is held already can have no second replica but
+        // from the store. Its one replica would run out of slots and of places for adapters.
+        private boolean spareCopy(String model) {
+            return engines.stream()
+                    .anyMatch(
+                            each -> fleet.usable(each) && each.hasCopy(model) && !each.has(model));
+        }
+
         private double gain(Offer offer, String model) {
             double seconds = offer.source().time(spec.models().get(model)).toMillis() / 1000.0;
             return LEAST_GAIN + demand.perSecond(model) * seconds * AHEAD_PART;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -30,64 +30,94 @@
     /** A model without requests is given up in the order of its size; this is next to nothing. */
     private static final double IDLE_COST = 0.002;
 
+    /** So many times as often asked for, a busy model goes before another that is protected. */
+    private static final double OUTWEIGHS = 5;
+
+    /** Of more models than this, only those cheapest to miss are looked at. */
+    private static final int MOST_CANDIDATES = 6;
+
     private final DemandBook demand;
     private final FleetView fleet;
+    private final Packing packing;
 
-    Room(DemandBook demand, FleetView fleet) {
+    Room(DemandBook demand, FleetView fleet, Packing packing) {
         this.demand = demand;
         this.fleet = fleet;
+        this.packing = packing;
     }
 
     /** What goes, and what that costs in expected waiting seconds a second. */
     record Plan(List<String> victims, double cost) {}
 
+    private record Victim(String model, double freed, double cost) {}
+
     /** The cheapest way to make room, or empty if there is none now. */
     Optional<Plan> plan(Engine engine, String model, Instant now) {
-        double missing = engine.weight(model) - engine.freeMb();
-        if (missing <= 0) {
-            return Optional.of(new Plan(List.of(), 0));
+        double weight = engine.weight(model);
+        double free = engine.freeMb();
+        if (weight <= free) {
+            return Optional.of(new Plan(List.of(), packing.loss(free, free - weight)));
         }
-        List<String> candidates = new ArrayList<>();
+        List<Victim> candidates = new ArrayList<>();
         for (String held : engine.held().adapters().keySet()) {
-            if (evictable(engine, held, now)) {
-                candidates.add(held);
+            if (evictable(engine, held, model, now)) {
+                candidates.add(new Victim(held, freed(engine, held), cost(engine, held)));
             }
         }
-        candidates.sort(Comparator.comparingDouble(each -> cost(engine, each)));
-        List<String> victims = new ArrayList<>();
-        double cost = 0;
-        for (String candidate : candidates) {
-            if (missing <= 0) {
-                break;
-            }
-            victims.add(candidate);
-            cost += cost(engine, candidate);
-            missing -= freed(engine, candidate);
+        if (candidates.size() > MOST_CANDIDATES) {
+            candidates.sort(Comparator.comparingDouble(Victim::cost));
+            candidates.subList(MOST_CANDIDATES, candidates.size()).clear();
         }
-        if (missing > 0) {
-            return Optional.empty();
+        return cheapest(candidates, weight, free);
+    }
+
+    // An upstream holds a handful of models, so all ways are looked at: a cheap victim that leaves
+    // a gap in which no model fits costs more than it seems.
+    private Optional<Plan> cheapest(List<Victim> candidates, double weight, double free) {
+        Plan best = null;
+        for (int choice = 1; choice < 1 << candidates.size(); choice++) {
+            double cost = 0;
+            double room = free;
+            for (int i = 0; i < candidates.size(); i++) {
+                if ((choice >> i & 1) == 1) {
+                    cost += candidates.get(i).cost();
+                    room += candidates.get(i).freed();
+                }
+            }
+            if (room < weight || best != null && cost >= best.cost()) {
+                continue;
+            }
+            cost += Math.max(0, packing.loss(free, room - weight));
+            if (best == null || cost < best.cost()) {
+                best = new Plan(names(candidates, choice), cost);
+            }
         }
-        dropNeedless(engine, victims, -missing);
-        return Optional.of(new Plan(victims, cost));
+        return Optional.ofNullable(best);
     }
 
-    // A small cheap victim is needless once a larger one that was added after it makes the room.
-    private void dropNeedless(Engine engine, List<String> victims, double spare) {
-        double left = spare;
-        for (String victim : List.copyOf(victims)) {
-            double freed = freed(engine, victim);
-            if (victims.size() > 1 && freed <= left) {
-                victims.remove(victim);
-                left -= freed;
+    private static List<String> names(List<Victim> candidates, int choice) {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < candidates.size(); i++) {
+            if ((choice >> i & 1) == 1) {
+                names.add(candidates.get(i).model());
             }
         }
+        return names;
     }
 
-    private boolean evictable(Engine engine, String model, Instant now) {
-        int goal = ReplicaGoal.of(engine.spec(), model, demand);
-        return (demand.waitingFor(model) == 0 || fleet.replicas(model) > 1)
-                && (goal == 0 || fleet.replicas(model) > goal)
-                && !engine.justLoaded(model, now, MOMENT);
+    // A model that is asked for many times as often goes before one that has a request or two, and
+    // before one that was busy a while ago: dozens of its requests would be refused meanwhile.
+    private boolean evictable(Engine engine, String held, String forModel, Instant now) {
+        if (engine.justLoaded(held, now, MOMENT)) {
+            return false;
+        }
+        if (demand.perSecond(forModel) > OUTWEIGHS * demand.perSecond(held)
+                && ReplicaGoal.busy(forModel, demand)) {
+            return true;
+        }
+        int goal = ReplicaGoal.of(engine.spec(), held, demand);
+        return (demand.waitingFor(held) == 0 || fleet.replicas(held) > 1)
+                && (goal == 0 || fleet.replicas(held) > goal);
     }
 
     private double cost(Engine engine, String model) {
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -134,6 +134,49 @@
         assertEquals("LOAD a/z one 1", lastOrder);
     }
 
+    @Test
+    void anAdapterThatJustCameIsNotTakenAwayForTheNext() {
+        // Both places are taken, and requests wait for two more adapters. The first of them comes;
+        // its requests are on their way there. Were it now to make room for the second, and that
+        // for the first again, the two would go to and fro and no request would ever be served.
+        begin(Set.of(), Set.of());
+        report(ONE, false, new HeldModels(1, 0, adaptersOfA("x", "y")));
+        List<LoadInput.Want> both = List.of(want("a/v", 1, 1), want("a/w", 1, 1));
+        assertEquals(1, demand(both, Map.of()).size());
+        answer(OrderOutcome.DONE);
+        answer(OrderOutcome.ACCEPTED);
+        now = now.plusMillis(30);
+        tick();
+        answer(OrderOutcome.DONE);
+        answer(OrderOutcome.ACCEPTED);
+        now = now.plusMillis(30);
+        tick();
+        assertEquals(4, given.size(), given.toString());
+        demand(List.of(want("a/x", 1, 1)), Map.of());
+        assertEquals(4, given.size(), given.toString());
+        now = now.plusMillis(400);
+        tick();
+        assertEquals(5, given.size(), given.toString());
+    }
+
+    private static Map<String, Set<String>> adaptersOfA(String... names) {
+        Map<String, Set<String>> adapters = new HashMap<>();
+        adapters.put("a", Set.of(names));
+        adapters.put("b", Set.of());
+        adapters.put("c", Set.of());
+        return adapters;
+    }
+
+    @Test
+    void aBusyModelWhoseOnlyCopyIsInUseGetsASecondReplicaFromTheStore() {
+        // All requests for a busy model go to the one upstream that has a copy. Its places for
+        // adapters and its slots run out, and requests are refused while other upstreams idle.
+        begin(Set.of(), Set.of());
+        demand(List.of(want("a", 0, 9.0)), Map.of());
+        now = now.plusMillis(200);
+        assertEquals(List.of("UNLOAD d two 0"), tick());
+    }
+
     @Test
     void aBusyModelGetsASecondReplica() {
         begin(Set.of(), Set.of("a"));
