Serve sooner after restarts: listen first, wait for the configuration, keep part of the burst

After a restart 0.45 s went by before the port was open (half of it the start of Log4j's core), another 0.25 s in which every request was refused for want of a configuration, and another 1.5 s in which nearly every request was refused for its rate, as all buckets begin empty. Besides, a giver of orders whose lease lapsed in an outage waited five seconds though its own entry still stood, a giver that stopped in an outage never told the store, and routers heard of a new giver up to 0.8 s late, by the gathered watch. Ruled out: the class archive (4,498 of 4,657 classes come from it) and the store's answers (4 ms).

Each request's line now tells when it was sent, when its first part came, and the longest pause.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -24,6 +24,9 @@
     private static final double DEMAND_SECONDS = 4.0;
     private static final double NANOS = 1e9;
 
+    /** Of its cap, what a bucket must hold for some time before half of it is kept. */
+    private static final double PLENTY = 0.75;
+
     final Bucket bucket;
     final ArrayDeque<Held> held = new ArrayDeque<>();
     final Map<VmId, List<String>> spent = new HashMap<>();
@@ -31,6 +34,9 @@
     Workspace workspace;
     RateInput.Row row;
     Lowering lowering;
+    Raise raise;
+    Instant fullSince;
+    private double floor;
     String ask = "";
     Instant askedAt = Instant.MIN;
     long askedUpTo;
@@ -56,6 +62,9 @@
     /** A write under way that lowers our part; it counts before the store has confirmed it. */
     record Lowering(int part, long revision) {}
 
+    /** A write under way that raises what we keep; it binds from its sending. */
+    record Raise(int kept, long revision) {}
+
     private record Lent(double tokens, Instant until) {}
 
     private static final class Borrowed {
@@ -72,14 +81,32 @@
         }
     }
 
-    /** Brings everything up to now, with this part of the whole. */
-    void advance(int part, Instant now) {
+    /** Brings everything up to now, with this part of the whole, of which so much is kept. */
+    void advance(int part, int kept, Instant now) {
         bucket.refill(now);
         lent.values().removeIf(loan -> !now.isBefore(loan.until()));
         borrowed.removeIf(loan -> usedUp(loan, now));
         double portion = part / (double) ShareTable.WHOLE;
         double cap = Math.max(0, portion * workspace.burst() - lentOut());
         bucket.resize(portion * workspace.rate(), cap);
+        floor = kept / (double) ShareTable.WHOLE * workspace.burst();
+        notePlenty(cap, now);
+    }
+
+    private void notePlenty(double cap, Instant now) {
+        boolean plenty = cap > 0 && bucket.tokens() >= cap * PLENTY;
+        if (!plenty) {
+            fullSince = null;
+        } else if (fullSince == null) {
+            fullSince = now;
+        }
+    }
+
+    /**
+     * Own tokens that may be spent: what is kept for the next life on this VM is not among them.
+     */
+    double own() {
+        return Math.max(Math.min(0, bucket.tokens()), bucket.tokens() - floor);
     }
 
     private boolean usedUp(Borrowed loan, Instant now) {
@@ -92,7 +119,7 @@
     }
 
     double available() {
-        return bucket.tokens() + borrowed.stream().mapToDouble(loan -> loan.tokens).sum();
+        return own() + borrowed.stream().mapToDouble(loan -> loan.tokens).sum();
     }
 
     /** Takes the tokens, borrowed ones first as they run out; false if there are not enough. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -33,6 +33,12 @@
     private static final int MOST_ASKED = 8;
     private static final int MOST_HELD = 256;
 
+    /** How long after its start a router may still be about to get its shares, and be short. */
+    private static final Duration JOINING = Duration.ofSeconds(2);
+
+    /** Until then requests wait so long: routers that start together write one after the other. */
+    private static final Duration JOINING_HOLD = Duration.ofMillis(500);
+
     private final Incarnation self;
     private final VmId vm;
     private final RateSettings settings;
@@ -56,10 +62,16 @@
         return new RateMachine(self, vm, address, settings);
     }
 
+    /** Tells when this life began to run, if that was before its first input. */
+    public void began(Instant at) {
+        keeper.running(at);
+    }
+
     @Override
     public List<RateAction> on(RateInput input, Instant now) {
         List<RateAction> actions = new ArrayList<>();
         right.awake(now);
+        keeper.running(now);
         if (input instanceof RateInput.Arrived arrived) {
             arrive(arrived, now, actions);
         } else if (input instanceof RateInput.Settled settled) {
@@ -175,11 +187,22 @@
         }
         account.held.add(
                 new Account.Held(
-                        arrived.id(), ++counter, arrived.tokens(), now.plus(settings.hold())));
+                        arrived.id(), ++counter, arrived.tokens(), now.plus(hold(account, now))));
         askForHeld(account, now, actions);
         refuseHeld(account, now, actions);
     }
 
+    private Duration hold(Account account, Instant now) {
+        boolean longer =
+                keeper.age(now).compareTo(JOINING) < 0
+                        && JOINING_HOLD.compareTo(settings.hold()) > 0;
+        return longer ? JOINING_HOLD : settings.hold();
+    }
+
+    private boolean joining(Account account, Instant now) {
+        return !keeper.joined(account) && keeper.age(now).compareTo(JOINING) < 0;
+    }
+
     private void settle(RateInput.Settled settled, Instant now, List<RateAction> actions) {
         Account account = accounts.get(settled.workspace());
         if (account == null) {
@@ -225,7 +248,7 @@
             return 0;
         }
         double own = account.demand(now) * LOOK_AHEAD_SECONDS;
-        double spare = account.bucket.tokens() - Math.min(own, account.bucket.tokens() / 2);
+        double spare = account.own() - Math.min(own, account.own() / 2);
         return Math.max(0, (long) Math.min(wanted, spare));
     }
 
@@ -266,7 +289,10 @@
         boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0 && allAsked;
         boolean noneToAsk = lenders.isEmpty() && !keeper.awaitsOthers(account);
         boolean hopeless =
-                usable(account, now) && (noneToAsk || nothingCame) && !filling(account, now);
+                usable(account, now)
+                        && (noneToAsk || nothingCame)
+                        && !filling(account, now)
+                        && !joining(account, now);
         while (!account.held.isEmpty()) {
             Account.Held first = account.held.peek();
             boolean askedFor = noneToAsk || first.number() <= account.askedUpTo;
@@ -410,7 +436,7 @@
     }
 
     private void advance(Account account, Instant now) {
-        account.advance(keeper.part(account), now);
+        account.advance(keeper.part(account), keeper.kept(account), now);
     }
 
     private boolean usable(Account account, Instant now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -20,6 +20,9 @@
      */
     private static final double MOST_WANTED = 0.334;
 
+    /** A bucket that was nearly full for so long is likely to stay so. */
+    private static final Duration PLENTY_FOR = Duration.ofSeconds(1);
+
     private static final int STEP = ShareTable.WHOLE / 8;
     private static final int LEAST_MOVE = ShareTable.WHOLE / 20;
     private static final long FLEET_WRITES_PER_SECOND = 100;
@@ -33,6 +36,7 @@
     private final Map<String, Instant> marks = new HashMap<>();
     private final Set<WorkspaceId> filled = new HashSet<>();
     private Instant next = Instant.MIN;
+    private Instant began;
     private int turn;
     private boolean leaving;
 
@@ -45,6 +49,23 @@
         this.right = right;
     }
 
+    /** This life runs; nobody else spends on this VM from the first call on. */
+    void running(Instant now) {
+        if (began == null) {
+            began = now;
+        }
+    }
+
+    /** How long this life has run. */
+    Duration age(Instant now) {
+        return Duration.between(began, now);
+    }
+
+    /** True if the store shows a share of ours. */
+    boolean joined(Account account) {
+        return account.row != null && account.row.table().share(self).isPresent();
+    }
+
     void leave() {
         leaving = true;
         next = Instant.MIN;
@@ -59,6 +80,18 @@
         return account.lowering == null ? stored : Math.min(stored, account.lowering.part());
     }
 
+    /**
+     * What of our burst may not be spent: the next life on this VM will find it. Less is kept once
+     * the store shows it; more from the sending on, since that write may land at any time.
+     */
+    int kept(Account account) {
+        if (account.row == null) {
+            return 0;
+        }
+        int stored = account.row.table().share(self).map(ShareTable.Share::kept).orElse(0);
+        return account.raise == null ? stored : Math.max(stored, account.raise.kept());
+    }
+
     /**
      * Takes in what the store has. A lowering whose answer was lost may still land as long as the
      * row has the revision that it was meant for, and counts until it can no longer.
@@ -71,6 +104,9 @@
         if (account.lowering != null && account.lowering.revision() != row.revision()) {
             account.lowering = null;
         }
+        if (account.raise != null && account.raise.revision() != row.revision()) {
+            account.raise = null;
+        }
         row.table().share(self).ifPresent(share -> fill(account, share, now));
         row.table().shares().values().stream()
                 .map(ShareTable.Share::mark)
@@ -78,12 +114,12 @@
                 .forEach(mark -> marks.putIfAbsent(mark, now));
     }
 
-    // Nobody has ever had this part of the share, so nobody can have spent its burst. Without it,
-    // the
-    // workspace of a new ticket would be refused within its rate until its buckets have filled.
+    // Nobody has spent this part of the burst. Without it, the workspace of a new ticket would be
+    // refused within its rate until its buckets have filled, and so would all workspaces after a
+    // restart of all routers.
     private void fill(Account account, ShareTable.Share own, Instant now) {
         if (filled.add(account.workspace.id())) {
-            account.advance(part(account), now);
+            account.advance(part(account), kept(account), now);
             double fresh = own.fresh() / (double) ShareTable.WHOLE;
             account.bucket.giveBack(fresh * account.workspace.burst());
         }
@@ -100,7 +136,7 @@
             if (wanted == null) {
                 continue;
             }
-            boolean urgent = account.row == null || account.row.table().share(self).isEmpty();
+            boolean urgent = !joined(account) || releases(account);
             if (urgent || !now.isBefore(next)) {
                 next = now.plus(gap(wanted));
                 turn = (turn + step + 1) % accounts.size();
@@ -113,7 +149,12 @@
         long revision = account.row == null ? 0 : account.row.revision();
         if (wanted.part(self) < part(account)) {
             account.lowering = new Account.Lowering(wanted.part(self), revision);
-            account.advance(part(account), now);
+            account.advance(part(account), kept(account), now);
+        }
+        int keeps = wanted.share(self).map(ShareTable.Share::kept).orElse(0);
+        if (keeps > kept(account)) {
+            account.raise = new Account.Raise(keeps, revision);
+            account.advance(part(account), keeps, now);
         }
         account.written(revision, now.plus(WRITE_LIMIT));
         actions.add(new RateAction.Write(account.workspace.id(), wanted, revision));
@@ -138,15 +179,48 @@
             return may ? table.remove(self) : null;
         }
         if (table.share(self).isEmpty()) {
-            return table.join(self, vm, address, right.routers());
+            return table.join(self, vm, address, right.routers(), grown(account, now));
         }
         ShareTable.Share own = table.share(self).get();
         int want = want(account, table.shares().size(), now);
+        if (own.mark().isEmpty() && releases(account)) {
+            return table.keep(self, 0);
+        }
         if (!own.mark().isEmpty()) {
             return table.set(self, own.part(), want);
         }
         ShareTable without = withoutGone(table, account, now);
-        return without != null ? without : moved(account, table, own, want);
+        ShareTable next = without != null ? without : moved(account, table, own, want);
+        return next != null || !keepsMore(account, own, now)
+                ? next
+                : table.keep(self, Math.min(own.part() / 2, inBucket(account)));
+    }
+
+    private static int inBucket(Account account) {
+        double part = account.bucket.tokens() / account.workspace.burst();
+        return (int) (Math.max(0, Math.min(1, part)) * ShareTable.WHOLE);
+    }
+
+    // Whoever waits needs what is kept now; a next life on this VM has to do without.
+    private boolean releases(Account account) {
+        return !account.held.isEmpty() && kept(account) > 0;
+    }
+
+    // Unspent for a second, half of the burst can be promised to the next life. A router that is
+    // killed would else take it along, and with all routers killed at once every workspace would
+    // be refused within its rate for seconds.
+    private boolean keepsMore(Account account, ShareTable.Share own, Instant now) {
+        return account.held.isEmpty()
+                && account.fullSince != null
+                && !now.isBefore(account.fullSince.plus(PLENTY_FOR))
+                && kept(account) < own.part() / 4
+                && own.part() > 0;
+    }
+
+    // Of a full burst, what has come in since this life began: nobody spent on this VM since then.
+    private double grown(Account account, Instant now) {
+        double seconds = Duration.between(began, now).toMillis() / 1000.0;
+        return Math.min(1, seconds * account.workspace.rate() / account.workspace.burst());
     }
 
     private ShareTable withoutGone(ShareTable table, Account account, Instant now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -36,15 +36,23 @@
      * @param part how much it has, of {@link #WHOLE}
      * @param want how much it would use
      * @param mark empty, or who wants to take it back from a router that seems gone
-     * @param fresh how much of it came with its whole burst, as nobody had ever had it
+     * @param fresh how much of it came with its burst: nobody had ever had it, or an earlier life
+     *     on the same VM had left it unspent
+     * @param kept of its burst, what it never spends before the store has a smaller figure here;
+     *     the next life on its VM finds that much
      */
-    public record Share(VmId vm, String address, int part, int want, String mark, int fresh) {
+    public record Share(
+            VmId vm, String address, int part, int want, String mark, int fresh, int kept) {
         Share with(int newPart, int newWant) {
-            return new Share(vm, address, newPart, newWant, "", fresh);
+            return new Share(vm, address, newPart, newWant, "", fresh, Math.min(kept, newPart));
         }
 
         Share marked(String by) {
-            return new Share(vm, address, part, want, by, fresh);
+            return new Share(vm, address, part, want, by, fresh, kept);
+        }
+
+        Share keeping(int newKept) {
+            return new Share(vm, address, part, want, "", fresh, Math.min(newKept, part));
         }
     }
 
@@ -70,7 +78,7 @@
      */
     public static ShareTable founded(Incarnation who, VmId vm, String address, int routers) {
         ShareTable nobody = new ShareTable(who, WHOLE, Map.of());
-        return nobody.join(who, vm, address, routers);
+        return nobody.join(who, vm, address, routers, 0);
     }
 
     /** What nobody has. */
@@ -91,16 +99,38 @@
     /**
      * Adds a new incarnation among this many routers. It takes the place of earlier ones on its VM:
      * that it runs shows that they are gone. It takes no more than is then free.
+     *
+     * @param grown the part of a full burst, from 0 to 1, that has come in since it began to run
      */
-    public ShareTable join(Incarnation who, VmId vm, String address, int routers) {
+    public ShareTable join(Incarnation who, VmId vm, String address, int routers, double grown) {
         Map<Incarnation, Share> next = new TreeMap<>(shares);
         next.values().removeIf(share -> share.vm().equals(vm));
         ShareTable without = new ShareTable(founder, untouched, next);
         int fair = WHOLE / Math.max(next.size() + 1, routers);
         int part = Math.min(fair, without.free());
-        int fresh = Math.min(part, untouched);
-        next.put(who, new Share(vm, address, part, fair, "", fresh));
-        return new ShareTable(founder, untouched - fresh, next);
+        int first = Math.min(part, untouched);
+        int fresh = first + Math.min(part - first, leftOn(vm, grown));
+        next.put(who, new Share(vm, address, part, fair, "", fresh, 0));
+        return new ShareTable(founder, untouched - first, next);
+    }
+
+    // Earlier lives on the VM kept this much at least until they ended, and nobody has spent what
+    // their parts brought since.
+    private int leftOn(VmId vm, double grown) {
+        long left = 0;
+        for (Share share : shares.values()) {
+            if (share.vm().equals(vm)) {
+                left += Math.min(share.part(), share.kept() + (long) (grown * share.part()));
+            }
+        }
+        return (int) left;
+    }
+
+    /** Changes how much of its burst an incarnation keeps for the next life on its VM. */
+    public ShareTable keep(Incarnation who, int kept) {
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        next.put(who, shares.get(who).keeping(kept));
+        return new ShareTable(founder, untouched, next);
     }
 
     /** Sets its own part and want; a rise takes at most what is free. Shows that it is alive. */
@@ -201,7 +231,8 @@
                                             share.part(),
                                             share.want(),
                                             share.mark(),
-                                            share.fresh())));
+                                            share.fresh(),
+                                            share.kept())));
             return JSON.writeValueAsBytes(new Stored(founder.value(), untouched, lines));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -221,7 +252,8 @@
                                 line.part(),
                                 line.want(),
                                 line.mark(),
-                                line.fresh());
+                                line.fresh(),
+                                line.kept());
                 shares.put(Incarnation.of(line.incarnation()), share);
             }
             return new ShareTable(Incarnation.of(stored.founder()), stored.untouched(), shares);
@@ -242,5 +274,6 @@
             @JsonProperty("part") int part,
             @JsonProperty("want") int want,
             @JsonProperty("mark") String mark,
-            @JsonProperty("fresh") int fresh) {}
+            @JsonProperty("fresh") int fresh,
+            @JsonProperty("kept") int kept) {}
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -10,6 +10,8 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.http.EarlySocket;
+import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.http.HttpServer;
@@ -33,7 +35,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
@@ -88,6 +92,7 @@
     private final Flows flows;
     private final RateAdmission rates;
     private final RatePeers ratePeers;
+    private final Ingress ingress;
     private final PeerNetwork network;
     private final HttpServer callers;
     private final LoopLag lag = new LoopLag(CHECK);
@@ -96,7 +101,11 @@
     private volatile boolean stopping;
     private boolean stopped;
 
-    private DirectRouter(DirectSettings settings, Dialect dialect, StoreFactory stores) {
+    private DirectRouter(
+            DirectSettings settings,
+            Dialect dialect,
+            StoreFactory stores,
+            Optional<ServerSocketChannel> open) {
         this.settings = settings;
         this.dialect = dialect;
         this.self = VmId.of(settings.vm());
@@ -123,13 +132,15 @@
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
         this.ratePeers = new RatePeers(control, rates);
-        Ingress ingress =
+        this.ingress =
                 new Ingress(
                         dialect, configuration, rates, flows, incarnation, new Random(), metrics);
         this.network = network(timeline);
         ratePeers.over(network);
         neighbours.start(network, new PeerHearer());
-        this.callers = serve(settings.callers().host(), settings.callers().port(), ingress);
+        this.callers =
+                open.map(socket -> HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress))
+                        .orElseGet(() -> serveCallers(settings.callers()));
         Pages pages = new Pages(metrics, this::ready);
         control.run(() -> control.every(COUNTERS, pages::logCounters));
         serve(settings.ready().host(), settings.ready().port(), pages::ready);
@@ -157,7 +168,16 @@
      */
     public static DirectRouter start(
             DirectSettings settings, Dialect dialect, StoreFactory stores) {
-        DirectRouter router = new DirectRouter(settings, dialect, stores);
+        return start(settings, dialect, stores, Optional.empty());
+    }
+
+    /** The same, on a socket for callers that the process has {@code open} already. */
+    public static DirectRouter start(
+            DirectSettings settings,
+            Dialect dialect,
+            StoreFactory stores,
+            Optional<ServerSocketChannel> open) {
+        DirectRouter router = new DirectRouter(settings, dialect, stores, open);
         LOG.info("router {} listens on {}", router.incarnation, settings.callers());
         return router;
     }
@@ -220,6 +240,10 @@
                 .start();
     }
 
+    private HttpServer serveCallers(Endpoint at) {
+        return serve(at.host(), at.port(), ingress);
+    }
+
     private HttpServer serve(String host, int port, io.damaskyoke.http.HttpHandler handler) {
         return HttpServer.start(
                 loop, new InetSocketAddress(host, port), HttpLimits.usual(), handler);
@@ -231,7 +255,7 @@
         new Follower(control, store, dialect.configurationKey(), new ConfigurationHearer()).start();
         upstreamFollower.start(new UpstreamHearer());
         String address = settings.peer().host() + ':' + settings.peer().port();
-        rates.start(ratePeers, address, Map.of(), LIST_PERIOD);
+        rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         giver.start(this::replicasChanged);
         control.every(CHECK, this::check);
         control.every(REPORT, this::report);
@@ -239,11 +263,18 @@
         control.every(SWEEP, client::sweep);
     }
 
+    // The class is loaded late; the process that holds this VM's addresses has run since before.
+    private Instant processBegan() {
+        return clock.instant()
+                .minus(Duration.ofNanos(System.nanoTime() - EarlySocket.loadedNanos()));
+    }
+
     private void check() {
         lag.ticked(clock.instant());
         if (lag.slow()) {
             lease.resign("this VM is slow");
         }
+        ingress.check();
         dispatch.tick();
         flows.check();
     }
@@ -259,6 +290,7 @@
             }
         }
         rates.configured(limited);
+        ingress.configured();
     }
 
     private void membersChanged() {
@@ -360,10 +392,13 @@
         }
 
         @Override
-        public void told(long fencing, Map<UpstreamId, HeldModels> held) {
+        public void told(VmId from, long fencing, Map<UpstreamId, HeldModels> held) {
             if (fencing < highestFencing) {
                 return;
             }
+            if (fencing > highestFencing) {
+                members.announced(from);
+            }
             highestFencing = fencing;
             held.forEach(
                     (id, models) ->
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -51,6 +51,11 @@
     private boolean over;
     private int sends;
     private int runs;
+    private Instant sentAt;
+    private String servedBy = "";
+    private Instant firstAt;
+    private Instant partAt;
+    private Duration longestPause = Duration.ZERO;
     private String why = "";
 
     /**
@@ -163,6 +168,8 @@
         }
         sends++;
         runs++;
+        sentAt = flows.now();
+        servedBy = upstream.facts().id().value();
         attempt = new Attempt(this, flows, upstream);
         attempt.start();
     }
@@ -308,6 +315,7 @@
     }
 
     void event(ByteBuf bytes, Optional<String> id) {
+        timed(flows.now());
         if (id.isPresent()) {
             lastEvent = id;
         }
@@ -317,6 +325,16 @@
         }
     }
 
+    private void timed(Instant now) {
+        if (firstAt == null) {
+            firstAt = now;
+        } else {
+            Duration pause = Duration.between(partAt, now);
+            longestPause = pause.compareTo(longestPause) > 0 ? pause : longestPause;
+        }
+        partAt = now;
+    }
+
     void streamEnded() {
         attempt = null;
         call.end();
@@ -382,6 +400,14 @@
         text.append(" runs=").append(runs);
         text.append(" tried=").append(tried);
         text.append(" ms=").append(Duration.between(began, now).toMillis());
+        if (sentAt != null) {
+            text.append(" upstream=").append(servedBy);
+            text.append(" sent_ms=").append(Duration.between(began, sentAt).toMillis());
+        }
+        if (firstAt != null) {
+            text.append(" first_ms=").append(Duration.between(began, firstAt).toMillis());
+            text.append(" pause_ms=").append(longestPause.toMillis());
+        }
         if (!why.isEmpty()) {
             text.append(" why=\"").append(why).append('"');
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -35,6 +35,7 @@
     private final InstantSource clock;
     private final RandomGenerator random;
     private final Metrics metrics;
+    private final EarlyCalls early;
     private long counter;
 
     Ingress(
@@ -53,24 +54,47 @@
         this.clock = flows::now;
         this.random = random;
         this.metrics = metrics;
+        this.early = new EarlyCalls(clock);
     }
 
     @Override
     public void handle(HttpCall call) {
         metrics.count("direct_requests");
-        CallerRequest request = dialect.request(call.headers());
+        CallerRequest request = request(call);
         Optional<DirectConfiguration> current = configuration.current();
         if (current.isEmpty()) {
-            refuse(
-                    call,
-                    request,
-                    Refusal.notRun(
-                                    RefusalCode.CONFIGURATION_UNCONFIRMED,
-                                    "this router has no configuration yet")
-                            .retryAfter(COME_BACK),
-                    "");
+            early.add(call);
             return;
         }
+        serve(call, request, current.get());
+    }
+
+    /** Lets in what came before there was a configuration. */
+    void configured() {
+        early.take().forEach(call -> serve(call, request(call), configuration.current().get()));
+    }
+
+    /** Refuses what came early and has waited long enough; called a few times a second. */
+    void check() {
+        early.late().forEach(this::refuseEarly);
+    }
+
+    private void refuseEarly(HttpCall call) {
+        refuse(
+                call,
+                request(call),
+                Refusal.notRun(
+                                RefusalCode.CONFIGURATION_UNCONFIRMED,
+                                "this router has no configuration yet")
+                        .retryAfter(COME_BACK),
+                "");
+    }
+
+    private CallerRequest request(HttpCall call) {
+        return dialect.request(call.headers());
+    }
+
+    private void serve(HttpCall call, CallerRequest request, DirectConfiguration current) {
         Optional<Route> route = configuration.routes().find(request.host(), call.target());
         if (route.isEmpty()) {
             refuse(
@@ -80,8 +104,8 @@
                     request.host() + call.target());
             return;
         }
-        Optional<WorkspaceSpec> workspace = request.key().flatMap(current.get()::workspaceOf);
-        boolean open = route.get().anonymous() || current.get().workspaces().isEmpty();
+        Optional<WorkspaceSpec> workspace = request.key().flatMap(current::workspaceOf);
+        boolean open = route.get().anonymous() || current.workspaces().isEmpty();
         if (!open && workspace.isEmpty()) {
             RefusalCode code =
                     request.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -74,6 +74,12 @@
         return giver;
     }
 
+    /** A router says itself that it gives the orders now; the store's word comes later. */
+    void announced(VmId by) {
+        giver = Optional.of(by);
+        LOG.info("orders are given by {}, as it says", by);
+    }
+
     /** Where the entry of an earlier life of this router as giver stands; 0 if there is none. */
     long ownGiverRevision() {
         return giver.isPresent() && giver.get().equals(self.vm()) ? giverRevision : 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -48,7 +48,7 @@
         void reported(LoadInput.Demanded demanded, long configuration);
 
         /** What upstreams hold, by the giver of orders with this fencing token. */
-        void told(long fencing, Map<UpstreamId, HeldModels> held);
+        void told(VmId giver, long fencing, Map<UpstreamId, HeldModels> held);
 
         /** A router has an older configuration and asks for ours. */
         void asked(VmId from, long newerThan);
@@ -160,7 +160,7 @@
             RouterReport report = frame.getRouterReport();
             hearer.reported(demanded(from, report), report.getConfigurationRevision());
         } else if (frame.hasReplicaNews()) {
-            hearer.told(frame.getReplicaNews().getFencing(), held(frame.getReplicaNews()));
+            hearer.told(from, frame.getReplicaNews().getFencing(), held(frame.getReplicaNews()));
         } else if (frame.hasStoredFetch()) {
             hearer.asked(from, frame.getStoredFetch().getNewerThan());
         } else if (frame.hasStoredNews()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
@@ -103,6 +103,9 @@
     @Override
     public void won() {
         ticking = control.every(TICK, this::tick);
+        // By the store alone the others would hear of it most of a second later, and tell nobody
+        // what they need until then.
+        neighbours.tell(lease.fencing(), Map.of());
         feed(new LoadInput.Elected());
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -30,6 +30,9 @@
     private static final Duration TICK = Duration.ofMillis(150);
     private static final Duration TERM = Duration.ofMillis(2_400);
 
+    /** How long an end is told the store again; a stop and an outage rarely last longer. */
+    private static final Duration REVOKING = Duration.ofSeconds(8);
+
     /** Two givers that take turns would undo each other's plans; who was one waits this long. */
     private static final Duration PAUSE = Duration.ofSeconds(5);
 
@@ -41,6 +44,7 @@
     private Listener listener;
     private long fencing;
     private Instant notBefore = Instant.MIN;
+    private Instant lapsedUntil = Instant.MIN;
     private boolean closed;
 
     /** Hears when this router becomes the giver of orders, and when it no longer is. */
@@ -91,7 +95,7 @@
 
     private void tick() {
         Instant now = control.clock().instant();
-        boolean mayStand = members.vacant() && !now.isBefore(notBefore);
+        boolean mayStand = members.vacant() && !now.isBefore(notBefore) && !givesWay(now);
         if (!closed && (machine.held(now) || mayStand)) {
             feed(new LeaseInput.Tick());
         } else if (!machine.held(now)) {
@@ -100,6 +104,12 @@
         }
     }
 
+    // A lease that lapsed here in an outage may still stand in the store, which counts no time
+    // while it is down. Then nobody else can have taken a turn, and the orders go on at once.
+    private boolean givesWay(Instant now) {
+        return members.ownGiverRevision() == 0 && now.isBefore(lapsedUntil);
+    }
+
     private void feed(LeaseInput input) {
         machine.on(input, control.clock().instant()).forEach(this::carryOut);
     }
@@ -114,17 +124,32 @@
                     store.keepAlive(keep.lease()),
                     alive -> new LeaseInput.Kept(alive, keep.askedAt()));
         } else if (action instanceof LeaseAction.Revoke revoke) {
-            store.revokeLease(revoke.lease());
+            revoke(revoke.lease(), control.clock().instant().plus(REVOKING));
         } else if (action instanceof LeaseAction.Won) {
             LOG.info("this router gives the orders, fencing token {}", fencing);
             listener.won();
         } else if (action instanceof LeaseAction.Lost) {
             LOG.info("this router gives orders no longer");
-            notBefore = control.clock().instant().plus(PAUSE);
+            lapsedUntil = control.clock().instant().plus(PAUSE);
             listener.lost();
         }
     }
 
+    // A router that stops in an outage of the store would else keep the next one waiting, until
+    // its lease has run out after the store's return.
+    private void revoke(long ended, Instant until) {
+        store.revokeLease(ended)
+                .whenComplete(
+                        (done, failure) ->
+                                control.run(
+                                        () -> {
+                                            Instant now = control.clock().instant();
+                                            if (failure != null && now.isBefore(until)) {
+                                                control.after(TICK, () -> revoke(ended, until));
+                                            }
+                                        }));
+    }
+
     private CompletionStage<TxnResult> acquire(long lease) {
         byte[] value = self.value().getBytes(StandardCharsets.UTF_8);
         String key = members.giverKey();
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -29,7 +30,7 @@
  * other, so answers can't change places. Belongs to one event loop.
  */
 public final class HttpServer implements AutoCloseable {
-    private static final int BACKLOG = 1024;
+
     private static final int MAX_LINE_BYTES = 8 * 1024;
     private static final int SWEEP_MILLIS = 250;
 
@@ -60,13 +61,33 @@
     public static HttpServer start(
             EventLoop loop, InetSocketAddress at, HttpLimits limits, HttpHandler handler) {
         HttpServer server = new HttpServer(loop, limits, handler);
-        ChannelFuture bound = server.bootstrap().bind(at).awaitUninterruptibly();
+        ServerBootstrap bootstrap = server.bootstrap().channel(NioServerSocketChannel.class);
+        ChannelFuture bound = bootstrap.bind(at).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new HttpException(Code.BIND_FAILED, "can't listen on " + at, bound.cause());
         }
         server.channel = bound.channel();
-        loop.scheduleWithFixedDelay(
-                server::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        server.sweepAlways();
+        return server;
+    }
+
+    /**
+     * Serves what connects to a socket that listens already, as the process opened it before
+     * anything else: callers that came meanwhile wait in its queue. Not to be called on the loop.
+     *
+     * @throws HttpException BIND_FAILED if the socket can't be used
+     */
+    public static HttpServer adopt(
+            EventLoop loop, ServerSocketChannel open, HttpLimits limits, HttpHandler handler) {
+        HttpServer server = new HttpServer(loop, limits, handler);
+        ServerBootstrap bootstrap = server.bootstrap();
+        bootstrap.channelFactory(() -> new NioServerSocketChannel(open));
+        ChannelFuture registered = bootstrap.register().awaitUninterruptibly();
+        if (!registered.isSuccess()) {
+            throw new HttpException(Code.BIND_FAILED, "can't use " + open, registered.cause());
+        }
+        server.channel = registered.channel();
+        server.sweepAlways();
         return server;
     }
 
@@ -126,6 +147,10 @@
         return new ArrayList<>(connections);
     }
 
+    private void sweepAlways() {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void sweep() {
         long now = System.nanoTime();
         long headerNanos = limits.headerTime().toNanos();
@@ -136,8 +161,7 @@
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, EarlySocket.BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -80,17 +80,29 @@
             String address,
             Map<WorkspaceId, Workspace> workspaces,
             Duration listPeriod) {
+        start(given, address, workspaces, listPeriod, control.clock().instant());
+    }
+
+    /** The same in a process that began to run some time ago. */
+    public void start(
+            RatePeers given,
+            String address,
+            Map<WorkspaceId, Workspace> workspaces,
+            Duration listPeriod,
+            Instant began) {
         peers = given;
         machine = RateMachine.of(incarnation, vm, address, settings);
+        machine.began(began);
         configured(workspaces);
         control.every(TICK, () -> feed(new RateInput.Tick()));
         control.every(listPeriod, this::readList);
         readList();
     }
 
-    /** Takes in what operators have set; control thread. */
+    /** Takes in what operators have set, and asks for the shares at once; control thread. */
     public void configured(Map<WorkspaceId, Workspace> workspaces) {
         feed(new RateInput.Configured(workspaces));
+        feed(new RateInput.Tick());
     }
 
     @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/RateSessionTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/RateSessionTest.java
@@ -39,7 +39,7 @@
         read();
         arrive(1, 200);
         say("Another one joins and has its half untouched; this one says what it wants");
-        change(stored.join(OTHER, TWO, "127.0.0.1:2", 2));
+        change(stored.join(OTHER, TWO, "127.0.0.1:2", 2, 0));
         read();
         tick(2_000);
         read();
