Count the wait for runs where a model has to go, and fetch none from the store twice

With the last open engine of a busy model barred, all requests for its adapters waited. A model that was on its way from the store kept an engine with a copy of it from loading it (eight seconds without a busy model).

Change: the wait for runs is weighed with the requests that wait for the room; the last open engine for a model's adapters is spared; only loads that end soon count as coming, and a model on its way from the store is not fetched from there again (test).

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -19,6 +19,7 @@
     private final Map<VmId, Entry> byRouter = new HashMap<>();
     private final Map<ModelRef, LoadInput.Want> wants = new HashMap<>();
     private final Map<String, Double> perSecond = new HashMap<>();
+    private final Map<String, Double> adaptersPerSecond = new HashMap<>();
     private final Map<String, Integer> waiting = new HashMap<>();
     private final Map<UpstreamId, Map<ModelRef, Integer>> runningAt = new HashMap<>();
     private final Map<UpstreamId, Map<String, Integer>> runningModels = new HashMap<>();
@@ -101,6 +102,11 @@
         return perSecond.getOrDefault(model, 0.0);
     }
 
+    /** Arrivals a second for the model's adapters. */
+    double adaptersPerSecond(String model) {
+        return adaptersPerSecond.getOrDefault(model, 0.0);
+    }
+
     /** Arrivals a second for just this model or adapter. */
     double perSecond(ModelRef model) {
         LoadInput.Want want = wants.get(model);
@@ -131,6 +137,7 @@
     private void addUp(Instant now) {
         wants.clear();
         perSecond.clear();
+        adaptersPerSecond.clear();
         waiting.clear();
         adaptersAsked.clear();
         suspecting.clear();
@@ -168,6 +175,9 @@
     private void add(LoadInput.Want want, Duration age) {
         perSecond.merge(want.model().model(), want.perSecond(), Double::sum);
         waiting.merge(want.model().model(), want.waiting(), Integer::sum);
+        if (want.model().adapted()) {
+            adaptersPerSecond.merge(want.model().model(), want.perSecond(), Double::sum);
+        }
         LoadInput.Want aged =
                 new LoadInput.Want(
                         want.model(),
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
@@ -1,5 +1,7 @@
 package io.damaskyoke.control.loads;
 
+import io.damaskyoke.control.upstreams.ModelRef;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -12,9 +14,12 @@
     private final Map<String, Integer> replicas = new HashMap<>();
     private final Map<String, Integer> coming = new HashMap<>();
     private final Map<String, Integer> copies = new HashMap<>();
+    private final Map<String, Integer> open = new HashMap<>();
+    private final Collection<Engine> engines;
     private final DemandBook demand;
 
     FleetView(Collection<Engine> engines, DemandBook demand) {
+        this.engines = engines;
         this.demand = demand;
         for (Engine engine : engines) {
             if (!usable(engine)) {
@@ -26,9 +31,19 @@
                     .forEach(each -> replicas.merge(each, 1, Integer::sum));
             engine.copies().forEach(each -> copies.merge(each, 1, Integer::sum));
             count(engine);
+            if (isOpen(engine)) {
+                engine.held()
+                        .adapters()
+                        .keySet()
+                        .forEach(each -> open.merge(each, 1, Integer::sum));
+            }
         }
     }
 
+    private static boolean isOpen(Engine engine) {
+        return engine.known() && engine.pending() == null && engine.intent() == null;
+    }
+
     private void count(Engine engine) {
         Engine.Pending pending = engine.pending();
         if (engine.intent() != null) {
@@ -57,4 +72,31 @@
     int copies(String model) {
         return copies.getOrDefault(model, 0);
     }
+
+    /** Engines that are about to hold it, and will before that time as far as is known. */
+    int comingBy(String model, Instant time) {
+        int late = 0;
+        for (Engine engine : engines) {
+            Engine.Pending pending = engine.pending();
+            boolean loads =
+                    pending != null
+                            && engine.intent() == null
+                            && pending.verb() == Verb.LOAD
+                            && pending.model().equals(new ModelRef(model, ""));
+            if (loads && usable(engine) && pending.dueAt().isAfter(time)) {
+                late++;
+            }
+        }
+        return coming(model) - late;
+    }
+
+    /** Engines that hold it and take orders now. */
+    int open(String model) {
+        return open.getOrDefault(model, 0);
+    }
+
+    /** An engine gets an order now, and takes no other for a while. */
+    void barred(Engine engine) {
+        engine.held().adapters().keySet().forEach(each -> open.merge(each, -1, Integer::sum));
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -294,7 +294,8 @@
     private void advance(Engine engine, String model, Instant now, List<LoadAction> actions) {
         FleetView fleet = new FleetView(of(engine.facts().service()), demand);
         Optional<Room.Plan> plan =
-                new Room(demand, fleet, packing(engine)).plan(engine, model, now);
+                new Room(demand, fleet, packing(engine))
+                        .plan(engine, model, 1 + demand.perSecond(model), now);
         if (plan.isEmpty()) {
             return;
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -48,8 +48,17 @@
     /** A model that nobody has asked for takes the place of needless replicas, and of no other. */
     private static final double LEAST_GAIN = 0.001;
 
-    /** An engine's other models wait while it loads; each request a second weighs this. */
-    private static final double BLOCKED_WEIGHT = 0.15;
+    /**
+     * While an engine loads or unloads a model it takes no order for an adapter. Where no other
+     * engine with the adapter's model is open, all requests for adapters that aren't there wait;
+     * else hardly any do. Of each such request a second, this part.
+     */
+    private static final double BLOCKED_ALONE = 0.7;
+
+    private static final double BLOCKED_SHARED = 0.05;
+
+    /** A load from the store that ends within this is as good as one from a disk. */
+    private static final Duration SOON = Duration.ofMillis(1_500);
 
     private final DemandBook demand;
     private final StoreLoads storeLoads;
@@ -104,7 +113,8 @@
             Set<String> models = new LinkedHashSet<>();
             for (LoadInput.Want want : demand.waiting()) {
                 String model = want.model().model();
-                if (!spec.models().containsKey(model) || fleet.coming(model) > 0) {
+                if (!spec.models().containsKey(model)
+                        || fleet.comingBy(model, now.plus(SOON)) > 0) {
                     continue;
                 }
                 boolean crowded = !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
@@ -142,11 +152,12 @@
                 if (!open || taken.contains(engine) || engine.has(model)) {
                     continue;
                 }
-                Optional<Room.Plan> plan = room.plan(engine, model, now);
+                double perSecond = 1 + demand.perSecond(model) + blocked(engine);
+                Optional<Room.Plan> plan = room.plan(engine, model, perSecond, now);
                 if (plan.isEmpty()) {
                     continue;
                 }
-                Offer offer = offer(engine, model, plan.get());
+                Offer offer = offer(engine, model, plan.get(), perSecond);
                 if (best == null || offer.cost() < best.cost()) {
                     best = offer;
                 }
@@ -155,21 +166,29 @@
                 return Optional.empty();
             }
             taken.add(best.engine());
+            fleet.barred(best.engine());
             return Optional.of(new Choice(best.engine(), model));
         }
 
-        private Offer offer(Engine engine, String model, Room.Plan plan) {
+        private Offer offer(Engine engine, String model, Room.Plan plan, double perSecond) {
             LoadSource source = engine.source(model);
             ModelSpec weights = spec.models().get(model);
-            double seconds = source.time(weights).toMillis() / 1000.0;
+            double load = source.time(weights).toMillis() / 1000.0;
+            double cost = (plan.seconds() + load) * perSecond + plan.cost();
+            if (source == LoadSource.STORE) {
+                cost += load * soleCopies(engine);
+            }
+            return new Offer(engine, source, cost, plan.cost() + plan.seconds());
+        }
+
+        private double blocked(Engine engine) {
             double blocked = 0;
             for (String held : engine.held().adapters().keySet()) {
-                blocked += demand.perSecond(held) * BLOCKED_WEIGHT;
-            }
-            if (source == LoadSource.STORE) {
-                blocked += soleCopies(engine);
+                boolean alone = fleet.open(held) <= 1;
+                double part = alone ? BLOCKED_ALONE : BLOCKED_SHARED;
+                blocked += demand.adaptersPerSecond(held) * part;
             }
-            return new Offer(engine, source, seconds * (1 + blocked) + plan.cost(), plan.cost());
+            return blocked;
         }
 
         // While it loads from the store, an engine can't bring back what only it has a copy of.
@@ -194,6 +213,9 @@
             if (best.source() != LoadSource.STORE) {
                 return true;
             }
+            if (fleet.coming(model) > 0) {
+                return false;
+            }
             if (fleet.copies(model) == 0) {
                 return storeLoads.allows(spec, engines, needed, now);
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -46,50 +46,64 @@
         this.packing = packing;
     }
 
-    /** What goes, and what that costs in expected waiting seconds a second. */
-    record Plan(List<String> victims, double cost) {}
-
-    private record Victim(String model, double freed, double cost) {}
-
-    /** The cheapest way to make room, or empty if there is none now. */
-    Optional<Plan> plan(Engine engine, String model, Instant now) {
+    /**
+     * What goes.
+     *
+     * @param cost of missing that, in expected waiting seconds a second
+     * @param seconds until its runs are over, as an unload waits for them
+     */
+    record Plan(List<String> victims, double cost, double seconds) {}
+
+    private record Victim(String model, double freed, double cost, double seconds) {}
+
+    /**
+     * The cheapest way to make room, or empty if there is none now. A second until the room is
+     * there costs {@code perSecond}.
+     */
+    Optional<Plan> plan(Engine engine, String model, double perSecond, Instant now) {
         double weight = engine.weight(model);
         double free = engine.freeMb();
         if (weight <= free) {
-            return Optional.of(new Plan(List.of(), packing.loss(free, free - weight)));
+            return Optional.of(new Plan(List.of(), packing.loss(free, free - weight), 0));
         }
         List<Victim> candidates = new ArrayList<>();
         for (String held : engine.held().adapters().keySet()) {
             if (evictable(engine, held, model, now)) {
-                candidates.add(new Victim(held, freed(engine, held), cost(engine, held)));
+                candidates.add(victim(engine, held));
             }
         }
         if (candidates.size() > MOST_CANDIDATES) {
             candidates.sort(Comparator.comparingDouble(Victim::cost));
             candidates.subList(MOST_CANDIDATES, candidates.size()).clear();
         }
-        return cheapest(candidates, weight, free);
+        return cheapest(candidates, weight, free, perSecond);
     }
 
     // An upstream holds a handful of models, so all ways are looked at: a cheap victim that leaves
     // a gap in which no model fits costs more than it seems.
-    private Optional<Plan> cheapest(List<Victim> candidates, double weight, double free) {
+    private Optional<Plan> cheapest(
+            List<Victim> candidates, double weight, double free, double perSecond) {
         Plan best = null;
+        double least = Double.MAX_VALUE;
         for (int choice = 1; choice < 1 << candidates.size(); choice++) {
             double cost = 0;
+            double seconds = 0;
             double room = free;
             for (int i = 0; i < candidates.size(); i++) {
                 if ((choice >> i & 1) == 1) {
                     cost += candidates.get(i).cost();
+                    seconds += candidates.get(i).seconds();
                     room += candidates.get(i).freed();
                 }
             }
-            if (room < weight || best != null && cost >= best.cost()) {
+            if (room < weight) {
                 continue;
             }
             cost += Math.max(0, packing.loss(free, room - weight));
-            if (best == null || cost < best.cost()) {
-                best = new Plan(names(candidates, choice), cost);
+            double whole = cost + seconds * perSecond;
+            if (whole < least) {
+                least = whole;
+                best = new Plan(names(candidates, choice), cost, seconds);
             }
         }
         return Optional.ofNullable(best);
@@ -120,15 +134,18 @@
                 && (goal == 0 || fleet.replicas(held) > goal);
     }
 
-    private double cost(Engine engine, String model) {
-        double seconds = 1.0;
+    private Victim victim(Engine engine, String model) {
+        double reload = 1.0;
         if (engine.spec().models().containsKey(model)) {
-            seconds = engine.spec().models().get(model).fromDisk().toMillis() / 1000.0;
+            reload = engine.spec().models().get(model).fromDisk().toMillis() / 1000.0;
+        }
+        double cost = IDLE_COST + demand.perSecond(model) * reload;
+        if (fleet.replicas(model) > 1) {
+            cost *= REPLICATED;
         }
-        double cost = IDLE_COST + demand.perSecond(model) * seconds;
         int running = demand.running(engine.id(), model);
-        cost += running == 0 ? 0 : RUN_SECONDS + running * CROWD_SECONDS;
-        return fleet.replicas(model) > 1 ? cost * REPLICATED : cost;
+        double seconds = running == 0 ? 0 : RUN_SECONDS + running * CROWD_SECONDS;
+        return new Victim(model, freed(engine, model), cost, seconds);
     }
 
     private static double freed(Engine engine, String model) {
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -199,6 +199,28 @@
         assertFalse(given.contains("LOAD g one 1"), given.toString());
     }
 
+    @Test
+    void aModelThatIsOnItsWayFromTheStoreIsNotFetchedFromThereAgain() {
+        // No upstream has a copy of the model. Its load takes six seconds, and requests wait for it
+        // all the while; fetched at each look, it would bar one upstream after the other.
+        begin(Set.of(), Set.of());
+        want("h", 1);
+        answer(OrderOutcome.ACCEPTED);
+        report(
+                last.upstream(),
+                false,
+                last.upstream() == ONE ? held(1, "b", "c") : held(1, "e", "f"));
+        answer(OrderOutcome.ACCEPTED);
+        for (int step = 0; step < 20; step++) {
+            now = now.plusMillis(200);
+            want("h", 1);
+        }
+        assertEquals(
+                1,
+                given.stream().filter(each -> each.startsWith("LOAD h")).count(),
+                given.toString());
+    }
+
     @Test
     void theStoreIsLeftAloneWhileAnUpstreamHasACopy() {
         // The only upstream with a copy is busy for a moment. A load from the store would take six
