Give an unanswered order again at once, and keep engines from long loads that cost the busy models

Ruled out: the sequence numbers (a late order met another number each time, as meant).

Change: orders are given up after 150 ms and given again with the same number; an unload that takes longer than one without runs no longer counts as coming; what has no other copy costs more before a load from the store, and is never dropped for a load ahead of need; the last engine open for a busy model's adapters takes no load from the store; at most four loads from the store run at once.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.control.loads;
 
 import io.damaskyoke.control.upstreams.ModelRef;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
@@ -11,6 +12,12 @@
  * Counted anew for each question, the planner would take more of a small VM than the traffic.
  */
 final class FleetView {
+    /** A load from the store that ends within this is as good as one from a disk. */
+    private static final Duration SOON = Duration.ofMillis(1_500);
+
+    /** An unload that waits for no run shows in a report by then. */
+    private static final Duration UNLOAD_TIME = Duration.ofMillis(600);
+
     private final Map<String, Integer> replicas = new HashMap<>();
     private final Map<String, Integer> coming = new HashMap<>();
     private final Map<String, Integer> copies = new HashMap<>();
@@ -73,23 +80,46 @@
         return copies.getOrDefault(model, 0);
     }
 
-    /** Engines that are about to hold it, and will before that time as far as is known. */
-    int comingBy(String model, Instant time) {
+    /** Engines that are about to hold it soon, as far as is known. */
+    int comingSoon(String model, Instant now) {
         int late = 0;
         for (Engine engine : engines) {
-            Engine.Pending pending = engine.pending();
-            boolean loads =
-                    pending != null
-                            && engine.intent() == null
-                            && pending.verb() == Verb.LOAD
-                            && pending.model().equals(new ModelRef(model, ""));
-            if (loads && usable(engine) && pending.dueAt().isAfter(time)) {
+            if (usable(engine) && brings(engine, model) && lasts(engine, now)) {
                 late++;
             }
         }
         return coming(model) - late;
     }
 
+    private static boolean brings(Engine engine, String model) {
+        if (engine.intent() != null) {
+            return engine.intent().model().equals(model);
+        }
+        Engine.Pending pending = engine.pending();
+        return pending != null
+                && pending.verb() == Verb.LOAD
+                && pending.model().equals(new ModelRef(model, ""));
+    }
+
+    // A load from the store has seconds to go, and an unload that isn't over by now waits for a
+    // run whose end nobody knows.
+    private static boolean lasts(Engine engine, Instant now) {
+        Engine.Pending pending = engine.pending();
+        if (pending == null) {
+            return false;
+        }
+        return pending.verb() == Verb.LOAD
+                ? pending.dueAt().isAfter(now.plus(SOON))
+                : now.isAfter(pending.sentAt().plus(UNLOAD_TIME));
+    }
+
+    /** True if an engine beside this one holds the model, or can load it without the store. */
+    boolean elsewhere(Engine engine, String model) {
+        int own = usable(engine) && engine.hasCopy(model) ? 1 : 0;
+        int held = usable(engine) && engine.has(model) ? 1 : 0;
+        return copies(model) > own || replicas(model) > held;
+    }
+
     /** Engines that hold it and take orders now. */
     int open(String model) {
         return open.getOrDefault(model, 0);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -175,6 +175,8 @@
         }
     }
 
+    // An order without an answer may be carried out seconds later. The next one need not wait for
+    // that: it names the same number of accepted orders, and so the upstream accepts one of them.
     private void answered(LoadInput.Answered answer, Instant now, List<LoadAction> actions) {
         Engine engine = engines.get(answer.upstream());
         Engine.Pending pending = engine == null ? null : engine.pending();
@@ -189,6 +191,10 @@
                 engine.doubt();
                 engine.quiet(now.plus(AFTER_CONFLICT));
             }
+            case UNKNOWN -> {
+                engine.over();
+                engine.doubt();
+            }
             default -> {
                 engine.over();
                 engine.doubt();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -57,8 +57,8 @@
 
     private static final double BLOCKED_SHARED = 0.05;
 
-    /** A load from the store that ends within this is as good as one from a disk. */
-    private static final Duration SOON = Duration.ofMillis(1_500);
+    /** Where more of them would wait, the engine isn't barred for the seconds of a store's load. */
+    private static final double MOST_BLOCKED = 2;
 
     private final DemandBook demand;
     private final StoreLoads storeLoads;
@@ -113,8 +113,7 @@
             Set<String> models = new LinkedHashSet<>();
             for (LoadInput.Want want : demand.waiting()) {
                 String model = want.model().model();
-                if (!spec.models().containsKey(model)
-                        || fleet.comingBy(model, now.plus(SOON)) > 0) {
+                if (!spec.models().containsKey(model) || fleet.comingSoon(model, now) > 0) {
                     continue;
                 }
                 boolean crowded = !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
@@ -152,9 +151,13 @@
                 if (!open || taken.contains(engine) || engine.has(model)) {
                     continue;
                 }
-                double perSecond = 1 + demand.perSecond(model) + blocked(engine);
+                double blocked = blocked(engine);
+                if (blocked > MOST_BLOCKED && engine.source(model) == LoadSource.STORE) {
+                    continue;
+                }
+                double perSecond = 1 + demand.perSecond(model) + blocked;
                 Optional<Room.Plan> plan = room.plan(engine, model, perSecond, now);
-                if (plan.isEmpty()) {
+                if (plan.isEmpty() || !needed && losesCopy(engine, model, plan.get())) {
                     continue;
                 }
                 Offer offer = offer(engine, model, plan.get(), perSecond);
@@ -170,6 +173,11 @@
             return Optional.of(new Choice(best.engine(), model));
         }
 
+        private boolean losesCopy(Engine engine, String model, Room.Plan plan) {
+            return engine.source(model) == LoadSource.STORE
+                    && soleVictims(engine, plan.victims()) > 0;
+        }
+
         private Offer offer(Engine engine, String model, Room.Plan plan, double perSecond) {
             LoadSource source = engine.source(model);
             ModelSpec weights = spec.models().get(model);
@@ -202,6 +210,10 @@
             return hurt;
         }
 
+        private long soleVictims(Engine engine, List<String> victims) {
+            return victims.stream().filter(model -> !fleet.elsewhere(engine, model)).count();
+        }
+
         private boolean worthIt(Offer best, String model, boolean needed) {
             double gain =
                     fleet.replicas(model) > 0
@@ -222,7 +234,12 @@
             if (!needed && !spareCopy(model)) {
                 return storeLoads.allows(spec, engines, false, now);
             }
-            return needed && barred(model) && storeLoads.idle(engines);
+            if (!needed || !barred(model)) {
+                return false;
+            }
+            return ReplicaGoal.busy(model, demand)
+                    ? storeLoads.allows(spec, engines, true, now)
+                    : storeLoads.idle(engines);
         }
 
         // A busy model whose only copy is where it is held already can have no second replica but
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -30,6 +30,12 @@
     /** A model without requests is given up in the order of its size; this is next to nothing. */
     private static final double IDLE_COST = 0.002;
 
+    /**
+     * What goes before a load from the store, and has no other copy, can't come back for the
+     * seconds that this takes. It may be the model that all ask for next.
+     */
+    private static final double LOST_COPY = 6.0;
+
     /** So many times as often asked for, a busy model goes before another that is protected. */
     private static final double OUTWEIGHS = 5;
 
@@ -69,7 +75,7 @@
         List<Victim> candidates = new ArrayList<>();
         for (String held : engine.held().adapters().keySet()) {
             if (evictable(engine, held, model, now)) {
-                candidates.add(victim(engine, held));
+                candidates.add(victim(engine, held, engine.source(model)));
             }
         }
         if (candidates.size() > MOST_CANDIDATES) {
@@ -134,7 +140,7 @@
                 && (goal == 0 || fleet.replicas(held) > goal);
     }
 
-    private Victim victim(Engine engine, String model) {
+    private Victim victim(Engine engine, String model, LoadSource source) {
         double reload = 1.0;
         if (engine.spec().models().containsKey(model)) {
             reload = engine.spec().models().get(model).fromDisk().toMillis() / 1000.0;
@@ -143,6 +149,9 @@
         if (fleet.replicas(model) > 1) {
             cost *= REPLICATED;
         }
+        if (source == LoadSource.STORE && !fleet.elsewhere(engine, model)) {
+            cost += LOST_COPY;
+        }
         int running = demand.running(engine.id(), model);
         double seconds = running == 0 ? 0 : RUN_SECONDS + running * CROWD_SECONDS;
         return new Victim(model, freed(engine, model), cost, seconds);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/StoreLoads.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/StoreLoads.java
@@ -16,8 +16,8 @@
     /** Loads ahead of need leave one of the four that run at full speed to a request. */
     static final int MOST_AHEAD = 3;
 
-    /** Requests that wait may slow each other down by half, and no more. */
-    static final int MOST = 6;
+    /** As many run at full speed; more would make all of them late. */
+    static final int MOST = 4;
 
     /** The part of the allowed rate that is used: loads of the giver before this one count too. */
     private static final double PART = 0.8;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -11,7 +11,6 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.http.EarlySocket;
-import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.http.HttpServer;
@@ -94,7 +93,7 @@
     private final RatePeers ratePeers;
     private final Ingress ingress;
     private final PeerNetwork network;
-    private final HttpServer callers;
+    private volatile HttpServer callers;
     private final LoopLag lag = new LoopLag(CHECK);
     private boolean reportPlanned;
     private long highestFencing;
@@ -138,16 +137,14 @@
         this.network = network(timeline);
         ratePeers.over(network);
         neighbours.start(network, new PeerHearer());
-        this.callers =
-                open.map(socket -> HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress))
-                        .orElseGet(() -> serveCallers(settings.callers()));
+        ServerSocketChannel socket = open.orElseGet(() -> EarlySocket.listen(settings.callers()));
+        control.run(() -> begin(socket));
         Pages pages = new Pages(metrics, this::ready);
         control.run(() -> control.every(COUNTERS, pages::logCounters));
         serve(settings.ready().host(), settings.ready().port(), pages::ready);
         if (settings.metricsPort() != 0) {
             serve(settings.peer().host(), settings.metricsPort(), pages::metrics);
         }
-        control.run(this::begin);
     }
 
     /** Opens the platform's store over the router's own client. */
@@ -240,20 +237,18 @@
                 .start();
     }
 
-    private HttpServer serveCallers(Endpoint at) {
-        return serve(at.host(), at.port(), ingress);
-    }
-
     private HttpServer serve(String host, int port, io.damaskyoke.http.HttpHandler handler) {
         return HttpServer.start(
                 loop, new InetSocketAddress(host, port), HttpLimits.usual(), handler);
     }
 
-    private void begin() {
+    // The store is asked before callers are served: their requests need its answers first of all.
+    private void begin(ServerSocketChannel socket) {
         dispatch.onStarved(this::reportSoon);
-        members.start(this::membersChanged);
         new Follower(control, store, dialect.configurationKey(), new ConfigurationHearer()).start();
         upstreamFollower.start(new UpstreamHearer());
+        members.start(this::membersChanged);
+        callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
         String address = settings.peer().host() + ':' + settings.peer().port();
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         giver.start(this::replicasChanged);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
@@ -21,9 +21,15 @@
 final class UpstreamCalls {
     private static final Logger LOG = LogManager.getLogger(UpstreamCalls.class);
 
-    /** Upstreams answer orders and reports within a few milliseconds. */
+    /** Upstreams answer reports within a few milliseconds. */
     private static final Duration LIMIT = Duration.ofMillis(400);
 
+    /**
+     * They answer orders as fast, or never: then each moment of waiting is one without the model.
+     * Given up too early, an order is only given again, and accepted once.
+     */
+    private static final Duration ORDER_LIMIT = Duration.ofMillis(150);
+
     private static final Duration KEPT = Duration.ofSeconds(2);
     private static final int OK = 200;
 
@@ -46,6 +52,7 @@
                 dialect.orderPath(),
                 headers,
                 dialect.order(order),
+                ORDER_LIMIT,
                 answer ->
                         then.accept(
                                 answer.failure()
@@ -60,6 +67,7 @@
                 dialect.reportPath(),
                 dialect.callHeaders(from.id()),
                 new byte[0],
+                LIMIT,
                 answer -> then.accept(read(from, answer)));
     }
 
@@ -81,13 +89,14 @@
             String path,
             HttpHeaders headers,
             byte[] body,
+            Duration limit,
             Consumer<WholeAnswer> then) {
         ClientRequest request =
                 new ClientRequest(
                         method, path, headers, Unpooled.wrappedBuffer(body), any -> true, KEPT);
         WholeAnswer.Reader reader = new WholeAnswer.Reader(then);
         var call = client.send(to.endpoint(), request, reader);
-        control.after(LIMIT, () -> reader.expire(call));
+        control.after(limit, () -> reader.expire(call));
     }
 
     private static OrderOutcome outcome(Failure failure) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -73,20 +73,14 @@
 
     /**
      * Serves what connects to a socket that listens already, as the process opened it before
-     * anything else: callers that came meanwhile wait in its queue. Not to be called on the loop.
-     *
-     * @throws HttpException BIND_FAILED if the socket can't be used
+     * anything else: callers that came meanwhile wait in its queue. To be called on the loop.
      */
     public static HttpServer adopt(
             EventLoop loop, ServerSocketChannel open, HttpLimits limits, HttpHandler handler) {
         HttpServer server = new HttpServer(loop, limits, handler);
         ServerBootstrap bootstrap = server.bootstrap();
         bootstrap.channelFactory(() -> new NioServerSocketChannel(open));
-        ChannelFuture registered = bootstrap.register().awaitUninterruptibly();
-        if (!registered.isSuccess()) {
-            throw new HttpException(Code.BIND_FAILED, "can't use " + open, registered.cause());
-        }
-        server.channel = registered.channel();
+        server.channel = bootstrap.register().channel();
         server.sweepAlways();
         return server;
     }
