Pass the orders on when the store turns their giver away, and give room to the busiest that waits

And an unload that waited two to five seconds for a run ended with a load of the rare model that it was begun for, though a busy one had come to wait for the same room; the last engine open for adapters was barred for six seconds by a load from the store.

Change: such a giver stops after 0.7 s and asks a router that reaches the store to end its lease there; the next one gives orders 40 ms later. Room is given to a busy model that waits; an unload with runs is taken to last two seconds, and engines whose adapters are asked for take no load from the store.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -294,11 +294,16 @@
             engine.intend(null);
             return;
         }
-        advance(engine, intent.model(), now, actions);
+        FleetView fleet = new FleetView(of(engine.facts().service()), demand);
+        String model = placer.bestUse(engine, intent.model(), fleet, now);
+        if (!model.equals(intent.model())) {
+            engine.intend(new Engine.Intent(model, now.plus(INTENT_LIMIT)));
+        }
+        advance(engine, model, fleet, now, actions);
     }
 
-    private void advance(Engine engine, String model, Instant now, List<LoadAction> actions) {
-        FleetView fleet = new FleetView(of(engine.facts().service()), demand);
+    private void advance(
+            Engine engine, String model, FleetView fleet, Instant now, List<LoadAction> actions) {
         Optional<Room.Plan> plan =
                 new Room(demand, fleet, packing(engine))
                         .plan(engine, model, 1 + demand.perSecond(model), now);
@@ -328,7 +333,7 @@
         Packing packing = packings.get(service);
         for (Placer.Choice choice : placer.plan(spec, packing, here, ahead, now)) {
             choice.engine().intend(new Engine.Intent(choice.model(), now.plus(INTENT_LIMIT)));
-            advance(choice.engine(), choice.model(), now, actions);
+            advance(choice.engine(), choice.model(), new FleetView(here, demand), now, actions);
         }
         for (AdapterPlanner.Step step : adapters.plan(here, now)) {
             order(step.engine(), step.verb(), step.adapter(), null, now, actions);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -58,7 +58,7 @@
     private static final double BLOCKED_SHARED = 0.05;
 
     /** Where more of them would wait, the engine isn't barred for the seconds of a store's load. */
-    private static final double MOST_BLOCKED = 2;
+    private static final double MOST_BLOCKED = 0.5;
 
     private final DemandBook demand;
     private final StoreLoads storeLoads;
@@ -73,6 +73,28 @@
 
     private record Offer(Engine engine, LoadSource source, double cost, double hurt) {}
 
+    /**
+     * What room that has just been made is best used for: the model it was meant for, or a busy one
+     * that has come to wait meanwhile. An unload can take seconds, and a model that becomes busy in
+     * them is asked for dozens of times a second.
+     */
+    String bestUse(Engine engine, String meantFor, FleetView fleet, Instant now) {
+        if (ReplicaGoal.busy(meantFor, demand)) {
+            return meantFor;
+        }
+        for (LoadInput.Want want : demand.waiting()) {
+            String model = want.model().model();
+            boolean suits =
+                    ReplicaGoal.busy(model, demand)
+                            && engine.source(model) != LoadSource.STORE
+                            && !engine.has(model);
+            if (suits && fleet.replicas(model) == 0 && fleet.comingSoon(model, now) == 0) {
+                return model;
+            }
+        }
+        return meantFor;
+    }
+
     List<Choice> plan(
             EngineSpec spec, Packing packing, List<Engine> engines, boolean ahead, Instant now) {
         Round round = new Round(spec, packing, engines, new FleetView(engines, demand), now);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -21,8 +21,11 @@
     /** A model with a second replica is missed less. */
     private static final double REPLICATED = 0.15;
 
-    /** An unload waits for the model's runs, and the upstream takes no other order meanwhile. */
-    private static final double RUN_SECONDS = 1.2;
+    /**
+     * An unload waits for the model's runs, and the upstream takes no other order meanwhile. A
+     * usual run lasts a second and a half, some last five.
+     */
+    private static final double RUN_SECONDS = 2.0;
 
     /** More runs last longer together, and show that more requests are on their way. */
     private static final double CROWD_SECONDS = 0.3;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/placement/LeaseMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/LeaseMachine.java
@@ -41,6 +41,11 @@
         return state == State.HELD && now.isBefore(until);
     }
 
+    /** The store's number of the lease that was last granted. */
+    public long lease() {
+        return lease;
+    }
+
     @Override
     public List<LeaseAction> on(LeaseInput input, Instant now) {
         if (state == State.HELD && !now.isBefore(until)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -85,6 +85,7 @@
     private final Neighbours neighbours;
     private final OrderLease lease;
     private final OrderGiver giver;
+    private final OrderHandOver handOver;
     private final ConfigurationHolder configuration;
     private final UpstreamFollower upstreamFollower;
     private final Dispatch dispatch;
@@ -122,6 +123,7 @@
         this.members = new Membership(control, store, settings.storePrefix(), entry);
         this.neighbours = new Neighbours(control, members);
         this.lease = new OrderLease(control, store, members, self);
+        this.handOver = new OrderHandOver(control, store, lease, neighbours, members);
         UpstreamCalls calls = new UpstreamCalls(client, dialect, control);
         this.giver = new OrderGiver(control, upstreams, lease, calls, self, neighbours);
         this.configuration = new ConfigurationHolder(dialect, this::configured);
@@ -269,6 +271,7 @@
         if (lag.slow()) {
             lease.resign("this VM is slow");
         }
+        handOver.check();
         ingress.check();
         dispatch.tick();
         flows.check();
@@ -403,6 +406,11 @@
             replicasChanged();
         }
 
+        @Override
+        public void leaseEnded(VmId by, long lease) {
+            handOver.ended(by, lease);
+        }
+
         @Override
         public void asked(VmId from, long newerThan) {
             if (configuration.revision() > newerThan) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -80,6 +80,15 @@
         LOG.info("orders are given by {}, as it says", by);
     }
 
+    /** A giver of orders has stopped, and its lease is ended; the store's word comes later. */
+    void vacated(VmId by) {
+        if (giver.isPresent() && giver.get().equals(by)) {
+            giver = Optional.empty();
+            giverRevision = 0;
+            LOG.info("{} gives orders no longer, as it says", by);
+        }
+    }
+
     /** Where the entry of an earlier life of this router as giver stands; 0 if there is none. */
     long ownGiverRevision() {
         return giver.isPresent() && giver.get().equals(self.vm()) ? giverRevision : 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -14,6 +14,7 @@
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.HeldModel;
 import io.damaskyoke.peer.wire.Hello;
+import io.damaskyoke.peer.wire.LeaseEnd;
 import io.damaskyoke.peer.wire.ModelDemand;
 import io.damaskyoke.peer.wire.ReplicaNews;
 import io.damaskyoke.peer.wire.RouterReport;
@@ -21,6 +22,7 @@
 import io.damaskyoke.peer.wire.StoredFetch;
 import io.damaskyoke.peer.wire.StoredNews;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -32,9 +34,13 @@
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
 final class Neighbours implements PeerListener {
+    /** Routers report to the giver of orders several times a second. */
+    private static final Duration STORE_SEEN = Duration.ofMillis(600);
+
     private final Control control;
     private final Membership members;
     private final Map<VmId, PeerAddress> connected = new HashMap<>();
+    private final Map<VmId, Instant> storeSeen = new TreeMap<>();
     private PeerNetwork network;
     private Hearer hearer;
     private long number;
@@ -50,6 +56,9 @@
         /** What upstreams hold, by the giver of orders with this fencing token. */
         void told(VmId giver, long fencing, Map<UpstreamId, HeldModels> held);
 
+        /** A router gave the orders under this lease and can't tell the store that it stopped. */
+        void leaseEnded(VmId by, long lease);
+
         /** A router has an older configuration and asks for ours. */
         void asked(VmId from, long newerThan);
 
@@ -122,6 +131,30 @@
         sendAll(Frame.newBuilder().setReplicaNews(news).build());
     }
 
+    /** A router that reached the store a moment ago, if there is one. */
+    Optional<VmId> withStore() {
+        Instant now = control.clock().instant();
+        return storeSeen.entrySet().stream()
+                .filter(entry -> connected.containsKey(entry.getKey()))
+                .filter(entry -> now.isBefore(entry.getValue().plus(STORE_SEEN)))
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    /** Asks a router to end this lease of ours. */
+    void endLease(VmId by, long lease) {
+        LeaseEnd end = LeaseEnd.newBuilder().setLease(lease).build();
+        send(by, Frame.newBuilder().setLeaseEnd(end).build());
+    }
+
+    private void noteStore(VmId router, boolean up) {
+        if (up) {
+            storeSeen.put(router, control.clock().instant());
+        } else {
+            storeSeen.remove(router);
+        }
+    }
+
     void ask(VmId from, long newerThan) {
         StoredFetch fetch = StoredFetch.newBuilder().setNewerThan(newerThan).build();
         send(from, Frame.newBuilder().setStoredFetch(fetch).build());
@@ -158,9 +191,12 @@
         }
         if (frame.hasRouterReport()) {
             RouterReport report = frame.getRouterReport();
+            noteStore(from, report.getStoreUp());
             hearer.reported(demanded(from, report), report.getConfigurationRevision());
         } else if (frame.hasReplicaNews()) {
             hearer.told(from, frame.getReplicaNews().getFencing(), held(frame.getReplicaNews()));
+        } else if (frame.hasLeaseEnd()) {
+            hearer.leaseEnded(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
             hearer.asked(from, frame.getStoredFetch().getNewerThan());
         } else if (frame.hasStoredNews()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -87,6 +87,14 @@
         notBefore = control.clock().instant().plus(PAUSE);
     }
 
+    /**
+     * The store's number of the lease, for another router to end it there; only while {@link
+     * #held()}.
+     */
+    long number() {
+        return machine.lease();
+    }
+
     /** Gives it up for good. */
     void close() {
         resign("it stops");
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -200,6 +200,20 @@
         assertFalse(given.contains("LOAD g one 1"), given.toString());
     }
 
+    @Test
+    void roomThatWasMadeForARareModelGoesToABusyOneThatHasComeToWait() {
+        // An unload waits two seconds for a run. Meanwhile another model becomes busy, and this
+        // upstream has a copy of it; with the rare one loaded first, its callers would wait for
+        // another second, and for the next unload.
+        begin(Set.of("g", "h"), Set.of());
+        want("g", 1);
+        answer(OrderOutcome.ACCEPTED);
+        now = now.plusMillis(900);
+        demand(List.of(want("g", 1, 0.2), want("h", 20, 15)), Map.of());
+        report(ONE, false, held(1, "b", "c"));
+        assertTrue(given.contains("LOAD h one 1"), given.toString());
+    }
+
     @Test
     void aModelThatIsOnItsWayFromTheStoreIsNotFetchedFromThereAgain() {
         // No upstream has a copy of the model. Its load takes six seconds, and requests wait for it
