Keep replicas until demand is known

A model that had just come was also protected for 1.2 s from one with 35 requests a second waiting.

Change: until requests have come for four seconds, a model with several replicas keeps them; such a newcomer is protected for 0.4 s only.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -16,6 +16,9 @@
     /** A router says something at least four times a second; silent for this long, it is gone. */
     private static final Duration VALID = Duration.ofSeconds(2);
 
+    /** After this, a model that nobody has asked for is not a busy one. */
+    private static final Duration YOUNG = Duration.ofSeconds(4);
+
     private final Map<VmId, Entry> byRouter = new HashMap<>();
     private final Map<ModelRef, LoadInput.Want> wants = new HashMap<>();
     private final Map<String, Double> perSecond = new HashMap<>();
@@ -27,13 +30,23 @@
     private final Map<String, Integer> adaptersAsked = new HashMap<>();
     private final Map<UpstreamId, Integer> suspecting = new HashMap<>();
 
+    private Instant firstAt;
+
     private record Entry(LoadInput.Demanded said, Instant at) {}
 
     void said(LoadInput.Demanded demanded, Instant now) {
         byRouter.put(demanded.router(), new Entry(demanded, now));
+        if (firstAt == null && !demanded.wants().isEmpty()) {
+            firstAt = now;
+        }
         addUp(now);
     }
 
+    /** True until requests have come for long enough to show which models are busy. */
+    boolean young(Instant now) {
+        return firstAt == null || now.isBefore(firstAt.plus(YOUNG));
+    }
+
     /** Forgets what is too old. */
     void expire(Instant now) {
         boolean changed = byRouter.values().removeIf(entry -> entry.at().plus(VALID).isBefore(now));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -18,6 +18,9 @@
     /** Those who waited for a model need this long to reach it once it is ready. */
     static final Duration MOMENT = Duration.ofMillis(1_200);
 
+    /** The same where dozens of others wait: the first of them reach it in this time. */
+    static final Duration SHORT_MOMENT = Duration.ofMillis(400);
+
     /** A model with a second replica is missed less. */
     private static final double REPLICATED = 0.15;
 
@@ -130,14 +133,20 @@
 
     // A model that is asked for many times as often goes before one that has a request or two, and
     // before one that was busy a while ago: dozens of its requests would be refused meanwhile.
+    // As long as demand isn't known, the models with several replicas are the ones that were busy.
     private boolean evictable(Engine engine, String held, String forModel, Instant now) {
-        if (engine.justLoaded(held, now, MOMENT)) {
+        boolean outweighed =
+                ReplicaGoal.busy(forModel, demand)
+                        && demand.perSecond(forModel) > OUTWEIGHS * demand.perSecond(held);
+        if (engine.justLoaded(held, now, outweighed ? SHORT_MOMENT : MOMENT)) {
             return false;
         }
-        if (demand.perSecond(forModel) > OUTWEIGHS * demand.perSecond(held)
-                && ReplicaGoal.busy(forModel, demand)) {
+        if (outweighed) {
             return true;
         }
+        if (demand.young(now) && fleet.replicas(held) > 1) {
+            return false;
+        }
         int goal = ReplicaGoal.of(engine.spec(), held, demand);
         return (demand.waitingFor(held) == 0 || fleet.replicas(held) > 1)
                 && (goal == 0 || fleet.replicas(held) > goal);
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -214,6 +214,23 @@
         assertTrue(given.contains("LOAD h one 1"), given.toString());
     }
 
+    @Test
+    void beforeTheFirstRequestsAModelWithTwoReplicasKeepsBoth() {
+        // Routers have just started, and no request has come yet. Models with several replicas are
+        // the busy ones; were a replica to go for a model that nobody holds, the first callers
+        // would
+        // find one where they need two.
+        planner.on(new LoadInput.Configured(Map.of("engines", spec())), now);
+        list(ONE, held(0, "a", "b", "c"), Set.of("h"));
+        list(TWO, held(0, "a", "e", "f"), Set.of("h"));
+        planner.on(new LoadInput.Elected(), now);
+        report(ONE, false, truth.get(ONE));
+        report(TWO, false, truth.get(TWO));
+        now = now.plusMillis(300);
+        tick();
+        assertFalse(given.toString().contains("UNLOAD a"), given.toString());
+    }
+
     @Test
     void aModelThatIsOnItsWayFromTheStoreIsNotFetchedFromThereAgain() {
         // No upstream has a copy of the model. Its load takes six seconds, and requests wait for it
