Lend what is needed to those that have no share, and free kept tokens for them

Half of each share was kept for the next life and only released for requests at the router that keeps it, not for those that borrow; loans were asked for ahead of need and lay idle at two dozen routers; lenders were asked for even parts though their shares differ, and a new round came only with the next tick; routers that had taken a share before the list was whole never gave it up; one row that was seen in an answer made the router forget the addresses of all others' lenders.

Change: a router without a share borrows what it needs and no more, of one lender, then of all by their parts, then in full; a lender that has too little releases what is kept; routers that should have no share give theirs up three seconds after their start. Borrowing and the words of refusals are classes of their own, and so are a request's times, the reports of demand and what the giver says of those that wait.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -373,39 +373,6 @@
      * copy, and what bars it. Empty if nothing waits.
      */
     public List<String> barred(Duration longerThan, Instant now) {
-        List<String> lines = new ArrayList<>();
-        for (LoadInput.Want want : demand.waiting()) {
-            if (want.oldest().compareTo(longerThan) < 0) {
-                continue;
-            }
-            StringBuilder line = new StringBuilder(want.model().toString());
-            line.append(" waiting=").append(want.waiting());
-            line.append(" ms=").append(want.oldest().toMillis());
-            for (Engine engine : engines.values()) {
-                boolean has = engine.has(want.model().model());
-                if (has || engine.hasCopy(want.model().model())) {
-                    line.append(' ').append(engine.id()).append('=');
-                    line.append(has ? "held," : "copy,").append(state(engine, now));
-                }
-            }
-            lines.add(line.toString());
-        }
-        return lines;
-    }
-
-    private String state(Engine engine, Instant now) {
-        if (demand.suspect(engine.id())) {
-            return "suspect";
-        }
-        if (!engine.known()) {
-            return "unreported";
-        }
-        if (engine.pending() != null) {
-            return engine.pending().verb() + ":" + engine.pending().model();
-        }
-        if (engine.intent() != null) {
-            return "for:" + engine.intent().model();
-        }
-        return engine.free(now) ? "free" : "quiet";
+        return new WaitReport(demand, engines.values(), now).longerThan(longerThan);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -71,7 +71,8 @@
     /** A model for an engine. */
     record Choice(Engine engine, String model) {}
 
-    private record Offer(Engine engine, LoadSource source, double cost, double hurt) {}
+    private record Offer(
+            Engine engine, LoadSource source, double cost, double hurt, boolean losesCopy) {}
 
     /**
      * What room that has just been made is best used for: the model it was meant for, or a busy one
@@ -169,22 +170,11 @@
         Optional<Choice> place(String model, boolean needed) {
             Offer best = null;
             for (Engine engine : engines) {
-                boolean open = engine.free(now) && engine.intent() == null && fleet.usable(engine);
-                if (!open || taken.contains(engine) || engine.has(model)) {
-                    continue;
-                }
-                double blocked = blocked(engine);
-                if (blocked > MOST_BLOCKED && engine.source(model) == LoadSource.STORE) {
-                    continue;
-                }
-                double perSecond = 1 + demand.perSecond(model) + blocked;
-                Optional<Room.Plan> plan = room.plan(engine, model, perSecond, now);
-                if (plan.isEmpty() || !needed && losesCopy(engine, model, plan.get())) {
-                    continue;
-                }
-                Offer offer = offer(engine, model, plan.get(), perSecond);
-                if (best == null || offer.cost() < best.cost()) {
-                    best = offer;
+                Optional<Offer> offer =
+                        open(engine, model) ? offer(engine, model) : Optional.empty();
+                boolean suits = offer.isPresent() && (needed || !offer.get().losesCopy());
+                if (suits && (best == null || offer.get().cost() < best.cost())) {
+                    best = offer.get();
                 }
             }
             if (best == null || !worthIt(best, model, needed)) {
@@ -195,6 +185,24 @@
             return Optional.of(new Choice(best.engine(), model));
         }
 
+        private boolean open(Engine engine, String model) {
+            return engine.free(now)
+                    && engine.intent() == null
+                    && fleet.usable(engine)
+                    && !taken.contains(engine)
+                    && !engine.has(model);
+        }
+
+        private Optional<Offer> offer(Engine engine, String model) {
+            double blocked = blocked(engine);
+            if (blocked > MOST_BLOCKED && engine.source(model) == LoadSource.STORE) {
+                return Optional.empty();
+            }
+            double perSecond = 1 + demand.perSecond(model) + blocked;
+            return room.plan(engine, model, perSecond, now)
+                    .map(plan -> offer(engine, model, plan, perSecond));
+        }
+
         private boolean losesCopy(Engine engine, String model, Room.Plan plan) {
             return engine.source(model) == LoadSource.STORE
                     && soleVictims(engine, plan.victims()) > 0;
@@ -208,7 +216,8 @@
             if (source == LoadSource.STORE) {
                 cost += load * soleCopies(engine);
             }
-            return new Offer(engine, source, cost, plan.cost() + plan.seconds());
+            double hurt = plan.cost() + plan.seconds();
+            return new Offer(engine, source, cost, hurt, losesCopy(engine, model, plan));
         }
 
         private double blocked(Engine engine) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -24,6 +24,9 @@
     private static final double DEMAND_SECONDS = 4.0;
     private static final double NANOS = 1e9;
 
+    /** Who lacked tokens is likely to lack them again within this. */
+    private static final Duration SHORT_TIME = Duration.ofMillis(500);
+
     /** Of its cap, what a bucket must hold for some time before half of it is kept. */
     private static final double PLENTY = 0.75;
 
@@ -36,10 +39,13 @@
     Lowering lowering;
     Raise raise;
     Instant fullSince;
+    Instant shortAt = Instant.MIN;
     private double floor;
     String ask = "";
     Instant askedAt = Instant.MIN;
     long askedUpTo;
+    boolean askedOne;
+    int asks;
     long brought;
     int dryAsks;
     int turn;
@@ -93,8 +99,14 @@
         notePlenty(cap, now);
     }
 
+    /** True if a request here, or a router that asked for a loan, lacked tokens a moment ago. */
+    boolean wasShort(Instant now) {
+        return !held.isEmpty()
+                || !shortAt.equals(Instant.MIN) && now.isBefore(shortAt.plus(SHORT_TIME));
+    }
+
     private void notePlenty(double cap, Instant now) {
-        boolean plenty = cap > 0 && bucket.tokens() >= cap * PLENTY;
+        boolean plenty = cap > 0 && bucket.tokens() >= cap * PLENTY && !wasShort(now);
         if (!plenty) {
             fullSince = null;
         } else if (fullSince == null) {
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -0,0 +1,205 @@
+package io.damaskyoke.control.rates;
+
+import io.damaskyoke.id.Incarnation;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/**
+ * Whom a router asks for tokens, and for how many.
+ *
+ * <p>A router with a share borrows what its share lacks now and then, and asks all others. One
+ * without a share borrows for every request: it asks the same lender as long as that lends, and the
+ * others only then. Asked all at once, each would set aside what one of them is to lend.
+ */
+final class Borrowing {
+    /** Requests of the next moment are asked for along with the present one. */
+    static final double LOOK_AHEAD_SECONDS = 0.25;
+
+    /** A lender that has less than this of the whole is not the first to be asked. */
+    private static final int LARGE_PART = ShareTable.WHOLE / 8;
+
+    private static final Duration ASK_GAP = Duration.ofMillis(20);
+    private static final int MOST_ASKED = 8;
+
+    /** Loans take a few milliseconds; who says nothing for so long is asked no more. */
+    private static final Duration LENDER_PATIENCE = Duration.ofMillis(40);
+
+    private final Incarnation self;
+    private final VmId vm;
+    private final RateSettings settings;
+    private final SpendingRight right;
+    private final ShareKeeper keeper;
+
+    Borrowing(
+            Incarnation self,
+            VmId vm,
+            RateSettings settings,
+            SpendingRight right,
+            ShareKeeper keeper) {
+        this.self = self;
+        this.vm = vm;
+        this.settings = settings;
+        this.right = right;
+        this.keeper = keeper;
+    }
+
+    /** Asks for what held requests lack, unless answers are awaited or came a moment ago. */
+    void ask(Account account, LongSupplier numbers, Instant now, List<RateAction> actions) {
+        boolean soon = now.isBefore(account.askedAt.plus(ASK_GAP));
+        boolean awaited = !account.unanswered.isEmpty() && !stale(account, now);
+        if (!account.held.isEmpty() && !soon && !awaited) {
+            askNext(account, numbers, now, actions);
+        }
+    }
+
+    /** Asks the others at once when the one lender that was asked had too little. */
+    void askOthers(Account account, LongSupplier numbers, Instant now, List<RateAction> actions) {
+        boolean had = account.askedOne && account.unanswered.isEmpty();
+        if (had && !account.held.isEmpty()) {
+            askNext(account, numbers, now, actions);
+        }
+    }
+
+    private void askNext(
+            Account account, LongSupplier numbers, Instant now, List<RateAction> actions) {
+        boolean fresh = account.held.peek().number() > account.askedUpTo;
+        List<VmId> others = nextLenders(account, fresh);
+        long tokens = lacking(account, now);
+        if (others.isEmpty() || tokens <= 0) {
+            return;
+        }
+        note(account, others, fresh, numbers.getAsLong(), now);
+        boolean split = account.asks == 2 && borrows(account);
+        for (VmId other : others) {
+            long part = split ? portion(account, other, tokens) : tokens;
+            actions.add(
+                    new RateAction.Ask(
+                            other, account.workspace.id(), part, account.ask, List.of()));
+        }
+    }
+
+    // In the first round after the one lender had too little, each other is asked for what is its
+    // part of it. What one of them then hasn't got, each is asked for in full; by then it is
+    // little.
+    private long portion(Account account, VmId lender, long tokens) {
+        long all = 0;
+        long own = 0;
+        for (ShareTable.Share share : account.row.table().shares().values()) {
+            all += share.part();
+            own += share.vm().equals(lender) ? share.part() : 0;
+        }
+        return Math.max(1, (tokens * own + all - 1) / Math.max(1, all));
+    }
+
+    private void note(Account account, List<VmId> asked, boolean fresh, long number, Instant now) {
+        boolean dry = !fresh && account.brought == 0;
+        account.ask = self.value() + '.' + number;
+        account.askedAt = now;
+        account.askedUpTo = number;
+        account.asks = fresh ? 1 : account.asks + 1;
+        account.askedOne = fresh && borrows(account);
+        account.dryAsks = dry ? account.dryAsks + asked.size() : asked.size();
+        account.brought = 0;
+        account.unanswered.clear();
+        account.unanswered.addAll(asked);
+    }
+
+    private long lacking(Account account, Instant now) {
+        double need = account.held.stream().mapToLong(Account.Held::tokens).sum();
+        need += ahead(account, now) - account.available();
+        return (long) Math.ceil(Math.min(need, account.workspace.burst()));
+    }
+
+    // What is borrowed ahead of need lies idle for up to two seconds. With two dozen routers that
+    // borrow for each request, a request's worth at each of them would be the whole burst.
+    private double ahead(Account account, Instant now) {
+        return borrows(account) ? 0 : account.demand(now) * LOOK_AHEAD_SECONDS;
+    }
+
+    private boolean stale(Account account, Instant now) {
+        Duration patience = borrows(account) ? LENDER_PATIENCE : settings.hold();
+        return now.isAfter(account.askedAt.plus(patience));
+    }
+
+    private boolean borrows(Account account) {
+        return account.row != null && !keeper.joined(account);
+    }
+
+    /** Tells lenders which of their loans are used up or over. */
+    void tellSpent(Account account, List<RateAction> actions) {
+        account.spent.forEach(
+                (lender, loans) ->
+                        actions.add(
+                                new RateAction.Ask(
+                                        lender,
+                                        account.workspace.id(),
+                                        0,
+                                        "",
+                                        List.copyOf(loans))));
+        account.spent.clear();
+    }
+
+    /** True if nobody can lend, now or soon. */
+    boolean noneToAsk(Account account) {
+        return lenders(account).isEmpty() && !keeper.awaitsOthers(account);
+    }
+
+    /** True if all lenders were asked, and the last round brought nothing. */
+    boolean nothingCame(Account account) {
+        boolean allAsked = account.dryAsks >= lenders(account).size();
+        return account.unanswered.isEmpty() && account.brought == 0 && allAsked;
+    }
+
+    private List<VmId> nextLenders(Account account, boolean fresh) {
+        List<VmId> all = lenders(account);
+        if (all.isEmpty() || !borrows(account)) {
+            return nextFew(account, all);
+        }
+        if (fresh) {
+            long large = all.stream().filter(lender -> large(account, lender)).count();
+            int first = Math.floorMod(account.turn, (int) Math.max(1, large));
+            return List.of(all.get(first));
+        }
+        account.turn++;
+        return all;
+    }
+
+    // Lenders come in the order of their shares.
+    private static boolean large(Account account, VmId lender) {
+        return account.row.table().shares().values().stream()
+                .anyMatch(share -> share.vm().equals(lender) && share.part() >= LARGE_PART);
+    }
+
+    // Each time the next few of them. With dozens of routers a share is less than one request;
+    // those asked first each time would be empty while the others are full.
+    private static List<VmId> nextFew(Account account, List<VmId> all) {
+        if (all.size() <= MOST_ASKED) {
+            return all;
+        }
+        List<VmId> next = new ArrayList<>();
+        for (int i = 0; i < MOST_ASKED; i++) {
+            next.add(all.get(Math.floorMod(account.turn++, all.size())));
+        }
+        return next;
+    }
+
+    // A router that starts while the store is out has never seen a share. It has none to spend, so
+    // nothing can be spent twice; but without loans from those that have, it would refuse every
+    // request for as long as the outage lasts.
+    private List<VmId> lenders(Account account) {
+        if (account.row == null) {
+            return right.otherRouters();
+        }
+        return account.row.table().shares().values().stream()
+                .filter(share -> !share.vm().equals(vm) && share.part() > 0)
+                .filter(share -> share.mark().isEmpty())
+                .sorted(Comparator.comparingInt(ShareTable.Share::part).reversed())
+                .map(ShareTable.Share::vm)
+                .toList();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -2,16 +2,12 @@
 
 import io.damaskyoke.control.Machine;
 import io.damaskyoke.control.configuration.Workspace;
-import io.damaskyoke.exchange.Refusal;
-import io.damaskyoke.exchange.RefusalCode;
-import io.damaskyoke.id.ExchangeId;
 import io.damaskyoke.id.Incarnation;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.id.WorkspaceId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,14 +22,7 @@
  * after the holding time.
  */
 public final class RateMachine implements Machine<RateInput, RateAction> {
-    private static final Duration COME_BACK = Duration.ofSeconds(1);
-    private static final Duration ASK_GAP = Duration.ofMillis(20);
-    private static final double LOOK_AHEAD_SECONDS = 0.25;
     private static final double LENDER_MARGIN = 1.1;
-    private static final int MOST_ASKED = 8;
-
-    /** Loans take a few milliseconds; who says nothing for so long is asked no more. */
-    private static final Duration LENDER_PATIENCE = Duration.ofMillis(40);
 
     /** A workspace that others must found is looked for this often. */
     private static final Duration FOUNDING = Duration.ofMillis(200);
@@ -48,6 +37,7 @@
     private final RateSettings settings;
     private final SpendingRight right;
     private final ShareKeeper keeper;
+    private final Borrowing borrowing;
     private final Map<WorkspaceId, Account> accounts = new TreeMap<>();
     private long counter;
     private boolean reading;
@@ -59,6 +49,7 @@
         this.settings = settings;
         this.right = new SpendingRight(vm, settings);
         this.keeper = new ShareKeeper(self, vm, address, settings, right);
+        this.borrowing = new Borrowing(self, vm, settings, right, keeper);
     }
 
     /** A machine for this life of the router on this VM, reached at this {@code host:port}. */
@@ -199,13 +190,13 @@
     private void arrive(RateInput.Arrived arrived, Instant now, List<RateAction> actions) {
         Account account = accounts.get(arrived.workspace());
         if (account == null) {
-            actions.add(refuse(arrived.id(), "the workspace is not configured here", COME_BACK));
+            actions.add(RateRefusals.notConfigured(arrived.id()));
             return;
         }
         advance(account, now);
         account.wanted(arrived.tokens(), now);
         if (arrived.tokens() > account.workspace.burst()) {
-            actions.add(tooLarge(arrived.id()));
+            actions.add(RateRefusals.tooLarge(arrived.id()));
             return;
         }
         boolean first = account.held.isEmpty();
@@ -214,7 +205,7 @@
             return;
         }
         if (account.held.size() >= MOST_HELD) {
-            actions.add(refuse(arrived.id(), "too many requests wait for the rate", COME_BACK));
+            actions.add(RateRefusals.tooMany(arrived.id()));
             return;
         }
         account.held.add(
@@ -264,6 +255,9 @@
             return;
         }
         long tokens = usable(account, now) ? spare(account, asked.tokens(), now) : 0;
+        if (tokens < asked.tokens()) {
+            account.shortAt = now;
+        }
         if (tokens > 0) {
             Duration time = settings.loan();
             long nanos = (long) (time.toNanos() * LENDER_MARGIN);
@@ -276,7 +270,7 @@
         if (!account.held.isEmpty()) {
             return 0;
         }
-        double own = account.demand(now) * LOOK_AHEAD_SECONDS;
+        double own = account.demand(now) * Borrowing.LOOK_AHEAD_SECONDS;
         double spare = account.own() - Math.min(own, account.own() / 2);
         return Math.max(0, (long) Math.min(wanted, spare));
     }
@@ -302,6 +296,7 @@
         }
         if (usable(account, now)) {
             admitHeld(account, actions);
+            borrowing.askOthers(account, () -> ++counter, now, actions);
         }
         refuseHeld(account, now, actions);
     }
@@ -313,13 +308,10 @@
     }
 
     private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
-        List<VmId> lenders = lenders(account);
-        boolean allAsked = account.dryAsks >= lenders.size();
-        boolean nothingCame = account.unanswered.isEmpty() && account.brought == 0 && allAsked;
-        boolean noneToAsk = lenders.isEmpty() && !keeper.awaitsOthers(account);
+        boolean noneToAsk = borrowing.noneToAsk(account);
         boolean hopeless =
                 usable(account, now)
-                        && (noneToAsk || nothingCame)
+                        && (noneToAsk || borrowing.nothingCame(account))
                         && !filling(account, now)
                         && !joining(account, now);
         while (!account.held.isEmpty()) {
@@ -335,8 +327,8 @@
     }
 
     // What fills up here within the holding time needs no loan. A router that has just started
-    // holds
-    // no tokens yet; without this it would refuse for as long as it takes to fill for one request,
+    // holds no tokens yet; without this it would refuse for as long as it takes to fill for one
+    // request,
     // though callers are well within their rate.
     private boolean filling(Account account, Instant now) {
         Account.Held first = account.held.peek();
@@ -359,131 +351,19 @@
 
     private RateAction refuse(Account account, Account.Held request, Instant now) {
         if (!usable(account, now)) {
-            Refusal refusal =
-                    Refusal.notRun(
-                                    RefusalCode.STORE_UNAVAILABLE,
-                                    "this router can't confirm its share of the rate")
-                            .retryAfter(COME_BACK);
-            return new RateAction.Refuse(request.id(), refusal);
+            return RateRefusals.unconfirmed(request.id());
         }
         double missing = request.tokens() - account.available();
         double seconds = Math.max(0, missing) / account.workspace.rate();
         Duration wait = Duration.ofMillis((long) Math.ceil(seconds * 1000));
-        return refuse(request.id(), "the workspace has used up its rate and burst", wait);
-    }
-
-    private static RateAction refuse(ExchangeId id, String message, Duration wait) {
-        return new RateAction.Refuse(
-                id, Refusal.notRun(RefusalCode.RATE_EXCEEDED, message).retryAfter(wait));
-    }
-
-    private static RateAction tooLarge(ExchangeId id) {
-        return new RateAction.Refuse(
-                id,
-                Refusal.notRun(
-                        RefusalCode.RATE_EXCEEDED,
-                        "the request needs more tokens than the workspace's whole burst"));
+        return RateRefusals.usedUp(request.id(), wait);
     }
 
     private void askForHeld(Account account, Instant now, List<RateAction> actions) {
-        tellSpent(account, actions);
-        boolean soon = now.isBefore(account.askedAt.plus(ASK_GAP));
-        if (account.held.isEmpty()
-                || soon
-                || !account.unanswered.isEmpty() && !stale(account, now)) {
-            return;
-        }
-        boolean fresh = account.held.peek().number() > account.askedUpTo;
-        List<VmId> others = nextLenders(account, fresh);
-        if (others.isEmpty() || !usable(account, now)) {
-            return;
-        }
-        double need = account.held.stream().mapToLong(Account.Held::tokens).sum();
-        need += account.demand(now) * LOOK_AHEAD_SECONDS - account.available();
-        long tokens = (long) Math.ceil(Math.min(need, account.workspace.burst()));
-        if (tokens <= 0) {
-            return;
-        }
-        boolean split = borrows(account) && others.size() > 1;
-        long each = split ? (tokens + others.size() - 1) / others.size() : tokens;
-        account.ask = self.value() + '.' + (++counter);
-        account.askedAt = now;
-        account.askedUpTo = counter;
-        boolean dry = !fresh && account.brought == 0;
-        account.dryAsks = dry ? account.dryAsks + others.size() : others.size();
-        account.brought = 0;
-        account.unanswered.clear();
-        account.unanswered.addAll(others);
-        for (VmId other : others) {
-            actions.add(
-                    new RateAction.Ask(
-                            other, account.workspace.id(), each, account.ask, List.of()));
-        }
-    }
-
-    private boolean stale(Account account, Instant now) {
-        Duration patience = borrows(account) ? LENDER_PATIENCE : settings.hold();
-        return now.isAfter(account.askedAt.plus(patience));
-    }
-
-    // A router without a share needs a loan for nearly every request.
-    private boolean borrows(Account account) {
-        return account.row != null && !keeper.joined(account);
-    }
-
-    private void tellSpent(Account account, List<RateAction> actions) {
-        account.spent.forEach(
-                (lender, loans) ->
-                        actions.add(
-                                new RateAction.Ask(
-                                        lender,
-                                        account.workspace.id(),
-                                        0,
-                                        "",
-                                        List.copyOf(loans))));
-        account.spent.clear();
-    }
-
-    // A router without a share asks one that has, the same as long as that lends, and only then the
-    // others: asked all at once for each request, they would each set aside what one is to lend.
-    private List<VmId> nextLenders(Account account, boolean fresh) {
-        List<VmId> all = lenders(account);
-        if (all.isEmpty() || !borrows(account)) {
-            return nextFew(account, all);
-        }
-        if (fresh) {
-            return List.of(all.get(Math.floorMod(account.turn, all.size())));
-        }
-        account.turn++;
-        return all;
-    }
-
-    // Each time the next few of them. With dozens of routers a share is less than one request;
-    // those asked first each time would be empty while the others are full.
-    private static List<VmId> nextFew(Account account, List<VmId> all) {
-        if (all.size() <= MOST_ASKED) {
-            return all;
-        }
-        List<VmId> next = new ArrayList<>();
-        for (int i = 0; i < MOST_ASKED; i++) {
-            next.add(all.get(Math.floorMod(account.turn++, all.size())));
-        }
-        return next;
-    }
-
-    // A router that starts while the store is out has never seen a share. It has none to spend, so
-    // nothing can be spent twice; but without loans from those that have, it would refuse every
-    // request for as long as the outage lasts.
-    private List<VmId> lenders(Account account) {
-        if (account.row == null) {
-            return right.otherRouters();
+        borrowing.tellSpent(account, actions);
+        if (usable(account, now)) {
+            borrowing.ask(account, () -> ++counter, now, actions);
         }
-        return account.row.table().shares().values().stream()
-                .filter(share -> !share.vm().equals(vm) && share.part() > 0)
-                .filter(share -> share.mark().isEmpty())
-                .sorted(Comparator.comparingInt(ShareTable.Share::part).reversed())
-                .map(ShareTable.Share::vm)
-                .toList();
     }
 
     private void advance(Account account, Instant now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -20,6 +20,9 @@
      */
     private static final double MOST_WANTED = 0.334;
 
+    /** After this, all routers that started together are on the list. */
+    private static final Duration SETTLING = Duration.ofSeconds(3);
+
     /** A bucket that was nearly full for so long is likely to stay so. */
     private static final Duration PLENTY_FOR = Duration.ofSeconds(1);
 
@@ -141,7 +144,7 @@
             if (wanted == null) {
                 continue;
             }
-            boolean urgent = !joined(account) || releases(account);
+            boolean urgent = !joined(account) || releases(account, now);
             if (urgent || !now.isBefore(next)) {
                 next = now.plus(gap(wanted));
                 turn = (turn + step + 1) % accounts.size();
@@ -181,36 +184,46 @@
             return stays ? ShareTable.founded(self, vm, address, homes.size()) : null;
         }
         ShareTable table = account.row.table();
-        if (leaving) {
+        if (leaving || strays(homes, now)) {
             boolean may = table.share(self).isPresent() && account.lentOut() == 0;
             return may ? table.remove(self) : null;
         }
         if (table.share(self).isEmpty()) {
             return stays ? table.join(self, vm, address, homes.size(), grown(account, now)) : null;
         }
-        ShareTable.Share own = table.share(self).get();
+        return moved(account, table, table.share(self).get(), now);
+    }
+
+    private ShareTable moved(Account account, ShareTable table, ShareTable.Share own, Instant now) {
         int want = want(account, table.shares().size(), now);
-        if (own.mark().isEmpty() && releases(account)) {
-            return table.keep(self, 0);
-        }
         if (!own.mark().isEmpty()) {
             return table.set(self, own.part(), want);
         }
+        if (releases(account, now)) {
+            return table.keep(self, 0);
+        }
         ShareTable without = withoutGone(table, account, now);
-        ShareTable next = without != null ? without : moved(account, table, own, want);
+        ShareTable next = without != null ? without : dealt(account, table, own, want);
         return next != null || !keepsMore(account, own, now)
                 ? next
                 : table.keep(self, Math.min(own.part() / 2, inBucket(account)));
     }
 
+    // At a start routers see only a part of the list, and more of them take shares than should
+    // have one. Left there, a workspace's tokens would lie in small parts at all of them again.
+    private boolean strays(Set<VmId> homes, Instant now) {
+        return !homes.contains(vm) && age(now).compareTo(SETTLING) >= 0;
+    }
+
     private static int inBucket(Account account) {
         double part = account.bucket.tokens() / account.workspace.burst();
         return (int) (Math.max(0, Math.min(1, part)) * ShareTable.WHOLE);
     }
 
-    // Whoever waits needs what is kept now; a next life on this VM has to do without.
-    private boolean releases(Account account) {
-        return !account.held.isEmpty() && kept(account) > 0;
+    // Whoever waits, here or at a router that borrows, needs what is kept now; a next life on this
+    // VM has to do without.
+    private boolean releases(Account account, Instant now) {
+        return account.wasShort(now) && kept(account) > 0;
     }
 
     // Unspent for a second, half of the burst can be promised to the next life. A router that is
@@ -249,7 +262,7 @@
         return null;
     }
 
-    private ShareTable moved(Account account, ShareTable table, ShareTable.Share own, int want) {
+    private ShareTable dealt(Account account, ShareTable table, ShareTable.Share own, int want) {
         int target = Math.max(table.target(self, want), lentPart(account));
         boolean give = target < own.part() && othersWant(table);
         int reserve = reserve(table, right.homes(account.workspace.id()).size());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -64,7 +64,6 @@
     private static final Duration GOSSIP = Duration.ofSeconds(1);
     private static final Duration COUNTERS = Duration.ofSeconds(10);
     private static final Duration SWEEP = Duration.ofMillis(500);
-    private static final Duration URGENT_REPORT = Duration.ofMillis(2);
     private static final Duration LIST_PERIOD = Duration.ofMillis(500);
     private static final int TIMELINE_EVENTS = 500;
 
@@ -87,6 +86,7 @@
     private final OrderGiver giver;
     private final OrderHandOver handOver;
     private final ConfigurationHolder configuration;
+    private final DemandReports reports;
     private final UpstreamFollower upstreamFollower;
     private final Dispatch dispatch;
     private final Flows flows;
@@ -96,7 +96,6 @@
     private final PeerNetwork network;
     private volatile HttpServer callers;
     private final LoopLag lag = new LoopLag(CHECK);
-    private boolean reportPlanned;
     private long highestFencing;
     private volatile boolean stopping;
     private boolean stopped;
@@ -129,6 +128,19 @@
         this.configuration = new ConfigurationHolder(dialect, this::configured);
         this.upstreamFollower = new UpstreamFollower(control, store, dialect, upstreams);
         this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock);
+        this.reports =
+                new DemandReports(
+                        self,
+                        new DemandReports.Parts(
+                                control,
+                                store,
+                                members,
+                                neighbours,
+                                lease,
+                                giver,
+                                dispatch,
+                                configuration,
+                                upstreams));
         this.flows = flows();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
@@ -139,7 +151,8 @@
         this.network = network(timeline);
         ratePeers.over(network);
         neighbours.start(network, new PeerHearer());
-        ServerSocketChannel socket = open.orElseGet(() -> EarlySocket.listen(settings.callers()));
+        ServerSocketChannel socket =
+                open.orElseGet(() -> EarlySocket.listen(settings.callers().socket()));
         control.run(() -> begin(socket));
         Pages pages = new Pages(metrics, this::ready);
         control.run(() -> control.every(COUNTERS, pages::logCounters));
@@ -246,7 +259,7 @@
 
     // The store is asked before callers are served: their requests need its answers first of all.
     private void begin(ServerSocketChannel socket) {
-        dispatch.onStarved(this::reportSoon);
+        dispatch.onStarved(reports::soon);
         new Follower(control, store, dialect.configurationKey(), new ConfigurationHearer()).start();
         upstreamFollower.start(new UpstreamHearer());
         members.start(this::membersChanged);
@@ -255,12 +268,12 @@
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         giver.start(this::replicasChanged);
         control.every(CHECK, this::check);
-        control.every(REPORT, this::report);
-        control.every(GOSSIP, this::gossip);
+        control.every(REPORT, reports::report);
+        control.every(GOSSIP, reports::gossip);
         control.every(SWEEP, client::sweep);
     }
 
-    // The class is loaded late; the process that holds this VM's addresses has run since before.
+    // Nobody else has spent this VM's shares since its process took its first step.
     private Instant processBegan() {
         return clock.instant()
                 .minus(Duration.ofNanos(System.nanoTime() - EarlySocket.loadedNanos()));
@@ -293,53 +306,13 @@
 
     private void membersChanged() {
         neighbours.refresh();
-        tellAll();
-    }
-
-    // News that was sent while a link was down is lost. The other router would wait for a model
-    // that is ready, until the upstream's own word has come round seconds later.
-    private void tellAll() {
-        Map<UpstreamId, HeldModels> news = giver.allNews();
-        if (!news.isEmpty()) {
-            neighbours.tell(giver.fencing(), news);
-        }
+        reports.tellAll();
     }
 
     private void replicasChanged() {
         dispatch.tick();
     }
 
-    private void reportSoon() {
-        if (!reportPlanned) {
-            reportPlanned = true;
-            control.after(
-                    URGENT_REPORT,
-                    () -> {
-                        reportPlanned = false;
-                        report();
-                    });
-        }
-    }
-
-    private void report() {
-        LoadInput.Demanded demanded = dispatch.demand(self);
-        Optional<VmId> to = members.giver();
-        if (lease.held()) {
-            giver.demanded(demanded);
-        } else if (to.isPresent() && !to.get().equals(self)) {
-            send(to, demanded);
-        }
-    }
-
-    private void gossip() {
-        tellAll();
-        send(Optional.empty(), dispatch.demand(self));
-    }
-
-    private void send(Optional<VmId> to, LoadInput.Demanded demanded) {
-        neighbours.report(to, demanded, configuration.revision(), upstreams.revision(), store.up());
-    }
-
     /** Hears of the operators' configuration from the store. */
     private final class ConfigurationHearer implements Follower.Hearer {
         @Override
@@ -386,7 +359,7 @@
 
         @Override
         public void linked() {
-            tellAll();
+            reports.tellAll();
         }
 
         @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -45,17 +45,13 @@
     private final Instant until;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final Map<UpstreamId, Instant> contradicted = new HashMap<>();
+    private final FlowTimes times;
     private Attempt attempt;
     private Optional<String> lastEvent;
     private boolean started;
     private boolean over;
     private int sends;
     private int runs;
-    private Instant sentAt;
-    private String servedBy = "";
-    private Instant firstAt;
-    private Instant partAt;
-    private Duration longestPause = Duration.ZERO;
     private String why = "";
 
     /**
@@ -82,6 +78,7 @@
         this.service = service;
         this.admitted = admitted;
         this.began = admitted.began();
+        this.times = new FlowTimes(began);
         this.lastEvent = request.lastEvent();
         this.patience = new Patience(route, request.deadline());
         this.end = began.plus(patience.whole());
@@ -168,8 +165,7 @@
         }
         sends++;
         runs++;
-        sentAt = flows.now();
-        servedBy = upstream.facts().id().value();
+        times.sent(upstream.facts().id(), flows.now());
         attempt = new Attempt(this, flows, upstream);
         attempt.start();
     }
@@ -315,7 +311,7 @@
     }
 
     void event(ByteBuf bytes, Optional<String> id) {
-        timed(flows.now());
+        times.part(flows.now());
         if (id.isPresent()) {
             lastEvent = id;
         }
@@ -325,16 +321,6 @@
         }
     }
 
-    private void timed(Instant now) {
-        if (firstAt == null) {
-            firstAt = now;
-        } else {
-            Duration pause = Duration.between(partAt, now);
-            longestPause = pause.compareTo(longestPause) > 0 ? pause : longestPause;
-        }
-        partAt = now;
-    }
-
     void streamEnded() {
         attempt = null;
         call.end();
@@ -399,15 +385,7 @@
         text.append(" sends=").append(sends);
         text.append(" runs=").append(runs);
         text.append(" tried=").append(tried);
-        text.append(" ms=").append(Duration.between(began, now).toMillis());
-        if (sentAt != null) {
-            text.append(" upstream=").append(servedBy);
-            text.append(" sent_ms=").append(Duration.between(began, sentAt).toMillis());
-        }
-        if (firstAt != null) {
-            text.append(" first_ms=").append(Duration.between(began, firstAt).toMillis());
-            text.append(" pause_ms=").append(longestPause.toMillis());
-        }
+        times.describe(text, now);
         if (!why.isEmpty()) {
             text.append(" why=\"").append(why).append('"');
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/EarlySocket.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/EarlySocket.java
@@ -7,7 +7,7 @@
 import java.nio.channels.ServerSocketChannel;
 
 /**
- * A socket that listens before there is a server: {@code EarlySocket.listen(endpoint)}, and {@link
+ * A socket that listens before there is a server: {@code EarlySocket.listen(address)}, and {@link
  * HttpServer#adopt} takes it over. It loads nothing but the virtual machine's own classes.
  */
 public final class EarlySocket {
@@ -28,11 +28,11 @@
      *
      * @throws HttpException BIND_FAILED if the address is taken
      */
-    public static ServerSocketChannel listen(Endpoint at) {
+    public static ServerSocketChannel listen(InetSocketAddress at) {
         try {
             ServerSocketChannel socket = ServerSocketChannel.open();
             socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            socket.bind(new InetSocketAddress(at.host(), at.port()), BACKLOG);
+            socket.bind(at, BACKLOG);
             socket.configureBlocking(false);
             return socket;
         } catch (IOException e) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/Endpoint.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/Endpoint.java
@@ -32,7 +32,8 @@
         }
     }
 
-    InetSocketAddress socket() {
+    /** The same as an address to listen on or to connect to. */
+    public InetSocketAddress socket() {
         return new InetSocketAddress(host, port);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -205,7 +205,7 @@
             feed(new RateInput.RowSeen(write.workspace(), row));
         } else {
             Map<WorkspaceId, RateInput.Row> found = rows(result.found());
-            peers.known(found.values());
+            peers.alsoKnown(found.values());
             found.forEach((id, row) -> feed(new RateInput.RowSeen(id, row)));
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
@@ -43,6 +43,11 @@
     /** Takes in where the routers are that have shares. */
     void known(Collection<RateInput.Row> rows) {
         addresses.clear();
+        alsoKnown(rows);
+    }
+
+    /** The same of one row; of the others' routers it says nothing. */
+    void alsoKnown(Collection<RateInput.Row> rows) {
         rows.forEach(row -> row.table().shares().values().forEach(this::known));
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
@@ -54,6 +54,39 @@
         assertEquals(List.of("one won", "one lost"), events);
     }
 
+    @Test
+    void aGiverWhoseLeaseLapsedInAnOutageGoesOnWhenTheStoreIsBack() {
+        // The store is down for four seconds and counts no time meanwhile, so the giver's entry
+        // still stands when it is back, and nobody else can give orders. If the giver paused for
+        // the sake of others now, nothing would be loaded for five more seconds.
+        OrderLease one = router("one");
+        OrderLease two = router("two");
+        pass(1_000);
+        store.down(true);
+        pass(4_000);
+        assertFalse(one.held());
+        store.down(false);
+        pass(2_000);
+        assertTrue(one.held());
+        assertFalse(two.held());
+        assertEquals(List.of("one won", "one lost", "one won"), events);
+    }
+
+    @Test
+    void aGiverThatStopsInAnOutageEndsItsLeaseAfterIt() {
+        // The giver stops while the store is down, and can't tell it. Once the store is back its
+        // entry would stand for the whole term, with nobody to give orders.
+        OrderLease one = router("one");
+        OrderLease two = router("two");
+        pass(1_000);
+        store.down(true);
+        one.close();
+        pass(1_000);
+        store.down(false);
+        pass(1_500);
+        assertTrue(two.held());
+    }
+
     @Test
     void aRouterThatResignedLetsOthersGoFirst() {
         // A slow giver resigns and nobody else is there. Were it back at once, it would resign
--- a/damaskyoke/src/test/java/io/damaskyoke/http/HttpServerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpServerTest.java
@@ -49,6 +49,23 @@
         assertEquals(List.of("/a", "/b", "/last"), handled);
     }
 
+    @Test
+    void aCallerThatConnectsBeforeThereIsAServerIsAnswered() throws IOException {
+        // A restarted process listens first and serves most of a second later. A caller that
+        // connects meanwhile waits; it would be turned away by a port that nobody listens on.
+        InetAddress loopback = InetAddress.getLoopbackAddress();
+        var socket = EarlySocket.listen(new InetSocketAddress(loopback, 0));
+        int port = ((InetSocketAddress) socket.getLocalAddress()).getPort();
+        try (Socket caller = new Socket(loopback, port)) {
+            caller.setSoTimeout(LIMIT_MILLIS);
+            caller.getOutputStream().write(get("/last").getBytes(StandardCharsets.US_ASCII));
+            EventLoop loop = (EventLoop) group.next();
+            loop.execute(() -> HttpServer.adopt(loop, socket, HttpLimits.usual(), this::handle));
+            byte[] start = caller.getInputStream().readNBytes(12);
+            assertEquals("HTTP/1.1 200", new String(start, StandardCharsets.US_ASCII));
+        }
+    }
+
     @Test
     void aRequestWithTwoLengthsIsRefusedAndEndsTheConnection() throws IOException {
         // By its length the body holds a whole second request; by its chunks the body ends before
