Weigh gaps in memory step by step

Cause, seen on reading: what a gap costs was found by trying all ways to fill it, which a few hundred models of as many sizes would make the planner's whole processor time. Nothing was seen on the deployments at hand, which have three sizes.

Change: gaps are worked out once for a configuration, in 400 steps of an upstream's memory. Figures: not measured; the tests of packing hold.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Packing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Packing.java
@@ -2,9 +2,6 @@
 
 import io.damaskyoke.control.direct.EngineSpec;
 import io.damaskyoke.control.direct.ModelSpec;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 
 /**
  * How much of an upstream's memory no model can use: {@code packing.loss(freeBefore, freeAfter)}.
@@ -21,25 +18,44 @@
      */
     private static final double MODEL_GAP_COST = 0.3;
 
-    private final List<Double> sizes;
-    private final double usual;
-    private final Map<Long, Double> gaps = new HashMap<>();
+    /** Memory is counted in so many steps; finer ones would tell sizes apart that don't differ. */
+    private static final int STEPS = 400;
 
-    private Packing(List<Double> sizes, double usual) {
-        this.sizes = sizes;
-        this.usual = usual;
-    }
+    private final double step;
+    private final double usual;
+    private final int[] leastLeft = new int[STEPS + 1];
 
-    /** The packing of a service's models. */
-    static Packing of(EngineSpec spec) {
-        List<Double> sizes =
-                spec.models().values().stream().map(ModelSpec::weightsMb).distinct().toList();
-        double usual =
+    private Packing(EngineSpec spec) {
+        step = spec.weightsMb() / STEPS;
+        usual =
                 spec.models().values().stream()
                         .mapToDouble(ModelSpec::weightsMb)
                         .average()
                         .orElse(1);
-        return new Packing(sizes, usual);
+        int[] sizes =
+                spec.models().values().stream()
+                        .mapToInt(model -> (int) Math.ceil(model.weightsMb() / step))
+                        .filter(size -> size > 0)
+                        .distinct()
+                        .toArray();
+        fill(sizes);
+    }
+
+    /** The packing of a service's models. */
+    static Packing of(EngineSpec spec) {
+        return new Packing(spec);
+    }
+
+    // Step by step, so that hundreds of models of as many sizes cost no more than a few.
+    private void fill(int[] sizes) {
+        for (int free = 0; free <= STEPS; free++) {
+            leastLeft[free] = free;
+            for (int size : sizes) {
+                if (size <= free) {
+                    leastLeft[free] = Math.min(leastLeft[free], leastLeft[free - size]);
+                }
+            }
+        }
     }
 
     /**
@@ -52,22 +68,7 @@
 
     /** What is left of so much free memory, in MB, when it is filled with models as well as can. */
     double gap(double free) {
-        long key = (long) free;
-        Double known = gaps.get(key);
-        if (known == null) {
-            known = leastLeft(free);
-            gaps.put(key, known);
-        }
-        return known;
-    }
-
-    private double leastLeft(double free) {
-        double least = Math.max(0, free);
-        for (double size : sizes) {
-            if (size > 0 && size <= free) {
-                least = Math.min(least, leastLeft(free - size));
-            }
-        }
-        return least;
+        int steps = (int) Math.max(0, Math.min(STEPS, Math.floor(free / step)));
+        return leastLeft[steps] * step;
     }
 }
