--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/bench/ControlBenchmark.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/bench/ControlBenchmark.java
@@ -134,7 +134,7 @@
         ShareTable table =
                 ShareTable.founded(router(0), VmId.of("router-0"), "10.0.0.1:7400", routers);
         for (int i = 1; i < routers; i++) {
-            table = table.join(router(i), VmId.of("router-" + i), "10.0.0.1:7400", routers);
+            table = table.join(router(i), VmId.of("router-" + i), "10.0.0.1:7400", routers, 0);
         }
         int part = ShareTable.WHOLE / routers;
         table = table.set(router(0), part, part);
