Keep part of a burst for the next life on direct routers only

Cause: RateWorldTest.theWholeBurstCanBeSpentAtARouterWithASmallShare was red: a request for a workspace's whole burst was refused, as the other router had kept half of its share and frees it too late for the holding time. Change: keeping is a setting; routers with agents don't keep, direct ones do.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
@@ -14,6 +14,7 @@
  * @param hold how long a request may wait for tokens from other routers
  * @param joiningHold the same in the first two seconds, when shares are joined one after the other
  * @param readPeriod between two reads of all tables
+ * @param keeps whether half of a full bucket is kept for the next life on the VM
  * @param writeGap between two writes of one router that let shares follow demand
  */
 public record RateSettings(
@@ -26,6 +27,7 @@
         Duration hold,
         Duration joiningHold,
         Duration readPeriod,
+        boolean keeps,
         Duration writeGap) {
     /** What the daemons use; docs/design/rates.md says why. */
     public static RateSettings usual() {
@@ -39,6 +41,7 @@
                 Duration.ofMillis(250),
                 Duration.ofMillis(250),
                 Duration.ofSeconds(2),
+                false,
                 Duration.ofMillis(200));
     }
 
@@ -63,6 +66,7 @@
                 Duration.ofMillis(150),
                 Duration.ofMillis(500),
                 Duration.ofSeconds(3),
+                true,
                 Duration.ofSeconds(1));
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -230,7 +230,8 @@
     // killed would else take it along, and with all routers killed at once every workspace would
     // be refused within its rate for seconds.
     private boolean keepsMore(Account account, ShareTable.Share own, Instant now) {
-        return account.held.isEmpty()
+        return settings.keeps()
+                && account.held.isEmpty()
                 && account.fullSince != null
                 && !now.isBefore(account.fullSince.plus(PLENTY_FOR))
                 && kept(account) < own.part() / 4
