Count what comes and pick homes once, and listen in one way

Seen on reading the change again; behaviour stays as it is. The routers that have a workspace's shares were hashed and sorted anew for every workspace at every tick; they are picked when the list changes. What engines are about to hold soon was counted over all engines for each model asked about, in the class that is there to count once for a round; it is counted with the rest. HttpServer bound an address in a way of its own beside the early socket; it starts on one now. A start of the direct router that nobody called, a count where a yes or no was asked, and a loop and a list of names that stood twice in a test are gone.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
@@ -1,6 +1,5 @@
 package io.damaskyoke.control.loads;
 
-import io.damaskyoke.control.upstreams.ModelRef;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
@@ -22,11 +21,10 @@
     private final Map<String, Integer> coming = new HashMap<>();
     private final Map<String, Integer> copies = new HashMap<>();
     private final Map<String, Integer> open = new HashMap<>();
-    private final Collection<Engine> engines;
+    private final Map<String, Integer> comingSoon = new HashMap<>();
     private final DemandBook demand;
 
-    FleetView(Collection<Engine> engines, DemandBook demand) {
-        this.engines = engines;
+    FleetView(Collection<Engine> engines, DemandBook demand, Instant now) {
         this.demand = demand;
         for (Engine engine : engines) {
             if (!usable(engine)) {
@@ -37,7 +35,7 @@
                     .keySet()
                     .forEach(each -> replicas.merge(each, 1, Integer::sum));
             engine.copies().forEach(each -> copies.merge(each, 1, Integer::sum));
-            count(engine);
+            count(engine, now);
             if (isOpen(engine)) {
                 engine.held()
                         .adapters()
@@ -51,15 +49,33 @@
         return engine.known() && engine.pending() == null && engine.intent() == null;
     }
 
-    private void count(Engine engine) {
+    private void count(Engine engine, Instant now) {
         Engine.Pending pending = engine.pending();
         if (engine.intent() != null) {
-            coming.merge(engine.intent().model(), 1, Integer::sum);
+            count(engine.intent().model(), pending, now);
         } else if (pending != null && pending.verb() == Verb.LOAD && !pending.model().adapted()) {
-            coming.merge(pending.model().model(), 1, Integer::sum);
+            count(pending.model().model(), pending, now);
         }
     }
 
+    private void count(String model, Engine.Pending pending, Instant now) {
+        coming.merge(model, 1, Integer::sum);
+        if (!lasts(pending, now)) {
+            comingSoon.merge(model, 1, Integer::sum);
+        }
+    }
+
+    // A load from the store has seconds to go, and an unload that isn't over by now waits for a
+    // run whose end nobody knows.
+    private static boolean lasts(Engine.Pending pending, Instant now) {
+        if (pending == null) {
+            return false;
+        }
+        return pending.verb() == Verb.LOAD
+                ? pending.dueAt().isAfter(now.plus(SOON))
+                : now.isAfter(pending.sentAt().plus(UNLOAD_TIME));
+    }
+
     /** True if it stays and answers. */
     boolean usable(Engine engine) {
         return !engine.facts().draining() && !demand.suspect(engine.id());
@@ -81,36 +97,8 @@
     }
 
     /** Engines that are about to hold it soon, as far as is known. */
-    int comingSoon(String model, Instant now) {
-        int late = 0;
-        for (Engine engine : engines) {
-            if (usable(engine) && brings(engine, model) && lasts(engine, now)) {
-                late++;
-            }
-        }
-        return coming(model) - late;
-    }
-
-    private static boolean brings(Engine engine, String model) {
-        if (engine.intent() != null) {
-            return engine.intent().model().equals(model);
-        }
-        Engine.Pending pending = engine.pending();
-        return pending != null
-                && pending.verb() == Verb.LOAD
-                && pending.model().equals(new ModelRef(model, ""));
-    }
-
-    // A load from the store has seconds to go, and an unload that isn't over by now waits for a
-    // run whose end nobody knows.
-    private static boolean lasts(Engine engine, Instant now) {
-        Engine.Pending pending = engine.pending();
-        if (pending == null) {
-            return false;
-        }
-        return pending.verb() == Verb.LOAD
-                ? pending.dueAt().isAfter(now.plus(SOON))
-                : now.isAfter(pending.sentAt().plus(UNLOAD_TIME));
+    int comingSoon(String model) {
+        return comingSoon.getOrDefault(model, 0);
     }
 
     /** True if an engine beside this one holds the model, or can load it without the store. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -294,8 +294,8 @@
             engine.intend(null);
             return;
         }
-        FleetView fleet = new FleetView(of(engine.facts().service()), demand);
-        String model = placer.bestUse(engine, intent.model(), fleet, now);
+        FleetView fleet = new FleetView(of(engine.facts().service()), demand, now);
+        String model = placer.bestUse(engine, intent.model(), fleet);
         if (!model.equals(intent.model())) {
             engine.intend(new Engine.Intent(model, now.plus(INTENT_LIMIT)));
         }
@@ -333,7 +333,12 @@
         Packing packing = packings.get(service);
         for (Placer.Choice choice : placer.plan(spec, packing, here, ahead, now)) {
             choice.engine().intend(new Engine.Intent(choice.model(), now.plus(INTENT_LIMIT)));
-            advance(choice.engine(), choice.model(), new FleetView(here, demand), now, actions);
+            advance(
+                    choice.engine(),
+                    choice.model(),
+                    new FleetView(here, demand, now),
+                    now,
+                    actions);
         }
         for (AdapterPlanner.Step step : adapters.plan(here, now)) {
             order(step.engine(), step.verb(), step.adapter(), null, now, actions);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -79,7 +79,7 @@
      * that has come to wait meanwhile. An unload can take seconds, and a model that becomes busy in
      * them is asked for dozens of times a second.
      */
-    String bestUse(Engine engine, String meantFor, FleetView fleet, Instant now) {
+    String bestUse(Engine engine, String meantFor, FleetView fleet) {
         if (ReplicaGoal.busy(meantFor, demand)) {
             return meantFor;
         }
@@ -89,7 +89,7 @@
                     ReplicaGoal.busy(model, demand)
                             && engine.source(model) != LoadSource.STORE
                             && !engine.has(model);
-            if (suits && fleet.replicas(model) == 0 && fleet.comingSoon(model, now) == 0) {
+            if (suits && fleet.replicas(model) == 0 && fleet.comingSoon(model) == 0) {
                 return model;
             }
         }
@@ -98,7 +98,7 @@
 
     List<Choice> plan(
             EngineSpec spec, Packing packing, List<Engine> engines, boolean ahead, Instant now) {
-        Round round = new Round(spec, packing, engines, new FleetView(engines, demand), now);
+        Round round = new Round(spec, packing, engines, new FleetView(engines, demand, now), now);
         List<Choice> choices = new ArrayList<>();
         for (String model : round.needed()) {
             round.place(model, true).ifPresent(choices::add);
@@ -136,7 +136,7 @@
             Set<String> models = new LinkedHashSet<>();
             for (LoadInput.Want want : demand.waiting()) {
                 String model = want.model().model();
-                if (!spec.models().containsKey(model) || fleet.comingSoon(model, now) > 0) {
+                if (!spec.models().containsKey(model) || fleet.comingSoon(model) > 0) {
                     continue;
                 }
                 boolean crowded = !want.model().adapted() && want.oldest().compareTo(CROWDED) > 0;
@@ -205,7 +205,7 @@
 
         private boolean losesCopy(Engine engine, String model, Room.Plan plan) {
             return engine.source(model) == LoadSource.STORE
-                    && soleVictims(engine, plan.victims()) > 0;
+                    && plan.victims().stream().anyMatch(each -> !fleet.elsewhere(engine, each));
         }
 
         private Offer offer(Engine engine, String model, Room.Plan plan, double perSecond) {
@@ -241,10 +241,6 @@
             return hurt;
         }
 
-        private long soleVictims(Engine engine, List<String> victims) {
-            return victims.stream().filter(model -> !fleet.elsewhere(engine, model)).count();
-        }
-
         private boolean worthIt(Offer best, String model, boolean needed) {
             double gain =
                     fleet.replicas(model) > 0
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -84,8 +84,7 @@
     }
 
     // In the first round after the one lender had too little, each other is asked for what is its
-    // part of it. What one of them then hasn't got, each is asked for in full; by then it is
-    // little.
+    // part of it. What one of them then hasn't got, each is asked for in full; it is little then.
     private long portion(Account account, VmId lender, long tokens) {
         long all = 0;
         long own = 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -328,8 +328,7 @@
 
     // What fills up here within the holding time needs no loan. A router that has just started
     // holds no tokens yet; without this it would refuse for as long as it takes to fill for one
-    // request,
-    // though callers are well within their rate.
+    // request, though callers are well within their rate.
     private boolean filling(Account account, Instant now) {
         Account.Held first = account.held.peek();
         if (first == null) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -20,6 +20,7 @@
     private final VmId self;
     private final RateSettings settings;
     private final Map<VmId, Instant> missing = new HashMap<>();
+    private final Map<WorkspaceId, Set<VmId>> homes = new HashMap<>();
     private Set<VmId> listed = Set.of();
     private boolean everListed;
     private Instant read;
@@ -51,7 +52,10 @@
     }
 
     void listed(Set<VmId> routers, Instant now) {
-        listed = routers;
+        if (!routers.equals(listed)) {
+            listed = routers;
+            homes.clear();
+        }
         if (routers.contains(self)) {
             everListed = true;
             contact = now;
@@ -69,8 +73,15 @@
         return listed.stream().filter(vm -> !vm.equals(self)).sorted().toList();
     }
 
-    /** The routers that have shares of the workspace, as far as the list says. */
+    /**
+     * The routers that have shares of the workspace, as far as the list says. They are asked for at
+     * every tick, and picked anew only when the list has changed.
+     */
     Set<VmId> homes(WorkspaceId workspace) {
+        return homes.computeIfAbsent(workspace, this::pickHomes);
+    }
+
+    private Set<VmId> pickHomes(WorkspaceId workspace) {
         Set<VmId> all = new HashSet<>(listed);
         all.add(self);
         return Homes.of(workspace, all);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -48,7 +48,8 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * A router that reaches upstreams itself: {@code DirectRouter.start(settings, dialect, stores)}.
+ * A router that reaches upstreams itself: {@code DirectRouter.start(settings, dialect, stores,
+ * socket)}.
  *
  * <p>You get it once it listens; it says that it is ready once it knows the configuration and the
  * upstreams. {@link #stop()} ends it without cutting anything off.
@@ -174,16 +175,11 @@
     }
 
     /**
-     * Starts a router and returns once it listens.
+     * Starts a router and returns once it listens: on the socket for callers that the process has
+     * {@code open} already, or on one of its own.
      *
      * @throws io.damaskyoke.http.HttpException if an address is taken
      */
-    public static DirectRouter start(
-            DirectSettings settings, Dialect dialect, StoreFactory stores) {
-        return start(settings, dialect, stores, Optional.empty());
-    }
-
-    /** The same, on a socket for callers that the process has {@code open} already. */
     public static DirectRouter start(
             DirectSettings settings,
             Dialect dialect,
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -147,14 +147,6 @@
         send(by, Frame.newBuilder().setLeaseEnd(end).build());
     }
 
-    private void noteStore(VmId router, boolean up) {
-        if (up) {
-            storeSeen.put(router, control.clock().instant());
-        } else {
-            storeSeen.remove(router);
-        }
-    }
-
     void ask(VmId from, long newerThan) {
         StoredFetch fetch = StoredFetch.newBuilder().setNewerThan(newerThan).build();
         send(from, Frame.newBuilder().setStoredFetch(fetch).build());
@@ -205,6 +197,14 @@
         }
     }
 
+    private void noteStore(VmId router, boolean up) {
+        if (up) {
+            storeSeen.put(router, control.clock().instant());
+        } else {
+            storeSeen.remove(router);
+        }
+    }
+
     private void sendAll(Frame frame) {
         connected.keySet().forEach(vm -> send(vm, frame));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/EarlySocket.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/EarlySocket.java
@@ -12,7 +12,7 @@
  */
 public final class EarlySocket {
     /** Connections that may wait to be taken up. */
-    static final int BACKLOG = 1024;
+    private static final int BACKLOG = 1024;
 
     private static final long LOADED_NANOS = System.nanoTime();
 
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -1,9 +1,7 @@
 package io.damaskyoke.http;
 
-import io.damaskyoke.http.HttpException.Code;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -30,7 +28,6 @@
  * other, so answers can't change places. Belongs to one event loop.
  */
 public final class HttpServer implements AutoCloseable {
-
     private static final int MAX_LINE_BYTES = 8 * 1024;
     private static final int SWEEP_MILLIS = 250;
 
@@ -60,15 +57,10 @@
      */
     public static HttpServer start(
             EventLoop loop, InetSocketAddress at, HttpLimits limits, HttpHandler handler) {
-        HttpServer server = new HttpServer(loop, limits, handler);
-        ServerBootstrap bootstrap = server.bootstrap().channel(NioServerSocketChannel.class);
-        ChannelFuture bound = bootstrap.bind(at).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new HttpException(Code.BIND_FAILED, "can't listen on " + at, bound.cause());
-        }
-        server.channel = bound.channel();
-        server.sweepAlways();
-        return server;
+        ServerSocketChannel socket = EarlySocket.listen(at);
+        return loop.submit(() -> adopt(loop, socket, limits, handler))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /**
@@ -78,10 +70,9 @@
     public static HttpServer adopt(
             EventLoop loop, ServerSocketChannel open, HttpLimits limits, HttpHandler handler) {
         HttpServer server = new HttpServer(loop, limits, handler);
-        ServerBootstrap bootstrap = server.bootstrap();
-        bootstrap.channelFactory(() -> new NioServerSocketChannel(open));
-        server.channel = bootstrap.register().channel();
-        server.sweepAlways();
+        server.channel = server.bootstrap(open).register().channel();
+        loop.scheduleWithFixedDelay(
+                server::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return server;
     }
 
@@ -141,10 +132,6 @@
         return new ArrayList<>(connections);
     }
 
-    private void sweepAlways() {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     private void sweep() {
         long now = System.nanoTime();
         long headerNanos = limits.headerTime().toNanos();
@@ -152,11 +139,10 @@
         snapshot().forEach(connection -> connection.check(now, headerNanos, idleNanos));
     }
 
-    private ServerBootstrap bootstrap() {
+    private ServerBootstrap bootstrap(ServerSocketChannel socket) {
         return new ServerBootstrap()
                 .group(loop)
-                .option(ChannelOption.SO_BACKLOG, EarlySocket.BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .channelFactory(() -> new NioServerSocketChannel(socket))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/YoungWorkspaceTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/YoungWorkspaceTest.java
@@ -55,10 +55,7 @@
     void aRequestLargerThanEveryShareIsPaidByAllRoutersTogether() {
         // Twenty routers share a burst of 600, thirty each. A request for 500 needs the loans of
         // nearly all of them; asked of the same eight only, it would be refused within the rate.
-        String[] names = new String[20];
-        for (int i = 0; i < names.length; i++) {
-            names[i] = "r" + (char) ('a' + i);
-        }
+        String[] names = names(20);
         start(names);
         settle(names);
         assertTrue(admittedWithLoans("ra", 500));
@@ -70,10 +67,7 @@
         // of 25; most requests would need the loans of several routers, asked in turn, and many be
         // refused within the rate. A few routers have all of it instead. The last of the burst may
         // be lent in parts that are each too small.
-        String[] names = new String[24];
-        for (int i = 0; i < names.length; i++) {
-            names[i] = "r" + (char) ('a' + i);
-        }
+        String[] names = names(24);
         start(names);
         settle(names);
         assertEquals(4, stored.shares().size(), stored.shares().keySet().toString());
@@ -90,10 +84,7 @@
         // so the workspace is well within its rate, and would be refused until they have filled.
         start("a", "b");
         settle("a", "b");
-        for (int step = 0; step < 3; step++) {
-            millis += 1_000;
-            settle("a", "b");
-        }
+        letThreeSecondsPass("a", "b");
         start("a", "b");
         settle("a", "b");
         assertEquals(BURST / 4, (long) routers.get("a").available(GROWERS));
@@ -106,10 +97,7 @@
         // other half. Spent at once and killed then, its next life would spend it a second time.
         start("a", "b");
         settle("a", "b");
-        for (int step = 0; step < 3; step++) {
-            millis += 1_000;
-            settle("a", "b");
-        }
+        letThreeSecondsPass("a", "b");
         ExchangeId id = new ExchangeId(Incarnation.of("a:1"), ++now);
         RateMachine router = routers.get("a");
         List<RateAction> before = router.on(new RateInput.Arrived(id, GROWERS, 250), at());
@@ -136,6 +124,21 @@
         assertEquals(0, routers.get("b").available(GROWERS));
     }
 
+    private static String[] names(int count) {
+        String[] names = new String[count];
+        for (int i = 0; i < names.length; i++) {
+            names[i] = "r" + (char) ('a' + i);
+        }
+        return names;
+    }
+
+    private void letThreeSecondsPass(String... names) {
+        for (int step = 0; step < 3; step++) {
+            millis += 1_000;
+            settle(names);
+        }
+    }
+
     private void start(String... names) {
         lives++;
         Set<VmId> listed = new java.util.TreeSet<>();
