Wait a while for an idle engine before an unload is ordered that waits for runs

Change: a rare model takes a place where nothing runs; one with runs has to go only once requests have waited for 1.5 s. Busy models are as before.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Room.java
@@ -30,6 +30,13 @@
      */
     private static final double RUN_SECONDS = 2.0;
 
+    /**
+     * So long a model waits for an engine on which another falls idle. The first run to end gives
+     * its place at once; an unload that was ordered before waits for the one it was ordered for,
+     * and bars its engine for everything else meanwhile.
+     */
+    private static final Duration LONGEST_FOR_IDLE = Duration.ofMillis(1_500);
+
     /** More runs last longer together, and show that more requests are on their way. */
     private static final double CROWD_SECONDS = 0.3;
 
@@ -144,6 +151,10 @@
         if (outweighed) {
             return true;
         }
+        boolean runs = demand.running(engine.id(), held) > 0;
+        if (runs && demand.oldest(forModel).compareTo(LONGEST_FOR_IDLE) < 0) {
+            return false;
+        }
         if (demand.young(now) && fleet.replicas(held) > 1) {
             return false;
         }
