Keep part of a burst for the next life at owners only

Cause: each router wrote its rows once a second, 15 writes in 10 s, to keep and release a twentieth of a burst again and again. Change: only owners keep.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -277,11 +277,14 @@
         return account.wasShort(now) && kept(account) > 0;
     }
 
-    // Unspent for a second, half of the burst can be promised to the next life. A router that is
+    // What routers beside an owner have is too little to be worth a write. Unspent for a second,
+    // half of the burst can be promised to the next life. A router that is
     // killed would else take it along, and with all routers killed at once every workspace would
     // be refused within its rate for seconds.
     private boolean keepsMore(Account account, ShareTable.Share own, Instant now) {
+        boolean worthKeeping = !settings.owned() || owns(account);
         return settings.keeps()
+                && worthKeeping
                 && account.held.isEmpty()
                 && account.fullSince != null
                 && !now.isBefore(account.fullSince.plus(PLENTY_FOR))
