Have owners only where an even share is small, and follow lost ones by the store's list alone

Also found: a router takes its own copy of the list for the store's word, so that isolation never began for one that is cut off, while the others take its share. Change: an owner only where an even share is below 6,000 tokens; the list counts only while the store is followed; a cut-off router stops after 10 s, its share is taken 12 s after it is off the list. The machine is split by what it does: Line (lets in and refuses), Lender (answers others), Owners (asks).

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -128,7 +128,7 @@
     // What is borrowed ahead of need lies idle for up to two seconds. With two dozen routers that
     // borrow for each request, a request's worth at each of them would be the whole burst.
     private double ahead(Account account, Instant now) {
-        boolean exact = settings.owned() || borrows(account);
+        boolean exact = keeper.owned(account) || borrows(account);
         return exact ? 0 : account.demand(now) * LOOK_AHEAD_SECONDS;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Owners.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Owners.java
@@ -73,7 +73,16 @@
             return true;
         }
         account.bucket.giveBack(ask.aside());
-        actions.add(RateRefusals.usedUp(request.id().orElseThrow(), lent.comeBack()));
+        if (lent.comeBack().isZero()) {
+            // It owns no longer, and has lent what it had to spare.
+            if (valid && lent.tokens() > 0) {
+                Instant end = ask.askedAt().plus(settings.loan());
+                account.borrow(ask.owner(), lent.loan(), lent.tokens(), end);
+            }
+            account.held.add(request.until(now.plus(settings.hold())));
+        } else {
+            actions.add(RateRefusals.usedUp(request.id().orElseThrow(), lent.comeBack()));
+        }
         return true;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -22,16 +21,11 @@
  * after the holding time.
  */
 public final class RateMachine implements Machine<RateInput, RateAction> {
-    private static final double LENDER_MARGIN = 1.1;
-
     /** A workspace that others must found is looked for this often. */
     private static final Duration FOUNDING = Duration.ofMillis(200);
 
     private static final int MOST_HELD = 256;
 
-    /** How long after its start a router may still be about to get its shares, and be short. */
-    private static final Duration JOINING = Duration.ofSeconds(4);
-
     private final Incarnation self;
     private final VmId vm;
     private final RateSettings settings;
@@ -39,6 +33,8 @@
     private final ShareKeeper keeper;
     private final Borrowing borrowing;
     private final Owners owners;
+    private final Line line;
+    private final Lender lender;
     private final Map<WorkspaceId, Account> accounts = new TreeMap<>();
     private long counter;
     private boolean reading;
@@ -52,6 +48,8 @@
         this.keeper = new ShareKeeper(self, vm, address, settings, right);
         this.borrowing = new Borrowing(self, vm, settings, right, keeper);
         this.owners = new Owners(self, settings, keeper);
+        this.line = new Line(self, settings, right, keeper, borrowing);
+        this.lender = new Lender(self, vm, settings, right, keeper);
     }
 
     /** A machine for this life of the router on this VM, reached at this {@code host:port}. */
@@ -163,19 +161,17 @@
     private void seen(Account account, RateInput.Row row, Instant now, List<RateAction> actions) {
         keeper.seen(account, row, now);
         advance(account, now);
-        admitHeld(account, now, actions);
+        line.admit(account, now, actions);
     }
 
     private void tick(Instant now, List<RateAction> actions) {
         for (Account account : accounts.values()) {
             advance(account, now);
-            owners.check(account, keeper.age(now).compareTo(JOINING) < 0, now);
-            if (usable(account, now)) {
+            owners.check(account, keeper.young(now), now);
+            if (right.usable(account, self, now)) {
                 owners.askAgain(account, () -> ++counter, now, actions);
             }
-            admitHeld(account, now, actions);
-            askForHeld(account, now, actions);
-            refuseHeld(account, now, actions);
+            work(account, now, actions);
         }
         keeper.balance(List.copyOf(accounts.values()), now, actions);
         if (!reading && !now.isBefore(readAt)) {
@@ -206,7 +202,7 @@
             return;
         }
         boolean first = account.held.isEmpty();
-        if (first && usable(account, now) && account.take(arrived.tokens())) {
+        if (first && right.usable(account, self, now) && account.take(arrived.tokens())) {
             actions.add(new RateAction.Admit(arrived.id()));
             return;
         }
@@ -214,20 +210,25 @@
             actions.add(RateRefusals.tooMany(arrived.id()));
             return;
         }
-        Held request = held(arrived, now);
-        if (owners.asks(account, now) && usable(account, now)) {
+        Held request = held(account, arrived, now);
+        if (owners.asks(account, now) && right.usable(account, self, now)) {
             owners.ask(account, request, ++counter, now, actions);
             return;
         }
         account.held.add(request);
-        admitHeld(account, now, actions);
+        work(account, now, actions);
+    }
+
+    // Lets in who can be, asks others for what those who wait lack, and refuses who waits in vain.
+    private void work(Account account, Instant now, List<RateAction> actions) {
+        line.admit(account, now, actions);
         askForHeld(account, now, actions);
-        refuseHeld(account, now, actions);
+        line.refuse(account, now, actions);
     }
 
-    private Held held(RateInput.Arrived arrived, Instant now) {
+    private Held held(Account account, RateInput.Arrived arrived, Instant now) {
         Instant until = now.plus(hold(now));
-        if (!settings.owned() || arrived.within().isEmpty()) {
+        if (!keeper.owned(account) || arrived.within().isEmpty()) {
             // All of them wait equally long, and go in the order in which they came.
             return Held.own(arrived.id(), ++counter, arrived.tokens(), Instant.MIN, until);
         }
@@ -242,12 +243,7 @@
     }
 
     private Duration hold(Instant now) {
-        boolean young = keeper.age(now).compareTo(JOINING) < 0;
-        return young ? settings.joiningHold() : settings.hold();
-    }
-
-    private boolean joining(Account account, Instant now) {
-        return !keeper.joined(account) && keeper.age(now).compareTo(JOINING) < 0;
+        return keeper.young(now) ? settings.joiningHold() : settings.hold();
     }
 
     private void settle(RateInput.Settled settled, Instant now, List<RateAction> actions) {
@@ -258,12 +254,9 @@
         advance(account, now);
         account.wanted(settled.used() - settled.charged(), now);
         account.bucket.giveBack(settled.charged() - settled.used());
-        admitHeld(account, now, actions);
+        line.admit(account, now, actions);
     }
 
-    // A request for tokens that comes twice is answered once. A second loan under the same name
-    // would
-    // take the first one's place, and the lender would refill what the borrower still holds.
     private void asked(RateInput.Asked asked, Instant now, List<RateAction> actions) {
         right.heard(asked.from(), now);
         Account account = accounts.get(asked.workspace());
@@ -272,60 +265,10 @@
         }
         asked.spent().forEach(account::repaid);
         advance(account, now);
-        if (asked.tokens() == 0) {
-            return;
-        }
-        String loan = asked.ask() + '/' + vm;
-        if (account.hasLent(loan) || account.held.holds(loan)) {
-            return;
-        }
-        if (asked.within().isPresent() && keeper.owns(account)) {
-            queue(account, asked, loan, now, actions);
-            return;
-        }
-        long tokens = usable(account, now) ? spare(account, asked.tokens(), now) : 0;
-        if (tokens < asked.tokens()) {
-            account.shortAt = now;
+        if (asked.tokens() > 0 && lender.queues(account, asked, () -> ++counter, now)) {
+            work(account, now, actions);
         }
-        if (tokens > 0) {
-            account.lend(loan, tokens, loanEnd(now));
-        }
-        actions.add(new RateAction.Lend(asked.from(), asked.workspace(), tokens, loan));
-    }
-
-    private Instant loanEnd(Instant now) {
-        return now.plusNanos((long) (settings.loan().toNanos() * LENDER_MARGIN));
-    }
-
-    // The others' requests wait here in one line with this router's own. Lent out in parts as they
-    // ask, the last tokens of a burst would lie at several routers, too few at each for a request.
-    private void queue(
-            Account account,
-            RateInput.Asked asked,
-            String loan,
-            Instant now,
-            List<RateAction> actions) {
-        Held.Borrower borrower = new Held.Borrower(asked.from(), loan);
-        Held request = Held.asked(borrower, ++counter, asked.tokens(), asked.within().get(), now);
-        account.wanted(asked.tokens(), now);
-        account.held.add(request);
-        admitHeld(account, now, actions);
-        askForHeld(account, now, actions);
-        refuseHeld(account, now, actions);
-        if (account.held.holds(loan)) {
-            actions.add(
-                    new RateAction.Lend(
-                            asked.from(), asked.workspace(), 0, loan, true, Duration.ZERO));
-        }
-    }
-
-    private static long spare(Account account, long wanted, Instant now) {
-        if (!account.held.isEmpty()) {
-            return 0;
-        }
-        double own = account.demand(now) * Borrowing.LOOK_AHEAD_SECONDS;
-        double spare = account.own() - Math.min(own, account.own() / 2);
-        return Math.max(0, (long) Math.min(wanted, spare));
+        lender.answer(account, asked, now, actions);
     }
 
     // A loan counts from our asking, not from its coming: the lender's cap is lowered for a little
@@ -350,139 +293,16 @@
             account.brought += lent.tokens();
             account.borrow(lent.from(), lent.loan(), lent.tokens(), until);
         }
-        admitHeld(account, now, actions);
-        if (usable(account, now)) {
+        line.admit(account, now, actions);
+        if (right.usable(account, self, now)) {
             borrowing.askOthers(account, () -> ++counter, now, actions);
         }
-        refuseHeld(account, now, actions);
-    }
-
-    private void admitHeld(Account account, Instant now, List<RateAction> actions) {
-        if (!usable(account, now)) {
-            return;
-        }
-        Held next = account.held.first(now);
-        while (next != null && serve(account, next, now, actions)) {
-            account.held.remove(next);
-            next = account.held.first(now);
-        }
-    }
-
-    private boolean serve(Account account, Held request, Instant now, List<RateAction> actions) {
-        if (request.borrower().isEmpty()) {
-            boolean taken = account.take(request.tokens());
-            if (taken) {
-                actions.add(new RateAction.Admit(request.id().orElseThrow()));
-            }
-            return taken;
-        }
-        if (account.available() < request.tokens()) {
-            return false;
-        }
-        Held.Borrower to = request.borrower().get();
-        account.lend(to.loan(), request.tokens(), loanEnd(now));
-        actions.add(
-                new RateAction.Lend(to.vm(), account.workspace.id(), request.tokens(), to.loan()));
-        return true;
-    }
-
-    private void refuseHeld(Account account, Instant now, List<RateAction> actions) {
-        if (keeper.owns(account) && usable(account, now)) {
-            refuseLate(account, now, actions);
-            return;
-        }
-        boolean noneToAsk = borrowing.noneToAsk(account);
-        boolean hopeless =
-                usable(account, now)
-                        && (noneToAsk || borrowing.nothingCame(account))
-                        && !filling(account, now)
-                        && !joining(account, now);
-        for (Held request : account.held.inOrder(now)) {
-            boolean askedFor = noneToAsk || request.number() <= account.askedUpTo;
-            boolean due = !now.isBefore(request.until()) || hopeless && askedFor;
-            if (due && account.held.remove(request)) {
-                refuse(account, request, now, actions);
-                admitHeld(account, now, actions);
-            }
-        }
-    }
-
-    private void refuse(Account account, Held request, Instant now, List<RateAction> actions) {
-        if (usable(account, now)) {
-            refuse(account, request, missingTime(account, request), actions);
-        } else {
-            refuseUnconfirmed(account, request, actions);
-        }
-    }
-
-    // Its own rate and what is here tell an owner when each request can have its tokens. Who can't
-    // have them in time is told so now, with when to come back, and not at the end of its wait.
-    private void refuseLate(Account account, Instant now, List<RateAction> actions) {
-        if (borrowing.awaits(account, now)) {
-            return;
-        }
-        double rate = account.bucket.rate();
-        double needed = -account.available();
-        for (Held request : account.held.inOrder(now)) {
-            double seconds = Math.max(0, needed + request.tokens()) / rate;
-            Duration wait = Duration.ofMillis((long) Math.ceil(seconds * 1000));
-            if (now.plus(wait).isAfter(request.until())) {
-                account.held.remove(request);
-                refuse(account, request, wait, actions);
-            } else {
-                needed += request.tokens();
-            }
-        }
-    }
-
-    // What fills up here within the holding time needs no loan. A router that has just started
-    // holds no tokens yet; without this it would refuse for as long as it takes to fill for one
-    // request, though callers are well within their rate.
-    private boolean filling(Account account, Instant now) {
-        Held first = account.held.first(now);
-        if (first == null) {
-            return false;
-        }
-        double missing = first.tokens() - account.available();
-        double seconds = Duration.between(now, first.until()).toMillis() / 1000.0;
-        double part = keeper.part(account) / (double) ShareTable.WHOLE;
-        return missing <= part * account.workspace.rate() * seconds;
-    }
-
-    private void refuse(Account account, Held request, Duration wait, List<RateAction> actions) {
-        request.borrower()
-                .ifPresent(
-                        by ->
-                                actions.add(
-                                        new RateAction.Lend(
-                                                by.vm(),
-                                                account.workspace.id(),
-                                                0,
-                                                by.loan(),
-                                                false,
-                                                wait)));
-        request.id().ifPresent(id -> actions.add(RateRefusals.usedUp(id, wait)));
-    }
-
-    private static void refuseUnconfirmed(Account account, Held request, List<RateAction> actions) {
-        request.borrower()
-                .ifPresent(
-                        by ->
-                                actions.add(
-                                        new RateAction.Lend(
-                                                by.vm(), account.workspace.id(), 0, by.loan())));
-        request.id().ifPresent(id -> actions.add(RateRefusals.unconfirmed(id)));
-    }
-
-    private static Duration missingTime(Account account, Held request) {
-        double missing = request.tokens() - account.available();
-        double seconds = Math.max(0, missing) / account.workspace.rate();
-        return Duration.ofMillis((long) Math.ceil(seconds * 1000));
+        line.refuse(account, now, actions);
     }
 
     private void askForHeld(Account account, Instant now, List<RateAction> actions) {
         borrowing.tellSpent(account, actions);
-        if (usable(account, now)) {
+        if (right.usable(account, self, now)) {
             borrowing.ask(account, () -> ++counter, now, actions);
         }
     }
@@ -490,17 +310,4 @@
     private void advance(Account account, Instant now) {
         account.advance(keeper.part(account), keeper.kept(account), now);
     }
-
-    private boolean usable(Account account, Instant now) {
-        if (account.row == null) {
-            return right.neverRead();
-        }
-        Optional<ShareTable> table = Optional.ofNullable(account.row).map(RateInput.Row::table);
-        boolean alone = table.map(found -> found.shares().size() <= 1).orElse(true);
-        boolean marked =
-                table.flatMap(found -> found.share(self))
-                        .map(share -> !share.mark().isEmpty())
-                        .orElse(false);
-        return table.isPresent() && !marked && right.holds(alone, now);
-    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateSettings.java
@@ -64,9 +64,9 @@
         return new RateSettings(
                 Duration.ofMinutes(10),
                 Duration.ofMillis(1_500),
-                Duration.ofSeconds(8),
+                Duration.ofSeconds(10),
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(8),
+                Duration.ofSeconds(10),
                 Duration.ofSeconds(2),
                 Duration.ofMillis(150),
                 Duration.ofMillis(500),
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -27,11 +27,17 @@
     /** The owner of a workspace has this long to take its part before the others take theirs. */
     private static final Duration STANDBY_PAUSE = Duration.ofSeconds(3);
 
+    /** How long after its start a router may still be about to get its shares. */
+    private static final Duration JOINING = Duration.ofSeconds(4);
+
     private static final int JITTER_MILLIS = 1_000;
 
     /** A bucket that was nearly full for so long is likely to stay so. */
     private static final Duration PLENTY_FOR = Duration.ofSeconds(1);
 
+    /** From here on an even share holds a few of the largest usual requests. */
+    private static final double EVEN_SHARE_TOKENS = 6_000;
+
     /** All routers but the owner together have no more than one part of so many. */
     private static final int STANDBY_FRACTION = 4;
 
@@ -73,6 +79,11 @@
         return Duration.between(began, now);
     }
 
+    /** True while it may still be about to get its shares, and be short for that reason. */
+    boolean young(Instant now) {
+        return age(now).compareTo(JOINING) < 0;
+    }
+
     /** True if this router should have a share. */
     boolean home(Account account) {
         return right.homes(account.workspace.id()).contains(vm);
@@ -83,6 +94,12 @@
         return account.row != null && account.row.table().share(self).isPresent();
     }
 
+    /** True if one router is to have most of the workspace: an even share would be too small. */
+    boolean owned(Account account) {
+        int homes = right.homes(account.workspace.id()).size();
+        return settings.owned() && account.workspace.burst() / homes < EVEN_SHARE_TOKENS;
+    }
+
     /** True if this router has most of the workspace, and the others ask it. */
     boolean owns(Account account) {
         return settings.owned() && part(account) > ShareTable.WHOLE / 2;
@@ -224,14 +241,14 @@
     // parts everybody waits for, would be kept from theirs by one conflict after the other.
     private boolean standsBack(Account account, Instant now) {
         Duration pause = STANDBY_PAUSE.plusMillis(Math.floorMod(vm.hashCode(), JITTER_MILLIS));
-        return settings.owned()
+        return owned(account)
                 && !joined(account)
                 && !right.ownerOf(account.workspace.id())
                 && age(now).compareTo(pause) < 0;
     }
 
     private ShareTable joined(ShareTable table, Account account, Set<VmId> homes, double grown) {
-        if (!settings.owned()) {
+        if (!owned(account)) {
             return table.join(self, vm, address, homes.size(), grown);
         }
         int standby = standbyPart(homes.size());
@@ -282,7 +299,7 @@
     // killed would else take it along, and with all routers killed at once every workspace would
     // be refused within its rate for seconds.
     private boolean keepsMore(Account account, ShareTable.Share own, Instant now) {
-        boolean worthKeeping = !settings.owned() || owns(account);
+        boolean worthKeeping = !owned(account) || owns(account);
         return settings.keeps()
                 && worthKeeping
                 && account.held.isEmpty()
@@ -363,7 +380,7 @@
     // Everybody wants a little, so that first requests find something where the store is out.
     private int want(Account account, int routers, Instant now) {
         int least = standbyPart(routers);
-        if (settings.owned()) {
+        if (owned(account)) {
             return right.ownerOf(account.workspace.id()) ? ShareTable.WHOLE : least;
         }
         double part = HEADROOM * account.demand(now) / account.workspace.rate();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.control.rates;
 
+import io.damaskyoke.id.Incarnation;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.id.WorkspaceId;
 import java.time.Instant;
@@ -99,8 +100,18 @@
         return all;
     }
 
+    /** True if this life may spend its share of the workspace, and what it borrows, now. */
+    boolean usable(Account account, Incarnation life, Instant now) {
+        if (account.row == null) {
+            return neverRead();
+        }
+        ShareTable table = account.row.table();
+        boolean marked = table.share(life).filter(share -> !share.mark().isEmpty()).isPresent();
+        return !marked && holds(table.shares().size() <= 1, now);
+    }
+
     /** True if shares may be spent; {@code alone} if no other router has any. */
-    boolean holds(boolean alone, Instant now) {
+    private boolean holds(boolean alone, Instant now) {
         if (read == null
                 || read.isBefore(needed)
                 || !now.isBefore(read.plus(settings.validity()))) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectException.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectException.java
@@ -11,7 +11,9 @@
         /** The router can't listen, or was stopped while it started. */
         START_FAILED,
         /** A stored value or a message doesn't have the form that it should. */
-        MALFORMED
+        MALFORMED,
+        /** The store can't be followed now, so the list of routers may be out of date. */
+        LIST_OUT_OF_DATE
     }
 
     /** With no cause below. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -120,8 +120,16 @@
         }
     }
 
+    // A router that is cut off would else take its own copy for the store's word, and spend its
+    // shares for as long as the cut lasts, also after the others have taken them back.
     @Override
     public CompletionStage<List<Vm>> read() {
+        if (!follower.upToDate()) {
+            return CompletableFuture.failedFuture(
+                    new DirectException(
+                            DirectException.Code.LIST_OUT_OF_DATE,
+                            "the store can't be followed now"));
+        }
         List<Vm> vms = new ArrayList<>();
         for (RouterEntry each : routers.values()) {
             vms.add(
