Count what is set aside against the cap, and tick for those who wait only while somebody waits

Cause, found on reading: a router sets its own tokens aside for a request that waits at the owner for the rest, and its bucket filled up beside them, so that more than the burst could be spent in one moment. Change: what is set aside lowers the cap, like what is lent. Red without it: OwnerTest.whatIsSetAsideForARequestIsNotFilledUpMeanwhile (1 token in place of 0).

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -17,7 +17,7 @@
  *
  * <p>At each moment own tokens, loans on their way and loans not spent add up to no more than this
  * router's part of the burst and what others lent it: what is lent lowers the lender's cap until it
- * is spent or has run out.
+ * is spent or has run out. What is set aside for a request that waits for the rest lowers it, too.
  */
 final class Account {
     private static final double DEMAND_SECONDS = 4.0;
@@ -90,7 +90,8 @@
         lent.values().removeIf(loan -> !now.isBefore(loan.until()));
         borrowed.removeIf(loan -> usedUp(loan, now));
         double portion = part / (double) ShareTable.WHOLE;
-        double cap = Math.max(0, portion * workspace.burst() - lentOut());
+        double elsewhere = lentOut() + asksOfOwner.aside();
+        double cap = Math.max(0, portion * workspace.burst() - elsewhere);
         bucket.resize(portion * workspace.rate(), cap);
         held.rate(workspace.rate());
         floor = kept / (double) ShareTable.WHOLE * workspace.burst();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/OwnerAsks.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/OwnerAsks.java
@@ -58,6 +58,11 @@
         open.computeIfPresent(loan, (any, ask) -> ask.queuedThere());
     }
 
+    /** Tokens that are set aside for all of them. */
+    double aside() {
+        return open.values().stream().mapToDouble(Ask::aside).sum();
+    }
+
     int size() {
         return open.size();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -236,9 +236,8 @@
         return moved(account, table, table.share(self).get(), now);
     }
 
-    // At a start of all routers each would write its small part into each row, and the owners,
-    // whose
-    // parts everybody waits for, would be kept from theirs by one conflict after the other.
+    // At a start of all routers each would write its small part into each row. The owners, whose
+    // parts everybody waits for, would lose one race after the other.
     private boolean standsBack(Account account, Instant now) {
         Duration pause = STANDBY_PAUSE.plusMillis(Math.floorMod(vm.hashCode(), JITTER_MILLIS));
         return owned(account)
@@ -294,10 +293,10 @@
         return account.wasShort(now) && kept(account) > 0;
     }
 
-    // What routers beside an owner have is too little to be worth a write. Unspent for a second,
-    // half of the burst can be promised to the next life. A router that is
+    // Unspent for a second, half of the burst can be promised to the next life. A router that is
     // killed would else take it along, and with all routers killed at once every workspace would
-    // be refused within its rate for seconds.
+    // be refused within its rate for seconds. What routers beside an owner have isn't worth a
+    // write.
     private boolean keepsMore(Account account, ShareTable.Share own, Instant now) {
         boolean worthKeeping = !owned(account) || owns(account);
         return settings.keeps()
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -53,6 +53,7 @@
     private final Map<ExchangeId, Consumer<Optional<Refusal>>> verdicts = new HashMap<>();
     private RatePeers peers;
     private RateMachine machine;
+    private boolean tickPlanned;
 
     /** Rates of this life of the router on this VM. */
     public RateAdmission(Parts parts, VmId vm, Incarnation incarnation, RateSettings settings) {
@@ -97,7 +98,6 @@
         machine.began(began);
         configured(workspaces);
         control.every(TICK, () -> feed(new RateInput.Tick()));
-        control.every(WAITING_TICK, this::tickIfWaited);
         control.every(listPeriod, this::readList);
         readList();
     }
@@ -176,15 +176,22 @@
         for (RateAction action : machine.on(input, control.clock().instant())) {
             carryOut(action);
         }
+        tickSoonIfWaited();
     }
 
     // Between two ticks tokens come in for those who wait, and half of an urgent wait goes by.
-    private void tickIfWaited() {
-        if (machine.held() > 0) {
-            feed(new RateInput.Tick());
+    private void tickSoonIfWaited() {
+        if (!tickPlanned && machine.held() > 0) {
+            tickPlanned = true;
+            control.after(WAITING_TICK, this::plannedTick);
         }
     }
 
+    private void plannedTick() {
+        tickPlanned = false;
+        feed(new RateInput.Tick());
+    }
+
     private boolean left() {
         return control.ask(machine::left).toCompletableFuture().join();
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/OwnerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/OwnerTest.java
@@ -73,6 +73,20 @@
         assertEquals(true, verdicts.get(waits));
     }
 
+    @Test
+    void whatIsSetAsideForARequestIsNotFilledUpMeanwhile() {
+        // A router sets its few tokens aside for a request that waits at the owner for the rest. If
+        // its bucket filled up beside them, both would be spent in one moment, beyond the burst.
+        start(six());
+        pass(6_000);
+        VmId router = other(0);
+        lost.add(owner());
+        long waits = arrive(router, 1_000, PATIENT);
+        pass(40);
+        assertFalse(verdicts.containsKey(waits));
+        assertEquals(0, (long) routers.get(router).available(GROWERS));
+    }
+
     @Test
     void aSmallUrgentRequestIsNotPutBehindALargePatientOne() {
         // A report for 1,000 tokens waits at one router; a payment for 50 comes in at another and
