--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -168,9 +168,17 @@
         borrowed.add(new Borrowed(from, loan, tokens, until));
     }
 
-    // What is lent on counts as lent here, and its first lender may fill up again: there is never
-    // more of it than the one loan.
+    /** Lends of its own. */
     void lend(String loan, long tokens, Instant until) {
+        bucket.take(tokens);
+        lent.put(loan, new Lent(tokens, until));
+    }
+
+    /**
+     * Lends of its own and what others lent it. That counts as lent here, and its first lender may
+     * fill up again: there is never more of it than the one loan.
+     */
+    void lendOn(String loan, long tokens, Instant until) {
         spend(tokens);
         lent.put(loan, new Lent(tokens, until));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Line.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Line.java
@@ -50,7 +50,7 @@
             return false;
         }
         Held.Borrower to = request.borrower().get();
-        account.lend(to.loan(), request.tokens(), Lender.loanEnd(settings, now));
+        account.lendOn(to.loan(), request.tokens(), Lender.loanEnd(settings, now));
         actions.add(
                 new RateAction.Lend(to.vm(), account.workspace.id(), request.tokens(), to.loan()));
         return true;
@@ -67,7 +67,7 @@
                 right.usable(account, self, now)
                         && (noneToAsk || borrowing.nothingCame(account))
                         && !filling(account, now)
-                        && !(keeper.young(now) && !keeper.joined(account));
+                        && !(keeper.joining(now) && !keeper.joined(account));
         for (Held request : account.held.inOrder(now)) {
             boolean askedFor = noneToAsk || request.number() <= account.askedUpTo;
             boolean due = !now.isBefore(request.until()) || hopeless && askedFor;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -167,7 +167,7 @@
     private void tick(Instant now, List<RateAction> actions) {
         for (Account account : accounts.values()) {
             advance(account, now);
-            owners.check(account, keeper.young(now), now);
+            owners.check(account, keeper.awaitsOwners(now), now);
             if (right.usable(account, self, now)) {
                 owners.askAgain(account, () -> ++counter, now, actions);
             }
@@ -216,7 +216,12 @@
             return;
         }
         account.held.add(request);
-        work(account, now, actions);
+        if (keeper.owns(account)) {
+            // It may have to go before those who wait already.
+            line.admit(account, now, actions);
+        }
+        askForHeld(account, now, actions);
+        line.refuse(account, now, actions);
     }
 
     // Lets in who can be, asks others for what those who wait lack, and refuses who waits in vain.
@@ -243,7 +248,7 @@
     }
 
     private Duration hold(Instant now) {
-        return keeper.young(now) ? settings.joiningHold() : settings.hold();
+        return keeper.joining(now) ? settings.joiningHold() : settings.hold();
     }
 
     private void settle(RateInput.Settled settled, Instant now, List<RateAction> actions) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -28,7 +28,10 @@
     private static final Duration STANDBY_PAUSE = Duration.ofSeconds(3);
 
     /** How long after its start a router may still be about to get its shares. */
-    private static final Duration JOINING = Duration.ofSeconds(4);
+    private static final Duration JOINING = Duration.ofSeconds(2);
+
+    /** How long after a start of all routers an owner may still be about to take its part. */
+    private static final Duration OWNERS_JOINING = Duration.ofSeconds(4);
 
     private static final int JITTER_MILLIS = 1_000;
 
@@ -80,10 +83,15 @@
     }
 
     /** True while it may still be about to get its shares, and be short for that reason. */
-    boolean young(Instant now) {
+    boolean joining(Instant now) {
         return age(now).compareTo(JOINING) < 0;
     }
 
+    /** True while owners that started along with it may still be about to take their parts. */
+    boolean awaitsOwners(Instant now) {
+        return age(now).compareTo(OWNERS_JOINING) < 0;
+    }
+
     /** True if this router should have a share. */
     boolean home(Account account) {
         return right.homes(account.workspace.id()).contains(vm);
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -200,6 +200,35 @@
         assertFalse(given.contains("LOAD g one 1"), given.toString());
     }
 
+    @Test
+    void aModelWhoseRequestsCanStillBeInTimeGoesBeforeOneWhoseAreLate() {
+        // One engine is free and has copies of both. The one model's request is late already and as
+        // urgent; loaded first for its age, it would make the other's late as well, and that the
+        // next one's, as long as more is asked for than can be loaded.
+        begin(Set.of("g", "h"), Set.of());
+        LoadInput.Want late = new LoadInput.Want(ref("g"), 1, Duration.ofSeconds(2), 1, 0.1, 0);
+        LoadInput.Want inTime = new LoadInput.Want(ref("h"), 1, Duration.ofMillis(300), 1, 0.1, 1);
+        demand(List.of(late, inTime), Map.of());
+        answer(OrderOutcome.ACCEPTED);
+        report(ONE, false, held(1, "b", "c"));
+        assertTrue(given.contains("LOAD h one 1"), given.toString());
+        assertFalse(given.contains("LOAD g one 1"), given.toString());
+    }
+
+    @Test
+    void anUnloadThatWouldWaitForRunsIsNotOrderedWhileRequestsHaveJustCome() {
+        // All models of the engine with the copy are in use. An unload would wait for the run of
+        // the
+        // one it names and bar the engine meanwhile, though another may fall idle first. Only once
+        // requests have waited for a while is it ordered all the same.
+        begin(Set.of("g"), Set.of());
+        Map<UpstreamId, Map<ModelRef, Integer>> runs =
+                Map.of(ONE, Map.of(ref("a"), 1, ref("b"), 1, ref("c"), 1));
+        assertEquals(List.of(), demand(List.of(want("g", 1, 0.2)), runs));
+        LoadInput.Want patient = new LoadInput.Want(ref("g"), 1, Duration.ofMillis(1_600), 1, 0.2);
+        assertEquals(1, demand(List.of(patient), runs).size());
+    }
+
     @Test
     void roomThatWasMadeForARareModelGoesToABusyOneThatHasComeToWait() {
         // An unload waits two seconds for a run. Meanwhile another model becomes busy, and this
