--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Account.java
@@ -98,6 +98,11 @@
         notePlenty(cap, now);
     }
 
+    /** Requests that wait for tokens, here or at the owner. */
+    int waiting() {
+        return held.size() + asksOfOwner.size();
+    }
+
     /** True if a request here, or a router that asked for a loan, lacked tokens a moment ago. */
     boolean wasShort(Instant now) {
         return !held.isEmpty()
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -111,7 +111,7 @@
     public int held() {
         int held = 0;
         for (Account account : accounts.values()) {
-            held += account.held.size() + account.asksOfOwner.size();
+            held += account.waiting();
         }
         return held;
     }
@@ -126,7 +126,7 @@
                 .removeIf(
                         entry ->
                                 !workspaces.containsKey(entry.getKey())
-                                        && entry.getValue().held.isEmpty());
+                                        && entry.getValue().waiting() == 0);
         workspaces.forEach(
                 (id, workspace) ->
                         accounts.computeIfAbsent(id, unused -> account(workspace, now)).workspace =
@@ -206,7 +206,7 @@
             actions.add(new RateAction.Admit(arrived.id()));
             return;
         }
-        if (account.held.size() + account.asksOfOwner.size() >= MOST_HELD) {
+        if (account.waiting() >= MOST_HELD) {
             actions.add(RateRefusals.tooMany(arrived.id()));
             return;
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/TokenQueue.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/TokenQueue.java
@@ -53,17 +53,18 @@
 
     /** Who goes next, or null if nobody waits. */
     Held first(Instant now) {
-        return waiting.isEmpty() ? null : inOrder(now).get(0);
+        return waiting.stream().min(order(now)).orElse(null);
     }
 
     /** All of them, in the order in which they go. */
     List<Held> inOrder(Instant now) {
-        List<Held> sorted = new ArrayList<>(waiting);
-        sorted.sort(
-                Comparator.comparing((Held request) -> late(request, now))
-                        .thenComparing(request -> late(request, now) ? Instant.MIN : turn(request))
-                        .thenComparingLong(Held::number));
-        return sorted;
+        return waiting.stream().sorted(order(now)).toList();
+    }
+
+    private Comparator<Held> order(Instant now) {
+        return Comparator.comparing((Held request) -> late(request, now))
+                .thenComparing(request -> late(request, now) ? Instant.MIN : turn(request))
+                .thenComparingLong(Held::number);
     }
 
     /** True if another router's request with this name waits. */
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/OwnerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/OwnerTest.java
@@ -87,6 +87,23 @@
         assertEquals(0, (long) routers.get(router).available(GROWERS));
     }
 
+    @Test
+    void aRequestThatWaitsAtTheOwnerIsAnsweredThoughItsWorkspaceIsTakenAway() {
+        // A ticket takes the workspace away while a request waits in the owner's line. If its
+        // router
+        // forgot the workspace at once, the owner's answer would meet nobody, and the caller wait
+        // until its own time is over.
+        start(six());
+        pass(6_000);
+        spendAll();
+        VmId router = other(0);
+        long waits = arrive(router, 1_000, PATIENT);
+        pass(20);
+        feed(router, new RateInput.Configured(Map.of()));
+        pass(2_500);
+        assertTrue(verdicts.containsKey(waits));
+    }
+
     @Test
     void aSmallUrgentRequestIsNotPutBehindALargePatientOne() {
         // A report for 1,000 tokens waits at one router; a payment for 50 comes in at another and
