Say how old each view of the store is, and which call gave it

Added, with no change of what is decided: - a gauge store_view_age_ms for configuration, upstreams and routers; a counter of failed calls for changes; - one line when a call for changes ends without an answer, and one when the store is heard of again: when it was sent, at which revision, how old the view was, by a reading or by changes; - a line when a departure is held back; configuration and age_ms in the lines of 401 and 404. So that all of it is in one place, and can be run with time by hand, the product follows the store itself by single calls (follow.Follower over platform.PolledStore); the adapter only translates them. Waits, gaps and repetitions are as before. Stores that push are a type of their own (WatchedStore). Changes carry their own revision. Tests: the stand-in store tells at once where the platform's watch had a pause, so tests that follow it name a pace without one.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationLog.java
@@ -1,6 +1,6 @@
 package io.damaskyoke.control.configuration;
 
-import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.WatchedStore;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -12,12 +12,12 @@
     /** Entries asked for at once; small ones in practice, half a megabyte each at worst. */
     static final int PAGE = 64;
 
-    private final KeyValueStore store;
+    private final WatchedStore store;
     private final String prefix;
     private final String folder;
     private final SnapshotStore snapshots;
 
-    ConfigurationLog(KeyValueStore store, String prefix) {
+    ConfigurationLog(WatchedStore store, String prefix) {
         this.store = store;
         this.prefix = prefix;
         this.folder = prefix + LogKeys.FOLDER;
@@ -60,22 +60,22 @@
      */
     CompletionStage<Boolean> create(long sequence, byte[] value) {
         String key = key(sequence);
-        KeyValueStore.Condition reachable =
+        WatchedStore.Condition reachable =
                 sequence == 1
                         ? snapshots.none()
-                        : new KeyValueStore.Condition.Present(key(sequence - 1));
+                        : new WatchedStore.Condition.Present(key(sequence - 1));
         return store.commit(
-                        List.of(new KeyValueStore.Condition.Absent(key), reachable),
-                        List.of(new KeyValueStore.Write.Put(key, value, 0)))
-                .thenApply(KeyValueStore.TxnResult::committed);
+                        List.of(new WatchedStore.Condition.Absent(key), reachable),
+                        List.of(new WatchedStore.Write.Put(key, value, 0)))
+                .thenApply(WatchedStore.TxnResult::committed);
     }
 
-    KeyValueStore.Watch watch(long fromRevision, KeyValueStore.WatchListener listener) {
+    WatchedStore.Watch watch(long fromRevision, WatchedStore.WatchListener listener) {
         return store.watch(folder, fromRevision, listener);
     }
 
     /** The entries among these changes; a removal is none, since the log only grows. */
-    List<LogEntry> entries(List<KeyValueStore.Change> changes) {
+    List<LogEntry> entries(List<WatchedStore.Change> changes) {
         return entriesOf(changes.stream().flatMap(change -> change.entry().stream()).toList());
     }
 
@@ -90,7 +90,7 @@
                                 new Page(snapshot, page.entries(), page.revision(), page.last()));
     }
 
-    private Page page(KeyValueStore.Listing listing) {
+    private Page page(WatchedStore.Listing listing) {
         return new Page(
                 Optional.empty(),
                 entriesOf(listing.entries()),
@@ -98,7 +98,7 @@
                 listing.entries().size() < PAGE);
     }
 
-    private List<LogEntry> entriesOf(List<KeyValueStore.Entry> found) {
+    private List<LogEntry> entriesOf(List<WatchedStore.Entry> found) {
         return found.stream()
                 .filter(entry -> sequence(entry.key()).isPresent())
                 .map(entry -> new LogEntry(sequence(entry.key()).getAsLong(), entry.value()))
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/ConfigurationService.java
@@ -2,7 +2,7 @@
 
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.configuration.TicketException.Code;
-import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.WatchedStore;
 import io.damaskyoke.timeline.EventType;
 import io.damaskyoke.timeline.Timeline;
 import java.time.Duration;
@@ -86,7 +86,7 @@
     }
 
     /** Begins a service on this control thread and store. */
-    public static Builder builder(Control control, KeyValueStore store, Timeline timeline) {
+    public static Builder builder(Control control, WatchedStore store, Timeline timeline) {
         return new Builder(control, store, timeline);
     }
 
@@ -345,14 +345,14 @@
     /** Puts a {@link ConfigurationService} together. */
     public static final class Builder {
         private final Control control;
-        private final KeyValueStore store;
+        private final WatchedStore store;
         private final Timeline timeline;
         private String prefix = "/damaskyoke";
         private Duration pollPeriod = Duration.ofSeconds(5);
         private boolean direct = true;
         private RandomGenerator random = new SplittableRandom();
 
-        private Builder(Control control, KeyValueStore store, Timeline timeline) {
+        private Builder(Control control, WatchedStore store, Timeline timeline) {
             this.control = Objects.requireNonNull(control, "control");
             this.store = Objects.requireNonNull(store, "store");
             this.timeline = Objects.requireNonNull(timeline, "timeline");
--- a/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/configuration/LogReader.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.control.Control;
 import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.PlatformException;
+import io.damaskyoke.platform.WatchedStore;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -35,7 +36,7 @@
     private final Consumer<Snapshot> snapshots;
     private final Duration period;
     private final RandomGenerator random;
-    private Optional<KeyValueStore.Watch> watch = Optional.empty();
+    private Optional<WatchedStore.Watch> watch = Optional.empty();
     private Optional<Control.Cancellable> timer = Optional.empty();
     private long watchNumber;
     private int failures;
@@ -162,7 +163,7 @@
 
     private void closeWatch() {
         watchNumber++;
-        watch.ifPresent(KeyValueStore.Watch::close);
+        watch.ifPresent(WatchedStore.Watch::close);
         watch = Optional.empty();
     }
 
@@ -190,7 +191,7 @@
     }
 
     /** Hands what a watch says to the control thread. */
-    private final class Listener implements KeyValueStore.WatchListener {
+    private final class Listener implements WatchedStore.WatchListener {
         private final long number;
 
         Listener(long number) {
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
@@ -0,0 +1,64 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.follow.Follower;
+import io.damaskyoke.follow.Hearer;
+import io.damaskyoke.follow.Pace;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.PolledStore;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** Keeps the configuration in force up with the store. Control thread only. */
+final class ConfigurationFollower implements Hearer {
+    private final String key;
+    private final ConfigurationHolder holder;
+    private final Follower follower;
+
+    ConfigurationFollower(
+            Control control,
+            PolledStore store,
+            Dialect dialect,
+            ConfigurationHolder holder,
+            Pace pace,
+            Metrics metrics) {
+        this.key = dialect.configurationKey();
+        this.holder = holder;
+        this.follower =
+                Follower.of("configuration")
+                        .under(key)
+                        .in(store)
+                        .at(pace)
+                        .on(control)
+                        .counting(metrics)
+                        .tell(this);
+    }
+
+    void start() {
+        follower.start();
+    }
+
+    /** How long ago the configuration in force was surely the newest; empty if it never was. */
+    Optional<Duration> age() {
+        return follower.age();
+    }
+
+    @Override
+    public void all(List<Entry> entries, long revision) {
+        entries.forEach(this::offer);
+    }
+
+    @Override
+    public void changed(List<Change> changes, long revision) {
+        changes.forEach(change -> change.entry().ifPresent(this::offer));
+    }
+
+    private void offer(Entry entry) {
+        if (entry.key().equals(key)) {
+            holder.offer(entry.value(), entry.modRevision(), "store");
+        }
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -21,9 +21,7 @@
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.peer.PeerNetwork;
 import io.damaskyoke.peer.Role;
-import io.damaskyoke.platform.KeyValueStore;
-import io.damaskyoke.platform.KeyValueStore.Change;
-import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.PolledStore;
 import io.damaskyoke.rates.RateAdmission;
 import io.damaskyoke.rates.RatePeers;
 import io.damaskyoke.settings.DirectSettings;
@@ -39,7 +37,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -79,7 +76,7 @@
     private final Metrics metrics = new Metrics();
     private final LoopControl control;
     private final HttpClient client;
-    private final KeyValueStore store;
+    private final PolledStore store;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final Membership members;
     private final Neighbours neighbours;
@@ -89,6 +86,7 @@
     private final ConfigurationHolder configuration;
     private final DemandReports reports;
     private final UpstreamFollower upstreamFollower;
+    private final ConfigurationFollower configurationFollower;
     private final Dispatch dispatch;
     private final Flows flows;
     private final RateAdmission rates;
@@ -114,20 +112,20 @@
         this.control = new LoopControl(loop, clock);
         this.client = new HttpClient(loop, CONNECT_TIMEOUT, metrics);
         this.store = stores.open(settings, client, control, metrics);
-        RouterEntry entry =
-                new RouterEntry(
-                        self,
-                        settings.availabilityZone(),
-                        settings.peer().host(),
-                        settings.peer().port());
-        this.members = new Membership(control, store, settings.storePrefix(), entry);
+        this.members =
+                new Membership(
+                        control, store, settings.storePrefix(), entry(), Paces.ROUTERS, metrics);
         this.neighbours = new Neighbours(control, members);
         this.lease = new OrderLease(control, store, members, self);
         this.handOver = new OrderHandOver(control, store, lease, neighbours, members);
         UpstreamCalls calls = new UpstreamCalls(client, dialect, control);
         this.giver = new OrderGiver(control, upstreams, lease, calls, self, neighbours);
         this.configuration = new ConfigurationHolder(dialect, this::configured);
-        this.upstreamFollower = new UpstreamFollower(control, store, dialect, upstreams);
+        this.upstreamFollower =
+                new UpstreamFollower(control, store, dialect, upstreams, Paces.UPSTREAMS, metrics);
+        this.configurationFollower =
+                new ConfigurationFollower(
+                        control, store, dialect, configuration, Paces.CONFIGURATION, metrics);
         this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock);
         this.reports =
                 new DemandReports(
@@ -146,9 +144,7 @@
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
         this.ratePeers = new RatePeers(control, rates);
-        this.ingress =
-                new Ingress(
-                        dialect, configuration, rates, flows, incarnation, new Random(), metrics);
+        this.ingress = ingress();
         this.network = network(timeline);
         ratePeers.over(network);
         neighbours.start(network, new PeerHearer());
@@ -167,7 +163,7 @@
     @FunctionalInterface
     public interface StoreFactory {
         /** The store; all its answers come on the router's one thread. */
-        KeyValueStore open(
+        PolledStore open(
                 DirectSettings settings,
                 HttpClient client,
                 io.damaskyoke.control.Control control,
@@ -223,6 +219,23 @@
         return new Flows(dialect, client, dispatch, clock, bounds, members::size);
     }
 
+    private RouterEntry entry() {
+        return new RouterEntry(
+                self, settings.availabilityZone(), settings.peer().host(), settings.peer().port());
+    }
+
+    private Ingress ingress() {
+        return new Ingress(
+                dialect,
+                configuration,
+                configurationFollower,
+                rates,
+                flows,
+                incarnation,
+                new Random(),
+                metrics);
+    }
+
     private RateAdmission rates(Timeline timeline) {
         RateAdmission.Parts parts =
                 new RateAdmission.Parts(
@@ -256,7 +269,7 @@
     // The store is asked before callers are served: their requests need its answers first of all.
     private void begin(ServerSocketChannel socket) {
         dispatch.onStarved(reports::soon);
-        new Follower(control, store, dialect.configurationKey(), new ConfigurationHearer()).start();
+        configurationFollower.start();
         upstreamFollower.start(new UpstreamHearer());
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
@@ -310,25 +323,6 @@
         dispatch.tick();
     }
 
-    /** Hears of the operators' configuration from the store. */
-    private final class ConfigurationHearer implements Follower.Hearer {
-        @Override
-        public void all(List<Entry> entries, long revision) {
-            entries.forEach(this::offer);
-        }
-
-        @Override
-        public void changed(List<Change> changes, long revision) {
-            changes.forEach(change -> change.entry().ifPresent(this::offer));
-        }
-
-        private void offer(Entry entry) {
-            if (entry.key().equals(dialect.configurationKey())) {
-                configuration.offer(entry.value(), entry.modRevision(), "store");
-            }
-        }
-    }
-
     /** Hears of upstreams, after the table has them. */
     private final class UpstreamHearer implements UpstreamFollower.Listener {
         @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -29,6 +29,7 @@
 
     private final Dialect dialect;
     private final ConfigurationHolder configuration;
+    private final ConfigurationFollower followed;
     private final RateAdmission rates;
     private final Flows flows;
     private final Incarnation self;
@@ -41,6 +42,7 @@
     Ingress(
             Dialect dialect,
             ConfigurationHolder configuration,
+            ConfigurationFollower followed,
             RateAdmission rates,
             Flows flows,
             Incarnation self,
@@ -48,6 +50,7 @@
             Metrics metrics) {
         this.dialect = dialect;
         this.configuration = configuration;
+        this.followed = followed;
         this.rates = rates;
         this.flows = flows;
         this.self = self;
@@ -101,7 +104,7 @@
                     call,
                     request,
                     Refusal.notRun(RefusalCode.UNKNOWN_SERVICE, "no such route"),
-                    request.host() + call.target());
+                    request.host() + call.target() + by(current));
             return;
         }
         Optional<WorkspaceSpec> workspace = request.key().flatMap(current::workspaceOf);
@@ -113,7 +116,7 @@
                     call,
                     request,
                     Refusal.notRun(code, "the caller key is missing or unknown"),
-                    "route=" + route.get().name());
+                    "route=" + route.get().name() + by(current));
             return;
         }
         admit(call, request, route.get(), open ? Optional.empty() : workspace);
@@ -182,6 +185,14 @@
         return Math.max(0, Math.min(LEAST_URGENT, own.orElse(route.priority())));
     }
 
+    // What a denial went by, and how old that was: the first question when one was wrong.
+    private String by(DirectConfiguration current) {
+        return " configuration="
+                + current.version()
+                + " age_ms="
+                + followed.age().map(Duration::toMillis).orElse(-1L);
+    }
+
     private String inputs(Route route, WorkspaceSpec workspace, long tokens) {
         WorkspaceId id = workspace.rated().id();
         return "route="
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -1,12 +1,16 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.follow.Follower;
+import io.damaskyoke.follow.Hearer;
+import io.damaskyoke.follow.Pace;
 import io.damaskyoke.id.AvailabilityZone;
 import io.damaskyoke.id.VmId;
-import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
 import io.damaskyoke.platform.KeyValueStore.Write;
+import io.damaskyoke.platform.PolledStore;
 import io.damaskyoke.platform.VmList;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -35,10 +39,11 @@
     private static final Duration TERM = Duration.ofSeconds(4);
 
     private static final Duration KEEP = Duration.ofMillis(1_000);
+
     private static final Duration RETRY = Duration.ofMillis(300);
 
     private final Control control;
-    private final KeyValueStore store;
+    private final PolledStore store;
     private final RouterEntry self;
     private final String prefix;
     private final Map<VmId, RouterEntry> routers = new TreeMap<>();
@@ -49,12 +54,25 @@
     private long lease;
     private boolean leaving;
 
-    Membership(Control control, KeyValueStore store, String storePrefix, RouterEntry self) {
+    Membership(
+            Control control,
+            PolledStore store,
+            String storePrefix,
+            RouterEntry self,
+            Pace pace,
+            Metrics metrics) {
         this.control = control;
         this.store = store;
         this.self = self;
         this.prefix = storePrefix;
-        this.follower = new Follower(control, store, prefix + FLEET, new Listener());
+        this.follower =
+                Follower.of("routers")
+                        .under(prefix + FLEET)
+                        .in(store)
+                        .at(pace)
+                        .on(control)
+                        .counting(metrics)
+                        .tell(new Listener());
     }
 
     /** Begins; {@code changed} runs whenever a router or the giver of orders has come or gone. */
@@ -192,7 +210,7 @@
     }
 
     /** Takes in what the store says of the fleet. */
-    private final class Listener implements Follower.Hearer {
+    private final class Listener implements Hearer {
         @Override
         public void all(List<Entry> entries, long revision) {
             routers.clear();
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Paces.java
@@ -0,0 +1,18 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.follow.Pace;
+import java.time.Duration;
+
+/** How often a router asks the store for what. */
+final class Paces {
+    /** The operators' configuration. */
+    static final Pace CONFIGURATION = new Pace(Duration.ofMillis(2_500), Duration.ofMillis(800));
+
+    /** The entries of a dozen upstreams change ten times a second, and each call has a price. */
+    static final Pace UPSTREAMS = new Pace(Duration.ofMillis(2_500), Duration.ofMillis(800));
+
+    /** Who is a router, and who gives the orders. */
+    static final Pace ROUTERS = new Pace(Duration.ofMillis(2_500), Duration.ofMillis(800));
+
+    private Paces() {}
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -4,9 +4,13 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
-import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.follow.Follower;
+import io.damaskyoke.follow.Hearer;
+import io.damaskyoke.follow.Pace;
+import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.PolledStore;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
@@ -17,8 +21,9 @@
 import org.apache.logging.log4j.Logger;
 
 /** Keeps the table of upstreams up with the platform's list. Control thread only. */
-final class UpstreamFollower implements Follower.Hearer {
+final class UpstreamFollower implements Hearer {
     private static final Logger LOG = LogManager.getLogger(UpstreamFollower.class);
+
     private static final Duration LOOK = Duration.ofMillis(200);
 
     /**
@@ -47,11 +52,24 @@
         void gone(UpstreamFacts last);
     }
 
-    UpstreamFollower(Control control, KeyValueStore store, Dialect dialect, UpstreamTable table) {
+    UpstreamFollower(
+            Control control,
+            PolledStore store,
+            Dialect dialect,
+            UpstreamTable table,
+            Pace pace,
+            Metrics metrics) {
         this.control = control;
         this.dialect = dialect;
         this.table = table;
-        this.follower = new Follower(control, store, dialect.upstreamPrefix(), this);
+        this.follower =
+                Follower.of("upstreams")
+                        .under(dialect.upstreamPrefix())
+                        .in(store)
+                        .at(pace)
+                        .on(control)
+                        .counting(metrics)
+                        .tell(this);
     }
 
     void start(Listener given) {
@@ -134,6 +152,11 @@
 
     private void remove(UpstreamId id, long revision, boolean afterOutage) {
         if (afterOutage) {
+            LOG.info(
+                    "upstream {} is off the list, revision {}, and kept for {} ms: it may return",
+                    id,
+                    revision,
+                    RETURN_TIME.toMillis());
             control.after(RETURN_TIME, () -> removeNow(id, revision));
         } else {
             removeNow(id, revision);
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Hearer.java
@@ -0,0 +1,14 @@
+package io.damaskyoke.follow;
+
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import java.util.List;
+
+/** Hears what is there and what has changed, on the control thread. */
+public interface Hearer {
+    /** All there is, as of the revision; what isn't there is gone. */
+    void all(List<Entry> entries, long revision);
+
+    /** Keys that were set or removed. */
+    void changed(List<Change> changes, long revision);
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/View.java
@@ -0,0 +1,46 @@
+package io.damaskyoke.follow;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/** Up to when and to which revision a part of the store is known here, and by which answer. */
+final class View {
+    private Instant asOf;
+    private long revision;
+    private Source source;
+
+    /** What an answer was one to. */
+    enum Source {
+        /** A reading of everything. */
+        READING,
+        /** A call for changes. */
+        CHANGES
+    }
+
+    /** Takes an answer in: nothing up to that moment is missing. Never goes back. */
+    void confirm(Instant moment, long upTo, Source by) {
+        if (asOf == null || moment.isAfter(asOf)) {
+            asOf = moment;
+            source = by;
+        }
+        revision = Math.max(revision, upTo);
+    }
+
+    Optional<Instant> asOf() {
+        return Optional.ofNullable(asOf);
+    }
+
+    /** How long ago it was surely complete; empty if nothing was ever read. */
+    Optional<Duration> age(Instant now) {
+        return asOf().map(moment -> Duration.between(moment, now));
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    Optional<Source> source() {
+        return Optional.ofNullable(source);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Keeps up with what the platform's store holds, and knows at each moment how old that knowledge
+ * is.
+ */
+package io.damaskyoke.follow;
--- a/damaskyoke/src/main/java/io/damaskyoke/metrics/Metrics.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/metrics/Metrics.java
@@ -40,6 +40,12 @@
         registry.gauge(name, () -> (Gauge<Number>) value::get);
     }
 
+    /** A value that has a label and is read when somebody asks. */
+    public void gauge(
+            String name, String label, String labelled, Supplier<? extends Number> value) {
+        gauge(labelled(name, label, labelled), value);
+    }
+
     /** All of them, for the exporter. */
     public MetricRegistry registry() {
         return registry;
--- a/damaskyoke/src/main/java/io/damaskyoke/node/AgentRegistrations.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/AgentRegistrations.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.PlatformException;
 import io.damaskyoke.platform.Registration;
+import io.damaskyoke.platform.WatchedStore;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -26,19 +27,19 @@
     private static final Duration RELIST = Duration.ofMinutes(5);
 
     private final Control control;
-    private final KeyValueStore store;
+    private final WatchedStore store;
     private final String prefix;
     private final Metrics metrics;
     private final RegistrationTable table = new RegistrationTable();
     private final List<Consumer<List<Row>>> listeners = new ArrayList<>();
-    private Optional<KeyValueStore.Watch> watch = Optional.empty();
+    private Optional<WatchedStore.Watch> watch = Optional.empty();
     private Optional<Control.Cancellable> timer = Optional.empty();
     private Instant lastListed = Instant.MIN;
     private boolean watching;
     private boolean listing;
     private long watchNumber;
 
-    AgentRegistrations(Control control, KeyValueStore store, String storePrefix, Metrics metrics) {
+    AgentRegistrations(Control control, WatchedStore store, String storePrefix, Metrics metrics) {
         this.control = control;
         this.store = store;
         this.prefix = storePrefix + Registration.PREFIX;
@@ -119,7 +120,7 @@
 
     private void closeWatch() {
         watchNumber++;
-        watch.ifPresent(KeyValueStore.Watch::close);
+        watch.ifPresent(WatchedStore.Watch::close);
         watch = Optional.empty();
         timer.ifPresent(Control.Cancellable::cancel);
     }
@@ -151,7 +152,7 @@
     }
 
     /** Hands what the watch says to the control thread. */
-    private final class Listener implements KeyValueStore.WatchListener {
+    private final class Listener implements WatchedStore.WatchListener {
         private final long number;
 
         Listener(long number) {
--- a/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/Node.java
@@ -20,8 +20,8 @@
 import io.damaskyoke.peer.wire.Heartbeat;
 import io.damaskyoke.platform.EtcdStore;
 import io.damaskyoke.platform.HttpVmList;
-import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.VmList;
+import io.damaskyoke.platform.WatchedStore;
 import io.damaskyoke.settings.PeerSettings;
 import io.damaskyoke.settings.PlatformSettings;
 import io.damaskyoke.settings.ProcessSettings;
@@ -63,7 +63,7 @@
     private final StatusSections sections = new StatusSections();
     private final Timeline timeline;
     private final Control control;
-    private final KeyValueStore store;
+    private final WatchedStore store;
     private final VmList vmList;
     private int listed;
     private final String storePrefix;
@@ -164,7 +164,7 @@
     }
 
     /** The platform's key-value service. */
-    public KeyValueStore store() {
+    public WatchedStore store() {
         return store;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdJson.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdJson.java
@@ -107,7 +107,8 @@
         for (JsonNode event : result.path("events")) {
             Entry entry = entry(event.path("kv"));
             boolean removed = event.path("type").asText("PUT").equals("DELETE");
-            changes.add(new Change(entry.key(), removed ? Optional.empty() : Optional.of(entry)));
+            Optional<Entry> now = removed ? Optional.empty() : Optional.of(entry);
+            changes.add(new Change(entry.key(), entry.modRevision(), now));
         }
         return changes;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdStore.java
@@ -31,7 +31,7 @@
  * <p>Several endpoints are tried in turn; a write goes to the next one only if it surely never
  * reached the one before. Calls are counted as {@code store_calls} and {@code store_failures}.
  */
-public final class EtcdStore implements KeyValueStore {
+public final class EtcdStore implements WatchedStore {
     /** What the service takes in one transaction, unless it was set up otherwise. */
     public static final int MAX_OPERATIONS = 128;
 
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdWatch.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.damaskyoke.platform.KeyValueStore.Change;
-import io.damaskyoke.platform.KeyValueStore.WatchListener;
 import io.damaskyoke.platform.PlatformException.Code;
+import io.damaskyoke.platform.WatchedStore.WatchListener;
 import java.net.URI;
 import java.util.List;
 import java.util.concurrent.CompletionException;
@@ -33,7 +33,7 @@
  * <p>The gateway answers with one JSON object a line. The listener is told of the end exactly once,
  * whatever ends it, unless the watch was closed from this side.
  */
-final class EtcdWatch implements KeyValueStore.Watch {
+final class EtcdWatch implements WatchedStore.Watch {
     private static final int MAX_LINE_BYTES = 16 << 20;
     private static final int OK = 200;
     private static final int HTTPS_PORT = 443;
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/KeyValueStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/KeyValueStore.java
@@ -36,12 +36,6 @@
     /** Ends the lease and removes the keys under it. */
     CompletionStage<Void> revokeLease(long lease);
 
-    /**
-     * Reports changes under the prefix from {@code fromRevision} on, until closed or {@link
-     * WatchListener#ended}. Counts as a call as long as it waits.
-     */
-    Watch watch(String prefix, long fromRevision, WatchListener listener);
-
     /** False from the first call that failed until one is answered again. */
     default boolean up() {
         return true;
@@ -86,21 +80,11 @@
      */
     record TxnResult(boolean committed, long revision, List<Entry> found) {}
 
-    /** Hears what a watch has to say; called from a traffic thread, one call at a time. */
-    interface WatchListener {
-        /** Keys that were set or removed (then without a value), in order of revision. */
-        void changed(List<Change> changes, long revision);
-
-        /** The watch is over: cut, refused, or the wanted revision is no longer kept. */
-        void ended(PlatformException cause);
-    }
-
-    /** One change that a watch saw; {@code entry} is empty if the key was removed. */
-    record Change(String key, Optional<Entry> entry) {}
-
-    /** A running watch. */
-    interface Watch extends AutoCloseable {
-        @Override
-        void close();
-    }
+    /**
+     * One change of a key.
+     *
+     * @param revision the store's revision at the change
+     * @param entry empty if the key was removed
+     */
+    record Change(String key, long revision, Optional<Entry> entry) {}
 }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
@@ -0,0 +1,22 @@
+package io.damaskyoke.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+/** A store that tells changes by calls which wait for them. */
+public interface PolledStore extends KeyValueStore {
+    /**
+     * What has changed under the prefix after a revision: at once if there is anything, else as
+     * soon as there is, and empty after {@code wait}. Fails with {@code COMPACTED} if that part of
+     * the history is no longer kept, and with {@code UNAVAILABLE} if no answer came in time.
+     */
+    CompletionStage<Changes> changes(String prefix, long after, Duration wait);
+
+    /**
+     * Changes in order of revision, and the store's revision up to which there were no others.
+     *
+     * @param changes empty if there were none
+     */
+    record Changes(List<Change> changes, long revision) {}
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
@@ -4,14 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.follow.Pace;
 import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
 class MembershipTest {
+    private static final Pace PACE = new Pace(Duration.ofMillis(2_500), Duration.ZERO);
+
     private final SameThreadControl control = new SameThreadControl();
-    private final FakeStore store = new FakeStore();
+    private final FakeStore store = new FakeStore(control);
 
     @Test
     void aRouterThatIsCutOffHasNoListOfRouters() {
@@ -21,7 +25,12 @@
         // back.
         Membership members =
                 new Membership(
-                        control, store, "p", new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1));
+                        control,
+                        store,
+                        "p",
+                        new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1),
+                        PACE,
+                        new Metrics());
         members.start(() -> {});
         control.advance(Duration.ofSeconds(1));
         assertEquals(1, members.read().toCompletableFuture().join().size());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.follow.Pace;
 import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,8 +15,10 @@
 import org.junit.jupiter.api.Test;
 
 class OrderLeaseTest {
+    private static final Pace PACE = new Pace(Duration.ofMillis(2_500), Duration.ZERO);
+
     private final SameThreadControl control = new SameThreadControl();
-    private final FakeStore store = new FakeStore();
+    private final FakeStore store = new FakeStore(control);
     private final List<String> events = new ArrayList<>();
 
     @Test
@@ -144,7 +148,13 @@
     private OrderLease router(String name) {
         VmId vm = VmId.of(name);
         Membership members =
-                new Membership(control, store, "p", new RouterEntry(vm, "a", "127.0.0.1", 1));
+                new Membership(
+                        control,
+                        store,
+                        "p",
+                        new RouterEntry(vm, "a", "127.0.0.1", 1),
+                        PACE,
+                        new Metrics());
         members.start(() -> {});
         OrderLease lease = new OrderLease(control, store, members, vm);
         lease.start(
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
@@ -5,6 +5,8 @@
 import io.damaskyoke.control.SameThreadControl;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.follow.Pace;
+import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
 import io.damaskyoke.platform.KeyValueStore.Write;
 import java.nio.charset.StandardCharsets;
@@ -14,12 +16,14 @@
 import org.junit.jupiter.api.Test;
 
 class UpstreamFollowerTest {
+    private static final Pace PACE = new Pace(Duration.ofMillis(2_500), Duration.ZERO);
+
     private final SameThreadControl control = new SameThreadControl();
-    private final FakeStore store = new FakeStore();
+    private final FakeStore store = new FakeStore(control);
     private final UpstreamTable table = new UpstreamTable();
     private final List<String> events = new ArrayList<>();
     private final UpstreamFollower follower =
-            new UpstreamFollower(control, store, new TestDialect(), table);
+            new UpstreamFollower(control, store, new TestDialect(), table, PACE, new Metrics());
 
     @Test
     void whatComesLeavesAndGoesIsHeardOf() {
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/EtcdStoreTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/EtcdStoreTest.java
@@ -11,9 +11,9 @@
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Condition;
 import io.damaskyoke.platform.KeyValueStore.Entry;
-import io.damaskyoke.platform.KeyValueStore.WatchListener;
 import io.damaskyoke.platform.KeyValueStore.Write;
 import io.damaskyoke.platform.PlatformException.Code;
+import io.damaskyoke.platform.WatchedStore.WatchListener;
 import io.damaskyoke.timeline.Event;
 import io.damaskyoke.timeline.EventType;
 import io.damaskyoke.timeline.HybridClock;
@@ -44,7 +44,7 @@
     private final Timeline timeline =
             Timeline.of("router-1", HybridClock.over(() -> Instant.EPOCH), 100);
     private final ScriptedGateway gateway = ScriptedGateway.start(system);
-    private final KeyValueStore store = store(Duration.ofSeconds(20), gateway.address());
+    private final WatchedStore store = store(Duration.ofSeconds(20), gateway.address());
 
     @BeforeAll
     static void startSystem() {
@@ -111,7 +111,7 @@
         gateway.answer(503, "{}");
         assertEquals(Code.OUTCOME_UNKNOWN, failure(store.commit(List.of(), List.of(put()))));
         gateway.silence();
-        KeyValueStore hasty = store(Duration.ofMillis(300), gateway.address());
+        WatchedStore hasty = store(Duration.ofMillis(300), gateway.address());
         assertEquals(Code.OUTCOME_UNKNOWN, failure(hasty.commit(List.of(), List.of(put()))));
         assertEquals(3, gateway.requests().size(), "a write must not be sent twice");
     }
@@ -128,7 +128,7 @@
      */
     @Test
     void aWriteThatWasNeverSentHadNoEffect() throws IOException {
-        KeyValueStore nobody = store(Duration.ofSeconds(20), closedPort());
+        WatchedStore nobody = store(Duration.ofSeconds(20), closedPort());
         for (int call = 0; call < 5; call++) {
             assertEquals(Code.UNAVAILABLE, failure(nobody.commit(List.of(), List.of(put()))));
         }
@@ -151,7 +151,7 @@
 
     @Test
     void theNextEndpointIsTriedIfOneIsDown() throws IOException {
-        KeyValueStore pair = store(Duration.ofSeconds(20), closedPort(), gateway.address());
+        WatchedStore pair = store(Duration.ofSeconds(20), closedPort(), gateway.address());
         gateway.answer(200, "{\"header\":{\"revision\":\"4\"},\"succeeded\":true}");
         assertTrue(join(pair.commit(List.of(), List.of(put()))).committed());
     }
@@ -221,7 +221,7 @@
         assertEquals(Code.UNAVAILABLE, failure(list.read()));
     }
 
-    private KeyValueStore store(Duration timeout, URI... endpoints) {
+    private WatchedStore store(Duration timeout, URI... endpoints) {
         return EtcdStore.builder(system)
                 .endpoints(Arrays.asList(endpoints))
                 .timeout(timeout)
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.platform;
 
+import io.damaskyoke.control.Control;
 import io.damaskyoke.platform.PlatformException.Code;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -18,12 +19,14 @@
  * {@code store.down(true)}, {@code store.slow(true)} until {@code release()}, {@code
  * store.loseAnswers(1)}, {@code store.cutWatches()}, {@code store.expire(lease)}.
  */
-public final class FakeStore implements KeyValueStore {
+public final class FakeStore implements WatchedStore, PolledStore {
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final TreeMap<Long, List<Change>> changes = new TreeMap<>();
     private final List<FakeWatch> watches = new ArrayList<>();
     private final Set<Long> leases = new HashSet<>();
     private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+    private final List<Poll> polls = new ArrayList<>();
+    private final Optional<Control> control;
     private long revision = 1;
     private long lastLease;
     private boolean down;
@@ -34,6 +37,16 @@
     private boolean downAfterLoss;
     private int calls;
 
+    /** A store whose calls for changes wait until there is one. */
+    public FakeStore() {
+        this.control = Optional.empty();
+    }
+
+    /** A store whose calls for changes end, by this clock, when their wait is over. */
+    public FakeStore(Control control) {
+        this.control = Optional.of(control);
+    }
+
     /** Refuses every call and ends every watch, as if nothing listened. */
     public synchronized FakeStore down(boolean value) {
         down = value;
@@ -86,6 +99,9 @@
     public synchronized void cutWatches() {
         List<FakeWatch> cut = List.copyOf(watches);
         watches.clear();
+        List<Poll> lost = List.copyOf(polls);
+        polls.clear();
+        lost.forEach(poll -> poll.fail(Code.UNAVAILABLE));
         cut.forEach(watch -> watch.listener.ended(new PlatformException(Code.UNAVAILABLE, "cut")));
     }
 
@@ -193,6 +209,43 @@
         };
     }
 
+    @Override
+    public synchronized CompletionStage<Changes> changes(String prefix, long after, Duration wait) {
+        calls++;
+        if (down || watchesRefused) {
+            return failed(Code.UNAVAILABLE);
+        }
+        Poll poll = new Poll(prefix, after, new CompletableFuture<>());
+        if (watchesSilent || !tell(poll)) {
+            polls.add(poll);
+            control.ifPresent(timers -> timers.after(wait, () -> expire(poll)));
+        }
+        return poll.answer;
+    }
+
+    private synchronized void expire(Poll poll) {
+        if (polls.remove(poll)) {
+            poll.answer.complete(new Changes(List.of(), revision));
+        }
+    }
+
+    private boolean tell(Poll poll) {
+        List<Change> found =
+                changes.tailMap(poll.after, false).values().stream()
+                        .flatMap(List::stream)
+                        .filter(change -> change.key().startsWith(poll.prefix))
+                        .toList();
+        if (!found.isEmpty()) {
+            poll.answer.complete(new Changes(found, revision));
+        }
+        return !found.isEmpty();
+    }
+
+    @Override
+    public synchronized boolean up() {
+        return !down;
+    }
+
     @Override
     public void close() {}
 
@@ -260,7 +313,7 @@
             long version = before == null ? 1 : before.version() + 1;
             Entry entry = new Entry(put.key(), put.value(), revision, version, put.lease());
             entries.put(put.key(), entry);
-            tell(new Change(put.key(), Optional.of(entry)));
+            tell(new Change(put.key(), revision, Optional.of(entry)));
         } else if (write instanceof Write.Delete delete) {
             delete(delete.key());
         }
@@ -268,7 +321,7 @@
 
     private void delete(String key) {
         if (entries.remove(key) != null) {
-            tell(new Change(key, Optional.empty()));
+            tell(new Change(key, revision, Optional.empty()));
         }
     }
 
@@ -276,6 +329,7 @@
         changes.computeIfAbsent(revision, at -> new ArrayList<>()).add(change);
         if (!watchesSilent) {
             List.copyOf(watches).forEach(watch -> watch.tell(change, revision));
+            List.copyOf(polls).stream().filter(this::tell).forEach(polls::remove);
         }
     }
 
@@ -286,4 +340,10 @@
             }
         }
     }
+
+    private record Poll(String prefix, long after, CompletableFuture<Changes> answer) {
+        void fail(Code code) {
+            answer.completeExceptionally(new PlatformException(code, "fake store"));
+        }
+    }
 }
