--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
@@ -0,0 +1,106 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.metrics.Metrics;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The part of a router that follows the store, on a VM and a path that fail. */
+final class FollowingRouter {
+    private final String name;
+    private final Control world;
+    private final FreezingControl control;
+    private final SimulatedPath path;
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final ConfigurationHolder configuration;
+    private final List<SimulatedPath.State> troubles = new ArrayList<>();
+    private int otherTroubles;
+    private Instant calmSince;
+
+    FollowingRouter(String name, Control world, SimulatedStore store) {
+        this.name = name;
+        this.world = world;
+        this.control = new FreezingControl(world);
+        this.path = new SimulatedPath(control, world, store);
+        TestDialect dialect = new TestDialect();
+        Metrics metrics = new Metrics();
+        this.configuration = new ConfigurationHolder(dialect, any -> {});
+        this.calmSince = world.clock().instant();
+        new ConfigurationFollower(
+                        control, path, dialect, configuration, Paces.CONFIGURATION, metrics)
+                .start();
+        new UpstreamFollower(control, path, dialect, upstreams, Paces.UPSTREAMS, metrics)
+                .start(new Nobody());
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** The version in force; 0 if there is none. */
+    long version() {
+        return configuration.current().map(each -> each.version()).orElse(0L);
+    }
+
+    /** True if the router would send requests to the upstream. */
+    boolean uses(String upstream) {
+        return upstreams
+                .find(UpstreamId.of(upstream))
+                .filter((Upstream each) -> each.takes(world.clock().instant()))
+                .isPresent();
+    }
+
+    void pathFails(SimulatedPath.State how) {
+        troubles.add(how);
+        path.set(how);
+    }
+
+    void pathReturns(SimulatedPath.State how) {
+        troubles.remove(how);
+        path.set(troubles.isEmpty() ? SimulatedPath.State.OPEN : troubles.get(0));
+        calmed();
+    }
+
+    void freeze() {
+        otherTroubles++;
+        if (!control.frozen()) {
+            control.freeze();
+        }
+    }
+
+    void thaw() {
+        otherTroubles--;
+        if (otherTroubles == 0) {
+            control.thaw();
+            calmed();
+        }
+    }
+
+    /** Notes that something else than path or VM has just got over. */
+    void calmed() {
+        calmSince = world.clock().instant();
+    }
+
+    boolean calm() {
+        return troubles.isEmpty() && otherTroubles == 0;
+    }
+
+    /** Since when nothing is wrong with the way to the store; only while {@link #calm}. */
+    Instant calmSince() {
+        return calmSince;
+    }
+
+    /** Needs no telling. */
+    private static final class Nobody implements UpstreamFollower.Listener {
+        @Override
+        public void listed(UpstreamFacts facts) {}
+
+        @Override
+        public void gone(UpstreamFacts last) {}
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/FreezingControl.java
@@ -0,0 +1,107 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+/**
+ * A router's control thread on a VM that can stand still: what comes meanwhile waits, and timers go
+ * on where they stood, as those of a virtual machine do.
+ */
+final class FreezingControl implements Control {
+    private final Control world;
+    private final List<Runnable> parked = new ArrayList<>();
+    private Duration lost = Duration.ZERO;
+    private Instant frozenAt;
+
+    FreezingControl(Control world) {
+        this.world = world;
+    }
+
+    boolean frozen() {
+        return frozenAt != null;
+    }
+
+    void freeze() {
+        frozenAt = world.clock().instant();
+    }
+
+    void thaw() {
+        lost = lost.plus(Duration.between(frozenAt, world.clock().instant()));
+        frozenAt = null;
+        List<Runnable> waited = List.copyOf(parked);
+        parked.clear();
+        waited.forEach(this::run);
+    }
+
+    @Override
+    public void run(Runnable step) {
+        if (frozen()) {
+            parked.add(step);
+        } else {
+            world.run(step);
+        }
+    }
+
+    @Override
+    public <T> CompletionStage<T> ask(Supplier<T> step) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        run(() -> result.complete(step.get()));
+        return result;
+    }
+
+    @Override
+    public Cancellable after(Duration delay, Runnable step) {
+        boolean[] off = new boolean[1];
+        arm(running().plus(delay), step, off);
+        return () -> off[0] = true;
+    }
+
+    @Override
+    public Cancellable every(Duration period, Runnable step) {
+        boolean[] off = new boolean[1];
+        again(period, step, off);
+        return () -> off[0] = true;
+    }
+
+    @Override
+    public InstantSource clock() {
+        return world.clock();
+    }
+
+    private void again(Duration period, Runnable step, boolean[] off) {
+        Runnable turn =
+                () -> {
+                    step.run();
+                    again(period, step, off);
+                };
+        arm(running().plus(period), turn, off);
+    }
+
+    private void arm(Instant due, Runnable step, boolean[] off) {
+        world.after(Duration.between(running(), due), () -> run(() -> fire(due, step, off)));
+    }
+
+    private void fire(Instant due, Runnable step, boolean[] off) {
+        if (off[0]) {
+            return;
+        }
+        if (running().isBefore(due)) {
+            arm(due, step, off);
+        } else {
+            step.run();
+        }
+    }
+
+    // The time of a clock that stands still with the VM.
+    private Instant running() {
+        Instant now = frozen() ? frozenAt : world.clock().instant();
+        return now.minus(lost);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedPath.java
@@ -0,0 +1,168 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.platform.PolledStore;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+/**
+ * One router's way to the store: {@code path.set(State.SILENT)}. A call that is under way when the
+ * path falls silent is never answered, also when the path is back.
+ */
+final class SimulatedPath implements PolledStore {
+    private static final Duration ONE_WAY = Duration.ofMillis(2);
+    private static final Duration SLOW = Duration.ofMillis(250);
+
+    /** As the store's client gives up. */
+    private static final Duration TIME_LIMIT = Duration.ofMillis(1_500);
+
+    private final Control control;
+    private final Control clock;
+    private final SimulatedStore store;
+    private final Set<Call<?>> open = new HashSet<>();
+    private State state = State.OPEN;
+    private boolean up = true;
+
+    /** What becomes of calls. */
+    enum State {
+        OPEN,
+        /** Nothing comes back. */
+        SILENT,
+        /** Turned away at once, and what waits is cut. */
+        REFUSING,
+        /** Each answer takes a quarter of a second. */
+        SLOW,
+        /** Calls arrive and are carried out; no answer comes back. */
+        ONE_WAY
+    }
+
+    private record Call<T>(CompletableFuture<T> answer) {}
+
+    /** A path whose router's timers run on {@code control}, and the store's on {@code clock}. */
+    SimulatedPath(Control control, Control clock, SimulatedStore store) {
+        this.control = control;
+        this.clock = clock;
+        this.store = store;
+    }
+
+    State state() {
+        return state;
+    }
+
+    void set(State given) {
+        state = given;
+        if (given == State.SILENT || given == State.ONE_WAY) {
+            open.clear();
+        } else if (given == State.REFUSING) {
+            List<Call<?>> cut = List.copyOf(open);
+            open.clear();
+            cut.forEach(each -> fail(each, "reset"));
+        }
+    }
+
+    @Override
+    public CompletionStage<Listing> list(String prefix) {
+        return call(
+                Duration.ZERO,
+                () ->
+                        CompletableFuture.completedFuture(
+                                new Listing(store.list(prefix), store.revision())));
+    }
+
+    @Override
+    public CompletionStage<Changes> changes(String prefix, long after, Duration wait) {
+        return call(wait, () -> store.changes(prefix, after, wait));
+    }
+
+    private <T> CompletionStage<T> call(Duration wait, Supplier<CompletableFuture<T>> carriedOut) {
+        Call<T> call = new Call<>(new CompletableFuture<>());
+        control.after(wait.plus(TIME_LIMIT), () -> fail(call, "no answer"));
+        if (state == State.REFUSING) {
+            clock.after(ONE_WAY, () -> fail(call, "refused"));
+            return call.answer;
+        }
+        if (state != State.SILENT) {
+            boolean answerLost = state == State.ONE_WAY;
+            if (!answerLost) {
+                open.add(call);
+            }
+            clock.after(oneWay(), () -> arrive(call, carriedOut));
+        }
+        return call.answer;
+    }
+
+    private <T> void arrive(Call<T> call, Supplier<CompletableFuture<T>> carriedOut) {
+        carriedOut
+                .get()
+                .whenComplete(
+                        (value, failure) ->
+                                clock.after(oneWay(), () -> back(call, value, failure)));
+    }
+
+    private <T> void back(Call<T> call, T value, Throwable failure) {
+        if (!open.remove(call)) {
+            return;
+        }
+        up = true;
+        if (failure == null) {
+            call.answer.complete(value);
+        } else {
+            call.answer.completeExceptionally(failure);
+        }
+    }
+
+    private void fail(Call<?> call, String why) {
+        open.remove(call);
+        if (call.answer.completeExceptionally(SimulatedStore.unavailable(why))) {
+            up = false;
+        }
+    }
+
+    private Duration oneWay() {
+        return state == State.SLOW ? SLOW.dividedBy(2) : ONE_WAY;
+    }
+
+    @Override
+    public boolean up() {
+        return up;
+    }
+
+    @Override
+    public CompletionStage<Optional<Entry>> read(String key) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Listing> range(String from, String to, int limit) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<TxnResult> commit(List<Condition> conditions, List<Write> writes) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Long> grantLease(Duration ttl) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Boolean> keepAlive(long lease) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Void> revokeLease(long lease) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
@@ -0,0 +1,71 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class StorePromisesTest {
+    private static final int SEEDS = 200;
+    private static final Duration PHASE = Duration.ofMillis(100);
+    private static final int PHASES = 45;
+    private static final int SHOWN = 4;
+
+    // Guards against a call that nobody will answer, which hides what the store says after its
+    // return.
+    @Test
+    void aConfigurationIsInForceInTimeAfterTheStoreFellSilent() {
+        List<String> broken = new ArrayList<>();
+        for (int phase = 0; phase < PHASES; phase++) {
+            for (Duration length : List.of(Duration.ofMillis(400), Duration.ofSeconds(9))) {
+                StoreWorld world = new StoreWorld();
+                world.pass(PHASE.multipliedBy(phase));
+                world.outage(SimulatedPath.State.SILENT, length);
+                world.pass(length.plusMillis(100));
+                world.change();
+                world.pass(Duration.ofSeconds(6));
+                broken.addAll(world.broken());
+            }
+        }
+        assertNone(broken);
+    }
+
+    // Guards against taking a departure that comes after an outage for an entry that lapsed in it.
+    @Test
+    void anUpstreamThatLeavesSomeTimeAfterAnOutageGetsNothingMore() {
+        List<String> broken = new ArrayList<>();
+        for (int phase = 0; phase < PHASES; phase++) {
+            StoreWorld world = new StoreWorld();
+            world.pass(PHASE.multipliedBy(phase));
+            world.outage(SimulatedPath.State.SILENT, Duration.ofSeconds(6));
+            world.pass(Duration.ofSeconds(6).plus(StoreWorld.SETTLED));
+            world.leave(world.alive().get(0));
+            world.pass(Duration.ofSeconds(4));
+            broken.addAll(world.broken());
+        }
+        assertNone(broken);
+    }
+
+    // Guards against any mix of troubles that makes a change late, takes one back, or drops what
+    // lives.
+    @Test
+    void anyMixOfTroublesKeepsThePromises() {
+        List<String> broken = new ArrayList<>();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            StoreWorld world = new StoreWorld();
+            new StoreTroubles(world, seed).play();
+            if (!world.broken().isEmpty()) {
+                broken.add("seed " + seed + ": " + world.broken().get(0));
+            }
+        }
+        assertNone(broken);
+    }
+
+    // A seed that fails breaks many promises; the first few say enough.
+    private static void assertNone(List<String> broken) {
+        String first = String.join("; ", broken.subList(0, Math.min(SHOWN, broken.size())));
+        assertEquals("", first, broken.size() + " in all");
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
@@ -0,0 +1,254 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.SameThreadControl;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Some routers that follow one store, with time by hand, and the promises that they make: what is
+ * acknowledged is in force everywhere within two seconds, counted from the end of trouble where
+ * there was some; nothing goes back; an upstream that lives and returns in time stays in use.
+ */
+final class StoreWorld {
+    /** What operators are promised of a configuration, and upstreams that leave. */
+    static final Duration BOUND = Duration.ofSeconds(2);
+
+    /**
+     * An entry that vanished about the time of an outage may be one that lapsed, and is waited for.
+     * The store counts as settled after this long.
+     */
+    static final Duration SETTLED = Duration.ofSeconds(3);
+
+    private static final Duration STEP = Duration.ofMillis(10);
+    private static final int ROUTERS = 3;
+    private static final int UPSTREAMS = 4;
+
+    private final SameThreadControl world = new SameThreadControl();
+    private final SimulatedStore store = new SimulatedStore(world);
+    private final List<FollowingRouter> routers = new ArrayList<>();
+    private final TreeMap<Long, Instant> versions = new TreeMap<>();
+    private final Map<String, Instant> left = new HashMap<>();
+    private final Map<String, Instant> drained = new HashMap<>();
+    private final Map<String, Instant> joined = new HashMap<>();
+    private final TreeSet<String> alive = new TreeSet<>();
+    private final Map<FollowingRouter, Set<String>> used = new HashMap<>();
+    private final Map<FollowingRouter, Long> highest = new HashMap<>();
+    private final List<Runnable> postponed = new ArrayList<>();
+    private final List<String> broken = new ArrayList<>();
+    private int outages;
+    private long version;
+    private int upstreams;
+
+    StoreWorld() {
+        change();
+        for (int each = 0; each < UPSTREAMS; each++) {
+            join();
+        }
+        for (int each = 0; each < ROUTERS; each++) {
+            routers.add(new FollowingRouter("router-" + each, world, store));
+        }
+        pass(BOUND);
+    }
+
+    /** What was promised and not kept, one line each; a promise is named once for a router. */
+    List<String> broken() {
+        return broken;
+    }
+
+    List<FollowingRouter> routers() {
+        return routers;
+    }
+
+    /** The upstreams that are there to stay. */
+    List<String> alive() {
+        return List.copyOf(alive);
+    }
+
+    /** Lets time pass, and holds the promises against the truth all the while. */
+    void pass(Duration duration) {
+        Instant end = world.clock().instant().plus(duration);
+        while (world.clock().instant().isBefore(end)) {
+            world.advance(STEP);
+            routers.forEach(this::check);
+        }
+    }
+
+    void after(Duration delay, Runnable step) {
+        world.after(delay, step);
+    }
+
+    /** Operators change the configuration; while the store is out, as soon as it is back. */
+    void change() {
+        write(
+                () -> {
+                    version++;
+                    store.put("configuration", bytes(Long.toString(version)));
+                    versions.put(version, world.clock().instant());
+                });
+    }
+
+    /** A new upstream comes. */
+    void join() {
+        String id = "i-" + ++upstreams;
+        alive.add(id);
+        write(
+                () -> {
+                    store.put("up/" + id, bytes("ready"));
+                    joined.put(id, world.clock().instant());
+                });
+    }
+
+    /** An upstream says that it leaves. */
+    void drain(String id) {
+        alive.remove(id);
+        write(
+                () -> {
+                    store.put("up/" + id, bytes("draining"));
+                    drained.put(id, world.clock().instant());
+                });
+    }
+
+    /** An upstream leaves without a word: its entry is removed. */
+    void leave(String id) {
+        alive.remove(id);
+        write(
+                () -> {
+                    store.remove("up/" + id);
+                    left.put(id, world.clock().instant());
+                });
+    }
+
+    /** An upstream's entry lapses while the store is out; the upstream writes it anew. */
+    void lapse(String id, Duration untilBack) {
+        store.remove("up/" + id);
+        world.after(
+                untilBack,
+                () -> {
+                    if (alive.contains(id)) {
+                        store.put("up/" + id, bytes("ready"));
+                    }
+                });
+    }
+
+    /** The store is out for all: routers, operators, upstreams. */
+    void outage(SimulatedPath.State how, Duration length) {
+        outages++;
+        routers.forEach(each -> each.pathFails(how));
+        world.after(
+                length,
+                () -> {
+                    outages--;
+                    routers.forEach(each -> each.pathReturns(how));
+                    if (outages == 0) {
+                        List<Runnable> waited = List.copyOf(postponed);
+                        postponed.clear();
+                        waited.forEach(Runnable::run);
+                    }
+                });
+    }
+
+    /** One router loses the store, and operators don't. */
+    void cut(FollowingRouter router, SimulatedPath.State how, Duration length) {
+        router.pathFails(how);
+        world.after(length, () -> router.pathReturns(how));
+    }
+
+    /** One router's VM stands still. */
+    void freeze(FollowingRouter router, Duration length) {
+        router.freeze();
+        world.after(length, router::thaw);
+    }
+
+    /** Those that wait hear nothing for a while; then the history is dropped. */
+    void dropHistory(Duration after) {
+        store.mute();
+        world.after(
+                after,
+                () -> {
+                    store.dropHistory();
+                    routers.forEach(FollowingRouter::calmed);
+                });
+    }
+
+    private void write(Runnable step) {
+        if (outages > 0) {
+            postponed.add(step);
+        } else {
+            step.run();
+        }
+    }
+
+    private void check(FollowingRouter router) {
+        long seen = router.version();
+        if (seen < highest.getOrDefault(router, 0L)) {
+            report(router, "went back", seen);
+        }
+        highest.merge(router, seen, Math::max);
+        checkAlive(router, world.clock().instant());
+        if (!router.calm()) {
+            return;
+        }
+        Instant now = world.clock().instant();
+        Instant calm = router.calmSince();
+        versions.forEach(
+                (number, at) -> {
+                    if (seen < number && overdue(at, router, now)) {
+                        report(router, "has not in force version", number);
+                    }
+                });
+        drained.forEach(
+                (id, at) -> {
+                    if (router.uses(id) && overdue(at, router, now)) {
+                        report(router, "still uses, though it drains,", id);
+                    }
+                });
+        left.forEach(
+                (id, at) -> {
+                    Instant due = later(at.plus(BOUND), calm.plus(SETTLED));
+                    if (router.uses(id) && !now.isBefore(due)) {
+                        report(router, "still uses, though it left,", id);
+                    }
+                });
+    }
+
+    private void checkAlive(FollowingRouter router, Instant now) {
+        Set<String> known = used.computeIfAbsent(router, any -> new HashSet<>());
+        for (String id : alive) {
+            if (router.uses(id)) {
+                known.add(id);
+            } else if (known.contains(id)) {
+                report(router, "dropped, though it lives,", id);
+            } else if (router.calm() && overdue(joined.get(id), router, now)) {
+                report(router, "does not use, though it came,", id);
+            }
+        }
+    }
+
+    private static boolean overdue(Instant at, FollowingRouter router, Instant now) {
+        return at != null && !now.isBefore(later(at, router.calmSince()).plus(BOUND));
+    }
+
+    private void report(FollowingRouter router, String what, Object which) {
+        String line = router.name() + ' ' + what + ' ' + which;
+        if (!broken.contains(line)) {
+            broken.add(line);
+        }
+    }
+
+    private static Instant later(Instant one, Instant other) {
+        return one.isAfter(other) ? one : other;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -7,14 +7,19 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.http.HttpLimits;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
-/** A deployment that stores an upstream as the word "ready" or "draining", and no more. */
+/**
+ * A deployment that stores an upstream as the word "ready" or "draining", a configuration as its
+ * version, and no more.
+ */
 final class TestDialect implements Dialect {
     @Override
     public String configurationKey() {
@@ -49,7 +54,9 @@
 
     @Override
     public DirectConfiguration configuration(byte[] value, long revision) {
-        throw new UnsupportedOperationException();
+        long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+        return new DirectConfiguration(
+                version, revision, List.of(), Map.of(), Map.of(), Map.of(), HttpLimits.usual());
     }
 
     @Override
