Ask again beside a call for changes that nobody answers

Cause: a call for changes waits up to 2.5 s and was given up 1.5 s later. One that was under way when the store fell silent is never answered, also after the store's return, and nothing else was asked meanwhile: up to 4.3 s in which a router that has the store answers for everything else knows nothing of its changes. All routers' calls ran in step since the outage, so no neighbour knew better. Class: a belief whose age is not known, renewed by one call that may be lost. Evidence: the call of each router is given up at 37.527, four seconds after it was sent in the outage, and all versions come 0.3 s later; between, the same routers' other calls were answered. Ruled out: versions left out as older or unreadable (that writes a line), the neighbours' news. Change: a call that has no answer 0.4 s after its wait is followed by another beside it that does not wait; answers are taken in whatever order they come, and each tells only what is new. The same for the first reading. Lateness is seen by the clock that counts a freeze. Why not shorter waits alone: at 1 s they would still be given up only 1.5 s later; giving up earlier would never hear a store that takes half a second. One thing in the simulated store was wrong and is corrected: it told a revision beyond changes that it hid, which the platform's page rules out (continue from the revision that was told).

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.Control;
 import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Listing;
 import io.damaskyoke.platform.PlatformException;
 import io.damaskyoke.platform.PlatformException.Code;
@@ -9,15 +10,20 @@
 import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * Keeps up with all keys under a prefix: reads them, asks for changes, and reads them anew when the
- * store has dropped its history. While the store is out, what was heard last stands.
+ * store has dropped its history. A call that is not answered in time is followed by another beside
+ * it, so that what is known is never older than {@link Pace#bound} while the store answers. While
+ * it is out, what was heard last stands.
  *
  * <pre>{@code
  * Follower.of("upstreams").under("servers/").in(store).at(pace).on(control).counting(metrics)
@@ -32,6 +38,11 @@
 
     private static final Duration RETRY = Duration.ofMillis(300);
 
+    private static final Duration LOOK = Duration.ofMillis(100);
+
+    /** Calls without an answer; more of them would only add to the load of a slow store. */
+    private static final int MOST_OPEN = 8;
+
     private final String name;
     private final String prefix;
     private final PolledStore store;
@@ -40,6 +51,9 @@
     private final Metrics metrics;
     private final Hearer hearer;
     private final View view = new View();
+    private final Set<Call> open = new HashSet<>();
+    private Call newest;
+    private boolean reading = true;
     private boolean failing;
     private boolean silent;
 
@@ -63,6 +77,7 @@
     public Follower start() {
         metrics.gauge("store_view_age_ms", "of", name, this::ageMillis);
         read();
+        control.every(LOOK, this::look);
         return this;
     }
 
@@ -86,83 +101,130 @@
     }
 
     private void read() {
-        Instant askedAt = control.clock().instant();
+        Call call = begin(Duration.ZERO, this::read);
         store.list(prefix)
-                .whenComplete((found, failure) -> control.run(() -> took(askedAt, found, failure)));
+                .whenComplete((found, failure) -> control.run(() -> took(call, found, failure)));
     }
 
-    private void took(Instant askedAt, Listing found, Throwable failure) {
+    private void took(Call call, Listing found, Throwable failure) {
+        open.remove(call);
         if (found == null) {
             if (!failing) {
                 LOG.warn("can't read {} from the store: {}", name, failure.getMessage());
             }
             failing = true;
-            control.after(READ_RETRY, this::read);
+            if (call == newest) {
+                control.after(READ_RETRY, this::read);
+            }
+            return;
+        }
+        if (!reading) {
+            // Another reading, sent beside this one, was answered first.
             return;
         }
+        reading = false;
         failing = false;
-        confirm(askedAt, askedAt, found.revision(), View.Source.READING);
+        confirm(call, call.at(), found.revision(), View.Source.READING);
         hearer.all(found.entries(), found.revision());
-        ask();
+        ask(pace.patience());
     }
 
-    private void ask() {
-        Instant askedAt = control.clock().instant();
-        store.changes(prefix, view.revision(), pace.patience())
+    private void ask(Duration patience) {
+        Call call = begin(patience, () -> ask(Duration.ZERO));
+        store.changes(prefix, view.revision(), patience)
                 .whenComplete(
-                        (changes, failure) ->
-                                control.run(() -> answered(askedAt, changes, failure)));
+                        (changes, failure) -> control.run(() -> answered(call, changes, failure)));
+    }
+
+    private Call begin(Duration patience, Runnable again) {
+        newest = new Call(control.clock().instant(), patience, again);
+        open.add(newest);
+        return newest;
+    }
+
+    // A call under way when the store goes away is never answered, also after its return, and hides
+    // what happens until it is given up. One beside it needs no more than a moment. Both may still
+    // be answered; what is known already is left out.
+    private void look() {
+        boolean overdue = !control.clock().instant().isBefore(newest.due());
+        if (!overdue || !open.contains(newest) || open.size() >= MOST_OPEN) {
+            return;
+        }
+        metrics.count("store_asks_overdue", "of", name);
+        silent(newest, "no answer yet");
+        newest.again().run();
     }
 
-    private void answered(Instant askedAt, Changes changes, Throwable failure) {
+    private void answered(Call call, Changes changes, Throwable failure) {
+        open.remove(call);
+        if (reading) {
+            return;
+        }
         if (changes == null) {
-            failed(askedAt, failure);
+            failed(call, failure);
             return;
         }
-        confirm(askedAt, asOf(askedAt, changes), changes.revision(), View.Source.CHANGES);
-        if (!changes.changes().isEmpty()) {
-            hearer.changed(changes.changes(), lastOf(changes));
+        List<Change> news =
+                changes.changes().stream()
+                        .filter(change -> change.revision() > view.revision())
+                        .toList();
+        confirm(call, asOf(call, changes), changes.revision(), View.Source.CHANGES);
+        if (!news.isEmpty()) {
+            hearer.changed(news, news.get(news.size() - 1).revision());
         }
-        Instant next = askedAt.plus(pace.gap());
+        if (call == newest) {
+            askAfterGap(call);
+        }
+    }
+
+    private void askAfterGap(Call call) {
+        Instant next = call.at().plus(pace.gap());
         Duration pause = Duration.between(control.clock().instant(), next);
         if (pause.isNegative() || pause.isZero()) {
-            ask();
+            ask(pace.patience());
         } else {
-            control.after(pause, this::ask);
+            control.after(pause, () -> ask(pace.patience()));
         }
     }
 
     // An empty answer at the end of the wait says that there was nothing as long as it lasted.
-    private Instant asOf(Instant askedAt, Changes changes) {
-        Instant waited = askedAt.plus(pace.patience());
+    private Instant asOf(Call call, Changes changes) {
+        Instant waited = call.at().plus(call.patience());
         boolean whole = changes.changes().isEmpty() && !control.clock().instant().isBefore(waited);
-        return whole ? waited : askedAt;
-    }
-
-    private static long lastOf(Changes changes) {
-        return changes.changes().get(changes.changes().size() - 1).revision();
+        return whole ? waited : call.at();
     }
 
-    private void failed(Instant askedAt, Throwable failure) {
+    private void failed(Call call, Throwable failure) {
         if (compacted(failure)) {
             LOG.info("the store has dropped the history of {}, reading it anew", name);
             failing = true;
+            reading = true;
             read();
             return;
         }
         metrics.count("store_asks_failed", "of", name);
-        if (!silent) {
-            silent = true;
-            LOG.info(
-                    "no changes of {}: a call sent {} ms ago at revision {} ended with {}, view"
-                            + " is {} ms old",
-                    name,
-                    Duration.between(askedAt, control.clock().instant()).toMillis(),
-                    view.revision(),
-                    failure.getMessage(),
-                    ageMillis());
+        silent(call, failure.getMessage());
+        if (call == newest) {
+            control.after(RETRY, () -> ask(Duration.ZERO));
+        }
+    }
+
+    private void silent(Call call, String why) {
+        if (silent) {
+            return;
         }
-        control.after(RETRY, this::ask);
+        silent = true;
+        LOG.info(
+                "no changes of {}: a call sent {} ms ago at revision {}: {}; view is {} ms old",
+                name,
+                millisSince(call),
+                view.revision(),
+                why,
+                ageMillis());
+    }
+
+    private long millisSince(Call call) {
+        return Duration.between(call.at(), control.clock().instant()).toMillis();
     }
 
     private static boolean compacted(Throwable failure) {
@@ -170,7 +232,7 @@
         return cause instanceof PlatformException known && known.code() == Code.COMPACTED;
     }
 
-    private void confirm(Instant askedAt, Instant asOf, long revision, View.Source source) {
+    private void confirm(Call call, Instant asOf, long revision, View.Source source) {
         if (silent) {
             silent = false;
             LOG.info(
@@ -178,12 +240,43 @@
                     name,
                     revision,
                     source,
-                    Duration.between(askedAt, control.clock().instant()).toMillis(),
+                    millisSince(call),
                     ageMillis());
         }
         view.confirm(asOf, revision, source);
     }
 
+    /** One call; it is the same as another only if it is that call. */
+    private static final class Call {
+        private final Instant at;
+        private final Duration patience;
+        private final Runnable again;
+
+        Call(Instant at, Duration patience, Runnable again) {
+            this.at = at;
+            this.patience = patience;
+            this.again = again;
+        }
+
+        Instant at() {
+            return at;
+        }
+
+        Duration patience() {
+            return patience;
+        }
+
+        /** What to do beside it if it is not answered. */
+        Runnable again() {
+            return again;
+        }
+
+        /** When its answer should be here. */
+        Instant due() {
+            return at.plus(patience).plus(Pace.ANSWER);
+        }
+    }
+
     /** Gathers what a follower needs; {@link #tell} makes it. */
     public static final class Builder {
         private final String name;
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Pace.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Pace.java
@@ -10,6 +10,9 @@
  * @param gap the least time from one call to the next, so that changes in a row are told together
  */
 public record Pace(Duration patience, Duration gap) {
+    /** How long an answer may be on its way; the platform's store takes milliseconds. */
+    static final Duration ANSWER = Duration.ofMillis(400);
+
     /** Refuses what is negative. */
     public Pace {
         Objects.requireNonNull(patience, "a pace needs a patience");
@@ -18,4 +21,13 @@
             throw new IllegalArgumentException("patience and gap of a pace can't be negative");
         }
     }
+
+    /**
+     * How long after an acknowledgement a change is known at the latest, while the store answers:
+     * the call that was under way when it came back may be one that nobody answers.
+     */
+    public Duration bound() {
+        Duration unanswered = patience.plus(ANSWER);
+        return unanswered.compareTo(gap) > 0 ? unanswered : gap;
+    }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
@@ -25,6 +25,7 @@
     private long revision = 1;
     private long kept = 1;
     private boolean mute;
+    private long mutedAt;
 
     private record Waiting(String prefix, long after, CompletableFuture<Changes> answer) {}
 
@@ -55,6 +56,7 @@
     /** Those that wait hear nothing from now on, until the history is dropped. */
     void mute() {
         mute = true;
+        mutedAt = revision;
     }
 
     /** Forgets all changes, and cuts off those that wait for one. */
@@ -95,7 +97,7 @@
 
     private void expire(Waiting call) {
         if (waiting.remove(call)) {
-            call.answer.complete(new Changes(List.of(), revision));
+            call.answer.complete(new Changes(List.of(), mute ? mutedAt : revision));
         }
     }
 
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -0,0 +1,141 @@
+package io.damaskyoke.follow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.KeyValueStore.Listing;
+import io.damaskyoke.platform.PlatformException;
+import io.damaskyoke.platform.PlatformException.Code;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class FollowerTest {
+    private static final Pace PACE = new Pace(Duration.ofSeconds(1), Duration.ofMillis(200));
+
+    private final SameThreadControl control = new SameThreadControl();
+    private final HandStore store = new HandStore();
+    private final List<Long> heard = new ArrayList<>();
+    private final Follower follower =
+            Follower.of("test")
+                    .under("k")
+                    .in(store)
+                    .at(PACE)
+                    .on(control)
+                    .counting(new Metrics())
+                    .tell(new Revisions());
+
+    // Guards against a lost answer that hides all that comes after it.
+    @Test
+    void aCallThatIsNotAnsweredIsFollowedByOneBesideIt() {
+        read(5);
+        pass(PACE.bound().plusMillis(100));
+        assertEquals(2, store.asks.size());
+        store.asks.get(1).complete(HandStore.set(7));
+        assertEquals(List.of(5L, 7L), heard);
+    }
+
+    // Guards against news that is told twice, or goes back, when two calls are answered out of
+    // order.
+    @Test
+    void anAnswerThatComesLateTellsOnlyWhatIsNew() {
+        read(5);
+        pass(PACE.bound().plusMillis(100));
+        store.asks.get(1).complete(HandStore.set(6, 7));
+        store.asks.get(0).complete(HandStore.set(6));
+        assertEquals(List.of(5L, 6L, 7L), heard);
+        pass(Duration.ofSeconds(1));
+        assertEquals(List.of(5L, 5L, 7L), store.askedAfter);
+    }
+
+    // Guards against a late answer that starts a second chain of calls, and doubles their price.
+    @Test
+    void onlyTheNewestCallLeadsToTheNext() {
+        read(5);
+        pass(PACE.bound().plusMillis(100));
+        store.asks.get(0).complete(HandStore.set(6));
+        pass(Duration.ofMillis(250));
+        assertEquals(2, store.asks.size());
+        store.asks.get(1).complete(HandStore.nothing(6));
+        pass(Duration.ofMillis(250));
+        assertEquals(3, store.asks.size());
+    }
+
+    // Guards against a flood of calls to a store that is slow already.
+    @Test
+    void aStoreThatAnswersNothingIsNotFlooded() {
+        read(5);
+        pass(Duration.ofMinutes(5));
+        assertEquals(8, store.asks.size());
+    }
+
+    // Guards against a lost answer to a reading, with which a router would never begin.
+    @Test
+    void aReadingThatIsNotAnsweredIsFollowedByOneBesideIt() {
+        follower.start();
+        pass(Duration.ofMillis(500));
+        store.readings.get(1).complete(listing(5));
+        store.readings.get(0).complete(listing(4));
+        assertEquals(List.of(5L), heard);
+        assertEquals(List.of(5L), store.askedAfter);
+    }
+
+    @Test
+    void aHistoryThatWasDroppedIsReadAnew() {
+        read(5);
+        store.asks.get(0).completeExceptionally(new PlatformException(Code.COMPACTED, "gone"));
+        store.readings.get(1).complete(listing(9));
+        assertEquals(List.of(5L, 9L), heard);
+        assertEquals(List.of(5L, 9L), store.askedAfter);
+    }
+
+    @Test
+    void theAgeIsThatOfTheLastAnswer() {
+        assertEquals(Optional.empty(), follower.age());
+        read(5);
+        pass(Duration.ofMillis(300));
+        assertEquals(Optional.of(Duration.ofMillis(300)), follower.age());
+        // An answer tells of the moment at which it was asked for.
+        store.asks.get(0).complete(HandStore.set(6));
+        assertEquals(Optional.of(Duration.ofMillis(300)), follower.age());
+    }
+
+    @Test
+    void anEmptyAnswerAtTheEndOfItsWaitIsGoodUpToThen() {
+        read(5);
+        pass(PACE.patience().plusMillis(5));
+        store.asks.get(0).complete(HandStore.nothing(8));
+        assertEquals(Optional.of(Duration.ofMillis(5)), follower.age());
+    }
+
+    private void read(long revision) {
+        follower.start();
+        store.readings.get(0).complete(listing(revision));
+    }
+
+    private static Listing listing(long revision) {
+        return new Listing(List.of(HandStore.entry("k", revision)), revision);
+    }
+
+    private void pass(Duration duration) {
+        control.advance(duration);
+    }
+
+    /** Notes the revisions that it is told. */
+    private final class Revisions implements Hearer {
+        @Override
+        public void all(List<Entry> entries, long revision) {
+            heard.add(revision);
+        }
+
+        @Override
+        public void changed(List<Change> changes, long revision) {
+            changes.forEach(change -> heard.add(change.revision()));
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/HandStore.java
@@ -0,0 +1,83 @@
+package io.damaskyoke.follow;
+
+import io.damaskyoke.platform.PolledStore;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** A store whose every answer is given by hand: {@code store.asks.get(0).complete(...)}. */
+final class HandStore implements PolledStore {
+    final List<CompletableFuture<Changes>> asks = new ArrayList<>();
+    final List<CompletableFuture<Listing>> readings = new ArrayList<>();
+    final List<Long> askedAfter = new ArrayList<>();
+
+    @Override
+    public CompletionStage<Changes> changes(String prefix, long after, Duration wait) {
+        askedAfter.add(after);
+        CompletableFuture<Changes> answer = new CompletableFuture<>();
+        asks.add(answer);
+        return answer;
+    }
+
+    @Override
+    public CompletionStage<Listing> list(String prefix) {
+        CompletableFuture<Listing> answer = new CompletableFuture<>();
+        readings.add(answer);
+        return answer;
+    }
+
+    static Entry entry(String key, long revision) {
+        return new Entry(key, key.getBytes(StandardCharsets.UTF_8), revision, 1, 0);
+    }
+
+    /** An answer that tells of keys set at these revisions, the last of which is the store's. */
+    static Changes set(long... revisions) {
+        List<Change> changes =
+                Arrays.stream(revisions)
+                        .mapToObj(at -> new Change("k", at, Optional.of(entry("k", at))))
+                        .toList();
+        return new Changes(changes, revisions[revisions.length - 1]);
+    }
+
+    static Changes nothing(long revision) {
+        return new Changes(List.of(), revision);
+    }
+
+    @Override
+    public CompletionStage<Optional<Entry>> read(String key) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Listing> range(String from, String to, int limit) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<TxnResult> commit(List<Condition> conditions, List<Write> writes) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Long> grantLease(Duration ttl) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Boolean> keepAlive(long lease) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Void> revokeLease(long lease) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void close() {}
+}
