Take each change of an upstream's entry for its own revision

Callers would see: an upstream that lives gets nothing, until its entry changes again. Cause: a removal was noted at the revision of the last change in the same answer. If the entry came back in that answer, its return looked older than its removal: dropped at once, or 2.2 s later when held back. After an outage all changes come in one answer. Change: each removal counts at its own revision. Red before: UpstreamFollowerTest.anEntryThatWentAndCameBackInOneAnswerStays.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -98,7 +98,7 @@
             if (change.entry().isPresent()) {
                 put(change.entry().get());
             } else {
-                remove(id(change.key()), revision, afterOutage);
+                remove(id(change.key()), change.revision(), afterOutage);
             }
         }
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
@@ -71,6 +71,25 @@
         assertEquals("i-1 gone", events.get(events.size() - 1));
     }
 
+    // Guards against dropping an upstream whose entry went and came back between two answers.
+    @Test
+    void anEntryThatWentAndCameBackInOneAnswerStays() {
+        start();
+        put("i-1", "ready");
+        put("i-2", "ready");
+        store.down(true);
+        pass(3_000);
+        store.silenceWatches(true).down(false);
+        remove("i-1");
+        put("i-1", "ready");
+        remove("i-2");
+        store.silenceWatches(false);
+        pass(5_000);
+        assertEquals(
+                List.of("i-1"),
+                table.all().stream().map(each -> each.facts().id().value()).toList());
+    }
+
     @Test
     void anUnreadableEntryLeavesTheOthersInUse() {
         start();
