Ask the store before a caller is told that its key or route is unknown

Change (Denials): a no needs a configuration that is known to be the newest as of the request, less 0.25 s. Else the store is asked once for all who wait; 300 ms without an answer and the caller is told 503, not run, come back in a second. Price: at most four calls a second and router while callers with unknown keys come, none else; in an outage callers with bad keys hear 503 after 300 ms in place of 401. Red without it: PlatformRouterTest.aKeyIsGoodAtOnceThoughTheRouterHasNotHeardOfIt (401), anUnknownKeyIsToldToComeBackWhileTheStoreIsOut. Ran: PlatformRouterTest, FollowerTest, NamesTest.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
@@ -9,8 +9,10 @@
 import io.damaskyoke.platform.KeyValueStore.Entry;
 import io.damaskyoke.platform.PolledStore;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Keeps the configuration in force up with the store. Control thread only. */
 final class ConfigurationFollower implements Hearer {
@@ -46,6 +48,14 @@
         return follower.age();
     }
 
+    /**
+     * Tells, once, when the configuration in force is the newest as of the moment, or {@code false}
+     * if that can't be known within the limit.
+     */
+    void whenKnown(Instant moment, Duration limit, Consumer<Boolean> told) {
+        follower.whenKnown(moment, limit, told);
+    }
+
     @Override
     public void all(List<Entry> entries, long revision, Duration silence) {
         entries.forEach(this::offer);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -30,6 +30,7 @@
     private final Dialect dialect;
     private final ConfigurationHolder configuration;
     private final ConfigurationFollower followed;
+    private final Denials denials;
     private final RateAdmission rates;
     private final Flows flows;
     private final Incarnation self;
@@ -58,6 +59,7 @@
         this.random = random;
         this.metrics = metrics;
         this.early = new EarlyCalls(clock);
+        this.denials = new Denials(followed, clock, metrics);
     }
 
     @Override
@@ -79,18 +81,16 @@
 
     /** Refuses what came early and has waited long enough; called a few times a second. */
     void check() {
-        early.late().forEach(this::refuseEarly);
+        early.late().forEach(this::refuseUnconfirmed);
     }
 
-    private void refuseEarly(HttpCall call) {
-        refuse(
-                call,
-                request(call),
+    private void refuseUnconfirmed(HttpCall call) {
+        Refusal refusal =
                 Refusal.notRun(
-                                RefusalCode.CONFIGURATION_UNCONFIRMED,
-                                "this router has no configuration yet")
-                        .retryAfter(COME_BACK),
-                "");
+                        RefusalCode.CONFIGURATION_UNCONFIRMED,
+                        "this router doesn't know the newest configuration");
+        String inputs = configuration.current().map(this::by).orElse("");
+        refuse(call, request(call), refusal.retryAfter(COME_BACK), inputs);
     }
 
     private CallerRequest request(HttpCall call) {
@@ -98,28 +98,53 @@
     }
 
     private void serve(HttpCall call, CallerRequest request, DirectConfiguration current) {
+        if (denial(call, request, current).isPresent()) {
+            denials.decide(call, () -> settle(call, request), () -> refuseUnconfirmed(call));
+        } else {
+            letIn(call, request, current);
+        }
+    }
+
+    // By what is in force now, which may be newer than when the caller came.
+    private void settle(HttpCall call, CallerRequest request) {
+        DirectConfiguration current = configuration.current().orElseThrow();
+        Optional<Denial> denial = denial(call, request, current);
+        if (denial.isPresent()) {
+            refuse(call, request, denial.get().refusal(), denial.get().inputs() + by(current));
+        } else {
+            letIn(call, request, current);
+        }
+    }
+
+    private Optional<Denial> denial(
+            HttpCall call, CallerRequest request, DirectConfiguration current) {
         Optional<Route> route = configuration.routes().find(request.host(), call.target());
         if (route.isEmpty()) {
-            refuse(
-                    call,
-                    request,
-                    Refusal.notRun(RefusalCode.UNKNOWN_SERVICE, "no such route"),
-                    request.host() + call.target() + by(current));
-            return;
+            Refusal refusal = Refusal.notRun(RefusalCode.UNKNOWN_SERVICE, "no such route");
+            return Optional.of(new Denial(refusal, request.host() + call.target()));
         }
-        Optional<WorkspaceSpec> workspace = request.key().flatMap(current::workspaceOf);
-        boolean open = route.get().anonymous() || current.workspaces().isEmpty();
-        if (!open && workspace.isEmpty()) {
-            RefusalCode code =
-                    request.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
-            refuse(
-                    call,
-                    request,
-                    Refusal.notRun(code, "the caller key is missing or unknown"),
-                    "route=" + route.get().name() + by(current));
-            return;
+        if (open(route.get(), current) || workspace(request, current).isPresent()) {
+            return Optional.empty();
         }
-        admit(call, request, route.get(), open ? Optional.empty() : workspace);
+        RefusalCode code =
+                request.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
+        Refusal refusal = Refusal.notRun(code, "the caller key is missing or unknown");
+        return Optional.of(new Denial(refusal, "route=" + route.get().name()));
+    }
+
+    private void letIn(HttpCall call, CallerRequest request, DirectConfiguration current) {
+        Route route = configuration.routes().find(request.host(), call.target()).orElseThrow();
+        boolean open = open(route, current);
+        admit(call, request, route, open ? Optional.empty() : workspace(request, current));
+    }
+
+    private static boolean open(Route route, DirectConfiguration current) {
+        return route.anonymous() || current.workspaces().isEmpty();
+    }
+
+    private static Optional<WorkspaceSpec> workspace(
+            CallerRequest request, DirectConfiguration current) {
+        return request.key().flatMap(current::workspaceOf);
     }
 
     private void admit(
@@ -216,4 +241,7 @@
         flows.log().refused(request, refusal, inputs);
         Refusals.send(call, dialect.ownAnswer(request.attempt()), refusal);
     }
+
+    /** Why a caller is not let in, and what that goes by. */
+    private record Denial(Refusal refusal, String inputs) {}
 }
