Wait for a lapsed upstream through readings, outages and freezes that follow

Callers would see: an upstream that lives gets nothing for a second, or one that left gets requests for longer than it may, when trouble follows trouble. A reading and the calls for changes could also start beside each other, so that a reading that is not answered led nowhere; only one is planned at a time, and calls wait for a reading. The simulated store raised the revision up to which it tells when its history was dropped twice in a row; corrected. Ran: StorePromisesTest, UpstreamFollowerTest, FollowerTest, MembershipTest, OrderLeaseTest, PlatformRouterTest.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -13,8 +13,10 @@
 import io.damaskyoke.platform.PolledStore;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
@@ -28,7 +30,7 @@
      * Entries may lapse while the store is out, and are back within two seconds of its return if
      * their upstream lives. Dropped at once, a whole fleet that still answers would be refused.
      */
-    private static final Duration RETURN_TIME = Duration.ofMillis(2_200);
+    private static final Duration RETURN_TIME = Duration.ofMillis(2_100);
 
     /** How long the store is asked whether an entry is back, before it is asked again. */
     private static final Duration KNOWN_LIMIT = Duration.ofMillis(500);
@@ -40,6 +42,7 @@
     private final Dialect dialect;
     private final UpstreamTable table;
     private final Follower follower;
+    private final Map<UpstreamId, Long> awaited = new HashMap<>();
     private Listener listener;
 
     /** Hears what the list says, after the table has it. */
@@ -121,6 +124,7 @@
             LOG.warn("the entry {} names no upstream and is left out", entry.key());
             return;
         }
+        awaited.remove(facts.get().id());
         Optional<UpstreamFacts> before = table.find(facts.get().id()).map(known -> known.facts());
         if (!table.put(facts.get(), control.clock().instant())) {
             return;
@@ -139,10 +143,16 @@
     }
 
     private void remove(UpstreamId id, long revision, boolean afterOutage) {
-        if (!afterOutage) {
+        if (afterOutage) {
+            await(id, revision);
+        } else if (!awaited.containsKey(id)) {
             removeNow(id, revision);
-            return;
         }
+    }
+
+    // A second outage begins the time anew.
+    private void await(UpstreamId id, long revision) {
+        awaited.put(id, revision);
         LOG.info(
                 "upstream {} is off the list, revision {}, and kept for {} ms: it may return",
                 id,
@@ -152,21 +162,32 @@
     }
 
     // An entry that came back in time may not be heard of yet. Dropped now, an upstream that lives
-    // would get nothing until then; with the store out again, nobody knows.
+    // would get nothing until then; with the store out again, nobody knows. A reading, since
+    // changes are told late about the time at which the store drops its history.
     private void removeUnlessBack(UpstreamId id, long revision) {
+        if (!awaited.getOrDefault(id, 0L).equals(revision)) {
+            return;
+        }
         Instant returned = control.clock().instant();
+        follower.readAnew();
         follower.whenKnown(
                 returned,
                 KNOWN_LIMIT,
                 known -> {
                     if (known) {
-                        removeNow(id, revision);
+                        removeIfAwaited(id, revision);
                     } else {
                         removeUnlessBack(id, revision);
                     }
                 });
     }
 
+    private void removeIfAwaited(UpstreamId id, long revision) {
+        if (awaited.remove(id, revision)) {
+            removeNow(id, revision);
+        }
+    }
+
     private void removeNow(UpstreamId id, long revision) {
         Optional<UpstreamFacts> last = table.find(id).map(known -> known.facts());
         if (table.remove(id, revision)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -57,6 +57,8 @@
     private final List<Waiter> waiters = new ArrayList<>();
     private Call newest;
     private Call beside;
+    private Control.Cancellable planned = () -> {};
+    private Instant plannedFor = Instant.MAX;
     private boolean reading = true;
     private boolean failing;
     private boolean silent;
@@ -100,6 +102,14 @@
         return view.age(control.clock().instant());
     }
 
+    /** Reads everything anew, so that {@link #whenKnown} waits for a reading. */
+    public void readAnew() {
+        if (!reading) {
+            reading = true;
+            read();
+        }
+    }
+
     /**
      * Tells, once, when everything up to the moment is known here; the hearer has heard of it then.
      * Asks for it if need be, together with others who wait. Tells {@code false} if the store
@@ -163,7 +173,7 @@
             }
             failing = true;
             if (call == newest) {
-                control.after(READ_RETRY, this::read);
+                plan(READ_RETRY, this::read);
             }
             return;
         }
@@ -180,6 +190,10 @@
     }
 
     private void ask(Duration patience) {
+        if (reading) {
+            // Goes on when the reading is answered.
+            return;
+        }
         send(begin(patience, () -> ask(Duration.ZERO)));
     }
 
@@ -190,24 +204,48 @@
     }
 
     private Call begin(Duration patience, Runnable again) {
+        planned.cancel();
         newest = new Call(control.clock().instant(), patience, again);
         open.add(newest);
         return newest;
     }
 
+    private void plan(Duration pause, Runnable step) {
+        plannedFor = control.clock().instant().plus(pause);
+        planned = control.after(pause, step);
+    }
+
+    private void look() {
+        Instant now = control.clock().instant();
+        if (!open.contains(newest)) {
+            askAfterStandstill(now);
+        } else if (!now.isBefore(newest.due()) && open.size() < MOST_OPEN) {
+            askBesideUnanswered();
+        }
+    }
+
     // A call under way when the store goes away is never answered, also after its return, and hides
     // what happens until it is given up. One beside it needs no more than a moment. Both may still
     // be answered; what is known already is left out.
-    private void look() {
-        boolean overdue = !control.clock().instant().isBefore(newest.due());
-        if (!overdue || !open.contains(newest) || open.size() >= MOST_OPEN) {
-            return;
-        }
+    private void askBesideUnanswered() {
         metrics.count("store_asks_overdue", "of", name);
         silent(newest, "no answer yet");
         newest.again().run();
     }
 
+    // A pause in which the VM stood still ends as much later; what came meanwhile would wait for
+    // it.
+    private void askAfterStandstill(Instant now) {
+        if (now.isBefore(plannedFor.plus(LOOK))) {
+            return;
+        }
+        if (reading) {
+            read();
+        } else {
+            ask(Duration.ZERO);
+        }
+    }
+
     private void answered(Call call, Changes changes, Throwable failure) {
         open.remove(call);
         if (reading) {
@@ -245,7 +283,7 @@
         if (pause.isNegative() || pause.isZero()) {
             ask(pace.patience());
         } else {
-            control.after(pause, () -> ask(pace.patience()));
+            plan(pause, () -> ask(pace.patience()));
         }
     }
 
@@ -258,23 +296,18 @@
 
     private void failed(Call call, Throwable failure) {
         if (compacted(failure)) {
+            LOG.info("the store has dropped the history of {}, reading it anew", name);
+            failing = true;
             readAnew();
             return;
         }
         metrics.count("store_asks_failed", "of", name);
         silent(call, failure.getMessage());
         if (call == newest) {
-            control.after(RETRY, () -> ask(Duration.ZERO));
+            plan(RETRY, () -> ask(Duration.ZERO));
         }
     }
 
-    private void readAnew() {
-        LOG.info("the store has dropped the history of {}, reading it anew", name);
-        failing = true;
-        reading = true;
-        read();
-    }
-
     private void silent(Call call, String why) {
         if (silent) {
             return;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
@@ -55,8 +55,8 @@
 
     /** Those that ask for changes hear of no new ones, until the history is dropped. */
     void mute() {
+        mutedAt = told();
         mute = true;
-        mutedAt = revision;
     }
 
     /** Forgets all changes, and cuts off those that wait for one. */
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class StorePromisesTest {
     /** Others by hand: -Dstore.first=1000 -Dstore.count=20000. */
@@ -51,21 +53,53 @@
         assertNone(broken);
     }
 
+    // Guards against a reading anew, which drops an upstream that is waited for after an outage.
+    @Test
+    void anUpstreamThatLapsedIsWaitedForThoughTheHistoryIsDropped() {
+        StoreWorld world = new StoreWorld();
+        String lapsed = world.alive().get(0);
+        world.outage(SimulatedPath.State.SILENT, Duration.ofSeconds(5));
+        world.after(Duration.ofSeconds(4), () -> world.lapse(lapsed, Duration.ofMillis(2_800)));
+        world.pass(Duration.ofMillis(5_600));
+        world.dropHistory(Duration.ofMillis(500));
+        world.change();
+        world.pass(Duration.ofSeconds(5));
+        assertNone(world.broken());
+    }
+
     // Guards against any mix of troubles that makes a change late, takes one back, or drops what
     // lives.
     @Test
     void anyMixOfTroublesKeepsThePromises() {
         List<String> broken = new ArrayList<>();
         for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
-            StoreWorld world = new StoreWorld();
-            new StoreTroubles(world, seed).play();
-            if (!world.broken().isEmpty()) {
-                broken.add("seed " + seed + ": " + String.join("\n", world.story()) + '\n');
-            }
+            broken.addAll(played(seed));
         }
         assertNone(broken);
     }
 
+    // Guards against what each of these mixes has shown.
+    @ParameterizedTest
+    @CsvSource({
+        "100171, a reading anew dropped what was waited for",
+        "101488, changes told late hid an entry that was back",
+        "100320, a second outage did not begin the wait anew",
+        "100049, a pause outlasted a freeze and a departure was taken for a lapse",
+        "210922, a shorter freeze in a pause did the same",
+        "106297, a freeze and an outage in a row were taken for a longer one"
+    })
+    void aMixThatFailedOnceKeepsThePromises(long seed, String cause) {
+        assertEquals(List.of(), played(seed), cause);
+    }
+
+    private static List<String> played(long seed) {
+        StoreWorld world = new StoreWorld();
+        new StoreTroubles(world, seed).play();
+        return world.broken().isEmpty()
+                ? List.of()
+                : List.of("seed " + seed + ": " + String.join("\n", world.story()) + '\n');
+    }
+
     // A seed that fails breaks many promises; the first few say enough.
     private static void assertNone(List<String> broken) {
         String first = String.join("; ", broken.subList(0, Math.min(SHOWN, broken.size())));
