Take the follower apart, and have it go on when a hearer fails

Cleaning up: a call, a planned step, and those who wait to know are small classes of their own; the view no longer keeps which answer gave it, which only the log needs. Found while reading: a hearer that throws (an entry that nobody foresaw) ended the following without a word, since the next call is made after it was told. The periodic look goes on now where nothing is under way and nothing planned. Red without it: FollowerTest.aHearerThatFailsHearsTheRest.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -10,7 +10,6 @@
 import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -54,11 +53,10 @@
     private final Hearer hearer;
     private final View view = new View();
     private final Set<Call> open = new HashSet<>();
-    private final List<Waiter> waiters = new ArrayList<>();
+    private final Waiters waiters;
+    private final Planned planned;
     private Call newest;
     private Call beside;
-    private Control.Cancellable planned = () -> {};
-    private Instant plannedFor = Instant.MAX;
     private boolean reading = true;
     private boolean failing;
     private boolean silent;
@@ -72,6 +70,8 @@
         this.metrics =
                 Objects.requireNonNull(from.metrics, "a follower needs metrics: counting(...)");
         this.hearer = Objects.requireNonNull(hearer, "a follower needs somebody to tell");
+        this.waiters = new Waiters(control);
+        this.planned = new Planned(control);
     }
 
     /** Begins to make a follower; logs and metrics call what it follows by this name. */
@@ -99,7 +99,7 @@
 
     /** How long ago what is known here was surely complete; empty before the first reading. */
     public Optional<Duration> age() {
-        return view.age(control.clock().instant());
+        return view.age(now());
     }
 
     /** Reads everything anew, so that {@link #whenKnown} waits for a reading. */
@@ -116,30 +116,16 @@
      * hasn't said so within the limit.
      */
     public void whenKnown(Instant moment, Duration limit, Consumer<Boolean> told) {
-        if (known(moment)) {
+        if (view.reaches(moment)) {
             told.accept(true);
             return;
         }
-        Waiter waiter = new Waiter(moment, told);
-        waiters.add(waiter);
-        control.after(limit, () -> giveUp(waiter));
+        waiters.add(moment, limit, told);
         askBeside();
     }
 
-    private boolean known(Instant moment) {
-        return view.asOf().filter(asOf -> !asOf.isBefore(moment)).isPresent();
-    }
-
-    private void giveUp(Waiter waiter) {
-        if (waiters.remove(waiter)) {
-            waiter.told.accept(false);
-        }
-    }
-
     private void release() {
-        List<Waiter> served = waiters.stream().filter(each -> known(each.moment)).toList();
-        waiters.removeAll(served);
-        served.forEach(each -> each.told.accept(true));
+        waiters.release(view);
         if (!waiters.isEmpty()) {
             askBeside();
         }
@@ -150,11 +136,15 @@
         if (reading || open.contains(beside) || open.size() >= MOST_OPEN) {
             return;
         }
-        beside = new Call(control.clock().instant(), Duration.ZERO, () -> {});
+        beside = new Call(now(), Duration.ZERO, () -> {});
         open.add(beside);
         send(beside);
     }
 
+    private Instant now() {
+        return control.clock().instant();
+    }
+
     private long ageMillis() {
         return age().map(Duration::toMillis).orElse(-1L);
     }
@@ -173,7 +163,7 @@
             }
             failing = true;
             if (call == newest) {
-                plan(READ_RETRY, this::read);
+                planned.in(READ_RETRY, this::read);
             }
             return;
         }
@@ -183,7 +173,7 @@
         }
         reading = false;
         failing = false;
-        Duration silence = confirm(call, call.at(), found.revision(), View.Source.READING);
+        Duration silence = confirm(call, call.at(), found.revision(), Source.READING);
         hearer.all(found.entries(), found.revision(), silence);
         ask(pace.patience());
         release();
@@ -205,21 +195,15 @@
 
     private Call begin(Duration patience, Runnable again) {
         planned.cancel();
-        newest = new Call(control.clock().instant(), patience, again);
+        newest = new Call(now(), patience, again);
         open.add(newest);
         return newest;
     }
 
-    private void plan(Duration pause, Runnable step) {
-        plannedFor = control.clock().instant().plus(pause);
-        planned = control.after(pause, step);
-    }
-
     private void look() {
-        Instant now = control.clock().instant();
         if (!open.contains(newest)) {
-            askAfterStandstill(now);
-        } else if (!now.isBefore(newest.due()) && open.size() < MOST_OPEN) {
+            goOn();
+        } else if (!now().isBefore(newest.due()) && open.size() < MOST_OPEN) {
             askBesideUnanswered();
         }
     }
@@ -233,10 +217,9 @@
         newest.again().run();
     }
 
-    // A pause in which the VM stood still ends as much later; what came meanwhile would wait for
-    // it.
-    private void askAfterStandstill(Instant now) {
-        if (now.isBefore(plannedFor.plus(LOOK))) {
+    // The VM stood still in a pause, or a hearer failed at what it was told.
+    private void goOn() {
+        if (!planned.missing(LOOK)) {
             return;
         }
         if (reading) {
@@ -259,8 +242,8 @@
                 changes.changes().stream()
                         .filter(change -> change.revision() > view.revision())
                         .toList();
-        Instant asOf = asOf(call, changes);
-        Duration silence = confirm(call, asOf, changes.revision(), View.Source.CHANGES);
+        Instant goodUpTo = call.goodUpTo(now(), changes.changes().isEmpty());
+        Duration silence = confirm(call, goodUpTo, changes.revision(), Source.CHANGES);
         if (!news.isEmpty()) {
             hearer.changed(news, news.get(news.size() - 1).revision(), silence);
         }
@@ -271,29 +254,22 @@
     }
 
     private void askNext(Call call) {
-        // The VM stood still, or the answer did: one that waits would leave what came since
+        // The VM stood still since the store answered: a call that waits would leave the rest
         // unheard.
-        boolean old = view.age(control.clock().instant()).orElseThrow().compareTo(pace.bound()) > 0;
+        boolean old = view.age(now()).orElseThrow().compareTo(pace.bound()) > 0;
         if (old) {
             ask(Duration.ZERO);
             return;
         }
         Instant next = call.at().plus(pace.gap());
-        Duration pause = Duration.between(control.clock().instant(), next);
+        Duration pause = Duration.between(now(), next);
         if (pause.isNegative() || pause.isZero()) {
             ask(pace.patience());
         } else {
-            plan(pause, () -> ask(pace.patience()));
+            planned.in(pause, () -> ask(pace.patience()));
         }
     }
 
-    // An empty answer at the end of the wait says that there was nothing as long as it lasted.
-    private Instant asOf(Call call, Changes changes) {
-        Instant waited = call.at().plus(call.patience());
-        boolean whole = changes.changes().isEmpty() && !control.clock().instant().isBefore(waited);
-        return whole ? waited : call.at();
-    }
-
     private void failed(Call call, Throwable failure) {
         if (compacted(failure)) {
             LOG.info("the store has dropped the history of {}, reading it anew", name);
@@ -304,7 +280,7 @@
         metrics.count("store_asks_failed", "of", name);
         silent(call, failure.getMessage());
         if (call == newest) {
-            plan(RETRY, () -> ask(Duration.ZERO));
+            planned.in(RETRY, () -> ask(Duration.ZERO));
         }
     }
 
@@ -316,22 +292,18 @@
         LOG.info(
                 "no changes of {}: a call sent {} ms ago at revision {}: {}; view is {} ms old",
                 name,
-                millisSince(call),
+                call.age(now()).toMillis(),
                 view.revision(),
                 why,
                 ageMillis());
     }
 
-    private long millisSince(Call call) {
-        return Duration.between(call.at(), control.clock().instant()).toMillis();
-    }
-
     private static boolean compacted(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return cause instanceof PlatformException known && known.code() == Code.COMPACTED;
     }
 
-    private Duration confirm(Call call, Instant asOf, long revision, View.Source source) {
+    private Duration confirm(Call call, Instant goodUpTo, long revision, Source source) {
         if (silent) {
             silent = false;
             LOG.info(
@@ -339,51 +311,16 @@
                     name,
                     revision,
                     source,
-                    millisSince(call),
+                    call.age(now()).toMillis(),
                     ageMillis());
         }
-        return view.confirm(asOf, answeredAt(call), revision, source);
+        return view.confirm(goodUpTo, call.answeredBy(now()), revision);
     }
 
-    // By then at the latest; an answer that waits at a VM which stands still comes in later.
-    private Instant answeredAt(Call call) {
-        Instant now = control.clock().instant();
-        Instant latest = call.at().plus(call.patience());
-        return now.isBefore(latest) ? now : latest;
-    }
-
-    /** Somebody who needs all up to the moment to be known. */
-    private record Waiter(Instant moment, Consumer<Boolean> told) {}
-
-    /** One call; it is the same as another only if it is that call. */
-    private static final class Call {
-        private final Instant at;
-        private final Duration patience;
-        private final Runnable again;
-
-        Call(Instant at, Duration patience, Runnable again) {
-            this.at = at;
-            this.patience = patience;
-            this.again = again;
-        }
-
-        Instant at() {
-            return at;
-        }
-
-        Duration patience() {
-            return patience;
-        }
-
-        /** What to do beside it if it is not answered. */
-        Runnable again() {
-            return again;
-        }
-
-        /** When its answer should be here. */
-        Instant due() {
-            return at.plus(patience).plus(Pace.ANSWER);
-        }
+    /** What an answer was one to. */
+    private enum Source {
+        READING,
+        CHANGES
     }
 
     /** Gathers what a follower needs; {@link #tell} makes it. */
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/View.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/View.java
@@ -4,20 +4,11 @@
 import java.time.Instant;
 import java.util.Optional;
 
-/** Up to when and to which revision a part of the store is known here, and by which answer. */
+/** Up to when and to which revision a part of the store is known here. */
 final class View {
     private Instant asOf;
     private Instant heard;
     private long revision;
-    private Source source;
-
-    /** What an answer was one to. */
-    enum Source {
-        /** A reading of everything. */
-        READING,
-        /** A call for changes. */
-        CHANGES
-    }
 
     /**
      * Takes an answer in: nothing up to that moment is missing. Never goes back. Gives how long the
@@ -25,10 +16,9 @@
      *
      * @param answered when the store answered; it may have done so a while after {@code moment}
      */
-    Duration confirm(Instant moment, Instant answered, long upTo, Source by) {
+    Duration confirm(Instant moment, Instant answered, long upTo) {
         if (asOf == null || moment.isAfter(asOf)) {
             asOf = moment;
-            source = by;
         }
         revision = Math.max(revision, upTo);
         Instant before = heard == null ? answered : heard;
@@ -40,6 +30,11 @@
         return Optional.ofNullable(asOf);
     }
 
+    /** True if all up to the moment is known. */
+    boolean reaches(Instant moment) {
+        return asOf != null && !asOf.isBefore(moment);
+    }
+
     /** How long ago it was surely complete; empty if nothing was ever read. */
     Optional<Duration> age(Instant now) {
         return asOf().map(moment -> Duration.between(moment, now));
@@ -48,8 +43,4 @@
     long revision() {
         return revision;
     }
-
-    Optional<Source> source() {
-        return Optional.ofNullable(source);
-    }
 }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Waiters.java
@@ -0,0 +1,43 @@
+package io.damaskyoke.follow;
+
+import io.damaskyoke.control.Control;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Those who need all up to a moment to be known; each is told once. */
+final class Waiters {
+    private final Control control;
+    private final List<Waiter> waiting = new ArrayList<>();
+
+    private record Waiter(Instant moment, Consumer<Boolean> told) {}
+
+    Waiters(Control control) {
+        this.control = control;
+    }
+
+    void add(Instant moment, Duration limit, Consumer<Boolean> told) {
+        Waiter waiter = new Waiter(moment, told);
+        waiting.add(waiter);
+        control.after(limit, () -> giveUp(waiter));
+    }
+
+    /** Tells those who need no more than what is known by this view. */
+    void release(View view) {
+        List<Waiter> served = waiting.stream().filter(each -> view.reaches(each.moment())).toList();
+        waiting.removeAll(served);
+        served.forEach(each -> each.told().accept(true));
+    }
+
+    boolean isEmpty() {
+        return waiting.isEmpty();
+    }
+
+    private void giveUp(Waiter waiter) {
+        if (waiting.remove(waiter)) {
+            waiter.told().accept(false);
+        }
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -22,6 +22,7 @@
     private final SameThreadControl control = new SameThreadControl();
     private final HandStore store = new HandStore();
     private final List<Long> heard = new ArrayList<>();
+    private long poison;
     private final Follower follower =
             Follower.of("test")
                     .under("k")
@@ -100,6 +101,17 @@
         assertEquals(Duration.ZERO, store.waits.get(store.waits.size() - 1));
     }
 
+    // Guards against a fault in what is told that ends the following for good.
+    @Test
+    void aHearerThatFailsHearsTheRest() {
+        read(5);
+        poison = 6;
+        store.asks.get(0).complete(HandStore.set(6));
+        pass(Duration.ofMillis(200));
+        store.asks.get(1).complete(HandStore.set(7));
+        assertEquals(List.of(5L, 7L), heard);
+    }
+
     @Test
     void aHistoryThatWasDroppedIsReadAnew() {
         read(5);
@@ -197,6 +209,9 @@
 
         @Override
         public void changed(List<Change> changes, long revision, Duration silence) {
+            if (revision == poison) {
+                throw new IllegalStateException("on purpose");
+            }
             changes.forEach(change -> heard.add(change.revision()));
         }
     }
