--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -41,6 +41,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -186,6 +187,11 @@
         return router;
     }
 
+    /** Shows a count that the process keeps, beside the router's own. */
+    public void count(String name, Supplier<Long> value) {
+        metrics.gauge(name, value);
+    }
+
     /** True if callers should be sent here. */
     public boolean ready() {
         return !stopping && configuration.current().isPresent() && upstreamFollower.everRead();
