Tell routers that the store turns away which upstreams leave

Callers would see: requests sent to an upstream that has left for as long as a router is cut off from the store, though its neighbours know. Change: a router that has not heard of the store for two seconds, or can't learn whether a lapsed entry is back, asks a neighbour that knows more who drains or is gone since the store's last word to it. Two frames more (DepartureFetch, Departures). The simulated world checks it: what is acknowledged while a neighbour is well reaches a router that is only cut off a second later than one that is not. Ran: StorePromisesTest, UpstreamFollowerTest, FollowerTest, PlatformRouterTest. The frames themselves have no test yet.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamFacts.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamFacts.java
@@ -27,4 +27,10 @@
         Duration coldLeft,
         HeldModels held,
         Set<String> inMemory,
-        Set<String> onDisk) {}
+        Set<String> onDisk) {
+    /** The same, known at this revision to be about to leave. */
+    public UpstreamFacts leavingAt(long since) {
+        return new UpstreamFacts(
+                id, since, service, endpoint, zone, slots, true, coldLeft, held, inMemory, onDisk);
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -49,6 +49,24 @@
         return true;
     }
 
+    /** Those that drain or are gone since this revision. */
+    public List<Departure> departures(long since) {
+        List<Departure> found = new ArrayList<>();
+        removedAt.forEach(
+                (id, at) -> {
+                    if (at > since && !byId.containsKey(id)) {
+                        found.add(new Departure(id, at, true));
+                    }
+                });
+        for (Upstream upstream : byId.values()) {
+            UpstreamFacts facts = upstream.facts();
+            if (facts.draining() && facts.revision() > since) {
+                found.add(new Departure(facts.id(), facts.revision(), false));
+            }
+        }
+        return found;
+    }
+
     /** The upstreams of a service. */
     public List<Upstream> of(String service) {
         return byService.getOrDefault(service, List.of());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.control.direct.WorkspaceSpec;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.rates.RateSettings;
+import io.damaskyoke.control.upstreams.Departure;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -37,6 +38,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -347,11 +349,27 @@
     /** Hears what other routers say. */
     private final class PeerHearer implements Neighbours.Hearer {
         @Override
-        public void reported(LoadInput.Demanded demanded, long theirs) {
+        public void reported(LoadInput.Demanded demanded, long theirs, long list) {
             giver.demanded(demanded);
             if (theirs > configuration.revision()) {
                 neighbours.ask(demanded.router(), configuration.revision());
             }
+            if (upstreamFollower.needsTelling(list)) {
+                neighbours.askDepartures(demanded.router(), upstreamFollower.knownUpTo());
+            }
+        }
+
+        @Override
+        public void askedDepartures(VmId from, long newerThan) {
+            List<Departure> departures = upstreams.departures(newerThan);
+            if (!departures.isEmpty()) {
+                neighbours.sendDepartures(from, departures);
+            }
+        }
+
+        @Override
+        public void departures(List<Departure> departures) {
+            upstreamFollower.told(departures);
         }
 
         @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.upstreams.Departure;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -11,6 +12,8 @@
 import io.damaskyoke.peer.PeerLink;
 import io.damaskyoke.peer.PeerListener;
 import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.wire.DepartureFetch;
+import io.damaskyoke.peer.wire.Departures;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.HeldModel;
 import io.damaskyoke.peer.wire.Hello;
@@ -50,8 +53,11 @@
         /** A link to another router has opened; what was sent before did not go over it. */
         void linked();
 
-        /** A router's needs; {@code configuration} is the revision of what it has in force. */
-        void reported(LoadInput.Demanded demanded, long configuration);
+        /**
+         * A router's needs; {@code configuration} is the revision of what it has in force, and
+         * {@code upstreams} the one up to which it knows the list of them.
+         */
+        void reported(LoadInput.Demanded demanded, long configuration, long upstreams);
 
         /** What upstreams hold, by the giver of orders with this fencing token. */
         void told(VmId giver, long fencing, Map<UpstreamId, HeldModels> held);
@@ -64,6 +70,12 @@
 
         /** A router has sent its configuration. */
         void configuration(long revision, byte[] value);
+
+        /** A router that the store doesn't tell asks which upstreams leave. */
+        void askedDepartures(VmId from, long newerThan);
+
+        /** A router says which upstreams leave. */
+        void departures(List<Departure> departures);
     }
 
     Neighbours(Control control, Membership members) {
@@ -161,6 +173,24 @@
         send(to, Frame.newBuilder().setStoredNews(news).build());
     }
 
+    /** Asks a router which upstreams leave, beyond what is known here. */
+    void askDepartures(VmId from, long newerThan) {
+        DepartureFetch fetch = DepartureFetch.newBuilder().setNewerThan(newerThan).build();
+        send(from, Frame.newBuilder().setDepartureFetch(fetch).build());
+    }
+
+    void sendDepartures(VmId to, List<Departure> departures) {
+        Departures.Builder all = Departures.newBuilder();
+        for (Departure each : departures) {
+            all.addDepartures(
+                    io.damaskyoke.peer.wire.Departure.newBuilder()
+                            .setUpstream(each.upstream().value())
+                            .setRevision(each.revision())
+                            .setGone(each.gone()));
+        }
+        send(to, Frame.newBuilder().setDepartures(all).build());
+    }
+
     @Override
     public void opened(PeerLink link) {
         control.run(
@@ -184,7 +214,10 @@
         if (frame.hasRouterReport()) {
             RouterReport report = frame.getRouterReport();
             noteStore(from, report.getStoreUp());
-            hearer.reported(demanded(from, report), report.getConfigurationRevision());
+            hearer.reported(
+                    demanded(from, report),
+                    report.getConfigurationRevision(),
+                    report.getUpstreamsRevision());
         } else if (frame.hasReplicaNews()) {
             hearer.told(from, frame.getReplicaNews().getFencing(), held(frame.getReplicaNews()));
         } else if (frame.hasLeaseEnd()) {
@@ -194,6 +227,10 @@
         } else if (frame.hasStoredNews()) {
             StoredNews news = frame.getStoredNews();
             hearer.configuration(news.getRevision(), news.getConfiguration().toByteArray());
+        } else if (frame.hasDepartureFetch()) {
+            hearer.askedDepartures(from, frame.getDepartureFetch().getNewerThan());
+        } else if (frame.hasDepartures()) {
+            hearer.departures(departures(frame.getDepartures()));
         }
     }
 
@@ -275,6 +312,17 @@
         return new LoadInput.Demanded(from, wants, running, suspects);
     }
 
+    private static List<Departure> departures(Departures all) {
+        return all.getDeparturesList().stream()
+                .map(
+                        each ->
+                                new Departure(
+                                        UpstreamId.of(each.getUpstream()),
+                                        each.getRevision(),
+                                        each.getGone()))
+                .toList();
+    }
+
     private static Map<UpstreamId, HeldModels> held(ReplicaNews news) {
         Map<UpstreamId, HeldModels> all = new HashMap<>();
         for (var line : news.getUpstreamsList()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.upstreams.Departure;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
@@ -35,6 +36,9 @@
     /** How long the store is asked whether an entry is back, before it is asked again. */
     private static final Duration KNOWN_LIMIT = Duration.ofMillis(500);
 
+    /** Older than any view is while the store answers. */
+    private static final Duration OUT_OF_TOUCH = Duration.ofSeconds(2);
+
     /** Entries lapse after three heartbeats of silence; a shorter outage takes none away. */
     private static final Duration SHORTEST_OUTAGE = Duration.ofSeconds(2);
 
@@ -43,6 +47,8 @@
     private final UpstreamTable table;
     private final Follower follower;
     private final Map<UpstreamId, Long> awaited = new HashMap<>();
+    private boolean unanswered;
+    private long heardUpTo;
     private Listener listener;
 
     /** Hears what the list says, after the table has it. */
@@ -79,12 +85,52 @@
         follower.start();
     }
 
+    /**
+     * True if another router, which knows the list up to this revision, should be asked who leaves:
+     * the store hasn't told this router of late, or not whether somebody is back.
+     */
+    boolean needsTelling(long theirs) {
+        boolean old = follower.age().filter(age -> age.compareTo(OUT_OF_TOUCH) > 0).isPresent();
+        return (old || unanswered) && theirs > knownUpTo();
+    }
+
+    /**
+     * The revision up to which the store has told this router who left, and it doesn't wait for
+     * some of them. What other routers tell is no more than a part of what comes after.
+     */
+    long knownUpTo() {
+        long awaitedFrom =
+                awaited.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+        return Math.min(heardUpTo, awaitedFrom - 1);
+    }
+
+    /** Another router says who leaves. */
+    void told(List<Departure> departures) {
+        for (Departure each : departures) {
+            if (each.gone()) {
+                awaited.remove(each.upstream());
+                removeNow(each.upstream(), each.revision());
+            } else {
+                table.find(each.upstream())
+                        .map(known -> known.facts().leavingAt(each.revision()))
+                        .filter(facts -> table.put(facts, control.clock().instant()))
+                        .ifPresent(this::leaves);
+            }
+        }
+    }
+
+    private void leaves(UpstreamFacts facts) {
+        LOG.info("upstream {} drains, another router says", facts.id());
+        listener.listed(facts);
+    }
+
     boolean everRead() {
         return follower.everRead();
     }
 
     @Override
     public void all(List<Entry> entries, long revision, Duration silence) {
+        heardUpTo = revision;
         boolean afterOutage = afterOutage(silence);
         Set<UpstreamId> listed = new HashSet<>();
         for (Entry entry : entries) {
@@ -100,6 +146,7 @@
 
     @Override
     public void changed(List<Change> changes, long revision, Duration silence) {
+        heardUpTo = revision;
         boolean afterOutage = afterOutage(silence);
         for (Change change : changes) {
             if (change.entry().isPresent()) {
@@ -174,6 +221,7 @@
                 returned,
                 KNOWN_LIMIT,
                 known -> {
+                    unanswered = !known;
                     if (known) {
                         removeIfAwaited(id, revision);
                     } else {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
@@ -18,6 +18,7 @@
     private final SimulatedPath path;
     private final UpstreamTable upstreams = new UpstreamTable();
     private final ConfigurationHolder configuration;
+    private final UpstreamFollower follower;
     private final List<SimulatedPath.State> troubles = new ArrayList<>();
     private int otherTroubles;
     private Instant calmSince;
@@ -34,8 +35,9 @@
         new ConfigurationFollower(
                         control, path, dialect, configuration, Paces.CONFIGURATION, metrics)
                 .start();
-        new UpstreamFollower(control, path, dialect, upstreams, Paces.UPSTREAMS, metrics)
-                .start(new Nobody());
+        this.follower =
+                new UpstreamFollower(control, path, dialect, upstreams, Paces.UPSTREAMS, metrics);
+        follower.start(new Nobody());
     }
 
     String name() {
@@ -55,6 +57,20 @@
                 .isPresent();
     }
 
+    /** Hears a report of another router, and asks it for what that calls for. */
+    void hears(FollowingRouter other) {
+        if (control.frozen() || other.control.frozen()) {
+            return;
+        }
+        if (other.configuration.revision() > configuration.revision()) {
+            configuration.offer(
+                    other.configuration.value(), other.configuration.revision(), other.name);
+        }
+        if (follower.needsTelling(other.upstreams.revision())) {
+            follower.told(other.upstreams.departures(follower.knownUpTo()));
+        }
+    }
+
     void pathFails(SimulatedPath.State how) {
         troubles.add(how);
         path.set(how);
@@ -90,7 +106,12 @@
         return troubles.isEmpty() && otherTroubles == 0;
     }
 
-    /** Since when nothing is wrong with the way to the store; only while {@link #calm}. */
+    /** True if nothing but its way to the store is wrong. */
+    boolean cutOffOnly() {
+        return !troubles.isEmpty() && otherTroubles == 0;
+    }
+
+    /** Since when nothing is wrong with the way to the store, or was until it went wrong. */
     Instant calmSince() {
         return calmSince;
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
@@ -86,6 +86,9 @@
         "100320, a second outage did not begin the wait anew",
         "100049, a pause outlasted a freeze and a departure was taken for a lapse",
         "210922, a shorter freeze in a pause did the same",
+        "164, a router that was cut off was not told of one that it waited for",
+        "400064, nor was it when it could not ask whether that one is back",
+        "400534, one departure told hid an older one",
         "106297, a freeze and an outage in a row were taken for a longer one"
     })
     void aMixThatFailedOnceKeepsThePromises(long seed, String cause) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
@@ -28,6 +28,9 @@
      */
     static final Duration SETTLED = Duration.ofSeconds(3);
 
+    /** Routers tell each other that often what they know. */
+    private static final Duration GOSSIP = Duration.ofSeconds(1);
+
     private static final Duration STEP = Duration.ofMillis(10);
     private static final int ROUTERS = 3;
     private static final int UPSTREAMS = 4;
@@ -58,9 +61,16 @@
         for (int each = 0; each < ROUTERS; each++) {
             routers.add(new FollowingRouter("router-" + each, world, store));
         }
+        world.every(GOSSIP, this::gossip);
         pass(BOUND);
     }
 
+    private void gossip() {
+        for (FollowingRouter hearing : routers) {
+            routers.stream().filter(each -> each != hearing).forEach(hearing::hears);
+        }
+    }
+
     /** What was promised and not kept, one line each; a promise is named once for a router. */
     List<String> broken() {
         return broken;
@@ -212,20 +222,31 @@
         }
         highest.merge(router, seen, Math::max);
         checkAlive(router, world.clock().instant());
-        if (!router.calm()) {
-            return;
+        if (router.calm()) {
+            checkLate(router, router.calmSince(), Duration.ZERO);
+        } else if (router.cutOffOnly()) {
+            // Its neighbours know, if one of them is calm.
+            routers.stream()
+                    .filter(FollowingRouter::calm)
+                    .map(FollowingRouter::calmSince)
+                    .min(Instant::compareTo)
+                    .map(calm -> later(calm, router.calmSince()))
+                    .ifPresent(calm -> checkLate(router, calm, GOSSIP));
         }
-        Instant now = world.clock().instant();
-        Instant calm = router.calmSince();
+    }
+
+    private void checkLate(FollowingRouter router, Instant calm, Duration more) {
+        long seen = router.version();
+        Instant now = world.clock().instant().minus(more);
         versions.forEach(
                 (number, at) -> {
-                    if (seen < number && overdue(at, router, now)) {
+                    if (seen < number && overdue(at, calm, now)) {
                         report(router, "has not in force version", number);
                     }
                 });
         drained.forEach(
                 (id, at) -> {
-                    if (router.uses(id) && overdue(at, router, now)) {
+                    if (router.uses(id) && overdue(at, calm, now)) {
                         report(router, "still uses, though it drains,", id);
                     }
                 });
@@ -245,14 +266,14 @@
                 known.add(id);
             } else if (known.contains(id)) {
                 report(router, "dropped, though it lives,", id);
-            } else if (router.calm() && overdue(joined.get(id), router, now)) {
+            } else if (router.calm() && overdue(joined.get(id), router.calmSince(), now)) {
                 report(router, "does not use, though it came,", id);
             }
         }
     }
 
-    private static boolean overdue(Instant at, FollowingRouter router, Instant now) {
-        return at != null && !now.isBefore(later(at, router.calmSince()).plus(BOUND));
+    private static boolean overdue(Instant at, Instant calm, Instant now) {
+        return at != null && !now.isBefore(later(at, calm).plus(BOUND));
     }
 
     private void tell(String what) {
