Give frames and news of neighbours classes of their own

So the frames have a test: NeighbourFramesTest. Ran: NeighbourFramesTest, StorePromisesTest, UpstreamFollowerTest, PlatformRouterTest, NamesTest.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -4,12 +4,8 @@
 import io.damaskyoke.control.configuration.Workspace;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.direct.WorkspaceSpec;
-import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.rates.RateSettings;
-import io.damaskyoke.control.upstreams.Departure;
-import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
-import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.http.EarlySocket;
 import io.damaskyoke.http.HttpClient;
@@ -38,7 +34,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -98,7 +93,6 @@
     private final PeerNetwork network;
     private volatile HttpServer callers;
     private final LoopLag lag = new LoopLag(CHECK);
-    private long highestFencing;
     private volatile boolean stopping;
     private boolean stopped;
 
@@ -150,7 +144,7 @@
         this.ingress = ingress();
         this.network = network(timeline);
         ratePeers.over(network);
-        neighbours.start(network, new PeerHearer());
+        neighbours.start(network, new NeighbourNews(newsParts(), this::replicasChanged));
         ServerSocketChannel socket =
                 open.orElseGet(() -> EarlySocket.listen(settings.callers().socket()));
         control.run(() -> begin(socket));
@@ -232,6 +226,19 @@
                 self, settings.availabilityZone(), settings.peer().host(), settings.peer().port());
     }
 
+    private NeighbourNews.Parts newsParts() {
+        return new NeighbourNews.Parts(
+                clock,
+                neighbours,
+                members,
+                giver,
+                handOver,
+                reports,
+                configuration,
+                upstreams,
+                upstreamFollower);
+    }
+
     private Ingress ingress() {
         return new Ingress(
                 dialect,
@@ -345,70 +352,4 @@
             client.forget(last.endpoint());
         }
     }
-
-    /** Hears what other routers say. */
-    private final class PeerHearer implements Neighbours.Hearer {
-        @Override
-        public void reported(LoadInput.Demanded demanded, long theirs, long list) {
-            giver.demanded(demanded);
-            if (theirs > configuration.revision()) {
-                neighbours.ask(demanded.router(), configuration.revision());
-            }
-            if (upstreamFollower.needsTelling(list)) {
-                neighbours.askDepartures(demanded.router(), upstreamFollower.knownUpTo());
-            }
-        }
-
-        @Override
-        public void askedDepartures(VmId from, long newerThan) {
-            List<Departure> departures = upstreams.departures(newerThan);
-            if (!departures.isEmpty()) {
-                neighbours.sendDepartures(from, departures);
-            }
-        }
-
-        @Override
-        public void departures(List<Departure> departures) {
-            upstreamFollower.told(departures);
-        }
-
-        @Override
-        public void linked() {
-            reports.tellAll();
-        }
-
-        @Override
-        public void told(VmId from, long fencing, Map<UpstreamId, HeldModels> held) {
-            if (fencing < highestFencing) {
-                return;
-            }
-            if (fencing > highestFencing) {
-                members.announced(from);
-            }
-            highestFencing = fencing;
-            held.forEach(
-                    (id, models) ->
-                            upstreams
-                                    .find(id)
-                                    .ifPresent(each -> each.told(models, clock.instant())));
-            replicasChanged();
-        }
-
-        @Override
-        public void leaseEnded(VmId by, long lease) {
-            handOver.ended(by, lease);
-        }
-
-        @Override
-        public void asked(VmId from, long newerThan) {
-            if (configuration.revision() > newerThan) {
-                neighbours.sendConfiguration(from, configuration.revision(), configuration.value());
-            }
-        }
-
-        @Override
-        public void configuration(long revision, byte[] value) {
-            configuration.offer(value, revision, "another router");
-        }
-    }
 }
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -0,0 +1,154 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.upstreams.Departure;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.wire.Departures;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.HeldModel;
+import io.damaskyoke.peer.wire.ModelDemand;
+import io.damaskyoke.peer.wire.ReplicaNews;
+import io.damaskyoke.peer.wire.RouterReport;
+import io.damaskyoke.peer.wire.RunningCount;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** What direct routers tell each other, into frames and out of them. */
+final class NeighbourFrames {
+    private NeighbourFrames() {}
+
+    static Frame report(
+            long number,
+            LoadInput.Demanded demanded,
+            long configuration,
+            long upstreams,
+            boolean storeUp) {
+        RouterReport.Builder report =
+                RouterReport.newBuilder()
+                        .setNumber(number)
+                        .setConfigurationRevision(configuration)
+                        .setUpstreamsRevision(upstreams)
+                        .setStoreUp(storeUp);
+        demanded.wants().forEach(want -> report.addDemand(demand(want)));
+        demanded.running()
+                .forEach(
+                        (upstream, counts) ->
+                                counts.forEach(
+                                        (model, count) ->
+                                                report.addRunning(
+                                                        running(upstream, model, count))));
+        demanded.suspects().forEach(id -> report.addSuspects(id.value()));
+        return Frame.newBuilder().setRouterReport(report).build();
+    }
+
+    static Frame news(long fencing, Map<UpstreamId, HeldModels> held) {
+        ReplicaNews.Builder news = ReplicaNews.newBuilder().setFencing(fencing);
+        held.forEach((upstream, models) -> news.addUpstreams(held(upstream, models)));
+        return Frame.newBuilder().setReplicaNews(news).build();
+    }
+
+    static Frame departures(List<Departure> departures) {
+        Departures.Builder all = Departures.newBuilder();
+        for (Departure each : departures) {
+            all.addDepartures(
+                    io.damaskyoke.peer.wire.Departure.newBuilder()
+                            .setUpstream(each.upstream().value())
+                            .setRevision(each.revision())
+                            .setGone(each.gone()));
+        }
+        return Frame.newBuilder().setDepartures(all).build();
+    }
+
+    private static ModelDemand demand(LoadInput.Want want) {
+        return ModelDemand.newBuilder()
+                .setModel(want.model().model())
+                .setAdapter(want.model().adapter())
+                .setWaiting(want.waiting())
+                .setOldestMs((int) want.oldest().toMillis())
+                .setUrgency(want.urgency())
+                .setPerSecond(want.perSecond())
+                .setInTime(want.inTime())
+                .build();
+    }
+
+    private static RunningCount running(UpstreamId upstream, ModelRef model, int count) {
+        return RunningCount.newBuilder()
+                .setUpstream(upstream.value())
+                .setModel(model.model())
+                .setAdapter(model.adapter())
+                .setRunning(count)
+                .build();
+    }
+
+    private static io.damaskyoke.peer.wire.HeldModels held(UpstreamId upstream, HeldModels held) {
+        var line =
+                io.damaskyoke.peer.wire.HeldModels.newBuilder()
+                        .setUpstream(upstream.value())
+                        .setStartedAt(held.startedAt())
+                        .setSequence(held.sequence());
+        held.adapters()
+                .forEach(
+                        (model, adapters) ->
+                                line.addModels(
+                                        HeldModel.newBuilder()
+                                                .setName(model)
+                                                .addAllAdapters(adapters)));
+        return line.build();
+    }
+
+    static LoadInput.Demanded demanded(VmId from, RouterReport report) {
+        List<LoadInput.Want> wants = new ArrayList<>();
+        for (ModelDemand demand : report.getDemandList()) {
+            wants.add(
+                    new LoadInput.Want(
+                            new ModelRef(demand.getModel(), demand.getAdapter()),
+                            demand.getWaiting(),
+                            Duration.ofMillis(demand.getOldestMs()),
+                            demand.getUrgency(),
+                            demand.getPerSecond(),
+                            demand.getInTime()));
+        }
+        Map<UpstreamId, Map<ModelRef, Integer>> running = new TreeMap<>();
+        for (RunningCount count : report.getRunningList()) {
+            running.computeIfAbsent(UpstreamId.of(count.getUpstream()), any -> new TreeMap<>())
+                    .put(new ModelRef(count.getModel(), count.getAdapter()), count.getRunning());
+        }
+        Set<UpstreamId> suspects = new HashSet<>();
+        report.getSuspectsList().forEach(id -> suspects.add(UpstreamId.of(id)));
+        return new LoadInput.Demanded(from, wants, running, suspects);
+    }
+
+    static List<Departure> departures(Departures all) {
+        return all.getDeparturesList().stream()
+                .map(
+                        each ->
+                                new Departure(
+                                        UpstreamId.of(each.getUpstream()),
+                                        each.getRevision(),
+                                        each.getGone()))
+                .toList();
+    }
+
+    static Map<UpstreamId, HeldModels> held(ReplicaNews news) {
+        Map<UpstreamId, HeldModels> all = new HashMap<>();
+        for (var line : news.getUpstreamsList()) {
+            Map<String, Set<String>> adapters = new TreeMap<>();
+            for (HeldModel model : line.getModelsList()) {
+                adapters.put(model.getName(), new HashSet<>(model.getAdaptersList()));
+            }
+            all.put(
+                    UpstreamId.of(line.getUpstream()),
+                    new HeldModels(line.getStartedAt(), line.getSequence(), adapters));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -0,0 +1,101 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.upstreams.Departure;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.id.VmId;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+
+/** Takes in what other routers say, and gives them what they lack. Control thread only. */
+final class NeighbourNews implements Neighbours.Hearer {
+    private final Parts parts;
+    private final Runnable replicasChanged;
+    private long highestFencing;
+
+    /** What news is for. */
+    record Parts(
+            InstantSource clock,
+            Neighbours neighbours,
+            Membership members,
+            OrderGiver giver,
+            OrderHandOver handOver,
+            DemandReports reports,
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            UpstreamFollower upstreamFollower) {}
+
+    NeighbourNews(Parts parts, Runnable replicasChanged) {
+        this.parts = parts;
+        this.replicasChanged = replicasChanged;
+    }
+
+    @Override
+    public void reported(LoadInput.Demanded demanded, long theirs, long list) {
+        parts.giver().demanded(demanded);
+        if (theirs > parts.configuration().revision()) {
+            parts.neighbours().ask(demanded.router(), parts.configuration().revision());
+        }
+        if (parts.upstreamFollower().needsTelling(list)) {
+            parts.neighbours()
+                    .askDepartures(demanded.router(), parts.upstreamFollower().knownUpTo());
+        }
+    }
+
+    @Override
+    public void askedDepartures(VmId from, long newerThan) {
+        List<Departure> departures = parts.upstreams().departures(newerThan);
+        if (!departures.isEmpty()) {
+            parts.neighbours().sendDepartures(from, departures);
+        }
+    }
+
+    @Override
+    public void departures(List<Departure> departures) {
+        parts.upstreamFollower().told(departures);
+    }
+
+    @Override
+    public void linked() {
+        parts.reports().tellAll();
+    }
+
+    @Override
+    public void told(VmId from, long fencing, Map<UpstreamId, HeldModels> held) {
+        if (fencing < highestFencing) {
+            return;
+        }
+        if (fencing > highestFencing) {
+            parts.members().announced(from);
+        }
+        highestFencing = fencing;
+        held.forEach(
+                (id, models) ->
+                        parts.upstreams()
+                                .find(id)
+                                .ifPresent(each -> each.told(models, parts.clock().instant())));
+        replicasChanged.run();
+    }
+
+    @Override
+    public void leaseEnded(VmId by, long lease) {
+        parts.handOver().ended(by, lease);
+    }
+
+    @Override
+    public void asked(VmId from, long newerThan) {
+        if (parts.configuration().revision() > newerThan) {
+            parts.neighbours()
+                    .sendConfiguration(
+                            from, parts.configuration().revision(), parts.configuration().value());
+        }
+    }
+
+    @Override
+    public void configuration(long revision, byte[] value) {
+        parts.configuration().offer(value, revision, "another router");
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -5,7 +5,6 @@
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.upstreams.Departure;
 import io.damaskyoke.control.upstreams.HeldModels;
-import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.peer.PeerAddress;
@@ -13,26 +12,18 @@
 import io.damaskyoke.peer.PeerListener;
 import io.damaskyoke.peer.PeerNetwork;
 import io.damaskyoke.peer.wire.DepartureFetch;
-import io.damaskyoke.peer.wire.Departures;
 import io.damaskyoke.peer.wire.Frame;
-import io.damaskyoke.peer.wire.HeldModel;
 import io.damaskyoke.peer.wire.Hello;
 import io.damaskyoke.peer.wire.LeaseEnd;
-import io.damaskyoke.peer.wire.ModelDemand;
-import io.damaskyoke.peer.wire.ReplicaNews;
 import io.damaskyoke.peer.wire.RouterReport;
-import io.damaskyoke.peer.wire.RunningCount;
 import io.damaskyoke.peer.wire.StoredFetch;
 import io.damaskyoke.peer.wire.StoredNews;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
@@ -113,22 +104,7 @@
             long configuration,
             long upstreams,
             boolean storeUp) {
-        RouterReport.Builder report =
-                RouterReport.newBuilder()
-                        .setNumber(++number)
-                        .setConfigurationRevision(configuration)
-                        .setUpstreamsRevision(upstreams)
-                        .setStoreUp(storeUp);
-        demanded.wants().forEach(want -> report.addDemand(demand(want)));
-        demanded.running()
-                .forEach(
-                        (upstream, counts) ->
-                                counts.forEach(
-                                        (model, count) ->
-                                                report.addRunning(
-                                                        running(upstream, model, count))));
-        demanded.suspects().forEach(id -> report.addSuspects(id.value()));
-        Frame frame = Frame.newBuilder().setRouterReport(report).build();
+        Frame frame = NeighbourFrames.report(++number, demanded, configuration, upstreams, storeUp);
         if (to.isPresent()) {
             send(to.get(), frame);
         } else {
@@ -138,9 +114,7 @@
 
     /** Tells all others what upstreams hold. */
     void tell(long fencing, Map<UpstreamId, HeldModels> held) {
-        ReplicaNews.Builder news = ReplicaNews.newBuilder().setFencing(fencing);
-        held.forEach((upstream, models) -> news.addUpstreams(held(upstream, models)));
-        sendAll(Frame.newBuilder().setReplicaNews(news).build());
+        sendAll(NeighbourFrames.news(fencing, held));
     }
 
     /** A router that reached the store a moment ago, if there is one. */
@@ -180,15 +154,7 @@
     }
 
     void sendDepartures(VmId to, List<Departure> departures) {
-        Departures.Builder all = Departures.newBuilder();
-        for (Departure each : departures) {
-            all.addDepartures(
-                    io.damaskyoke.peer.wire.Departure.newBuilder()
-                            .setUpstream(each.upstream().value())
-                            .setRevision(each.revision())
-                            .setGone(each.gone()));
-        }
-        send(to, Frame.newBuilder().setDepartures(all).build());
+        send(to, NeighbourFrames.departures(departures));
     }
 
     @Override
@@ -215,11 +181,14 @@
             RouterReport report = frame.getRouterReport();
             noteStore(from, report.getStoreUp());
             hearer.reported(
-                    demanded(from, report),
+                    NeighbourFrames.demanded(from, report),
                     report.getConfigurationRevision(),
                     report.getUpstreamsRevision());
         } else if (frame.hasReplicaNews()) {
-            hearer.told(from, frame.getReplicaNews().getFencing(), held(frame.getReplicaNews()));
+            hearer.told(
+                    from,
+                    frame.getReplicaNews().getFencing(),
+                    NeighbourFrames.held(frame.getReplicaNews()));
         } else if (frame.hasLeaseEnd()) {
             hearer.leaseEnded(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
@@ -230,7 +199,7 @@
         } else if (frame.hasDepartureFetch()) {
             hearer.askedDepartures(from, frame.getDepartureFetch().getNewerThan());
         } else if (frame.hasDepartures()) {
-            hearer.departures(departures(frame.getDepartures()));
+            hearer.departures(NeighbourFrames.departures(frame.getDepartures()));
         }
     }
 
@@ -252,88 +221,4 @@
             network.link(address).send(frame);
         }
     }
-
-    private static ModelDemand demand(LoadInput.Want want) {
-        return ModelDemand.newBuilder()
-                .setModel(want.model().model())
-                .setAdapter(want.model().adapter())
-                .setWaiting(want.waiting())
-                .setOldestMs((int) want.oldest().toMillis())
-                .setUrgency(want.urgency())
-                .setPerSecond(want.perSecond())
-                .setInTime(want.inTime())
-                .build();
-    }
-
-    private static RunningCount running(UpstreamId upstream, ModelRef model, int count) {
-        return RunningCount.newBuilder()
-                .setUpstream(upstream.value())
-                .setModel(model.model())
-                .setAdapter(model.adapter())
-                .setRunning(count)
-                .build();
-    }
-
-    private static io.damaskyoke.peer.wire.HeldModels held(UpstreamId upstream, HeldModels held) {
-        var line =
-                io.damaskyoke.peer.wire.HeldModels.newBuilder()
-                        .setUpstream(upstream.value())
-                        .setStartedAt(held.startedAt())
-                        .setSequence(held.sequence());
-        held.adapters()
-                .forEach(
-                        (model, adapters) ->
-                                line.addModels(
-                                        HeldModel.newBuilder()
-                                                .setName(model)
-                                                .addAllAdapters(adapters)));
-        return line.build();
-    }
-
-    private static LoadInput.Demanded demanded(VmId from, RouterReport report) {
-        List<LoadInput.Want> wants = new ArrayList<>();
-        for (ModelDemand demand : report.getDemandList()) {
-            wants.add(
-                    new LoadInput.Want(
-                            new ModelRef(demand.getModel(), demand.getAdapter()),
-                            demand.getWaiting(),
-                            Duration.ofMillis(demand.getOldestMs()),
-                            demand.getUrgency(),
-                            demand.getPerSecond(),
-                            demand.getInTime()));
-        }
-        Map<UpstreamId, Map<ModelRef, Integer>> running = new TreeMap<>();
-        for (RunningCount count : report.getRunningList()) {
-            running.computeIfAbsent(UpstreamId.of(count.getUpstream()), any -> new TreeMap<>())
-                    .put(new ModelRef(count.getModel(), count.getAdapter()), count.getRunning());
-        }
-        Set<UpstreamId> suspects = new HashSet<>();
-        report.getSuspectsList().forEach(id -> suspects.add(UpstreamId.of(id)));
-        return new LoadInput.Demanded(from, wants, running, suspects);
-    }
-
-    private static List<Departure> departures(Departures all) {
-        return all.getDeparturesList().stream()
-                .map(
-                        each ->
-                                new Departure(
-                                        UpstreamId.of(each.getUpstream()),
-                                        each.getRevision(),
-                                        each.getGone()))
-                .toList();
-    }
-
-    private static Map<UpstreamId, HeldModels> held(ReplicaNews news) {
-        Map<UpstreamId, HeldModels> all = new HashMap<>();
-        for (var line : news.getUpstreamsList()) {
-            Map<String, Set<String>> adapters = new TreeMap<>();
-            for (HeldModel model : line.getModelsList()) {
-                adapters.put(model.getName(), new HashSet<>(model.getAdaptersList()));
-            }
-            all.put(
-                    UpstreamId.of(line.getUpstream()),
-                    new HeldModels(line.getStartedAt(), line.getSequence(), adapters));
-        }
-        return all;
-    }
 }
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/NeighbourFramesTest.java
@@ -0,0 +1,54 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.upstreams.Departure;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.RouterReport;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class NeighbourFramesTest {
+    private static final VmId SENDER = VmId.of("router-1");
+    private static final UpstreamId ONE = UpstreamId.of("i-1");
+    private static final UpstreamId TWO = UpstreamId.of("i-2");
+
+    @Test
+    void departuresArriveAsTheyWereSent() {
+        List<Departure> sent = List.of(new Departure(ONE, 7, true), new Departure(TWO, 9, false));
+        Frame frame = NeighbourFrames.departures(sent);
+        assertEquals(sent, NeighbourFrames.departures(frame.getDepartures()));
+    }
+
+    @Test
+    void aReportArrivesAsItWasSent() {
+        ModelRef model = new ModelRef("m", "a1");
+        LoadInput.Demanded sent =
+                new LoadInput.Demanded(
+                        SENDER,
+                        List.of(new LoadInput.Want(model, 3, Duration.ofMillis(40), 1, 2.5, 2)),
+                        Map.of(ONE, Map.of(model, 4)),
+                        Set.of(TWO));
+        RouterReport report = NeighbourFrames.report(5, sent, 11, 12, true).getRouterReport();
+        assertEquals(sent, NeighbourFrames.demanded(SENDER, report));
+        assertEquals(11, report.getConfigurationRevision());
+        assertEquals(12, report.getUpstreamsRevision());
+    }
+
+    @Test
+    void whatUpstreamsHoldArrivesAsItWasSent() {
+        Map<UpstreamId, HeldModels> sent =
+                Map.of(ONE, new HeldModels(100, 3, Map.of("m", Set.of("a1", "a2"))));
+        Frame frame = NeighbourFrames.news(8, sent);
+        assertEquals(sent, NeighbourFrames.held(frame.getReplicaNews()));
+        assertEquals(8, frame.getReplicaNews().getFencing());
+    }
+}
