Look a route and a key up once for each request

Found on reading the change: the check of denials had every request look its route and key up twice. One verdict now tells where a request goes and for whom, or why it is not let in. And a departure that a neighbour tells ends the wait for a later one no more. Ran: StorePromisesTest, UpstreamFollowerTest, FollowerTest, PlatformRouterTest.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -98,53 +98,48 @@
     }
 
     private void serve(HttpCall call, CallerRequest request, DirectConfiguration current) {
-        if (denial(call, request, current).isPresent()) {
+        Verdict verdict = verdict(call, request, current);
+        if (verdict.denial().isPresent()) {
             denials.decide(call, () -> settle(call, request), () -> refuseUnconfirmed(call));
         } else {
-            letIn(call, request, current);
+            admit(call, request, verdict.route().orElseThrow(), verdict.workspace());
         }
     }
 
     // By what is in force now, which may be newer than when the caller came.
     private void settle(HttpCall call, CallerRequest request) {
         DirectConfiguration current = configuration.current().orElseThrow();
-        Optional<Denial> denial = denial(call, request, current);
-        if (denial.isPresent()) {
-            refuse(call, request, denial.get().refusal(), denial.get().inputs() + by(current));
+        Verdict verdict = verdict(call, request, current);
+        if (verdict.denial().isPresent()) {
+            String inputs =
+                    verdict.route()
+                            .map(route -> "route=" + route.name())
+                            .orElse(target(call, request));
+            refuse(call, request, verdict.denial().get(), inputs + by(current));
         } else {
-            letIn(call, request, current);
+            admit(call, request, verdict.route().orElseThrow(), verdict.workspace());
         }
     }
 
-    private Optional<Denial> denial(
-            HttpCall call, CallerRequest request, DirectConfiguration current) {
+    private Verdict verdict(HttpCall call, CallerRequest request, DirectConfiguration current) {
         Optional<Route> route = configuration.routes().find(request.host(), call.target());
         if (route.isEmpty()) {
-            Refusal refusal = Refusal.notRun(RefusalCode.UNKNOWN_SERVICE, "no such route");
-            return Optional.of(new Denial(refusal, request.host() + call.target()));
+            return Verdict.denied(route, RefusalCode.UNKNOWN_SERVICE, "no such route");
         }
-        if (open(route.get(), current) || workspace(request, current).isPresent()) {
-            return Optional.empty();
+        if (route.get().anonymous() || current.workspaces().isEmpty()) {
+            return new Verdict(route, Optional.empty(), Optional.empty());
         }
-        RefusalCode code =
-                request.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
-        Refusal refusal = Refusal.notRun(code, "the caller key is missing or unknown");
-        return Optional.of(new Denial(refusal, "route=" + route.get().name()));
-    }
-
-    private void letIn(HttpCall call, CallerRequest request, DirectConfiguration current) {
-        Route route = configuration.routes().find(request.host(), call.target()).orElseThrow();
-        boolean open = open(route, current);
-        admit(call, request, route, open ? Optional.empty() : workspace(request, current));
-    }
-
-    private static boolean open(Route route, DirectConfiguration current) {
-        return route.anonymous() || current.workspaces().isEmpty();
+        Optional<WorkspaceSpec> workspace = request.key().flatMap(current::workspaceOf);
+        if (workspace.isEmpty()) {
+            RefusalCode code =
+                    request.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
+            return Verdict.denied(route, code, "the caller key is missing or unknown");
+        }
+        return new Verdict(route, workspace, Optional.empty());
     }
 
-    private static Optional<WorkspaceSpec> workspace(
-            CallerRequest request, DirectConfiguration current) {
-        return request.key().flatMap(current::workspaceOf);
+    private static String target(HttpCall call, CallerRequest request) {
+        return request.host() + call.target();
     }
 
     private void admit(
@@ -242,6 +237,11 @@
         Refusals.send(call, dialect.ownAnswer(request.attempt()), refusal);
     }
 
-    /** Why a caller is not let in, and what that goes by. */
-    private record Denial(Refusal refusal, String inputs) {}
+    /** Where a request goes and for whom, or why it is not let in. */
+    private record Verdict(
+            Optional<Route> route, Optional<WorkspaceSpec> workspace, Optional<Refusal> denial) {
+        static Verdict denied(Optional<Route> route, RefusalCode code, String message) {
+            return new Verdict(route, Optional.empty(), Optional.of(Refusal.notRun(code, message)));
+        }
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -108,7 +108,8 @@
     void told(List<Departure> departures) {
         for (Departure each : departures) {
             if (each.gone()) {
-                awaited.remove(each.upstream());
+                awaited.computeIfPresent(
+                        each.upstream(), (id, at) -> at > each.revision() ? at : null);
                 removeNow(each.upstream(), each.revision());
             } else {
                 table.find(each.upstream())
@@ -157,9 +158,7 @@
         }
     }
 
-    // What lapsed in an outage is missing from the first answer after it. What goes later leaves
-    // for
-    // good, and must get nothing new within seconds.
+    // What lapsed in an outage is missing from the first answer after it. What goes later leaves.
     private static boolean afterOutage(Duration silence) {
         return silence.compareTo(SHORTEST_OUTAGE) > 0;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -254,8 +254,7 @@
     }
 
     private void askNext(Call call) {
-        // The VM stood still since the store answered: a call that waits would leave the rest
-        // unheard.
+        // The VM stood still since: a call that waits would leave unheard what came meanwhile.
         boolean old = view.age(now()).orElseThrow().compareTo(pace.bound()) > 0;
         if (old) {
             ask(Duration.ZERO);
