--- a/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.follow.Pace;
 import io.damaskyoke.metrics.Metrics;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -23,7 +24,7 @@
     private int otherTroubles;
     private Instant calmSince;
 
-    FollowingRouter(String name, Control world, SimulatedStore store) {
+    FollowingRouter(String name, Control world, SimulatedStore store, Pace pace) {
         this.name = name;
         this.world = world;
         this.control = new FreezingControl(world);
@@ -32,9 +33,7 @@
         Metrics metrics = new Metrics();
         this.configuration = new ConfigurationHolder(dialect, any -> {});
         this.calmSince = world.clock().instant();
-        new ConfigurationFollower(
-                        control, path, dialect, configuration, Paces.CONFIGURATION, metrics)
-                .start();
+        new ConfigurationFollower(control, path, dialect, configuration, pace, metrics).start();
         this.follower =
                 new UpstreamFollower(control, path, dialect, upstreams, Paces.UPSTREAMS, metrics);
         follower.start(new Nobody());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
@@ -1,7 +1,9 @@
 package io.damaskyoke.direct;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.damaskyoke.follow.Pace;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,8 +20,7 @@
     private static final int PHASES = 45;
     private static final int SHOWN = 4;
 
-    // Guards against a call that nobody will answer, which hides what the store says after its
-    // return.
+    // Guards against a call that nobody will answer, and that hides what the store says later.
     @Test
     void aConfigurationIsInForceInTimeAfterTheStoreFellSilent() {
         List<String> broken = new ArrayList<>();
@@ -37,6 +38,23 @@
         assertNone(broken);
     }
 
+    // Guards against a world that would find no fault: this pace is the one that broke the promise.
+    @Test
+    void aCallThatIsWaitedForTooLongIsFoundOut() {
+        Pace naive = new Pace(Duration.ofMillis(2_500), Duration.ofMillis(800));
+        int late = 0;
+        for (int phase = 0; phase < PHASES; phase++) {
+            StoreWorld world = new StoreWorld(naive);
+            world.pass(PHASE.multipliedBy(phase));
+            world.outage(SimulatedPath.State.SILENT, Duration.ofMillis(400));
+            world.pass(Duration.ofMillis(500));
+            world.change();
+            world.pass(Duration.ofSeconds(6));
+            late += world.broken().isEmpty() ? 0 : 1;
+        }
+        assertTrue(late > 0, "no version was late");
+    }
+
     // Guards against taking a departure that comes after an outage for an entry that lapsed in it.
     @Test
     void anUpstreamThatLeavesSomeTimeAfterAnOutageGetsNothingMore() {
@@ -67,8 +85,7 @@
         assertNone(world.broken());
     }
 
-    // Guards against any mix of troubles that makes a change late, takes one back, or drops what
-    // lives.
+    // Guards against a change that comes late or is taken back, and a living upstream dropped.
     @Test
     void anyMixOfTroublesKeepsThePromises() {
         List<String> broken = new ArrayList<>();
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.follow.Pace;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -54,12 +55,17 @@
     private int upstreams;
 
     StoreWorld() {
+        this(Paces.CONFIGURATION);
+    }
+
+    /** A world whose routers follow the configuration at this pace. */
+    StoreWorld(Pace pace) {
         change();
         for (int each = 0; each < UPSTREAMS; each++) {
             join();
         }
         for (int each = 0; each < ROUTERS; each++) {
-            routers.add(new FollowingRouter("router-" + each, world, store));
+            routers.add(new FollowingRouter("router-" + each, world, store, pace));
         }
         world.every(GOSSIP, this::gossip);
         pass(BOUND);
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -42,8 +42,7 @@
         assertEquals(List.of(5L, 7L), heard);
     }
 
-    // Guards against news that is told twice, or goes back, when two calls are answered out of
-    // order.
+    // Guards against news told twice, or out of order, when two calls are answered crosswise.
     @Test
     void anAnswerThatComesLateTellsOnlyWhatIsNew() {
         read(5);
