--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedPath.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedPath.java
@@ -1,11 +1,10 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
-import io.damaskyoke.platform.PolledStore;
+import io.damaskyoke.platform.OnlyFollowed;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -15,7 +14,7 @@
  * One router's way to the store: {@code path.set(State.SILENT)}. A call that is under way when the
  * path falls silent is never answered, also when the path is back.
  */
-final class SimulatedPath implements PolledStore {
+final class SimulatedPath extends OnlyFollowed {
     private static final Duration ONE_WAY = Duration.ofMillis(2);
     private static final Duration SLOW = Duration.ofMillis(250);
 
@@ -132,37 +131,4 @@
     public boolean up() {
         return up;
     }
-
-    @Override
-    public CompletionStage<Optional<Entry>> read(String key) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Listing> range(String from, String to, int limit) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<TxnResult> commit(List<Condition> conditions, List<Write> writes) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Long> grantLease(Duration ttl) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Boolean> keepAlive(long lease) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Void> revokeLease(long lease) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void close() {}
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/HandStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/HandStore.java
@@ -1,6 +1,6 @@
 package io.damaskyoke.follow;
 
-import io.damaskyoke.platform.PolledStore;
+import io.damaskyoke.platform.OnlyFollowed;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,7 +11,7 @@
 import java.util.concurrent.CompletionStage;
 
 /** A store whose every answer is given by hand: {@code store.asks.get(0).complete(...)}. */
-final class HandStore implements PolledStore {
+final class HandStore extends OnlyFollowed {
     final List<CompletableFuture<Changes>> asks = new ArrayList<>();
     final List<CompletableFuture<Listing>> readings = new ArrayList<>();
     final List<Long> askedAfter = new ArrayList<>();
@@ -49,37 +49,4 @@
     static Changes nothing(long revision) {
         return new Changes(List.of(), revision);
     }
-
-    @Override
-    public CompletionStage<Optional<Entry>> read(String key) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Listing> range(String from, String to, int limit) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<TxnResult> commit(List<Condition> conditions, List<Write> writes) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Long> grantLease(Duration ttl) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Boolean> keepAlive(long lease) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Void> revokeLease(long lease) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void close() {}
 }
