--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -183,9 +183,9 @@
         return router;
     }
 
-    /** Shows a count that the process keeps, beside the router's own. */
-    public void count(String name, Supplier<Long> value) {
-        metrics.gauge(name, value);
+    /** Shows how many lines of log the process has left out, beside the router's own counts. */
+    public void logLinesLeftOut(Supplier<Long> count) {
+        metrics.gauge("log_lines_left_out", count);
     }
 
     /** True if callers should be sent here. */
