Count routers whose entries lapsed a moment ago in the budget of second sends

Cause: all routers' entries lapse in an outage of the store that runs leases out. Each router counted itself alone from the first word after it (19.746) until the others were registered again (20.546) and took the whole of what all share; its engines were full just then. Ruled out: requests that one caller repeats (each try is a new request), routers that start (none did). Change: the number of routers is the largest of the last window of the budget. Routers that are gone for good count for as long: ten seconds of fewer retries. And a call that was given up after the store was heard of again no longer says that nothing is heard. Tests: MostOfLateTest. The list that shares of rates go by is not touched: there, who is off the list must stop at once.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -19,7 +19,7 @@
     private final Dispatch dispatch;
     private final InstantSource clock;
     private final RetryBounds bounds;
-    private final IntSupplier routers;
+    private final MostOfLate routers;
     private final DecisionLog log;
     private final Set<Flow> open = new LinkedHashSet<>();
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -45,7 +45,7 @@
         this.dispatch = dispatch;
         this.clock = clock;
         this.bounds = bounds;
-        this.routers = routers;
+        this.routers = new MostOfLate(routers, clock, bounds.window());
         this.log = new DecisionLog(clock);
     }
 
@@ -77,11 +77,11 @@
     }
 
     boolean takeRetry(String service) {
-        return budget(service).take(routers.getAsInt(), now());
+        return budget(service).take(routers.value(), now());
     }
 
     boolean retryLeft(String service) {
-        return budget(service).left(routers.getAsInt(), now());
+        return budget(service).left(routers.value(), now());
     }
 
     DecisionLog log() {
@@ -96,6 +96,7 @@
     /** Looks at the time of every request; called a few times a second. */
     void check() {
         Instant now = now();
+        routers.value();
         for (Flow flow : new ArrayList<>(open)) {
             if (!flow.over()) {
                 flow.check(now);
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -277,8 +277,8 @@
             return;
         }
         metrics.count("store_asks_failed", "of", name);
-        silent(call, failure.getMessage());
         if (call == newest) {
+            silent(call, failure.getMessage());
             planned.in(RETRY, () -> ask(Duration.ZERO));
         }
     }
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MostOfLateTest.java
@@ -0,0 +1,38 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.damaskyoke.control.SameThreadControl;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class MostOfLateTest {
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+
+    private final SameThreadControl control = new SameThreadControl();
+    private int routers = 4;
+    private final MostOfLate most = new MostOfLate(() -> routers, control.clock(), WINDOW);
+
+    // Guards against routers whose entries lapsed in an outage, and that each retry for all of
+    // them.
+    @Test
+    void routersThatAreAwayForAMomentStillCount() {
+        assertEquals(4, most.value());
+        routers = 1;
+        control.advance(Duration.ofSeconds(3));
+        assertEquals(4, most.value());
+        routers = 4;
+        control.advance(Duration.ofSeconds(9));
+        assertEquals(4, most.value());
+    }
+
+    @Test
+    void routersThatAreGoneForGoodCountNoMoreAfterAWhile() {
+        assertEquals(4, most.value());
+        routers = 2;
+        control.advance(WINDOW);
+        assertEquals(2, most.value());
+        routers = 3;
+        assertEquals(3, most.value());
+    }
+}
