Hear of the own entry as soon as it is registered again

Cause: a router that is off its own list may spend no share, which is right; its entry was registered again 0.2 s after the first word, and heard of by the next call for changes, a gap later (19.99, 20.55). Change: it asks at once, by the call that goes beside the others. Red before: MembershipTest.aRouterWhoseEntryLapsedIsBackOnItsListAsSoonAsItIsRegistered, six of ten. Ran: MembershipTest, OrderLeaseTest, StorePromisesTest, PlatformRouterTest, FollowerTest.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -185,11 +185,17 @@
     private void written(boolean done) {
         if (done) {
             control.after(KEEP, this::keep);
+            hearOfSelf();
         } else {
             control.after(RETRY, this::register);
         }
     }
 
+    // Off its own list it may spend no share of a rate, and would refuse until it hears by itself.
+    private void hearOfSelf() {
+        follower.whenKnown(control.clock().instant(), RETRY, known -> {});
+    }
+
     private void keep() {
         if (leaving) {
             return;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
@@ -8,8 +8,13 @@
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class MembershipTest {
     private static final Pace PACE = new Pace(Duration.ofMillis(2_500), Duration.ZERO);
@@ -17,6 +22,34 @@
     private final SameThreadControl control = new SameThreadControl();
     private final FakeStore store = new FakeStore(control);
 
+    // Guards against a router that refuses within the rate until it happens to hear that it is
+    // back.
+    @ParameterizedTest
+    @ValueSource(longs = {2_000, 2_200, 2_400, 2_600, 2_800, 3_000, 3_200, 3_400, 3_600, 3_800})
+    void aRouterWhoseEntryLapsedIsBackOnItsListAsSoonAsItIsRegistered(long lapsesAfter) {
+        Pace usual = new Pace(Duration.ofMillis(2_500), Duration.ofMillis(800));
+        Membership members =
+                new Membership(
+                        control,
+                        store,
+                        "p",
+                        new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1),
+                        usual,
+                        new Metrics());
+        members.start(() -> {});
+        control.advance(Duration.ofMillis(lapsesAfter));
+        store.expire(1);
+        // Another entry changes a little later, so that the next call is asked for a gap after it.
+        control.advance(Duration.ofMillis(10));
+        put("p/fleet/routers/two", "junk");
+        while (!store.contents("p/fleet/routers/").stream()
+                .anyMatch(entry -> entry.key().endsWith("/one"))) {
+            control.advance(Duration.ofMillis(10));
+        }
+        control.advance(Duration.ofMillis(10));
+        assertEquals(1, members.read().toCompletableFuture().join().size());
+    }
+
     @Test
     void aRouterThatIsCutOffHasNoListOfRouters() {
         // The store no longer answers this router. Its own copy of the list still names it; taken
@@ -41,4 +74,9 @@
         control.advance(Duration.ofSeconds(3));
         assertEquals(1, members.read().toCompletableFuture().join().size());
     }
+
+    private void put(String key, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        store.commit(List.of(), List.of(new Write.Put(key, bytes, 0)));
+    }
 }
