Plan at most twice between two ticks for what routers say is needed

Cause: the leader planned anew for each report of each router, and added all reports up each time. With 33 routers that report seven times a second, and every 2 ms when requests come to wait, that was 230 rounds a second and more; weak leaders missed their own leases and gave orders 150 to 330 ms late. Ruled out: the sending of orders itself (an order to an idle upstream takes 5 ms on a strong VM). Change: reports are added up when somebody plans; a report that says that requests wait leads to at most two rounds between two ticks, and a tick with nothing under way plans nothing. How long requests have waited for a model is counted once and not for each candidate.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -11,7 +11,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** What all routers together need and see; each one's word counts until it is old. */
+/**
+ * What all routers together need and see; each one's word counts until it is old. Words are added
+ * up when somebody plans by them, and not as they come: {@code book.said(...); book.addUp(now)}.
+ */
 final class DemandBook {
     /** A router says something at least four times a second; silent for this long, it is gone. */
     private static final Duration VALID = Duration.ofSeconds(2);
@@ -24,6 +27,8 @@
     private final Map<String, Double> perSecond = new HashMap<>();
     private final Map<String, Double> adaptersPerSecond = new HashMap<>();
     private final Map<String, Integer> waiting = new HashMap<>();
+    private final Map<String, Duration> oldest = new HashMap<>();
+    private List<LoadInput.Want> inOrder = List.of();
     private final Map<UpstreamId, Map<ModelRef, Integer>> runningAt = new HashMap<>();
     private final Map<UpstreamId, Map<String, Integer>> runningModels = new HashMap<>();
     private final Map<String, Integer> running = new HashMap<>();
@@ -32,6 +37,7 @@
     private final Map<String, Double> weights = new HashMap<>();
 
     private Instant firstAt;
+    private boolean changed;
 
     private record Entry(LoadInput.Demanded said, Instant at) {}
 
@@ -40,7 +46,7 @@
         if (firstAt == null && !demanded.wants().isEmpty()) {
             firstAt = now;
         }
-        addUp(now);
+        changed = true;
     }
 
     /** True until requests have come for long enough to show which models are busy. */
@@ -50,10 +56,12 @@
 
     /** Forgets what is too old. */
     void expire(Instant now) {
-        boolean changed = byRouter.values().removeIf(entry -> entry.at().plus(VALID).isBefore(now));
-        if (changed) {
-            addUp(now);
-        }
+        changed |= byRouter.values().removeIf(entry -> entry.at().plus(VALID).isBefore(now));
+    }
+
+    /** True if some router has said that requests wait. */
+    boolean anyWaits() {
+        return !inOrder.isEmpty();
     }
 
     /**
@@ -68,6 +76,10 @@
      * age would make every request late by the same seconds.
      */
     List<LoadInput.Want> waiting() {
+        return inOrder;
+    }
+
+    private List<LoadInput.Want> sortWaiting() {
         List<LoadInput.Want> sorted = new ArrayList<>();
         for (LoadInput.Want want : wants.values()) {
             if (want.waiting() > 0) {
@@ -112,14 +124,7 @@
 
     /** How long the first request has waited for the model or one of its adapters. */
     Duration oldest(String model) {
-        Duration oldest = Duration.ZERO;
-        for (LoadInput.Want want : wants.values()) {
-            boolean longer = want.oldest().compareTo(oldest) > 0;
-            if (want.waiting() > 0 && want.model().model().equals(model) && longer) {
-                oldest = want.oldest();
-            }
-        }
-        return oldest;
+        return oldest.getOrDefault(model, Duration.ZERO);
     }
 
     /** How many of the model's adapters were asked for of late. */
@@ -164,11 +169,17 @@
         return finding > 0 && 2 * finding >= byRouter.size();
     }
 
-    private void addUp(Instant now) {
+    /** Takes in all that was said since the last time; what is told below goes by this. */
+    void addUp(Instant now) {
+        if (!changed) {
+            return;
+        }
+        changed = false;
         wants.clear();
         perSecond.clear();
         adaptersPerSecond.clear();
         waiting.clear();
+        oldest.clear();
         adaptersAsked.clear();
         suspecting.clear();
         addUpRunning();
@@ -179,6 +190,7 @@
             }
             entry.said().suspects().forEach(id -> suspecting.merge(id, 1, Integer::sum));
         }
+        inOrder = sortWaiting();
     }
 
     private void addUpRunning() {
@@ -205,6 +217,9 @@
     private void add(LoadInput.Want want, Duration age) {
         perSecond.merge(want.model().model(), want.perSecond(), Double::sum);
         waiting.merge(want.model().model(), want.waiting(), Integer::sum);
+        if (want.waiting() > 0) {
+            oldest.merge(want.model().model(), want.oldest().plus(age), DemandBook::longer);
+        }
         if (want.model().adapted()) {
             adaptersPerSecond.merge(want.model().model(), want.perSecond(), Double::sum);
         }
@@ -222,6 +237,10 @@
         }
     }
 
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
     private static LoadInput.Want both(LoadInput.Want one, LoadInput.Want other) {
         if (one == null) {
             return other;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
@@ -124,6 +124,11 @@
                 : Duration.between(now, pending.dueAt());
     }
 
+    /** True if something is about to change here: an order, a report, an adapter on its way. */
+    boolean underWay() {
+        return !known || pending != null || intent != null || !coming.isEmpty();
+    }
+
     /** True if an order may be given now. */
     boolean free(Instant now) {
         return known && pending == null && !now.isBefore(quietUntil) && !facts.draining();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -48,6 +48,13 @@
     /** What is loaded ahead of need is looked for this often; what is waited for, at once. */
     private static final Duration AHEAD_GAP = Duration.ofMillis(200);
 
+    /**
+     * Requests that routers say are waiting are planned for at once, so many times between two
+     * ticks. Each of dozens of routers reports several times a second; a round of planning for each
+     * report would keep the leader's VM busy with nothing new.
+     */
+    private static final int MOST_ROUNDS_FOR_DEMAND = 2;
+
     /** An intent whose way is barred this long is given up. */
     private static final Duration INTENT_LIMIT = Duration.ofSeconds(3);
 
@@ -62,6 +69,9 @@
     private long number;
     private boolean active;
     private Instant aheadAt = Instant.MIN;
+    private int roundsForDemand;
+    private boolean demandChanged;
+    private long rounds;
 
     /** A planner that knows nothing yet. */
     public LoadPlanner(LoadSettings settings) {
@@ -74,6 +84,19 @@
     @Override
     public List<LoadAction> on(LoadInput input, Instant now) {
         List<LoadAction> actions = new ArrayList<>();
+        take(input, now, actions);
+        if (active && due(input, now)) {
+            step(now, actions);
+        }
+        return active ? actions : List.of();
+    }
+
+    /** How many rounds of planning there were, for a measurement of what they cost. */
+    public long rounds() {
+        return rounds;
+    }
+
+    private void take(LoadInput input, Instant now, List<LoadAction> actions) {
         if (input instanceof LoadInput.Configured configured) {
             configured(configured.engines());
         } else if (input instanceof LoadInput.Listed listed) {
@@ -96,11 +119,31 @@
         } else {
             demand.expire(now);
         }
-        if (!active || input instanceof LoadInput.Listed) {
-            return List.of();
+    }
+
+    // What is listed and who reports without requests that wait can wait for the next tick.
+    private boolean due(LoadInput input, Instant now) {
+        if (input instanceof LoadInput.Listed) {
+            return false;
+        }
+        if (input instanceof LoadInput.Demanded demanded) {
+            boolean waits = demanded.wants().stream().anyMatch(want -> want.waiting() > 0);
+            return waits && roundsForDemand++ < MOST_ROUNDS_FOR_DEMAND;
+        }
+        if (input instanceof LoadInput.Tick) {
+            roundsForDemand = 0;
+            return demandChanged || !now.isBefore(aheadAt) || demand.anyWaits() || underWay();
+        }
+        return true;
+    }
+
+    private boolean underWay() {
+        for (Engine engine : engines.values()) {
+            if (engine.underWay()) {
+                return true;
+            }
         }
-        step(now, actions);
-        return actions;
+        return false;
     }
 
     private void configured(Map<String, EngineSpec> engines) {
@@ -129,6 +172,7 @@
 
     private void demanded(LoadInput.Demanded demanded, Instant now) {
         demand.said(demanded, now);
+        demandChanged = true;
         demanded.running()
                 .forEach(
                         (upstream, counts) ->
@@ -241,6 +285,9 @@
     }
 
     private void step(Instant now, List<LoadAction> actions) {
+        rounds++;
+        demandChanged = false;
+        demand.addUp(now);
         for (Engine engine : engines.values()) {
             arrive(engine, now, actions);
             follow(engine, now, actions);
@@ -383,6 +430,7 @@
      * copy, and what bars it. Empty if nothing waits.
      */
     public List<String> barred(Duration longerThan, Instant now) {
+        demand.addUp(now);
         return new WaitReport(demand, engines.values(), now).longerThan(longerThan);
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -292,6 +292,42 @@
     }
 
     // Two upstreams hold three of seven models each, which is all that they have room for.
+    // Guards against a round of planning for each of the reports of dozens of routers, which keeps
+    // the leader's VM from its callers.
+    @Test
+    void aFloodOfReportsLeadsToFewRoundsOfPlanning() {
+        begin(Set.of("g"), Set.of());
+        long before = planner.rounds();
+        for (int tick = 0; tick < 50; tick++) {
+            for (int router = 0; router < 33; router++) {
+                planner.on(
+                        new LoadInput.Demanded(
+                                VmId.of("router-" + router),
+                                List.of(want("g", 1, 0.1)),
+                                Map.of(),
+                                Set.of()),
+                        now);
+            }
+            tick();
+            now = now.plusMillis(20);
+        }
+        assertTrue(planner.rounds() - before <= 3 * 50, "rounds " + planner.rounds());
+    }
+
+    @Test
+    void whatReportsSayTogetherCountsThoughTheyAreNotPlannedForOneByOne() {
+        begin(Set.of("g"), Set.of());
+        for (String router : List.of("one", "two", "three", "four")) {
+            LoadInput.Want quiet = want("e", 0, 0.5);
+            planner.on(
+                    new LoadInput.Demanded(VmId.of(router), List.of(quiet), Map.of(), Set.of()),
+                    now);
+        }
+        now = now.plusMillis(20);
+        tick();
+        assertEquals(List.of("UNLOAD a one 0"), want("g", 1));
+    }
+
     private void begin(Set<String> onDiskOfOne, Set<String> onDiskOfTwo) {
         planner.on(new LoadInput.Configured(Map.of("engines", spec())), now);
         list(ONE, held(0, "a", "b", "c"), onDiskOfOne);
