Let a process follow the store through others that follow it

Change: a follower asks a relay, if there is one, and the store whenever it must know for sure or the relay says nothing, can't tell, or is out of date. A relay holds a call until there is something, and tells how old its own view is; that age counts for the bound and for the silence before an answer, so that entries which lapsed in an outage are still waited for. A network of peers can run on threads that the process has already. Ruled out: one watch over all keys (every router would get every write), a push of each change to all (frames that grow with routers squared).

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Call.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Call.java
@@ -8,11 +8,22 @@
     private final Instant at;
     private final Duration patience;
     private final Runnable again;
+    private final boolean relayed;
 
     Call(Instant at, Duration patience, Runnable again) {
+        this(at, patience, again, false);
+    }
+
+    Call(Instant at, Duration patience, Runnable again, boolean relayed) {
         this.at = at;
         this.patience = patience;
         this.again = again;
+        this.relayed = relayed;
+    }
+
+    /** True if it went to a relay and not to the store. */
+    boolean relayed() {
+        return relayed;
     }
 
     /** When it was sent. */
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -41,6 +42,9 @@
 
     private static final Duration LOOK = Duration.ofMillis(100);
 
+    /** Nobody may have a call held here for longer. */
+    private static final Duration LONGEST_HELD = Duration.ofSeconds(2);
+
     /** Calls without an answer; more of them would only add to the load of a slow store. */
     private static final int MOST_OPEN = 8;
 
@@ -55,11 +59,15 @@
     private final Set<Call> open = new HashSet<>();
     private final Waiters waiters;
     private final Planned planned;
+    private final Relay relay;
+    private final ChangeHistory history = new ChangeHistory();
+    private final HeldAsks asks = new HeldAsks(view, history);
     private Call newest;
     private Call beside;
     private boolean reading = true;
     private boolean failing;
     private boolean silent;
+    private boolean byRelay;
 
     private Follower(Builder from, Hearer hearer) {
         this.name = from.name;
@@ -69,6 +77,7 @@
         this.control = Objects.requireNonNull(from.control, "a follower needs a thread: on(...)");
         this.metrics =
                 Objects.requireNonNull(from.metrics, "a follower needs metrics: counting(...)");
+        this.relay = from.relay;
         this.hearer = Objects.requireNonNull(hearer, "a follower needs somebody to tell");
         this.waiters = new Waiters(control);
         this.planned = new Planned(control);
@@ -87,6 +96,11 @@
         return this;
     }
 
+    /** What the followed keys begin with. */
+    public String prefix() {
+        return prefix;
+    }
+
     /** True once everything was read. */
     public boolean everRead() {
         return view.asOf().isPresent();
@@ -124,6 +138,36 @@
         askBeside();
     }
 
+    /**
+     * Tells another process what has changed after the revision, as the store would: at once, when
+     * it comes, or that there was nothing at the end of the wait. Tells nothing if that isn't known
+     * here at first hand and of late; the other has to ask the store then.
+     */
+    public void tell(long after, Duration wait, Consumer<Optional<Changes>> told) {
+        if (!mayPassOn()) {
+            told.accept(Optional.empty());
+            return;
+        }
+        Duration longest = wait.compareTo(LONGEST_HELD) < 0 ? wait : LONGEST_HELD;
+        asks.add(after, now().plus(longest), told, now());
+    }
+
+    private boolean mayPassOn() {
+        boolean sure = everRead() && !reading && !failing && !byRelay;
+        return sure && view.age(now()).orElseThrow().compareTo(pace.bound()) <= 0;
+    }
+
+    private void passOn() {
+        if (asks.isEmpty()) {
+            return;
+        }
+        if (mayPassOn()) {
+            asks.answer(now());
+        } else {
+            asks.turnAway();
+        }
+    }
+
     private void release() {
         waiters.release(view);
         if (!waiters.isEmpty()) {
@@ -150,7 +194,7 @@
     }
 
     private void read() {
-        Call call = begin(Duration.ZERO, this::read);
+        Call call = begin(new Call(now(), Duration.ZERO, this::read));
         store.list(prefix)
                 .whenComplete((found, failure) -> control.run(() -> took(call, found, failure)));
     }
@@ -173,7 +217,10 @@
         }
         reading = false;
         failing = false;
-        Duration silence = confirm(call, call.at(), found.revision(), Source.READING);
+        byRelay = false;
+        history.startAt(found.revision());
+        Instant answered = call.answeredBy(now());
+        Duration silence = confirm(call, call.at(), answered, found.revision(), Source.READING);
         hearer.all(found.entries(), found.revision(), silence);
         ask(pace.patience());
         release();
@@ -184,23 +231,30 @@
             // Goes on when the reading is answered.
             return;
         }
-        send(begin(patience, () -> ask(Duration.ZERO)));
+        // A call that doesn't wait is one that must know for sure: the store has to say.
+        boolean relayed = !patience.isZero() && relay.available();
+        Duration wait = relayed ? pace.atRelay().patience() : patience;
+        send(begin(new Call(now(), wait, () -> ask(Duration.ZERO), relayed)));
     }
 
     private void send(Call call) {
-        store.changes(prefix, view.revision(), call.patience())
-                .whenComplete(
-                        (changes, failure) -> control.run(() -> answered(call, changes, failure)));
+        CompletionStage<Changes> told =
+                call.relayed()
+                        ? relay.changes(prefix, view.revision(), call.patience())
+                        : store.changes(prefix, view.revision(), call.patience());
+        told.whenComplete(
+                (changes, failure) -> control.run(() -> answered(call, changes, failure)));
     }
 
-    private Call begin(Duration patience, Runnable again) {
+    private Call begin(Call call) {
         planned.cancel();
-        newest = new Call(now(), patience, again);
-        open.add(newest);
-        return newest;
+        newest = call;
+        open.add(call);
+        return call;
     }
 
     private void look() {
+        passOn();
         if (!open.contains(newest)) {
             goOn();
         } else if (!now().isBefore(newest.due()) && open.size() < MOST_OPEN) {
@@ -242,11 +296,16 @@
                 changes.changes().stream()
                         .filter(change -> change.revision() > view.revision())
                         .toList();
-        Instant goodUpTo = call.goodUpTo(now(), changes.changes().isEmpty());
-        Duration silence = confirm(call, goodUpTo, changes.revision(), Source.CHANGES);
+        byRelay = call.relayed();
+        Duration age = changes.age();
+        Instant goodUpTo = call.goodUpTo(now(), changes.changes().isEmpty()).minus(age);
+        Instant answered = call.answeredBy(now()).minus(age);
+        Duration silence = confirm(call, goodUpTo, answered, changes.revision(), Source.CHANGES);
         if (!news.isEmpty()) {
+            history.add(news);
             hearer.changed(news, news.get(news.size() - 1).revision(), silence);
         }
+        passOn();
         if (call == newest) {
             askNext(call);
         }
@@ -255,12 +314,13 @@
 
     private void askNext(Call call) {
         // The VM stood still since: a call that waits would leave unheard what came meanwhile.
-        boolean old = view.age(now()).orElseThrow().compareTo(pace.bound()) > 0;
+        boolean old = view.age(now()).orElseThrow().compareTo(bound(call)) > 0;
         if (old) {
             ask(Duration.ZERO);
             return;
         }
-        Instant next = call.at().plus(pace.gap());
+        Pace asked = call.relayed() ? pace.atRelay() : pace;
+        Instant next = call.at().plus(asked.gap());
         Duration pause = Duration.between(now(), next);
         if (pause.isNegative() || pause.isZero()) {
             ask(pace.patience());
@@ -269,7 +329,20 @@
         }
     }
 
+    // What a relay tells is as old as its own view, and is on its way as long as a call to it
+    // lasts.
+    private Duration bound(Call call) {
+        return call.relayed() ? pace.bound().plus(pace.atRelay().bound()) : pace.bound();
+    }
+
     private void failed(Call call, Throwable failure) {
+        if (call.relayed()) {
+            metrics.count("store_relays_failed", "of", name);
+            if (call == newest) {
+                ask(Duration.ZERO);
+            }
+            return;
+        }
         if (compacted(failure)) {
             LOG.info("the store has dropped the history of {}, reading it anew", name);
             failing = true;
@@ -302,7 +375,8 @@
         return cause instanceof PlatformException known && known.code() == Code.COMPACTED;
     }
 
-    private Duration confirm(Call call, Instant goodUpTo, long revision, Source source) {
+    private Duration confirm(
+            Call call, Instant goodUpTo, Instant answered, long revision, Source source) {
         if (silent) {
             silent = false;
             LOG.info(
@@ -313,7 +387,7 @@
                     call.age(now()).toMillis(),
                     ageMillis());
         }
-        return view.confirm(goodUpTo, call.answeredBy(now()), revision);
+        return view.confirm(goodUpTo, answered, revision);
     }
 
     /** What an answer was one to. */
@@ -330,6 +404,7 @@
         private Pace pace;
         private Control control;
         private Metrics metrics;
+        private Relay relay = Relay.none();
 
         private Builder(String name) {
             this.name = Objects.requireNonNull(name, "a follower needs a name");
@@ -365,6 +440,12 @@
             return this;
         }
 
+        /** Who is asked before the store, if somebody is there to ask. */
+        public Builder by(Relay given) {
+            relay = given;
+            return this;
+        }
+
         /** Makes the follower, which tells the hearer from its start on. */
         public Follower tell(Hearer hearer) {
             return new Follower(this, hearer);
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/HeldAsks.java
@@ -0,0 +1,74 @@
+package io.damaskyoke.follow;
+
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.PolledStore.Changes;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Calls of other processes that wait for changes here, as calls to the store wait there. Each is
+ * answered once: with changes as soon as there are any, with none at the end of its wait, or with
+ * nothing if this process doesn't know enough itself.
+ */
+final class HeldAsks {
+    private final View view;
+    private final ChangeHistory history;
+    private List<Ask> asks = new ArrayList<>();
+
+    private record Ask(long after, Instant until, Consumer<Optional<Changes>> told) {}
+
+    HeldAsks(View view, ChangeHistory history) {
+        this.view = view;
+        this.history = history;
+    }
+
+    void add(long after, Instant until, Consumer<Optional<Changes>> told, Instant now) {
+        Ask ask = new Ask(after, until, told);
+        if (!answered(ask, now)) {
+            asks.add(ask);
+        }
+    }
+
+    /** Answers those for whom there is something, and those whose wait is over. */
+    void answer(Instant now) {
+        List<Ask> all = asks;
+        asks = new ArrayList<>();
+        for (Ask ask : all) {
+            if (!answered(ask, now)) {
+                asks.add(ask);
+            }
+        }
+    }
+
+    /** Nothing is known here for sure any more: all are sent to the store. */
+    void turnAway() {
+        List<Ask> all = asks;
+        asks = new ArrayList<>();
+        all.forEach(ask -> ask.told().accept(Optional.empty()));
+    }
+
+    boolean isEmpty() {
+        return asks.isEmpty();
+    }
+
+    private boolean answered(Ask ask, Instant now) {
+        Optional<List<Change>> changes = history.after(ask.after());
+        boolean ended = !now.isBefore(ask.until());
+        // Who knows more than is known here can't be told that there is nothing new.
+        boolean ahead = ask.after() > view.revision();
+        if (changes.isEmpty() || ended && ahead) {
+            ask.told().accept(Optional.empty());
+            return true;
+        }
+        if (changes.get().isEmpty() && !ended) {
+            return false;
+        }
+        Duration age = view.age(now).orElseThrow();
+        ask.told().accept(Optional.of(new Changes(changes.get(), view.revision(), age)));
+        return true;
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Pace.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Pace.java
@@ -13,6 +13,12 @@
     /** How long an answer may be on its way; the platform's store takes milliseconds. */
     static final Duration ANSWER = Duration.ofMillis(400);
 
+    /** A relay that says nothing is noticed only when its wait is over. */
+    private static final Duration LONGEST_AT_RELAY = Duration.ofMillis(1_200);
+
+    /** A relay's own calls are a gap apart; this only keeps it from being asked in a loop. */
+    private static final Duration RELAY_GAP = Duration.ofMillis(20);
+
     /** Refuses what is negative. */
     public Pace {
         Objects.requireNonNull(patience, "a pace needs a patience");
@@ -22,6 +28,15 @@
         }
     }
 
+    /**
+     * The same where a relay is asked, which holds each call until there is something and at no
+     * price.
+     */
+    public Pace atRelay() {
+        boolean longer = patience.compareTo(LONGEST_AT_RELAY) > 0;
+        return new Pace(longer ? LONGEST_AT_RELAY : patience, RELAY_GAP);
+    }
+
     /**
      * How long after an acknowledgement a change is known at the latest, while the store answers:
      * the call that was under way when it came back may be one that nobody answers.
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetwork.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetwork.java
@@ -52,6 +52,7 @@
     private final ClockGuard guard;
     private final LinkHandler.Context context;
     private final EventLoopGroup group;
+    private final boolean ownThreads;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final ConcurrentMap<PeerAddress, Dialer> dialers = new ConcurrentHashMap<>();
     private volatile Channel server;
@@ -59,7 +60,12 @@
 
     PeerNetwork(PeerNetworkBuilder builder) {
         settings = builder.settings;
-        group = new MultiThreadIoEventLoopGroup(builder.threads, NioIoHandler.newFactory());
+        ownThreads = builder.group == null;
+        group =
+                ownThreads
+                        ? new MultiThreadIoEventLoopGroup(
+                                builder.threads, NioIoHandler.newFactory())
+                        : builder.group;
         clock = builder.clock;
         random = builder.random;
         metrics = builder.metrics;
@@ -157,8 +163,10 @@
         closed = true;
         dialers.values().forEach(dialer -> dialer.close(closedHere()));
         channels.close().awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
-        group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS)
-                .awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+        if (ownThreads) {
+            group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS)
+                    .awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+        }
     }
 
     private NettyLink want(PeerAddress address) {
--- a/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetworkBuilder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/PeerNetworkBuilder.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.peer.wire.Hello;
 import io.damaskyoke.settings.PeerSettings;
 import io.damaskyoke.timeline.Timeline;
+import io.netty.channel.EventLoopGroup;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +27,7 @@
     Supplier<Heartbeat> heartbeat = Heartbeat::getDefaultInstance;
     RandomGenerator random = new Random();
     int threads = 2;
+    EventLoopGroup group;
     final List<PeerListener> listeners = new ArrayList<>();
     private Hello hello;
 
@@ -90,6 +92,15 @@
         return this;
     }
 
+    /**
+     * Runs on threads that the process has already, which are left running when the network closes:
+     * on a part of one core a thread of its own would cost two wake-ups for each frame.
+     */
+    public PeerNetworkBuilder on(EventLoopGroup given) {
+        group = Objects.requireNonNull(given, "group");
+        return this;
+    }
+
     /** Adds a listener; may be called again. */
     public PeerNetworkBuilder listen(PeerListener listener) {
         listeners.add(Objects.requireNonNull(listener, "listener"));
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
@@ -17,6 +17,12 @@
      * Changes in order of revision, and the store's revision up to which there were no others.
      *
      * @param changes empty if there were none
+     * @param age how much older this is than an answer of the store itself; zero if it is one
      */
-    record Changes(List<Change> changes, long revision) {}
+    record Changes(List<Change> changes, long revision, Duration age) {
+        /** An answer of the store itself. */
+        public Changes(List<Change> changes, long revision) {
+            this(changes, revision, Duration.ZERO);
+        }
+    }
 }
