--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
@@ -4,6 +4,7 @@
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.Hearer;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
@@ -26,6 +27,7 @@
             Dialect dialect,
             ConfigurationHolder holder,
             Pace pace,
+            Relay relay,
             Metrics metrics) {
         this.key = dialect.configurationKey();
         this.holder = holder;
@@ -36,6 +38,7 @@
                         .at(pace)
                         .on(control)
                         .counting(metrics)
+                        .by(relay)
                         .tell(this);
     }
 
@@ -43,6 +46,11 @@
         follower.start();
     }
 
+    /** What follows the configuration, for others that follow it through this router. */
+    Follower follower() {
+        return follower;
+    }
+
     /** How long ago the configuration in force was surely the newest; empty if it never was. */
     Optional<Duration> age() {
         return follower.age();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DemandReports.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DemandReports.java
@@ -3,11 +3,13 @@
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.platform.KeyValueStore;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
 
@@ -19,9 +21,20 @@
     /** Requests that come to wait together are told together. */
     private static final Duration URGENT = Duration.ofMillis(2);
 
+    /** Requests that come to wait in a row would else each be a report of all that is needed. */
+    private static final Duration URGENT_GAP = Duration.ofMillis(40);
+
+    /** What has not changed is told again after this, while the last word still counts. */
+    private static final Duration UNCHANGED = Duration.ofMillis(600);
+
+    /** Which engines are in use decides what is unloaded, and changes with each request. */
+    private static final Duration RUNNING_CHANGED = Duration.ofMillis(250);
+
     private final VmId self;
     private final Parts parts;
     private boolean planned;
+    private Map<UpstreamId, Map<ModelRef, Integer>> reportedRunning = Map.of();
+    private Instant reportedAt = Instant.MIN;
 
     /** What reports are made of, and where they go. */
     record Parts(
@@ -33,7 +46,8 @@
             OrderGiver giver,
             Dispatch dispatch,
             ConfigurationHolder configuration,
-            UpstreamTable upstreams) {}
+            UpstreamTable upstreams,
+            LoopLag lag) {}
 
     DemandReports(VmId self, Parts parts) {
         this.self = self;
@@ -44,22 +58,55 @@
     void soon() {
         if (!planned) {
             planned = true;
-            parts.control().after(URGENT, this::reportPlanned);
+            parts.control().after(pause(), this::reportPlanned);
+        }
+    }
+
+    private Duration pause() {
+        if (reportedAt.equals(Instant.MIN)) {
+            return URGENT;
         }
+        Instant next = reportedAt.plus(URGENT_GAP);
+        Duration pause = Duration.between(parts.control().clock().instant(), next);
+        return pause.compareTo(URGENT) > 0 ? pause : URGENT;
     }
 
-    /** Tells the giver of orders, or this router's own planner if it gives them. */
+    /** Tells the giver of orders, or this router's own planner, what is news to it. */
     void report() {
         LoadInput.Demanded demanded = parts.dispatch().demand(self);
-        Optional<VmId> to = parts.members().giver();
         if (parts.lease().held()) {
             parts.giver().demanded(demanded);
-        } else if (to.isPresent() && !to.get().equals(self)) {
+            return;
+        }
+        Optional<VmId> to = parts.members().giver().filter(giver -> !giver.equals(self));
+        if (to.isPresent() && news(demanded)) {
+            reportedRunning = demanded.running();
+            reportedAt = parts.control().clock().instant();
             send(to, demanded);
         }
     }
 
-    /** Tells all routers, who need it should one of them become the giver. */
+    /** Tells a giver of orders that has just come. */
+    void reportAnew() {
+        reportedAt = Instant.MIN;
+        report();
+    }
+
+    // An idle router's report would wake both VMs seven times a second to say the same.
+    private boolean news(LoadInput.Demanded demanded) {
+        boolean waits = demanded.wants().stream().anyMatch(want -> want.waiting() > 0);
+        if (waits || reportedAt.equals(Instant.MIN)) {
+            return true;
+        }
+        boolean changed = !demanded.running().equals(reportedRunning);
+        Instant now = parts.control().clock().instant();
+        return !now.isBefore(reportedAt.plus(changed ? RUNNING_CHANGED : UNCHANGED));
+    }
+
+    /**
+     * Tells the routers that follow the store for all, who need it should one of them become the
+     * giver, and who have what this router may lack.
+     */
     void gossip() {
         tellAll();
         send(Optional.empty(), parts.dispatch().demand(self));
@@ -89,6 +136,7 @@
                         demanded,
                         parts.configuration().revision(),
                         parts.upstreams().revision(),
-                        parts.store().up());
+                        parts.store().up(),
+                        parts.lag().average());
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -7,6 +7,7 @@
 import io.damaskyoke.control.rates.RateSettings;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.follow.Follower;
 import io.damaskyoke.http.EarlySocket;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
@@ -34,11 +35,14 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -61,6 +65,10 @@
     private static final Duration COUNTERS = Duration.ofSeconds(10);
     private static final Duration SWEEP = Duration.ofMillis(500);
     private static final Duration LIST_PERIOD = Duration.ofMillis(500);
+
+    /** A leader has more to do than the others; only one this many times as quick would gain. */
+    private static final int MUCH_QUICKER = 4;
+
     private static final int TIMELINE_EVENTS = 500;
 
     private final DirectSettings settings;
@@ -76,6 +84,7 @@
     private final HttpClient client;
     private final PolledStore store;
     private final UpstreamTable upstreams = new UpstreamTable();
+    private final StoreRelays relays;
     private final Membership members;
     private final Neighbours neighbours;
     private final OrderLease lease;
@@ -106,23 +115,37 @@
         this.self = VmId.of(settings.vm());
         String life = UUID.randomUUID().toString().substring(0, 8);
         this.incarnation = Incarnation.of(settings.vm() + ":" + life);
-        this.control = new LoopControl(loop, clock);
+        this.control = new LoopControl(loop, clock, new LoopHolds(metrics));
         this.client = new HttpClient(loop, CONNECT_TIMEOUT, metrics);
         this.store = stores.open(settings, client, control, metrics);
+        this.relays = new StoreRelays(control, this::relaySources, this::askRelay);
         this.members =
                 new Membership(
-                        control, store, settings.storePrefix(), entry(), Paces.ROUTERS, metrics);
+                        control,
+                        store,
+                        settings.storePrefix(),
+                        entry(),
+                        Paces.ROUTERS,
+                        relays,
+                        metrics);
         this.neighbours = new Neighbours(control, members);
-        this.lease = new OrderLease(control, store, members, self);
+        this.lease = new OrderLease(control, store, members, self, lag);
         this.handOver = new OrderHandOver(control, store, lease, neighbours, members);
         UpstreamCalls calls = new UpstreamCalls(client, dialect, control);
         this.giver = new OrderGiver(control, upstreams, lease, calls, self, neighbours);
         this.configuration = new ConfigurationHolder(dialect, this::configured);
         this.upstreamFollower =
-                new UpstreamFollower(control, store, dialect, upstreams, Paces.UPSTREAMS, metrics);
+                new UpstreamFollower(
+                        control, store, dialect, upstreams, Paces.UPSTREAMS, relays, metrics);
         this.configurationFollower =
                 new ConfigurationFollower(
-                        control, store, dialect, configuration, Paces.CONFIGURATION, metrics);
+                        control,
+                        store,
+                        dialect,
+                        configuration,
+                        Paces.CONFIGURATION,
+                        relays,
+                        metrics);
         this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock);
         this.reports =
                 new DemandReports(
@@ -136,7 +159,8 @@
                                 giver,
                                 dispatch,
                                 configuration,
-                                upstreams));
+                                upstreams,
+                                lag));
         this.flows = flows();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
@@ -236,7 +260,25 @@
                 reports,
                 configuration,
                 upstreams,
-                upstreamFollower);
+                upstreamFollower,
+                followed(),
+                relays);
+    }
+
+    private Map<String, Follower> followed() {
+        return Stream.of(
+                        members.follower(),
+                        upstreamFollower.follower(),
+                        configurationFollower.follower())
+                .collect(Collectors.toMap(Follower::prefix, each -> each));
+    }
+
+    private List<VmId> relaySources() {
+        return members.sources();
+    }
+
+    private boolean askRelay(VmId to, long number, String prefix, long after, Duration wait) {
+        return neighbours.askChanges(to, number, prefix, after, wait);
     }
 
     private Ingress ingress() {
@@ -248,6 +290,7 @@
                 flows,
                 incarnation,
                 new Random(),
+                new Backlog(control, lag),
                 metrics);
     }
 
@@ -269,7 +312,7 @@
                 .timeline(timeline)
                 .clock(clock)
                 .metrics(metrics)
-                .threads(1)
+                .on(group)
                 .listen(ratePeers)
                 .listen(neighbours)
                 .build()
@@ -305,7 +348,7 @@
 
     private void check() {
         lag.ticked(clock.instant());
-        if (lag.slow()) {
+        if (lag.slow() && othersAreQuicker()) {
             lease.resign("this VM is slow");
         }
         handOver.check();
@@ -314,6 +357,12 @@
         flows.check();
     }
 
+    // Where all are slow, a change of leader would only cost the orders that it interrupts.
+    private boolean othersAreQuicker() {
+        Duration much = lag.average().dividedBy(MUCH_QUICKER);
+        return neighbours.leastLate().filter(least -> least.compareTo(much) < 0).isPresent();
+    }
+
     private void configured(DirectConfiguration now) {
         callers.limits(now.limits());
         dispatch.configured(now.engines());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -175,6 +175,10 @@
         if (over) {
             return;
         }
+        if (!patience.allowsSending(left(flows.now()))) {
+            timeUp();
+            return;
+        }
         sends++;
         runs++;
         times.sent(upstream.facts().id(), flows.now());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoopControl.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoopControl.java
@@ -19,12 +19,16 @@
 final class LoopControl implements Control {
     private static final Logger LOG = LogManager.getLogger(LoopControl.class);
 
+    private static final Duration BEAT = Duration.ofMillis(50);
+
     private final EventLoop loop;
     private final InstantSource clock;
+    private final LoopHolds holds;
 
-    LoopControl(EventLoop loop, InstantSource clock) {
+    LoopControl(EventLoop loop, InstantSource clock, LoopHolds holds) {
         this.loop = loop;
         this.clock = clock;
+        this.holds = holds;
     }
 
     @Override
@@ -48,12 +52,53 @@
         return () -> timer.cancel(false);
     }
 
+    /**
+     * Steps that are repeated run on common beats, since each of a dozen timers of its own would
+     * wake up the VM as often as all of them together need.
+     */
     @Override
     public Cancellable every(Duration period, Runnable step) {
-        long nanos = period.toNanos();
-        ScheduledFuture<?> timer =
-                loop.scheduleWithFixedDelay(() -> safely(step), nanos, nanos, TimeUnit.NANOSECONDS);
-        return () -> timer.cancel(false);
+        Repeated repeated = new Repeated(period, step);
+        repeated.plan();
+        return repeated;
+    }
+
+    /** A step that runs again and again. */
+    private final class Repeated implements Cancellable {
+        private final Duration period;
+        private final Runnable step;
+        private volatile boolean cancelled;
+
+        Repeated(Duration period, Runnable step) {
+            this.period = period;
+            this.step = step;
+        }
+
+        void plan() {
+            long pause = toBeat(System.nanoTime(), period.toNanos());
+            loop.schedule(this::run, pause, TimeUnit.NANOSECONDS);
+        }
+
+        private void run() {
+            if (!cancelled) {
+                safely(step);
+                plan();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+        }
+    }
+
+    /** From now to the beat that comes closest to a whole period. */
+    static long toBeat(long nowNanos, long periodNanos) {
+        long beat = Math.min(BEAT.toNanos(), periodNanos);
+        long due = nowNanos + periodNanos;
+        long past = Math.floorMod(due, beat);
+        long aligned = past < beat / 2 ? due - past : due - past + beat;
+        return aligned - nowNanos;
     }
 
     @Override
@@ -62,11 +107,13 @@
     }
 
     // A step that throws would end its timer, and with it a duty of this router, without a word.
-    private static void safely(Runnable step) {
+    private void safely(Runnable step) {
+        long began = System.nanoTime();
         try {
             step.run();
         } catch (RuntimeException e) {
             LOG.error("a step failed", e);
         }
+        holds.held(step, System.nanoTime() - began);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -4,6 +4,7 @@
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.Hearer;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.id.AvailabilityZone;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
@@ -38,7 +39,8 @@
     /** A router that is killed is missed after this; its next life takes its place at once. */
     private static final Duration TERM = Duration.ofSeconds(4);
 
-    private static final Duration KEEP = Duration.ofMillis(1_000);
+    /** Two may be lost before the entry lapses; each has its price in the store. */
+    private static final Duration KEEP = Duration.ofMillis(1_500);
 
     private static final Duration RETRY = Duration.ofMillis(300);
 
@@ -50,6 +52,7 @@
     private final Follower follower;
     private Optional<VmId> giver = Optional.empty();
     private long giverRevision;
+    private WatchPlan plan = WatchPlan.of(List.of());
     private Runnable changed = () -> {};
     private long lease;
     private boolean leaving;
@@ -60,6 +63,7 @@
             String storePrefix,
             RouterEntry self,
             Pace pace,
+            Relay relay,
             Metrics metrics) {
         this.control = control;
         this.store = store;
@@ -72,6 +76,7 @@
                         .at(pace)
                         .on(control)
                         .counting(metrics)
+                        .by(relay)
                         .tell(new Listener());
     }
 
@@ -125,6 +130,26 @@
         return routers.values().stream().filter(each -> !each.vm().equals(self.vm())).toList();
     }
 
+    /** What follows the list of routers, for others that follow it through this one. */
+    Follower follower() {
+        return follower;
+    }
+
+    /** Who follows the store for all, by the list as it is known here. */
+    WatchPlan plan() {
+        return plan;
+    }
+
+    /** Whom this router asks for changes in the store; empty if it follows the store itself. */
+    List<VmId> sources() {
+        return plan.sources(self.vm(), AvailabilityZone.of(self.zone()));
+    }
+
+    /** True if this router is one of those that follow the store for all. */
+    boolean watches() {
+        return plan.watches(self.vm());
+    }
+
     /** How many routers there are, this one too. */
     int size() {
         return others().size() + 1;
@@ -148,6 +173,10 @@
                             DirectException.Code.LIST_OUT_OF_DATE,
                             "the store can't be followed now"));
         }
+        return CompletableFuture.completedFuture(vms());
+    }
+
+    private List<Vm> vms() {
         List<Vm> vms = new ArrayList<>();
         for (RouterEntry each : routers.values()) {
             vms.add(
@@ -160,7 +189,7 @@
                             each.port(),
                             State.LIVE));
         }
-        return CompletableFuture.completedFuture(vms);
+        return vms;
     }
 
     private void register() {
@@ -222,12 +251,17 @@
             routers.clear();
             giver = Optional.empty();
             entries.forEach(entry -> put(entry.key(), Optional.of(entry)));
-            changed.run();
+            listChanged();
         }
 
         @Override
         public void changed(List<Change> changes, long revision, Duration silence) {
             changes.forEach(change -> put(change.key(), change.entry()));
+            listChanged();
+        }
+
+        private void listChanged() {
+            plan = WatchPlan.of(vms());
             changed.run();
         }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -1,11 +1,13 @@
 package io.damaskyoke.direct;
 
+import com.google.protobuf.ByteString;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.upstreams.Departure;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.wire.ChangesFetch;
 import io.damaskyoke.peer.wire.Departures;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.HeldModel;
@@ -13,12 +15,18 @@
 import io.damaskyoke.peer.wire.ReplicaNews;
 import io.damaskyoke.peer.wire.RouterReport;
 import io.damaskyoke.peer.wire.RunningCount;
+import io.damaskyoke.peer.wire.StoreChange;
+import io.damaskyoke.peer.wire.StoreChanges;
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -31,13 +39,15 @@
             LoadInput.Demanded demanded,
             long configuration,
             long upstreams,
-            boolean storeUp) {
+            boolean storeUp,
+            Duration late) {
         RouterReport.Builder report =
                 RouterReport.newBuilder()
                         .setNumber(number)
                         .setConfigurationRevision(configuration)
                         .setUpstreamsRevision(upstreams)
-                        .setStoreUp(storeUp);
+                        .setStoreUp(storeUp)
+                        .setLateMs((int) late.toMillis());
         demanded.wants().forEach(want -> report.addDemand(demand(want)));
         demanded.running()
                 .forEach(
@@ -68,6 +78,64 @@
         return Frame.newBuilder().setDepartures(all).build();
     }
 
+    static Frame changesFetch(long number, String prefix, long after, Duration wait) {
+        ChangesFetch fetch =
+                ChangesFetch.newBuilder()
+                        .setNumber(number)
+                        .setPrefix(prefix)
+                        .setAfter(after)
+                        .setWaitMs((int) wait.toMillis())
+                        .build();
+        return Frame.newBuilder().setChangesFetch(fetch).build();
+    }
+
+    static Frame changes(long number, Optional<Changes> told) {
+        StoreChanges.Builder answer = StoreChanges.newBuilder().setNumber(number);
+        if (told.isEmpty()) {
+            answer.setRefused(true);
+        } else {
+            answer.setRevision(told.get().revision());
+            answer.setAgeMs((int) told.get().age().toMillis());
+            told.get().changes().forEach(change -> answer.addChanges(line(change)));
+        }
+        return Frame.newBuilder().setStoreChanges(answer).build();
+    }
+
+    private static StoreChange line(Change change) {
+        StoreChange.Builder line =
+                StoreChange.newBuilder().setKey(change.key()).setRevision(change.revision());
+        change.entry()
+                .ifPresentOrElse(
+                        entry -> line.setValue(ByteString.copyFrom(entry.value())),
+                        () -> line.setRemoved(true));
+        return line.build();
+    }
+
+    /** What a relay says, or nothing if it refuses. */
+    static Optional<Changes> changes(StoreChanges answer) {
+        if (answer.getRefused()) {
+            return Optional.empty();
+        }
+        List<Change> changes =
+                answer.getChangesList().stream().map(NeighbourFrames::change).toList();
+        Duration age = Duration.ofMillis(answer.getAgeMs());
+        return Optional.of(new Changes(changes, answer.getRevision(), age));
+    }
+
+    private static Change change(StoreChange line) {
+        Optional<Entry> entry =
+                line.getRemoved()
+                        ? Optional.empty()
+                        : Optional.of(
+                                new Entry(
+                                        line.getKey(),
+                                        line.getValue().toByteArray(),
+                                        line.getRevision(),
+                                        0,
+                                        0));
+        return new Change(line.getKey(), line.getRevision(), entry);
+    }
+
     private static ModelDemand demand(LoadInput.Want want) {
         return ModelDemand.newBuilder()
                 .setModel(want.model().model())
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -5,10 +5,15 @@
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.follow.Follower;
 import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.PolledStore.Changes;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Takes in what other routers say, and gives them what they lack. Control thread only. */
 final class NeighbourNews implements Neighbours.Hearer {
@@ -26,7 +31,9 @@
             DemandReports reports,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
-            UpstreamFollower upstreamFollower) {}
+            UpstreamFollower upstreamFollower,
+            Map<String, Follower> followed,
+            StoreRelays relays) {}
 
     NeighbourNews(Parts parts, Runnable replicasChanged) {
         this.parts = parts;
@@ -70,6 +77,9 @@
         }
         if (fencing > highestFencing) {
             parts.members().announced(from);
+            parts.neighbours().refresh();
+            // A new leader that doesn't follow the store for all knows nothing of what is needed.
+            parts.reports().reportAnew();
         }
         highestFencing = fencing;
         held.forEach(
@@ -80,6 +90,22 @@
         replicasChanged.run();
     }
 
+    @Override
+    public void askedChanges(
+            String prefix, long after, Duration wait, Consumer<Optional<Changes>> told) {
+        Follower follower = parts.followed().get(prefix);
+        if (follower == null) {
+            told.accept(Optional.empty());
+        } else {
+            follower.tell(after, wait, told);
+        }
+    }
+
+    @Override
+    public void changes(VmId from, long number, Optional<Changes> told) {
+        parts.relays().answered(from, number, told);
+    }
+
     @Override
     public void leaseEnded(VmId by, long lease) {
         parts.handOver().ended(by, lease);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -11,34 +11,47 @@
 import io.damaskyoke.peer.PeerLink;
 import io.damaskyoke.peer.PeerListener;
 import io.damaskyoke.peer.PeerNetwork;
+import io.damaskyoke.peer.wire.ChangesFetch;
 import io.damaskyoke.peer.wire.DepartureFetch;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.Hello;
 import io.damaskyoke.peer.wire.LeaseEnd;
 import io.damaskyoke.peer.wire.RouterReport;
+import io.damaskyoke.peer.wire.StoreChanges;
 import io.damaskyoke.peer.wire.StoredFetch;
 import io.damaskyoke.peer.wire.StoredNews;
+import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
 final class Neighbours implements PeerListener {
     /** Routers report to the giver of orders several times a second. */
-    private static final Duration STORE_SEEN = Duration.ofMillis(600);
+    private static final Duration STORE_SEEN = Duration.ofMillis(1_200);
+
+    /** Each router reports once a second at least. */
+    private static final Duration LATE_SEEN = Duration.ofMillis(2_500);
 
     private final Control control;
     private final Membership members;
-    private final Map<VmId, PeerAddress> connected = new HashMap<>();
+    private final Map<VmId, PeerAddress> addresses = new HashMap<>();
+    private final Map<VmId, PeerLink> links = new HashMap<>();
     private final Map<VmId, Instant> storeSeen = new TreeMap<>();
+    private final Map<VmId, Late> late = new HashMap<>();
     private PeerNetwork network;
     private Hearer hearer;
     private long number;
 
+    /** How late a router's thread is, as it said then. */
+    private record Late(Duration by, Instant at) {}
+
     /** Hears what other routers say. */
     interface Hearer {
         /** A link to another router has opened; what was sent before did not go over it. */
@@ -50,6 +63,13 @@
          */
         void reported(LoadInput.Demanded demanded, long configuration, long upstreams);
 
+        /** A router wants to know what has changed in the store; the answer goes to the sink. */
+        void askedChanges(
+                String prefix, long after, Duration wait, Consumer<Optional<Changes>> told);
+
+        /** A router answers what it was asked under this number. */
+        void changes(VmId from, long number, Optional<Changes> told);
+
         /** What upstreams hold, by the giver of orders with this fencing token. */
         void told(VmId giver, long fencing, Map<UpstreamId, HeldModels> held);
 
@@ -79,11 +99,15 @@
         hearer = hears;
     }
 
-    /** Connects to the routers that have come, and forgets those that are gone. */
+    /**
+     * Connects to the routers that this one speaks to by itself, and forgets those that are gone:
+     * in a large fleet those that follow the store for all, and the one that gives the orders. Who
+     * else has something to say connects to this one.
+     */
     void refresh() {
         Map<VmId, PeerAddress> now = new HashMap<>();
         members.others().forEach(each -> now.put(each.vm(), each.address()));
-        connected
+        addresses
                 .entrySet()
                 .removeIf(
                         entry -> {
@@ -93,25 +117,52 @@
                             }
                             return gone;
                         });
-        connected.putAll(now);
-        connected.values().forEach(network::link);
+        links.values().removeIf(link -> !link.open());
+        addresses.putAll(now);
+        addresses.forEach(
+                (vm, address) -> {
+                    if (speaksTo(vm)) {
+                        network.link(address);
+                    }
+                });
+    }
+
+    private boolean speaksTo(VmId vm) {
+        boolean leads = members.giver().filter(vm::equals).isPresent();
+        return leads || members.plan().watches(vm);
     }
 
-    /** Says what this router needs to one other, or to all. */
+    /** Says what this router needs to one other, or to those that follow the store for all. */
     void report(
             Optional<VmId> to,
             LoadInput.Demanded demanded,
             long configuration,
             long upstreams,
-            boolean storeUp) {
-        Frame frame = NeighbourFrames.report(++number, demanded, configuration, upstreams, storeUp);
+            boolean storeUp,
+            Duration late) {
+        Frame frame =
+                NeighbourFrames.report(++number, demanded, configuration, upstreams, storeUp, late);
         if (to.isPresent()) {
             send(to.get(), frame);
         } else {
-            sendAll(frame);
+            members.plan().watchers().forEach(vm -> send(vm, frame));
         }
     }
 
+    /** Asks a router for changes in the store; false if there is no link to it now. */
+    boolean askChanges(VmId relay, long asked, String prefix, long after, Duration wait) {
+        return send(relay, NeighbourFrames.changesFetch(asked, prefix, after, wait));
+    }
+
+    /** The quickest of the routers that reported a moment ago, by how late its thread is. */
+    Optional<Duration> leastLate() {
+        Instant now = control.clock().instant();
+        return late.values().stream()
+                .filter(each -> now.isBefore(each.at().plus(LATE_SEEN)))
+                .map(Late::by)
+                .min(Comparator.naturalOrder());
+    }
+
     /** Tells all others what upstreams hold. */
     void tell(long fencing, Map<UpstreamId, HeldModels> held) {
         sendAll(NeighbourFrames.news(fencing, held));
@@ -121,7 +172,7 @@
     Optional<VmId> withStore() {
         Instant now = control.clock().instant();
         return storeSeen.entrySet().stream()
-                .filter(entry -> connected.containsKey(entry.getKey()))
+                .filter(entry -> addresses.containsKey(entry.getKey()))
                 .filter(entry -> now.isBefore(entry.getValue().plus(STORE_SEEN)))
                 .map(Map.Entry::getKey)
                 .findFirst();
@@ -161,6 +212,7 @@
     public void opened(PeerLink link) {
         control.run(
                 () -> {
+                    link.remote().map(Hello::getVm).map(VmId::of).ifPresent(vm -> hold(vm, link));
                     if (hearer != null) {
                         hearer.linked();
                     }
@@ -170,16 +222,22 @@
     @Override
     public void received(PeerLink link, Frame frame) {
         Optional<VmId> from = link.remote().map(Hello::getVm).map(VmId::of);
-        from.ifPresent(vm -> control.run(() -> take(vm, frame)));
+        from.ifPresent(vm -> control.run(() -> take(vm, link, frame)));
+    }
+
+    private void hold(VmId vm, PeerLink link) {
+        links.put(vm, link);
     }
 
-    private void take(VmId from, Frame frame) {
+    private void take(VmId from, PeerLink link, Frame frame) {
         if (hearer == null) {
             return;
         }
         if (frame.hasRouterReport()) {
             RouterReport report = frame.getRouterReport();
             noteStore(from, report.getStoreUp());
+            Duration by = Duration.ofMillis(report.getLateMs());
+            late.put(from, new Late(by, control.clock().instant()));
             hearer.reported(
                     NeighbourFrames.demanded(from, report),
                     report.getConfigurationRevision(),
@@ -198,6 +256,16 @@
             hearer.configuration(news.getRevision(), news.getConfiguration().toByteArray());
         } else if (frame.hasDepartureFetch()) {
             hearer.askedDepartures(from, frame.getDepartureFetch().getNewerThan());
+        } else if (frame.hasChangesFetch()) {
+            ChangesFetch fetch = frame.getChangesFetch();
+            hearer.askedChanges(
+                    fetch.getPrefix(),
+                    fetch.getAfter(),
+                    Duration.ofMillis(fetch.getWaitMs()),
+                    told -> link.send(NeighbourFrames.changes(fetch.getNumber(), told)));
+        } else if (frame.hasStoreChanges()) {
+            StoreChanges answer = frame.getStoreChanges();
+            hearer.changes(from, answer.getNumber(), NeighbourFrames.changes(answer));
         } else if (frame.hasDepartures()) {
             hearer.departures(NeighbourFrames.departures(frame.getDepartures()));
         }
@@ -212,13 +280,17 @@
     }
 
     private void sendAll(Frame frame) {
-        connected.keySet().forEach(vm -> send(vm, frame));
+        addresses.keySet().forEach(vm -> send(vm, frame));
     }
 
-    private void send(VmId to, Frame frame) {
-        PeerAddress address = connected.get(to);
-        if (address != null) {
-            network.link(address).send(frame);
+    // Over the link that the other has opened, if it has; two links for a pair would double their
+    // heartbeats.
+    private boolean send(VmId to, Frame frame) {
+        PeerLink link = links.get(to);
+        if (link != null && link.open()) {
+            return link.send(frame);
         }
+        PeerAddress address = addresses.get(to);
+        return address != null && network.link(address).send(frame);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
@@ -32,6 +32,15 @@
     private static final Duration LONG_WAIT = Duration.ofMillis(800);
     private static final int MOST_EXPLAINED = 4;
 
+    /**
+     * What upstreams come to hold within this is told together: each piece of news goes to every
+     * other router, and a leader on a part of a core would do little else.
+     */
+    private static final Duration NEWS_GAP = Duration.ofMillis(15);
+
+    /** Planning takes no more than one part of so many of the thread's time. */
+    private static final int REST_FACTOR = 4;
+
     private final Control control;
     private final UpstreamTable upstreams;
     private final OrderLease lease;
@@ -43,6 +52,7 @@
     private Runnable told = () -> {};
     private Control.Cancellable ticking = () -> {};
     private boolean flushing;
+    private long restUntilNanos = System.nanoTime();
     private Instant explainedAt = Instant.EPOCH;
 
     OrderGiver(
@@ -109,8 +119,15 @@
         feed(new LoadInput.Elected());
     }
 
+    // A round that takes long on a weak VM is followed by a pause, so that callers get their turn.
     private void tick() {
+        long began = System.nanoTime();
+        if (began - restUntilNanos < 0) {
+            return;
+        }
         feed(new LoadInput.Tick());
+        long took = System.nanoTime() - began;
+        restUntilNanos = began + took * REST_FACTOR;
         Instant now = control.clock().instant();
         if (explainedAt.plus(EXPLAIN_GAP).isBefore(now)) {
             explainedAt = now;
@@ -202,7 +219,7 @@
         news.put(tell.upstream(), tell.held());
         if (!flushing) {
             flushing = true;
-            control.run(this::flush);
+            control.after(NEWS_GAP, this::flush);
         }
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -36,15 +36,23 @@
     /** Two givers that take turns would undo each other's plans; who was one waits this long. */
     private static final Duration PAUSE = Duration.ofSeconds(5);
 
+    /** So many times as long as its thread is late a router leaves the orders to quicker ones. */
+    private static final int LATE_FACTOR = 5;
+
+    /** After this any router stands for the orders. */
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(700);
+
     private final Control control;
     private final KeyValueStore store;
     private final Membership members;
     private final VmId self;
+    private final LoopLag lag;
     private final LeaseMachine machine = new LeaseMachine(TERM);
     private Listener listener;
     private long fencing;
     private Instant notBefore = Instant.MIN;
     private Instant lapsedUntil = Instant.MIN;
+    private Instant vacantSince = Instant.MAX;
     private boolean closed;
 
     /** Hears when this router becomes the giver of orders, and when it no longer is. */
@@ -56,11 +64,12 @@
         void lost();
     }
 
-    OrderLease(Control control, KeyValueStore store, Membership members, VmId self) {
+    OrderLease(Control control, KeyValueStore store, Membership members, VmId self, LoopLag lag) {
         this.control = control;
         this.store = store;
         this.members = members;
         this.self = self;
+        this.lag = lag;
     }
 
     void start(Listener given) {
@@ -103,7 +112,7 @@
 
     private void tick() {
         Instant now = control.clock().instant();
-        boolean mayStand = members.vacant() && !now.isBefore(notBefore) && !givesWay(now);
+        boolean mayStand = vacantForLong(now) && !now.isBefore(notBefore) && !givesWay(now);
         if (!closed && (machine.held(now) || mayStand)) {
             feed(new LeaseInput.Tick());
         } else if (!machine.held(now)) {
@@ -112,6 +121,22 @@
         }
     }
 
+    // Those that follow the store for all know what all routers need, and come first; of them those
+    // that are quickest. All at once, dozens of routers would ask the store for a lease each time.
+    private boolean vacantForLong(Instant now) {
+        if (!members.vacant()) {
+            vacantSince = Instant.MAX;
+            return false;
+        }
+        if (vacantSince.equals(Instant.MAX)) {
+            vacantSince = now;
+        }
+        Duration behind = lag.average().multipliedBy(LATE_FACTOR);
+        Duration pause = behind.compareTo(LONGEST_PAUSE) < 0 ? behind : LONGEST_PAUSE;
+        boolean first = members.watches() || members.ownGiverRevision() != 0;
+        return !now.isBefore(vacantSince.plus(first ? pause : LONGEST_PAUSE));
+    }
+
     // A lease that lapsed here in an outage may still stand in the store, which counts no time
     // while it is down. Then nobody else can have taken a turn, and the orders go on at once.
     private boolean givesWay(Instant now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Patience.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Patience.java
@@ -38,6 +38,9 @@
     /** The part of a caller's whole time that may go by before a request has its tokens. */
     private static final double TOKENS_TIME_PART = 0.3;
 
+    /** The part of the objective that must be left for a send to be of any use. */
+    private static final double LEAST_PART = 0.1;
+
     /** Less than a loan lasts. */
     private static final Duration LONGEST_FOR_TOKENS = Duration.ofMillis(1_800);
 
@@ -70,6 +73,14 @@
         return left(route.objective(), FIRST_PART);
     }
 
+    /**
+     * False if so little is left that sending it would only make an upstream work for nobody. A
+     * thread that is behind may come to a request when its caller's time is over.
+     */
+    boolean allowsSending(Duration left) {
+        return left.compareTo(part(route.objective(), LEAST_PART)) > 0;
+    }
+
     /** How long it may wait for its workspace's tokens, {@code age} after its first byte. */
     Wait forTokens(Duration age) {
         Duration inTime = part(route.objective(), TOKENS_PART);
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoreRelays.java
@@ -0,0 +1,108 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.follow.Relay;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.PlatformException;
+import io.damaskyoke.platform.PolledStore.Changes;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+/**
+ * Asks the routers that follow the store for its changes, one at a time. One that says nothing or
+ * can't tell is left alone for a while; with none left the store is asked. Control thread only.
+ */
+final class StoreRelays implements Relay {
+    /** On top of the wait: a frame's way there and back, and a thread that is a little late. */
+    private static final Duration ANSWER = Duration.ofMillis(300);
+
+    /** A relay that is killed is off the list by then, and one that was frozen may be back. */
+    private static final Duration LEFT_ALONE = Duration.ofSeconds(2);
+
+    private final Control control;
+    private final Supplier<List<VmId>> sources;
+    private final Wire wire;
+    private final Map<Long, Asked> open = new HashMap<>();
+    private final Map<VmId, Instant> leftAlone = new HashMap<>();
+    private long number;
+
+    private record Asked(VmId relay, CompletableFuture<Changes> answer) {}
+
+    /** Sends an ask to a router; false if there is no link to it now. */
+    @FunctionalInterface
+    interface Wire {
+        boolean ask(VmId relay, long number, String prefix, long after, Duration wait);
+    }
+
+    StoreRelays(Control control, Supplier<List<VmId>> sources, Wire wire) {
+        this.control = control;
+        this.sources = sources;
+        this.wire = wire;
+    }
+
+    @Override
+    public boolean available() {
+        return next().isPresent();
+    }
+
+    @Override
+    public CompletionStage<Changes> changes(String prefix, long after, Duration wait) {
+        CompletableFuture<Changes> answer = new CompletableFuture<>();
+        Optional<VmId> relay = next();
+        while (relay.isPresent() && !wire.ask(relay.get(), number + 1, prefix, after, wait)) {
+            leaveAlone(relay.get());
+            relay = next();
+        }
+        if (relay.isEmpty()) {
+            answer.completeExceptionally(unavailable("no relay can be reached"));
+            return answer;
+        }
+        long asked = ++number;
+        open.put(asked, new Asked(relay.get(), answer));
+        control.after(wait.plus(ANSWER), () -> give(asked, Optional.empty(), "says nothing"));
+        return answer;
+    }
+
+    /** A relay has answered; nothing means that it can't tell. */
+    void answered(VmId from, long to, Optional<Changes> changes) {
+        Asked asked = open.get(to);
+        if (asked != null && asked.relay().equals(from)) {
+            give(to, changes, "can't tell");
+        }
+    }
+
+    private void give(long asked, Optional<Changes> changes, String why) {
+        Asked one = open.remove(asked);
+        if (one == null) {
+            return;
+        }
+        if (changes.isPresent()) {
+            one.answer().complete(changes.get());
+        } else {
+            leaveAlone(one.relay());
+            one.answer().completeExceptionally(unavailable(one.relay() + " " + why));
+        }
+    }
+
+    private void leaveAlone(VmId relay) {
+        leftAlone.put(relay, control.clock().instant().plus(LEFT_ALONE));
+    }
+
+    private Optional<VmId> next() {
+        Instant now = control.clock().instant();
+        return sources.get().stream()
+                .filter(vm -> !now.isBefore(leftAlone.getOrDefault(vm, Instant.MIN)))
+                .findFirst();
+    }
+
+    private static PlatformException unavailable(String why) {
+        return new PlatformException(PlatformException.Code.UNAVAILABLE, why);
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -8,6 +8,7 @@
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.Hearer;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
@@ -66,6 +67,7 @@
             Dialect dialect,
             UpstreamTable table,
             Pace pace,
+            Relay relay,
             Metrics metrics) {
         this.control = control;
         this.dialect = dialect;
@@ -77,6 +79,7 @@
                         .at(pace)
                         .on(control)
                         .counting(metrics)
+                        .by(relay)
                         .tell(this);
     }
 
@@ -125,6 +128,11 @@
         listener.listed(facts);
     }
 
+    /** What follows the list, for others that follow it through this router. */
+    Follower follower() {
+        return follower;
+    }
+
     boolean everRead() {
         return follower.everRead();
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/FollowingRouter.java
@@ -5,11 +5,19 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.PolledStore.Changes;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 /** The part of a router that follows the store, on a VM and a path that fail. */
 final class FollowingRouter {
@@ -20,11 +28,23 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final ConfigurationHolder configuration;
     private final UpstreamFollower follower;
+    private final Map<String, Follower> followed = new HashMap<>();
+    private final SimulatedLinks links;
     private final List<SimulatedPath.State> troubles = new ArrayList<>();
     private int otherTroubles;
     private Instant calmSince;
 
     FollowingRouter(String name, Control world, SimulatedStore store, Pace pace) {
+        this(name, world, store, pace, List.of());
+    }
+
+    /** One that asks these others before the store. */
+    FollowingRouter(
+            String name,
+            Control world,
+            SimulatedStore store,
+            Pace pace,
+            List<FollowingRouter> relays) {
         this.name = name;
         this.world = world;
         this.control = new FreezingControl(world);
@@ -33,9 +53,17 @@
         Metrics metrics = new Metrics();
         this.configuration = new ConfigurationHolder(dialect, any -> {});
         this.calmSince = world.clock().instant();
-        new ConfigurationFollower(control, path, dialect, configuration, pace, metrics).start();
+        this.links = new SimulatedLinks(world, control, relays);
+        Relay relay = relays.isEmpty() ? Relay.none() : links.relay();
+        ConfigurationFollower versions =
+                new ConfigurationFollower(
+                        control, path, dialect, configuration, pace, relay, metrics);
+        followed.put(versions.follower().prefix(), versions.follower());
+        versions.start();
         this.follower =
-                new UpstreamFollower(control, path, dialect, upstreams, Paces.UPSTREAMS, metrics);
+                new UpstreamFollower(
+                        control, path, dialect, upstreams, Paces.UPSTREAMS, relay, metrics);
+        followed.put(follower.follower().prefix(), follower.follower());
         follower.start(new Nobody());
     }
 
@@ -70,6 +98,16 @@
         }
     }
 
+    /** Another router asks what has changed; the answer goes to the sink, on this thread. */
+    void asked(String prefix, long after, Duration wait, Consumer<Optional<Changes>> told) {
+        control.run(() -> followed.get(prefix).tell(after, wait, told));
+    }
+
+    /** How often this router has asked the store. */
+    long storeCalls() {
+        return path.calls();
+    }
+
     void pathFails(SimulatedPath.State how) {
         troubles.add(how);
         path.set(how);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
@@ -5,6 +5,7 @@
 
 import io.damaskyoke.control.SameThreadControl;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
@@ -35,6 +36,7 @@
                         "p",
                         new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1),
                         usual,
+                        Relay.none(),
                         new Metrics());
         members.start(() -> {});
         control.advance(Duration.ofMillis(lapsesAfter));
@@ -63,6 +65,7 @@
                         "p",
                         new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1),
                         PACE,
+                        Relay.none(),
                         new Metrics());
         members.start(() -> {});
         control.advance(Duration.ofSeconds(1));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/NeighbourFramesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/NeighbourFramesTest.java
@@ -37,7 +37,9 @@
                         List.of(new LoadInput.Want(model, 3, Duration.ofMillis(40), 1, 2.5, 2)),
                         Map.of(ONE, Map.of(model, 4)),
                         Set.of(TWO));
-        RouterReport report = NeighbourFrames.report(5, sent, 11, 12, true).getRouterReport();
+        RouterReport report =
+                NeighbourFrames.report(5, sent, 11, 12, true, Duration.ofMillis(7))
+                        .getRouterReport();
         assertEquals(sent, NeighbourFrames.demanded(SENDER, report));
         assertEquals(11, report.getConfigurationRevision());
         assertEquals(12, report.getUpstreamsRevision());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
@@ -6,6 +6,7 @@
 
 import io.damaskyoke.control.SameThreadControl;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
@@ -154,9 +155,11 @@
                         "p",
                         new RouterEntry(vm, "a", "127.0.0.1", 1),
                         PACE,
+                        Relay.none(),
                         new Metrics());
         members.start(() -> {});
-        OrderLease lease = new OrderLease(control, store, members, vm);
+        OrderLease lease =
+                new OrderLease(control, store, members, vm, new LoopLag(Duration.ofMillis(50)));
         lease.start(
                 new OrderLease.Listener() {
                     @Override
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedLinks.java
@@ -0,0 +1,44 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.follow.Relay;
+import io.damaskyoke.id.VmId;
+import io.damaskyoke.platform.PolledStore.Changes;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One router's links to those that follow the store for it; what is on its way takes its time. */
+final class SimulatedLinks {
+    private static final Duration ONE_WAY = Duration.ofMillis(2);
+
+    private final Control world;
+    private final Control control;
+    private final Map<VmId, FollowingRouter> others = new LinkedHashMap<>();
+    private final StoreRelays relays;
+
+    SimulatedLinks(Control world, Control control, List<FollowingRouter> relays) {
+        this.world = world;
+        this.control = control;
+        relays.forEach(each -> others.put(VmId.of(each.name()), each));
+        this.relays = new StoreRelays(control, () -> List.copyOf(others.keySet()), this::ask);
+    }
+
+    Relay relay() {
+        return relays;
+    }
+
+    private boolean ask(VmId relay, long number, String prefix, long after, Duration wait) {
+        FollowingRouter other = others.get(relay);
+        world.after(
+                ONE_WAY,
+                () -> other.asked(prefix, after, wait, told -> answer(relay, number, told)));
+        return true;
+    }
+
+    private void answer(VmId relay, long number, Optional<Changes> told) {
+        world.after(ONE_WAY, () -> control.run(() -> relays.answered(relay, number, told)));
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedPath.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedPath.java
@@ -27,6 +27,7 @@
     private final Set<Call<?>> open = new HashSet<>();
     private State state = State.OPEN;
     private boolean up = true;
+    private long calls;
 
     /** What becomes of calls. */
     enum State {
@@ -50,6 +51,11 @@
         this.store = store;
     }
 
+    /** How many calls were made so far. */
+    long calls() {
+        return calls;
+    }
+
     State state() {
         return state;
     }
@@ -80,6 +86,7 @@
     }
 
     private <T> CompletionStage<T> call(Duration wait, Supplier<CompletableFuture<T>> carriedOut) {
+        calls++;
         Call<T> call = new Call<>(new CompletableFuture<>());
         control.after(wait.plus(TIME_LIMIT), () -> fail(call, "no answer"));
         if (state == State.REFUSING) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StorePromisesTest.java
@@ -95,6 +95,62 @@
         assertNone(broken);
     }
 
+    // Guards against a relay that is frozen, cut off, turned away or cut one way and hides what the
+    // store says from those behind it.
+    @Test
+    void anyMixOfTroublesKeepsThePromisesBehindRelays() {
+        List<String> broken = new ArrayList<>();
+        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            broken.addAll(playedBehindRelays(seed));
+        }
+        assertNone(broken);
+    }
+
+    // Guards against a relay that stands still while its followers wait for it.
+    @Test
+    void aFrozenRelayHidesNothingForLong() {
+        List<String> broken = new ArrayList<>();
+        for (int phase = 0; phase < PHASES; phase++) {
+            StoreWorld world = new StoreWorld(Paces.CONFIGURATION, 2, 3);
+            world.pass(PHASE.multipliedBy(phase));
+            world.freeze(world.routers().get(0), Duration.ofSeconds(5));
+            world.change();
+            world.drain(world.alive().get(0));
+            world.pass(Duration.ofSeconds(8));
+            broken.addAll(world.broken());
+        }
+        assertNone(broken);
+    }
+
+    // Guards against a departure that those behind a relay take for a lapse, or a lapse for one.
+    @Test
+    void entriesThatLapseInAnOutageAreWaitedForBehindRelays() {
+        List<String> broken = new ArrayList<>();
+        for (int phase = 0; phase < PHASES; phase++) {
+            StoreWorld world = new StoreWorld(Paces.CONFIGURATION, 2, 3);
+            String lapsed = world.alive().get(0);
+            world.pass(PHASE.multipliedBy(phase));
+            world.outage(SimulatedPath.State.SILENT, Duration.ofMillis(2_600));
+            world.after(
+                    Duration.ofMillis(2_500), () -> world.lapse(lapsed, Duration.ofMillis(1_600)));
+            world.pass(Duration.ofSeconds(9));
+            broken.addAll(world.broken());
+        }
+        assertNone(broken);
+    }
+
+    // Guards against calls to the store that grow with the routers that follow it.
+    @ParameterizedTest
+    @CsvSource({"2, 4", "5, 28", "12, 88", "12, 288"})
+    void theStoreIsAskedByThoseThatFollowItAndByNobodyElse(int watchers, int behind) {
+        StoreWorld world = new StoreWorld(Paces.CONFIGURATION, watchers, behind);
+        StoreWorld alone = new StoreWorld(Paces.CONFIGURATION, watchers, 0);
+        long before = world.storeCalls() - alone.storeCalls();
+        world.pass(Duration.ofSeconds(20));
+        alone.pass(Duration.ofSeconds(20));
+        assertEquals(before, world.storeCalls() - alone.storeCalls());
+    }
+
     // Guards against what each of these mixes has shown.
     @ParameterizedTest
     @CsvSource({
@@ -120,6 +176,14 @@
                 : List.of("seed " + seed + ": " + String.join("\n", world.story()) + '\n');
     }
 
+    private static List<String> playedBehindRelays(long seed) {
+        StoreWorld world = new StoreWorld(Paces.CONFIGURATION, 2, 3);
+        new StoreTroubles(world, seed).play();
+        return world.broken().isEmpty()
+                ? List.of()
+                : List.of("seed " + seed + ": " + String.join("\n", world.story()) + '\n');
+    }
+
     // A seed that fails breaks many promises; the first few say enough.
     private static void assertNone(List<String> broken) {
         String first = String.join("; ", broken.subList(0, Math.min(SHOWN, broken.size())));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
@@ -60,13 +60,23 @@
 
     /** A world whose routers follow the configuration at this pace. */
     StoreWorld(Pace pace) {
+        this(pace, ROUTERS, 0);
+    }
+
+    /** A world in which so many routers follow the store, and others ask these. */
+    StoreWorld(Pace pace, int watchers, int behindThem) {
         change();
         for (int each = 0; each < UPSTREAMS; each++) {
             join();
         }
-        for (int each = 0; each < ROUTERS; each++) {
+        for (int each = 0; each < watchers; each++) {
             routers.add(new FollowingRouter("router-" + each, world, store, pace));
         }
+        List<FollowingRouter> relays = List.copyOf(routers);
+        for (int each = 0; each < behindThem; each++) {
+            String name = "behind-" + each;
+            routers.add(new FollowingRouter(name, world, store, pace, relays));
+        }
         world.every(GOSSIP, this::gossip);
         pass(BOUND);
     }
@@ -91,6 +101,11 @@
         return routers;
     }
 
+    /** How often all routers together have asked the store. */
+    long storeCalls() {
+        return routers.stream().mapToLong(FollowingRouter::storeCalls).sum();
+    }
+
     /** The upstreams that are there to stay. */
     List<String> alive() {
         return List.copyOf(alive);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.follow.Pace;
+import io.damaskyoke.follow.Relay;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.FakeStore;
 import io.damaskyoke.platform.KeyValueStore.Write;
@@ -23,7 +24,8 @@
     private final UpstreamTable table = new UpstreamTable();
     private final List<String> events = new ArrayList<>();
     private final UpstreamFollower follower =
-            new UpstreamFollower(control, store, new TestDialect(), table, PACE, new Metrics());
+            new UpstreamFollower(
+                    control, store, new TestDialect(), table, PACE, Relay.none(), new Metrics());
 
     @Test
     void whatComesLeavesAndGoesIsHeardOf() {
