--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Line.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/FairQueue.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** Lets in and refuses the requests that wait for tokens at this router, in their order. */
-final class Line {
+final class FairQueue {
     /** A bucket as full as this runs over before long. */
     private static final double PLENTY = 0.7;
 
@@ -22,7 +22,7 @@
     private final ShareKeeper keeper;
     private final Borrowing borrowing;
 
-    Line(
+    FairQueue(
             Incarnation self,
             RateSettings settings,
             SpendingRight right,
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -33,7 +33,7 @@
     private final ShareKeeper keeper;
     private final Borrowing borrowing;
     private final Owners owners;
-    private final Line line;
+    private final FairQueue queue;
     private final Lender lender;
     private final Map<WorkspaceId, Account> accounts = new TreeMap<>();
     private long counter;
@@ -48,7 +48,7 @@
         this.keeper = new ShareKeeper(self, vm, address, settings, right);
         this.borrowing = new Borrowing(self, vm, settings, right, keeper);
         this.owners = new Owners(self, settings, keeper);
-        this.line = new Line(self, settings, right, keeper, borrowing);
+        this.queue = new FairQueue(self, settings, right, keeper, borrowing);
         this.lender = new Lender(self, vm, settings, right, keeper);
     }
 
@@ -166,7 +166,7 @@
     private void seen(Account account, RateInput.Row row, Instant now, List<RateAction> actions) {
         keeper.seen(account, row, now);
         advance(account, now);
-        line.admit(account, now, actions);
+        queue.admit(account, now, actions);
     }
 
     private void tick(Instant now, List<RateAction> actions) {
@@ -223,17 +223,17 @@
         account.held.add(request);
         if (keeper.owns(account)) {
             // It may have to go before those who wait already.
-            line.admit(account, now, actions);
+            queue.admit(account, now, actions);
         }
         askForHeld(account, now, actions);
-        line.refuse(account, now, actions);
+        queue.refuse(account, now, actions);
     }
 
     // Lets in who can be, asks others for what those who wait lack, and refuses who waits in vain.
     private void work(Account account, Instant now, List<RateAction> actions) {
-        line.admit(account, now, actions);
+        queue.admit(account, now, actions);
         askForHeld(account, now, actions);
-        line.refuse(account, now, actions);
+        queue.refuse(account, now, actions);
     }
 
     private Held held(Account account, RateInput.Arrived arrived, Instant now) {
@@ -264,7 +264,7 @@
         advance(account, now);
         account.wanted(settled.used() - settled.charged(), now);
         account.bucket.giveBack(settled.charged() - settled.used());
-        line.admit(account, now, actions);
+        queue.admit(account, now, actions);
     }
 
     private void asked(RateInput.Asked asked, Instant now, List<RateAction> actions) {
@@ -306,11 +306,11 @@
             account.brought += lent.tokens();
             account.borrow(lent.from(), lent.loan(), lent.tokens(), until);
         }
-        line.admit(account, now, actions);
+        queue.admit(account, now, actions);
         if (right.usable(account, self, now)) {
             borrowing.askOthers(account, () -> ++counter, now, actions);
         }
-        line.refuse(account, now, actions);
+        queue.refuse(account, now, actions);
     }
 
     private void askForHeld(Account account, Instant now, List<RateAction> actions) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Homes.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareHolders.java
@@ -10,7 +10,7 @@
 import java.util.zip.CRC32;
 
 /**
- * Which routers have shares of a workspace: {@code Homes.of(workspace, routers)}.
+ * Which routers have shares of a workspace: {@code ShareHolders.of(workspace, routers)}.
  *
  * <p>With a handful of routers all have one. With dozens, a share would be smaller than a usual
  * request, so that most requests would need the loans of many routers, and each start would be
@@ -18,14 +18,14 @@
  * borrow from them. Rendezvous hashing picks them: who reads the same list picks the same, and a
  * router that comes or goes changes few. Two that read different lists only make one home more.
  */
-final class Homes {
+final class ShareHolders {
     /** Routers of a deployment of today; each has a share large enough for several requests. */
     private static final int ALL_UP_TO = 6;
 
     /** One may be killed and another cut off, and two still lend. */
     private static final int OF_MANY = 4;
 
-    private Homes() {}
+    private ShareHolders() {}
 
     static Set<VmId> of(WorkspaceId workspace, Collection<VmId> routers) {
         int most = routers.size() <= ALL_UP_TO ? routers.size() : OF_MANY;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -238,11 +238,11 @@
     /** The stored form. */
     public byte[] toJson() {
         try {
-            List<Line> lines = new ArrayList<>();
+            List<FairQueue> lines = new ArrayList<>();
             shares.forEach(
                     (id, share) ->
                             lines.add(
-                                    new Line(
+                                    new FairQueue(
                                             id.value(),
                                             share.vm().value(),
                                             share.address(),
@@ -262,7 +262,7 @@
         try {
             Stored stored = JSON.readValue(json, Stored.class);
             Map<Incarnation, Share> shares = new TreeMap<>();
-            for (Line line : stored.shares()) {
+            for (FairQueue line : stored.shares()) {
                 Share share =
                         new Share(
                                 VmId.of(line.vm()),
@@ -283,9 +283,9 @@
     private record Stored(
             @JsonProperty("founder") String founder,
             @JsonProperty("untouched") int untouched,
-            @JsonProperty("shares") List<Line> shares) {}
+            @JsonProperty("shares") List<FairQueue> shares) {}
 
-    private record Line(
+    private record FairQueue(
             @JsonProperty("incarnation") String incarnation,
             @JsonProperty("vm") String vm,
             @JsonProperty("address") String address,
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -87,11 +87,12 @@
     /** True if this router should have most of the workspace; false as long as there is no list. */
     boolean ownerOf(WorkspaceId workspace) {
         return !listed.isEmpty()
-                && owners.computeIfAbsent(workspace, id -> Homes.owner(id, routers())).equals(self);
+                && owners.computeIfAbsent(workspace, id -> ShareHolders.owner(id, routers()))
+                        .equals(self);
     }
 
     private Set<VmId> pickHomes(WorkspaceId workspace) {
-        return Homes.of(workspace, routers());
+        return ShareHolders.of(workspace, routers());
     }
 
     /** How many routers there are, as far as the list says, this one too. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationFollower.java
@@ -1,8 +1,8 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.follow.ChangeListener;
 import io.damaskyoke.follow.Follower;
-import io.damaskyoke.follow.Hearer;
 import io.damaskyoke.follow.Pace;
 import io.damaskyoke.follow.Relay;
 import io.damaskyoke.metrics.Metrics;
@@ -16,7 +16,7 @@
 import java.util.function.Consumer;
 
 /** Keeps the configuration in force up with the store. Control thread only. */
-final class ConfigurationFollower implements Hearer {
+final class ConfigurationFollower implements ChangeListener {
     private final String key;
     private final ConfigurationHolder holder;
     private final Follower follower;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -119,33 +119,15 @@
         this.client = new HttpClient(loop, CONNECT_TIMEOUT, metrics);
         this.store = stores.open(settings, client, control, metrics);
         this.relays = new StoreRelays(control, this::relaySources, this::askRelay);
-        this.members =
-                new Membership(
-                        control,
-                        store,
-                        settings.storePrefix(),
-                        entry(),
-                        Paces.ROUTERS,
-                        relays,
-                        metrics);
+        this.members = membership();
         this.neighbours = new Neighbours(control, members);
         this.lease = new OrderLease(control, store, members, self, lag);
         this.handOver = new OrderHandOver(control, store, lease, neighbours, members);
         UpstreamCalls calls = new UpstreamCalls(client, dialect, control);
         this.giver = new OrderGiver(control, upstreams, lease, calls, self, neighbours);
         this.configuration = new ConfigurationHolder(dialect, this::configured);
-        this.upstreamFollower =
-                new UpstreamFollower(
-                        control, store, dialect, upstreams, Paces.UPSTREAMS, relays, metrics);
-        this.configurationFollower =
-                new ConfigurationFollower(
-                        control,
-                        store,
-                        dialect,
-                        configuration,
-                        Paces.CONFIGURATION,
-                        relays,
-                        metrics);
+        this.upstreamFollower = upstreamFollower();
+        this.configurationFollower = configurationFollower();
         this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock);
         this.reports =
                 new DemandReports(
@@ -265,6 +247,21 @@
                 relays);
     }
 
+    private Membership membership() {
+        return new Membership(
+                control, store, settings.storePrefix(), entry(), Paces.ROUTERS, relays, metrics);
+    }
+
+    private UpstreamFollower upstreamFollower() {
+        return new UpstreamFollower(
+                control, store, dialect, upstreams, Paces.UPSTREAMS, relays, metrics);
+    }
+
+    private ConfigurationFollower configurationFollower() {
+        return new ConfigurationFollower(
+                control, store, dialect, configuration, Paces.CONFIGURATION, relays, metrics);
+    }
+
     private Map<String, Follower> followed() {
         return Stream.of(
                         members.follower(),
@@ -328,7 +325,7 @@
     private void begin(ServerSocketChannel socket) {
         dispatch.onStarved(reports::soon);
         configurationFollower.start();
-        upstreamFollower.start(new UpstreamHearer());
+        upstreamFollower.start(new UpstreamListener());
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
         String address = settings.peer().host() + ':' + settings.peer().port();
@@ -387,8 +384,8 @@
         dispatch.tick();
     }
 
-    /** Hears of upstreams, after the table has them. */
-    private final class UpstreamHearer implements UpstreamFollower.Listener {
+    /** Listens to what becomes of upstreams, after the table has it. */
+    private final class UpstreamListener implements UpstreamFollower.Listener {
         @Override
         public void listed(UpstreamFacts facts) {
             giver.listed(facts);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -40,7 +40,7 @@
     private final String service;
     private final Admitted admitted;
     private final Instant began;
-    private final Patience patience;
+    private final TimeBudget patience;
     private final Instant end;
     private final Instant until;
     private final Set<UpstreamId> tried = new HashSet<>();
@@ -87,7 +87,7 @@
         this.began = admitted.began();
         this.times = new FlowTimes(began);
         this.lastEvent = request.lastEvent();
-        this.patience = new Patience(route, request.deadline());
+        this.patience = new TimeBudget(route, request.deadline());
         this.end = began.plus(patience.whole());
         this.until = began.plus(patience.beforeSending());
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -19,7 +19,7 @@
     private final Dispatch dispatch;
     private final InstantSource clock;
     private final RetryBounds bounds;
-    private final MostOfLate routers;
+    private final SlidingMaximum routers;
     private final DecisionLog log;
     private final Set<Flow> open = new LinkedHashSet<>();
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -45,7 +45,7 @@
         this.dispatch = dispatch;
         this.clock = clock;
         this.bounds = bounds;
-        this.routers = new MostOfLate(routers, clock, bounds.window());
+        this.routers = new SlidingMaximum(routers, clock, bounds.window());
         this.log = new DecisionLog(clock);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -168,7 +168,7 @@
                 id,
                 workspace.get().rated().id(),
                 tokens,
-                new Patience(route, request.deadline()).forTokens(read),
+                new TimeBudget(route, request.deadline()).forTokens(read),
                 refusal -> {
                     if (refusal.isPresent()) {
                         refuse(
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -1,8 +1,8 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.follow.ChangeListener;
 import io.damaskyoke.follow.Follower;
-import io.damaskyoke.follow.Hearer;
 import io.damaskyoke.follow.Pace;
 import io.damaskyoke.follow.Relay;
 import io.damaskyoke.id.AvailabilityZone;
@@ -245,7 +245,7 @@
     }
 
     /** Takes in what the store says of the fleet. */
-    private final class Listener implements Hearer {
+    private final class Listener implements ChangeListener {
         @Override
         public void all(List<Entry> entries, long revision, Duration silence) {
             routers.clear();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -16,7 +16,7 @@
 import java.util.function.Consumer;
 
 /** Takes in what other routers say, and gives them what they lack. Control thread only. */
-final class NeighbourNews implements Neighbours.Hearer {
+final class NeighbourNews implements Neighbours.Listener {
     private final Parts parts;
     private final Runnable replicasChanged;
     private long highestFencing;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -46,14 +46,14 @@
     private final Map<VmId, Instant> storeSeen = new TreeMap<>();
     private final Map<VmId, Late> late = new HashMap<>();
     private PeerNetwork network;
-    private Hearer hearer;
+    private Listener listener;
     private long number;
 
     /** How late a router's thread is, as it said then. */
     private record Late(Duration by, Instant at) {}
 
-    /** Hears what other routers say. */
-    interface Hearer {
+    /** Listens to what other routers say. */
+    interface Listener {
         /** A link to another router has opened; what was sent before did not go over it. */
         void linked();
 
@@ -94,9 +94,9 @@
         this.members = members;
     }
 
-    void start(PeerNetwork given, Hearer hears) {
+    void start(PeerNetwork given, Listener hears) {
         network = given;
-        hearer = hears;
+        listener = hears;
     }
 
     /**
@@ -213,8 +213,8 @@
         control.run(
                 () -> {
                     link.remote().map(Hello::getVm).map(VmId::of).ifPresent(vm -> hold(vm, link));
-                    if (hearer != null) {
-                        hearer.linked();
+                    if (listener != null) {
+                        listener.linked();
                     }
                 });
     }
@@ -230,7 +230,7 @@
     }
 
     private void take(VmId from, PeerLink link, Frame frame) {
-        if (hearer == null) {
+        if (listener == null) {
             return;
         }
         if (frame.hasRouterReport()) {
@@ -238,36 +238,36 @@
             noteStore(from, report.getStoreUp());
             Duration by = Duration.ofMillis(report.getLateMs());
             late.put(from, new Late(by, control.clock().instant()));
-            hearer.reported(
+            listener.reported(
                     NeighbourFrames.demanded(from, report),
                     report.getConfigurationRevision(),
                     report.getUpstreamsRevision());
         } else if (frame.hasReplicaNews()) {
-            hearer.told(
+            listener.told(
                     from,
                     frame.getReplicaNews().getFencing(),
                     NeighbourFrames.held(frame.getReplicaNews()));
         } else if (frame.hasLeaseEnd()) {
-            hearer.leaseEnded(from, frame.getLeaseEnd().getLease());
+            listener.leaseEnded(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
-            hearer.asked(from, frame.getStoredFetch().getNewerThan());
+            listener.asked(from, frame.getStoredFetch().getNewerThan());
         } else if (frame.hasStoredNews()) {
             StoredNews news = frame.getStoredNews();
-            hearer.configuration(news.getRevision(), news.getConfiguration().toByteArray());
+            listener.configuration(news.getRevision(), news.getConfiguration().toByteArray());
         } else if (frame.hasDepartureFetch()) {
-            hearer.askedDepartures(from, frame.getDepartureFetch().getNewerThan());
+            listener.askedDepartures(from, frame.getDepartureFetch().getNewerThan());
         } else if (frame.hasChangesFetch()) {
             ChangesFetch fetch = frame.getChangesFetch();
-            hearer.askedChanges(
+            listener.askedChanges(
                     fetch.getPrefix(),
                     fetch.getAfter(),
                     Duration.ofMillis(fetch.getWaitMs()),
                     told -> link.send(NeighbourFrames.changes(fetch.getNumber(), told)));
         } else if (frame.hasStoreChanges()) {
             StoreChanges answer = frame.getStoreChanges();
-            hearer.changes(from, answer.getNumber(), NeighbourFrames.changes(answer));
+            listener.changes(from, answer.getNumber(), NeighbourFrames.changes(answer));
         } else if (frame.hasDepartures()) {
-            hearer.departures(NeighbourFrames.departures(frame.getDepartures()));
+            listener.departures(NeighbourFrames.departures(frame.getDepartures()));
         }
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/MostOfLate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/SlidingMaximum.java
@@ -11,14 +11,14 @@
  * <p>The entries of all routers may lapse in an outage of the store. Each then counts itself alone
  * until the others are back, and would take the whole of what all of them share.
  */
-final class MostOfLate {
+final class SlidingMaximum {
     private final IntSupplier number;
     private final InstantSource clock;
     private final Duration window;
     private int most;
     private Instant until = Instant.MIN;
 
-    MostOfLate(IntSupplier number, InstantSource clock, Duration window) {
+    SlidingMaximum(IntSupplier number, InstantSource clock, Duration window) {
         this.number = number;
         this.clock = clock;
         this.window = window;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Patience.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/TimeBudget.java
@@ -10,7 +10,7 @@
  * How long a request may take, by its route and its caller's deadline: in all, before it is sent,
  * and between two signs of life of its upstream.
  */
-final class Patience {
+final class TimeBudget {
     /** The part of a caller's patience that may go by before its request is sent. */
     private static final double PATIENCE_PART = 0.8;
 
@@ -47,7 +47,7 @@
     private final Route route;
     private final Duration whole;
 
-    Patience(Route route, Optional<Duration> deadline) {
+    TimeBudget(Route route, Optional<Duration> deadline) {
         Duration asked = deadline.orElse(route.timeout());
         this.route = route;
         this.whole = asked.compareTo(route.timeout()) < 0 ? asked : route.timeout();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -5,8 +5,8 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.follow.ChangeListener;
 import io.damaskyoke.follow.Follower;
-import io.damaskyoke.follow.Hearer;
 import io.damaskyoke.follow.Pace;
 import io.damaskyoke.follow.Relay;
 import io.damaskyoke.metrics.Metrics;
@@ -25,7 +25,7 @@
 import org.apache.logging.log4j.Logger;
 
 /** Keeps the table of upstreams up with the platform's list. Control thread only. */
-final class UpstreamFollower implements Hearer {
+final class UpstreamFollower implements ChangeListener {
     private static final Logger LOG = LogManager.getLogger(UpstreamFollower.class);
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Hearer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeListener.java
@@ -9,7 +9,7 @@
  * Hears what is there and what has changed, on the control thread. Each time it is told how long
  * the silence was before: from the store's last answer to this one.
  */
-public interface Hearer {
+public interface ChangeListener {
     /** All there is, as of the revision; what isn't there is gone. */
     void all(List<Entry> entries, long revision, Duration silence);
 
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -29,7 +29,7 @@
  *
  * <pre>{@code
  * Follower.of("upstreams").under("servers/").in(store).at(pace).on(control).counting(metrics)
- *         .tell(hearer).start();
+ *         .tell(listener).start();
  * }</pre>
  */
 public final class Follower {
@@ -54,7 +54,7 @@
     private final Pace pace;
     private final Control control;
     private final Metrics metrics;
-    private final Hearer hearer;
+    private final ChangeListener listener;
     private final View view = new View();
     private final Set<Call> open = new HashSet<>();
     private final Waiters waiters;
@@ -69,7 +69,7 @@
     private boolean silent;
     private boolean byRelay;
 
-    private Follower(Builder from, Hearer hearer) {
+    private Follower(Builder from, ChangeListener listener) {
         this.name = from.name;
         this.prefix = Objects.requireNonNull(from.prefix, "a follower needs a prefix: under(...)");
         this.store = Objects.requireNonNull(from.store, "a follower needs a store: in(...)");
@@ -78,7 +78,7 @@
         this.metrics =
                 Objects.requireNonNull(from.metrics, "a follower needs metrics: counting(...)");
         this.relay = from.relay;
-        this.hearer = Objects.requireNonNull(hearer, "a follower needs somebody to tell");
+        this.listener = Objects.requireNonNull(listener, "a follower needs somebody to tell");
         this.waiters = new Waiters(control);
         this.planned = new Planned(control);
     }
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Tells, once, when everything up to the moment is known here; the hearer has heard of it then.
-     * Asks for it if need be, together with others who wait. Tells {@code false} if the store
+     * Tells, once, when everything up to the moment is known here; the listener has heard of it
+     * then. Asks for it if need be, together with others who wait. Tells {@code false} if the store
      * hasn't said so within the limit.
      */
     public void whenKnown(Instant moment, Duration limit, Consumer<Boolean> told) {
@@ -221,7 +221,7 @@
         history.startAt(found.revision());
         Instant answered = call.answeredBy(now());
         Duration silence = confirm(call, call.at(), answered, found.revision(), Source.READING);
-        hearer.all(found.entries(), found.revision(), silence);
+        listener.all(found.entries(), found.revision(), silence);
         ask(pace.patience());
         release();
     }
@@ -271,7 +271,7 @@
         newest.again().run();
     }
 
-    // The VM stood still in a pause, or a hearer failed at what it was told.
+    // The VM stood still in a pause, or a listener failed at what it was told.
     private void goOn() {
         if (!planned.missing(LOOK)) {
             return;
@@ -303,7 +303,7 @@
         Duration silence = confirm(call, goodUpTo, answered, changes.revision(), Source.CHANGES);
         if (!news.isEmpty()) {
             history.add(news);
-            hearer.changed(news, news.get(news.size() - 1).revision(), silence);
+            listener.changed(news, news.get(news.size() - 1).revision(), silence);
         }
         passOn();
         if (call == newest) {
@@ -446,9 +446,9 @@
             return this;
         }
 
-        /** Makes the follower, which tells the hearer from its start on. */
-        public Follower tell(Hearer hearer) {
-            return new Follower(this, hearer);
+        /** Makes the follower, which tells the listener from its start on. */
+        public Follower tell(ChangeListener listener) {
+            return new Follower(this, listener);
         }
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MostOfLateTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SlidingMaximumTest.java
@@ -6,12 +6,12 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
-class MostOfLateTest {
+class SlidingMaximumTest {
     private static final Duration WINDOW = Duration.ofSeconds(10);
 
     private final SameThreadControl control = new SameThreadControl();
     private int routers = 4;
-    private final MostOfLate most = new MostOfLate(() -> routers, control.clock(), WINDOW);
+    private final SlidingMaximum most = new SlidingMaximum(() -> routers, control.clock(), WINDOW);
 
     // Guards against routers whose entries lapsed in an outage, and that each retry for all of
     // them.
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -102,7 +102,7 @@
 
     // Guards against a fault in what is told that ends the following for good.
     @Test
-    void aHearerThatFailsHearsTheRest() {
+    void aListenerThatFailsIsToldTheRest() {
         read(5);
         poison = 6;
         store.asks.get(0).complete(HandStore.set(6));
@@ -200,7 +200,7 @@
     }
 
     /** Notes the revisions that it is told. */
-    private final class Revisions implements Hearer {
+    private final class Revisions implements ChangeListener {
         @Override
         public void all(List<Entry> entries, long revision, Duration silence) {
             heard.add(revision);
