--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/OwnerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/OwnerTest.java
@@ -210,6 +210,27 @@
         assertEquals(true, verdict(arrive(router, 400, PATIENT)));
     }
 
+    // Guards against requests refused within the rate after a restart of all routers, while the
+    // workspace's owner is on the slowest VM and starts last.
+    @Test
+    void afterARestartOfAllRequestsWaitForAnOwnerThatStartsSlowly() {
+        start(many());
+        pass(8_000);
+        VmId slow = owner();
+        lost.add(slow);
+        List<VmId> quick = many();
+        quick.remove(slow);
+        start(quick);
+        pass(2_300);
+        long waits = arrive(quick.get(0), 500, PATIENT);
+        pass(700);
+        assertFalse(verdicts.containsKey(waits));
+        lost.remove(slow);
+        start(List.of(slow));
+        pass(900);
+        assertEquals(true, verdicts.get(waits));
+    }
+
     private Boolean verdict(long request) {
         pass(20);
         return verdicts.get(request);
