--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/StoreLoads.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/StoreLoads.java
@@ -19,7 +19,7 @@
     /** As many run at full speed; more would make all of them late. */
     static final int MOST = 4;
 
-    /** The part of the allowed rate that is used: loads of the giver before this one count too. */
+    /** The part of the allowed rate that is used: loads of the leader before this one count too. */
     private static final double PART = 0.8;
 
     private final Duration window;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DemandReports.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DemandReports.java
@@ -14,8 +14,8 @@
 import java.util.Optional;
 
 /**
- * Tells the giver of orders what this router needs, and all routers what the giver knows. Control
- * thread only.
+ * Tells the leader what this router needs, and all routers what the leader knows. Control thread
+ * only.
  */
 final class DemandReports {
     /** Requests that come to wait together are told together. */
@@ -43,7 +43,7 @@
             Membership members,
             Neighbours neighbours,
             OrderLease lease,
-            OrderGiver giver,
+            OrderLeader leader,
             Dispatch dispatch,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
@@ -54,7 +54,7 @@
         this.parts = parts;
     }
 
-    /** A request waits for a model that no upstream holds: the giver hears of it at once. */
+    /** A request waits for a model that no upstream holds: the leader hears of it at once. */
     void soon() {
         if (!planned) {
             planned = true;
@@ -71,14 +71,14 @@
         return pause.compareTo(URGENT) > 0 ? pause : URGENT;
     }
 
-    /** Tells the giver of orders, or this router's own planner, what is news to it. */
+    /** Tells the leader, or this router's own planner, what is news to it. */
     void report() {
         LoadInput.Demanded demanded = parts.dispatch().demand(self);
         if (parts.lease().held()) {
-            parts.giver().demanded(demanded);
+            parts.leader().demanded(demanded);
             return;
         }
-        Optional<VmId> to = parts.members().giver().filter(giver -> !giver.equals(self));
+        Optional<VmId> to = parts.members().leader().filter(leader -> !leader.equals(self));
         if (to.isPresent() && news(demanded)) {
             reportedRunning = demanded.running();
             reportedAt = parts.control().clock().instant();
@@ -86,7 +86,7 @@
         }
     }
 
-    /** Tells a giver of orders that has just come. */
+    /** Tells a leader that has just come. */
     void reportAnew() {
         reportedAt = Instant.MIN;
         report();
@@ -105,7 +105,7 @@
 
     /**
      * Tells the routers that follow the store for all, who need it should one of them become the
-     * giver, and who have what this router may lack.
+     * leader, and who have what this router may lack.
      */
     void gossip() {
         tellAll();
@@ -118,9 +118,9 @@
      * upstream's own word has come round seconds later.
      */
     void tellAll() {
-        Map<UpstreamId, HeldModels> news = parts.giver().allNews();
+        Map<UpstreamId, HeldModels> news = parts.leader().allNews();
         if (!news.isEmpty()) {
-            parts.neighbours().tell(parts.giver().fencing(), news);
+            parts.neighbours().tell(parts.leader().fencing(), news);
         }
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -88,7 +88,7 @@
     private final Membership members;
     private final Neighbours neighbours;
     private final OrderLease lease;
-    private final OrderGiver giver;
+    private final OrderLeader leader;
     private final OrderHandOver handOver;
     private final ConfigurationHolder configuration;
     private final DemandReports reports;
@@ -124,7 +124,7 @@
         this.lease = new OrderLease(control, store, members, self, lag);
         this.handOver = new OrderHandOver(control, store, lease, neighbours, members);
         UpstreamCalls calls = new UpstreamCalls(client, dialect, control);
-        this.giver = new OrderGiver(control, upstreams, lease, calls, self, neighbours);
+        this.leader = new OrderLeader(control, upstreams, lease, calls, self, neighbours);
         this.configuration = new ConfigurationHolder(dialect, this::configured);
         this.upstreamFollower = upstreamFollower();
         this.configurationFollower = configurationFollower();
@@ -138,7 +138,7 @@
                                 members,
                                 neighbours,
                                 lease,
-                                giver,
+                                leader,
                                 dispatch,
                                 configuration,
                                 upstreams,
@@ -237,7 +237,7 @@
                 clock,
                 neighbours,
                 members,
-                giver,
+                leader,
                 handOver,
                 reports,
                 configuration,
@@ -330,7 +330,7 @@
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
         String address = settings.peer().host() + ':' + settings.peer().port();
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
-        giver.start(this::replicasChanged);
+        leader.start(this::replicasChanged);
         control.every(CHECK, this::check);
         control.every(REPORT, reports::report);
         control.every(GOSSIP, reports::gossip);
@@ -363,7 +363,7 @@
     private void configured(DirectConfiguration now) {
         callers.limits(now.limits());
         dispatch.configured(now.engines());
-        giver.configured(now);
+        leader.configured(now);
         Map<WorkspaceId, Workspace> limited = new HashMap<>();
         for (WorkspaceSpec workspace : now.workspaces().values()) {
             if (workspace.limited()) {
@@ -388,13 +388,13 @@
     private final class UpstreamListener implements UpstreamFollower.Listener {
         @Override
         public void listed(UpstreamFacts facts) {
-            giver.listed(facts);
+            leader.listed(facts);
             dispatch.drain(facts.service());
         }
 
         @Override
         public void gone(UpstreamFacts last) {
-            giver.gone(last.id());
+            leader.gone(last.id());
             client.forget(last.endpoint());
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
@@ -142,7 +142,7 @@
         late.forEach(Waiter::waitedInVain);
     }
 
-    /** What this router needs and sees, for the giver of orders. */
+    /** What this router needs and sees, for the leader. */
     LoadInput.Demanded demand(VmId self) {
         Instant now = clock.instant();
         Map<ModelRef, Double> perSecond = rates.all(now);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -34,7 +34,9 @@
     private static final Logger LOG = LogManager.getLogger(Membership.class);
     private static final String FLEET = "/fleet/";
     private static final String ROUTERS = FLEET + "routers/";
-    private static final String GIVER = FLEET + "giver";
+
+    /** Named so by earlier versions, which may run beside this one. */
+    private static final String LEADER = FLEET + "giver";
 
     /** A router that is killed is missed after this; its next life takes its place at once. */
     private static final Duration TERM = Duration.ofSeconds(4);
@@ -50,8 +52,8 @@
     private final String prefix;
     private final Map<VmId, RouterEntry> routers = new TreeMap<>();
     private final Follower follower;
-    private Optional<VmId> giver = Optional.empty();
-    private long giverRevision;
+    private Optional<VmId> leader = Optional.empty();
+    private long leaderRevision;
     private WatchPlan plan = WatchPlan.of(List.of());
     private Runnable changed = () -> {};
     private long lease;
@@ -80,41 +82,41 @@
                         .tell(new Listener());
     }
 
-    /** Begins; {@code changed} runs whenever a router or the giver of orders has come or gone. */
+    /** Begins; {@code changed} runs whenever a router or the leader has come or gone. */
     void start(Runnable whenChanged) {
         changed = whenChanged;
         follower.start();
         register();
     }
 
-    /** The key that the giver of orders holds. */
-    String giverKey() {
-        return prefix + GIVER;
+    /** The key that the leader holds. */
+    String leaderKey() {
+        return prefix + LEADER;
     }
 
     /** Who gives the orders, as far as is known. */
-    Optional<VmId> giver() {
-        return giver;
+    Optional<VmId> leader() {
+        return leader;
     }
 
     /** A router says itself that it gives the orders now; the store's word comes later. */
     void announced(VmId by) {
-        giver = Optional.of(by);
+        leader = Optional.of(by);
         LOG.info("orders are given by {}, as it says", by);
     }
 
-    /** A giver of orders has stopped, and its lease is ended; the store's word comes later. */
+    /** A leader has stopped, and its lease is ended; the store's word comes later. */
     void vacated(VmId by) {
-        if (giver.isPresent() && giver.get().equals(by)) {
-            giver = Optional.empty();
-            giverRevision = 0;
+        if (leader.isPresent() && leader.get().equals(by)) {
+            leader = Optional.empty();
+            leaderRevision = 0;
             LOG.info("{} gives orders no longer, as it says", by);
         }
     }
 
-    /** Where the entry of an earlier life of this router as giver stands; 0 if there is none. */
-    long ownGiverRevision() {
-        return giver.isPresent() && giver.get().equals(self.vm()) ? giverRevision : 0;
+    /** Where the entry of an earlier life of this router as leader stands; 0 if there is none. */
+    long ownLeaderRevision() {
+        return leader.isPresent() && leader.get().equals(self.vm()) ? leaderRevision : 0;
     }
 
     /**
@@ -122,7 +124,7 @@
      * That life is over, and its lease need not be waited for.
      */
     boolean vacant() {
-        return follower.upToDate() && (giver.isEmpty() || giver.get().equals(self.vm()));
+        return follower.upToDate() && (leader.isEmpty() || leader.get().equals(self.vm()));
     }
 
     /** All routers but this one. */
@@ -249,7 +251,7 @@
         @Override
         public void all(List<Entry> entries, long revision, Duration silence) {
             routers.clear();
-            giver = Optional.empty();
+            leader = Optional.empty();
             entries.forEach(entry -> put(entry.key(), Optional.of(entry)));
             listChanged();
         }
@@ -266,12 +268,12 @@
         }
 
         private void put(String key, Optional<Entry> entry) {
-            if (key.equals(giverKey())) {
-                giver =
+            if (key.equals(leaderKey())) {
+                leader =
                         entry.map(found -> new String(found.value(), StandardCharsets.UTF_8))
                                 .map(VmId::of);
-                giverRevision = entry.map(Entry::modRevision).orElse(0L);
-                LOG.info("orders are given by {}", giver.map(VmId::value).orElse("nobody"));
+                leaderRevision = entry.map(Entry::modRevision).orElse(0L);
+                LOG.info("orders are given by {}", leader.map(VmId::value).orElse("nobody"));
                 return;
             }
             if (!key.startsWith(prefix + ROUTERS)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -26,7 +26,7 @@
             InstantSource clock,
             Neighbours neighbours,
             Membership members,
-            OrderGiver giver,
+            OrderLeader leader,
             OrderHandOver handOver,
             DemandReports reports,
             ConfigurationHolder configuration,
@@ -42,7 +42,7 @@
 
     @Override
     public void reported(LoadInput.Demanded demanded, long theirs, long list) {
-        parts.giver().demanded(demanded);
+        parts.leader().demanded(demanded);
         if (theirs > parts.configuration().revision()) {
             parts.neighbours().ask(demanded.router(), parts.configuration().revision());
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -33,7 +33,7 @@
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
 final class Neighbours implements PeerListener {
-    /** Routers report to the giver of orders several times a second. */
+    /** Routers report to the leader several times a second. */
     private static final Duration STORE_SEEN = Duration.ofMillis(1_200);
 
     /** Each router reports once a second at least. */
@@ -70,8 +70,8 @@
         /** A router answers what it was asked under this number. */
         void changes(VmId from, long number, Optional<Changes> told);
 
-        /** What upstreams hold, by the giver of orders with this fencing token. */
-        void told(VmId giver, long fencing, Map<UpstreamId, HeldModels> held);
+        /** What upstreams hold, by the leader with this fencing token. */
+        void told(VmId leader, long fencing, Map<UpstreamId, HeldModels> held);
 
         /** A router gave the orders under this lease and can't tell the store that it stopped. */
         void leaseEnded(VmId by, long lease);
@@ -128,7 +128,7 @@
     }
 
     private boolean speaksTo(VmId vm) {
-        boolean leads = members.giver().filter(vm::equals).isPresent();
+        boolean leads = members.leader().filter(vm::equals).isPresent();
         return leads || members.plan().watches(vm);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderHandOver.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderHandOver.java
@@ -8,9 +8,9 @@
 import java.util.Optional;
 
 /**
- * Passes the orders on when the store turns their giver away and serves other routers.
+ * Passes the orders on when the store turns their leader away and serves other routers.
  *
- * <p>Such a giver stops when its lease may have lapsed, and the others see that seconds later;
+ * <p>Such a leader stops when its lease may have lapsed, and the others see that seconds later;
  * until then no model that isn't held can be served. So it stops at once and asks a router that
  * reaches the store to end its lease there. Nobody gives orders under a lease that its holder
  * hasn't given up by itself, so two never do at a time. Control thread only.
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderGiver.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
@@ -24,8 +24,8 @@
 import org.apache.logging.log4j.Logger;
 
 /** Feeds a {@link LoadPlanner} and carries out what it decides. Control thread only. */
-final class OrderGiver implements OrderLease.Listener {
-    private static final Logger LOG = LogManager.getLogger(OrderGiver.class);
+final class OrderLeader implements OrderLease.Listener {
+    private static final Logger LOG = LogManager.getLogger(OrderLeader.class);
     private static final Duration TICK = Duration.ofMillis(20);
 
     private static final Duration EXPLAIN_GAP = Duration.ofSeconds(1);
@@ -55,7 +55,7 @@
     private long restUntilNanos = System.nanoTime();
     private Instant explainedAt = Instant.EPOCH;
 
-    OrderGiver(
+    OrderLeader(
             Control control,
             UpstreamTable upstreams,
             OrderLease lease,
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLease.java
@@ -20,10 +20,10 @@
 
 /**
  * Lets one router at a time give orders to upstreams. Its fencing token is the store's revision at
- * which it became the giver, so each later one's is higher. Control thread only.
+ * which it became the leader, so each later one's is higher. Control thread only.
  *
- * <p>A giver that is frozen, cut off or turned away stops by its own clock before the store's lease
- * can have ended; the clock counts the time of a freeze.
+ * <p>A leader that is frozen, cut off or turned away stops by its own clock before the store's
+ * lease can have ended; the clock counts the time of a freeze.
  */
 final class OrderLease {
     private static final Logger LOG = LogManager.getLogger(OrderLease.class);
@@ -33,7 +33,7 @@
     /** How long an end is told the store again; a stop and an outage rarely last longer. */
     private static final Duration REVOKING = Duration.ofSeconds(8);
 
-    /** Two givers that take turns would undo each other's plans; who was one waits this long. */
+    /** Two leaders that take turns would undo each other's plans; who was one waits this long. */
     private static final Duration PAUSE = Duration.ofSeconds(5);
 
     /** So many times as long as its thread is late a router leaves the orders to quicker ones. */
@@ -55,7 +55,7 @@
     private Instant vacantSince = Instant.MAX;
     private boolean closed;
 
-    /** Hears when this router becomes the giver of orders, and when it no longer is. */
+    /** Hears when this router becomes the leader, and when it no longer is. */
     interface Listener {
         /** Orders may be given from now on. */
         void won();
@@ -133,14 +133,14 @@
         }
         Duration behind = lag.average().multipliedBy(LATE_FACTOR);
         Duration pause = behind.compareTo(LONGEST_PAUSE) < 0 ? behind : LONGEST_PAUSE;
-        boolean first = members.watches() || members.ownGiverRevision() != 0;
+        boolean first = members.watches() || members.ownLeaderRevision() != 0;
         return !now.isBefore(vacantSince.plus(first ? pause : LONGEST_PAUSE));
     }
 
     // A lease that lapsed here in an outage may still stand in the store, which counts no time
     // while it is down. Then nobody else can have taken a turn, and the orders go on at once.
     private boolean givesWay(Instant now) {
-        return members.ownGiverRevision() == 0 && now.isBefore(lapsedUntil);
+        return members.ownLeaderRevision() == 0 && now.isBefore(lapsedUntil);
     }
 
     private void feed(LeaseInput input) {
@@ -151,7 +151,7 @@
         if (action instanceof LeaseAction.Grant grant) {
             LOG.info(
                     "this router stands for the orders, own entry at {}",
-                    members.ownGiverRevision());
+                    members.ownLeaderRevision());
             answer(store.grantLease(grant.term()), LeaseInput.Granted::new);
         } else if (action instanceof LeaseAction.Acquire acquire) {
             answer(acquire(acquire.lease()), this::acquired);
@@ -188,10 +188,10 @@
 
     private CompletionStage<TxnResult> acquire(long lease) {
         byte[] value = self.value().getBytes(StandardCharsets.UTF_8);
-        String key = members.giverKey();
+        String key = members.leaderKey();
         // Another router's entry is never taken over, not even one that came since this router saw
         // that there was none: both would give orders.
-        long revision = members.ownGiverRevision();
+        long revision = members.ownLeaderRevision();
         Condition condition =
                 revision == 0 ? new Condition.Absent(key) : new Condition.Unchanged(key, revision);
         return store.commit(List.of(condition), List.of(new Write.Put(key, value, lease)));
--- a/damaskyoke/src/test/java/io/damaskyoke/control/SuspendAwareClockTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/SuspendAwareClockTest.java
@@ -15,7 +15,7 @@
 
     @Test
     void aFreezeCountsThoughTheCounterStoodStill() {
-        // The giver of orders renews its lease, and its VM is frozen for six seconds. The counter
+        // The leader renews its lease, and its VM is frozen for six seconds. The counter
         // doesn't see the pause; without the leap the lease would look as fresh as before.
         pass(Duration.ofMillis(100));
         timeOfDay = timeOfDay.plusSeconds(6);
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -64,9 +64,10 @@
 
     @Test
     void nothingIsOrderedBeforeTheUpstreamHasReported() {
-        // A new giver of orders knows from the list what upstreams hold, but not which orders of
+        // A new leader knows from the list what upstreams hold, but not which orders of
         // the
-        // giver before it are under way. Memory counted from the list alone could be overcommitted.
+        // leader before it are under way. Memory counted from the list alone could be
+        // overcommitted.
         planner.on(new LoadInput.Configured(Map.of("engines", spec())), now);
         planner.on(new LoadInput.Listed(facts(ONE, held(0, "a"), Set.of("g"))), now);
         List<LoadAction> actions = planner.on(new LoadInput.Elected(), now);
@@ -76,7 +77,7 @@
 
     @Test
     void anUpstreamThatIsBusyWithAnUnknownOrderIsWaitedFor() {
-        // The giver before had ordered a load that is still under way. Its model isn't in the
+        // The leader before had ordered a load that is still under way. Its model isn't in the
         // report yet; once it is, it counts before anything else is ordered.
         begin(Set.of("g"), Set.of());
         report(ONE, true, held(1, "a", "b"));
--- a/damaskyoke/src/test/java/io/damaskyoke/control/placement/LeaseMachineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/placement/LeaseMachineTest.java
@@ -17,7 +17,7 @@
 
     @Test
     void aHolderThatResignsEndsItsOwnLeaseAndHoldsNothing() {
-        // The giver of orders is slow and resigns. It ends its lease, and with it its own key. Were
+        // The leader is slow and resigns. It ends its lease, and with it its own key. Were
         // it to remove the key by name, again at each slow tick, it would remove its successors'.
         hold(7);
         assertEquals(
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamChoiceTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamChoiceTest.java
@@ -93,8 +93,9 @@
     }
 
     @Test
-    void theOrderGiversWordGoesBeforeAnOlderOneOfTheUpstream() {
-        // The giver has just had a model unloaded. The upstream's own entry, which lags by a second
+    void theOrderLeadersWordGoesBeforeAnOlderOneOfTheUpstream() {
+        // The leader has just had a model unloaded. The upstream's own entry, which lags by a
+        // second
         // or two, still names it; requests must not be sent there for it.
         put("one", "a", false, Map.of("cut-sheet", Set.of()));
         find("one").told(new HeldModels(1, 5, Map.of()), now);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderLeaseTest.java
@@ -35,7 +35,7 @@
     }
 
     @Test
-    void aGiverThatStopsIsFollowedAtOnceByAHigherToken() {
+    void aLeaderThatStopsIsFollowedAtOnceByAHigherToken() {
         OrderLease one = router("one");
         OrderLease two = router("two");
         pass(1_000);
@@ -48,9 +48,9 @@
     }
 
     @Test
-    void aGiverThatIsCutOffStopsBeforeItsLeaseCanHaveEnded() {
-        // The store turns the giver away. Its lease ends 2.4 s after the last renewal, and another
-        // router may give orders from then on; the giver must have stopped by its own clock.
+    void aLeaderThatIsCutOffStopsBeforeItsLeaseCanHaveEnded() {
+        // The store turns the leader away. Its lease ends 2.4 s after the last renewal, and another
+        // router may give orders from then on; the leader must have stopped by its own clock.
         OrderLease one = router("one");
         pass(1_000);
         store.down(true);
@@ -60,9 +60,9 @@
     }
 
     @Test
-    void aGiverWhoseLeaseLapsedInAnOutageGoesOnWhenTheStoreIsBack() {
-        // The store is down for four seconds and counts no time meanwhile, so the giver's entry
-        // still stands when it is back, and nobody else can give orders. If the giver paused for
+    void aLeaderWhoseLeaseLapsedInAnOutageGoesOnWhenTheStoreIsBack() {
+        // The store is down for four seconds and counts no time meanwhile, so the leader's entry
+        // still stands when it is back, and nobody else can give orders. If the leader paused for
         // the sake of others now, nothing would be loaded for five more seconds.
         OrderLease one = router("one");
         OrderLease two = router("two");
@@ -78,8 +78,8 @@
     }
 
     @Test
-    void aGiverThatStopsInAnOutageEndsItsLeaseAfterIt() {
-        // The giver stops while the store is down, and can't tell it. Once the store is back its
+    void aLeaderThatStopsInAnOutageEndsItsLeaseAfterIt() {
+        // The leader stops while the store is down, and can't tell it. Once the store is back its
         // entry would stand for the whole term, with nobody to give orders.
         OrderLease one = router("one");
         OrderLease two = router("two");
@@ -94,7 +94,7 @@
 
     @Test
     void aRouterThatResignedLetsOthersGoFirst() {
-        // A slow giver resigns and nobody else is there. Were it back at once, it would resign
+        // A slow leader resigns and nobody else is there. Were it back at once, it would resign
         // again
         // at its next slow tick; and with another router they would take turns.
         OrderLease one = router("one");
@@ -107,7 +107,7 @@
     }
 
     @Test
-    void aResignationDoesNotHarmTheNextGiver() {
+    void aResignationDoesNotHarmTheNextLeader() {
         OrderLease one = router("one");
         OrderLease two = router("two");
         pass(1_000);
@@ -120,8 +120,8 @@
     }
 
     @Test
-    void aRestartedGiverTakesItsOwnEntryOver() {
-        // All routers are killed and start again. The giver's entry stands for two more seconds,
+    void aRestartedLeaderTakesItsOwnEntryOver() {
+        // All routers are killed and start again. The leader's entry stands for two more seconds,
         // under the lease of a life that is over; its own next life needn't wait for that.
         router("one");
         pass(1_000);
