Ask the other lenders as soon as before, and rest for 60 ms at the most

With the first answers slow, a lender that said nothing was waited for up to 250 ms, longer than a request is held, so that nobody else was asked; and the leader rested four times as long as its first rounds on slow code took. Ruled out: owners (workspaces of this deployment have none). Change: lenders other than an owner have 40 ms again; rests have an end.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -27,6 +27,12 @@
     private static final Duration OWNER_ASK_GAP = Duration.ofMillis(100);
     private static final int MOST_ASKED = 8;
 
+    /**
+     * Loans take a few milliseconds; who says nothing for so long is asked no more. A request is
+     * held for a few times this: after a longer wait there would be no time to ask the others.
+     */
+    private static final Duration LENDER_PATIENCE = Duration.ofMillis(40);
+
     private final Incarnation self;
     private final VmId vm;
     private final RateSettings settings;
@@ -115,7 +121,7 @@
     /** True while the answers to the last round may still come. */
     boolean awaits(Account account, Instant now) {
         return !account.unanswered.isEmpty()
-                && now.isBefore(account.askedAt.plus(account.answerTime.patience()));
+                && now.isBefore(account.askedAt.plus(LENDER_PATIENCE));
     }
 
     private long lacking(Account account, Instant now) {
@@ -131,7 +137,7 @@
     }
 
     private boolean stale(Account account, Instant now) {
-        Duration patience = borrows(account) ? account.answerTime.patience() : settings.hold();
+        Duration patience = borrows(account) ? LENDER_PATIENCE : settings.hold();
         return now.isAfter(account.askedAt.plus(patience));
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -297,9 +297,6 @@
         boolean awaited =
                 lent.loan().equals(account.ask + '/' + lent.from())
                         && account.unanswered.remove(lent.from());
-        if (awaited) {
-            account.answerTime.heardAfter(Duration.between(account.askedAt, now));
-        }
         Instant until = account.askedAt.equals(Instant.MIN) ? now : account.askedAt;
         until = until.plus(settings.loan());
         if (awaited && now.isBefore(until) && lent.tokens() > 0) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
@@ -41,6 +41,9 @@
     /** Planning takes no more than one part of so many of the thread's time. */
     private static final int REST_FACTOR = 4;
 
+    /** The first rounds after a start run slow code, when models are waited for most. */
+    private static final Duration LONGEST_REST = Duration.ofMillis(60);
+
     private final Control control;
     private final UpstreamTable upstreams;
     private final OrderLease lease;
@@ -127,7 +130,7 @@
         }
         feed(new LoadInput.Tick());
         long took = System.nanoTime() - began;
-        restUntilNanos = began + took * REST_FACTOR;
+        restUntilNanos = began + Math.min(took * REST_FACTOR, LONGEST_REST.toNanos());
         Instant now = control.clock().instant();
         if (explainedAt.plus(EXPLAIN_GAP).isBefore(now)) {
             explainedAt = now;
