--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -120,8 +120,7 @@
 
     /** True while the answers to the last round may still come. */
     boolean awaits(Account account, Instant now) {
-        return !account.unanswered.isEmpty()
-                && now.isBefore(account.askedAt.plus(LENDER_PATIENCE));
+        return !account.unanswered.isEmpty() && now.isBefore(account.askedAt.plus(LENDER_PATIENCE));
     }
 
     private long lacking(Account account, Instant now) {
