--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -69,7 +69,7 @@
     private boolean silent;
     private boolean byRelay;
 
-    private Follower(Builder from, ChangeListener listener) {
+    Follower(FollowerBuilder from, ChangeListener listener) {
         this.name = from.name;
         this.prefix = Objects.requireNonNull(from.prefix, "a follower needs a prefix: under(...)");
         this.store = Objects.requireNonNull(from.store, "a follower needs a store: in(...)");
@@ -84,8 +84,8 @@
     }
 
     /** Begins to make a follower; logs and metrics call what it follows by this name. */
-    public static Builder of(String name) {
-        return new Builder(name);
+    public static FollowerBuilder of(String name) {
+        return new FollowerBuilder(name);
     }
 
     /** Begins; returns this. */
@@ -395,60 +395,4 @@
         READING,
         CHANGES
     }
-
-    /** Gathers what a follower needs; {@link #tell} makes it. */
-    public static final class Builder {
-        private final String name;
-        private String prefix;
-        private PolledStore store;
-        private Pace pace;
-        private Control control;
-        private Metrics metrics;
-        private Relay relay = Relay.none();
-
-        private Builder(String name) {
-            this.name = Objects.requireNonNull(name, "a follower needs a name");
-        }
-
-        /** What the followed keys begin with. */
-        public Builder under(String given) {
-            prefix = given;
-            return this;
-        }
-
-        /** Where the keys are. */
-        public Builder in(PolledStore given) {
-            store = given;
-            return this;
-        }
-
-        /** How often it asks. */
-        public Builder at(Pace given) {
-            pace = given;
-            return this;
-        }
-
-        /** The thread that it belongs to. */
-        public Builder on(Control given) {
-            control = given;
-            return this;
-        }
-
-        /** Where it counts. */
-        public Builder counting(Metrics given) {
-            metrics = given;
-            return this;
-        }
-
-        /** Who is asked before the store, if somebody is there to ask. */
-        public Builder by(Relay given) {
-            relay = given;
-            return this;
-        }
-
-        /** Makes the follower, which tells the listener from its start on. */
-        public Follower tell(ChangeListener listener) {
-            return new Follower(this, listener);
-        }
-    }
 }
