Undo a rename that went too far, and take out what was left over

The row of a stored share table had become a FairQueue with the class of that name; it is a StoredShare. The longest holds of the loop could be asked for by nobody, and their gauge was registered at each new maximum. Whether requests wait at a router was asked in the same words by planner and reports. Comments that no longer held are put right: how often routers report, what a leader's rest is bound by. No change of behaviour.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandBook.java
@@ -16,7 +16,7 @@
  * up when somebody plans by them, and not as they come: {@code book.said(...); book.addUp(now)}.
  */
 final class DemandBook {
-    /** A router says something at least four times a second; silent for this long, it is gone. */
+    /** A router that has nothing new says so every 0.6 s; silent for this long, it is gone. */
     private static final Duration VALID = Duration.ofSeconds(2);
 
     /** After this, a model that nobody has asked for is not a busy one. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadInput.java
@@ -33,7 +33,12 @@
             List<Want> wants,
             Map<UpstreamId, Map<ModelRef, Integer>> running,
             Set<UpstreamId> suspects)
-            implements LoadInput {}
+            implements LoadInput {
+        /** True if requests wait at that router. */
+        public boolean waits() {
+            return wants.stream().anyMatch(want -> want.waiting() > 0);
+        }
+    }
 
     /** An answer to the order of that number, or that none came. */
     record Answered(UpstreamId upstream, long number, OrderOutcome outcome) implements LoadInput {}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -127,8 +127,7 @@
             return false;
         }
         if (input instanceof LoadInput.Demanded demanded) {
-            boolean waits = demanded.wants().stream().anyMatch(want -> want.waiting() > 0);
-            return waits && roundsForDemand++ < MOST_ROUNDS_FOR_DEMAND;
+            return demanded.waits() && roundsForDemand++ < MOST_ROUNDS_FOR_DEMAND;
         }
         if (input instanceof LoadInput.Tick) {
             roundsForDemand = 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -238,11 +238,11 @@
     /** The stored form. */
     public byte[] toJson() {
         try {
-            List<FairQueue> lines = new ArrayList<>();
+            List<StoredShare> lines = new ArrayList<>();
             shares.forEach(
                     (id, share) ->
                             lines.add(
-                                    new FairQueue(
+                                    new StoredShare(
                                             id.value(),
                                             share.vm().value(),
                                             share.address(),
@@ -262,7 +262,7 @@
         try {
             Stored stored = JSON.readValue(json, Stored.class);
             Map<Incarnation, Share> shares = new TreeMap<>();
-            for (FairQueue line : stored.shares()) {
+            for (StoredShare line : stored.shares()) {
                 Share share =
                         new Share(
                                 VmId.of(line.vm()),
@@ -283,9 +283,9 @@
     private record Stored(
             @JsonProperty("founder") String founder,
             @JsonProperty("untouched") int untouched,
-            @JsonProperty("shares") List<FairQueue> shares) {}
+            @JsonProperty("shares") List<StoredShare> shares) {}
 
-    private record FairQueue(
+    private record StoredShare(
             @JsonProperty("incarnation") String incarnation,
             @JsonProperty("vm") String vm,
             @JsonProperty("address") String address,
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -42,7 +42,7 @@
         return facts;
     }
 
-    /** What it holds: by the order leader's word where that is newer than its own. */
+    /** What it holds: by the leader's word where that is newer than its own. */
     public HeldModels held() {
         return held;
     }
@@ -132,13 +132,13 @@
         loadAt = now;
     }
 
-    /** The order leader says what it holds. */
+    /** The leader says what it holds. */
     public void told(HeldModels given, Instant now) {
         held = given;
         toldAt = now;
     }
 
-    /** It refused a request for something that the order leader says it holds. */
+    /** It refused a request for something that the leader says it holds. */
     public void contradicted() {
         held = facts.held();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DemandReports.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DemandReports.java
@@ -94,8 +94,7 @@
 
     // An idle router's report would wake both VMs seven times a second to say the same.
     private boolean news(LoadInput.Demanded demanded) {
-        boolean waits = demanded.wants().stream().anyMatch(want -> want.waiting() > 0);
-        if (waits || reportedAt.equals(Instant.MIN)) {
+        if (demanded.waits() || reportedAt.equals(Instant.MIN)) {
             return true;
         }
         boolean changed = !demanded.running().equals(reportedRunning);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -40,7 +40,7 @@
     private final String service;
     private final Admitted admitted;
     private final Instant began;
-    private final TimeBudget patience;
+    private final TimeBudget budget;
     private final Instant end;
     private final Instant until;
     private final Set<UpstreamId> tried = new HashSet<>();
@@ -87,9 +87,9 @@
         this.began = admitted.began();
         this.times = new FlowTimes(began);
         this.lastEvent = request.lastEvent();
-        this.patience = new TimeBudget(route, request.deadline());
-        this.end = began.plus(patience.whole());
-        this.until = began.plus(patience.beforeSending());
+        this.budget = new TimeBudget(route, request.deadline());
+        this.end = began.plus(budget.whole());
+        this.until = began.plus(budget.beforeSending());
     }
 
     /** Begins: it waits for an upstream, perhaps no time at all. */
@@ -121,7 +121,7 @@
 
     @Override
     public Instant inTimeUntil() {
-        return began.plus(patience.inTimeBeforeSending());
+        return began.plus(budget.inTimeBeforeSending());
     }
 
     @Override
@@ -175,7 +175,7 @@
         if (over) {
             return;
         }
-        if (!patience.allowsSending(left(flows.now()))) {
+        if (!budget.allowsSending(left(flows.now()))) {
             timeUp();
             return;
         }
@@ -213,7 +213,7 @@
 
     private Duration longestSilence() {
         boolean second = flows.retryLeft(service) && sends < route.attempts();
-        return patience.betweenBytes(started, second);
+        return budget.betweenBytes(started, second);
     }
 
     private void timeUp() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoopHolds.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoopHolds.java
@@ -3,7 +3,6 @@
 import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -36,23 +35,16 @@
             return;
         }
         String kind = kind(step);
-        if (longest.merge(kind, nanos, Math::max) == nanos) {
+        boolean first = longest.put(kind, Math.max(nanos, longest.getOrDefault(kind, 0L))) == null;
+        if (first) {
             metrics.gauge(
-                    "loop_longest_hold_ms",
-                    "by",
-                    kind,
-                    () -> longest.getOrDefault(kind, 0L) / NANOS_PER_MILLI);
+                    "loop_longest_hold_ms", "by", kind, () -> longest.get(kind) / NANOS_PER_MILLI);
         }
         if (nanos >= LONG.toNanos()) {
             LOG.info("the loop was held for {} ms by {}", nanos / 1_000_000, kind);
         }
     }
 
-    /** The longest hold by each kind of step, in nanoseconds. */
-    Map<String, Long> longest() {
-        return new TreeMap<>(longest);
-    }
-
     // A lambda's class is named after the class that holds it.
     private static String kind(Runnable step) {
         String name = step.getClass().getName();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -33,7 +33,7 @@
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
 final class Neighbours implements PeerListener {
-    /** Routers report to the leader several times a second. */
+    /** Routers report to the leader every 0.6 s at least. */
     private static final Duration STORE_SEEN = Duration.ofMillis(1_200);
 
     /** Each router reports once a second at least. */
@@ -212,7 +212,10 @@
     public void opened(PeerLink link) {
         control.run(
                 () -> {
-                    link.remote().map(Hello::getVm).map(VmId::of).ifPresent(vm -> hold(vm, link));
+                    link.remote()
+                            .map(Hello::getVm)
+                            .map(VmId::of)
+                            .ifPresent(vm -> links.put(vm, link));
                     if (listener != null) {
                         listener.linked();
                     }
@@ -225,10 +228,6 @@
         from.ifPresent(vm -> control.run(() -> take(vm, link, frame)));
     }
 
-    private void hold(VmId vm, PeerLink link) {
-        links.put(vm, link);
-    }
-
     private void take(VmId from, PeerLink link, Frame frame) {
         if (listener == null) {
             return;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
@@ -38,10 +38,13 @@
      */
     private static final Duration NEWS_GAP = Duration.ofMillis(15);
 
-    /** Planning takes no more than one part of so many of the thread's time. */
+    /** A round is followed by a rest, so that rounds take one part of so many of the time. */
     private static final int REST_FACTOR = 4;
 
-    /** The first rounds after a start run slow code, when models are waited for most. */
+    /**
+     * No rest is longer: the first rounds after a start run slow code, and models are waited for
+     * most then.
+     */
     private static final Duration LONGEST_REST = Duration.ofMillis(60);
 
     private final Control control;
