Add failing tests of requests that are read by a thread that was held

Callers saw nothing of it; upstreams were handed requests over half a second after their callers had closed (GONE).

The tests hold a real event loop with a latch, let callers connect, send and close meanwhile, and let it go.

--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -0,0 +1,187 @@
+package io.damaskyoke.direct;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.damaskyoke.control.direct.Route;
+import io.damaskyoke.control.direct.RouteKind;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.http.HttpCall;
+import io.damaskyoke.http.HttpClient;
+import io.damaskyoke.http.HttpLimits;
+import io.damaskyoke.http.HttpServer;
+import io.damaskyoke.metrics.Metrics;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of waiting requests while a router's thread is held. */
+class HeldThreadTest {
+    private static final String SERVICE = "service";
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup upstreamGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final EventLoop upstreamLoop = (EventLoop) upstreamGroup.next();
+    private final List<String> reached = new CopyOnWriteArrayList<>();
+    private final Map<String, HttpCall> running = new ConcurrentHashMap<>();
+    private final TestDialect dialect = new TestDialect();
+    private final UpstreamTable upstreams = new UpstreamTable();
+    private final Flows flows =
+            new Flows(
+                    dialect,
+                    new HttpClient(loop, Duration.ofMillis(250), new Metrics()),
+                    new Dispatch(upstreams, "a", Instant::now),
+                    Instant::now,
+                    new Flows.RetryBounds(Duration.ofSeconds(10), 0.2, 10),
+                    () -> 1);
+    private final HttpServer upstream = server(upstreamLoop, this::run);
+    private final HttpServer router = server(loop, this::begin);
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        upstreamGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    // Guards against a request that is sent on in the midst of reading: an answer frees a place for
+    // it, and the end of its own caller is read only after that.
+    @Test
+    void aPlaceThatComesFreeIsNotGivenToACallerThatHasLeft() throws Exception {
+        list(upstream.port());
+        Socket first = send("/first");
+        Socket second = send("/second");
+        Socket third = send("/third");
+        await().atMost(LIMIT).until(() -> reached.size() == 2 && open() == 3);
+
+        CountDownLatch hold = hold();
+        answer("/first");
+        third.close();
+        hold.countDown();
+
+        Socket fourth = send("/fourth");
+        await().atMost(LIMIT).until(() -> reached.contains("/fourth"));
+        assertEquals(Set.of("/first", "/second", "/fourth"), Set.copyOf(reached));
+        for (Socket each : List.of(first, second, fourth)) {
+            each.close();
+        }
+    }
+
+    // An upstream with one slot gets two requests at once; others wait in the router.
+    private void list(int port) {
+        UpstreamFacts facts =
+                new UpstreamFacts(
+                        UpstreamId.of("i-1"),
+                        1,
+                        SERVICE,
+                        new Endpoint("127.0.0.1", port),
+                        "a",
+                        1,
+                        false,
+                        Duration.ZERO,
+                        new HeldModels(1, HeldModels.UNCOUNTED, Map.of()),
+                        Set.of(),
+                        Set.of());
+        loop.submit(() -> upstreams.put(facts, Instant.now())).syncUninterruptibly();
+    }
+
+    private void begin(HttpCall call) {
+        Route route =
+                new Route(
+                        "route",
+                        "host",
+                        "/",
+                        RouteKind.NON_IDEMPOTENT,
+                        LIMIT,
+                        Duration.ofSeconds(1),
+                        Optional.empty(),
+                        1,
+                        1,
+                        true,
+                        false,
+                        List.of(new Route.Target(SERVICE, 1)));
+        Flow.Admitted admitted =
+                new Flow.Admitted(Optional.empty(), 1, Instant.now(), Duration.ZERO, 0, () -> {});
+        flows.begin(
+                new Flow(flows, call, dialect.request(call.headers()), route, SERVICE, admitted));
+    }
+
+    private void run(HttpCall call) {
+        reached.add(call.target());
+        running.put(call.target(), call);
+    }
+
+    private void answer(String target) {
+        upstreamLoop
+                .submit(
+                        () ->
+                                running.get(target)
+                                        .answer(
+                                                200,
+                                                new DefaultHttpHeaders(),
+                                                Unpooled.EMPTY_BUFFER))
+                .syncUninterruptibly();
+    }
+
+    private int open() {
+        return loop.submit(flows::size).syncUninterruptibly().getNow();
+    }
+
+    private CountDownLatch hold() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch hold = new CountDownLatch(1);
+        loop.execute(
+                () -> {
+                    held.countDown();
+                    try {
+                        hold.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+        held.await();
+        return hold;
+    }
+
+    private Socket send(String path) throws IOException {
+        Socket caller = new Socket(InetAddress.getLoopbackAddress(), router.port());
+        String request = "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+        caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        return caller;
+    }
+
+    private static HttpServer server(EventLoop loop, io.damaskyoke.http.HttpHandler handler) {
+        return HttpServer.start(
+                loop,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                HttpLimits.usual(),
+                handler);
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -8,17 +8,19 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpLimits;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
- * A deployment that stores an upstream as the word "ready" or "draining", a configuration as its
- * version, and no more.
+ * A deployment that stores an upstream as the word "ready" or "draining" and a configuration as its
+ * version, passes headers on as they are, and has no form for orders.
  */
 final class TestDialect implements Dialect {
     @Override
@@ -61,32 +63,39 @@
 
     @Override
     public CallerRequest request(HttpHeaders headers) {
-        throw new UnsupportedOperationException();
+        return new CallerRequest(
+                "attempt",
+                "host",
+                Optional.empty(),
+                Optional.empty(),
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty());
     }
 
     @Override
     public HttpHeaders toUpstream(HttpHeaders fromCaller, Forwarding forwarding) {
-        throw new UnsupportedOperationException();
+        return fromCaller.copy();
     }
 
     @Override
     public boolean answers(String attempt, HttpHeaders fromUpstream) {
-        throw new UnsupportedOperationException();
+        return true;
     }
 
     @Override
     public UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected) {
-        throw new UnsupportedOperationException();
+        return new UpstreamAnswer(status, status == 503, false, true, false, Optional.empty());
     }
 
     @Override
     public HttpHeaders toCaller(HttpHeaders fromUpstream) {
-        throw new UnsupportedOperationException();
+        return fromUpstream.copy();
     }
 
     @Override
     public HttpHeaders ownAnswer(String attempt) {
-        throw new UnsupportedOperationException();
+        return new DefaultHttpHeaders();
     }
 
     @Override
