Simulate leaders and the upstreams that they give orders to, with a failing promise

Two real leaders (OrderLease, OrderLeader, LoadPlanner) and three upstreams that follow the published contract for orders: one order at a time, each counted and carried out only at its count, unloads that wait for runs, reports some hundred milliseconds old, orders carried out seconds late, lost answers, restarts under the same name, leaders that stand still, are cut off or resign.

Without the check of the count the worlds break in plenty, so they can see the fault.

The leader's way to upstreams becomes an interface for that; no behaviour changes.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
@@ -50,7 +50,7 @@
     private final Control control;
     private final UpstreamTable upstreams;
     private final OrderLease lease;
-    private final UpstreamCalls calls;
+    private final OrderCalls calls;
     private final VmId self;
     private final Neighbours neighbours;
     private final LoadPlanner planner = new LoadPlanner(LoadSettings.usual());
@@ -65,7 +65,7 @@
             Control control,
             UpstreamTable upstreams,
             OrderLease lease,
-            UpstreamCalls calls,
+            OrderCalls calls,
             VmId self,
             Neighbours neighbours) {
         this.control = control;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCalls.java
@@ -18,7 +18,7 @@
 import org.apache.logging.log4j.Logger;
 
 /** Orders to upstreams and reports from them, over the traffic's own client. */
-final class UpstreamCalls {
+final class UpstreamCalls implements OrderCalls {
     private static final Logger LOG = LogManager.getLogger(UpstreamCalls.class);
 
     /** Upstreams answer reports within a few milliseconds. */
@@ -43,7 +43,8 @@
         this.control = control;
     }
 
-    void order(UpstreamFacts to, Dialect.Order order, Consumer<OrderOutcome> then) {
+    @Override
+    public void order(UpstreamFacts to, Dialect.Order order, Consumer<OrderOutcome> then) {
         HttpHeaders headers = dialect.callHeaders(to.id());
         headers.set("Content-Type", "application/json");
         call(
@@ -60,7 +61,8 @@
                                         .orElseGet(() -> dialect.outcome(answer.status()))));
     }
 
-    void report(UpstreamFacts from, Consumer<Optional<LoadInput.Reported>> then) {
+    @Override
+    public void report(UpstreamFacts from, Consumer<Optional<LoadInput.Reported>> then) {
         call(
                 from,
                 HttpMethod.GET,
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LeasedStore.java
@@ -0,0 +1,50 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.platform.FakeStore;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A store for tests whose leases run out by its own clock, for all routers that reach it. */
+final class LeasedStore {
+    private static final Duration SWEEP = Duration.ofMillis(20);
+
+    private final Control world;
+    private final FakeStore store;
+    private final Map<Long, Term> terms = new HashMap<>();
+
+    private record Term(Duration length, Instant end) {}
+
+    LeasedStore(Control world) {
+        this.world = world;
+        this.store = new FakeStore(world);
+        world.every(SWEEP, this::sweep);
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    void granted(long lease, Duration term) {
+        terms.put(lease, new Term(term, world.clock().instant().plus(term)));
+    }
+
+    void kept(long lease) {
+        Term known = terms.get(lease);
+        if (known != null) {
+            granted(lease, known.length());
+        }
+    }
+
+    private void sweep() {
+        Instant now = world.clock().instant();
+        for (Long lease : Map.copyOf(terms).keySet()) {
+            if (now.isAfter(terms.get(lease).end())) {
+                terms.remove(lease);
+                store.expire(lease);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderPromisesTest.java
@@ -0,0 +1,46 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class OrderPromisesTest {
+    /** Others by hand: -Dorders.first=1000 -Dorders.count=20000. */
+    private static final long FIRST = Long.getLong("orders.first", 1);
+
+    private static final int SEEDS = Integer.getInteger("orders.count", 300);
+    private static final int SHOWN = 2;
+
+    // Guards against an order from before an upstream's restart that is carried out after it.
+    @Test
+    void noUpstreamIsOrderedToHoldMoreThanItHasRoomFor() {
+        List<String> broken = new ArrayList<>();
+        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            broken.addAll(played(seed, true));
+        }
+        String first = String.join("; ", broken.subList(0, Math.min(SHOWN, broken.size())));
+        assertEquals("", first, broken.size() + " in all");
+    }
+
+    // Guards against a world that would find no fault: without the count of accepted orders, late
+    // orders overload upstreams at once.
+    @Test
+    void upstreamsThatDoNotCountOrdersAreOverloaded() {
+        int broken = 0;
+        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            broken += played(seed, false).size();
+        }
+        assertTrue(broken > 0, "no upstream was overloaded");
+    }
+
+    private static List<String> played(long seed, boolean checkedCounts) {
+        OrderWorld world = new OrderWorld(seed, checkedCounts);
+        new OrderTroubles(world, seed).play();
+        return world.broken().isEmpty()
+                ? List.of()
+                : List.of("seed " + seed + ": " + String.join("\n", world.story()) + '\n');
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderWorld.java
@@ -0,0 +1,278 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.SameThreadControl;
+import io.damaskyoke.control.direct.DirectConfiguration;
+import io.damaskyoke.control.direct.EngineSpec;
+import io.damaskyoke.control.direct.ModelSpec;
+import io.damaskyoke.control.direct.ServiceSpec;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.loads.OrderOutcome;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.http.HttpLimits;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Some routers of which one at a time gives orders to some model upstreams, with time by hand, and
+ * the promise that none of them is ever ordered to hold more than it has room for.
+ */
+final class OrderWorld {
+    private static final int ROUTERS = 2;
+    private static final int ENGINES = 3;
+    private static final int MODELS = 9;
+    private static final int ADAPTERS = 6;
+    private static final double MEMORY_MB = 100;
+    private static final double LEAST_MODEL_MB = 22;
+    private static final double MODEL_MB_RANGE = 24;
+    private static final double ADAPTER_MB = 2;
+    private static final int PLACES = 4;
+    private static final int SLOTS = 4;
+    private static final double LOADS_PER_SECOND = 5;
+
+    private static final Duration DEMAND = Duration.ofMillis(150);
+    private static final Duration HEARTBEAT = Duration.ofMillis(1_200);
+    private static final Duration ORDER_LIMIT = Duration.ofMillis(150);
+    private static final Duration REPORT_LIMIT = Duration.ofMillis(400);
+    private static final int LONGEST_LIST_LAG_MILLIS = 300;
+    private static final int LONGEST_WAY_MILLIS = 20;
+    private static final int EARLIEST_LATE_MILLIS = 2_000;
+    private static final int LATE_RANGE_MILLIS = 10_000;
+
+    /** An upstream that is silent for this long loses its entry in the list. */
+    private static final Duration LAPSES_AFTER = HEARTBEAT.multipliedBy(3);
+
+    private final SameThreadControl world = new SameThreadControl();
+    private final Random random;
+    private final EngineSpec spec;
+    private final List<SimulatedEngine> engines = new ArrayList<>();
+    private final List<OrderingRouter> routers = new ArrayList<>();
+    private final List<String> broken = new ArrayList<>();
+    private final List<String> story = new ArrayList<>();
+    private final Instant began = world.clock().instant();
+    private double lateShare;
+    private double lostShare;
+    private long revision = 1;
+
+    OrderWorld(long seed, boolean checkedCounts) {
+        this.random = new Random(seed);
+        this.spec = spec();
+        SimulatedEngine.Manners manners =
+                new SimulatedEngine.Manners(random.nextBoolean(), checkedCounts);
+        for (int each = 0; each < ENGINES; each++) {
+            engines.add(
+                    new SimulatedEngine(
+                            world, "engine-" + each, spec, manners, random, this::overloaded));
+        }
+        LeasedStore store = new LeasedStore(world);
+        for (int each = 0; each < ROUTERS; each++) {
+            routers.add(new OrderingRouter("router-" + each, world, store, this));
+        }
+        ServiceSpec service = new ServiceSpec(SimulatedEngine.SERVICE, 1, Optional.of(spec));
+        DirectConfiguration configuration =
+                new DirectConfiguration(
+                        1,
+                        1,
+                        List.of(),
+                        Map.of(SimulatedEngine.SERVICE, service),
+                        Map.of(),
+                        Map.of(),
+                        HttpLimits.usual());
+        routers.forEach(each -> each.configured(configuration));
+        engines.forEach(this::beat);
+        world.every(DEMAND, this::demand);
+    }
+
+    private EngineSpec spec() {
+        Map<String, ModelSpec> models = new TreeMap<>();
+        for (int each = 0; each < MODELS; each++) {
+            String name = "m" + each;
+            models.put(
+                    name,
+                    new ModelSpec(
+                            name,
+                            LEAST_MODEL_MB + random.nextDouble() * MODEL_MB_RANGE,
+                            Duration.ofMillis(1_500),
+                            Duration.ofMillis(250),
+                            Duration.ofMillis(400),
+                            ADAPTER_MB));
+        }
+        return new EngineSpec(SLOTS, 1_000, MEMORY_MB, PLACES, LOADS_PER_SECOND, models);
+    }
+
+    /** What was promised and not kept, one line each. */
+    List<String> broken() {
+        return broken;
+    }
+
+    /** What happened, with the milliseconds since the beginning. */
+    List<String> story() {
+        return story;
+    }
+
+    List<OrderingRouter> routers() {
+        return routers;
+    }
+
+    List<SimulatedEngine> engines() {
+        return engines;
+    }
+
+    void pass(Duration duration) {
+        world.advance(duration);
+    }
+
+    void after(Duration delay, Runnable step) {
+        world.after(delay, step);
+    }
+
+    /** From now on this share of orders is carried out seconds later, and not answered. */
+    void late(double share) {
+        tell("orders late: " + share);
+        lateShare = share;
+    }
+
+    /** From now on this share of answers to orders is lost. */
+    void lost(double share) {
+        tell("answers lost: " + share);
+        lostShare = share;
+    }
+
+    /** An upstream ends and starts again under its name. */
+    void restart(SimulatedEngine engine, Duration down) {
+        tell(engine.id() + " restarts, down for " + down.toMillis());
+        engine.restart(down);
+        world.after(LAPSES_AFTER, () -> lapse(engine));
+    }
+
+    private void lapse(SimulatedEngine engine) {
+        if (!engine.up()) {
+            long at = ++revision;
+            soon(LONGEST_LIST_LAG_MILLIS, () -> routers.forEach(r -> r.gone(engine.id(), at)));
+        }
+    }
+
+    /** Ways from a router to the upstreams. */
+    OrderCalls callsOf(Control router) {
+        return new OrderCalls() {
+            @Override
+            public void order(UpstreamFacts to, Dialect.Order order, Consumer<OrderOutcome> then) {
+                Answer<OrderOutcome> answer = new Answer<>(router, then);
+                router.after(ORDER_LIMIT, () -> answer.come(OrderOutcome.UNKNOWN));
+                send(engine(to), order, answer);
+            }
+
+            @Override
+            public void report(UpstreamFacts from, Consumer<Optional<LoadInput.Reported>> then) {
+                Answer<Optional<LoadInput.Reported>> answer = new Answer<>(router, then);
+                router.after(REPORT_LIMIT, () -> answer.come(Optional.empty()));
+                way(
+                        () ->
+                                engine(from)
+                                        .report()
+                                        .ifPresent(r -> way(() -> answer.come(Optional.of(r)))));
+            }
+        };
+    }
+
+    private void send(SimulatedEngine engine, Dialect.Order order, Answer<OrderOutcome> answer) {
+        if (random.nextDouble() < lateShare) {
+            Duration later =
+                    Duration.ofMillis(EARLIEST_LATE_MILLIS + random.nextInt(LATE_RANGE_MILLIS));
+            tell(engine.id() + " gets late, in " + later.toMillis() + ": " + order);
+            world.after(later, () -> engine.take(order));
+            return;
+        }
+        boolean lost = random.nextDouble() < lostShare;
+        way(
+                () -> {
+                    Optional<OrderOutcome> outcome = engine.take(order);
+                    tell(engine.id() + " " + outcome + (lost ? " (lost)" : "") + ": " + order);
+                    outcome.filter(any -> !lost).ifPresent(o -> way(() -> answer.come(o)));
+                });
+    }
+
+    /** One answer, by the router's own thread; whatever comes after it is dropped. */
+    private static final class Answer<T> {
+        private final Control router;
+        private final Consumer<T> then;
+        private boolean over;
+
+        Answer(Control router, Consumer<T> then) {
+            this.router = router;
+            this.then = then;
+        }
+
+        void come(T value) {
+            router.run(
+                    () -> {
+                        if (!over) {
+                            over = true;
+                            then.accept(value);
+                        }
+                    });
+        }
+    }
+
+    private void way(Runnable step) {
+        soon(LONGEST_WAY_MILLIS, step);
+    }
+
+    private void soon(int mostMillis, Runnable step) {
+        world.after(Duration.ofMillis(1 + random.nextInt(mostMillis)), step);
+    }
+
+    private SimulatedEngine engine(UpstreamFacts facts) {
+        return engines.stream().filter(each -> each.id().equals(facts.id())).findFirst().get();
+    }
+
+    private void beat(SimulatedEngine engine) {
+        if (engine.up()) {
+            UpstreamFacts facts = engine.facts(++revision);
+            routers.forEach(router -> soon(LONGEST_LIST_LAG_MILLIS, () -> router.listed(facts)));
+        }
+        world.after(HEARTBEAT, () -> beat(engine));
+    }
+
+    private void demand() {
+        List<LoadInput.Want> wants = new ArrayList<>();
+        int count = 1 + random.nextInt(3);
+        for (int each = 0; each < count; each++) {
+            String model = "m" + random.nextInt(MODELS);
+            String adapter = random.nextBoolean() ? "a" + random.nextInt(ADAPTERS) : "";
+            wants.add(
+                    new LoadInput.Want(
+                            new ModelRef(model, adapter),
+                            1 + random.nextInt(3),
+                            Duration.ofMillis(random.nextInt(1_000)),
+                            1,
+                            random.nextDouble() * 2,
+                            1));
+        }
+        for (OrderingRouter router : routers) {
+            routers.forEach(
+                    each ->
+                            each.demanded(
+                                    new LoadInput.Demanded(
+                                            router.vm(), wants, Map.of(), Set.of())));
+        }
+    }
+
+    private void overloaded(String what) {
+        broken.add(what);
+        tell("BROKEN: " + what);
+    }
+
+    void tell(String what) {
+        story.add(Duration.between(began, world.clock().instant()).toMillis() + " " + what);
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedEngine.java
@@ -0,0 +1,298 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.direct.EngineSpec;
+import io.damaskyoke.control.loads.LoadInput;
+import io.damaskyoke.control.loads.OrderOutcome;
+import io.damaskyoke.control.loads.Verb;
+import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.http.Endpoint;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * A model upstream that follows the page on orders: one order at a time, each counted, none carried
+ * out at another count; unloads wait for runs; reports are some time old. A restart forgets all but
+ * the upstream's name. It says when it is ordered to hold more than it has room for.
+ */
+final class SimulatedEngine {
+    static final String SERVICE = "engines";
+
+    private static final int LONGEST_RUN_MILLIS = 900;
+    private static final int LONGEST_ADAPTER_MILLIS = 60;
+    private static final int LONGEST_REPORT_LAG_MILLIS = 250;
+    private static final double ADAPTERS_IN_USE = 0.3;
+
+    private final Control world;
+    private final UpstreamId id;
+    private final EngineSpec spec;
+    private final Random random;
+    private final boolean checksTokens;
+    private final boolean checksCounts;
+    private final Consumer<String> overloaded;
+    private final Set<String> disk = new HashSet<>();
+    private final List<State> past = new ArrayList<>();
+    private Map<String, Set<String>> held = new TreeMap<>();
+    private Map<ModelRef, Boolean> coming = new HashMap<>();
+    private Optional<ModelRef> loading = Optional.empty();
+    private boolean busy;
+    private boolean up = true;
+    private long sequence;
+    private long token;
+    private long life = 1;
+    private long startedAt;
+
+    private record State(Instant at, long life, boolean busy, HeldModels held) {}
+
+    /**
+     * How an upstream differs from others.
+     *
+     * @param checksTokens whether it refuses a lower fencing token
+     * @param checksCounts whether it refuses an order that names another count; false in no
+     *     upstream, to show that a world without that safeguard breaks the promise
+     */
+    record Manners(boolean checksTokens, boolean checksCounts) {}
+
+    SimulatedEngine(
+            Control world,
+            String name,
+            EngineSpec spec,
+            Manners manners,
+            Random random,
+            Consumer<String> overloaded) {
+        this.world = world;
+        this.id = UpstreamId.of(name);
+        this.spec = spec;
+        this.checksTokens = manners.checksTokens();
+        this.checksCounts = manners.checksCounts();
+        this.random = random;
+        this.overloaded = overloaded;
+        this.startedAt = world.clock().millis();
+        note();
+    }
+
+    UpstreamId id() {
+        return id;
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    /** What it writes into the platform's list. */
+    UpstreamFacts facts(long revision) {
+        return new UpstreamFacts(
+                id,
+                revision,
+                SERVICE,
+                new Endpoint("127.0.0.1", 1),
+                "a",
+                4,
+                false,
+                Duration.ZERO,
+                new HeldModels(startedAt, HeldModels.UNCOUNTED, held),
+                Set.of(),
+                Set.copyOf(disk));
+    }
+
+    /** Takes an order that has arrived; empty if there is nobody to answer. */
+    Optional<OrderOutcome> take(Dialect.Order order) {
+        if (!up) {
+            return Optional.empty();
+        }
+        if (checksTokens && order.fencing() < token) {
+            return Optional.of(OrderOutcome.FENCED);
+        }
+        token = Math.max(token, order.fencing());
+        if (busy || (checksCounts && order.sequence() != sequence)) {
+            return Optional.of(OrderOutcome.CONFLICT);
+        }
+        boolean load = order.verb() == Verb.LOAD;
+        if (load == has(order.model())) {
+            return Optional.of(OrderOutcome.DONE);
+        }
+        if (order.model().adapted() && !held.containsKey(order.model().model())) {
+            return Optional.of(OrderOutcome.REFUSED);
+        }
+        sequence++;
+        OrderOutcome outcome = load ? load(order.model()) : unload(order.model());
+        note();
+        return Optional.of(outcome);
+    }
+
+    /** What it says of itself, as of some time ago; empty if there is nobody to answer. */
+    Optional<LoadInput.Reported> report() {
+        if (!up) {
+            return Optional.empty();
+        }
+        Instant asOf =
+                world.clock().instant().minusMillis(random.nextInt(LONGEST_REPORT_LAG_MILLIS));
+        State found = null;
+        for (State each : past) {
+            if (each.life == life && (found == null || !each.at.isAfter(asOf))) {
+                found = each;
+            }
+        }
+        return Optional.of(
+                new LoadInput.Reported(id, found.busy, found.held, Set.of(), Set.copyOf(disk)));
+    }
+
+    /** Ends, with all that it held and knew, and starts again under the same name. */
+    void restart(Duration down) {
+        if (!up) {
+            return;
+        }
+        up = false;
+        life++;
+        world.after(down, this::start);
+    }
+
+    private void start() {
+        up = true;
+        held = new TreeMap<>();
+        coming = new HashMap<>();
+        loading = Optional.empty();
+        busy = false;
+        sequence = 0;
+        token = 0;
+        startedAt = world.clock().millis();
+        note();
+    }
+
+    private boolean has(ModelRef model) {
+        if (coming.containsKey(model) || loading.filter(model::equals).isPresent()) {
+            return true;
+        }
+        return new HeldModels(0, 0, held).has(model);
+    }
+
+    private OrderOutcome load(ModelRef model) {
+        if (!fits(model)) {
+            overloaded.accept(id + " has no room for " + model + ", holds " + held);
+            restart(Duration.ofSeconds(1));
+            return OrderOutcome.ACCEPTED;
+        }
+        if (model.adapted()) {
+            coming.put(model, true);
+            soon(LONGEST_ADAPTER_MILLIS, () -> arrived(model));
+            return OrderOutcome.ACCEPTED;
+        }
+        loading = Optional.of(model);
+        busy = true;
+        Duration time =
+                disk.contains(model.model())
+                        ? spec.models().get(model.model()).fromDisk()
+                        : spec.models().get(model.model()).fromStore();
+        inThisLife(time, () -> loaded(model));
+        return OrderOutcome.ACCEPTED;
+    }
+
+    private OrderOutcome unload(ModelRef model) {
+        if (!model.adapted()) {
+            busy = true;
+            soon(LONGEST_RUN_MILLIS, () -> unloaded(model));
+            return OrderOutcome.ACCEPTED;
+        }
+        if (random.nextDouble() < ADAPTERS_IN_USE) {
+            soon(LONGEST_RUN_MILLIS, () -> dropped(model));
+            return OrderOutcome.ACCEPTED;
+        }
+        drop(model);
+        return OrderOutcome.DONE;
+    }
+
+    private boolean fits(ModelRef model) {
+        if (model.adapted() && adapters() >= spec.adapterSlots()) {
+            return false;
+        }
+        return used() + weight(model) <= spec.weightsMb();
+    }
+
+    private int adapters() {
+        return coming.size() + held.values().stream().mapToInt(Set::size).sum();
+    }
+
+    private double used() {
+        double used = 0;
+        for (Map.Entry<String, Set<String>> entry : held.entrySet()) {
+            used += spec.models().get(entry.getKey()).weightsMb();
+            used += entry.getValue().size() * spec.models().get(entry.getKey()).adapterMb();
+        }
+        for (ModelRef each : coming.keySet()) {
+            used += weight(each);
+        }
+        return used;
+    }
+
+    private double weight(ModelRef model) {
+        var known = spec.models().get(model.model());
+        return model.adapted() ? known.adapterMb() : known.weightsMb();
+    }
+
+    private void arrived(ModelRef adapter) {
+        coming.remove(adapter);
+        if (held.containsKey(adapter.model())) {
+            held = new HeldModels(0, 0, held).with(adapter, 0).adapters();
+        }
+    }
+
+    private void loaded(ModelRef model) {
+        busy = false;
+        loading = Optional.empty();
+        held = new HeldModels(0, 0, held).with(model, 0).adapters();
+        disk.add(model.model());
+    }
+
+    private void unloaded(ModelRef model) {
+        busy = false;
+        held = new HeldModels(0, 0, held).without(model, 0).adapters();
+        coming.keySet().removeIf(each -> each.model().equals(model.model()));
+    }
+
+    private void dropped(ModelRef adapter) {
+        drop(adapter);
+    }
+
+    private void drop(ModelRef adapter) {
+        coming.remove(adapter);
+        held = new HeldModels(0, 0, held).without(adapter, 0).adapters();
+    }
+
+    private void soon(int mostMillis, Runnable step) {
+        inThisLife(Duration.ofMillis(random.nextInt(mostMillis)), step);
+    }
+
+    private void inThisLife(Duration delay, Runnable step) {
+        long mine = life;
+        world.after(
+                delay,
+                () -> {
+                    if (mine == life) {
+                        step.run();
+                        note();
+                    }
+                });
+    }
+
+    // Adapters on their way are told as held, as the dialect takes them.
+    private void note() {
+        HeldModels all = new HeldModels(startedAt, sequence, held);
+        for (ModelRef each : coming.keySet()) {
+            all = all.with(each, sequence);
+        }
+        past.add(new State(world.clock().instant(), life, busy, all));
+    }
+}
