--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -11,6 +11,7 @@
 import io.damaskyoke.http.EarlySocket;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
+import io.damaskyoke.http.HttpLoop;
 import io.damaskyoke.http.HttpServer;
 import io.damaskyoke.id.AvailabilityZone;
 import io.damaskyoke.id.Incarnation;
@@ -25,10 +26,6 @@
 import io.damaskyoke.settings.DirectSettings;
 import io.damaskyoke.timeline.HybridClock;
 import io.damaskyoke.timeline.Timeline;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
@@ -75,9 +72,7 @@
     private final Dialect dialect;
     private final VmId self;
     private final Incarnation incarnation;
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
+    private final HttpLoop loop = HttpLoop.start();
     private final InstantSource clock = SuspendAwareClock.start();
     private final Metrics metrics = new Metrics();
     private final LoopControl control;
@@ -115,7 +110,7 @@
         this.self = VmId.of(settings.vm());
         String life = UUID.randomUUID().toString().substring(0, 8);
         this.incarnation = Incarnation.of(settings.vm() + ":" + life);
-        this.control = new LoopControl(loop, clock, new LoopHolds(metrics));
+        this.control = new LoopControl(loop.events(), clock, new LoopHolds(metrics));
         this.client = new HttpClient(loop, CONNECT_TIMEOUT, metrics);
         this.store = stores.open(settings, client, control, metrics);
         this.relays = new StoreRelays(control, this::relaySources, this::askRelay);
@@ -216,7 +211,7 @@
         control.run(members::leave);
         network.close();
         store.close();
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        loop.close();
         LOG.info("stopped");
     }
 
@@ -309,7 +304,7 @@
                 .timeline(timeline)
                 .clock(clock)
                 .metrics(metrics)
-                .on(group)
+                .on(loop.group())
                 .listen(ratePeers)
                 .listen(neighbours)
                 .build()
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -30,18 +29,18 @@
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
-    private final EventLoop loop;
+    private final HttpLoop loop;
     private final Metrics metrics;
     private final Map<Endpoint, ArrayDeque<ClientConnection>> idle = new HashMap<>();
     private final Bootstrap bootstrap;
 
     /** A client on this loop that gives up on a connection after the time. */
-    public HttpClient(EventLoop loop, Duration connectTimeout, Metrics metrics) {
+    public HttpClient(HttpLoop loop, Duration connectTimeout, Metrics metrics) {
         this.loop = loop;
         this.metrics = metrics;
         this.bootstrap =
                 new Bootstrap()
-                        .group(loop)
+                        .group(loop.group())
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
@@ -97,10 +96,6 @@
         idle.values().removeIf(ArrayDeque::isEmpty);
     }
 
-    EventLoop loop() {
-        return loop;
-    }
-
     void keep(ClientConnection connection) {
         ArrayDeque<ClientConnection> kept =
                 idle.computeIfAbsent(connection.endpoint(), any -> new ArrayDeque<>());
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -25,7 +24,7 @@
  * Serves HTTP/1.1 on one address: {@code HttpServer.start(loop, endpoint, limits, handler)}.
  *
  * <p>A request reaches the handler whole. Requests on one connection are handled one after the
- * other, so answers can't change places. Belongs to one event loop.
+ * other, so answers can't change places. Belongs to one loop.
  */
 public final class HttpServer implements AutoCloseable {
     private static final int MAX_LINE_BYTES = 8 * 1024;
@@ -37,14 +36,14 @@
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
-    private final EventLoop loop;
+    private final HttpLoop loop;
     private final HttpHandler handler;
     private final Set<ServerConnection> connections = new HashSet<>();
     private HttpLimits limits;
     private Channel channel;
     private boolean draining;
 
-    private HttpServer(EventLoop loop, HttpLimits limits, HttpHandler handler) {
+    private HttpServer(HttpLoop loop, HttpLimits limits, HttpHandler handler) {
         this.loop = loop;
         this.limits = limits;
         this.handler = handler;
@@ -56,9 +55,10 @@
      * @throws HttpException BIND_FAILED if the address is taken
      */
     public static HttpServer start(
-            EventLoop loop, InetSocketAddress at, HttpLimits limits, HttpHandler handler) {
+            HttpLoop loop, InetSocketAddress at, HttpLimits limits, HttpHandler handler) {
         ServerSocketChannel socket = EarlySocket.listen(at);
-        return loop.submit(() -> adopt(loop, socket, limits, handler))
+        return loop.events()
+                .submit(() -> adopt(loop, socket, limits, handler))
                 .syncUninterruptibly()
                 .getNow();
     }
@@ -68,11 +68,12 @@
      * anything else: callers that came meanwhile wait in its queue. To be called on the loop.
      */
     public static HttpServer adopt(
-            EventLoop loop, ServerSocketChannel open, HttpLimits limits, HttpHandler handler) {
+            HttpLoop loop, ServerSocketChannel open, HttpLimits limits, HttpHandler handler) {
         HttpServer server = new HttpServer(loop, limits, handler);
         server.channel = server.bootstrap(open).register().channel();
-        loop.scheduleWithFixedDelay(
-                server::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.events()
+                .scheduleWithFixedDelay(
+                        server::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         return server;
     }
 
@@ -141,7 +142,7 @@
 
     private ServerBootstrap bootstrap(ServerSocketChannel socket) {
         return new ServerBootstrap()
-                .group(loop)
+                .group(loop.group())
                 .channelFactory(() -> new NioServerSocketChannel(socket))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -13,13 +13,10 @@
 import io.damaskyoke.http.HttpCall;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
+import io.damaskyoke.http.HttpLoop;
 import io.damaskyoke.http.HttpServer;
 import io.damaskyoke.metrics.Metrics;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -44,12 +41,8 @@
     private static final String SERVICE = "service";
     private static final Duration LIMIT = Duration.ofSeconds(10);
 
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoopGroup upstreamGroup =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
-    private final EventLoop upstreamLoop = (EventLoop) upstreamGroup.next();
+    private final HttpLoop loop = HttpLoop.start();
+    private final HttpLoop upstreamLoop = HttpLoop.start();
     private final List<String> reached = new CopyOnWriteArrayList<>();
     private final Map<String, HttpCall> running = new ConcurrentHashMap<>();
     private final TestDialect dialect = new TestDialect();
@@ -67,8 +60,8 @@
 
     @AfterEach
     void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-        upstreamGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        loop.close();
+        upstreamLoop.close();
     }
 
     // Guards against a request that is sent on in the midst of reading: an answer frees a place for
@@ -109,7 +102,7 @@
                         new HeldModels(1, HeldModels.UNCOUNTED, Map.of()),
                         Set.of(),
                         Set.of());
-        loop.submit(() -> upstreams.put(facts, Instant.now())).syncUninterruptibly();
+        loop.events().submit(() -> upstreams.put(facts, Instant.now())).syncUninterruptibly();
     }
 
     private void begin(HttpCall call) {
@@ -140,6 +133,7 @@
 
     private void answer(String target) {
         upstreamLoop
+                .events()
                 .submit(
                         () ->
                                 running.get(target)
@@ -151,21 +145,22 @@
     }
 
     private int open() {
-        return loop.submit(flows::size).syncUninterruptibly().getNow();
+        return loop.events().submit(flows::size).syncUninterruptibly().getNow();
     }
 
     private CountDownLatch hold() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch hold = new CountDownLatch(1);
-        loop.execute(
-                () -> {
-                    held.countDown();
-                    try {
-                        hold.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
+        loop.events()
+                .execute(
+                        () -> {
+                            held.countDown();
+                            try {
+                                hold.await(LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
         held.await();
         return hold;
     }
@@ -177,7 +172,7 @@
         return caller;
     }
 
-    private static HttpServer server(EventLoop loop, io.damaskyoke.http.HttpHandler handler) {
+    private static HttpServer server(HttpLoop loop, io.damaskyoke.http.HttpHandler handler) {
         return HttpServer.start(
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
--- a/damaskyoke/src/test/java/io/damaskyoke/http/HeldLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HeldLoopTest.java
@@ -4,10 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -28,9 +24,7 @@
     private static final int LIMIT_MILLIS = 10_000;
     private static final int CALLERS = 5;
 
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
+    private final HttpLoop loop = HttpLoop.start();
     private final List<String> handled = new CopyOnWriteArrayList<>();
     private final Map<String, Long> arrivedNanos = new ConcurrentHashMap<>();
     private final HttpServer server =
@@ -42,7 +36,7 @@
 
     @AfterEach
     void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        loop.close();
     }
 
     // Guards against work for callers that left while the thread was held: a new connection is
@@ -111,15 +105,16 @@
     private CountDownLatch hold() throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch hold = new CountDownLatch(1);
-        loop.execute(
-                () -> {
-                    held.countDown();
-                    try {
-                        hold.await(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
+        loop.events()
+                .execute(
+                        () -> {
+                            held.countDown();
+                            try {
+                                hold.await(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
         held.await();
         return hold;
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
@@ -5,10 +5,6 @@
 import io.damaskyoke.metrics.Metrics;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -20,17 +16,15 @@
 import org.junit.jupiter.api.Test;
 
 class HttpClientTest {
-    private static final EventLoopGroup GROUP =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private static final HttpLoop LOOP = HttpLoop.start();
     private static final Duration LIMIT = Duration.ofSeconds(10);
     private static final String OK = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 2\r\n\r\nok";
 
-    private final HttpClient client =
-            new HttpClient((EventLoop) GROUP.next(), Duration.ofMillis(500), new Metrics());
+    private final HttpClient client = new HttpClient(LOOP, Duration.ofMillis(500), new Metrics());
 
     @AfterAll
     static void stop() {
-        GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        LOOP.close();
     }
 
     @Test
@@ -146,7 +140,7 @@
 
     private String ask(Endpoint to, Duration idleLimit) {
         CompletableFuture<String> outcome = new CompletableFuture<>();
-        GROUP.next().execute(() -> send(to, idleLimit, outcome));
+        LOOP.events().execute(() -> send(to, idleLimit, outcome));
         return outcome.orTimeout(LIMIT.toSeconds(), TimeUnit.SECONDS).join();
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/http/HttpServerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpServerTest.java
@@ -4,10 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -25,20 +21,19 @@
 class HttpServerTest {
     private static final int LIMIT_MILLIS = 10_000;
 
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpLoop loop = HttpLoop.start();
     private final List<String> handled = new CopyOnWriteArrayList<>();
     private final CompletableFuture<String> gone = new CompletableFuture<>();
     private final HttpServer server =
             HttpServer.start(
-                    (EventLoop) group.next(),
+                    loop,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                     new HttpLimits(2_000, 1_000, Duration.ofMillis(300), Duration.ofSeconds(30)),
                     this::handle);
 
     @AfterEach
     void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        loop.close();
     }
 
     @Test
@@ -59,8 +54,9 @@
         try (Socket caller = new Socket(loopback, port)) {
             caller.setSoTimeout(LIMIT_MILLIS);
             caller.getOutputStream().write(get("/last").getBytes(StandardCharsets.US_ASCII));
-            EventLoop loop = (EventLoop) group.next();
-            loop.execute(() -> HttpServer.adopt(loop, socket, HttpLimits.usual(), this::handle));
+            loop.events()
+                    .execute(
+                            () -> HttpServer.adopt(loop, socket, HttpLimits.usual(), this::handle));
             byte[] start = caller.getInputStream().readNBytes(12);
             assertEquals("HTTP/1.1 200", new String(start, StandardCharsets.US_ASCII));
         }
@@ -135,7 +131,7 @@
 
     @Test
     void aDrainingServerSaysThatEachAnswerIsTheLast() throws IOException {
-        group.next().submit(server::drain).syncUninterruptibly();
+        loop.events().submit(server::drain).syncUninterruptibly();
         String answer = talk(get("/a") + get("/b"));
         assertTrue(answer.toLowerCase().contains("connection: close"), answer);
         assertEquals("/a", handled.get(0));
@@ -150,7 +146,7 @@
         if (call.target().equals("/abort")) {
             call.start(200, new DefaultHttpHeaders());
             call.part(Unpooled.copiedBuffer("begun", StandardCharsets.US_ASCII));
-            group.next().schedule(call::abort, 50, TimeUnit.MILLISECONDS);
+            loop.events().schedule(call::abort, 50, TimeUnit.MILLISECONDS);
             return;
         }
         String text = "got " + call.target();
