Serve a request only once the end of its caller would be known

Callers that had closed had their requests handed to upstreams, up to 3 s late (GONE).

Cause: a thread that was held finds a new connection, its request and its end in three looks at the sockets one after the other, and a kept connection's request and end in two. Backlog asked whether the tick that was due had run: it runs after the first look, so nothing was put off on new connections; and what it put off by a millisecond ran in the same look if reading took that long, since due timers run after each reading.

Now a connection is read to its end in one turn, and a request reaches the handler when the reading is over and what it told has been taken in, however late or early the thread is.

Ruled out: that the caller's end comes later than the request was read; it lay in the socket.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -282,7 +282,6 @@
                 flows,
                 incarnation,
                 new Random(),
-                new Backlog(control, lag),
                 metrics);
     }
 
@@ -323,6 +322,7 @@
         upstreamFollower.start(new UpstreamListener());
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
+        metrics.gauge("direct_left_before_served", callers::leftUnserved);
         String address = settings.peer().host() + ':' + settings.peer().port();
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         leader.start(this::replicasChanged);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -36,7 +36,6 @@
     private final Incarnation self;
     private final InstantSource clock;
     private final RandomGenerator random;
-    private final Backlog backlog;
     private final Metrics metrics;
     private final EarlyCalls early;
     private long counter;
@@ -49,7 +48,6 @@
             Flows flows,
             Incarnation self,
             RandomGenerator random,
-            Backlog backlog,
             Metrics metrics) {
         this.dialect = dialect;
         this.configuration = configuration;
@@ -59,7 +57,6 @@
         this.self = self;
         this.clock = flows::now;
         this.random = random;
-        this.backlog = backlog;
         this.metrics = metrics;
         this.early = new EarlyCalls(clock);
         this.denials = new Denials(followed, clock, metrics);
@@ -68,14 +65,6 @@
     @Override
     public void handle(HttpCall call) {
         metrics.count("direct_requests");
-        backlog.pass(() -> take(call));
-    }
-
-    private void take(HttpCall call) {
-        if (call.over()) {
-            metrics.count("direct_left_before_served");
-            return;
-        }
         CallerRequest request = request(call);
         Optional<DirectConfiguration> current = configuration.current();
         if (current.isEmpty()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoopLag.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoopLag.java
@@ -13,9 +13,6 @@
     /** A tick this late on the average means that each order takes that much longer. */
     private static final Duration SLOW = Duration.ofMillis(60);
 
-    /** Callers of plain services give up after a few times this. */
-    private static final Duration BEHIND = Duration.ofMillis(100);
-
     /** Weight of the newest tick: about the last second counts. */
     private static final double NEWEST = 0.05;
 
@@ -40,14 +37,6 @@
         due = now.plus(period);
     }
 
-    /**
-     * True if the tick that is due has not run for a while: what is read now may have come long
-     * ago.
-     */
-    boolean behind(Instant now) {
-        return due != null && Duration.between(due, now).compareTo(BEHIND) > 0;
-    }
-
     boolean slow() {
         return lateMillis > SLOW.toMillis();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpLoop.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpLoop.java
@@ -52,7 +52,8 @@
      */
     public void whenRead(Runnable step) {
         if (reads.underWay()) {
-            events.execute(() -> whenRead(step));
+            // Ends that are read are told in steps that wait by the time the reading is over.
+            events.execute(() -> events.execute(() -> whenRead(step)));
         } else if (System.nanoTime() - reads.beganNanos() > FRESH_NANOS) {
             // A timer that is set here is due only after the next reading.
             events.schedule(() -> whenRead(step), 0, TimeUnit.NANOSECONDS);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -1,11 +1,13 @@
 package io.damaskyoke.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -33,6 +35,9 @@
     /** Callers use a connection up to its idle time; closing it a little later crosses nothing. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(1);
 
+    /** Of one connection; others are waiting for theirs. */
+    private static final int READS_A_TURN = 16;
+
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
@@ -42,6 +47,7 @@
     private HttpLimits limits;
     private Channel channel;
     private boolean draining;
+    private long leftUnserved;
 
     private HttpServer(HttpLoop loop, HttpLimits limits, HttpHandler handler) {
         this.loop = loop;
@@ -117,8 +123,21 @@
         return draining;
     }
 
-    HttpHandler handler() {
-        return handler;
+    /** Hands a request to the handler, unless its caller has left by then. */
+    void handle(HttpCall call) {
+        loop.whenRead(
+                () -> {
+                    if (call.over()) {
+                        leftUnserved++;
+                    } else {
+                        handler.handle(call);
+                    }
+                });
+    }
+
+    /** Requests whose callers had left before they could be served. */
+    public long leftUnserved() {
+        return leftUnserved;
     }
 
     void opened(ServerConnection connection) {
@@ -147,6 +166,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, toTheEnd())
                 .childHandler(
                         new ChannelInitializer<>() {
                             @Override
@@ -156,6 +176,15 @@
                         });
     }
 
+    // As a rule a read that leaves room in its buffer is the last one of its turn. The end of a
+    // caller that has left would then be known a turn after its request.
+    private static RecvByteBufAllocator toTheEnd() {
+        var reads = new AdaptiveRecvByteBufAllocator();
+        reads.maxMessagesPerRead(READS_A_TURN);
+        reads.respectMaybeMoreData(false);
+        return reads;
+    }
+
     private void build(Channel opened) {
         ServerConnection connection = new ServerConnection(this);
         HttpDecoderConfig config =
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -147,7 +147,7 @@
         long since = arrivingSince == 0 ? System.nanoTime() : arrivingSince;
         arrivingSince = 0;
         call = new HttpCall(this, request, since);
-        server.handler().handle(call);
+        server.handle(call);
     }
 
     private static HttpResponseStatus statusOf(Throwable cause) {
