Send waiting requests after a reading and not in the midst of it

Upstreams were handed requests whose callers had closed half a second before and more (GONE), where a thread had been held.

Cause: an upstream's answer, or the leader's news, frees a place and drained the queue at once, while the sockets were being read. The end of the caller whose request was sent lay in the same look, a few sockets on.

Ruled out: that the order of reading puts callers first.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -123,7 +123,7 @@
         this.configuration = new ConfigurationHolder(dialect, this::configured);
         this.upstreamFollower = upstreamFollower();
         this.configurationFollower = configurationFollower();
-        this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock);
+        this.dispatch = new Dispatch(upstreams, settings.availabilityZone(), clock, loop::whenRead);
         this.reports =
                 new DemandReports(
                         self,
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
@@ -15,12 +15,14 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 
 /**
  * Sends requests to upstreams, at once or when one can take them, the most urgent first.
@@ -40,10 +42,12 @@
 
     private final UpstreamTable upstreams;
     private final InstantSource clock;
+    private final Consumer<Runnable> whenRead;
     private final UpstreamChoice plain;
     private final UpstreamChoice engines;
     private final ArrivalRates rates = new ArrivalRates();
     private final Map<String, Map<Optional<ModelRef>, TreeSet<Place>>> queues = new HashMap<>();
+    private final Set<String> toDrain = new LinkedHashSet<>();
     private Set<String> engineServices = Set.of();
     private Runnable starved = () -> {};
     private long counter;
@@ -60,9 +64,18 @@
         }
     }
 
-    Dispatch(UpstreamTable upstreams, String zone, InstantSource clock) {
+    /**
+     * For a router in this zone; {@code whenRead} runs a step once the ends of callers that have
+     * come are known.
+     */
+    Dispatch(
+            UpstreamTable upstreams,
+            String zone,
+            InstantSource clock,
+            Consumer<Runnable> whenRead) {
         this.upstreams = upstreams;
         this.clock = clock;
+        this.whenRead = whenRead;
         this.plain = new UpstreamChoice(zone, PLAIN_QUEUEING);
         this.engines = new UpstreamChoice(zone, ENGINE_QUEUEING);
     }
@@ -106,8 +119,29 @@
         }
     }
 
-    /** Something has changed at the service's upstreams: sends what can be sent. */
+    /**
+     * Something has changed at the service's upstreams: sends what can be sent.
+     *
+     * <p>Answers and news that free a place are read together with the ends of callers, in any
+     * order. Sent at once, a request might go to an upstream whose caller's end is read next.
+     */
     void drain(String service) {
+        if (queues.getOrDefault(service, Map.of()).isEmpty()) {
+            return;
+        }
+        toDrain.add(service);
+        if (toDrain.size() == 1) {
+            whenRead.accept(this::drainAll);
+        }
+    }
+
+    private void drainAll() {
+        List<String> services = List.copyOf(toDrain);
+        toDrain.clear();
+        services.forEach(this::drainNow);
+    }
+
+    private void drainNow(String service) {
         Map<Optional<ModelRef>, TreeSet<Place>> groups = queues.get(service);
         if (groups == null || groups.isEmpty()) {
             return;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -51,7 +51,7 @@
             new Flows(
                     dialect,
                     new HttpClient(loop, Duration.ofMillis(250), new Metrics()),
-                    new Dispatch(upstreams, "a", Instant::now),
+                    new Dispatch(upstreams, "a", Instant::now, loop::whenRead),
                     Instant::now,
                     new Flows.RetryBounds(Duration.ofSeconds(10), 0.2, 10),
                     () -> 1);
