Look at the time and the caller again when a connection to an upstream opens

Upstreams were handed requests of callers that had left while the connection was being opened (GONE), and told of time that was over by then.

Cause: a request was written in the midst of reading, when its connection opened, with headers that were made before the opening began. A thread that is held meanwhile finds the connection open and the caller gone in one look.

Now the bytes leave in a step after the reading, and the listener is asked first: it sets the headers with what is left of the time, or calls the request off. A connection that ends before it carried anything counts as not connected.

Evidence: HeldThreadTest.aConnectionThatOpensForACallerThatHasLeftCarriesNothing failed before (80 was read, the P of POST) and passes. The hook that told of a sent request had no listener and goes.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
@@ -52,17 +53,12 @@
 
     void start() {
         upstream.sent(flow.model().orElse(null), sentAt);
-        HttpHeaders toUpstream =
-                flows.dialect()
-                        .toUpstream(
-                                flow.call().headers(),
-                                flow.forwarding(upstream.facts().id(), sentAt));
         String attempt = flow.request().attempt();
         ClientRequest request =
                 new ClientRequest(
                         HttpMethod.valueOf(flow.call().method()),
                         flow.call().target(),
-                        toUpstream,
+                        new DefaultHttpHeaders(),
                         flow.body(),
                         got -> flows.dialect().answers(attempt, got),
                         flow.route().repeatable() ? KEPT : FRESH);
@@ -90,6 +86,25 @@
         call.cancel();
     }
 
+    // A connection may have taken long to open, or the thread was held: the time that is left is
+    // looked at, and told the upstream, when the bytes leave.
+    @Override
+    public boolean leaves(HttpHeaders headers) {
+        Instant now = flows.now();
+        if (!flow.mayLeave(now)) {
+            upstream.calledOff();
+            finish();
+            flow.tooLate();
+            return false;
+        }
+        headers.set(
+                flows.dialect()
+                        .toUpstream(
+                                flow.call().headers(),
+                                flow.forwarding(upstream.facts().id(), now)));
+        return true;
+    }
+
     @Override
     public void head(int status, HttpHeaders fromUpstream) {
         if (over) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -175,7 +175,7 @@
         if (over) {
             return;
         }
-        if (!budget.allowsSending(left(flows.now()))) {
+        if (!mayLeave(flows.now())) {
             timeUp();
             return;
         }
@@ -186,6 +186,19 @@
         attempt.start();
     }
 
+    /** True if enough of the caller's time is left for the request to be of use upstream. */
+    boolean mayLeave(Instant now) {
+        return budget.allowsSending(left(now));
+    }
+
+    /** Its time was over before it left, so nothing was sent. */
+    void tooLate() {
+        runs--;
+        sends--;
+        attempt = null;
+        timeUp();
+    }
+
     @Override
     public void waitedInVain() {
         Duration wait = request.model().isPresent() ? COME_BACK_COLD : COME_BACK;
--- a/damaskyoke/src/main/java/io/damaskyoke/http/AnswerListener.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/AnswerListener.java
@@ -8,8 +8,13 @@
  * or a failure at any point, after which nothing more comes.
  */
 public interface AnswerListener {
-    /** The request is on its way over an open connection. */
-    default void sent() {}
+    /**
+     * A connection is open and the request is about to leave: the last moment to set headers that
+     * depend on the time, or to call it off by false, after which nothing more comes.
+     */
+    default boolean leaves(HttpHeaders headers) {
+        return true;
+    }
 
     /** Status and headers have come. */
     void head(int status, HttpHeaders headers);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -101,7 +101,14 @@
             channel.close();
             return;
         }
-        write();
+        // Opening it may have lasted; whoever waited for the answer may have left meanwhile.
+        client.loop().whenRead(this::writeIfWanted);
+    }
+
+    private void writeIfWanted() {
+        if (state == State.CONNECTING) {
+            write();
+        }
     }
 
     @Override
@@ -128,6 +135,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        notConnected();
         ended();
     }
 
@@ -138,9 +146,15 @@
     }
 
     private void write() {
+        HttpHeaders headers = request.headers();
+        if (!listener.leaves(headers)) {
+            request.body().release();
+            listener = null;
+            close();
+            return;
+        }
         state = State.AWAITING;
         keep = true;
-        HttpHeaders headers = request.headers();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         channel.writeAndFlush(
                 new DefaultFullHttpRequest(
@@ -150,7 +164,6 @@
                         request.body(),
                         headers,
                         EmptyHttpHeaders.INSTANCE));
-        listener.sent();
     }
 
     private void head(HttpResponse response) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -96,6 +96,10 @@
         idle.values().removeIf(ArrayDeque::isEmpty);
     }
 
+    HttpLoop loop() {
+        return loop;
+    }
+
     void keep(ClientConnection connection) {
         ArrayDeque<ClientConnection> kept =
                 idle.computeIfAbsent(connection.endpoint(), any -> new ArrayDeque<>());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -50,7 +51,7 @@
     private final Flows flows =
             new Flows(
                     dialect,
-                    new HttpClient(loop, Duration.ofMillis(250), new Metrics()),
+                    new HttpClient(loop, LIMIT, new Metrics()),
                     new Dispatch(upstreams, "a", Instant::now, loop::whenRead),
                     Instant::now,
                     new Flows.RetryBounds(Duration.ofSeconds(10), 0.2, 10),
@@ -87,6 +88,33 @@
         }
     }
 
+    // Guards against a request that is written when its connection opens, though its caller has
+    // left
+    // while the connection was being opened.
+    @Test
+    void aConnectionThatOpensForACallerThatHasLeftCarriesNothing() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            // Two connections wait to be accepted; the router's attempt is not answered meanwhile.
+            Socket one = new Socket(InetAddress.getLoopbackAddress(), full.getLocalPort());
+            Socket two = new Socket(InetAddress.getLoopbackAddress(), full.getLocalPort());
+            list(full.getLocalPort());
+            Socket caller = send("/first");
+            await().atMost(LIMIT).until(() -> open() == 1);
+
+            CountDownLatch hold = hold();
+            full.accept().close();
+            full.accept().close();
+            Socket router = full.accept();
+            caller.close();
+            hold.countDown();
+
+            router.setSoTimeout((int) LIMIT.toMillis());
+            assertEquals(-1, router.getInputStream().read(), "bytes reached the upstream");
+            one.close();
+            two.close();
+        }
+    }
+
     // An upstream with one slot gets two requests at once; others wait in the router.
     private void list(int port) {
         UpstreamFacts facts =
