Leave room for orders from before a restart that may yet be carried out

An upstream was ordered to hold more than it has room for (LIMIT), and crashed with all its requests.

Cause: an order without an answer may be carried out a dozen seconds late, at the count of accepted orders that it names. A restart begins the count anew under the same name, so an order from before it finds its count again, at an upstream that holds other models. The count was taken to make late orders harmless, and it does within one life only.

Now orders to load are kept until they are answered or too old; of those meant for another life, what the count has not passed takes room and places. Reports tell the life that they are of, which was dropped before: a restart is known with the first report, and not seconds later by the list.

Ruled out by a trial: that the count in a report is newer than the rest of it. Cost: memory that stays free for up to 15 s at upstreams that restarted with unanswered loads; none elsewhere.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
@@ -34,6 +34,7 @@
     private final Set<String> inMemory = new HashSet<>();
     private final Set<String> onDisk = new HashSet<>();
     private UpstreamFacts facts;
+    private long life;
     private HeldModels held;
     private Pending pending;
     private Intent intent;
@@ -41,6 +42,7 @@
     private boolean answered;
     private Instant quietUntil = Instant.MIN;
     private Instant askedAt = Instant.MIN;
+    private OpenLoads.Reserve reserve = OpenLoads.Reserve.NONE;
 
     /** An order that is under way. */
     record Pending(
@@ -62,6 +64,7 @@
     Engine(EngineSpec spec, UpstreamFacts facts) {
         this.spec = spec;
         this.facts = facts;
+        this.life = facts.held().startedAt();
         this.held = facts.held();
         copies(facts.inMemory(), facts.onDisk());
     }
@@ -82,6 +85,16 @@
         return held;
     }
 
+    /** Which life of it is known, by its start. */
+    long life() {
+        return life;
+    }
+
+    /** Leaves so much room for orders that may yet be carried out. */
+    void reserve(OpenLoads.Reserve given) {
+        reserve = given;
+    }
+
     Pending pending() {
         return pending;
     }
@@ -150,27 +163,34 @@
 
     /** Takes in what the list says. Only reports count orders, so they go before it. */
     void listed(UpstreamFacts given) {
-        boolean reborn = given.held().startedAt() != facts.held().startedAt();
         facts = given;
         copies(given.inMemory(), given.onDisk());
-        if (reborn) {
-            forget();
-            coming.clear();
-            loadedAt.clear();
-            held = given.held();
+        if (given.held().startedAt() != life) {
+            reborn(given.held());
         }
     }
 
+    private void reborn(HeldModels now) {
+        life = now.startedAt();
+        forget();
+        coming.clear();
+        loadedAt.clear();
+        held = now;
+    }
+
     /** Takes in a report; false if it is older than what is known. */
     boolean reported(LoadInput.Reported report) {
         answered = true;
+        if (report.held().startedAt() != life) {
+            reborn(report.held());
+        }
         copies(report.inMemory(), report.onDisk());
         if (known && report.held().sequence() < held.sequence()) {
             return false;
         }
         known = true;
         HeldModels said = report.held();
-        held = new HeldModels(facts.held().startedAt(), said.sequence(), said.adapters());
+        held = new HeldModels(life, said.sequence(), said.adapters());
         coming.keySet().removeIf(held::has);
         return true;
     }
@@ -265,16 +285,17 @@
             used += adapterMb(adapter.model());
         }
         if (pending != null && pending.verb() == Verb.LOAD && !held.has(pending.model())) {
-            used +=
-                    pending.model().adapted()
-                            ? adapterMb(pending.model().model())
-                            : weight(pending.model().model());
+            used += megabytes(pending.model());
         }
-        return spec.weightsMb() - used;
+        return spec.weightsMb() - used - reserve.megabytes();
     }
 
     int adapterCount() {
-        return held.adapterCount() + coming.size();
+        return held.adapterCount() + coming.size() + reserve.places();
+    }
+
+    double megabytes(ModelRef model) {
+        return model.adapted() ? adapterMb(model.model()) : weight(model.model());
     }
 
     double weight(String model) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -61,6 +61,7 @@
     private final LoadSettings settings;
     private final DemandBook demand = new DemandBook();
     private final Map<UpstreamId, Engine> engines = new TreeMap<>();
+    private final OpenLoads openLoads = new OpenLoads();
     private final StoreLoads storeLoads;
     private final Placer placer;
     private final AdapterPlanner adapters;
@@ -226,6 +227,9 @@
     // An order without an answer may be carried out seconds later. The next one need not wait for
     // that: it names the same number of accepted orders, and so the upstream accepts one of them.
     private void answered(LoadInput.Answered answer, Instant now, List<LoadAction> actions) {
+        if (answer.outcome() != OrderOutcome.UNKNOWN) {
+            openLoads.closed(answer.upstream(), answer.number());
+        }
         Engine engine = engines.get(answer.upstream());
         Engine.Pending pending = engine == null ? null : engine.pending();
         if (pending == null || pending.number() != answer.number()) {
@@ -287,7 +291,9 @@
         rounds++;
         demandChanged = false;
         demand.addUp(now);
+        openLoads.expire(now);
         for (Engine engine : engines.values()) {
+            engine.reserve(openLoads.reserve(engine));
             arrive(engine, now, actions);
             follow(engine, now, actions);
         }
@@ -407,6 +413,10 @@
         long sequence = engine.held().sequence();
         double free = engine.freeMb();
         engine.sent(new Engine.Pending(number, verb, model, source, now, false, now));
+        if (verb == Verb.LOAD) {
+            openLoads.sent(
+                    new OpenLoads.Load(engine.id(), number, engine.life(), sequence, model, now));
+        }
         actions.add(new LoadAction.Order(engine.id(), number, verb, model, sequence, free));
     }
 
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/OpenLoads.java
@@ -0,0 +1,88 @@
+package io.damaskyoke.control.loads;
+
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Orders to load that were sent and not answered, which an upstream may carry out seconds later:
+ * {@code open.sent(order)}, {@code open.closed(upstream, number)}.
+ *
+ * <p>Within one life of an upstream its count of orders makes them harmless: the first order of a
+ * count that is carried out ends all others of that count. A restart begins the count anew, and an
+ * order from before it may find its count again, at an upstream that holds other models. So what an
+ * earlier life may still be ordered takes room, until the count is past it or it is too old.
+ */
+final class OpenLoads {
+    /** Orders are carried out up to a dozen seconds late. */
+    private static final Duration LATEST = Duration.ofSeconds(15);
+
+    private final Map<UpstreamId, List<Load>> byUpstream = new HashMap<>();
+
+    /**
+     * An order to load.
+     *
+     * @param life of the upstream that it was meant for, by its start in Unix milliseconds
+     * @param sequence the count at which it is carried out
+     */
+    record Load(
+            UpstreamId upstream,
+            long number,
+            long life,
+            long sequence,
+            ModelRef model,
+            Instant at) {}
+
+    /** Room that must be left: memory in MB, and places for adapters. */
+    record Reserve(double megabytes, int places) {
+        static final Reserve NONE = new Reserve(0, 0);
+    }
+
+    void sent(Load load) {
+        byUpstream.computeIfAbsent(load.upstream(), any -> new ArrayList<>()).add(load);
+    }
+
+    /** An upstream has answered the order of that number. */
+    void closed(UpstreamId upstream, long number) {
+        List<Load> loads = byUpstream.get(upstream);
+        if (loads != null) {
+            loads.removeIf(each -> each.number() == number);
+        }
+    }
+
+    /** Forgets what is too old. */
+    void expire(Instant now) {
+        byUpstream
+                .values()
+                .forEach(loads -> loads.removeIf(each -> each.at().plus(LATEST).isBefore(now)));
+        byUpstream.values().removeIf(List::isEmpty);
+    }
+
+    /** What may come upon an engine in its present life from orders to an earlier one. */
+    Reserve reserve(Engine engine) {
+        List<Load> loads = byUpstream.get(engine.id());
+        if (loads == null) {
+            return Reserve.NONE;
+        }
+        // Of the orders that name one count, one at the most is carried out.
+        Map<Long, Double> megabytes = new TreeMap<>();
+        Map<Long, Integer> places = new TreeMap<>();
+        for (Load load : loads) {
+            boolean mayCome =
+                    load.life() != engine.life() && load.sequence() >= engine.held().sequence();
+            if (mayCome) {
+                megabytes.merge(load.sequence(), engine.megabytes(load.model()), Math::max);
+                places.merge(load.sequence(), load.model().adapted() ? 1 : 0, Math::max);
+            }
+        }
+        return new Reserve(
+                megabytes.values().stream().mapToDouble(each -> each).sum(),
+                places.values().stream().mapToInt(each -> each).sum());
+    }
+}
