Leave room for late orders that name a count yet to come

An upstream was ordered to hold more than it has room for, with no restart at all (LIMIT).

Cause: an unload that finds nothing to unload is answered as done and not counted by the upstream, but is by the leader. Its next order names a count that the upstream has not reached. If that order is late, it is carried out when another order has brought the upstream to that count, and its room is gone.

Now an order that names a later count than the upstream's takes room as one from an earlier life does.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/OpenLoads.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/OpenLoads.java
@@ -16,8 +16,9 @@
  *
  * <p>Within one life of an upstream its count of orders makes them harmless: the first order of a
  * count that is carried out ends all others of that count. A restart begins the count anew, and an
- * order from before it may find its count again, at an upstream that holds other models. So what an
- * earlier life may still be ordered takes room, until the count is past it or it is too old.
+ * order from before it may find its count again, at an upstream that holds other models. So may an
+ * order that was planned by too high a count. What may still be ordered so takes room, until the
+ * count is past it or it is too old.
  */
 final class OpenLoads {
     /** Orders are carried out up to a dozen seconds late. */
@@ -64,7 +65,7 @@
         byUpstream.values().removeIf(List::isEmpty);
     }
 
-    /** What may come upon an engine in its present life from orders to an earlier one. */
+    /** What may come upon an engine at counts that it was not planned for. */
     Reserve reserve(Engine engine) {
         List<Load> loads = byUpstream.get(engine.id());
         if (loads == null) {
@@ -74,9 +75,7 @@
         Map<Long, Double> megabytes = new TreeMap<>();
         Map<Long, Integer> places = new TreeMap<>();
         for (Load load : loads) {
-            boolean mayCome =
-                    load.life() != engine.life() && load.sequence() >= engine.held().sequence();
-            if (mayCome) {
+            if (mayCome(load, engine)) {
                 megabytes.merge(load.sequence(), engine.megabytes(load.model()), Math::max);
                 places.merge(load.sequence(), load.model().adapted() ? 1 : 0, Math::max);
             }
@@ -85,4 +84,11 @@
                 megabytes.values().stream().mapToDouble(each -> each).sum(),
                 places.values().stream().mapToInt(each -> each).sum());
     }
+
+    // Of its own life, an order that names a later count was planned by a wrong one: an unload that
+    // was answered as done may have been no news, and is counted here and not there.
+    private static boolean mayCome(Load load, Engine engine) {
+        long now = engine.held().sequence();
+        return load.sequence() > now || load.sequence() == now && load.life() != engine.life();
+    }
 }
