Keep to the known life of an upstream where a source does not tell its start

Found with the stand-in of a model upstream, whose reports have no start: each report was taken for one of another life, and each entry of the list for yet another, so that what was under way there was forgotten each time. Reports and entries without a start are of the life that is known.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Engine.java
@@ -165,11 +165,16 @@
     void listed(UpstreamFacts given) {
         facts = given;
         copies(given.inMemory(), given.onDisk());
-        if (given.held().startedAt() != life) {
+        if (isOtherLife(given.held().startedAt())) {
             reborn(given.held());
         }
     }
 
+    // Not every source tells the start.
+    private boolean isOtherLife(long startedAt) {
+        return startedAt != HeldModels.NO_START && startedAt != life;
+    }
+
     private void reborn(HeldModels now) {
         life = now.startedAt();
         forget();
@@ -181,7 +186,7 @@
     /** Takes in a report; false if it is older than what is known. */
     boolean reported(LoadInput.Reported report) {
         answered = true;
-        if (report.held().startedAt() != life) {
+        if (isOtherLife(report.held().startedAt())) {
             reborn(report.held());
         }
         copies(report.inMemory(), report.onDisk());
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/HeldModels.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/HeldModels.java
@@ -17,6 +17,9 @@
     /** The platform's list doesn't count orders. */
     public static final long UNCOUNTED = -1;
 
+    /** The start of a life where its source doesn't say. */
+    public static final long NO_START = 0;
+
     /** Copies what it is given. */
     public HeldModels {
         Map<String, Set<String>> copy = new TreeMap<>();
