Keep requests from upstreams under which three of them have ended

Cause: nothing linked the ends. Each attempt has an id of its own, comes to any router, and a broken connection told only of the upstream's health.

Now a request is known again by a digest of its path, workspace and body. Where a connection breaks in the midst of it, the router looks whether the upstream has ended: its address refuses, or the list has it no longer or in another life. What ran there is told to the routers that follow the store for all, which count ends under each request. At the second one all routers watch it, and a whole answer clears it; at the third one all are told at once to keep it out, and it is written down in the store, where a router that starts finds it. Kept out, it is refused at once with 503, not run, and the time after which it may be tried, by one router.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -155,6 +155,10 @@
         upstream.failed(flows.now());
         releaseBody();
         finish();
+        boolean broke = failure == Failure.BROKEN || failure == Failure.CUT_SHORT;
+        if (broke && (answer == null || !answer.notRun())) {
+            flows.crashes().broke(upstream, flow.digest());
+        }
         if (!failure.mayHaveArrived()) {
             flow.notConnected();
         } else if (answer != null && answer.notRun()) {
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
@@ -0,0 +1,21 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
+import java.util.Set;
+
+/** What routers tell each other of requests under which upstreams end. */
+interface CrashNews {
+    /** Tells those that count that an upstream ended while these ran there. */
+    void ended(UpstreamEnd end, Set<RequestDigest> running);
+
+    /** Tells all others that one more end is enough, and that a whole answer would clear it. */
+    void watched(RequestDigest request);
+
+    /** Tells all others that the request is kept out. */
+    void keptOut(Quarantine.Entry entry);
+
+    /** Tells all others that the request was answered in full. */
+    void cleared(RequestDigest request);
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -0,0 +1,276 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.crashes.CrashSettings;
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.Suspects;
+import io.damaskyoke.control.crashes.UpstreamEnd;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps requests from upstreams under which several of them have ended: {@code
+ * watch.broke(upstream, digest)} when a connection breaks, {@code watch.refused(digest)} before a
+ * send. Control thread only.
+ *
+ * <p>A connection may break for many reasons. That an upstream has ended is taken for certain when
+ * nothing else of it is open here and its address refuses, or when the list has it no longer or in
+ * another life. What ran there at that time is told to the routers that count.
+ */
+final class CrashWatch {
+    private static final Logger LOG = LogManager.getLogger(CrashWatch.class);
+
+    /** Connections that break together are told together; the address refuses by then. */
+    private static final Duration GATHER = Duration.ofMillis(30);
+
+    /** The list has an upstream no longer some heartbeats after its end. */
+    private static final Duration OPEN = Duration.ofSeconds(10);
+
+    /** Watched requests beyond this are not looked at: each one costs a digest an answer. */
+    private static final int MOST_WATCHED = 64;
+
+    private final Control control;
+    private final CrashNews news;
+    private final Prober prober;
+    private final BooleanSupplier counts;
+    private final BooleanSupplier tries;
+    private final CrashSettings settings = CrashSettings.usual();
+    private final Suspects suspects = new Suspects(settings);
+    private final Quarantine quarantine = new Quarantine(settings);
+    private final Map<RequestDigest, Instant> watched = new HashMap<>();
+    private final Map<UpstreamId, Break> breaks = new HashMap<>();
+
+    /** What a look at an upstream shows. */
+    enum Sign {
+        /** It has ended: its address refuses connections. */
+        ENDED,
+        /** It has not: it takes connections, or has kept some. */
+        ALIVE,
+        /** No answer either way. */
+        NONE
+    }
+
+    /** Looks whether an upstream has ended. */
+    interface Prober {
+        void look(Upstream upstream, Consumer<Sign> then);
+    }
+
+    /** Connections that broke at one upstream, and whether that was its end. */
+    private static final class Break {
+        private final UpstreamEnd end;
+        private final Set<RequestDigest> running = new HashSet<>();
+        private boolean ended;
+        private boolean telling;
+
+        Break(UpstreamEnd end) {
+            this.end = end;
+        }
+    }
+
+    /**
+     * {@code counts} tells whether this router is one of those that count for all, and {@code
+     * tries} whether it is the one that tries again.
+     */
+    CrashWatch(
+            Control control,
+            CrashNews news,
+            Prober prober,
+            BooleanSupplier counts,
+            BooleanSupplier tries) {
+        this.control = control;
+        this.news = news;
+        this.prober = prober;
+        this.counts = counts;
+        this.tries = tries;
+    }
+
+    /** True if a request need not be looked at before it is sent. */
+    boolean idle() {
+        return quarantine.isEmpty();
+    }
+
+    /** How long the request is kept from all upstreams; empty if it may go, perhaps as a trial. */
+    Optional<Duration> refused(RequestDigest request) {
+        return quarantine.left(request, tries.getAsBoolean(), now());
+    }
+
+    /** True if it is kept from all upstreams; a request that waited may be so by now. */
+    boolean keepsOut(RequestDigest request) {
+        return quarantine.keepsOut(request, now());
+    }
+
+    /** True if it has ended upstreams before, so that letting it go is a trial. */
+    boolean knows(RequestDigest request) {
+        return quarantine.knows(request);
+    }
+
+    /** True if a whole answer to some request would be news. */
+    boolean awaitsAnswers() {
+        return !watched.isEmpty() || !quarantine.isEmpty();
+    }
+
+    /** The request was answered in full. */
+    void answered(RequestDigest request) {
+        if (watched.containsKey(request) || quarantine.knows(request)) {
+            toldCleared(request);
+            news.cleared(request);
+        }
+    }
+
+    /** A connection broke while the request ran at the upstream. */
+    void broke(Upstream upstream, RequestDigest request) {
+        UpstreamFacts facts = upstream.facts();
+        if (facts.draining()) {
+            return;
+        }
+        UpstreamEnd end = new UpstreamEnd(facts.id(), facts.held().startedAt());
+        Break known = breaks.get(facts.id());
+        if (known == null || !known.end.equals(end)) {
+            known = new Break(end);
+            breaks.put(facts.id(), known);
+            Break begun = known;
+            control.after(GATHER, () -> probe(upstream, begun));
+            control.after(OPEN, () -> breaks.remove(facts.id(), begun));
+        }
+        known.running.add(request);
+        if (known.ended) {
+            tellSoon(known);
+        }
+    }
+
+    private void probe(Upstream upstream, Break begun) {
+        prober.look(
+                upstream,
+                sign -> {
+                    if (sign == Sign.ENDED) {
+                        ended(begun, "refuses connections");
+                    } else if (sign == Sign.ALIVE) {
+                        // Whatever ends it later, these ran there before.
+                        breaks.remove(upstream.facts().id(), begun);
+                    }
+                });
+    }
+
+    /** The list has the upstream no longer. */
+    void gone(UpstreamId upstream) {
+        Break known = breaks.get(upstream);
+        if (known != null) {
+            ended(known, "is off the list");
+        }
+    }
+
+    /** The list says something of the upstream, perhaps of its next life. */
+    void listed(UpstreamFacts facts) {
+        Break known = breaks.get(facts.id());
+        if (known != null && known.end.startedAt() != facts.held().startedAt()) {
+            ended(known, "has started again");
+        }
+    }
+
+    private void ended(Break known, String how) {
+        if (known.ended) {
+            return;
+        }
+        known.ended = true;
+        LOG.info(
+                "upstream {} has ended under {} requests of this router: it {}",
+                known.end.upstream(),
+                known.running.size(),
+                how);
+        tellSoon(known);
+    }
+
+    private void tellSoon(Break known) {
+        if (!known.telling) {
+            known.telling = true;
+            control.run(() -> tell(known));
+        }
+    }
+
+    private void tell(Break known) {
+        known.telling = false;
+        Set<RequestDigest> running = Set.copyOf(known.running);
+        known.running.clear();
+        if (running.isEmpty()) {
+            return;
+        }
+        if (counts.getAsBoolean()) {
+            told(known.end, running);
+        }
+        news.ended(known.end, running);
+    }
+
+    /** A router tells of an upstream's end, to this one that counts. */
+    void told(UpstreamEnd end, Set<RequestDigest> running) {
+        Instant now = now();
+        for (RequestDigest each : suspects.ended(end, running, now)) {
+            quarantine.add(each, now).ifPresent(this::keepOut);
+        }
+        for (RequestDigest each : running) {
+            if (suspects.count(each, now) == settings.ends() - 1) {
+                toldWatched(each);
+                news.watched(each);
+            }
+        }
+    }
+
+    private void keepOut(Quarantine.Entry entry) {
+        LOG.warn(
+                "request {} is kept from all upstreams: {} have ended under it",
+                entry.request(),
+                suspects.count(entry.request(), now()));
+        news.keptOut(entry);
+    }
+
+    /** Another router keeps a request out, or the store says that one does. */
+    void told(Quarantine.Entry entry) {
+        if (quarantine.told(entry)) {
+            LOG.warn("request {} is kept from all upstreams, as is told", entry.request());
+        }
+    }
+
+    /** The store holds that the request is kept out; when that began, it does not tell. */
+    void toldByStore(RequestDigest request, int trials) {
+        if (!quarantine.knows(request)) {
+            told(new Quarantine.Entry(request, now().plus(settings.quarantine()), trials));
+        }
+    }
+
+    /** Another router says that one more end would be enough. */
+    void toldWatched(RequestDigest request) {
+        Instant now = now();
+        watched.values().removeIf(until -> until.isBefore(now));
+        if (watched.size() < MOST_WATCHED) {
+            watched.put(request, now.plus(settings.remembered()));
+        }
+    }
+
+    /** The request was answered in full, somewhere. */
+    void toldCleared(RequestDigest request) {
+        watched.remove(request);
+        suspects.cleared(request);
+        quarantine.cleared(request);
+    }
+
+    /** Tells all that is kept out, to routers that have just come. */
+    void tellAll() {
+        quarantine.all().forEach(news::keptOut);
+    }
+
+    private Instant now() {
+        return control.clock().instant();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -5,10 +5,12 @@
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.direct.WorkspaceSpec;
 import io.damaskyoke.control.rates.RateSettings;
+import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.http.EarlySocket;
+import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.http.HttpLoop;
@@ -37,6 +39,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -90,6 +93,7 @@
     private final UpstreamFollower upstreamFollower;
     private final ConfigurationFollower configurationFollower;
     private final Dispatch dispatch;
+    private final CrashWatch crashes;
     private final Flows flows;
     private final RateAdmission rates;
     private final RatePeers ratePeers;
@@ -138,6 +142,8 @@
                                 configuration,
                                 upstreams,
                                 lag));
+        this.crashes =
+                new CrashWatch(control, crashNews(), this::look, members::watches, this::first);
         this.flows = flows();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
@@ -219,7 +225,35 @@
         Flows.RetryBounds bounds =
                 new Flows.RetryBounds(
                         settings.retryWindow(), settings.retryRatio(), settings.retryExtra());
-        return new Flows(dialect, client, dispatch, clock, bounds, members::size);
+        return new Flows(dialect, client, dispatch, clock, bounds, members::size, crashes);
+    }
+
+    private CrashNews crashNews() {
+        return new StoredCrashNews(
+                neighbours, new QuarantineStore(control, store, members.keptOutPrefix()));
+    }
+
+    private void look(Upstream upstream, Consumer<CrashWatch.Sign> then) {
+        Endpoint endpoint = upstream.facts().endpoint();
+        if (client.keeps(endpoint)) {
+            then.accept(CrashWatch.Sign.ALIVE);
+            return;
+        }
+        client.reach(
+                endpoint,
+                reached ->
+                        then.accept(
+                                reached.map(
+                                                open ->
+                                                        open
+                                                                ? CrashWatch.Sign.ALIVE
+                                                                : CrashWatch.Sign.ENDED)
+                                        .orElse(CrashWatch.Sign.NONE)));
+    }
+
+    // One router that all agree on, unless the list is new to one of them.
+    private boolean first() {
+        return members.plan().watchers().stream().findFirst().filter(self::equals).isPresent();
     }
 
     private RouterEntry entry() {
@@ -234,6 +268,7 @@
                 members,
                 leader,
                 handOver,
+                crashes,
                 reports,
                 configuration,
                 upstreams,
@@ -320,6 +355,7 @@
         dispatch.onStarved(reports::soon);
         configurationFollower.start();
         upstreamFollower.start(new UpstreamListener());
+        members.onKeptOut(crashes::toldByStore);
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
         metrics.gauge("direct_left_before_served", callers::leftUnserved);
@@ -383,12 +419,14 @@
     private final class UpstreamListener implements UpstreamFollower.Listener {
         @Override
         public void listed(UpstreamFacts facts) {
+            crashes.listed(facts);
             leader.listed(facts);
             dispatch.drain(facts.service());
         }
 
         @Override
         public void gone(UpstreamFacts last) {
+            crashes.gone(last.id());
             leader.gone(last.id());
             client.forget(last.endpoint());
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.direct.Route;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
@@ -31,6 +32,7 @@
     private static final Duration CONTRADICTED_PAUSE = Duration.ofMillis(120);
 
     private static final Duration COME_BACK = Duration.ofMillis(700);
+    private static final Duration COME_BACK_IF_KEPT_OUT = Duration.ofMinutes(10);
     private static final Duration COME_BACK_COLD = Duration.ofMillis(1_500);
 
     private final Flows flows;
@@ -53,6 +55,8 @@
     private int sends;
     private int runs;
     private String why = "";
+    private RequestDigest digest;
+    private boolean trial;
 
     /**
      * How a request was let in.
@@ -96,9 +100,43 @@
     void start() {
         call.onGone(this::callerGone);
         call.onWritable(this::callerReads);
+        if (!flows.crashes().idle()) {
+            boolean known = flows.crashes().knows(digest());
+            Optional<Duration> keptOut = flows.crashes().refused(digest());
+            if (keptOut.isPresent()) {
+                refuseForCrashes(keptOut.get());
+                return;
+            }
+            trial = known;
+        }
         flows.dispatch().enqueue(this);
     }
 
+    /** What it is known again by, under whatever id it comes. */
+    RequestDigest digest() {
+        if (digest == null) {
+            String workspace = admitted.workspace().map(WorkspaceId::value).orElse("");
+            digest = RequestDigest.of(call.target(), workspace, call.body().nioBuffer());
+        }
+        return digest;
+    }
+
+    // What it was let in for may have changed while it waited, or it has just ended one itself.
+    private boolean keptOutByNow() {
+        boolean keptOut = !trial && !flows.crashes().idle() && flows.crashes().keepsOut(digest());
+        trial = false;
+        return keptOut;
+    }
+
+    private void refuseForCrashes(Duration left) {
+        String text = "upstreams have ended under this request";
+        if (runs > 0) {
+            refuse(Refusal.mayHaveRun(RefusalCode.UPSTREAM_FAILED, text));
+        } else {
+            refuse(Refusal.notRun(RefusalCode.CRASHES_UPSTREAMS, text).retryAfter(left));
+        }
+    }
+
     @Override
     public String service() {
         return service;
@@ -179,6 +217,10 @@
             timeUp();
             return;
         }
+        if (keptOutByNow()) {
+            refuseForCrashes(COME_BACK_IF_KEPT_OUT);
+            return;
+        }
         sends++;
         runs++;
         times.sent(upstream.facts().id(), flows.now());
@@ -327,6 +369,7 @@
     /** Passes a whole answer on. */
     void answer(int status, HttpHeaders headers, ByteBuf body) {
         attempt = null;
+        answeredInFull();
         call.answer(status, headers, body);
         finish("answered " + status);
     }
@@ -352,10 +395,18 @@
 
     void streamEnded() {
         attempt = null;
+        answeredInFull();
         call.end();
         finish("streamed");
     }
 
+    // Whatever it answered, the upstream is there.
+    private void answeredInFull() {
+        if (flows.crashes().awaitsAnswers() && !call.over()) {
+            flows.crashes().answered(digest());
+        }
+    }
+
     private void callerReads() {
         if (attempt != null) {
             attempt.reading(true);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -20,6 +20,7 @@
     private final InstantSource clock;
     private final RetryBounds bounds;
     private final SlidingMaximum routers;
+    private final CrashWatch crashes;
     private final DecisionLog log;
     private final Set<Flow> open = new LinkedHashSet<>();
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -39,13 +40,15 @@
             Dispatch dispatch,
             InstantSource clock,
             RetryBounds bounds,
-            IntSupplier routers) {
+            IntSupplier routers,
+            CrashWatch crashes) {
         this.dialect = dialect;
         this.client = client;
         this.dispatch = dispatch;
         this.clock = clock;
         this.bounds = bounds;
         this.routers = new SlidingMaximum(routers, clock, bounds.window());
+        this.crashes = crashes;
         this.log = new DecisionLog(clock);
     }
 
@@ -61,6 +64,10 @@
         return dispatch;
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     Instant now() {
         return clock.instant();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.follow.ChangeListener;
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.Pace;
@@ -23,6 +24,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -35,6 +37,8 @@
     private static final String FLEET = "/fleet/";
     private static final String ROUTERS = FLEET + "routers/";
 
+    private static final String KEPT_OUT = FLEET + "kept-out/";
+
     /** Named so by earlier versions, which may run beside this one. */
     private static final String LEADER = FLEET + "giver";
 
@@ -56,6 +60,7 @@
     private long leaderRevision;
     private WatchPlan plan = WatchPlan.of(List.of());
     private Runnable changed = () -> {};
+    private BiConsumer<RequestDigest, Integer> keptOut = (request, trials) -> {};
     private long lease;
     private boolean leaving;
 
@@ -89,6 +94,21 @@
         register();
     }
 
+    /** {@code action} runs for each request that the store says is kept out, with its trials. */
+    void onKeptOut(BiConsumer<RequestDigest, Integer> action) {
+        keptOut = action;
+    }
+
+    /** What the keys of requests that are kept out begin with. */
+    String keptOutPrefix() {
+        return prefix + KEPT_OUT;
+    }
+
+    /** This router. */
+    VmId self() {
+        return self.vm();
+    }
+
     /** The key that the leader holds. */
     String leaderKey() {
         return prefix + LEADER;
@@ -248,6 +268,16 @@
 
     /** Takes in what the store says of the fleet. */
     private final class Listener implements ChangeListener {
+        private void putKeptOut(Entry entry) {
+            String digest = entry.key().substring(keptOutPrefix().length());
+            String trials = new String(entry.value(), StandardCharsets.UTF_8);
+            try {
+                keptOut.accept(new RequestDigest(digest), Integer.parseInt(trials));
+            } catch (NumberFormatException e) {
+                LOG.warn("the entry {} is left out: {}", entry.key(), e.getMessage());
+            }
+        }
+
         @Override
         public void all(List<Entry> entries, long revision, Duration silence) {
             routers.clear();
@@ -276,6 +306,10 @@
                 LOG.info("orders are given by {}", leader.map(VmId::value).orElse("nobody"));
                 return;
             }
+            if (key.startsWith(keptOutPrefix())) {
+                entry.ifPresent(this::putKeptOut);
+                return;
+            }
             if (!key.startsWith(prefix + ROUTERS)) {
                 return;
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -1,6 +1,9 @@
 package io.damaskyoke.direct;
 
 import com.google.protobuf.ByteString;
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OpenLoad;
 import io.damaskyoke.control.upstreams.Departure;
@@ -18,7 +21,9 @@
 import io.damaskyoke.peer.wire.RunningCount;
 import io.damaskyoke.peer.wire.StoreChange;
 import io.damaskyoke.peer.wire.StoreChanges;
+import io.damaskyoke.peer.wire.SuspectRequest;
 import io.damaskyoke.peer.wire.UnansweredLoad;
+import io.damaskyoke.peer.wire.UpstreamEnded;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
 import io.damaskyoke.platform.PolledStore.Changes;
@@ -91,6 +96,49 @@
                 now.minusMillis(line.getAgeMs()));
     }
 
+    static Frame ended(UpstreamEnd end, Set<RequestDigest> running) {
+        UpstreamEnded.Builder ended =
+                UpstreamEnded.newBuilder()
+                        .setUpstream(end.upstream().value())
+                        .setStartedAt(end.startedAt());
+        running.forEach(each -> ended.addRequests(each.value()));
+        return Frame.newBuilder().setUpstreamEnded(ended).build();
+    }
+
+    static UpstreamEnd end(UpstreamEnded ended) {
+        return new UpstreamEnd(UpstreamId.of(ended.getUpstream()), ended.getStartedAt());
+    }
+
+    static Set<RequestDigest> running(UpstreamEnded ended) {
+        Set<RequestDigest> running = new HashSet<>();
+        ended.getRequestsList().forEach(each -> running.add(new RequestDigest(each)));
+        return running;
+    }
+
+    static Frame suspect(RequestDigest request, SuspectRequest.State state) {
+        return suspect(SuspectRequest.newBuilder().setRequest(request.value()).setState(state));
+    }
+
+    static Frame keptOut(Quarantine.Entry entry, Instant now) {
+        return suspect(
+                SuspectRequest.newBuilder()
+                        .setRequest(entry.request().value())
+                        .setState(SuspectRequest.State.KEPT_OUT)
+                        .setLeftMs(Math.max(0, Duration.between(now, entry.until()).toMillis()))
+                        .setTrials(entry.trials()));
+    }
+
+    static Quarantine.Entry keptOut(SuspectRequest line, Instant now) {
+        return new Quarantine.Entry(
+                new RequestDigest(line.getRequest()),
+                now.plusMillis(line.getLeftMs()),
+                line.getTrials());
+    }
+
+    private static Frame suspect(SuspectRequest.Builder line) {
+        return Frame.newBuilder().setSuspectRequest(line).build();
+    }
+
     static Frame departures(List<Departure> departures) {
         Departures.Builder all = Departures.newBuilder();
         for (Departure each : departures) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -1,5 +1,8 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OpenLoad;
 import io.damaskyoke.control.upstreams.Departure;
@@ -14,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Takes in what other routers say, and gives them what they lack. Control thread only. */
@@ -29,6 +33,7 @@
             Membership members,
             OrderLeader leader,
             OrderHandOver handOver,
+            CrashWatch crashes,
             DemandReports reports,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
@@ -69,6 +74,27 @@
     @Override
     public void linked() {
         parts.reports().tellAll();
+        parts.crashes().tellAll();
+    }
+
+    @Override
+    public void ended(UpstreamEnd end, Set<RequestDigest> running) {
+        parts.crashes().told(end, running);
+    }
+
+    @Override
+    public void watched(RequestDigest request) {
+        parts.crashes().toldWatched(request);
+    }
+
+    @Override
+    public void keptOut(Quarantine.Entry entry) {
+        parts.crashes().told(entry);
+    }
+
+    @Override
+    public void cleared(RequestDigest request) {
+        parts.crashes().toldCleared(request);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -2,6 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OpenLoad;
 import io.damaskyoke.control.upstreams.Departure;
@@ -21,6 +24,8 @@
 import io.damaskyoke.peer.wire.StoreChanges;
 import io.damaskyoke.peer.wire.StoredFetch;
 import io.damaskyoke.peer.wire.StoredNews;
+import io.damaskyoke.peer.wire.SuspectRequest;
+import io.damaskyoke.peer.wire.UpstreamEnded;
 import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.time.Instant;
@@ -29,11 +34,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
-final class Neighbours implements PeerListener, LeaderNews {
+final class Neighbours implements PeerListener, LeaderNews, CrashNews {
     /** Routers report to the leader every 0.6 s at least. */
     private static final Duration STORE_SEEN = Duration.ofMillis(1_200);
 
@@ -77,6 +83,18 @@
         /** A leader had no answer to an order. */
         void unanswered(OpenLoad load);
 
+        /** An upstream has ended while these ran there. */
+        void ended(UpstreamEnd end, Set<RequestDigest> running);
+
+        /** A router holds that one more end under the request would be enough. */
+        void watched(RequestDigest request);
+
+        /** A router keeps the request out. */
+        void keptOut(Quarantine.Entry entry);
+
+        /** A router has seen the request answered in full. */
+        void cleared(RequestDigest request);
+
         /** A router gave the orders under this lease and can't tell the store that it stopped. */
         void leaseEnded(VmId by, long lease);
 
@@ -177,6 +195,29 @@
         sendAll(NeighbourFrames.open(load, control.clock().instant()));
     }
 
+    @Override
+    public void ended(UpstreamEnd end, Set<RequestDigest> running) {
+        Frame frame = NeighbourFrames.ended(end, running);
+        members.plan().watchers().stream()
+                .filter(vm -> !vm.equals(members.self()))
+                .forEach(vm -> send(vm, frame));
+    }
+
+    @Override
+    public void watched(RequestDigest request) {
+        sendAll(NeighbourFrames.suspect(request, SuspectRequest.State.WATCHED));
+    }
+
+    @Override
+    public void keptOut(Quarantine.Entry entry) {
+        sendAll(NeighbourFrames.keptOut(entry, control.clock().instant()));
+    }
+
+    @Override
+    public void cleared(RequestDigest request) {
+        sendAll(NeighbourFrames.suspect(request, SuspectRequest.State.CLEARED));
+    }
+
     /** A router that reached the store a moment ago, if there is one. */
     Optional<VmId> withStore() {
         Instant now = control.clock().instant();
@@ -258,6 +299,11 @@
         } else if (frame.hasUnansweredLoad()) {
             Instant now = control.clock().instant();
             listener.unanswered(NeighbourFrames.open(frame.getUnansweredLoad(), now));
+        } else if (frame.hasUpstreamEnded()) {
+            UpstreamEnded ended = frame.getUpstreamEnded();
+            listener.ended(NeighbourFrames.end(ended), NeighbourFrames.running(ended));
+        } else if (frame.hasSuspectRequest()) {
+            takeSuspect(frame.getSuspectRequest());
         } else if (frame.hasLeaseEnd()) {
             listener.leaseEnded(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
@@ -282,6 +328,19 @@
         }
     }
 
+    private void takeSuspect(SuspectRequest line) {
+        RequestDigest request = new RequestDigest(line.getRequest());
+        switch (line.getState()) {
+            case WATCHED -> listener.watched(request);
+            case CLEARED -> listener.cleared(request);
+            case KEPT_OUT ->
+                    listener.keptOut(NeighbourFrames.keptOut(line, control.clock().instant()));
+            default -> {
+                // A state of a newer version, which this one can't act by.
+            }
+        }
+    }
+
     private void noteStore(VmId router, boolean up) {
         if (up) {
             storeSeen.put(router, control.clock().instant());
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
@@ -0,0 +1,63 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.platform.KeyValueStore;
+import io.damaskyoke.platform.KeyValueStore.Condition;
+import io.damaskyoke.platform.KeyValueStore.Write;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+/**
+ * Writes down which requests are kept out, so that it outlives the routers that know: all of them
+ * may be killed at once, and would let the same request end upstreams again. Control thread only.
+ */
+final class QuarantineStore {
+    private static final Duration RETRY = Duration.ofSeconds(1);
+
+    /** The longest lease that the store grants. */
+    private static final Duration LONGEST = Duration.ofMinutes(10);
+
+    private final Control control;
+    private final KeyValueStore store;
+    private final String prefix;
+
+    /** Writes each entry under the prefix and its digest. */
+    QuarantineStore(Control control, KeyValueStore store, String prefix) {
+        this.control = control;
+        this.store = store;
+        this.prefix = prefix;
+    }
+
+    /** Writes it down unless another router has, now or when the store is back. */
+    void write(Quarantine.Entry entry) {
+        Duration left = Duration.between(now(), entry.until());
+        if (left.compareTo(RETRY) <= 0) {
+            return;
+        }
+        Duration term = left.compareTo(LONGEST) < 0 ? left : LONGEST;
+        store.grantLease(term)
+                .thenCompose(
+                        lease -> {
+                            String key = prefix + entry.request().value();
+                            byte[] value =
+                                    Integer.toString(entry.trials())
+                                            .getBytes(StandardCharsets.UTF_8);
+                            return store.commit(
+                                    List.of(new Condition.Absent(key)),
+                                    List.of(new Write.Put(key, value, lease)));
+                        })
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                control.run(() -> control.after(RETRY, () -> write(entry)));
+                            }
+                        });
+    }
+
+    private Instant now() {
+        return control.clock().instant();
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
@@ -0,0 +1,38 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
+import java.util.Set;
+
+/** Tells the other routers at once, and writes down what has to outlive them all. */
+final class StoredCrashNews implements CrashNews {
+    private final CrashNews routers;
+    private final QuarantineStore store;
+
+    StoredCrashNews(CrashNews routers, QuarantineStore store) {
+        this.routers = routers;
+        this.store = store;
+    }
+
+    @Override
+    public void ended(UpstreamEnd end, Set<RequestDigest> running) {
+        routers.ended(end, running);
+    }
+
+    @Override
+    public void watched(RequestDigest request) {
+        routers.watched(request);
+    }
+
+    @Override
+    public void keptOut(Quarantine.Entry entry) {
+        routers.keptOut(entry);
+        store.write(entry);
+    }
+
+    @Override
+    public void cleared(RequestDigest request) {
+        routers.cleared(request);
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/exchange/RefusalCode.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/exchange/RefusalCode.java
@@ -46,6 +46,8 @@
     NO_UPSTREAM(503, "server_error"),
     /** The load of the model failed. */
     LOAD_FAILED(503, "server_error"),
+    /** Upstreams have ended under this request, so it is kept from all of them. */
+    CRASHES_UPSTREAMS(503, "server_error"),
     /** This process is stopping. */
     STOPPING(503, "server_error"),
     /** This process can't confirm that its configuration is the newest. */
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -3,17 +3,23 @@
 import io.damaskyoke.metrics.Metrics;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Sends requests and keeps connections: {@code client.send(endpoint, request, listener)}.
@@ -72,6 +78,36 @@
         return call;
     }
 
+    /** True if a connection to the server is open that carries nothing. */
+    public boolean keeps(Endpoint server) {
+        ArrayDeque<ClientConnection> connections = idle.get(server);
+        return connections != null && connections.stream().anyMatch(ClientConnection::open);
+    }
+
+    /**
+     * Connects to a server and sends nothing: tells whether it takes connections, or empty if there
+     * is no answer in time.
+     */
+    public void reach(Endpoint server, Consumer<Optional<Boolean>> then) {
+        metrics.count("http_connects");
+        bootstrap
+                .clone()
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(server.socket())
+                .addListener((ChannelFuture done) -> then.accept(reached(done)));
+    }
+
+    private static Optional<Boolean> reached(ChannelFuture done) {
+        if (done.isSuccess()) {
+            done.channel().close();
+            return Optional.of(true);
+        }
+        boolean refused =
+                done.cause() instanceof ConnectException
+                        && !(done.cause() instanceof ConnectTimeoutException);
+        return refused ? Optional.of(false) : Optional.empty();
+    }
+
     /** Closes the idle connections to a server that is gone or no longer to be trusted. */
     public void forget(Endpoint gone) {
         ArrayDeque<ClientConnection> connections = idle.remove(gone);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -26,6 +26,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,7 +56,16 @@
                     new Dispatch(upstreams, "a", Instant::now, loop::whenRead),
                     Instant::now,
                     new Flows.RetryBounds(Duration.ofSeconds(10), 0.2, 10),
-                    () -> 1);
+                    () -> 1,
+                    new CrashWatch(
+                            new LoopControl(
+                                    loop.events(),
+                                    InstantSource.system(),
+                                    new LoopHolds(new Metrics())),
+                            new SilentCrashNews(),
+                            (upstream, then) -> then.accept(CrashWatch.Sign.NONE),
+                            () -> true,
+                            () -> true));
     private final HttpServer upstream = server(upstreamLoop, this::run);
     private final HttpServer router = server(loop, this::begin);
 
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
@@ -0,0 +1,21 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
+import java.util.Set;
+
+/** Tells nobody. */
+final class SilentCrashNews implements CrashNews {
+    @Override
+    public void ended(UpstreamEnd end, Set<RequestDigest> running) {}
+
+    @Override
+    public void watched(RequestDigest request) {}
+
+    @Override
+    public void keptOut(Quarantine.Entry entry) {}
+
+    @Override
+    public void cleared(RequestDigest request) {}
+}
