--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
@@ -109,6 +109,11 @@
         return entries.isEmpty();
     }
 
+    /** How many are kept out. */
+    public int size() {
+        return entries.size();
+    }
+
     /** All that is kept out, for a router that has just come. */
     public List<Entry> all() {
         return new ArrayList<>(entries.values());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -114,6 +114,11 @@
         return quarantine.left(request, tries.getAsBoolean(), now());
     }
 
+    /** How many requests are kept out. */
+    int keptOut() {
+        return quarantine.size();
+    }
+
     /** True if it is kept from all upstreams; a request that waited may be so by now. */
     boolean keepsOut(RequestDigest request) {
         return quarantine.keepsOut(request, now());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -359,6 +359,7 @@
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
         metrics.gauge("direct_left_before_served", callers::leftUnserved);
+        metrics.gauge("requests_kept_out", crashes::keptOut);
         String address = settings.peer().host() + ':' + settings.peer().port();
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         leader.start(this::replicasChanged);
