Count an end under a request only if the request began after the end before

A deadly request that came again within 0.1 s of each end reached six upstreams more than allowed: CrashingRequestTest was red.

Cause: ends within 0.1 s counted as one, for the sake of requests that run at all upstreams of a rack. A deadly request that comes again at once ends upstreams as fast as that.

What tells the two apart is the order: the deadly one is sent after the end before, the others ran at all of the rack before it ended. Routers now tell how long each request had run, and how long ago the end was; words that differ by 50 ms agree.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
@@ -6,10 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
- * Counts the upstreams that ended under each request: {@code suspects.ended(end, running, now)}.
+ * Counts the upstreams that ended under each request: {@code suspects.ended(end, ran, at, now)}.
  *
  * <p>The pattern: an upstream ends with a dozen requests, of which one may have done it and the
  * rest are innocent. The one comes again and is there at the next end; the others come again too,
@@ -17,8 +16,8 @@
  * have in common, and cleared by one whole answer.
  */
 public final class Suspects {
-    /** Routers hear of ends that come together within this. */
-    private static final Duration TOGETHER = Duration.ofMillis(100);
+    /** Routers' words of when something was may differ by this. */
+    private static final Duration INEXACT = Duration.ofMillis(50);
 
     private final CrashSettings settings;
     private final Map<RequestDigest, Map<UpstreamEnd, Instant>> ends;
@@ -39,22 +38,27 @@
     /**
      * An upstream has ended while these ran there, as one router saw it.
      *
+     * @param ran how long each of them had run
+     * @param at when the upstream ended
      * @return those under which enough upstreams have ended by now
      */
-    public List<RequestDigest> ended(UpstreamEnd end, Set<RequestDigest> running, Instant now) {
-        for (RequestDigest each : running) {
-            note(ends.computeIfAbsent(each, any -> new HashMap<>()), end, now);
-        }
-        return running.stream().filter(each -> count(each, now) >= settings.ends()).toList();
+    public List<RequestDigest> ended(
+            UpstreamEnd end, Map<RequestDigest, Duration> ran, Instant at, Instant now) {
+        ran.forEach(
+                (request, time) -> {
+                    var known = ends.computeIfAbsent(request, any -> new HashMap<>());
+                    if (beganAfter(known, at.minus(time).plus(INEXACT))) {
+                        known.putIfAbsent(end, at);
+                    }
+                });
+        return ran.keySet().stream().filter(each -> count(each, now) >= settings.ends()).toList();
     }
 
-    // Upstreams that end together, as those of a rack do, have a cause in common that is no
-    // request.
-    private static void note(Map<UpstreamEnd, Instant> known, UpstreamEnd end, Instant now) {
-        Instant together = now.minus(TOGETHER);
-        if (known.values().stream().noneMatch(at -> at.isAfter(together))) {
-            known.putIfAbsent(end, now);
-        }
+    // One that ran at several upstreams when all of them ended, as those of a rack do, has not
+    // ended
+    // them one after the other.
+    private static boolean beganAfter(Map<UpstreamEnd, Instant> known, Instant began) {
+        return known.values().stream().noneMatch(began::isBefore);
     }
 
     /** How many upstreams have ended under the request, of late. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -157,7 +157,7 @@
         finish();
         boolean broke = failure == Failure.BROKEN || failure == Failure.CUT_SHORT;
         if (broke && (answer == null || !answer.notRun())) {
-            flows.crashes().broke(upstream, flow.digest());
+            flows.crashes().broke(upstream, flow.digest(), sentAt);
         }
         if (!failure.mayHaveArrived()) {
             flow.notConnected();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
@@ -3,12 +3,13 @@
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamEnd;
-import java.util.Set;
+import java.time.Duration;
+import java.util.Map;
 
 /** What routers tell each other of requests under which upstreams end. */
 interface CrashNews {
-    /** Tells those that count that an upstream ended while these ran there. */
-    void ended(UpstreamEnd end, Set<RequestDigest> running);
+    /** Tells those that count that an upstream ended so long ago, and how long these had run. */
+    void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran);
 
     /** Tells all others that one more end is enough, and that a whole answer would clear it. */
     void watched(RequestDigest request);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -12,10 +12,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -78,12 +76,14 @@
     /** Connections that broke at one upstream, and whether that was its end. */
     private static final class Break {
         private final UpstreamEnd end;
-        private final Set<RequestDigest> running = new HashSet<>();
+        private final Instant at;
+        private final Map<RequestDigest, Duration> ran = new HashMap<>();
         private boolean ended;
         private boolean telling;
 
-        Break(UpstreamEnd end) {
+        Break(UpstreamEnd end, Instant at) {
             this.end = end;
+            this.at = at;
         }
     }
 
@@ -142,8 +142,8 @@
         }
     }
 
-    /** A connection broke while the request ran at the upstream. */
-    void broke(Upstream upstream, RequestDigest request) {
+    /** A connection broke while the request, sent at that time, ran at the upstream. */
+    void broke(Upstream upstream, RequestDigest request, Instant sentAt) {
         UpstreamFacts facts = upstream.facts();
         if (facts.draining()) {
             return;
@@ -151,13 +151,13 @@
         UpstreamEnd end = new UpstreamEnd(facts.id(), facts.held().startedAt());
         Break known = breaks.get(facts.id());
         if (known == null || !known.end.equals(end)) {
-            known = new Break(end);
+            known = new Break(end, now());
             breaks.put(facts.id(), known);
             Break begun = known;
             control.after(GATHER, () -> probe(upstream, begun));
             control.after(OPEN, () -> breaks.remove(facts.id(), begun));
         }
-        known.running.add(request);
+        known.ran.put(request, Duration.between(sentAt, known.at));
         if (known.ended) {
             tellSoon(known);
         }
@@ -200,7 +200,7 @@
         LOG.info(
                 "upstream {} has ended under {} requests of this router: it {}",
                 known.end.upstream(),
-                known.running.size(),
+                known.ran.size(),
                 how);
         tellSoon(known);
     }
@@ -214,22 +214,23 @@
 
     private void tell(Break known) {
         known.telling = false;
-        Set<RequestDigest> running = Set.copyOf(known.running);
-        known.running.clear();
-        if (running.isEmpty()) {
+        Map<RequestDigest, Duration> ran = Map.copyOf(known.ran);
+        known.ran.clear();
+        if (ran.isEmpty()) {
             return;
         }
+        Duration ago = Duration.between(known.at, now());
         if (counts.getAsBoolean()) {
-            told(known.end, running);
+            told(known.end, ago, ran);
         }
-        news.ended(known.end, running);
+        news.ended(known.end, ago, ran);
     }
 
     /** A router tells of an upstream's end, to this one that counts. */
-    void told(UpstreamEnd end, Set<RequestDigest> running) {
+    void told(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
         Instant now = now();
-        suspects.ended(end, running, now).forEach(this::suspect);
-        for (RequestDigest each : running) {
+        suspects.ended(end, ran, now.minus(ago), now).forEach(this::suspect);
+        for (RequestDigest each : ran.keySet()) {
             if (suspects.count(each, now) == settings.ends() - 1) {
                 watch(each);
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -12,6 +12,7 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.peer.wire.ChangesFetch;
+import io.damaskyoke.peer.wire.CutRequest;
 import io.damaskyoke.peer.wire.Departures;
 import io.damaskyoke.peer.wire.Frame;
 import io.damaskyoke.peer.wire.HeldModel;
@@ -96,12 +97,18 @@
                 now.minusMillis(line.getAgeMs()));
     }
 
-    static Frame ended(UpstreamEnd end, Set<RequestDigest> running) {
+    static Frame ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
         UpstreamEnded.Builder ended =
                 UpstreamEnded.newBuilder()
                         .setUpstream(end.upstream().value())
-                        .setStartedAt(end.startedAt());
-        running.forEach(each -> ended.addRequests(each.value()));
+                        .setStartedAt(end.startedAt())
+                        .setEndedMsAgo((int) ago.toMillis());
+        ran.forEach(
+                (request, time) ->
+                        ended.addRequests(
+                                CutRequest.newBuilder()
+                                        .setRequest(request.value())
+                                        .setRanMs((int) time.toMillis())));
         return Frame.newBuilder().setUpstreamEnded(ended).build();
     }
 
@@ -109,10 +116,12 @@
         return new UpstreamEnd(UpstreamId.of(ended.getUpstream()), ended.getStartedAt());
     }
 
-    static Set<RequestDigest> running(UpstreamEnded ended) {
-        Set<RequestDigest> running = new HashSet<>();
-        ended.getRequestsList().forEach(each -> running.add(new RequestDigest(each)));
-        return running;
+    static Map<RequestDigest, Duration> ran(UpstreamEnded ended) {
+        Map<RequestDigest, Duration> ran = new HashMap<>();
+        for (CutRequest each : ended.getRequestsList()) {
+            ran.put(new RequestDigest(each.getRequest()), Duration.ofMillis(each.getRanMs()));
+        }
+        return ran;
     }
 
     static Frame suspect(RequestDigest request, SuspectRequest.State state) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /** Takes in what other routers say, and gives them what they lack. Control thread only. */
@@ -78,8 +77,8 @@
     }
 
     @Override
-    public void ended(UpstreamEnd end, Set<RequestDigest> running) {
-        parts.crashes().told(end, running);
+    public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+        parts.crashes().told(end, ago, ran);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -34,7 +34,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -83,8 +82,8 @@
         /** A leader had no answer to an order. */
         void unanswered(OpenLoad load);
 
-        /** An upstream has ended while these ran there. */
-        void ended(UpstreamEnd end, Set<RequestDigest> running);
+        /** An upstream ended so long ago, and these had run there for so long. */
+        void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran);
 
         /** A router holds that one more end under the request would be enough. */
         void watched(RequestDigest request);
@@ -196,8 +195,8 @@
     }
 
     @Override
-    public void ended(UpstreamEnd end, Set<RequestDigest> running) {
-        Frame frame = NeighbourFrames.ended(end, running);
+    public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+        Frame frame = NeighbourFrames.ended(end, ago, ran);
         members.plan().watchers().stream()
                 .filter(vm -> !vm.equals(members.self()))
                 .forEach(vm -> send(vm, frame));
@@ -301,7 +300,10 @@
             listener.unanswered(NeighbourFrames.open(frame.getUnansweredLoad(), now));
         } else if (frame.hasUpstreamEnded()) {
             UpstreamEnded ended = frame.getUpstreamEnded();
-            listener.ended(NeighbourFrames.end(ended), NeighbourFrames.running(ended));
+            listener.ended(
+                    NeighbourFrames.end(ended),
+                    Duration.ofMillis(ended.getEndedMsAgo()),
+                    NeighbourFrames.ran(ended));
         } else if (frame.hasSuspectRequest()) {
             takeSuspect(frame.getSuspectRequest());
         } else if (frame.hasLeaseEnd()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
@@ -3,7 +3,8 @@
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamEnd;
-import java.util.Set;
+import java.time.Duration;
+import java.util.Map;
 
 /** Tells the other routers at once, and writes down what has to outlive them all. */
 final class StoredCrashNews implements CrashNews {
@@ -16,8 +17,8 @@
     }
 
     @Override
-    public void ended(UpstreamEnd end, Set<RequestDigest> running) {
-        routers.ended(end, running);
+    public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+        routers.ended(end, ago, ran);
     }
 
     @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
@@ -5,8 +5,9 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class SuspectsTest {
@@ -62,13 +63,28 @@
     @Test
     void upstreamsThatEndTogetherCountAsOne() {
         ended("a", ONE);
-        suspects.ended(new UpstreamEnd(UpstreamId.of("b"), 1), Set.of(ONE), now.plusMillis(40));
-        suspects.ended(new UpstreamEnd(UpstreamId.of("c"), 1), Set.of(ONE), now.plusMillis(90));
+        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(700));
+        suspects.ended(new UpstreamEnd(UpstreamId.of("b"), 1), ran, now.plusMillis(40), now);
+        suspects.ended(new UpstreamEnd(UpstreamId.of("c"), 1), ran, now.plusMillis(90), now);
         assertEquals(1, suspects.count(ONE, now));
     }
 
+    // Guards against a deadly request that comes again as soon as its upstream has ended.
+    @Test
+    void upstreamsThatEndOneAfterTheOtherCountHoweverFast() {
+        ended("a", ONE);
+        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(5));
+        suspects.ended(new UpstreamEnd(UpstreamId.of("b"), 1), ran, now.plusMillis(8), now);
+        suspects.ended(new UpstreamEnd(UpstreamId.of("c"), 1), ran, now.plusMillis(16), now);
+        assertEquals(3, suspects.count(ONE, now));
+    }
+
     private List<RequestDigest> ended(String upstream, RequestDigest... running) {
         now = now.plusSeconds(1);
-        return suspects.ended(new UpstreamEnd(UpstreamId.of(upstream), 1), Set.of(running), now);
+        Map<RequestDigest, Duration> ran = new HashMap<>();
+        for (RequestDigest each : running) {
+            ran.put(each, Duration.ofMillis(500));
+        }
+        return suspects.ended(new UpstreamEnd(UpstreamId.of(upstream), 1), ran, now, now);
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
@@ -68,7 +68,7 @@
         }
     }
 
-    private record Run(RequestDigest request, int router, int retries, long life) {}
+    private record Run(RequestDigest request, int router, int retries, long life, Instant sentAt) {}
 
     CrashWorld(long seed, int routerCount, int workerCount) {
         this.random = new Random(seed);
@@ -176,7 +176,7 @@
         if (!worker.up) {
             return;
         }
-        Run run = new Run(request, index, retries, worker.life);
+        Run run = new Run(request, index, retries, worker.life, now());
         worker.runs.add(run);
         if (request.equals(deadly)) {
             countDeadly();
@@ -219,7 +219,9 @@
         worker.runs.clear();
         var upstream = table.find(worker.id).orElseThrow();
         for (Run run : cut) {
-            soon(WAY_MILLIS, () -> routers.get(run.router()).broke(upstream, run.request()));
+            soon(
+                    WAY_MILLIS,
+                    () -> routers.get(run.router()).broke(upstream, run.request(), run.sentAt()));
             if (run.retries() > 0) {
                 soon(500, () -> send(run.request(), run.retries() - 1));
             }
@@ -261,8 +263,8 @@
     private CrashNews newsOf(int from) {
         return new CrashNews() {
             @Override
-            public void ended(UpstreamEnd end, Set<RequestDigest> running) {
-                tell(from, MOST_COUNTING, router -> router.told(end, running));
+            public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+                tell(from, MOST_COUNTING, router -> router.told(end, ago, ran));
             }
 
             @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
@@ -3,12 +3,13 @@
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamEnd;
-import java.util.Set;
+import java.time.Duration;
+import java.util.Map;
 
 /** Tells nobody. */
 final class SilentCrashNews implements CrashNews {
     @Override
-    public void ended(UpstreamEnd end, Set<RequestDigest> running) {}
+    public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {}
 
     @Override
     public void watched(RequestDigest request) {}
