--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -231,7 +231,8 @@
         Instant now = now();
         suspects.ended(end, ran, now.minus(ago), now).forEach(this::suspect);
         for (RequestDigest each : ran.keySet()) {
-            if (suspects.count(each, now) == settings.ends() - 1) {
+            boolean nearly = suspects.count(each, now) == settings.ends() - 1;
+            if (nearly && !watched.containsKey(each)) {
                 watch(each);
             }
         }
