Forget watched requests with the answers that cost a digest each

They were forgotten only when another one came to be watched, so that a router made a digest of each answered request for the rest of its life once one had been watched.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -136,6 +136,7 @@
 
     /** The request was answered in full. */
     void answered(RequestDigest request) {
+        forgetOld();
         if (watched.containsKey(request) || quarantine.knows(request)) {
             toldCleared(request);
             news.cleared(request);
@@ -286,13 +287,18 @@
 
     /** Another router says that one more end would be enough. */
     void toldWatched(RequestDigest request) {
-        Instant now = now();
-        watched.values().removeIf(until -> until.isBefore(now));
+        forgetOld();
         if (watched.size() < MOST_WATCHED) {
-            watched.put(request, now.plus(settings.remembered()));
+            watched.put(request, now().plus(settings.remembered()));
         }
     }
 
+    // While one is watched, each answer costs a digest.
+    private void forgetOld() {
+        Instant now = now();
+        watched.values().removeIf(until -> until.isBefore(now));
+    }
+
     /** The request was answered in full, somewhere. */
     void toldCleared(RequestDigest request) {
         watched.remove(request);
