Show that asks for tokens multiply at routers that are behind (red)

The lab's routers get a pace: each takes some time for a message, as the weak VMs do. Ruled out by it: slow start, restarts, the planner; none is in this world.

--- a/damaskyoke-lab/src/main/java/io/damaskyoke/lab/RateWorld.java
+++ b/damaskyoke-lab/src/main/java/io/damaskyoke/lab/RateWorld.java
@@ -23,6 +23,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 
 /**
  * Routers with their {@link RateMachine}s, a store and a network that fail as told, on a clock of
@@ -30,6 +31,7 @@
  */
 final class RateWorld {
     private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration WAITING_TICK = Duration.ofMillis(10);
     private static final int STORE_MILLIS = 4;
     private static final int STORE_TIMEOUT_MILLIS = 2_000;
     private static final Duration LIST_PERIOD = Duration.ofSeconds(5);
@@ -50,6 +52,14 @@
     double doubledFrames;
     int slowestFrameMillis = 2;
     int calls;
+    long messages;
+
+    /** Whether routers with requests that wait look at them as often as the real ones do. */
+    boolean ticksWhileWaiting;
+
+    /** How long each router takes over a message or a request; none by default. */
+    Function<VmId, Duration> pace = vm -> Duration.ZERO;
+
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
     private Instant now = Instant.EPOCH;
@@ -83,6 +93,8 @@
         boolean alive = true;
         boolean frozen;
         final List<RateInput> missed = new ArrayList<>();
+        Instant busyUntil = Instant.EPOCH;
+        boolean tickPlanned;
 
         Router(VmId vm, Incarnation incarnation, Duration clockAhead, RateSettings settings) {
             this.vm = vm;
@@ -138,7 +150,19 @@
         missed.forEach(input -> feed(router, input));
     }
 
+    /** Hands an input to a router, which comes to it when it is done with those before. */
     void feed(Router router, RateInput input) {
+        Duration takes = pace.apply(router.vm);
+        if (takes.isZero()) {
+            handle(router, input);
+            return;
+        }
+        Instant begins = router.busyUntil.isAfter(now) ? router.busyUntil : now;
+        router.busyUntil = begins.plus(takes);
+        after(Duration.between(now, router.busyUntil), () -> handle(router, input));
+    }
+
+    private void handle(Router router, RateInput input) {
         if (!router.alive) {
             return;
         }
@@ -150,6 +174,15 @@
         for (RateAction action : router.machine.on(input, local)) {
             carryOut(router, action, local);
         }
+        if (ticksWhileWaiting && !router.tickPlanned && router.machine.held() > 0) {
+            router.tickPlanned = true;
+            after(WAITING_TICK, () -> waitingTick(router));
+        }
+    }
+
+    private void waitingTick(Router router) {
+        router.tickPlanned = false;
+        feed(router, new RateInput.Tick());
     }
 
     /** Runs the step after that time. */
@@ -224,6 +257,7 @@
     }
 
     private void frame(VmId from, VmId to, RateInput frame) {
+        messages += frame instanceof RateInput.Heard ? 0 : 1;
         if (cutOff.contains(from) || cutOff.contains(to)) {
             return;
         }
