Ask each router once for a request's tokens, for all of them or none

Cause: an ask that the owner of a workspace did not answer in time was followed by rounds of asks to all routers with a part, every 20 ms for as long as a request waited, each for whatever there was. Two dozen routers doing so kept the owner and its standbys busy, so that more asks went unanswered, and left the tokens in small pieces at all of them; tokens lent for an ask that had been given up were lost to everybody for two seconds. Ruled out: owners too weak for the asks themselves (two an arrival, a part of a percent of their time), loss of messages (none in the lab). Change: what lacks is asked for request by request, of the owner, and while that is silent of the others in turn, all of it or nothing; a silent owner is tried again with one request; tokens that come late are kept for the next; nothing is asked for a request whose wait is over. An owner asks its standbys every 400 ms instead of 100. A router that has never seen the shares asks those that should have some.

--- a/damaskyoke-lab/src/test/java/io/damaskyoke/lab/RateCrowd.java
+++ b/damaskyoke-lab/src/test/java/io/damaskyoke/lab/RateCrowd.java
@@ -49,7 +49,8 @@
                     new Wait(Duration.ofMillis(1_250), Duration.ofMillis(1_800)),
                     new Wait(Duration.ofMillis(60), Duration.ofMillis(300)));
 
-    private final Random random;
+    private final Random arrivals;
+    private final Random places;
     private final int routers;
     private final RateWorld world;
     private final Map<ExchangeId, Ask> open = new HashMap<>();
@@ -65,7 +66,8 @@
 
     private RateCrowd(int routers, long seed) {
         this.routers = routers;
-        this.random = new Random(seed);
+        this.arrivals = new Random(seed);
+        this.places = new Random(seed + 1);
         this.world = new RateWorld(seed, RateSettings.direct(), workspaces, this::verdict);
         world.ticksWhileWaiting = true;
     }
@@ -112,14 +114,14 @@
     }
 
     private void next(WorkspaceId workspace, double perSecond) {
-        double seconds = -Math.log(1 - random.nextDouble()) / perSecond;
+        double seconds = -Math.log(1 - arrivals.nextDouble()) / perSecond;
         world.after(
                 Duration.ofNanos((long) (seconds * 1e9)),
                 () -> {
                     if (world.now().isBefore(ends)) {
-                        long size = LEAST_TOKENS + random.nextInt(TOKENS_RANGE);
-                        Wait wait = WAITS.get(random.nextInt(WAITS.size()));
-                        int router = random.nextInt(1 << 20) % routers;
+                        long size = LEAST_TOKENS + arrivals.nextInt(TOKENS_RANGE);
+                        Wait wait = WAITS.get(arrivals.nextInt(WAITS.size()));
+                        int router = places.nextInt(routers);
                         requests++;
                         tokens += size;
                         arrive(router, new Ask(workspace, size, wait, false));
@@ -147,7 +149,7 @@
             refusedTokens += ask.tokens();
             return;
         }
-        int elsewhere = random.nextInt(1 << 20) % routers;
+        int elsewhere = places.nextInt(routers);
         Ask second = new Ask(ask.workspace(), ask.tokens(), ask.within(), true);
         world.after(AGAIN, () -> arrive(elsewhere, second));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.LongSupplier;
 
@@ -24,7 +23,7 @@
     private static final int LARGE_PART = ShareTable.WHOLE / 8;
 
     private static final Duration ASK_GAP = Duration.ofMillis(20);
-    private static final Duration OWNER_ASK_GAP = Duration.ofMillis(100);
+    private static final Duration OWNER_ASK_GAP = Duration.ofMillis(400);
     private static final int MOST_ASKED = 8;
 
     /**
@@ -61,8 +60,9 @@
         }
     }
 
-    // An owner waits for its own rate, and the others' shares are small: asking them again at once
-    // brings nothing.
+    // An owner waits for its own rate, and the others' shares are small: until a request's worth
+    // has
+    // come in there, asking them again brings nothing. Their buckets take longer to run over.
     private Duration gap(Account account) {
         return keeper.owns(account) ? OWNER_ASK_GAP : ASK_GAP;
     }
@@ -160,17 +160,17 @@
 
     /** True if nobody can lend, now or soon. */
     boolean noneToAsk(Account account) {
-        return lenders(account).isEmpty() && !keeper.awaitsOthers(account);
+        return keeper.lenders(account).isEmpty() && !keeper.awaitsOthers(account);
     }
 
     /** True if all lenders were asked, and the last round brought nothing. */
     boolean nothingCame(Account account) {
-        boolean allAsked = account.dryAsks >= lenders(account).size();
+        boolean allAsked = account.dryAsks >= keeper.lenders(account).size();
         return account.unanswered.isEmpty() && account.brought == 0 && allAsked;
     }
 
     private List<VmId> nextLenders(Account account, boolean fresh) {
-        List<VmId> all = lenders(account);
+        List<VmId> all = keeper.lenders(account);
         if (all.isEmpty() || !borrows(account)) {
             return nextFew(account, all);
         }
@@ -201,19 +201,4 @@
         }
         return next;
     }
-
-    // A router that starts while the store is out has never seen a share. It has none to spend, so
-    // nothing can be spent twice; but without loans from those that have, it would refuse every
-    // request for as long as the outage lasts.
-    private List<VmId> lenders(Account account) {
-        if (account.row == null) {
-            return right.otherRouters();
-        }
-        return account.row.table().shares().values().stream()
-                .filter(share -> !share.vm().equals(vm) && share.part() > 0)
-                .filter(share -> share.mark().isEmpty())
-                .sorted(Comparator.comparingInt(ShareTable.Share::part).reversed())
-                .map(ShareTable.Share::vm)
-                .toList();
-    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Held.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Held.java
@@ -36,6 +36,11 @@
         return new Held(id, borrower, number, tokens, inTimeUntil, end);
     }
 
+    /** True if it has waited as long as it may. */
+    boolean over(Instant now) {
+        return !now.isBefore(until);
+    }
+
     /** How long it may still wait. */
     Wait waitFrom(Instant now) {
         return new Wait(left(now, inTimeUntil), left(now, until));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Lender.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Lender.java
@@ -77,6 +77,8 @@
         long tokens = right.usable(account, self, now) ? spare(account, asked.tokens(), now) : 0;
         if (tokens < asked.tokens()) {
             account.shortAt = now;
+            // A request that waits can do nothing with a part of its tokens.
+            tokens = asked.within().isPresent() ? 0 : tokens;
         }
         if (tokens > 0) {
             account.lend(loan, tokens, loanEnd(settings, now));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/OwnerAsks.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/OwnerAsks.java
@@ -4,31 +4,44 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Requests of one workspace for which this router has asked the one that has most of its tokens,
- * each on its own.
+ * Requests of one workspace for which this router has asked the one that has most of its tokens, or
+ * another one, each on its own.
  */
 final class OwnerAsks {
     /** An owner that did not answer is left alone for this; others are asked meanwhile. */
     static final Duration AFTER_SILENCE = Duration.ofMillis(200);
 
     private final Map<String, Ask> open = new LinkedHashMap<>();
+    private final Map<String, Lapsed> lapsed = new LinkedHashMap<>();
     private final AnswerTime answerTime;
     private Instant silentUntil = Instant.MIN;
+    private boolean doubted;
 
     /**
      * One request.
      *
+     * @param lender who is asked
+     * @param next who is asked after that
+     * @param ofOwner whether the lender has most of the workspace
      * @param aside tokens that were here, set aside for it
-     * @param queued whether the owner has said that the tokens will follow
+     * @param queued whether the lender has said that the tokens will follow
      */
-    record Ask(Held request, VmId owner, double aside, Instant askedAt, boolean queued) {
+    record Ask(
+            Held request,
+            VmId lender,
+            List<VmId> next,
+            boolean ofOwner,
+            double aside,
+            Instant askedAt,
+            boolean queued) {
         private Ask queuedThere() {
-            return new Ask(request, owner, aside, askedAt, true);
+            return new Ask(request, lender, next, ofOwner, aside, askedAt, true);
         }
 
         private boolean unheard(Instant now, Duration patience) {
@@ -40,6 +53,8 @@
         }
     }
 
+    private record Lapsed(Ask ask, Instant until) {}
+
     OwnerAsks(AnswerTime answerTime) {
         this.answerTime = answerTime;
     }
@@ -52,19 +67,39 @@
         return open.get(loan);
     }
 
-    /** The owner has answered with tokens, or that there are none. */
-    Ask answered(String loan, Instant now) {
+    /** The lender has answered with tokens, or that there are none. */
+    void answered(String loan, Instant now) {
         Ask ask = open.remove(loan);
+        heard(ask);
         if (!ask.queued()) {
             answerTime.heardAfter(Duration.between(ask.askedAt(), now));
         }
-        return ask;
     }
 
     /** The owner has answered that the request waits there. */
     void queued(String loan, Instant now) {
-        answerTime.heardAfter(Duration.between(open.get(loan).askedAt(), now));
-        open.computeIfPresent(loan, (any, ask) -> ask.queuedThere());
+        Ask ask = open.get(loan);
+        heard(ask);
+        answerTime.heardAfter(Duration.between(ask.askedAt(), now));
+        open.put(loan, ask.queuedThere());
+    }
+
+    /** The ask that was given up and is answered after all; null if there is none. */
+    Ask late(String loan, Instant now) {
+        Lapsed found = lapsed.remove(loan);
+        if (found == null) {
+            return null;
+        }
+        heard(found.ask());
+        answerTime.heardAfter(Duration.between(found.ask().askedAt(), now));
+        return found.ask();
+    }
+
+    private void heard(Ask ask) {
+        if (ask.ofOwner()) {
+            doubted = false;
+            silentUntil = Instant.MIN;
+        }
     }
 
     /** Tokens that are set aside for all of them. */
@@ -76,26 +111,42 @@
         return open.size();
     }
 
-    /** True if the owner said nothing to the last asks. */
-    boolean silent(Instant now) {
-        return now.isBefore(silentUntil);
+    /** True if the owner may be asked: after a silence for one request, until it answers. */
+    boolean mayAskOwner(Instant now) {
+        return !now.isBefore(silentUntil) && !(doubted && ownerAsked());
     }
 
-    /** Takes out those to which the owner has said nothing, or not in time. */
-    List<Ask> givenUp(Instant now) {
+    private boolean ownerAsked() {
+        return open.values().stream().anyMatch(Ask::ofOwner);
+    }
+
+    /** Takes out those that were not answered in time; late answers count for so long. */
+    List<Ask> givenUp(Instant now, Duration lapses) {
+        lapsed.values().removeIf(each -> !now.isBefore(each.until()));
         List<Ask> late = new ArrayList<>();
         Duration patience = answerTime.patience();
-        for (Ask ask : open.values()) {
+        Iterator<Map.Entry<String, Ask>> all = open.entrySet().iterator();
+        while (all.hasNext()) {
+            Map.Entry<String, Ask> entry = all.next();
+            Ask ask = entry.getValue();
             boolean unheard = ask.unheard(now, patience);
             if (unheard || ask.over(now, patience)) {
+                all.remove();
                 late.add(ask);
-                if (unheard) {
-                    answerTime.unheard();
-                }
-                silentUntil = now.plus(AFTER_SILENCE);
+                lapsed.put(entry.getKey(), new Lapsed(ask, ask.askedAt().plus(lapses)));
+                noteSilence(ask, unheard, now);
             }
         }
-        open.values().removeAll(late);
         return late;
     }
+
+    private void noteSilence(Ask ask, boolean unheard, Instant now) {
+        if (unheard) {
+            answerTime.unheard();
+        }
+        if (ask.ofOwner()) {
+            silentUntil = now.plus(AFTER_SILENCE);
+            doubted = true;
+        }
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Owners.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Owners.java
@@ -8,13 +8,18 @@
 import java.util.function.LongSupplier;
 
 /**
- * Asks the router that has most of a workspace's tokens, a request at a time.
+ * Asks the router that has most of a workspace's tokens, a request at a time, and while that one is
+ * silent the others in turn.
  *
  * <p>The pattern: requests of a tenth to a half of a workspace's burst, over half a dozen routers
  * and more. Divided among them, nearly each request would need the loans of several routers, and
  * tokens run over where nobody asks while requests are refused elsewhere. So one router has most of
- * it, and all wait in its line. The others have a little each, for what they are asked while the
+ * it, and all wait in its queue. The others have a little each, for what they are asked while the
  * owner is lost.
+ *
+ * <p>Each router is asked once for a request, and lends all that it lacks or nothing. Asked again
+ * and again for whatever there is, by dozens of routers at once, an owner that is only slow would
+ * be slower still, and the tokens would lie in small pieces at all of them.
  */
 final class Owners {
     private final Incarnation self;
@@ -27,94 +32,159 @@
         this.keeper = keeper;
     }
 
-    /** True if another router has most of the workspace, and has answered of late. */
-    boolean asks(Account account, Instant now) {
-        return keeper.otherOwner(account).isPresent() && !account.asksOfOwner.silent(now);
+    /** True if what lacks here is asked for request by request, and not for all that wait. */
+    boolean serves(Account account) {
+        return keeper.borrowsFromOwner(account);
+    }
+
+    /** Asks the owner for what the request lacks, or the others if the owner is silent. */
+    void ask(
+            Account account,
+            Held request,
+            LongSupplier numbers,
+            Instant now,
+            List<RateAction> actions) {
+        Optional<VmId> owner = owner(account, now);
+        List<VmId> lenders = owner.map(List::of).orElseGet(() -> standbys(account));
+        askFirst(account, request, lenders, numbers, now, actions);
     }
 
-    /** Asks the owner for what the request lacks. */
-    void ask(Account account, Held request, long number, Instant now, List<RateAction> actions) {
-        VmId owner = keeper.otherOwner(account).orElseThrow();
+    private Optional<VmId> owner(Account account, Instant now) {
+        return keeper.otherOwner(account).filter(any -> account.asksOfOwner.mayAskOwner(now));
+    }
+
+    private List<VmId> standbys(Account account) {
+        Optional<VmId> owner = keeper.otherOwner(account);
+        return keeper.lenders(account).stream()
+                .filter(lender -> owner.filter(lender::equals).isEmpty())
+                .toList();
+    }
+
+    private void askFirst(
+            Account account,
+            Held request,
+            List<VmId> lenders,
+            LongSupplier numbers,
+            Instant now,
+            List<RateAction> actions) {
+        if (lenders.isEmpty() || request.over(now)) {
+            account.held.add(request);
+            return;
+        }
+        VmId lender = lenders.get(0);
         double aside = account.setAside(request.tokens());
-        String ask = self.value() + '.' + number;
+        String ask = self.value() + '.' + numbers.getAsLong();
+        boolean ofOwner = keeper.otherOwner(account).filter(lender::equals).isPresent();
         account.asksOfOwner.add(
-                ask + '/' + owner, new OwnerAsks.Ask(request, owner, aside, now, false));
-        Wait wait = request.waitFrom(now);
+                ask + '/' + lender,
+                new OwnerAsks.Ask(
+                        request,
+                        lender,
+                        lenders.subList(1, lenders.size()),
+                        ofOwner,
+                        aside,
+                        now,
+                        false));
         actions.add(
                 new RateAction.Ask(
-                        owner,
+                        lender,
                         account.workspace.id(),
                         lacking(request, aside),
                         ask,
                         List.of(),
-                        Optional.of(wait)));
+                        Optional.of(request.waitFrom(now))));
     }
 
     private static long lacking(Held request, double aside) {
         return (long) Math.ceil(request.tokens() - aside);
     }
 
-    /** Takes in an owner's answer; false if it answers none of these asks. */
-    boolean answered(Account account, RateInput.Lent lent, Instant now, List<RateAction> actions) {
+    /** Takes in an answer; false if it answers none of these asks. */
+    boolean answered(
+            Account account,
+            RateInput.Lent lent,
+            LongSupplier numbers,
+            Instant now,
+            List<RateAction> actions) {
         OwnerAsks.Ask ask = account.asksOfOwner.find(lent.loan());
         if (ask == null) {
-            return false;
+            return late(account, lent, now);
         }
         if (lent.queued()) {
             account.asksOfOwner.queued(lent.loan(), now);
             return true;
         }
         account.asksOfOwner.answered(lent.loan(), now);
-        Held request = ask.request();
         boolean valid = now.isBefore(ask.askedAt().plus(settings.loan()));
-        long ahead = lent.tokens() - lacking(request, ask.aside());
+        long ahead = lent.tokens() - lacking(ask.request(), ask.aside());
         if (valid && ahead >= 0) {
             keep(account, ask, lent.loan(), ahead);
-            actions.add(new RateAction.Admit(request.id().orElseThrow()));
+            actions.add(new RateAction.Admit(ask.request().id().orElseThrow()));
             return true;
         }
         account.bucket.giveBack(ask.aside());
         if (lent.comeBack().isZero()) {
-            // It owns no longer, and has lent what it had to spare.
-            if (valid && lent.tokens() > 0) {
-                Instant end = ask.askedAt().plus(settings.loan());
-                account.borrow(ask.owner(), lent.loan(), lent.tokens(), end);
-            }
-            account.held.add(request.until(now.plus(settings.hold())));
+            askNext(account, ask, numbers, now, actions);
         } else {
-            actions.add(RateRefusals.usedUp(request.id().orElseThrow(), lent.comeBack()));
+            actions.add(RateRefusals.usedUp(ask.request().id().orElseThrow(), lent.comeBack()));
         }
         return true;
     }
 
+    // The lender counts these tokens as lent until the loan ends; dropped here, nobody would have
+    // them until then.
+    private boolean late(Account account, RateInput.Lent lent, Instant now) {
+        OwnerAsks.Ask ask = account.asksOfOwner.late(lent.loan(), now);
+        if (ask == null) {
+            return false;
+        }
+        Instant end = ask.askedAt().plus(settings.loan());
+        if (lent.tokens() > 0 && now.isBefore(end)) {
+            account.borrow(ask.lender(), lent.loan(), lent.tokens(), end);
+        }
+        return true;
+    }
+
+    private void askNext(
+            Account account,
+            OwnerAsks.Ask ask,
+            LongSupplier numbers,
+            Instant now,
+            List<RateAction> actions) {
+        List<VmId> next = ask.ofOwner() ? standbys(account) : ask.next();
+        Held request = ask.request();
+        boolean waitsOn = !next.isEmpty() || keeper.awaitsOwners(now);
+        Held shortened = waitsOn ? request : request.until(now.plus(settings.hold()));
+        askFirst(account, shortened, next, numbers, now, actions);
+    }
+
     // What the owner lent beyond the request is for the next ones.
     private void keep(Account account, OwnerAsks.Ask ask, String loan, long ahead) {
         if (ahead == 0) {
-            account.spentAtOnce(ask.owner(), loan);
+            account.spentAtOnce(ask.lender(), loan);
         } else {
-            account.borrow(ask.owner(), loan, ahead, ask.askedAt().plus(settings.loan()));
+            account.borrow(ask.lender(), loan, ahead, ask.askedAt().plus(settings.loan()));
         }
     }
 
     /**
-     * Hands over those to which the owner says nothing: they ask all others for a while. Where all
-     * routers have just started the owner is about to come, and they wait for it as long as they
-     * may.
+     * Hands over those to which a router says nothing: they ask the next. Where all routers have
+     * just started the owner is about to come, and they wait for it as long as they may.
      */
-    void check(Account account, boolean started, Instant now) {
-        for (OwnerAsks.Ask ask : account.asksOfOwner.givenUp(now)) {
+    void check(Account account, LongSupplier numbers, Instant now, List<RateAction> actions) {
+        for (OwnerAsks.Ask ask : account.asksOfOwner.givenUp(now, settings.loan())) {
             account.bucket.giveBack(ask.aside());
-            Instant end = started ? ask.request().until() : now.plus(settings.hold());
-            account.held.add(ask.request().until(end));
+            askNext(account, ask, numbers, now, actions);
         }
     }
 
     /** Asks the owner again for those that were handed over, once it may be there. */
     void askAgain(Account account, LongSupplier numbers, Instant now, List<RateAction> actions) {
         for (Held request : account.held.inOrder(now)) {
-            if (request.id().isPresent() && asks(account, now)) {
+            boolean own = request.id().isPresent() && !request.over(now);
+            if (own && owner(account, now).isPresent()) {
                 account.held.remove(request);
-                ask(account, request, numbers.getAsLong(), now, actions);
+                ask(account, request, numbers, now, actions);
             }
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -172,7 +172,7 @@
     private void tick(Instant now, List<RateAction> actions) {
         for (Account account : accounts.values()) {
             advance(account, now);
-            owners.check(account, keeper.awaitsOwners(now), now);
+            owners.check(account, () -> ++counter, now, actions);
             if (right.usable(account, self, now)) {
                 owners.askAgain(account, () -> ++counter, now, actions);
             }
@@ -216,8 +216,8 @@
             return;
         }
         Held request = held(account, arrived, now);
-        if (owners.asks(account, now) && right.usable(account, self, now)) {
-            owners.ask(account, request, ++counter, now, actions);
+        if (owners.serves(account) && right.usable(account, self, now)) {
+            owners.ask(account, request, () -> ++counter, now, actions);
             return;
         }
         account.held.add(request);
@@ -291,7 +291,8 @@
             return;
         }
         advance(account, now);
-        if (owners.answered(account, lent, now, actions)) {
+        if (owners.answered(account, lent, () -> ++counter, now, actions)) {
+            queue.admit(account, now, actions);
             return;
         }
         boolean awaited =
@@ -304,7 +305,7 @@
             account.borrow(lent.from(), lent.loan(), lent.tokens(), until);
         }
         queue.admit(account, now, actions);
-        if (right.usable(account, self, now)) {
+        if (right.usable(account, self, now) && !owners.serves(account)) {
             borrowing.askOthers(account, () -> ++counter, now, actions);
         }
         queue.refuse(account, now, actions);
@@ -312,7 +313,7 @@
 
     private void askForHeld(Account account, Instant now, List<RateAction> actions) {
         borrowing.tellSpent(account, actions);
-        if (right.usable(account, self, now)) {
+        if (right.usable(account, self, now) && !owners.serves(account)) {
             borrowing.ask(account, () -> ++counter, now, actions);
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareHolders.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareHolders.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.zip.CRC32;
@@ -37,6 +38,11 @@
         return routers.stream().min(order(workspace)).orElseThrow();
     }
 
+    /** These routers, the one that has most first. */
+    static List<VmId> inOrder(WorkspaceId workspace, Collection<VmId> routers) {
+        return routers.stream().sorted(order(workspace)).toList();
+    }
+
     private static Comparator<VmId> order(WorkspaceId workspace) {
         return Comparator.comparingLong((VmId vm) -> weight(workspace, vm))
                 .thenComparing(Comparator.naturalOrder());
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.id.WorkspaceId;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -127,6 +128,33 @@
         return account.row.table().owner().filter(owner -> !owner.equals(vm));
     }
 
+    /** True if this router asks others for each request: one of them has most, or should have. */
+    boolean borrowsFromOwner(Account account) {
+        boolean others = otherOwner(account).isPresent() || owned(account);
+        return settings.owned() && others && !owns(account);
+    }
+
+    /**
+     * The others that may have tokens, the largest part first.
+     *
+     * <p>A router that starts while the store is out has never seen a share. It has none to spend,
+     * so nothing can be spent twice; but without loans from those that have, it would refuse every
+     * request for as long as the outage lasts.
+     */
+    List<VmId> lenders(Account account) {
+        if (account.row == null) {
+            return settings.owned()
+                    ? right.otherHomes(account.workspace.id())
+                    : right.otherRouters();
+        }
+        return account.row.table().shares().values().stream()
+                .filter(share -> !share.vm().equals(vm) && share.part() > 0)
+                .filter(share -> share.mark().isEmpty())
+                .sorted(Comparator.comparingInt(ShareTable.Share::part).reversed())
+                .map(ShareTable.Share::vm)
+                .toList();
+    }
+
     boolean leaving() {
         return leaving;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingRight.java
@@ -91,6 +91,13 @@
                         .equals(self);
     }
 
+    /** The other routers that should have shares of the workspace, the owner first. */
+    List<VmId> otherHomes(WorkspaceId workspace) {
+        return ShareHolders.inOrder(workspace, homes(workspace)).stream()
+                .filter(vm -> !vm.equals(self))
+                .toList();
+    }
+
     private Set<VmId> pickHomes(WorkspaceId workspace) {
         return ShareHolders.of(workspace, routers());
     }
