Let routers that should have no part of a workspace hand it over at once

What callers saw: seconds after a start many workspaces had no owner; their requests asked several routers in turn, and were refused. Cause: at a start routers see a part of the list, and more of them take parts than should. They gave them back one workspace a second, and only when none of their tokens was lent; a router that is asked all the time has always lent some. What they gave back waited for the owner's next write. Evidence: RateCrowdTest at 100 routers, parts of 166,666 and 250,000 millionths at routers 3 and 5 of many workspaces after 30 s. Change: such a router gives what is not lent at once, and its write deals that out to those that want it.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -229,7 +229,7 @@
             if (wanted == null) {
                 continue;
             }
-            boolean urgent = !joined(account) || releases(account, now);
+            boolean urgent = !joined(account) || releases(account, now) || strays(account, now);
             if (urgent || !now.isBefore(next)) {
                 next = now.plus(gap(wanted));
                 turn = (turn + step + 1) % accounts.size();
@@ -272,9 +272,8 @@
             return stays ? joined(ShareTable.unfounded(self), account, homes, 0) : null;
         }
         ShareTable table = account.row.table();
-        if (leaving || strays(homes, now)) {
-            boolean may = table.share(self).isPresent() && account.lentOut() == 0;
-            return may ? table.remove(self) : null;
+        if (leaving || strays(account, now)) {
+            return withdrawn(account, table, homes.size());
         }
         if (table.share(self).isEmpty()) {
             return stays ? joined(table, account, homes, grown(account, now)) : null;
@@ -323,9 +322,26 @@
     }
 
     // At a start routers see only a part of the list, and more of them take shares than should
-    // have one. Left there, a workspace's tokens would lie in small parts at all of them again.
-    private boolean strays(Set<VmId> homes, Instant now) {
-        return !homes.contains(vm) && age(now).compareTo(SETTLING) >= 0;
+    // have one. Left there, a workspace's tokens would lie in parts at all of them again, and where
+    // nobody has most of them, all others ask each of them in turn.
+    private boolean strays(Account account, Instant now) {
+        Duration settling = SETTLING.plusMillis(Math.floorMod(vm.hashCode(), JITTER_MILLIS));
+        return !home(account) && joined(account) && age(now).compareTo(settling) >= 0;
+    }
+
+    // What is lent stays until it is back. A router that is asked all the time has always lent
+    // something; the rest goes at once.
+    private ShareTable withdrawn(Account account, ShareTable table, int homes) {
+        Optional<ShareTable.Share> own = table.share(self);
+        if (own.isEmpty()) {
+            return null;
+        }
+        int lent = lentPart(account);
+        if (lent == 0) {
+            return table.withdrawn(self, reserve(table, homes));
+        }
+        boolean much = own.get().part() - lent > LEAST_MOVE;
+        return much ? table.dealt(self, lent, 0, reserve(table, homes)) : null;
     }
 
     private static int inBucket(Account account) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareTable.java
@@ -167,8 +167,18 @@
     public ShareTable dealt(Incarnation who, int part, int want, int reserve) {
         Map<Incarnation, Share> next = new TreeMap<>(shares);
         next.put(who, shares.get(who).with(part, want));
-        ShareTable dealt = new ShareTable(founder, untouched, next);
-        int free = dealt.free() - reserve;
+        return new ShareTable(founder, untouched, next).dealtOut(reserve);
+    }
+
+    /** Takes an incarnation out and deals out what was its, as {@link #dealt} does. */
+    public ShareTable withdrawn(Incarnation who, int reserve) {
+        return remove(who).dealtOut(reserve);
+    }
+
+    private ShareTable dealtOut(int reserve) {
+        Map<Incarnation, Share> next = new TreeMap<>(shares);
+        ShareTable dealt = this;
+        int free = free() - reserve;
         while (free > 0) {
             Incarnation neediest = dealt.neediest();
             int lack = neediest == null ? 0 : dealt.lack(neediest);
