Keep to the limit that an upstream names, over all routers

What upstreams saw: one in need named 1.6 requests a second in each answer and got 30 in four seconds (15 allowed). Ruled out: a limit kept by each router for itself (the counts did not change at all when it was named), cold upstreams' shares (not cold). Change: the adapter reads the limit from each answer, refusals and heads of streams too; a gate beside that of cold upstreams counts this router's part of it over four seconds, or as long as one request takes; parts add up by the same hashed shares, which now deal out what an even division leaves over. News goes to all routers at once and again each second; it ends by an answer to a request that left after the limit was last named. A value that is no limit gives one line of log and changes nothing. Ways weighed: a share lent by an owner (a message a request to an upstream that takes two a second, and nothing while the owner is lost); one router alone sends (its callers only are served there).

--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/ColdGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/ColdGate.java
@@ -30,6 +30,9 @@
     /** How much more than it answered in the second before it may get in one. */
     private static final double GROWTH = 1.5;
 
+    /** Two requests a second apart may come closer to each other on their way. */
+    private static final Duration SECOND = Duration.ofMillis(1_050);
+
     private final SendWindow window = new SendWindow();
     private final RecentAnswers answers = new RecentAnswers();
     private ColdLimit limit = ColdLimit.NONE;
@@ -121,7 +124,7 @@
         if (limit.none()) {
             return true;
         }
-        int sent = window.count(now);
+        int sent = window.count(SECOND, now);
         return !cold(now) && sent < warmRoom(now) || sent < share.getAsInt();
     }
 
@@ -138,6 +141,7 @@
     /** The request has left. */
     public void leaves(Instant now) {
         window.leaves(now);
+        window.count(SECOND, now);
     }
 
     /** The request will not leave. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/EvenShare.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/EvenShare.java
@@ -8,14 +8,14 @@
 import java.util.zip.CRC32;
 
 /**
- * An even part for each router where that is one request a second or more; in larger fleets one
- * request a second for as many routers as the upstream bears.
+ * An even part for each router, and one request more for as many routers as there are requests left
+ * over; in large fleets most have none.
  *
- * <p>Which these are is agreed upon without a word: those whose names, hashed with the upstream's,
- * come first. Other upstreams have others, so that each router can use some. A router that is not
- * listed itself can't know how many there are, and has one request a second.
+ * <p>Which have one more is agreed upon without a word: those whose names, hashed with the
+ * upstream's, come first. Other upstreams have others, so that each router can use some. A router
+ * that is not listed itself can't know how many there are, and has one request.
  */
-public final class EvenShare implements ColdShare {
+public final class EvenShare implements UpstreamShare {
     private final VmId self;
     private final Supplier<Collection<VmId>> routers;
 
@@ -31,11 +31,10 @@
         if (!fleet.contains(self)) {
             return all < 1 ? 0 : 1;
         }
-        int even = (int) (all / fleet.size());
-        if (even >= 1) {
-            return even;
-        }
-        return rank(upstream, fleet) < (int) all ? 1 : 0;
+        int whole = (int) all;
+        int left = whole % fleet.size();
+        int more = left > 0 && rank(upstream, fleet) < left ? 1 : 0;
+        return whole / fleet.size() + more;
     }
 
     private int rank(UpstreamId upstream, Collection<VmId> fleet) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/SendWindow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/SendWindow.java
@@ -4,11 +4,8 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 
-/** How many requests have left, or are about to leave, within the last second. */
+/** How many requests have left, or are about to leave, within a time up to now. */
 final class SendWindow {
-    /** Two requests a second apart may come closer to each other on their way. */
-    private static final Duration LENGTH = Duration.ofMillis(1_050);
-
     private final ArrayDeque<Instant> left = new ArrayDeque<>();
     private int leaving;
 
@@ -20,7 +17,6 @@
     /** It has left. */
     void leaves(Instant now) {
         leaving--;
-        forgetOld(now);
         left.add(now);
     }
 
@@ -29,15 +25,17 @@
         leaving--;
     }
 
-    int count(Instant now) {
-        forgetOld(now);
-        return leaving + left.size();
-    }
-
-    private void forgetOld(Instant now) {
-        Instant from = now.minus(LENGTH);
+    /** Counts those of so long; what left before that is forgotten. */
+    int count(Duration length, Instant now) {
+        Instant from = now.minus(length);
         while (!left.isEmpty() && !left.peek().isAfter(from)) {
             left.remove();
         }
+        return leaving + left.size();
+    }
+
+    /** Forgets those that have left. */
+    void clear() {
+        left.clear();
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/package-info.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/package-info.java
@@ -1,5 +1,5 @@
 /**
- * How much is sent to upstreams that have just started, or may have: each bears only so many
- * requests a second from all routers together, and ends if it gets far more.
+ * How much is sent to upstreams that bear little, from all routers together: those that have just
+ * started, or may have, and those that name how many requests a second they take.
  */
 package io.damaskyoke.control.cold;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -1,7 +1,8 @@
 package io.damaskyoke.control.upstreams;
 
 import io.damaskyoke.control.cold.ColdGate;
-import io.damaskyoke.control.cold.ColdShare;
+import io.damaskyoke.control.cold.LimitGate;
+import io.damaskyoke.control.cold.UpstreamShare;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
@@ -26,6 +27,7 @@
     private final Health health = new Health();
     private final DrainedZones zones;
     private final ColdGate cold;
+    private final LimitGate limit;
     private final Map<ModelRef, Integer> running = new TreeMap<>();
     private UpstreamFacts facts;
     private HeldModels held;
@@ -36,9 +38,10 @@
     private double usualMillis;
     private Instant fullUntil = Instant.MIN;
 
-    Upstream(UpstreamFacts facts, DrainedZones zones, ColdGate cold, Instant now) {
+    Upstream(UpstreamFacts facts, DrainedZones zones, ColdGate cold, LimitGate limit, Instant now) {
         this.zones = zones;
         this.cold = cold;
+        this.limit = limit;
         this.facts = facts;
         this.held = facts.held();
         cold.says(facts.coldLeft(), now);
@@ -64,9 +67,15 @@
         return !facts.draining() && !closed(now);
     }
 
-    /** True unless it is cold and this router has sent its share of what it bears a second. */
-    public boolean hasColdRoom(ColdShare share, Instant now) {
-        return cold.room(() -> share.of(facts.id(), cold.limit().perSecond()), now);
+    /** True unless this router has sent its share of what it bears while cold, or of its limit. */
+    public boolean hasRoom(UpstreamShare share, Instant now) {
+        return limit.room(facts.id(), share, now)
+                && cold.room(() -> share.of(facts.id(), cold.limit().perSecond()), now);
+    }
+
+    /** How many requests it says it takes. */
+    public LimitGate limit() {
+        return limit;
     }
 
     /** True if it has started of late, or may have, and is slow. */
@@ -133,6 +142,7 @@
     public void sent(ModelRef model, Instant now) {
         inFlight++;
         cold.begins();
+        limit.begins();
         health.sent(now);
         if (model != null) {
             running.merge(model, 1, Integer::sum);
@@ -147,11 +157,13 @@
     /** The bytes of a request leave for it. */
     public void left(Instant now) {
         cold.leaves(now);
+        limit.leaves(now);
     }
 
     /** A request for it will not leave. */
     public void neverLeft() {
         cold.calledOff();
+        limit.calledOff();
     }
 
     /**
@@ -223,6 +235,9 @@
         cold.says(given.coldLeft(), now);
         boolean toldOfLate =
                 !toldAt.equals(Instant.MIN) && now.isBefore(toldAt.plus(OWN_WORD_LAGS));
+        if (reborn) {
+            limit.forget();
+        }
         if (reborn || !toldOfLate) {
             held = given.held();
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamChoice.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamChoice.java
@@ -1,6 +1,6 @@
 package io.damaskyoke.control.upstreams;
 
-import io.damaskyoke.control.cold.ColdShare;
+import io.damaskyoke.control.cold.UpstreamShare;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -35,13 +35,13 @@
 
     private final String zone;
     private final double queueing;
-    private final ColdShare share;
+    private final UpstreamShare share;
 
     /**
      * A choice for a router in this zone; an upstream may be sent this many times its slots before
      * it counts as full, and this router's share of what it bears while it is cold.
      */
-    public UpstreamChoice(String zone, double queueing, ColdShare share) {
+    public UpstreamChoice(String zone, double queueing, UpstreamShare share) {
         this.zone = zone;
         this.queueing = queueing;
         this.share = share;
@@ -75,7 +75,7 @@
                 && !upstream.full(now)
                 && upstream.load(now) < limit(upstream)
                 && holds(upstream, model)
-                && upstream.hasColdRoom(share, now);
+                && upstream.hasRoom(share, now);
     }
 
     private static boolean holds(Upstream upstream, ModelRef model) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.cold.ColdGate;
 import io.damaskyoke.control.cold.ColdLimit;
+import io.damaskyoke.control.cold.LimitGate;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -21,6 +22,7 @@
     private final Map<UpstreamId, Long> removedAt = new HashMap<>();
     private final DrainedZones zones;
     private final Map<UpstreamId, ColdGate> gates = new HashMap<>();
+    private final Map<UpstreamId, LimitGate> limits = new HashMap<>();
     private Map<String, ColdLimit> coldLimits = Map.of();
     private long revision;
 
@@ -47,7 +49,7 @@
         }
         Upstream known = byId.get(facts.id());
         if (known == null) {
-            byId.put(facts.id(), new Upstream(facts, zones, gate(facts), now));
+            byId.put(facts.id(), new Upstream(facts, zones, gate(facts), limit(facts.id()), now));
             index();
             return true;
         }
@@ -108,12 +110,17 @@
     private ColdGate gate(UpstreamFacts facts) {
         if (gates.size() > 2 * byId.size() + MOST_GATES_KEPT) {
             gates.keySet().retainAll(byId.keySet());
+            limits.keySet().retainAll(byId.keySet());
         }
         ColdGate gate = gates.computeIfAbsent(facts.id(), any -> new ColdGate());
         gate.limit(coldLimits.getOrDefault(facts.service(), ColdLimit.NONE));
         return gate;
     }
 
+    private LimitGate limit(UpstreamId id) {
+        return limits.computeIfAbsent(id, any -> new LimitGate());
+    }
+
     /** The upstreams of a service. */
     public List<Upstream> of(String service) {
         return byService.getOrDefault(service, List.of());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -125,6 +125,7 @@
         headers = fromUpstream;
         answer = flows.dialect().answer(status, fromUpstream, upstream.facts().id());
         answer.load().ifPresent(load -> upstream.reported(load.running(), load.waiting(), heardAt));
+        flows.limits().heard(upstream, answer.limit(), sentAt);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -98,6 +98,7 @@
     private final Dispatch dispatch;
     private final CrashWatch crashes;
     private final LostUpstreams lost;
+    private final LimitedUpstreams limits;
     private final Flows flows;
     private final RateAdmission rates;
     private final RatePeers ratePeers;
@@ -139,6 +140,7 @@
         this.crashes =
                 new CrashWatch(control, crashNews(), this::look, members::watches, this::first);
         this.lost = new LostUpstreams(clock, upstreams, neighbours);
+        this.limits = new LimitedUpstreams(clock, upstreams, neighbours);
         this.flows = flows();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
@@ -247,7 +249,8 @@
         Flows.RetryBounds bounds =
                 new Flows.RetryBounds(
                         settings.retryWindow(), settings.retryRatio(), settings.retryExtra());
-        return new Flows(dialect, client, dispatch, clock, bounds, members::size, crashes, lost);
+        return new Flows(
+                dialect, client, dispatch, clock, bounds, members::size, crashes, lost, limits);
     }
 
     private CrashNews crashNews() {
@@ -292,6 +295,7 @@
                 handOver,
                 crashes,
                 lost,
+                limits,
                 reports,
                 configuration,
                 drains,
@@ -400,12 +404,14 @@
         metrics.gauge("direct_left_before_served", callers::leftUnserved);
         metrics.gauge("requests_kept_out", crashes::keptOut);
         new DrainProgress(upstreams).show(metrics);
+        limits.show(metrics);
         String address = settings.peer().host() + ':' + settings.peer().port();
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         leader.start(this::replicasChanged);
         control.every(CHECK, this::check);
         control.every(REPORT, reports::report);
         control.every(GOSSIP, reports::gossip);
+        control.every(GOSSIP, limits::tellAgain);
         control.every(SWEEP, client::sweep);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dispatch.java
@@ -1,6 +1,6 @@
 package io.damaskyoke.direct;
 
-import io.damaskyoke.control.cold.ColdShare;
+import io.damaskyoke.control.cold.UpstreamShare;
 import io.damaskyoke.control.direct.Homes;
 import io.damaskyoke.control.direct.ServiceSpec;
 import io.damaskyoke.control.loads.LoadInput;
@@ -85,7 +85,7 @@
             Map<String, String> regions,
             InstantSource clock,
             Consumer<Runnable> whenRead,
-            ColdShare share) {
+            UpstreamShare share) {
         this.upstreams = upstreams;
         this.clock = clock;
         this.whenRead = whenRead;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -22,6 +22,7 @@
     private final SlidingMaximum routers;
     private final CrashWatch crashes;
     private final LostUpstreams lost;
+    private final LimitedUpstreams limits;
     private final DecisionLog log;
     private final Set<Flow> open = new LinkedHashSet<>();
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -43,7 +44,8 @@
             RetryBounds bounds,
             IntSupplier routers,
             CrashWatch crashes,
-            LostUpstreams lost) {
+            LostUpstreams lost,
+            LimitedUpstreams limits) {
         this.dialect = dialect;
         this.client = client;
         this.dispatch = dispatch;
@@ -52,6 +54,7 @@
         this.routers = new SlidingMaximum(routers, clock, bounds.window());
         this.crashes = crashes;
         this.lost = lost;
+        this.limits = limits;
         this.log = new DecisionLog(clock);
     }
 
@@ -75,6 +78,10 @@
         return lost;
     }
 
+    LimitedUpstreams limits() {
+        return limits;
+    }
+
     Instant now() {
         return clock.instant();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import com.google.protobuf.ByteString;
+import io.damaskyoke.control.cold.LimitWord;
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamEnd;
@@ -27,6 +28,7 @@
 import io.damaskyoke.peer.wire.SuspectRequest;
 import io.damaskyoke.peer.wire.UnansweredLoad;
 import io.damaskyoke.peer.wire.UpstreamEnded;
+import io.damaskyoke.peer.wire.UpstreamLimit;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
 import io.damaskyoke.platform.PolledStore.Changes;
@@ -146,6 +148,27 @@
         return ran;
     }
 
+    static Frame limit(LimitedUpstreams.Word word, boolean passOn) {
+        UpstreamLimit limit =
+                UpstreamLimit.newBuilder()
+                        .setUpstream(word.upstream().value())
+                        .setStartedAt(word.startedAt())
+                        .setNamed(word.limit().isNamed())
+                        .setPerSecond(word.limit().perSecond())
+                        .setAgeMs((int) word.age().toMillis())
+                        .setPassOn(passOn)
+                        .build();
+        return Frame.newBuilder().setUpstreamLimit(limit).build();
+    }
+
+    static LimitedUpstreams.Word limit(UpstreamLimit limit) {
+        return new LimitedUpstreams.Word(
+                UpstreamId.of(limit.getUpstream()),
+                limit.getStartedAt(),
+                limit.getNamed() ? LimitWord.named(limit.getPerSecond()) : LimitWord.NO_LIMIT,
+                Duration.ofMillis(limit.getAgeMs()));
+    }
+
     static Frame lost(UpstreamId upstream, long startedAt, boolean passOn) {
         LostUpstream lost =
                 LostUpstream.newBuilder()
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -34,6 +34,7 @@
             OrderHandOver handOver,
             CrashWatch crashes,
             LostUpstreams lost,
+            LimitedUpstreams limits,
             DemandReports reports,
             ConfigurationHolder configuration,
             ZoneDrains drains,
@@ -89,6 +90,11 @@
         parts.lost().told(upstream, startedAt, passOn);
     }
 
+    @Override
+    public void limited(LimitedUpstreams.Word word, boolean passOn) {
+        parts.limits().told(word, passOn);
+    }
+
     @Override
     public void watched(RequestDigest request) {
         parts.crashes().toldWatched(request);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -27,6 +27,7 @@
 import io.damaskyoke.peer.wire.StoredNews;
 import io.damaskyoke.peer.wire.SuspectRequest;
 import io.damaskyoke.peer.wire.UpstreamEnded;
+import io.damaskyoke.peer.wire.UpstreamLimit;
 import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.time.Instant;
@@ -39,7 +40,8 @@
 import java.util.function.Consumer;
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
-final class Neighbours implements PeerListener, LeaderNews, CrashNews, LostUpstreams.Wire {
+final class Neighbours
+        implements PeerListener, LeaderNews, CrashNews, LostUpstreams.Wire, LimitedUpstreams.Wire {
     /** Routers report to the leader every 0.6 s at least. */
     private static final Duration STORE_SEEN = Duration.ofMillis(1_200);
 
@@ -95,6 +97,9 @@
         /** A router can't reach an upstream in this life; all others are to be told or are. */
         void lost(UpstreamId upstream, long startedAt, boolean passOn);
 
+        /** An upstream says how many requests it takes; all others are to be told or are. */
+        void limited(LimitedUpstreams.Word word, boolean passOn);
+
         /** A router gave the orders under this lease and can't tell the store that it stopped. */
         void leaseEnded(VmId by, long lease);
 
@@ -229,6 +234,23 @@
         }
     }
 
+    @Override
+    public void tellLimit(LimitedUpstreams.Word word) {
+        if (members.watches()) {
+            passLimitOn(word);
+        } else {
+            Frame frame = NeighbourFrames.limit(word, true);
+            members.plan().watchers().forEach(vm -> send(vm, frame));
+        }
+    }
+
+    @Override
+    public void passLimitOn(LimitedUpstreams.Word word) {
+        if (members.watches()) {
+            sendAll(NeighbourFrames.limit(word, false));
+        }
+    }
+
     /** A router that reached the store a moment ago, if there is one. */
     Optional<VmId> withStore() {
         Instant now = control.clock().instant();
@@ -319,6 +341,9 @@
         } else if (frame.hasLostUpstream()) {
             LostUpstream lost = frame.getLostUpstream();
             listener.lost(UpstreamId.of(lost.getUpstream()), lost.getStartedAt(), lost.getPassOn());
+        } else if (frame.hasUpstreamLimit()) {
+            UpstreamLimit limit = frame.getUpstreamLimit();
+            listener.limited(NeighbourFrames.limit(limit), limit.getPassOn());
         } else if (frame.hasLeaseEnd()) {
             listener.leaseEnded(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.cold.LimitWord;
 import java.util.Optional;
 
 /**
@@ -10,6 +11,7 @@
  * @param sealed whether the answer bears the upstream's seal, without which no success counts
  * @param encoded whether the body is not as the upstream made it
  * @param load what runs and waits there, if it says so
+ * @param limit what it says of how many requests it takes
  */
 public record UpstreamAnswer(
         int status,
@@ -17,7 +19,8 @@
         boolean misdirected,
         boolean sealed,
         boolean encoded,
-        Optional<Load> load) {
+        Optional<Load> load,
+        LimitWord limit) {
     /** Requests that run and wait at the upstream. */
     public record Load(int running, int waiting) {}
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/cold/EvenShareTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/cold/EvenShareTest.java
@@ -29,7 +29,7 @@
     void inALargeFleetEachRouterHasSomeUpstreams() {
         List<VmId> fleet = fleet(300);
         for (VmId router : fleet) {
-            ColdShare share = new EvenShare(router, () -> fleet);
+            UpstreamShare share = new EvenShare(router, () -> fleet);
             int usable = 0;
             for (int each = 0; each < 200; each++) {
                 usable += share.of(UpstreamId.of("i-" + each), ALL);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/ColdRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/ColdRouter.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
-import io.damaskyoke.control.cold.ColdShare;
 import io.damaskyoke.control.cold.EvenShare;
+import io.damaskyoke.control.cold.UpstreamShare;
 import io.damaskyoke.control.direct.Homes;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
@@ -31,7 +31,7 @@
 
     private final ColdWorld world;
     private final VmId name;
-    private final ColdShare share;
+    private final UpstreamShare share;
     private UpstreamTable upstreams;
     private Dispatch dispatch;
     private int life;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -74,7 +74,8 @@
                             (upstream, then) -> then.accept(CrashWatch.Sign.NONE),
                             () -> true,
                             () -> true),
-                    new LostUpstreams(Instant::now, upstreams, new SilentWire()));
+                    new LostUpstreams(Instant::now, upstreams, new SilentWire()),
+                    new LimitedUpstreams(Instant::now, upstreams, new SilentLimits()));
     private final HttpServer upstream = server(upstreamLoop, this::run);
     private final HttpServer router = server(loop, this::begin);
 
@@ -257,6 +258,14 @@
         return caller;
     }
 
+    private static final class SilentLimits implements LimitedUpstreams.Wire {
+        @Override
+        public void tellLimit(LimitedUpstreams.Word word) {}
+
+        @Override
+        public void passLimitOn(LimitedUpstreams.Word word) {}
+    }
+
     /** No other router is there to be told. */
     private static final class SilentWire implements LostUpstreams.Wire {
         @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.cold.LimitWord;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OrderOutcome;
@@ -111,7 +112,8 @@
 
     @Override
     public UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected) {
-        return new UpstreamAnswer(status, status == 503, false, true, false, Optional.empty());
+        return new UpstreamAnswer(
+                status, status == 503, false, true, false, Optional.empty(), LimitWord.NO_LIMIT);
     }
 
     @Override
