Prove the limits that upstreams name over 4, 22 and 300 routers in a simulated world

Real table, choice, queue, shares and news; words between routers late by up to 60 ms and one in ten lost, routers that restart, limits from 0 to 45 a second that change, end and come again. No window of four seconds is beyond the rule in 40 seeds at 4 and 22 routers and 4 at 300; without the shares it is (withoutSharesUpstreamsGetTooMuch). What a limit allows is used to 0.8 and more while requests wait, also where it is 0.3 a second or less than one request a router.

--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitPromisesTest.java
@@ -0,0 +1,98 @@
+package io.damaskyoke.direct;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What upstreams that name a limit get from all routers together. */
+class LimitPromisesTest {
+    /** Others by hand: -Dlimit.first=1000 -Dlimit.count=10000. */
+    private static final long FIRST = Long.getLong("limit.first", 1);
+
+    private static final int SEEDS = Integer.getInteger("limit.count", 40);
+    private static final double DEMAND = 120;
+    private static final double[] LIMITS = {0, 0.3, 1.6, 2.1, 7, 45};
+    private static final Duration CONTACT = Duration.ofSeconds(3);
+
+    /** What a limited upstream is to be used to while requests wait. */
+    private static final double USED = 0.8;
+
+    // Guards against limits that each router keeps for itself, or hears of only by itself.
+    @ParameterizedTest
+    @CsvSource({"4", "22", "300"})
+    void aLimitedUpstreamGetsNoMoreThanItMayFromThoseThatKnow(int routers) {
+        List<String> broken = new ArrayList<>();
+        for (long seed = FIRST; seed < FIRST + seeds(routers); seed++) {
+            LimitWorld world = played(routers, seed, LimitWorld.Rules.usual());
+            if (world.broken() > 0) {
+                broken.add("seed " + seed + ": " + world);
+            }
+        }
+        assertEquals(List.of(), broken);
+    }
+
+    // Guards against a world that would find no fault.
+    @ParameterizedTest
+    @CsvSource({"22", "300"})
+    void withoutSharesUpstreamsGetTooMuch(int routers) {
+        int broken = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            broken += played(routers, seed, new LimitWorld.Rules(false, 0.1)).broken();
+        }
+        assertTrue(broken > 0);
+    }
+
+    // Guards against an upstream that is left idle though it takes some, and requests wait.
+    @ParameterizedTest
+    @CsvSource({"4, 0.3", "4, 1.6", "22, 2.1", "22, 10", "300, 1.6", "300, 45"})
+    void whatALimitAllowsIsUsedWhileRequestsWait(int routers, double limit) {
+        LimitWorld world = new LimitWorld(routers, 1, LimitWorld.Rules.usual());
+        world.engines().forEach(engine -> engine.names(limit));
+        world.demand(DEMAND * 3);
+        world.pass(CONTACT);
+        Duration time = Duration.ofSeconds(40);
+        world.pass(time);
+        for (LimitWorld.Engine engine : world.engines()) {
+            double used = engine.whileLimited() / (limit * time.toSeconds());
+            assertTrue(used >= USED, engine.id() + " is used to " + used);
+        }
+    }
+
+    private static int seeds(int routers) {
+        return routers >= 100 ? Math.max(1, SEEDS / 10) : SEEDS;
+    }
+
+    private static LimitWorld played(int routers, long seed, LimitWorld.Rules rules) {
+        LimitWorld world = new LimitWorld(routers, seed, rules);
+        world.demand(DEMAND);
+        world.pass(Duration.ofSeconds(2));
+        for (int round = 0; round < 3; round++) {
+            LimitWorld.Engine one = world.engines().get(0);
+            LimitWorld.Engine two = world.engines().get(1);
+            one.names(LIMITS[world.random.nextInt(LIMITS.length)]);
+            world.pass(Duration.ofMillis(world.random.nextInt(3_000)));
+            two.names(LIMITS[world.random.nextInt(LIMITS.length)]);
+            troubles(world);
+            world.pass(Duration.ofSeconds(9));
+            one.namesNone();
+            world.pass(Duration.ofSeconds(2));
+            two.namesNone();
+            world.pass(Duration.ofSeconds(4));
+        }
+        return world;
+    }
+
+    private static void troubles(LimitWorld world) {
+        for (LimitRouter router : world.routers()) {
+            if (world.random.nextInt(6) == 0) {
+                Duration later = Duration.ofMillis(world.random.nextInt(6_000));
+                world.time.after(later, router::restart);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
@@ -0,0 +1,179 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.cold.EvenShare;
+import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.UpstreamShare;
+import io.damaskyoke.control.direct.Homes;
+import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.id.VmId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A router of a {@link LimitWorld}: the real table, choice, queue and news. */
+final class LimitRouter {
+    private static final Duration CHECK = Duration.ofMillis(50);
+    private static final Duration AGAIN = Duration.ofSeconds(1);
+    private static final Duration DOWN = Duration.ofMillis(1_200);
+    private static final Duration CALLER_WAITS = Duration.ofSeconds(2);
+
+    private final LimitWorld world;
+    private final VmId name;
+    private final UpstreamShare share;
+    private UpstreamTable upstreams;
+    private Dispatch dispatch;
+    private LimitedUpstreams limits;
+    private int life;
+
+    LimitRouter(LimitWorld world, VmId name) {
+        this.world = world;
+        this.name = name;
+        this.share =
+                world.rules().shared()
+                        ? new EvenShare(name, world::routerNames)
+                        : (upstream, all) -> (int) all;
+    }
+
+    VmId name() {
+        return name;
+    }
+
+    /** Is killed, and is back later with all forgotten. */
+    void restart() {
+        life++;
+        dispatch = null;
+        world.engines().forEach(engine -> engine.forgets(name));
+        world.time.after(DOWN, this::begin);
+    }
+
+    void begin() {
+        int own = ++life;
+        upstreams = new UpstreamTable();
+        world.engines().forEach(engine -> upstreams.put(engine.facts(), world.now()));
+        dispatch = new Dispatch(upstreams, "a", Map.of(), world::now, Runnable::run, share);
+        limits = new LimitedUpstreams(world::now, upstreams, new Wire());
+        every(own, CHECK, () -> dispatch.tick());
+        every(own, AGAIN, () -> limits.tellAgain());
+    }
+
+    private void every(int own, Duration period, Runnable step) {
+        world.time.after(
+                period,
+                () -> {
+                    if (life == own) {
+                        step.run();
+                        every(own, period, step);
+                    }
+                });
+    }
+
+    void ask() {
+        if (dispatch != null) {
+            dispatch.enqueue(new Request());
+        }
+    }
+
+    void told(LimitedUpstreams.Word word, boolean passOn) {
+        if (dispatch != null) {
+            limits.told(word, passOn);
+            dispatch.tick();
+        }
+    }
+
+    private final class Wire implements LimitedUpstreams.Wire {
+        @Override
+        public void tellLimit(LimitedUpstreams.Word word) {
+            world.tell(LimitRouter.this, word);
+        }
+
+        @Override
+        public void passLimitOn(LimitedUpstreams.Word word) {
+            if (world.watches(LimitRouter.this)) {
+                world.tell(LimitRouter.this, word);
+            }
+        }
+    }
+
+    private final class Request implements Waiter {
+        private final Instant since = world.now();
+
+        @Override
+        public String service() {
+            return LimitWorld.SERVICE;
+        }
+
+        @Override
+        public Optional<ModelRef> model() {
+            return Optional.empty();
+        }
+
+        @Override
+        public Homes homes() {
+            return Homes.ANYWHERE;
+        }
+
+        @Override
+        public int urgency() {
+            return 1;
+        }
+
+        @Override
+        public Instant since() {
+            return since;
+        }
+
+        @Override
+        public Instant inTimeUntil() {
+            return since.plusSeconds(1);
+        }
+
+        @Override
+        public Instant until() {
+            return since.plus(CALLER_WAITS);
+        }
+
+        @Override
+        public Set<UpstreamId> tried() {
+            return Set.of();
+        }
+
+        @Override
+        public void sendTo(Upstream upstream) {
+            int own = life;
+            Instant sentAt = world.now();
+            LimitWorld.Engine engine = world.engine(upstream.facts().id());
+            upstream.sent(null, sentAt);
+            upstream.left(sentAt);
+            world.time.after(Duration.ofMillis(1), () -> engine.arrives(name));
+            Duration takes = Duration.ofMillis(20 + world.random.nextInt(300));
+            world.time.after(
+                    takes,
+                    () -> {
+                        if (life == own) {
+                            answered(upstream, engine, sentAt, takes);
+                        }
+                    });
+        }
+
+        private void answered(
+                Upstream upstream, LimitWorld.Engine engine, Instant sentAt, Duration took) {
+            LimitWord word = engine.limit();
+            upstream.answered(took, world.now());
+            upstream.over(null);
+            engine.passedOn(name);
+            limits.heard(upstream, word, sentAt);
+            world.noteServed();
+            dispatch.drain(LimitWorld.SERVICE);
+        }
+
+        @Override
+        public void waitedInVain() {
+            world.noteRefused();
+        }
+    }
+}
