Show models that nobody is served, and how much of the weight store is in use

Why: the logs could not tell a model that no engine can load from one whose engine is barred, nor whether loads from the store crowd each other; the postmortem of models never served had to infer both from orders.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -99,6 +99,25 @@
         return rounds;
     }
 
+    /** What requests wait for and no engine holds. */
+    public UnmetNeed unmet(Instant now) {
+        demand.addUp(now);
+        int models = 0;
+        Duration oldest = Duration.ZERO;
+        for (LoadInput.Want want : demand.waiting()) {
+            if (engines.values().stream().noneMatch(engine -> engine.held().has(want.model()))) {
+                models++;
+                oldest = want.oldest().compareTo(oldest) > 0 ? want.oldest() : oldest;
+            }
+        }
+        return new UnmetNeed(models, oldest);
+    }
+
+    /** How much of the weight store is in use. */
+    public StoreUse storeUse() {
+        return new StoreUse(StoreLoads.running(engines.values()), storeLoads.atFullSpeed());
+    }
+
     private void take(LoadInput input, Instant now, List<LoadAction> actions) {
         if (input instanceof LoadInput.Configured configured) {
             configured(configured.engines());
@@ -474,6 +493,6 @@
      */
     public List<String> barred(Duration longerThan, Instant now) {
         demand.addUp(now);
-        return new WaitReport(demand, engines.values(), now).longerThan(longerThan);
+        return new WaitReport(demand, engines.values(), storeUse(), now).longerThan(longerThan);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/WaitReport.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/WaitReport.java
@@ -11,11 +11,13 @@
 final class WaitReport {
     private final DemandBook demand;
     private final Collection<Engine> engines;
+    private final StoreUse store;
     private final Instant now;
 
-    WaitReport(DemandBook demand, Collection<Engine> engines, Instant now) {
+    WaitReport(DemandBook demand, Collection<Engine> engines, StoreUse store, Instant now) {
         this.demand = demand;
         this.engines = engines;
+        this.store = store;
         this.now = now;
     }
 
@@ -33,13 +35,19 @@
         StringBuilder line = new StringBuilder(want.model().toString());
         line.append(" waiting=").append(want.waiting());
         line.append(" ms=").append(want.oldest().toMillis());
+        boolean anywhere = false;
         for (Engine engine : engines) {
             boolean has = engine.has(want.model().model());
             if (has || engine.hasCopy(want.model().model())) {
                 line.append(' ').append(engine.id()).append('=');
                 line.append(has ? "held," : "copy,").append(state(engine));
+                anywhere = true;
             }
         }
+        if (!anywhere) {
+            line.append(" no copy, loads from the store ").append(store.running());
+            line.append(" of ").append(store.atFullSpeed());
+        }
         return line.toString();
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -405,6 +405,8 @@
         metrics.gauge("requests_kept_out", crashes::keptOut);
         new DrainProgress(upstreams).show(metrics);
         limits.show(metrics);
+        leader.show(metrics);
+        metrics.gauge("models_unserved", flows.unserved()::many);
         String address = settings.peer().host() + ':' + settings.peer().port();
         rates.start(ratePeers, address, Map.of(), LIST_PERIOD, processBegan());
         leader.start(this::replicasChanged);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -251,6 +251,7 @@
 
     @Override
     public void waitedInVain() {
+        request.model().ifPresent(flows.unserved()::refused);
         Duration wait = request.model().isPresent() ? COME_BACK_COLD : COME_BACK;
         if (started) {
             breakOff("no upstream for the rest of the stream");
@@ -411,6 +412,7 @@
 
     // Whatever it answered, the upstream is there.
     private void answeredInFull() {
+        request.model().ifPresent(flows.unserved()::served);
         if (flows.crashes().awaitsAnswers() && !call.over()) {
             flows.crashes().answered(digest());
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flows.java
@@ -24,6 +24,7 @@
     private final LostUpstreams lost;
     private final LimitedUpstreams limits;
     private final DecisionLog log;
+    private final UnservedModels unserved = new UnservedModels();
     private final Set<Flow> open = new LinkedHashSet<>();
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -82,6 +83,10 @@
         return limits;
     }
 
+    UnservedModels unserved() {
+        return unserved;
+    }
+
     Instant now() {
         return clock.instant();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/OrderLeader.java
@@ -10,12 +10,14 @@
 import io.damaskyoke.control.loads.LoadSettings;
 import io.damaskyoke.control.loads.OpenLoad;
 import io.damaskyoke.control.loads.OrderOutcome;
+import io.damaskyoke.control.loads.UnmetNeed;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.id.VmId;
+import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -84,6 +86,18 @@
         lease.start(this);
     }
 
+    /** Shows what models are waited for, and how much of the weight store is in use. */
+    void show(Metrics metrics) {
+        metrics.gauge("models_waited_for", () -> unmet().models());
+        metrics.gauge("oldest_model_wait_ms", () -> unmet().oldest().toMillis());
+        metrics.gauge("store_loads_running", () -> planner.storeUse().running());
+        metrics.gauge("store_loads_at_full_speed", () -> planner.storeUse().atFullSpeed());
+    }
+
+    private UnmetNeed unmet() {
+        return lease.held() ? planner.unmet(control.clock().instant()) : UnmetNeed.NONE;
+    }
+
     void configured(DirectConfiguration configuration) {
         Map<String, EngineSpec> engines = new HashMap<>();
         for (ServiceSpec service : configuration.engines()) {
