--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitGate.java
@@ -13,7 +13,7 @@
  * of them knows of the others.
  *
  * <p>Answers overtake each other, and those to requests from before the limit was named come after
- * the word of it. So a limit ends only by an answer to a request that left after it was last named.
+ * it is known. So a limit ends only by an answer to a request that left after it was last named.
  */
 public final class LimitGate {
     /** Parts are counted over this time at least. */
@@ -28,53 +28,53 @@
     private static final double MILLIS = 1_000;
 
     private final SendWindow sent = new SendWindow();
-    private LimitWord word = LimitWord.NO_LIMIT;
+    private RequestLimit limit = RequestLimit.NO_LIMIT;
     private Instant namedAt = Instant.MIN;
     private Instant endedAt = Instant.MIN;
     private long heldBack;
 
     /**
-     * Takes in a word on the limit.
+     * Takes in what an answer, here or at another router, says of the limit.
      *
      * @param at for a limit that is named when that was heard, for the end of one when the request
      *     left whose answer lacked it
      * @return true if it changes what is known, so that others should hear of it
      */
-    public boolean heard(LimitWord given, Instant at, Instant now) {
+    public boolean heard(RequestLimit given, Instant at, Instant now) {
         if (given.isNamed()) {
             return named(given, at, now);
         }
-        if (given.kind() != LimitWord.Kind.NO_LIMIT || !limited(now) || !at.isAfter(namedAt)) {
+        if (given.kind() != RequestLimit.Kind.NO_LIMIT || !limited(now) || !at.isAfter(namedAt)) {
             return false;
         }
         endedAt = at;
-        word = LimitWord.NO_LIMIT;
+        limit = RequestLimit.NO_LIMIT;
         return true;
     }
 
-    private boolean named(LimitWord given, Instant at, Instant now) {
+    private boolean named(RequestLimit given, Instant at, Instant now) {
         if (!at.isAfter(endedAt) || at.isBefore(namedAt)) {
             return false;
         }
-        boolean news = !limited(now) || !given.equals(word);
-        word = given;
+        boolean news = !limited(now) || !given.equals(limit);
+        limit = given;
         namedAt = at;
         return news;
     }
 
     /** The upstream has begun another life, of which nothing is known. */
     public void forget() {
-        word = LimitWord.NO_LIMIT;
+        limit = RequestLimit.NO_LIMIT;
     }
 
     /** True if it takes only so many. */
     public boolean limited(Instant now) {
-        return word.isNamed() && now.isBefore(namedAt.plus(LAPSE));
+        return limit.isNamed() && now.isBefore(namedAt.plus(LAPSE));
     }
 
     /** What it last said. */
-    public LimitWord word() {
-        return word;
+    public RequestLimit limit() {
+        return limit;
     }
 
     /** When it was last heard to name its limit. */
@@ -98,7 +98,7 @@
             return true;
         }
         Duration window = window();
-        double all = Math.floor(word.perSecond() * window.toMillis() / MILLIS);
+        double all = Math.floor(limit.perSecond() * window.toMillis() / MILLIS);
         boolean room = sent.count(window.plus(LATENESS), now) < share.of(upstream, all);
         heldBack += room ? 0 : 1;
         return room;
@@ -106,10 +106,10 @@
 
     // Long enough for one request at least, so that the smallest limit is used.
     private Duration window() {
-        if (word.perSecond() == 0) {
+        if (limit.perSecond() == 0) {
             return LEAST_WINDOW;
         }
-        Duration one = Duration.ofMillis((long) Math.ceil(MILLIS / word.perSecond()));
+        Duration one = Duration.ofMillis((long) Math.ceil(MILLIS / limit.perSecond()));
         return one.compareTo(LEAST_WINDOW) > 0 ? one : LEAST_WINDOW;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitWord.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/RequestLimit.java
@@ -1,11 +1,11 @@
 package io.damaskyoke.control.cold;
 
 /**
- * What an answer says of the requests that its upstream takes: {@code LimitWord.named(1.6)}.
+ * What an answer says of the requests that its upstream takes: {@code RequestLimit.named(1.6)}.
  *
  * @param perSecond requests a second from all routers together; of no meaning unless named
  */
-public record LimitWord(Kind kind, double perSecond) {
+public record RequestLimit(Kind kind, double perSecond) {
     /** What an answer can say. */
     public enum Kind {
         /** It is not known to be the upstream's own, or tells nothing. */
@@ -19,18 +19,18 @@
     }
 
     /** An answer that tells nothing. */
-    public static final LimitWord NOTHING = new LimitWord(Kind.NOTHING, 0);
+    public static final RequestLimit NOTHING = new RequestLimit(Kind.NOTHING, 0);
 
     /** The upstream takes as many as ever. */
-    public static final LimitWord NO_LIMIT = new LimitWord(Kind.NO_LIMIT, 0);
+    public static final RequestLimit NO_LIMIT = new RequestLimit(Kind.NO_LIMIT, 0);
 
     /** A limit that can't be read. */
-    public static final LimitWord UNREADABLE = new LimitWord(Kind.UNREADABLE, 0);
+    public static final RequestLimit UNREADABLE = new RequestLimit(Kind.UNREADABLE, 0);
 
     /** A limit in requests a second; unreadable if it is negative or no number. */
-    public static LimitWord named(double perSecond) {
+    public static RequestLimit named(double perSecond) {
         boolean readable = Double.isFinite(perSecond) && perSecond >= 0;
-        return readable ? new LimitWord(Kind.NAMED, perSecond) : UNREADABLE;
+        return readable ? new RequestLimit(Kind.NAMED, perSecond) : UNREADABLE;
     }
 
     /** True if it names a limit. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -74,7 +74,7 @@
     }
 
     /** How many requests it says it takes. */
-    public LimitGate limit() {
+    public LimitGate limitGate() {
         return limit;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LimitedUpstreams.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LimitedUpstreams.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.cold.LimitGate;
-import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
@@ -21,7 +21,9 @@
 final class LimitedUpstreams {
     private static final Logger LOG = LogManager.getLogger(LimitedUpstreams.class);
 
-    /** The end of a limit is told again for so long, for those whom the first word didn't reach. */
+    /**
+     * The end of a limit is told again for so long, for those whom the first message didn't reach.
+     */
     private static final Duration END_TOLD = Duration.ofSeconds(4);
 
     private final InstantSource clock;
@@ -29,13 +31,13 @@
     private final Wire wire;
     private final Set<UpstreamId> unreadable = new HashSet<>();
 
-    /** Takes word to other routers. */
+    /** Takes news to other routers. */
     interface Wire {
         /** To those that pass it on to all. */
-        void tellLimit(Word word);
+        void tellLimit(News news);
 
         /** To all, if this router is one of those that pass it on. */
-        void passLimitOn(Word word);
+        void passLimitOn(News news);
     }
 
     /**
@@ -44,7 +46,7 @@
      * @param startedAt in which of its lives, by its start
      * @param age how long ago the limit was heard, or the request left whose answer had none
      */
-    record Word(UpstreamId upstream, long startedAt, LimitWord limit, Duration age) {}
+    record News(UpstreamId upstream, long startedAt, RequestLimit limit, Duration age) {}
 
     LimitedUpstreams(InstantSource clock, UpstreamTable upstreams, Wire wire) {
         this.clock = clock;
@@ -53,47 +55,48 @@
     }
 
     /** An answer to a request that left at that time says this. */
-    void heard(Upstream upstream, LimitWord limit, Instant sentAt) {
-        if (limit.kind() == LimitWord.Kind.UNREADABLE) {
+    void heard(Upstream upstream, RequestLimit limit, Instant sentAt) {
+        if (limit.kind() == RequestLimit.Kind.UNREADABLE) {
             if (unreadable.add(upstream.facts().id())) {
                 LOG.warn("upstream {} names a limit that is none", upstream.facts().id());
             }
             return;
         }
         Instant now = clock.instant();
-        if (upstream.limit().heard(limit, limit.isNamed() ? now : sentAt, now)) {
+        if (upstream.limitGate().heard(limit, limit.isNamed() ? now : sentAt, now)) {
             log(upstream, "it says");
-            wire.tellLimit(word(upstream, now));
+            wire.tellLimit(news(upstream, now));
         }
     }
 
     /** Another router has heard this; {@code passOn} if others wait for it. */
-    void told(Word word, boolean passOn) {
+    void told(News news, boolean passOn) {
         Instant now = clock.instant();
         upstreams
-                .find(word.upstream())
-                .filter(upstream -> upstream.facts().held().startedAt() == word.startedAt())
+                .find(news.upstream())
+                .filter(upstream -> upstream.facts().held().startedAt() == news.startedAt())
                 .filter(
                         upstream ->
-                                upstream.limit().heard(word.limit(), now.minus(word.age()), now))
+                                upstream.limitGate()
+                                        .heard(news.limit(), now.minus(news.age()), now))
                 .ifPresent(
                         upstream -> {
                             log(upstream, "another router says");
                             if (passOn) {
-                                wire.passLimitOn(word);
+                                wire.passLimitOn(news);
                             }
                         });
     }
 
-    /** Tells again what is known: words get lost, and routers start. Called once a second. */
+    /** Tells again what is known: messages get lost, and routers start. Called once a second. */
     void tellAgain() {
         Instant now = clock.instant();
         for (Upstream upstream : upstreams.all()) {
-            LimitGate limit = upstream.limit();
-            boolean ended = !limit.endedAt().equals(Instant.MIN);
-            boolean endedOfLate = ended && now.isBefore(limit.endedAt().plus(END_TOLD));
-            if (limit.limited(now) || endedOfLate) {
-                wire.tellLimit(word(upstream, now));
+            LimitGate gate = upstream.limitGate();
+            boolean ended = !gate.endedAt().equals(Instant.MIN);
+            boolean endedOfLate = ended && now.isBefore(gate.endedAt().plus(END_TOLD));
+            if (gate.limited(now) || endedOfLate) {
+                wire.tellLimit(news(upstream, now));
             }
         }
     }
@@ -106,30 +109,30 @@
 
     private long limited() {
         Instant now = clock.instant();
-        return upstreams.all().stream().filter(each -> each.limit().limited(now)).count();
+        return upstreams.all().stream().filter(each -> each.limitGate().limited(now)).count();
     }
 
     private long heldBack() {
-        return upstreams.all().stream().mapToLong(each -> each.limit().heldBack()).sum();
+        return upstreams.all().stream().mapToLong(each -> each.limitGate().heldBack()).sum();
     }
 
-    private static Word word(Upstream upstream, Instant now) {
-        LimitGate limit = upstream.limit();
-        Instant at = limit.word().isNamed() ? limit.namedAt() : limit.endedAt();
-        return new Word(
+    private static News news(Upstream upstream, Instant now) {
+        LimitGate gate = upstream.limitGate();
+        Instant at = gate.limit().isNamed() ? gate.namedAt() : gate.endedAt();
+        return new News(
                 upstream.facts().id(),
                 upstream.facts().held().startedAt(),
-                limit.word(),
+                gate.limit(),
                 Duration.between(at, now));
     }
 
     private static void log(Upstream upstream, String source) {
-        LimitWord word = upstream.limit().word();
-        if (word.isNamed()) {
+        RequestLimit limit = upstream.limitGate().limit();
+        if (limit.isNamed()) {
             LOG.info(
                     "upstream {} takes {} requests a second from all routers, as {}",
                     upstream.facts().id(),
-                    word.perSecond(),
+                    limit.perSecond(),
                     source);
         } else {
             LOG.info("upstream {} names no limit any more, as {}", upstream.facts().id(), source);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
 import com.google.protobuf.ByteString;
-import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamEnd;
@@ -148,7 +148,7 @@
         return ran;
     }
 
-    static Frame limit(LimitedUpstreams.Word word, boolean passOn) {
+    static Frame limit(LimitedUpstreams.News word, boolean passOn) {
         UpstreamLimit limit =
                 UpstreamLimit.newBuilder()
                         .setUpstream(word.upstream().value())
@@ -161,11 +161,11 @@
         return Frame.newBuilder().setUpstreamLimit(limit).build();
     }
 
-    static LimitedUpstreams.Word limit(UpstreamLimit limit) {
-        return new LimitedUpstreams.Word(
+    static LimitedUpstreams.News limit(UpstreamLimit limit) {
+        return new LimitedUpstreams.News(
                 UpstreamId.of(limit.getUpstream()),
                 limit.getStartedAt(),
-                limit.getNamed() ? LimitWord.named(limit.getPerSecond()) : LimitWord.NO_LIMIT,
+                limit.getNamed() ? RequestLimit.named(limit.getPerSecond()) : RequestLimit.NO_LIMIT,
                 Duration.ofMillis(limit.getAgeMs()));
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -91,7 +91,7 @@
     }
 
     @Override
-    public void limited(LimitedUpstreams.Word word, boolean passOn) {
+    public void limited(LimitedUpstreams.News word, boolean passOn) {
         parts.limits().told(word, passOn);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -98,7 +98,7 @@
         void lost(UpstreamId upstream, long startedAt, boolean passOn);
 
         /** An upstream says how many requests it takes; all others are to be told or are. */
-        void limited(LimitedUpstreams.Word word, boolean passOn);
+        void limited(LimitedUpstreams.News word, boolean passOn);
 
         /** A router gave the orders under this lease and can't tell the store that it stopped. */
         void leaseEnded(VmId by, long lease);
@@ -235,7 +235,7 @@
     }
 
     @Override
-    public void tellLimit(LimitedUpstreams.Word word) {
+    public void tellLimit(LimitedUpstreams.News word) {
         if (members.watches()) {
             passLimitOn(word);
         } else {
@@ -245,7 +245,7 @@
     }
 
     @Override
-    public void passLimitOn(LimitedUpstreams.Word word) {
+    public void passLimitOn(LimitedUpstreams.News word) {
         if (members.watches()) {
             sendAll(NeighbourFrames.limit(word, false));
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
@@ -1,6 +1,6 @@
 package io.damaskyoke.direct;
 
-import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.RequestLimit;
 import java.util.Optional;
 
 /**
@@ -20,7 +20,7 @@
         boolean sealed,
         boolean encoded,
         Optional<Load> load,
-        LimitWord limit) {
+        RequestLimit limit) {
     /** Requests that run and wait at the upstream. */
     public record Load(int running, int waiting) {}
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/cold/LimitGateTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/cold/LimitGateTest.java
@@ -19,7 +19,7 @@
     @ParameterizedTest
     @CsvSource({"0, 0", "0.1, 1", "0.3, 1", "1.6, 6", "10000, 40000"})
     void aLoneRouterHasAllOfALimitInFourSeconds(double perSecond, int requests) {
-        gate.heard(LimitWord.named(perSecond), start, start);
+        gate.heard(RequestLimit.named(perSecond), start, start);
         int sent = 0;
         while (gate.room(UPSTREAM, (id, all) -> (int) all, start)) {
             gate.begins();
@@ -33,43 +33,43 @@
     // after the word of it.
     @Test
     void anAnswerToAnEarlierRequestEndsNoLimit() {
-        gate.heard(LimitWord.named(1), start.plusMillis(50), start.plusMillis(50));
-        assertFalse(gate.heard(LimitWord.NO_LIMIT, start, start.plusMillis(60)));
+        gate.heard(RequestLimit.named(1), start.plusMillis(50), start.plusMillis(50));
+        assertFalse(gate.heard(RequestLimit.NO_LIMIT, start, start.plusMillis(60)));
         assertTrue(gate.limited(start.plusMillis(60)));
-        assertTrue(gate.heard(LimitWord.NO_LIMIT, start.plusMillis(70), start.plusMillis(90)));
+        assertTrue(gate.heard(RequestLimit.NO_LIMIT, start.plusMillis(70), start.plusMillis(90)));
         assertFalse(gate.limited(start.plusMillis(90)));
     }
 
     // Guards against a word that was long on its way and brings back a limit that has ended.
     @Test
     void anOldWordDoesNotBringALimitBack() {
-        gate.heard(LimitWord.named(1), start, start);
-        gate.heard(LimitWord.NO_LIMIT, start.plusMillis(70), start.plusMillis(90));
-        assertFalse(gate.heard(LimitWord.named(1), start.plusMillis(60), start.plusMillis(200)));
+        gate.heard(RequestLimit.named(1), start, start);
+        gate.heard(RequestLimit.NO_LIMIT, start.plusMillis(70), start.plusMillis(90));
+        assertFalse(gate.heard(RequestLimit.named(1), start.plusMillis(60), start.plusMillis(200)));
         assertFalse(gate.limited(start.plusMillis(200)));
     }
 
     @Test
     void theSameWordIsNoNews() {
-        assertTrue(gate.heard(LimitWord.named(1), start, start));
-        assertFalse(gate.heard(LimitWord.named(1), start.plusMillis(1), start.plusMillis(1)));
-        assertTrue(gate.heard(LimitWord.named(2), start.plusMillis(2), start.plusMillis(2)));
+        assertTrue(gate.heard(RequestLimit.named(1), start, start));
+        assertFalse(gate.heard(RequestLimit.named(1), start.plusMillis(1), start.plusMillis(1)));
+        assertTrue(gate.heard(RequestLimit.named(2), start.plusMillis(2), start.plusMillis(2)));
     }
 
     // Guards against an upstream that nobody uses any more, as nobody hears that its limit is over.
     @Test
     void aLimitOfWhichNothingIsHeardLapses() {
-        gate.heard(LimitWord.named(0), start, start);
+        gate.heard(RequestLimit.named(0), start, start);
         assertFalse(gate.room(UPSTREAM, (id, all) -> (int) all, start.plusSeconds(29)));
         assertTrue(gate.room(UPSTREAM, (id, all) -> (int) all, start.plusSeconds(31)));
     }
 
     @Test
     void whatCannotBeReadChangesNothing() {
-        gate.heard(LimitWord.named(3), start, start);
+        gate.heard(RequestLimit.named(3), start, start);
         for (double bad : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
-            assertFalse(gate.heard(LimitWord.named(bad), start.plusSeconds(1), start));
+            assertFalse(gate.heard(RequestLimit.named(bad), start.plusSeconds(1), start));
         }
-        assertEquals(LimitWord.named(3), gate.word());
+        assertEquals(RequestLimit.named(3), gate.limit());
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -260,10 +260,10 @@
 
     private static final class SilentLimits implements LimitedUpstreams.Wire {
         @Override
-        public void tellLimit(LimitedUpstreams.Word word) {}
+        public void tellLimit(LimitedUpstreams.News word) {}
 
         @Override
-        public void passLimitOn(LimitedUpstreams.Word word) {}
+        public void passLimitOn(LimitedUpstreams.News word) {}
     }
 
     /** No other router is there to be told. */
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.cold.EvenShare;
-import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.cold.UpstreamShare;
 import io.damaskyoke.control.direct.Homes;
 import io.damaskyoke.control.upstreams.ModelRef;
@@ -78,7 +78,7 @@
         }
     }
 
-    void told(LimitedUpstreams.Word word, boolean passOn) {
+    void told(LimitedUpstreams.News word, boolean passOn) {
         if (dispatch != null) {
             limits.told(word, passOn);
             dispatch.tick();
@@ -87,12 +87,12 @@
 
     private final class Wire implements LimitedUpstreams.Wire {
         @Override
-        public void tellLimit(LimitedUpstreams.Word word) {
+        public void tellLimit(LimitedUpstreams.News word) {
             world.tell(LimitRouter.this, word);
         }
 
         @Override
-        public void passLimitOn(LimitedUpstreams.Word word) {
+        public void passLimitOn(LimitedUpstreams.News word) {
             if (world.watches(LimitRouter.this)) {
                 world.tell(LimitRouter.this, word);
             }
@@ -162,7 +162,7 @@
 
         private void answered(
                 Upstream upstream, LimitWorld.Engine engine, Instant sentAt, Duration took) {
-            LimitWord word = engine.limit();
+            RequestLimit word = engine.limit();
             upstream.answered(took, world.now());
             upstream.over(null);
             engine.passedOn(name);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LimitWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitWorld.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.SameThreadControl;
-import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -64,7 +64,7 @@
     /** An upstream as it really is. */
     final class Engine {
         private final UpstreamId id;
-        private LimitWord limit = LimitWord.NO_LIMIT;
+        private RequestLimit limit = RequestLimit.NO_LIMIT;
         private Instant limitedAt = Instant.MAX;
         private double highest;
         private final Map<VmId, Instant> passedOn = new HashMap<>();
@@ -80,20 +80,20 @@
         }
 
         void names(double given) {
-            limit = LimitWord.named(given);
+            limit = RequestLimit.named(given);
             limitedAt = limitedAt.equals(Instant.MAX) ? now() : limitedAt;
             highest = Math.max(highest, given);
         }
 
         void namesNone() {
-            limit = LimitWord.NO_LIMIT;
+            limit = RequestLimit.NO_LIMIT;
             limitedAt = Instant.MAX;
             highest = 0;
             passedOn.clear();
             came.clear();
         }
 
-        LimitWord limit() {
+        RequestLimit limit() {
             return limit;
         }
 
@@ -199,7 +199,7 @@
     }
 
     /** Takes a router's word to those that it reaches: watchers reach all, the others watchers. */
-    void tell(LimitRouter from, LimitedUpstreams.Word word) {
+    void tell(LimitRouter from, LimitedUpstreams.News word) {
         boolean watches = routers.indexOf(from) < WATCHERS;
         for (int each = 0; each < routers.size(); each++) {
             LimitRouter to = routers.get(each);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -1,6 +1,6 @@
 package io.damaskyoke.direct;
 
-import io.damaskyoke.control.cold.LimitWord;
+import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OrderOutcome;
@@ -113,7 +113,7 @@
     @Override
     public UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected) {
         return new UpstreamAnswer(
-                status, status == 503, false, true, false, Optional.empty(), LimitWord.NO_LIMIT);
+                status, status == 503, false, true, false, Optional.empty(), RequestLimit.NO_LIMIT);
     }
 
     @Override
