--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -330,20 +330,8 @@
         } else if (frame.hasUnansweredLoad()) {
             Instant now = control.clock().instant();
             listener.unanswered(NeighbourFrames.open(frame.getUnansweredLoad(), now));
-        } else if (frame.hasUpstreamEnded()) {
-            UpstreamEnded ended = frame.getUpstreamEnded();
-            listener.ended(
-                    NeighbourFrames.end(ended),
-                    Duration.ofMillis(ended.getEndedMsAgo()),
-                    NeighbourFrames.ran(ended));
         } else if (frame.hasSuspectRequest()) {
             takeSuspect(frame.getSuspectRequest());
-        } else if (frame.hasLostUpstream()) {
-            LostUpstream lost = frame.getLostUpstream();
-            listener.lost(UpstreamId.of(lost.getUpstream()), lost.getStartedAt(), lost.getPassOn());
-        } else if (frame.hasUpstreamLimit()) {
-            UpstreamLimit limit = frame.getUpstreamLimit();
-            listener.limited(NeighbourFrames.limit(limit), limit.getPassOn());
         } else if (frame.hasLeaseEnd()) {
             listener.leaseEnded(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
@@ -365,6 +353,24 @@
             listener.changes(from, answer.getNumber(), NeighbourFrames.changes(answer));
         } else if (frame.hasDepartures()) {
             listener.departures(NeighbourFrames.departures(frame.getDepartures()));
+        } else {
+            takeUpstream(frame);
+        }
+    }
+
+    private void takeUpstream(Frame frame) {
+        if (frame.hasUpstreamEnded()) {
+            UpstreamEnded ended = frame.getUpstreamEnded();
+            listener.ended(
+                    NeighbourFrames.end(ended),
+                    Duration.ofMillis(ended.getEndedMsAgo()),
+                    NeighbourFrames.ran(ended));
+        } else if (frame.hasLostUpstream()) {
+            LostUpstream lost = frame.getLostUpstream();
+            listener.lost(UpstreamId.of(lost.getUpstream()), lost.getStartedAt(), lost.getPassOn());
+        } else if (frame.hasUpstreamLimit()) {
+            UpstreamLimit limit = frame.getUpstreamLimit();
+            listener.limited(NeighbourFrames.limit(limit), limit.getPassOn());
         }
     }
 
