Take out what the mends of rates, loads and limits left double or idle

No change of behaviour. Borrowing kept two fields that nobody reads since the lenders moved; the end of a late ask is derived from its time and not kept beside it; Owners passed a question on to ShareKeeper, which asked for a setting twice; two checks for a model without a copy are one; losses and limits go to all routers by one piece of code; an upstream's two gates, which live as long, are kept in one table. News is called news and not a word. Tests of rates, limits, cold upstreams, loads and frames green, unchanged but for names.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/ColdGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/ColdGate.java
@@ -85,7 +85,7 @@
     /**
      * It can't be reached, or broke off, here or at another router: it may have ended.
      *
-     * @return true if that is news, which others should hear of
+     * @return true if that is news, which others should be told
      */
     public boolean lost(Instant now) {
         boolean news = state != State.LOST && !limit.none();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitGate.java
@@ -38,7 +38,7 @@
      *
      * @param at for a limit that is named when that was heard, for the end of one when the request
      *     left whose answer lacked it
-     * @return true if it changes what is known, so that others should hear of it
+     * @return true if it changes what is known, so that others should be told
      */
     public boolean heard(RequestLimit given, Instant at, Instant now) {
         if (given.isNamed()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/Placer.java
@@ -285,17 +285,19 @@
                     .anyMatch(
                             model ->
                                     demand.perSecond(model) > 0
-                                            && fleet.copies(model) == 0
-                                            && fleet.replicas(model) == 0
+                                            && nowhere(model)
                                             && fleet.coming(model) == 0);
         }
 
-        // Before the first request nobody misses what makes room, and it comes back from its
-        // engine's
-        // disk in a second. What no engine has a copy of would take its first callers longer than
-        // they can wait.
+        private boolean nowhere(String model) {
+            return fleet.copies(model) == 0 && fleet.replicas(model) == 0;
+        }
+
+        // Before the first request nobody misses what makes room, and it comes back from a disk in
+        // a second. What no engine has a copy of would take its first callers longer than they can
+        // wait.
         private boolean fetchesFirstCopy(String model) {
-            return demand.nobodyAsked() && fleet.copies(model) == 0 && fleet.replicas(model) == 0;
+            return demand.nobodyAsked() && nowhere(model);
         }
 
         // A busy model whose only copy is where it is held already can have no second replica but
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Borrowing.java
@@ -33,21 +33,12 @@
     private static final Duration LENDER_PATIENCE = Duration.ofMillis(40);
 
     private final Incarnation self;
-    private final VmId vm;
     private final RateSettings settings;
-    private final SpendingRight right;
     private final ShareKeeper keeper;
 
-    Borrowing(
-            Incarnation self,
-            VmId vm,
-            RateSettings settings,
-            SpendingRight right,
-            ShareKeeper keeper) {
+    Borrowing(Incarnation self, RateSettings settings, ShareKeeper keeper) {
         this.self = self;
-        this.vm = vm;
         this.settings = settings;
-        this.right = right;
         this.keeper = keeper;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/OwnerAsks.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/OwnerAsks.java
@@ -18,7 +18,7 @@
     static final Duration AFTER_SILENCE = Duration.ofMillis(200);
 
     private final Map<String, Ask> open = new LinkedHashMap<>();
-    private final Map<String, Lapsed> lapsed = new LinkedHashMap<>();
+    private final Map<String, Ask> lapsed = new LinkedHashMap<>();
     private final AnswerTime answerTime;
     private Instant silentUntil = Instant.MIN;
     private boolean doubted;
@@ -53,8 +53,6 @@
         }
     }
 
-    private record Lapsed(Ask ask, Instant until) {}
-
     OwnerAsks(AnswerTime answerTime) {
         this.answerTime = answerTime;
     }
@@ -86,13 +84,12 @@
 
     /** The ask that was given up and is answered after all; null if there is none. */
     Ask late(String loan, Instant now) {
-        Lapsed found = lapsed.remove(loan);
-        if (found == null) {
-            return null;
+        Ask ask = lapsed.remove(loan);
+        if (ask != null) {
+            heard(ask);
+            answerTime.heardAfter(Duration.between(ask.askedAt(), now));
         }
-        heard(found.ask());
-        answerTime.heardAfter(Duration.between(found.ask().askedAt(), now));
-        return found.ask();
+        return ask;
     }
 
     private void heard(Ask ask) {
@@ -122,7 +119,7 @@
 
     /** Takes out those that were not answered in time; late answers count for so long. */
     List<Ask> givenUp(Instant now, Duration lapses) {
-        lapsed.values().removeIf(each -> !now.isBefore(each.until()));
+        lapsed.values().removeIf(each -> !now.isBefore(each.askedAt().plus(lapses)));
         List<Ask> late = new ArrayList<>();
         Duration patience = answerTime.patience();
         Iterator<Map.Entry<String, Ask>> all = open.entrySet().iterator();
@@ -133,7 +130,7 @@
             if (unheard || ask.over(now, patience)) {
                 all.remove();
                 late.add(ask);
-                lapsed.put(entry.getKey(), new Lapsed(ask, ask.askedAt().plus(lapses)));
+                lapsed.put(entry.getKey(), ask);
                 noteSilence(ask, unheard, now);
             }
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/Owners.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/Owners.java
@@ -32,11 +32,6 @@
         this.keeper = keeper;
     }
 
-    /** True if what lacks here is asked for request by request, and not for all that wait. */
-    boolean serves(Account account) {
-        return keeper.borrowsFromOwner(account);
-    }
-
     /** Asks the owner for what the request lacks, or the others if the owner is silent. */
     void ask(
             Account account,
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -46,7 +46,7 @@
         this.settings = settings;
         this.right = new SpendingRight(vm, settings);
         this.keeper = new ShareKeeper(self, vm, address, settings, right);
-        this.borrowing = new Borrowing(self, vm, settings, right, keeper);
+        this.borrowing = new Borrowing(self, settings, keeper);
         this.owners = new Owners(self, settings, keeper);
         this.queue = new FairQueue(self, settings, right, keeper, borrowing);
         this.lender = new Lender(self, vm, settings, right, keeper);
@@ -216,7 +216,7 @@
             return;
         }
         Held request = held(account, arrived, now);
-        if (owners.serves(account) && right.usable(account, self, now)) {
+        if (keeper.borrowsFromOwner(account) && right.usable(account, self, now)) {
             owners.ask(account, request, () -> ++counter, now, actions);
             return;
         }
@@ -305,7 +305,7 @@
             account.borrow(lent.from(), lent.loan(), lent.tokens(), until);
         }
         queue.admit(account, now, actions);
-        if (right.usable(account, self, now) && !owners.serves(account)) {
+        if (right.usable(account, self, now) && !keeper.borrowsFromOwner(account)) {
             borrowing.askOthers(account, () -> ++counter, now, actions);
         }
         queue.refuse(account, now, actions);
@@ -313,7 +313,7 @@
 
     private void askForHeld(Account account, Instant now, List<RateAction> actions) {
         borrowing.tellSpent(account, actions);
-        if (right.usable(account, self, now) && !owners.serves(account)) {
+        if (right.usable(account, self, now) && !keeper.borrowsFromOwner(account)) {
             borrowing.ask(account, () -> ++counter, now, actions);
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareKeeper.java
@@ -130,8 +130,7 @@
 
     /** True if this router asks others for each request: one of them has most, or should have. */
     boolean borrowsFromOwner(Account account) {
-        boolean others = otherOwner(account).isPresent() || owned(account);
-        return settings.owned() && others && !owns(account);
+        return (otherOwner(account).isPresent() || owned(account)) && !owns(account);
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -38,10 +38,10 @@
     private double usualMillis;
     private Instant fullUntil = Instant.MIN;
 
-    Upstream(UpstreamFacts facts, DrainedZones zones, ColdGate cold, LimitGate limit, Instant now) {
+    Upstream(UpstreamFacts facts, DrainedZones zones, Gates gates, Instant now) {
         this.zones = zones;
-        this.cold = cold;
-        this.limit = limit;
+        this.cold = gates.cold();
+        this.limit = gates.limit();
         this.facts = facts;
         this.held = facts.held();
         cold.says(facts.coldLeft(), now);
@@ -169,7 +169,7 @@
     /**
      * It can't be reached, or has broken off, here or at another router: it may have ended.
      *
-     * @return true if that is news, which other routers should hear of
+     * @return true if that is news, which other routers should be told
      */
     public boolean lost(Instant now) {
         return cold.lost(now);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -1,8 +1,6 @@
 package io.damaskyoke.control.upstreams;
 
-import io.damaskyoke.control.cold.ColdGate;
 import io.damaskyoke.control.cold.ColdLimit;
-import io.damaskyoke.control.cold.LimitGate;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -21,8 +19,7 @@
     private final Map<String, List<Upstream>> byService = new HashMap<>();
     private final Map<UpstreamId, Long> removedAt = new HashMap<>();
     private final DrainedZones zones;
-    private final Map<UpstreamId, ColdGate> gates = new HashMap<>();
-    private final Map<UpstreamId, LimitGate> limits = new HashMap<>();
+    private final Map<UpstreamId, Gates> gates = new HashMap<>();
     private Map<String, ColdLimit> coldLimits = Map.of();
     private long revision;
 
@@ -49,7 +46,7 @@
         }
         Upstream known = byId.get(facts.id());
         if (known == null) {
-            byId.put(facts.id(), new Upstream(facts, zones, gate(facts), limit(facts.id()), now));
+            byId.put(facts.id(), new Upstream(facts, zones, gates(facts), now));
             index();
             return true;
         }
@@ -95,7 +92,7 @@
     /** What cold upstreams bear, by service. */
     public void coldLimits(Map<String, ColdLimit> given) {
         coldLimits = Map.copyOf(given);
-        byId.values().forEach(each -> gate(each.facts()));
+        byId.values().forEach(each -> gates(each.facts()));
     }
 
     /** The upstreams of the zone may have become cold just now, without a word. */
@@ -107,18 +104,13 @@
 
     // Kept when an upstream goes off the list: one that is back under its name a moment later would
     // else get another share within the second.
-    private ColdGate gate(UpstreamFacts facts) {
+    private Gates gates(UpstreamFacts facts) {
         if (gates.size() > 2 * byId.size() + MOST_GATES_KEPT) {
             gates.keySet().retainAll(byId.keySet());
-            limits.keySet().retainAll(byId.keySet());
         }
-        ColdGate gate = gates.computeIfAbsent(facts.id(), any -> new ColdGate());
-        gate.limit(coldLimits.getOrDefault(facts.service(), ColdLimit.NONE));
-        return gate;
-    }
-
-    private LimitGate limit(UpstreamId id) {
-        return limits.computeIfAbsent(id, any -> new LimitGate());
+        Gates found = gates.computeIfAbsent(facts.id(), any -> new Gates());
+        found.cold().limit(coldLimits.getOrDefault(facts.service(), ColdLimit.NONE));
+        return found;
     }
 
     /** The upstreams of a service. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -148,14 +148,14 @@
         return ran;
     }
 
-    static Frame limit(LimitedUpstreams.News word, boolean passOn) {
+    static Frame limit(LimitedUpstreams.News news, boolean passOn) {
         UpstreamLimit limit =
                 UpstreamLimit.newBuilder()
-                        .setUpstream(word.upstream().value())
-                        .setStartedAt(word.startedAt())
-                        .setNamed(word.limit().isNamed())
-                        .setPerSecond(word.limit().perSecond())
-                        .setAgeMs((int) word.age().toMillis())
+                        .setUpstream(news.upstream().value())
+                        .setStartedAt(news.startedAt())
+                        .setNamed(news.limit().isNamed())
+                        .setPerSecond(news.limit().perSecond())
+                        .setAgeMs((int) news.age().toMillis())
                         .setPassOn(passOn)
                         .build();
         return Frame.newBuilder().setUpstreamLimit(limit).build();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -91,8 +91,8 @@
     }
 
     @Override
-    public void limited(LimitedUpstreams.News word, boolean passOn) {
-        parts.limits().told(word, passOn);
+    public void limited(LimitedUpstreams.News news, boolean passOn) {
+        parts.limits().told(news, passOn);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -38,6 +38,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
 final class Neighbours
@@ -98,7 +99,7 @@
         void lost(UpstreamId upstream, long startedAt, boolean passOn);
 
         /** An upstream says how many requests it takes; all others are to be told or are. */
-        void limited(LimitedUpstreams.News word, boolean passOn);
+        void limited(LimitedUpstreams.News news, boolean passOn);
 
         /** A router gave the orders under this lease and can't tell the store that it stopped. */
         void leaseEnded(VmId by, long lease);
@@ -166,7 +167,7 @@
         if (to.isPresent()) {
             send(to.get(), frame);
         } else {
-            members.plan().watchers().forEach(vm -> send(vm, frame));
+            sendToWatchers(frame);
         }
     }
 
@@ -219,12 +220,7 @@
 
     @Override
     public void tellLost(UpstreamId upstream, long startedAt) {
-        if (members.watches()) {
-            passLostOn(upstream, startedAt);
-        } else {
-            Frame frame = NeighbourFrames.lost(upstream, startedAt, true);
-            members.plan().watchers().forEach(vm -> send(vm, frame));
-        }
+        tellThroughWatchers(passOn -> NeighbourFrames.lost(upstream, startedAt, passOn));
     }
 
     @Override
@@ -235,19 +231,14 @@
     }
 
     @Override
-    public void tellLimit(LimitedUpstreams.News word) {
-        if (members.watches()) {
-            passLimitOn(word);
-        } else {
-            Frame frame = NeighbourFrames.limit(word, true);
-            members.plan().watchers().forEach(vm -> send(vm, frame));
-        }
+    public void tellLimit(LimitedUpstreams.News news) {
+        tellThroughWatchers(passOn -> NeighbourFrames.limit(news, passOn));
     }
 
     @Override
-    public void passLimitOn(LimitedUpstreams.News word) {
+    public void passLimitOn(LimitedUpstreams.News news) {
         if (members.watches()) {
-            sendAll(NeighbourFrames.limit(word, false));
+            sendAll(NeighbourFrames.limit(news, false));
         }
     }
 
@@ -395,6 +386,19 @@
         }
     }
 
+    // In a large fleet only those that follow the store for all have a link to every other router.
+    private void tellThroughWatchers(Function<Boolean, Frame> frame) {
+        if (members.watches()) {
+            sendAll(frame.apply(false));
+        } else {
+            sendToWatchers(frame.apply(true));
+        }
+    }
+
+    private void sendToWatchers(Frame frame) {
+        members.plan().watchers().forEach(vm -> send(vm, frame));
+    }
+
     private void sendAll(Frame frame) {
         addresses.keySet().forEach(vm -> send(vm, frame));
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
@@ -1,7 +1,6 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.cold.EvenShare;
-import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.cold.UpstreamShare;
 import io.damaskyoke.control.direct.Homes;
 import io.damaskyoke.control.upstreams.ModelRef;
@@ -78,23 +77,23 @@
         }
     }
 
-    void told(LimitedUpstreams.News word, boolean passOn) {
+    void told(LimitedUpstreams.News news, boolean passOn) {
         if (dispatch != null) {
-            limits.told(word, passOn);
+            limits.told(news, passOn);
             dispatch.tick();
         }
     }
 
     private final class Wire implements LimitedUpstreams.Wire {
         @Override
-        public void tellLimit(LimitedUpstreams.News word) {
-            world.tell(LimitRouter.this, word);
+        public void tellLimit(LimitedUpstreams.News news) {
+            world.tell(LimitRouter.this, news);
         }
 
         @Override
-        public void passLimitOn(LimitedUpstreams.News word) {
+        public void passLimitOn(LimitedUpstreams.News news) {
             if (world.watches(LimitRouter.this)) {
-                world.tell(LimitRouter.this, word);
+                world.tell(LimitRouter.this, news);
             }
         }
     }
@@ -162,11 +161,10 @@
 
         private void answered(
                 Upstream upstream, LimitWorld.Engine engine, Instant sentAt, Duration took) {
-            RequestLimit word = engine.limit();
             upstream.answered(took, world.now());
             upstream.over(null);
             engine.passedOn(name);
-            limits.heard(upstream, word, sentAt);
+            limits.heard(upstream, engine.limit(), sentAt);
             world.noteServed();
             dispatch.drain(LimitWorld.SERVICE);
         }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LimitWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitWorld.java
@@ -19,9 +19,9 @@
 
 /**
  * Routers that share three upstreams, with time by hand, of which two name how many requests a
- * second they take, change it and take it back; words between routers come late or never, routers
- * restart. The promise is that of the page: what a limited upstream gets in four seconds from those
- * that have passed its word on to a caller.
+ * second they take, change it and take it back; messages between routers come late or never,
+ * routers restart. The promise is that of the page: what a limited upstream gets in four seconds
+ * from those that have passed on an answer with it.
  */
 final class LimitWorld {
     static final String SERVICE = "engines";
@@ -34,9 +34,9 @@
     private static final Duration TOLD = Duration.ofMillis(500);
     private static final double OVERAGE = 1.5;
     private static final double SLACK = 5;
-    private static final int LONGEST_WORD_MILLIS = 60;
+    private static final int LONGEST_NEWS_MILLIS = 60;
 
-    /** Those that pass words on to all others. */
+    /** Those that pass news on to all others. */
     private static final int WATCHERS = 2;
 
     final SameThreadControl time = new SameThreadControl();
@@ -53,7 +53,7 @@
      * What holds in a world.
      *
      * @param shared whether routers keep to their part of a limit, and not each to all of it
-     * @param lost the part of words between routers that is lost
+     * @param lost the part of messages between routers that is lost
      */
     record Rules(boolean shared, double lost) {
         static Rules usual() {
@@ -198,14 +198,14 @@
         }
     }
 
-    /** Takes a router's word to those that it reaches: watchers reach all, the others watchers. */
-    void tell(LimitRouter from, LimitedUpstreams.News word) {
+    /** Takes a router's news to those that it reaches: watchers reach all, the others watchers. */
+    void tell(LimitRouter from, LimitedUpstreams.News news) {
         boolean watches = routers.indexOf(from) < WATCHERS;
         for (int each = 0; each < routers.size(); each++) {
             LimitRouter to = routers.get(each);
             if (to != from && (watches || each < WATCHERS) && random.nextDouble() >= rules.lost()) {
-                Duration way = Duration.ofMillis(2 + random.nextInt(LONGEST_WORD_MILLIS));
-                time.after(way, () -> to.told(word, !watches));
+                Duration way = Duration.ofMillis(2 + random.nextInt(LONGEST_NEWS_MILLIS));
+                time.after(way, () -> to.told(news, !watches));
             }
         }
     }
