--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/RecentlyUsed.java
@@ -0,0 +1,27 @@
+package io.damaskyoke.control;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A map that forgets what was used longest ago once it holds more than so much: {@code new
+ * RecentlyUsed<>(4_096)}.
+ */
+public final class RecentlyUsed<K, V> extends LinkedHashMap<K, V> {
+    private static final long serialVersionUID = 1;
+    private static final int CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final int most;
+
+    /** An empty map that keeps this many entries. */
+    public RecentlyUsed(int most) {
+        super(CAPACITY, LOAD_FACTOR, true);
+        this.most = most;
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+        return size() > most;
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/LimitGate.java
@@ -32,6 +32,7 @@
     private Instant namedAt = Instant.MIN;
     private Instant endedAt = Instant.MIN;
     private long heldBack;
+    private boolean unreadable;
 
     /**
      * Takes in what an answer, here or at another router, says of the limit.
@@ -62,6 +63,13 @@
         return news;
     }
 
+    /** It has named something that is no limit; true the first time. */
+    public boolean firstUnreadable() {
+        boolean first = !unreadable;
+        unreadable = true;
+        return first;
+    }
+
     /** The upstream has begun another life, of which nothing is known. */
     public void forget() {
         limit = RequestLimit.NO_LIMIT;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
@@ -1,9 +1,9 @@
 package io.damaskyoke.control.crashes;
 
+import io.damaskyoke.control.RecentlyUsed;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -25,14 +25,7 @@
     /** Nothing is suspected yet. */
     public Suspects(CrashSettings settings) {
         this.settings = settings;
-        this.ends =
-                new LinkedHashMap<>(16, 0.75f, true) {
-                    @Override
-                    protected boolean removeEldestEntry(
-                            Map.Entry<RequestDigest, Map<UpstreamEnd, Instant>> eldest) {
-                        return size() > settings.mostSuspects();
-                    }
-                };
+        this.ends = new RecentlyUsed<>(settings.mostSuspects());
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LimitedUpstreams.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LimitedUpstreams.java
@@ -9,8 +9,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.HashSet;
-import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -29,7 +27,6 @@
     private final InstantSource clock;
     private final UpstreamTable upstreams;
     private final Wire wire;
-    private final Set<UpstreamId> unreadable = new HashSet<>();
 
     /** Takes news to other routers. */
     interface Wire {
@@ -57,7 +54,7 @@
     /** An answer to a request that left at that time says this. */
     void heard(Upstream upstream, RequestLimit limit, Instant sentAt) {
         if (limit.kind() == RequestLimit.Kind.UNREADABLE) {
-            if (unreadable.add(upstream.facts().id())) {
+            if (upstream.limitGate().firstUnreadable()) {
                 LOG.warn("upstream {} names a limit that is none", upstream.facts().id());
             }
             return;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UnservedModels.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UnservedModels.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.RecentlyUsed;
 import io.damaskyoke.control.upstreams.ModelRef;
-import java.util.HashMap;
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -17,7 +17,10 @@
     /** One or two in a row may come while a model is on its way. */
     private static final int MANY = 4;
 
-    private final Map<ModelRef, Integer> inVain = new HashMap<>();
+    /** Callers may ask for any name; those asked for longest ago are forgotten. */
+    private static final int MOST_COUNTED = 4_096;
+
+    private final Map<ModelRef, Integer> inVain = new RecentlyUsed<>(MOST_COUNTED);
 
     /** A request for it has waited in vain. */
     void refused(ModelRef model) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UnservedModelsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UnservedModelsTest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.upstreams.ModelRef;
 import org.junit.jupiter.api.Test;
@@ -21,4 +22,15 @@
         models.served(RARE);
         assertEquals(0, models.many());
     }
+
+    // Guards against callers that fill a router's memory with names that no model bears.
+    @Test
+    void namesThatAreAskedForWithoutEndAreForgotten() {
+        for (int name = 0; name < 10_000; name++) {
+            for (int each = 0; each < 4; each++) {
+                models.refused(ModelRef.parse("name-" + name));
+            }
+        }
+        assertTrue(models.many() <= 4_096, models.many() + " are kept");
+    }
 }
