--- a/damaskyoke/src/test/java/io/damaskyoke/direct/ColdRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/ColdRouter.java
@@ -2,8 +2,6 @@
 
 import io.damaskyoke.control.cold.EvenShare;
 import io.damaskyoke.control.cold.UpstreamShare;
-import io.damaskyoke.control.direct.Homes;
-import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -12,8 +10,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 
 /**
  * A router of a {@link ColdWorld}: the real table, choice and queue, before simulated upstreams.
@@ -166,49 +162,12 @@
     }
 
     /** A request, from its caller to an upstream. */
-    private final class Request implements Waiter {
-        private final Instant since = world.now();
+    private final class Request extends PlainRequest {
         private final int ownLife = life;
         private boolean sent;
 
-        @Override
-        public String service() {
-            return ColdWorld.SERVICE;
-        }
-
-        @Override
-        public Optional<ModelRef> model() {
-            return Optional.empty();
-        }
-
-        @Override
-        public Homes homes() {
-            return Homes.ANYWHERE;
-        }
-
-        @Override
-        public int urgency() {
-            return 1;
-        }
-
-        @Override
-        public Instant since() {
-            return since;
-        }
-
-        @Override
-        public Instant inTimeUntil() {
-            return since.plusSeconds(1);
-        }
-
-        @Override
-        public Instant until() {
-            return since.plus(CALLER_WAITS);
-        }
-
-        @Override
-        public Set<UpstreamId> tried() {
-            return Set.of();
+        Request() {
+            super(ColdWorld.SERVICE, world.now(), CALLER_WAITS);
         }
 
         @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LimitRouter.java
@@ -2,17 +2,12 @@
 
 import io.damaskyoke.control.cold.EvenShare;
 import io.damaskyoke.control.cold.UpstreamShare;
-import io.damaskyoke.control.direct.Homes;
-import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
-import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 
 /** A router of a {@link LimitWorld}: the real table, choice, queue and news. */
 final class LimitRouter {
@@ -98,47 +93,9 @@
         }
     }
 
-    private final class Request implements Waiter {
-        private final Instant since = world.now();
-
-        @Override
-        public String service() {
-            return LimitWorld.SERVICE;
-        }
-
-        @Override
-        public Optional<ModelRef> model() {
-            return Optional.empty();
-        }
-
-        @Override
-        public Homes homes() {
-            return Homes.ANYWHERE;
-        }
-
-        @Override
-        public int urgency() {
-            return 1;
-        }
-
-        @Override
-        public Instant since() {
-            return since;
-        }
-
-        @Override
-        public Instant inTimeUntil() {
-            return since.plusSeconds(1);
-        }
-
-        @Override
-        public Instant until() {
-            return since.plus(CALLER_WAITS);
-        }
-
-        @Override
-        public Set<UpstreamId> tried() {
-            return Set.of();
+    private final class Request extends PlainRequest {
+        Request() {
+            super(LimitWorld.SERVICE, world.now(), CALLER_WAITS);
         }
 
         @Override
