Show how ends become known, which are not counted, and by what a request is cleared

Logs and metrics told neither which status cleared a request nor why an end was left out, so that the hypotheses of the incident could not be told apart. Every run that ends without a whole answer now reaches CrashWatch with the way in which it ended (connection broke, caller gone, time up, silent, garbled); those that were not looked at before are counted as left out. No decision changes.

CrashWorld takes hardships, each of which takes out one kind assumption.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -52,6 +52,10 @@
         return upstream;
     }
 
+    Instant sentAt() {
+        return sentAt;
+    }
+
     void start() {
         upstream.sent(flow.model().orElse(null), sentAt);
         String attempt = flow.request().attempt();
@@ -78,14 +82,21 @@
     }
 
     /** Calls it off: the upstream sees its connection close, and drops the request. */
-    void cancel() {
+    void cancel(CrashWatch.Cut why) {
         if (over) {
             return;
         }
+        if (left) {
+            cut(why);
+        }
         callOff();
         call.cancel();
     }
 
+    private void cut(CrashWatch.Cut how) {
+        flows.crashes().cut(upstream, flow.digest(), sentAt, how);
+    }
+
     // A connection may have taken long to open, or the thread was held: whether the upstream may
     // still be sent to, and the time that is left, are looked at when the bytes leave.
     @Override
@@ -171,8 +182,8 @@
         if (broke || failure == Failure.NOT_CONNECTED) {
             flows.lost().lost(upstream);
         }
-        if (broke && (answer == null || !answer.notRun())) {
-            flows.crashes().broke(upstream, flow.digest(), sentAt);
+        if (failure.mayHaveArrived() && (answer == null || !answer.notRun())) {
+            cut(broke ? CrashWatch.Cut.BROKE : CrashWatch.Cut.GARBLED);
         }
         if (!failure.mayHaveArrived()) {
             flow.notSent("no connection");
@@ -224,7 +235,7 @@
         }
         finish();
         flow.startStream(answer.status(), flows.dialect().toCaller(headers));
-        flow.streamEnded();
+        flow.streamEnded(answer.status());
     }
 
     private void gather(ByteBuf data) {
@@ -268,6 +279,7 @@
 
     private void spoiled(String why) {
         upstream.failed(flows.now());
+        cut(CrashWatch.Cut.GARBLED);
         releaseBody();
         finish();
         call.cancel();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -9,9 +9,11 @@
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -47,6 +49,7 @@
     private static final int MOST_WATCHED = 512;
 
     private final Control control;
+    private final Metrics metrics;
     private final CrashNews news;
     private final Prober prober;
     private final BooleanSupplier counts;
@@ -58,6 +61,20 @@
     private final Map<UpstreamId, Break> breaks = new HashMap<>();
     private final Map<RequestDigest, Control.Cancellable> held = new HashMap<>();
 
+    /** How a run at an upstream came to its end without a whole answer. */
+    enum Cut {
+        /** Its connection broke. */
+        BROKE,
+        /** Its caller has left, and this router closed the connection. */
+        CALLER_GONE,
+        /** Its time was over, and this router closed the connection. */
+        TIME_UP,
+        /** Nothing came for so long that this router closed the connection. */
+        SILENT,
+        /** What came was no whole answer of the upstream. */
+        GARBLED
+    }
+
     /** What a look at an upstream shows. */
     enum Sign {
         /** It has ended: its address refuses connections. */
@@ -96,8 +113,10 @@
             CrashNews news,
             Prober prober,
             BooleanSupplier counts,
-            BooleanSupplier tries) {
+            BooleanSupplier tries,
+            Metrics metrics) {
         this.control = control;
+        this.metrics = metrics;
         this.news = news;
         this.prober = prober;
         this.counts = counts;
@@ -114,9 +133,11 @@
         return quarantine.left(request, tries.getAsBoolean(), now());
     }
 
-    /** How many requests are kept out. */
-    int keptOut() {
-        return quarantine.size();
+    /** Shows how many requests are watched, held until that is decided, and kept out. */
+    void show() {
+        metrics.gauge("requests_watched", watched::size);
+        metrics.gauge("requests_held", held::size);
+        metrics.gauge("requests_kept_out", quarantine::size);
     }
 
     /** True if it is kept from all upstreams; a request that waited may be so by now. */
@@ -134,19 +155,27 @@
         return !watched.isEmpty() || !quarantine.isEmpty();
     }
 
-    /** The request was answered in full. */
-    void answered(RequestDigest request) {
+    /** The request was answered in full with this status; it was sent at that time. */
+    void answered(RequestDigest request, Instant sentAt, int status) {
         forgetOld();
         if (watched.containsKey(request) || quarantine.knows(request)) {
+            metrics.count("requests_cleared", "status", Integer.toString(status));
+            LOG.info("request {} is cleared, answered with {}", request, status);
             toldCleared(request);
             news.cleared(request);
         }
     }
 
-    /** A connection broke while the request, sent at that time, ran at the upstream. */
-    void broke(Upstream upstream, RequestDigest request, Instant sentAt) {
+    /** The request, sent at that time, ran at the upstream and came to no whole answer there. */
+    void cut(Upstream upstream, RequestDigest request, Instant sentAt, Cut how) {
+        metrics.count("runs_cut", "how", label(how));
         UpstreamFacts facts = upstream.facts();
+        if (how != Cut.BROKE) {
+            notCounted(label(how), 1);
+            return;
+        }
         if (facts.draining()) {
+            notCounted("draining", 1);
             return;
         }
         UpstreamEnd end = new UpstreamEnd(facts.id(), facts.held().startedAt());
@@ -173,6 +202,7 @@
                     } else if (sign == Sign.ALIVE) {
                         // Whatever ends it later, these ran there before.
                         breaks.remove(upstream.facts().id(), begun);
+                        notCounted("alive", begun.ran.size());
                     }
                 });
     }
@@ -198,6 +228,7 @@
             return;
         }
         known.ended = true;
+        metrics.count("upstream_ends", "known_by", how.replace(' ', '_'));
         LOG.info(
                 "upstream {} has ended under {} requests of this router: it {}",
                 known.end.upstream(),
@@ -230,7 +261,9 @@
     /** A router tells of an upstream's end, to this one that counts. */
     void told(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
         Instant now = now();
+        int before = known(ran, now);
         suspects.ended(end, ran, now.minus(ago), now).forEach(this::suspect);
+        notCounted("began_before", ran.size() - (known(ran, now) - before));
         for (RequestDigest each : ran.keySet()) {
             boolean nearly = suspects.count(each, now) == settings.ends() - 1;
             if (nearly && !watched.containsKey(each)) {
@@ -239,6 +272,20 @@
         }
     }
 
+    private int known(Map<RequestDigest, Duration> ran, Instant now) {
+        return ran.keySet().stream().mapToInt(each -> suspects.count(each, now)).sum();
+    }
+
+    private void notCounted(String why, int runs) {
+        if (runs > 0) {
+            metrics.count("ends_not_counted", "why", why, runs);
+        }
+    }
+
+    private static String label(Cut how) {
+        return how.name().toLowerCase(Locale.ROOT);
+    }
+
     private void watch(RequestDigest request) {
         toldWatched(request);
         news.watched(request);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -138,7 +138,8 @@
         this.dispatch = dispatch();
         this.reports = reports();
         this.crashes =
-                new CrashWatch(control, crashNews(), this::look, members::watches, this::first);
+                new CrashWatch(
+                        control, crashNews(), this::look, members::watches, this::first, metrics);
         this.lost = new LostUpstreams(clock, upstreams, neighbours);
         this.limits = new LimitedUpstreams(clock, upstreams, neighbours);
         this.flows = flows();
@@ -402,7 +403,7 @@
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.usual(), ingress);
         metrics.gauge("direct_left_before_served", callers::leftUnserved);
-        metrics.gauge("requests_kept_out", crashes::keptOut);
+        crashes.show();
         new DrainProgress(upstreams).show(metrics);
         limits.show(metrics);
         leader.show(metrics);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -271,7 +271,7 @@
         } else if (attempt != null && attempt.silent(now, longestSilence())) {
             attempt.upstream().failed(now);
             flows.lost().lost(attempt.upstream());
-            attempt.cancel();
+            attempt.cancel(CrashWatch.Cut.SILENT);
             attemptFailed("no answer", true);
         }
     }
@@ -290,7 +290,7 @@
                             .retryAfter(COME_BACK));
             return;
         }
-        cancelAttempt();
+        cancelAttempt(CrashWatch.Cut.TIME_UP);
         if (started) {
             breakOff("the time is up in the middle of the answer");
         } else {
@@ -378,8 +378,8 @@
 
     /** Passes a whole answer on. */
     void answer(int status, HttpHeaders headers, ByteBuf body) {
+        answeredInFull(status);
         attempt = null;
-        answeredInFull();
         call.answer(status, headers, body);
         finish("answered " + status);
     }
@@ -403,18 +403,18 @@
         }
     }
 
-    void streamEnded() {
+    void streamEnded(int status) {
+        answeredInFull(status);
         attempt = null;
-        answeredInFull();
         call.end();
         finish("streamed");
     }
 
     // Whatever it answered, the upstream is there.
-    private void answeredInFull() {
+    private void answeredInFull(int status) {
         request.model().ifPresent(flows.unserved()::served);
         if (flows.crashes().awaitsAnswers() && !call.over()) {
-            flows.crashes().answered(digest());
+            flows.crashes().answered(digest(), attempt.sentAt(), status);
         }
     }
 
@@ -426,16 +426,16 @@
 
     private void callerGone() {
         flows.dispatch().forget(this);
-        cancelAttempt();
+        cancelAttempt(CrashWatch.Cut.CALLER_GONE);
         if (runs == 0) {
             admitted.giveBack().run();
         }
         finish("caller gone");
     }
 
-    private void cancelAttempt() {
+    private void cancelAttempt(CrashWatch.Cut why) {
         if (attempt != null) {
-            attempt.cancel();
+            attempt.cancel(why);
             attempt = null;
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/metrics/Metrics.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/metrics/Metrics.java
@@ -22,7 +22,12 @@
 
     /** Adds one to a counter that has a label. */
     public void count(String name, String label, String value) {
-        registry.counter(labelled(name, label, value)).inc();
+        count(name, label, value, 1);
+    }
+
+    /** Adds so many to a counter that has a label. */
+    public void count(String name, String label, String value, long many) {
+        registry.counter(labelled(name, label, value)).inc(many);
     }
 
     /** The counter itself, for hot paths. */
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
@@ -5,14 +5,17 @@
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamEnd;
 import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -35,13 +38,27 @@
     private static final int LONGEST_RUN_MILLIS = 3_000;
     private static final int DEADLY_AFTER_MILLIS = 100;
     private static final int STORE_LAG_MILLIS = 1_000;
+    private static final int LATE_MILLIS = 300;
+    private static final int LONG_DEADLY_MILLIS = 2_000;
+    private static final int LEAVES_BEFORE_MILLIS = 50;
+    private static final Duration REBORN_AFTER = Duration.ofMillis(800);
+    private static final Duration CUT_EACH = Duration.ofSeconds(3);
+    private static final Duration CUT_FOR = Duration.ofSeconds(2);
+    private static final Duration ROUTER_ENDS_EACH = Duration.ofSeconds(1);
+    private static final int RACK = 4;
     private static final int POLLERS = 5;
     private static final int RETRIES = 1;
+    private static final int ANSWERED = 200;
+    private static final int FAILED = 500;
     private static final Duration KNOWN_BY = Duration.ofSeconds(3);
     private static final int ENDS_TO_KNOW = 3;
 
     private final SameThreadControl world = new SameThreadControl();
     private final Random random;
+    private final Random trouble;
+    private final Set<Hardship> hardships;
+    private final Set<Integer> cutOff = new HashSet<>();
+    private final Set<Integer> startedNow = new HashSet<>();
     private final UpstreamTable table = new UpstreamTable();
     private final List<Worker> workers = new ArrayList<>();
     private final List<CrashWatch> routers = new ArrayList<>();
@@ -70,34 +87,71 @@
 
     private record Run(RequestDigest request, int router, int retries, long life, Instant sentAt) {}
 
-    CrashWorld(long seed, int routerCount, int workerCount) {
+    CrashWorld(long seed, int routerCount, int workerCount, Hardship... hardships) {
         this.random = new Random(seed);
+        this.trouble = new Random(~seed);
+        this.hardships = Set.of(hardships);
         for (int each = 0; each < workerCount; each++) {
             Worker worker = new Worker(UpstreamId.of("i-" + each));
             workers.add(worker);
-            list(worker);
+            list(worker, false);
         }
         for (int each = 0; each < routerCount; each++) {
             routers.add(null);
         }
         startAll();
+        if (has(Hardship.ROUTERS_END)) {
+            world.every(ROUTER_ENDS_EACH, () -> startAgain(trouble.nextInt(routers.size())));
+        }
+        if (has(Hardship.ROUTERS_CUT)) {
+            world.every(CUT_EACH, () -> cut(trouble.nextInt(routers.size())));
+        }
+    }
+
+    private boolean has(Hardship hardship) {
+        return hardships.contains(hardship);
+    }
+
+    private boolean oneIn(int many) {
+        return trouble.nextInt(many) == 0;
+    }
+
+    private void startAgain(int index) {
+        startedNow.add(index);
+        start(index);
+    }
+
+    private void cut(int index) {
+        cutOff.add(index);
+        world.after(CUT_FOR, () -> cutOff.remove(index));
     }
 
     /** All routers end and start again; what they knew is gone but for what the store holds. */
     void startAll() {
         for (int each = 0; each < routers.size(); each++) {
-            int index = each;
-            boolean counts = index < MOST_COUNTING;
-            CrashWatch router =
-                    new CrashWatch(
-                            world, newsOf(index), this::look, () -> counts, () -> index == 0);
-            routers.set(index, router);
-            soon(
-                    STORE_LAG_MILLIS,
-                    () -> stored.forEach((request, trials) -> router.toldByStore(request, trials)));
+            start(each);
         }
     }
 
+    private void start(int index) {
+        boolean counts = index < MOST_COUNTING;
+        CrashWatch router =
+                new CrashWatch(
+                        world,
+                        newsOf(index),
+                        this::look,
+                        () -> counts,
+                        () -> index == 0,
+                        new Metrics());
+        routers.set(index, router);
+        soon(STORE_LAG_MILLIS, () -> readStore(index, router));
+    }
+
+    private void readStore(int index, CrashWatch router) {
+        startedNow.remove(index);
+        stored.forEach((request, trials) -> router.toldByStore(request, trials));
+    }
+
     /** How many innocent requests were kept out. */
     int innocentsRefused() {
         return innocentsRefused;
@@ -134,17 +188,25 @@
         double seconds = TICK.toMillis() / 1000.0;
         for (Instant end = now().plus(time); now().isBefore(end); world.advance(TICK)) {
             for (double left = perSecond * seconds; chance(left); left--) {
-                send(innocent(), RETRIES);
+                sendAll(innocent());
             }
             if (chance(endsPerSecond * seconds)) {
                 endSome();
             }
             if (chance(deadlyPerSecond * seconds)) {
-                send(deadly, RETRIES);
+                sendAll(deadly);
             }
         }
     }
 
+    private void sendAll(RequestDigest request) {
+        send(request, RETRIES);
+        if (has(Hardship.COPIES)) {
+            send(request, RETRIES);
+            send(request, RETRIES);
+        }
+    }
+
     // Some callers ask the same again and again; the others never the same.
     private RequestDigest innocent() {
         return random.nextInt(4) == 0
@@ -155,6 +217,7 @@
     private void endSome() {
         int first = random.nextInt(workers.size());
         int together = random.nextInt(4) == 0 ? 3 : 1;
+        together = has(Hardship.RACKS) ? RACK : together;
         for (int each = 0; each < together; each++) {
             end(workers.get((first + each) % workers.size()));
         }
@@ -179,16 +242,55 @@
         Run run = new Run(request, index, retries, worker.life, now());
         worker.runs.add(run);
         if (request.equals(deadly)) {
-            countDeadly();
-            world.after(Duration.ofMillis(DEADLY_AFTER_MILLIS), () -> kill(worker, run));
+            countDeadly(index);
+            runDeadly(worker, run);
         } else {
             soon(LONGEST_RUN_MILLIS, () -> answer(worker, run));
         }
     }
 
-    private void countDeadly() {
+    private void runDeadly(Worker worker, Run run) {
+        if (has(Hardship.FAILURES) && oneIn(10)) {
+            soon(WAY_MILLIS, () -> answer(worker, run));
+            return;
+        }
+        int runs = DEADLY_AFTER_MILLIS;
+        if (has(Hardship.LONG_RUNS)) {
+            runs += trouble.nextInt(LONG_DEADLY_MILLIS);
+        }
+        if (has(Hardship.CALLERS_LEAVE) && oneIn(3)) {
+            world.after(
+                    Duration.ofMillis(runs - LEAVES_BEFORE_MILLIS),
+                    () -> callerLeaves(worker, run));
+        }
+        if (has(Hardship.DRAINING) && oneIn(2)) {
+            soon(LEAVES_BEFORE_MILLIS, () -> drain(worker));
+        }
+        world.after(Duration.ofMillis(runs), () -> kill(worker, run));
+    }
+
+    private void callerLeaves(Worker worker, Run run) {
+        if (worker.life == run.life() && worker.runs.remove(run)) {
+            routers.get(run.router())
+                    .cut(
+                            table.find(worker.id).orElseThrow(),
+                            run.request(),
+                            run.sentAt(),
+                            CrashWatch.Cut.CALLER_GONE);
+        }
+    }
+
+    private void drain(Worker worker) {
+        if (worker.up) {
+            list(worker, true);
+        }
+    }
+
+    private void countDeadly(int router) {
+        boolean inTouch = !cutOff.contains(router) && !startedNow.contains(router);
         boolean known =
-                deadlyEnds.size() >= ENDS_TO_KNOW
+                inTouch
+                        && deadlyEnds.size() >= ENDS_TO_KNOW
                         && now().isAfter(deadlyEnds.get(ENDS_TO_KNOW - 1).plus(KNOWN_BY));
         deadlySendsTooMany += known ? 1 : 0;
     }
@@ -204,11 +306,17 @@
         if (worker.life == run.life() && worker.runs.remove(run)) {
             CrashWatch router = routers.get(run.router());
             if (router.awaitsAnswers()) {
-                router.answered(run.request());
+                router.answered(run.request(), run.sentAt(), status(run.request()));
             }
         }
     }
 
+    private int status(RequestDigest request) {
+        boolean poll = request.value().startsWith("poll-");
+        boolean fails = request.equals(deadly) || (poll && has(Hardship.FAILING_POLLS));
+        return fails ? FAILED : ANSWERED;
+    }
+
     private void end(Worker worker) {
         if (!worker.up) {
             return;
@@ -221,13 +329,19 @@
         for (Run run : cut) {
             soon(
                     WAY_MILLIS,
-                    () -> routers.get(run.router()).broke(upstream, run.request(), run.sentAt()));
+                    () ->
+                            routers.get(run.router())
+                                    .cut(
+                                            upstream,
+                                            run.request(),
+                                            run.sentAt(),
+                                            CrashWatch.Cut.BROKE));
             if (run.retries() > 0) {
                 soon(500, () -> send(run.request(), run.retries() - 1));
             }
         }
-        world.after(DOWN, () -> start(worker));
-        world.after(LAPSES_AFTER, () -> routers.forEach(each -> each.listed(list(worker))));
+        world.after(has(Hardship.REBORN) ? REBORN_AFTER : DOWN, () -> start(worker));
+        world.after(LAPSES_AFTER, () -> routers.forEach(each -> each.listed(list(worker, false))));
     }
 
     private void start(Worker worker) {
@@ -235,7 +349,7 @@
         worker.up = true;
     }
 
-    private UpstreamFacts list(Worker worker) {
+    private UpstreamFacts list(Worker worker, boolean draining) {
         UpstreamFacts facts =
                 new UpstreamFacts(
                         worker.id,
@@ -244,7 +358,7 @@
                         new Endpoint("127.0.0.1", 1),
                         "a",
                         16,
-                        false,
+                        draining,
                         Duration.ZERO,
                         new HeldModels(worker.life, HeldModels.UNCOUNTED, Map.of()),
                         Set.of(),
@@ -253,10 +367,12 @@
         return facts;
     }
 
-    private void look(
-            io.damaskyoke.control.upstreams.Upstream upstream, Consumer<CrashWatch.Sign> then) {
+    private void look(Upstream upstream, Consumer<CrashWatch.Sign> then) {
+        boolean wrong = has(Hardship.WRONG_LOOKS) && oneIn(3);
         boolean up =
-                workers.stream().anyMatch(each -> each.id.equals(upstream.facts().id()) && each.up);
+                wrong
+                        || workers.stream()
+                                .anyMatch(each -> each.id.equals(upstream.facts().id()) && each.up);
         soon(WAY_MILLIS, () -> then.accept(up ? CrashWatch.Sign.ALIVE : CrashWatch.Sign.ENDED));
     }
 
@@ -288,13 +404,20 @@
     private void tell(int from, int most, Consumer<CrashWatch> what) {
         for (int each = 0; each < Math.min(most, routers.size()); each++) {
             if (each != from) {
-                int to = each;
                 messages++;
-                soon(WAY_MILLIS, () -> what.accept(routers.get(to)));
+                tellOne(from, each, what);
             }
         }
     }
 
+    private void tellOne(int from, int to, Consumer<CrashWatch> what) {
+        boolean lost = has(Hardship.NEWS_LOST) && oneIn(4);
+        if (!lost && !cutOff.contains(from) && !cutOff.contains(to)) {
+            int way = has(Hardship.NEWS_LATE) ? LATE_MILLIS : WAY_MILLIS;
+            soon(way, () -> what.accept(routers.get(to)));
+        }
+    }
+
     private boolean chance(double expected) {
         return random.nextDouble() < expected;
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -73,7 +73,8 @@
                             new SilentCrashNews(),
                             (upstream, then) -> then.accept(CrashWatch.Sign.NONE),
                             () -> true,
-                            () -> true),
+                            () -> true,
+                            new Metrics()),
                     new LostUpstreams(Instant::now, upstreams, new SilentWire()),
                     new LimitedUpstreams(Instant::now, upstreams, new SilentLimits()));
     private final HttpServer upstream = server(upstreamLoop, this::run);
