--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -246,7 +247,7 @@
 
     private void tell(Break known) {
         known.telling = false;
-        Map<RequestDigest, Duration> ran = Map.copyOf(known.ran);
+        Map<RequestDigest, Duration> ran = new TreeMap<>(known.ran);
         known.ran.clear();
         if (ran.isEmpty()) {
             return;
