Let only a success clear a request under which upstreams end

Callers saw: a deadly request that met a failing upstream now and then was never kept out; six more upstreams ended after the third, of three allowed (CrashingRequestTest), and up to six sends too many in the simulated world.

Cause: any whole answer cleared it at all routers, a 500 too, and undid what was kept out. An upstream that fails a request need not have run it, so this is no evidence for it. Class: a good word that undoes more than it proves.

Now a success clears, as the request has run; any other whole answer counts once for the request, and it is held to be the cause while no fewer upstreams have ended under it than have borne it. One that is asked over and over and always fails is borne many times as often as upstreams end. A success of a run that was sent before the last end does not undo what is kept out.

Ruled out: ignoring failures altogether; polls that always fail would be refused after three ends of other causes.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
@@ -31,8 +31,9 @@
      *
      * @param until when it may be tried once
      * @param trials how often it was tried already
+     * @param lastEnd when the last upstream that was counted ended under it
      */
-    public record Entry(RequestDigest request, Instant until, int trials) {}
+    public record Entry(RequestDigest request, Instant until, int trials, Instant lastEnd) {}
 
     /** Nothing is kept out yet. */
     public Quarantine(CrashSettings settings) {
@@ -40,14 +41,14 @@
     }
 
     /**
-     * Enough upstreams have ended under it: keeps it out.
+     * Enough upstreams have ended under it, the last one then: keeps it out.
      *
      * @return what is news, or empty if it is kept out for as long already, or too many are
      */
-    public Optional<Entry> add(RequestDigest request, Instant now) {
+    public Optional<Entry> add(RequestDigest request, Instant lastEnd, Instant now) {
         Entry known = entries.get(request);
         int trials = known == null ? 0 : known.trials();
-        Entry entry = new Entry(request, now.plus(time(trials)), trials);
+        Entry entry = new Entry(request, now.plus(time(trials)), trials, lastEnd);
         return told(entry) ? Optional.of(entry) : Optional.empty();
     }
 
@@ -70,9 +71,19 @@
         return true;
     }
 
-    /** It was answered in full. */
-    public void cleared(RequestDigest request) {
-        entries.remove(request);
+    /**
+     * A run of it that was sent then has succeeded. One that was sent before the last end proves
+     * nothing against what is known since.
+     *
+     * @return true if it is kept out no longer
+     */
+    public boolean cleared(RequestDigest request, Instant sentAt) {
+        Entry known = entries.get(request);
+        boolean stays = known != null && !sentAt.isAfter(known.lastEnd());
+        if (!stays) {
+            entries.remove(request);
+        }
+        return !stays;
     }
 
     /**
@@ -90,10 +101,14 @@
         if (!tries) {
             return Optional.of(TRIAL);
         }
-        entries.put(request, new Entry(request, now.plus(TRIAL), known.trials() + 1));
+        entries.put(request, trial(known, now));
         return Optional.empty();
     }
 
+    private static Entry trial(Entry known, Instant now) {
+        return new Entry(known.request(), now.plus(TRIAL), known.trials() + 1, known.lastEnd());
+    }
+
     /** True if it is kept out, or is being tried. */
     public boolean knows(RequestDigest request) {
         return entries.containsKey(request);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
@@ -13,19 +13,26 @@
  * <p>The pattern: an upstream ends with a dozen requests, of which one may have done it and the
  * rest are innocent. The one comes again and is there at the next end; the others come again too,
  * once or twice, and are answered. So a request is held to be the cause only by what several ends
- * have in common, and cleared by one whole answer.
+ * have in common, and cleared by one success. An answer that is no success clears nothing, as an
+ * upstream may give one without running the request; it only counts for it.
  */
 public final class Suspects {
     /** Routers' words of when something was may differ by this. */
     private static final Duration INEXACT = Duration.ofMillis(50);
 
     private final CrashSettings settings;
-    private final Map<RequestDigest, Map<UpstreamEnd, Instant>> ends;
+    private final Map<RequestDigest, Evidence> evidence;
+
+    /** What speaks against a request, and what for it. */
+    private static final class Evidence {
+        private final Map<UpstreamEnd, Instant> ends = new HashMap<>();
+        private int borne;
+    }
 
     /** Nothing is suspected yet. */
     public Suspects(CrashSettings settings) {
         this.settings = settings;
-        this.ends = new RecentlyUsed<>(settings.mostSuspects());
+        this.evidence = new RecentlyUsed<>(settings.mostSuspects());
     }
 
     /**
@@ -39,12 +46,37 @@
             UpstreamEnd end, Map<RequestDigest, Duration> ran, Instant at, Instant now) {
         ran.forEach(
                 (request, time) -> {
-                    var known = ends.computeIfAbsent(request, any -> new HashMap<>());
+                    var known = evidence.computeIfAbsent(request, any -> new Evidence()).ends;
                     if (beganAfter(known, at.minus(time).plus(INEXACT))) {
                         known.putIfAbsent(end, at);
                     }
                 });
-        return ran.keySet().stream().filter(each -> count(each, now) >= settings.ends()).toList();
+        return ran.keySet().stream().filter(each -> convicts(each, now)).toList();
+    }
+
+    /**
+     * True if enough upstreams have ended under it, and no fewer than have borne it. A request that
+     * is asked over and over and always fails is borne many times as often as upstreams end.
+     */
+    public boolean convicts(RequestDigest request, Instant now) {
+        int count = count(request, now);
+        return count >= settings.ends() && count >= evidence.get(request).borne;
+    }
+
+    /** When the last upstream that is counted ended under it. */
+    public Instant lastEnd(RequestDigest request) {
+        Evidence known = evidence.get(request);
+        return known == null
+                ? Instant.MIN
+                : known.ends.values().stream().max(Instant::compareTo).orElse(Instant.MIN);
+    }
+
+    /** An upstream took it and did not end, though it gave no success. */
+    public void borne(RequestDigest request) {
+        Evidence known = evidence.get(request);
+        if (known != null) {
+            known.borne++;
+        }
     }
 
     // One that ran at several upstreams when all of them ended, as those of a rack do, has not
@@ -56,21 +88,21 @@
 
     /** How many upstreams have ended under the request, of late. */
     public int count(RequestDigest request, Instant now) {
-        Map<UpstreamEnd, Instant> known = ends.get(request);
+        Evidence known = evidence.get(request);
         if (known == null) {
             return 0;
         }
-        known.values().removeIf(at -> at.plus(settings.remembered()).isBefore(now));
-        return known.size();
+        known.ends.values().removeIf(at -> at.plus(settings.remembered()).isBefore(now));
+        return known.ends.size();
     }
 
-    /** It was answered in full: it is not the cause. */
+    /** It was answered with a success: it is not the cause. */
     public void cleared(RequestDigest request) {
-        ends.remove(request);
+        evidence.remove(request);
     }
 
     /** How many requests are remembered. */
     public int size() {
-        return ends.size();
+        return evidence.size();
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -52,10 +52,6 @@
         return upstream;
     }
 
-    Instant sentAt() {
-        return sentAt;
-    }
-
     void start() {
         upstream.sent(flow.model().orElse(null), sentAt);
         String attempt = flow.request().attempt();
@@ -234,8 +230,9 @@
             return;
         }
         finish();
+        borne();
         flow.startStream(answer.status(), flows.dialect().toCaller(headers));
-        flow.streamEnded(answer.status());
+        flow.streamEnded();
     }
 
     private void gather(ByteBuf data) {
@@ -250,6 +247,7 @@
             spoiled("a success without the upstream's seal");
             return;
         }
+        borne();
         boolean ownFailure = answer.status() >= SERVER_ERRORS;
         if (ownFailure && flow.mayRunAgain()) {
             releaseBody();
@@ -268,6 +266,13 @@
         flow.answer(answer.status(), flows.dialect().toCaller(headers), whole);
     }
 
+    // The upstream has taken the request and has not ended.
+    private void borne() {
+        if (flows.crashes().awaitsAnswers() && !flow.call().over()) {
+            flows.crashes().answered(flow.digest(), sentAt, answer.status());
+        }
+    }
+
     // These tell a caller that its request has not run, and this upstream doesn't vouch for that.
     private static boolean promises(int status) {
         return status == 408 || status == 421 || status == 429 || status == 503;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
@@ -11,12 +11,15 @@
     /** Tells those that count that an upstream ended so long ago, and how long these had run. */
     void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran);
 
-    /** Tells all others that one more end is enough, and that a whole answer would clear it. */
+    /** Tells all others that one more end is enough, and that a success would clear it. */
     void watched(RequestDigest request);
 
     /** Tells all others that the request is kept out. */
     void keptOut(Quarantine.Entry entry);
 
-    /** Tells all others that the request was answered in full. */
-    void cleared(RequestDigest request);
+    /** Tells all others that the request was answered with a success, sent so long ago. */
+    void cleared(RequestDigest request, Duration sentAgo);
+
+    /** Tells those that count that an upstream took the request and did not end. */
+    void borne(RequestDigest request);
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -151,22 +151,36 @@
         return quarantine.knows(request);
     }
 
-    /** True if a whole answer to some request would be news. */
+    /** True if an answer to some request would be news. */
     boolean awaitsAnswers() {
         return !watched.isEmpty() || !quarantine.isEmpty();
     }
 
-    /** The request was answered in full with this status; it was sent at that time. */
+    /** The request, sent at that time, was answered in full with this status. */
     void answered(RequestDigest request, Instant sentAt, int status) {
         forgetOld();
-        if (watched.containsKey(request) || quarantine.knows(request)) {
+        if (!watched.containsKey(request) && !quarantine.knows(request)) {
+            return;
+        }
+        if (!success(status)) {
+            metrics.count("requests_borne", "status", Integer.toString(status));
+            toldBorne(request);
+            news.borne(request);
+            return;
+        }
+        Duration ago = Duration.between(sentAt, now());
+        if (toldCleared(request, ago)) {
             metrics.count("requests_cleared", "status", Integer.toString(status));
             LOG.info("request {} is cleared, answered with {}", request, status);
-            toldCleared(request);
-            news.cleared(request);
+            news.cleared(request, ago);
         }
     }
 
+    // Only a success proves that the request has run; an upstream may fail it before it does.
+    private static boolean success(int status) {
+        return status >= 200 && status < 300;
+    }
+
     /** The request, sent at that time, ran at the upstream and came to no whole answer there. */
     void cut(Upstream upstream, RequestDigest request, Instant sentAt, Cut how) {
         metrics.count("runs_cut", "how", label(how));
@@ -296,7 +310,7 @@
     // Then it runs at others too, and one of them answers it in this time.
     private void suspect(RequestDigest request) {
         if (quarantine.knows(request)) {
-            quarantine.add(request, now()).ifPresent(this::keepOut);
+            keepOut(request);
         } else if (!held.containsKey(request)) {
             watch(request);
             held.put(request, control.after(HOLD, () -> decide(request)));
@@ -305,12 +319,15 @@
 
     private void decide(RequestDigest request) {
         held.remove(request);
-        Instant now = now();
-        if (suspects.count(request, now) >= settings.ends()) {
-            quarantine.add(request, now).ifPresent(this::keepOut);
+        if (suspects.convicts(request, now())) {
+            keepOut(request);
         }
     }
 
+    private void keepOut(RequestDigest request) {
+        quarantine.add(request, suspects.lastEnd(request), now()).ifPresent(this::keepOut);
+    }
+
     private void keepOut(Quarantine.Entry entry) {
         LOG.warn(
                 "request {} is kept from all upstreams: {} have ended under it",
@@ -329,7 +346,8 @@
     /** The store holds that the request is kept out; when that began, it does not tell. */
     void toldByStore(RequestDigest request, int trials) {
         if (!quarantine.knows(request)) {
-            told(new Quarantine.Entry(request, now().plus(settings.quarantine()), trials));
+            Instant now = now();
+            told(new Quarantine.Entry(request, now.plus(settings.quarantine()), trials, now));
         }
     }
 
@@ -347,12 +365,24 @@
         watched.values().removeIf(until -> until.isBefore(now));
     }
 
-    /** The request was answered in full, somewhere. */
-    void toldCleared(RequestDigest request) {
+    /**
+     * The request, sent so long ago, was answered with a success somewhere.
+     *
+     * @return true unless it stays kept out
+     */
+    boolean toldCleared(RequestDigest request, Duration sentAgo) {
+        if (!quarantine.cleared(request, now().minus(sentAgo))) {
+            return false;
+        }
         watched.remove(request);
         Optional.ofNullable(held.remove(request)).ifPresent(Control.Cancellable::cancel);
         suspects.cleared(request);
-        quarantine.cleared(request);
+        return true;
+    }
+
+    /** An upstream took the request and did not end, somewhere. */
+    void toldBorne(RequestDigest request) {
+        suspects.borne(request);
     }
 
     /** Tells all that is kept out, to routers that have just come. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -378,8 +378,8 @@
 
     /** Passes a whole answer on. */
     void answer(int status, HttpHeaders headers, ByteBuf body) {
-        answeredInFull(status);
         attempt = null;
+        answeredInFull();
         call.answer(status, headers, body);
         finish("answered " + status);
     }
@@ -403,19 +403,15 @@
         }
     }
 
-    void streamEnded(int status) {
-        answeredInFull(status);
+    void streamEnded() {
         attempt = null;
+        answeredInFull();
         call.end();
         finish("streamed");
     }
 
-    // Whatever it answered, the upstream is there.
-    private void answeredInFull(int status) {
+    private void answeredInFull() {
         request.model().ifPresent(flows.unserved()::served);
-        if (flows.crashes().awaitsAnswers() && !call.over()) {
-            flows.crashes().answered(digest(), attempt.sentAt(), status);
-        }
     }
 
     private void callerReads() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -183,20 +183,34 @@
         return suspect(SuspectRequest.newBuilder().setRequest(request.value()).setState(state));
     }
 
+    static Frame cleared(RequestDigest request, Duration sentAgo) {
+        return suspect(
+                SuspectRequest.newBuilder()
+                        .setRequest(request.value())
+                        .setState(SuspectRequest.State.CLEARED)
+                        .setSentMsAgo(sentAgo.toMillis()));
+    }
+
     static Frame keptOut(Quarantine.Entry entry, Instant now) {
         return suspect(
                 SuspectRequest.newBuilder()
                         .setRequest(entry.request().value())
                         .setState(SuspectRequest.State.KEPT_OUT)
-                        .setLeftMs(Math.max(0, Duration.between(now, entry.until()).toMillis()))
-                        .setTrials(entry.trials()));
+                        .setLeftMs(millisBetween(now, entry.until()))
+                        .setTrials(entry.trials())
+                        .setEndedMsAgo(millisBetween(entry.lastEnd(), now)));
     }
 
     static Quarantine.Entry keptOut(SuspectRequest line, Instant now) {
         return new Quarantine.Entry(
                 new RequestDigest(line.getRequest()),
                 now.plusMillis(line.getLeftMs()),
-                line.getTrials());
+                line.getTrials(),
+                now.minusMillis(line.getEndedMsAgo()));
+    }
+
+    private static long millisBetween(Instant from, Instant to) {
+        return Math.max(0, Duration.between(from, to).toMillis());
     }
 
     private static Frame suspect(SuspectRequest.Builder line) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -106,8 +106,13 @@
     }
 
     @Override
-    public void cleared(RequestDigest request) {
-        parts.crashes().toldCleared(request);
+    public void cleared(RequestDigest request, Duration sentAgo) {
+        parts.crashes().toldCleared(request, sentAgo);
+    }
+
+    @Override
+    public void borne(RequestDigest request) {
+        parts.crashes().toldBorne(request);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -92,8 +92,11 @@
         /** A router keeps the request out. */
         void keptOut(Quarantine.Entry entry);
 
-        /** A router has seen the request answered in full. */
-        void cleared(RequestDigest request);
+        /** A router has seen the request, sent so long ago, answered with a success. */
+        void cleared(RequestDigest request, Duration sentAgo);
+
+        /** A router has seen an upstream take the request and not end. */
+        void borne(RequestDigest request);
 
         /** A router can't reach an upstream in this life; all others are to be told or are. */
         void lost(UpstreamId upstream, long startedAt, boolean passOn);
@@ -197,10 +200,7 @@
 
     @Override
     public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
-        Frame frame = NeighbourFrames.ended(end, ago, ran);
-        members.plan().watchers().stream()
-                .filter(vm -> !vm.equals(members.self()))
-                .forEach(vm -> send(vm, frame));
+        sendToWatchers(NeighbourFrames.ended(end, ago, ran));
     }
 
     @Override
@@ -214,8 +214,13 @@
     }
 
     @Override
-    public void cleared(RequestDigest request) {
-        sendAll(NeighbourFrames.suspect(request, SuspectRequest.State.CLEARED));
+    public void cleared(RequestDigest request, Duration sentAgo) {
+        sendAll(NeighbourFrames.cleared(request, sentAgo));
+    }
+
+    @Override
+    public void borne(RequestDigest request) {
+        sendToWatchers(NeighbourFrames.suspect(request, SuspectRequest.State.BORNE));
     }
 
     @Override
@@ -369,7 +374,8 @@
         RequestDigest request = new RequestDigest(line.getRequest());
         switch (line.getState()) {
             case WATCHED -> listener.watched(request);
-            case CLEARED -> listener.cleared(request);
+            case CLEARED -> listener.cleared(request, Duration.ofMillis(line.getSentMsAgo()));
+            case BORNE -> listener.borne(request);
             case KEPT_OUT ->
                     listener.keptOut(NeighbourFrames.keptOut(line, control.clock().instant()));
             default -> {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
@@ -33,7 +33,12 @@
     }
 
     @Override
-    public void cleared(RequestDigest request) {
-        routers.cleared(request);
+    public void cleared(RequestDigest request, Duration sentAgo) {
+        routers.cleared(request, sentAgo);
+    }
+
+    @Override
+    public void borne(RequestDigest request) {
+        routers.borne(request);
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
@@ -17,7 +17,7 @@
 
     @Test
     void itKeepsARequestOutForAWhile() {
-        quarantine.add(ONE, now);
+        quarantine.add(ONE, now, now);
         now = now.plus(Duration.ofMinutes(4));
         assertEquals(Optional.of(Duration.ofMinutes(6)), quarantine.left(ONE, true, now));
         assertTrue(quarantine.keepsOut(ONE, now));
@@ -25,7 +25,7 @@
 
     @Test
     void thenOneRouterLetsItThroughOnce() {
-        quarantine.add(ONE, now);
+        quarantine.add(ONE, now, now);
         now = now.plus(Duration.ofMinutes(10));
         assertTrue(quarantine.left(ONE, false, now).isPresent());
         assertTrue(quarantine.left(ONE, true, now).isEmpty());
@@ -35,38 +35,46 @@
     // Guards against trials that add up: three sends are allowed after the third end, for ever.
     @Test
     void afterTwoTrialsItIsKeptOutForGood() {
-        quarantine.add(ONE, now);
+        quarantine.add(ONE, now, now);
         int trials = 0;
         for (int minute = 0; minute < 10_000; minute++) {
             now = now.plus(Duration.ofMinutes(1));
             if (quarantine.left(ONE, true, now).isEmpty()) {
                 trials++;
-                quarantine.add(ONE, now.plusSeconds(1));
+                quarantine.add(ONE, now, now.plusSeconds(1));
             }
         }
         assertEquals(2, trials);
     }
 
     @Test
-    void aWholeAnswerLetsItGo() {
-        quarantine.add(ONE, now);
-        quarantine.cleared(ONE);
+    void aSuccessLetsItGo() {
+        quarantine.add(ONE, now, now);
+        assertTrue(quarantine.cleared(ONE, now.plusMillis(1)));
         assertTrue(quarantine.isEmpty());
         assertTrue(quarantine.left(ONE, true, now).isEmpty());
     }
 
+    // Guards against a success that was on its way when the last upstream ended.
+    @Test
+    void aSuccessOfARunFromBeforeTheLastEndDoesNot() {
+        quarantine.add(ONE, now, now.plusSeconds(2));
+        assertFalse(quarantine.cleared(ONE, now));
+        assertTrue(quarantine.keepsOut(ONE, now));
+    }
+
     @Test
     void whatIsToldTwiceIsNoNews() {
-        Quarantine.Entry entry = quarantine.add(ONE, now).orElseThrow();
+        Quarantine.Entry entry = quarantine.add(ONE, now, now).orElseThrow();
         assertFalse(quarantine.told(entry));
-        assertTrue(quarantine.add(ONE, now).isEmpty());
+        assertTrue(quarantine.add(ONE, now, now).isEmpty());
     }
 
     // Guards against a bad release of the upstreams, under which they end whatever they run.
     @Test
     void whereSoManySeemToBeTheCauseNoMoreAreKeptOut() {
         for (int each = 0; each < 1_000; each++) {
-            quarantine.add(new RequestDigest("r" + each), now);
+            quarantine.add(new RequestDigest("r" + each), now, now);
         }
         assertEquals(CrashSettings.usual().mostQuarantined(), quarantine.all().size());
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class SuspectsTest {
@@ -35,13 +36,31 @@
 
     // Guards against an innocent request that is asked again and again, and ran at a few ends.
     @Test
-    void aWholeAnswerClearsARequest() {
+    void aSuccessClearsARequest() {
         ended("a", ONE);
         ended("b", ONE);
         suspects.cleared(ONE);
         assertEquals(List.of(), ended("c", ONE));
     }
 
+    // Guards against a failure as answer that lets a deadly request go on.
+    @Test
+    void aRequestThatIsBorneNowAndThenStaysTheCause() {
+        ended("a", ONE);
+        suspects.borne(ONE);
+        ended("b", ONE);
+        assertEquals(List.of(ONE), ended("c", ONE));
+    }
+
+    // Guards against a request that always fails, is asked over and over, and ends nothing.
+    @Test
+    void aRequestThatIsBorneMoreOftenThanUpstreamsEndIsNotTheCause() {
+        ended("a", ONE);
+        ended("b", ONE);
+        IntStream.range(0, 4).forEach(each -> suspects.borne(ONE));
+        assertEquals(List.of(), ended("c", ONE));
+    }
+
     @Test
     void endsOfLongAgoDoNotCount() {
         ended("a", ONE);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
@@ -395,8 +395,13 @@
             }
 
             @Override
-            public void cleared(RequestDigest request) {
-                tell(from, routers.size(), router -> router.toldCleared(request));
+            public void cleared(RequestDigest request, Duration sentAgo) {
+                tell(from, routers.size(), router -> router.toldCleared(request, sentAgo));
+            }
+
+            @Override
+            public void borne(RequestDigest request) {
+                tell(from, MOST_COUNTING, router -> router.toldBorne(request));
             }
         };
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
@@ -18,5 +18,8 @@
     public void keptOut(Quarantine.Entry entry) {}
 
     @Override
-    public void cleared(RequestDigest request) {}
+    public void cleared(RequestDigest request, Duration sentAgo) {}
+
+    @Override
+    public void borne(RequestDigest request) {}
 }
