Join the ends of upstreams with all that ran there, also where the caller had left

Cause: the evidence was a connection of this request that breaks by itself. Where the router had closed it first, as the caller had left, the time was up, nothing came or what came was no answer, the end was nobody's, though every other router knew of it. Class: evidence that only one kind of observer can give.

Now each router remembers for ten seconds what came to no whole answer in a life of an upstream, for whatever reason, and tells of it once it knows by whatever way that this life has ended: a refused connection of its own, the list, another router's word. A router that is refused a connection looks and tells the others. A run that was called off over a second before the end does not count, and one whose upstream answers something sent a second later counts for the request.

Weighed: a look at once for each caller that leaves (one connection for each of them, half of them too early); asking all routers what ran there at each end (as many answers as routers).

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -78,7 +78,7 @@
     }
 
     /** Calls it off: the upstream sees its connection close, and drops the request. */
-    void cancel(CrashWatch.Cut why) {
+    void cancel(Cut why) {
         if (over) {
             return;
         }
@@ -89,7 +89,7 @@
         call.cancel();
     }
 
-    private void cut(CrashWatch.Cut how) {
+    private void cut(Cut how) {
         flows.crashes().cut(upstream, flow.digest(), sentAt, how);
     }
 
@@ -133,6 +133,7 @@
         answer = flows.dialect().answer(status, fromUpstream, upstream.facts().id());
         answer.load().ifPresent(load -> upstream.reported(load.running(), load.waiting(), heardAt));
         flows.limits().heard(upstream, answer.limit(), sentAt);
+        flows.crashes().answers(upstream, sentAt);
     }
 
     @Override
@@ -178,8 +179,11 @@
         if (broke || failure == Failure.NOT_CONNECTED) {
             flows.lost().lost(upstream);
         }
+        if (failure == Failure.NOT_CONNECTED) {
+            flows.crashes().unreachable(upstream);
+        }
         if (failure.mayHaveArrived() && (answer == null || !answer.notRun())) {
-            cut(broke ? CrashWatch.Cut.BROKE : CrashWatch.Cut.GARBLED);
+            cut(broke ? Cut.BROKE : Cut.GARBLED);
         }
         if (!failure.mayHaveArrived()) {
             flow.notSent("no connection");
@@ -284,7 +288,7 @@
 
     private void spoiled(String why) {
         upstream.failed(flows.now());
-        cut(CrashWatch.Cut.GARBLED);
+        cut(Cut.GARBLED);
         releaseBody();
         finish();
         call.cancel();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
@@ -11,6 +11,12 @@
     /** Tells those that count that an upstream ended so long ago, and how long these had run. */
     void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran);
 
+    /** Tells all others that an upstream has ended, through those that pass it on. */
+    void found(UpstreamEnd end);
+
+    /** Tells all others so, if this router is one of those that pass it on. */
+    void passEndOn(UpstreamEnd end);
+
     /** Tells all others that one more end is enough, and that a success would clear it. */
     void watched(RequestDigest request);
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -13,12 +13,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -27,19 +24,12 @@
  * watch.broke(upstream, digest)} when a connection breaks, {@code watch.refused(digest)} before a
  * send. Control thread only.
  *
- * <p>A connection may break for many reasons. That an upstream has ended is taken for certain when
- * nothing else of it is open here and its address refuses, or when the list has it no longer or in
- * another life. What ran there at that time is told to the routers that count.
+ * <p>What ran at an upstream when it ended ({@link UpstreamEnds}) is told to the routers that
+ * count. They hold a request to be the cause by what several ends have in common.
  */
 final class CrashWatch {
     private static final Logger LOG = LogManager.getLogger(CrashWatch.class);
 
-    /** Connections that break together are told together; the address refuses by then. */
-    private static final Duration GATHER = Duration.ofMillis(30);
-
-    /** The list has an upstream no longer some heartbeats after its end. */
-    private static final Duration OPEN = Duration.ofSeconds(10);
-
     /**
      * A request under which enough upstreams have ended is kept out after this, unless somebody
      * answers it in full meanwhile. All routers have to know three seconds after the third end.
@@ -52,59 +42,15 @@
     private final Control control;
     private final Metrics metrics;
     private final CrashNews news;
-    private final Prober prober;
     private final BooleanSupplier counts;
     private final BooleanSupplier tries;
     private final CrashSettings settings = CrashSettings.usual();
     private final Suspects suspects = new Suspects(settings);
     private final Quarantine quarantine = new Quarantine(settings);
     private final Map<RequestDigest, Instant> watched = new HashMap<>();
-    private final Map<UpstreamId, Break> breaks = new HashMap<>();
+    private final UpstreamEnds ends;
     private final Map<RequestDigest, Control.Cancellable> held = new HashMap<>();
 
-    /** How a run at an upstream came to its end without a whole answer. */
-    enum Cut {
-        /** Its connection broke. */
-        BROKE,
-        /** Its caller has left, and this router closed the connection. */
-        CALLER_GONE,
-        /** Its time was over, and this router closed the connection. */
-        TIME_UP,
-        /** Nothing came for so long that this router closed the connection. */
-        SILENT,
-        /** What came was no whole answer of the upstream. */
-        GARBLED
-    }
-
-    /** What a look at an upstream shows. */
-    enum Sign {
-        /** It has ended: its address refuses connections. */
-        ENDED,
-        /** It has not: it takes connections, or has kept some. */
-        ALIVE,
-        /** No answer either way. */
-        NONE
-    }
-
-    /** Looks whether an upstream has ended. */
-    interface Prober {
-        void look(Upstream upstream, Consumer<Sign> then);
-    }
-
-    /** Connections that broke at one upstream, and whether that was its end. */
-    private static final class Break {
-        private final UpstreamEnd end;
-        private final Instant at;
-        private final Map<RequestDigest, Duration> ran = new HashMap<>();
-        private boolean ended;
-        private boolean telling;
-
-        Break(UpstreamEnd end, Instant at) {
-            this.end = end;
-            this.at = at;
-        }
-    }
-
     /**
      * {@code counts} tells whether this router is one of those that count for all, and {@code
      * tries} whether it is the one that tries again.
@@ -112,14 +58,14 @@
     CrashWatch(
             Control control,
             CrashNews news,
-            Prober prober,
+            UpstreamEnds.Prober prober,
             BooleanSupplier counts,
             BooleanSupplier tries,
             Metrics metrics) {
         this.control = control;
         this.metrics = metrics;
         this.news = news;
-        this.prober = prober;
+        this.ends = new UpstreamEnds(control, prober, new EndListener(), metrics);
         this.counts = counts;
         this.tries = tries;
     }
@@ -163,9 +109,7 @@
             return;
         }
         if (!success(status)) {
-            metrics.count("requests_borne", "status", Integer.toString(status));
-            toldBorne(request);
-            news.borne(request);
+            borne(request, Integer.toString(status));
             return;
         }
         Duration ago = Duration.between(sentAt, now());
@@ -176,6 +120,12 @@
         }
     }
 
+    private void borne(RequestDigest request, String how) {
+        metrics.count("requests_borne", "status", how);
+        toldBorne(request);
+        news.borne(request);
+    }
+
     // Only a success proves that the request has run; an upstream may fail it before it does.
     private static boolean success(int status) {
         return status >= 200 && status < 300;
@@ -183,94 +133,45 @@
 
     /** The request, sent at that time, ran at the upstream and came to no whole answer there. */
     void cut(Upstream upstream, RequestDigest request, Instant sentAt, Cut how) {
-        metrics.count("runs_cut", "how", label(how));
-        UpstreamFacts facts = upstream.facts();
-        if (how != Cut.BROKE) {
-            notCounted(label(how), 1);
-            return;
-        }
-        if (facts.draining()) {
+        if (upstream.facts().draining()) {
             notCounted("draining", 1);
             return;
         }
-        UpstreamEnd end = new UpstreamEnd(facts.id(), facts.held().startedAt());
-        Break known = breaks.get(facts.id());
-        if (known == null || !known.end.equals(end)) {
-            known = new Break(end, now());
-            breaks.put(facts.id(), known);
-            Break begun = known;
-            control.after(GATHER, () -> probe(upstream, begun));
-            control.after(OPEN, () -> breaks.remove(facts.id(), begun));
-        }
-        known.ran.put(request, Duration.between(sentAt, known.at));
-        if (known.ended) {
-            tellSoon(known);
-        }
+        ends.cut(upstream, request, sentAt, how);
     }
 
-    private void probe(Upstream upstream, Break begun) {
-        prober.look(
-                upstream,
-                sign -> {
-                    if (sign == Sign.ENDED) {
-                        ended(begun, "refuses connections");
-                    } else if (sign == Sign.ALIVE) {
-                        // Whatever ends it later, these ran there before.
-                        breaks.remove(upstream.facts().id(), begun);
-                        notCounted("alive", begun.ran.size());
-                    }
-                });
+    /** The upstream has answered something that was sent then. */
+    void answers(Upstream upstream, Instant sentAt) {
+        ends.answered(upstream, sentAt);
+    }
+
+    /** No connection to the upstream could be made. */
+    void unreachable(Upstream upstream) {
+        ends.unreachable(upstream);
     }
 
     /** The list has the upstream no longer. */
     void gone(UpstreamId upstream) {
-        Break known = breaks.get(upstream);
-        if (known != null) {
-            ended(known, "is off the list");
-        }
+        ends.gone(upstream);
     }
 
     /** The list says something of the upstream, perhaps of its next life. */
     void listed(UpstreamFacts facts) {
-        Break known = breaks.get(facts.id());
-        if (known != null && known.end.startedAt() != facts.held().startedAt()) {
-            ended(known, "has started again");
-        }
+        ends.listed(facts);
     }
 
-    private void ended(Break known, String how) {
-        if (known.ended) {
-            return;
-        }
-        known.ended = true;
-        metrics.count("upstream_ends", "known_by", how.replace(' ', '_'));
-        LOG.info(
-                "upstream {} has ended under {} requests of this router: it {}",
-                known.end.upstream(),
-                known.ran.size(),
-                how);
-        tellSoon(known);
-    }
-
-    private void tellSoon(Break known) {
-        if (!known.telling) {
-            known.telling = true;
-            control.run(() -> tell(known));
+    /** Another router has found out that an upstream has ended; {@code passOn} if others wait. */
+    void toldEnd(UpstreamEnd end, boolean passOn) {
+        if (ends.told(end) && passOn) {
+            news.passEndOn(end);
         }
     }
 
-    private void tell(Break known) {
-        known.telling = false;
-        Map<RequestDigest, Duration> ran = new TreeMap<>(known.ran);
-        known.ran.clear();
-        if (ran.isEmpty()) {
-            return;
-        }
-        Duration ago = Duration.between(known.at, now());
+    private void tell(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
         if (counts.getAsBoolean()) {
-            told(known.end, ago, ran);
+            told(end, ago, ran);
         }
-        news.ended(known.end, ago, ran);
+        news.ended(end, ago, ran);
     }
 
     /** A router tells of an upstream's end, to this one that counts. */
@@ -297,10 +198,6 @@
         }
     }
 
-    private static String label(Cut how) {
-        return how.name().toLowerCase(Locale.ROOT);
-    }
-
     private void watch(RequestDigest request) {
         toldWatched(request);
         news.watched(request);
@@ -393,4 +290,24 @@
     private Instant now() {
         return control.clock().instant();
     }
+
+    /** Passes on what is known of ends. */
+    private final class EndListener implements UpstreamEnds.Listener {
+        @Override
+        public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+            tell(end, ago, ran);
+        }
+
+        @Override
+        public void found(UpstreamEnd end) {
+            news.found(end);
+        }
+
+        @Override
+        public void survived(RequestDigest request) {
+            if (watched.containsKey(request) || quarantine.knows(request)) {
+                borne(request, "none");
+            }
+        }
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -259,10 +259,10 @@
                 neighbours, new QuarantineStore(control, store, members.keptOutPrefix()));
     }
 
-    private void look(Upstream upstream, Consumer<CrashWatch.Sign> then) {
+    private void look(Upstream upstream, Consumer<UpstreamEnds.Sign> then) {
         Endpoint endpoint = upstream.facts().endpoint();
         if (client.keeps(endpoint)) {
-            then.accept(CrashWatch.Sign.ALIVE);
+            then.accept(UpstreamEnds.Sign.ALIVE);
             return;
         }
         client.reach(
@@ -272,9 +272,9 @@
                                 reached.map(
                                                 open ->
                                                         open
-                                                                ? CrashWatch.Sign.ALIVE
-                                                                : CrashWatch.Sign.ENDED)
-                                        .orElse(CrashWatch.Sign.NONE)));
+                                                                ? UpstreamEnds.Sign.ALIVE
+                                                                : UpstreamEnds.Sign.ENDED)
+                                        .orElse(UpstreamEnds.Sign.NONE)));
     }
 
     // One router that all agree on, unless the list is new to one of them.
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -271,7 +271,7 @@
         } else if (attempt != null && attempt.silent(now, longestSilence())) {
             attempt.upstream().failed(now);
             flows.lost().lost(attempt.upstream());
-            attempt.cancel(CrashWatch.Cut.SILENT);
+            attempt.cancel(Cut.SILENT);
             attemptFailed("no answer", true);
         }
     }
@@ -290,7 +290,7 @@
                             .retryAfter(COME_BACK));
             return;
         }
-        cancelAttempt(CrashWatch.Cut.TIME_UP);
+        cancelAttempt(Cut.TIME_UP);
         if (started) {
             breakOff("the time is up in the middle of the answer");
         } else {
@@ -422,14 +422,14 @@
 
     private void callerGone() {
         flows.dispatch().forget(this);
-        cancelAttempt(CrashWatch.Cut.CALLER_GONE);
+        cancelAttempt(Cut.CALLER_GONE);
         if (runs == 0) {
             admitted.giveBack().run();
         }
         finish("caller gone");
     }
 
-    private void cancelAttempt(CrashWatch.Cut why) {
+    private void cancelAttempt(Cut why) {
         if (attempt != null) {
             attempt.cancel(why);
             attempt = null;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -170,11 +170,20 @@
     }
 
     static Frame lost(UpstreamId upstream, long startedAt, boolean passOn) {
+        return lost(new UpstreamEnd(upstream, startedAt), passOn, false);
+    }
+
+    static Frame found(UpstreamEnd end, boolean passOn) {
+        return lost(end, passOn, true);
+    }
+
+    private static Frame lost(UpstreamEnd end, boolean passOn, boolean ended) {
         LostUpstream lost =
                 LostUpstream.newBuilder()
-                        .setUpstream(upstream.value())
-                        .setStartedAt(startedAt)
+                        .setUpstream(end.upstream().value())
+                        .setStartedAt(end.startedAt())
                         .setPassOn(passOn)
+                        .setEnded(ended)
                         .build();
         return Frame.newBuilder().setLostUpstream(lost).build();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -85,6 +85,11 @@
         parts.crashes().told(end, ago, ran);
     }
 
+    @Override
+    public void found(UpstreamEnd end, boolean passOn) {
+        parts.crashes().toldEnd(end, passOn);
+    }
+
     @Override
     public void lost(UpstreamId upstream, long startedAt, boolean passOn) {
         parts.lost().told(upstream, startedAt, passOn);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -86,6 +86,9 @@
         /** An upstream ended so long ago, and these had run there for so long. */
         void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran);
 
+        /** A router has found out that an upstream has ended; others are to be told or are. */
+        void found(UpstreamEnd end, boolean passOn);
+
         /** A router holds that one more end under the request would be enough. */
         void watched(RequestDigest request);
 
@@ -203,6 +206,18 @@
         sendToWatchers(NeighbourFrames.ended(end, ago, ran));
     }
 
+    @Override
+    public void found(UpstreamEnd end) {
+        tellThroughWatchers(passOn -> NeighbourFrames.found(end, passOn));
+    }
+
+    @Override
+    public void passEndOn(UpstreamEnd end) {
+        if (members.watches()) {
+            sendAll(NeighbourFrames.found(end, false));
+        }
+    }
+
     @Override
     public void watched(RequestDigest request) {
         sendAll(NeighbourFrames.suspect(request, SuspectRequest.State.WATCHED));
@@ -362,14 +377,22 @@
                     Duration.ofMillis(ended.getEndedMsAgo()),
                     NeighbourFrames.ran(ended));
         } else if (frame.hasLostUpstream()) {
-            LostUpstream lost = frame.getLostUpstream();
-            listener.lost(UpstreamId.of(lost.getUpstream()), lost.getStartedAt(), lost.getPassOn());
+            takeLost(frame.getLostUpstream());
         } else if (frame.hasUpstreamLimit()) {
             UpstreamLimit limit = frame.getUpstreamLimit();
             listener.limited(NeighbourFrames.limit(limit), limit.getPassOn());
         }
     }
 
+    private void takeLost(LostUpstream lost) {
+        UpstreamId upstream = UpstreamId.of(lost.getUpstream());
+        if (lost.getEnded()) {
+            listener.found(new UpstreamEnd(upstream, lost.getStartedAt()), lost.getPassOn());
+        } else {
+            listener.lost(upstream, lost.getStartedAt(), lost.getPassOn());
+        }
+    }
+
     private void takeSuspect(SuspectRequest line) {
         RequestDigest request = new RequestDigest(line.getRequest());
         switch (line.getState()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
@@ -21,6 +21,16 @@
         routers.ended(end, ago, ran);
     }
 
+    @Override
+    public void found(UpstreamEnd end) {
+        routers.found(end);
+    }
+
+    @Override
+    public void passEndOn(UpstreamEnd end) {
+        routers.passEndOn(end);
+    }
+
     @Override
     public void watched(RequestDigest request) {
         routers.watched(request);
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
@@ -0,0 +1,276 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.Control;
+import io.damaskyoke.control.RecentlyUsed;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.metrics.Metrics;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Joins the end of an upstream with what ran there: {@code ends.cut(upstream, request, sentAt,
+ * how)}. Control thread only.
+ *
+ * <p>An upstream that ends under a request need not break its connection: the caller may have left
+ * a moment before, the time may have been up, the connection may have been silent. So a router
+ * remembers for some seconds what came to no whole answer, for whatever reason, and tells of it
+ * when it knows that this life of the upstream has ended: the address refuses, or the list has it
+ * no longer or in another life.
+ */
+final class UpstreamEnds {
+    private static final Logger LOG = LogManager.getLogger(UpstreamEnds.class);
+
+    /** Connections that break together are looked into together; the address refuses by then. */
+    private static final Duration GATHER = Duration.ofMillis(30);
+
+    /** An upstream that is told to drop a request has done so by then, or ends under it. */
+    private static final Duration AFTER_CLOSING = Duration.ofMillis(600);
+
+    /** The list has an upstream no longer some heartbeats after its end. */
+    private static final Duration REMEMBERED = Duration.ofSeconds(10);
+
+    /** A run that was called off so long before is not what ends an upstream. */
+    private static final Duration CALLED_OFF_BEFORE = Duration.ofSeconds(1);
+
+    /** An upstream that has ended is not back sooner. */
+    private static final Duration NOT_BACK_BEFORE = Duration.ofSeconds(2);
+
+    /** Ends that are remembered for runs that come to their end later, as they were silent. */
+    private static final int MOST_ENDS = 256;
+
+    /** What runs at an upstream at a time, and a few that were called off. */
+    private static final int MOST_RUNS = 512;
+
+    private final Control control;
+    private final Metrics metrics;
+    private final Prober prober;
+    private final Listener listener;
+    private final Map<UpstreamEnd, Life> lives = new HashMap<>();
+    private final Map<UpstreamEnd, Instant> known = new RecentlyUsed<>(MOST_ENDS);
+    private final Set<UpstreamEnd> looks = new HashSet<>();
+
+    /** What a look at an upstream shows. */
+    enum Sign {
+        /** It has ended: its address refuses connections. */
+        ENDED,
+        /** It has not: it takes connections, or has kept some. */
+        ALIVE,
+        /** No answer either way. */
+        NONE
+    }
+
+    /** Looks whether an upstream has ended. */
+    interface Prober {
+        void look(Upstream upstream, Consumer<Sign> then);
+    }
+
+    /** Takes what ran at upstreams that have ended. */
+    interface Listener {
+        /** These had run there for so long when it ended, so long ago. */
+        void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran);
+
+        /** This router has found out that the upstream has ended, and others may not know. */
+        void found(UpstreamEnd end);
+
+        /** The upstream has answered since, so that it bore the run that was called off. */
+        void survived(RequestDigest request);
+    }
+
+    /** A run without a whole answer. */
+    private record Run(Instant sentAt, Instant cutAt) {
+        boolean calledOffBefore(Instant end) {
+            return cutAt.plus(CALLED_OFF_BEFORE).isBefore(end);
+        }
+    }
+
+    /** One life of an upstream, and what came to no whole answer in it. */
+    private static final class Life {
+        private final UpstreamEnd end;
+        private final Map<RequestDigest, Run> runs = new TreeMap<>();
+        private Instant lastCut;
+        private Instant lastBreak;
+        private boolean telling;
+
+        Life(UpstreamEnd end) {
+            this.end = end;
+        }
+    }
+
+    UpstreamEnds(Control control, Prober prober, Listener listener, Metrics metrics) {
+        this.control = control;
+        this.prober = prober;
+        this.listener = listener;
+        this.metrics = metrics;
+    }
+
+    /** The request, sent at that time, ran at the upstream and came to no whole answer there. */
+    void cut(Upstream upstream, RequestDigest request, Instant sentAt, Cut how) {
+        metrics.count("runs_cut", "how", how.label());
+        Life life = lives.computeIfAbsent(lifeOf(upstream.facts()), this::begin);
+        life.lastCut = now();
+        if (how == Cut.BROKE) {
+            life.lastBreak = life.lastCut;
+        }
+        if (life.runs.size() < MOST_RUNS) {
+            life.runs.put(request, new Run(sentAt, life.lastCut));
+        }
+        if (known.containsKey(life.end)) {
+            tellSoon(life);
+        } else {
+            lookAfter(how == Cut.BROKE ? GATHER : AFTER_CLOSING, upstream, life.end);
+        }
+    }
+
+    private static UpstreamEnd lifeOf(UpstreamFacts facts) {
+        return new UpstreamEnd(facts.id(), facts.held().startedAt());
+    }
+
+    private Life begin(UpstreamEnd end) {
+        Life life = new Life(end);
+        control.after(REMEMBERED, () -> forget(life));
+        return life;
+    }
+
+    private void forget(Life life) {
+        Instant until = life.lastCut.plus(REMEMBERED);
+        if (now().isBefore(until)) {
+            control.after(Duration.between(now(), until), () -> forget(life));
+        } else {
+            lives.remove(life.end);
+        }
+    }
+
+    private void lookAfter(Duration delay, Upstream upstream, UpstreamEnd end) {
+        if (looks.add(end)) {
+            control.after(delay, () -> look(upstream, end));
+        }
+    }
+
+    private void look(Upstream upstream, UpstreamEnd end) {
+        prober.look(
+                upstream,
+                sign -> {
+                    looks.remove(end);
+                    if (sign == Sign.ENDED && ended(end, "refuses connections")) {
+                        listener.found(end);
+                    }
+                });
+    }
+
+    /** The upstream has answered a request that was sent then. */
+    void answered(Upstream upstream, Instant sentAt) {
+        if (lives.isEmpty()) {
+            return;
+        }
+        Life life = lives.get(lifeOf(upstream.facts()));
+        if (life != null) {
+            survived(life, sentAt);
+        }
+    }
+
+    private void survived(Life life, Instant sentAt) {
+        Iterator<Map.Entry<RequestDigest, Run>> each = life.runs.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<RequestDigest, Run> entry = each.next();
+            Run run = entry.getValue();
+            boolean sameLife = sentAt.isBefore(run.cutAt.plus(NOT_BACK_BEFORE));
+            if (run.calledOffBefore(sentAt) && sameLife) {
+                each.remove();
+                listener.survived(entry.getKey());
+            }
+        }
+    }
+
+    /** No connection to the upstream could be made. */
+    void unreachable(Upstream upstream) {
+        UpstreamEnd end = lifeOf(upstream.facts());
+        if (!known.containsKey(end)) {
+            lookAfter(GATHER, upstream, end);
+        }
+    }
+
+    /** Another router has found out that the upstream has ended; true if that is news. */
+    boolean told(UpstreamEnd end) {
+        return ended(end, "is gone for another router");
+    }
+
+    /** The list has the upstream no longer. */
+    void gone(UpstreamId upstream) {
+        livesOf(upstream).forEach(life -> ended(life.end, "is off the list"));
+    }
+
+    /** The list says something of the upstream, perhaps of its next life. */
+    void listed(UpstreamFacts facts) {
+        UpstreamEnd now = lifeOf(facts);
+        livesOf(facts.id()).stream()
+                .filter(life -> !life.end.equals(now))
+                .forEach(life -> ended(life.end, "has started again"));
+    }
+
+    private List<Life> livesOf(UpstreamId upstream) {
+        return lives.values().stream()
+                .filter(life -> life.end.upstream().equals(upstream))
+                .toList();
+    }
+
+    private boolean ended(UpstreamEnd end, String how) {
+        if (known.putIfAbsent(end, now()) != null) {
+            return false;
+        }
+        metrics.count("upstream_ends", "known_by", how.replace(' ', '_'));
+        Life life = lives.get(end);
+        int runs = life == null ? 0 : life.runs.size();
+        LOG.info(
+                "upstream {} has ended under {} requests of this router: it {}",
+                end.upstream(),
+                runs,
+                how);
+        if (life != null) {
+            tellSoon(life);
+        }
+        return true;
+    }
+
+    private void tellSoon(Life life) {
+        if (!life.telling) {
+            life.telling = true;
+            control.run(() -> tell(life));
+        }
+    }
+
+    private void tell(Life life) {
+        life.telling = false;
+        Instant end = life.lastBreak == null ? life.lastCut : life.lastBreak;
+        Map<RequestDigest, Duration> ran = new TreeMap<>();
+        life.runs.forEach(
+                (request, run) -> {
+                    if (run.calledOffBefore(end)) {
+                        metrics.count("ends_not_counted", "why", "called_off_before");
+                    } else {
+                        ran.put(request, Duration.between(run.sentAt, end));
+                    }
+                });
+        life.runs.clear();
+        if (!ran.isEmpty()) {
+            listener.ended(life.end, Duration.between(end, now()), ran);
+        }
+    }
+
+    private Instant now() {
+        return control.clock().instant();
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
@@ -237,6 +237,7 @@
         }
         Worker worker = workers.get(random.nextInt(workers.size()));
         if (!worker.up) {
+            router.unreachable(table.find(worker.id).orElseThrow());
             return;
         }
         Run run = new Run(request, index, retries, worker.life, now());
@@ -276,7 +277,7 @@
                             table.find(worker.id).orElseThrow(),
                             run.request(),
                             run.sentAt(),
-                            CrashWatch.Cut.CALLER_GONE);
+                            Cut.CALLER_GONE);
         }
     }
 
@@ -331,11 +332,7 @@
                     WAY_MILLIS,
                     () ->
                             routers.get(run.router())
-                                    .cut(
-                                            upstream,
-                                            run.request(),
-                                            run.sentAt(),
-                                            CrashWatch.Cut.BROKE));
+                                    .cut(upstream, run.request(), run.sentAt(), Cut.BROKE));
             if (run.retries() > 0) {
                 soon(500, () -> send(run.request(), run.retries() - 1));
             }
@@ -367,13 +364,13 @@
         return facts;
     }
 
-    private void look(Upstream upstream, Consumer<CrashWatch.Sign> then) {
+    private void look(Upstream upstream, Consumer<UpstreamEnds.Sign> then) {
         boolean wrong = has(Hardship.WRONG_LOOKS) && oneIn(3);
         boolean up =
                 wrong
                         || workers.stream()
                                 .anyMatch(each -> each.id.equals(upstream.facts().id()) && each.up);
-        soon(WAY_MILLIS, () -> then.accept(up ? CrashWatch.Sign.ALIVE : CrashWatch.Sign.ENDED));
+        soon(WAY_MILLIS, () -> then.accept(up ? UpstreamEnds.Sign.ALIVE : UpstreamEnds.Sign.ENDED));
     }
 
     private CrashNews newsOf(int from) {
@@ -383,6 +380,16 @@
                 tell(from, MOST_COUNTING, router -> router.told(end, ago, ran));
             }
 
+            @Override
+            public void found(UpstreamEnd end) {
+                tell(from, routers.size(), router -> router.toldEnd(end, false));
+            }
+
+            @Override
+            public void passEndOn(UpstreamEnd end) {
+                throw new IllegalStateException("each router tells all in this world");
+            }
+
             @Override
             public void watched(RequestDigest request) {
                 tell(from, routers.size(), router -> router.toldWatched(request));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/HeldThreadTest.java
@@ -71,7 +71,7 @@
                                     InstantSource.system(),
                                     new LoopHolds(new Metrics())),
                             new SilentCrashNews(),
-                            (upstream, then) -> then.accept(CrashWatch.Sign.NONE),
+                            (upstream, then) -> then.accept(UpstreamEnds.Sign.NONE),
                             () -> true,
                             () -> true,
                             new Metrics()),
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
@@ -11,6 +11,12 @@
     @Override
     public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {}
 
+    @Override
+    public void found(UpstreamEnd end) {}
+
+    @Override
+    public void passEndOn(UpstreamEnd end) {}
+
     @Override
     public void watched(RequestDigest request) {}
 
