Count the ends under copies side by side, and a rack's common end once

Cause: an end counted only if the run had begun after the end before. That tells a rack from a request that comes again, but copies that run side by side had all begun before the first end: a batch counted as one. Class: evidence thrown away for the sake of another case.

Now each end counts where the request ran at every upstream that ended at that moment; where others ended with them, under which it did not run, something else ended all of them and they count as one, or as many as were sent one after the other. Long runs that overlap count.

SuspectsTest#upstreamsThatEndTogetherCountAsOne demanded that three ends within 90 ms, with the request at all three and no other end, count as one. That is exactly what three copies of a deadly request do, so the test demanded the fault. In its place: the same case with one more upstream of the rack, where one is still demanded, and two tests that demand three for copies. Innocent requests are guarded by the two seconds in which one success clears.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
@@ -3,7 +3,6 @@
 import io.damaskyoke.control.RecentlyUsed;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -17,17 +16,12 @@
  * upstream may give one without running the request; it only counts for it.
  */
 public final class Suspects {
-    /** Routers' words of when something was may differ by this. */
-    private static final Duration INEXACT = Duration.ofMillis(50);
+    /** Ends that are remembered, to tell those of one moment from others. */
+    private static final int MOST_ENDS = 1_024;
 
     private final CrashSettings settings;
     private final Map<RequestDigest, Evidence> evidence;
-
-    /** What speaks against a request, and what for it. */
-    private static final class Evidence {
-        private final Map<UpstreamEnd, Instant> ends = new HashMap<>();
-        private int borne;
-    }
+    private final Map<UpstreamEnd, Instant> ends = new RecentlyUsed<>(MOST_ENDS);
 
     /** Nothing is suspected yet. */
     public Suspects(CrashSettings settings) {
@@ -44,13 +38,11 @@
      */
     public List<RequestDigest> ended(
             UpstreamEnd end, Map<RequestDigest, Duration> ran, Instant at, Instant now) {
+        ends.putIfAbsent(end, at);
         ran.forEach(
-                (request, time) -> {
-                    var known = evidence.computeIfAbsent(request, any -> new Evidence()).ends;
-                    if (beganAfter(known, at.minus(time).plus(INEXACT))) {
-                        known.putIfAbsent(end, at);
-                    }
-                });
+                (request, time) ->
+                        evidence.computeIfAbsent(request, any -> new Evidence())
+                                .seen(end, at.minus(time), at));
         return ran.keySet().stream().filter(each -> convicts(each, now)).toList();
     }
 
@@ -60,40 +52,35 @@
      */
     public boolean convicts(RequestDigest request, Instant now) {
         int count = count(request, now);
-        return count >= settings.ends() && count >= evidence.get(request).borne;
+        return count >= settings.ends() && count >= evidence.get(request).timesBorne();
     }
 
     /** When the last upstream that is counted ended under it. */
     public Instant lastEnd(RequestDigest request) {
         Evidence known = evidence.get(request);
-        return known == null
-                ? Instant.MIN
-                : known.ends.values().stream().max(Instant::compareTo).orElse(Instant.MIN);
+        return known == null ? Instant.MIN : known.lastEnd();
     }
 
     /** An upstream took it and did not end, though it gave no success. */
     public void borne(RequestDigest request) {
         Evidence known = evidence.get(request);
         if (known != null) {
-            known.borne++;
+            known.borne();
         }
     }
 
-    // One that ran at several upstreams when all of them ended, as those of a rack do, has not
-    // ended
-    // them one after the other.
-    private static boolean beganAfter(Map<UpstreamEnd, Instant> known, Instant began) {
-        return known.values().stream().noneMatch(began::isBefore);
-    }
-
-    /** How many upstreams have ended under the request, of late. */
+    /** How many upstreams have ended under the request of late, those of a rack as one. */
     public int count(RequestDigest request, Instant now) {
         Evidence known = evidence.get(request);
         if (known == null) {
             return 0;
         }
-        known.ends.values().removeIf(at -> at.plus(settings.remembered()).isBefore(now));
-        return known.ends.size();
+        known.forgetBefore(now.minus(settings.remembered()));
+        return known.weight(this::endsBetween);
+    }
+
+    private long endsBetween(Instant from, Instant to) {
+        return ends.values().stream().filter(at -> !at.isBefore(from) && !at.isAfter(to)).count();
     }
 
     /** It was answered with a success: it is not the cause. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -179,9 +179,9 @@
         Instant now = now();
         int before = known(ran, now);
         suspects.ended(end, ran, now.minus(ago), now).forEach(this::suspect);
-        notCounted("began_before", ran.size() - (known(ran, now) - before));
+        notCounted("together_with_others", ran.size() - (known(ran, now) - before));
         for (RequestDigest each : ran.keySet()) {
-            boolean nearly = suspects.count(each, now) == settings.ends() - 1;
+            boolean nearly = suspects.count(each, now) >= settings.ends() - 1;
             if (nearly && !watched.containsKey(each)) {
                 watch(each);
             }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
@@ -78,23 +78,44 @@
         assertEquals(CrashSettings.usual().mostSuspects(), suspects.size());
     }
 
-    // Guards against a request that many ask at once, and that ran at all upstreams of a rack.
+    // Guards against a request that many ask at once, and that ran at some upstreams of a rack.
     @Test
-    void upstreamsThatEndTogetherCountAsOne() {
+    void upstreamsThatEndTogetherWithOthersCountAsOne() {
         ended("a", ONE);
         Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(700));
-        suspects.ended(new UpstreamEnd(UpstreamId.of("b"), 1), ran, now.plusMillis(40), now);
-        suspects.ended(new UpstreamEnd(UpstreamId.of("c"), 1), ran, now.plusMillis(90), now);
+        suspects.ended(end("b"), ran, now.plusMillis(40), now);
+        suspects.ended(end("c"), ran, now.plusMillis(90), now);
+        suspects.ended(end("d"), Map.of(OTHER, Duration.ofMillis(700)), now.plusMillis(20), now);
         assertEquals(1, suspects.count(ONE, now));
     }
 
+    // Guards against copies of a deadly request that run side by side.
+    @Test
+    void copiesThatEndAllUpstreamsThatEndTogetherCountEach() {
+        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(100));
+        suspects.ended(end("a"), ran, now, now);
+        suspects.ended(end("b"), ran, now.plusMillis(5), now);
+        suspects.ended(end("c"), ran, now.plusMillis(90), now);
+        assertEquals(3, suspects.count(ONE, now));
+    }
+
+    // Guards against long runs that were on their way when the upstream before them ended.
+    @Test
+    void copiesThatEndUpstreamsAtDifferentTimesCountEach() {
+        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofSeconds(2));
+        suspects.ended(end("a"), ran, now, now);
+        suspects.ended(end("b"), ran, now.plusMillis(400), now);
+        suspects.ended(end("c"), ran, now.plusMillis(900), now);
+        assertEquals(3, suspects.count(ONE, now));
+    }
+
     // Guards against a deadly request that comes again as soon as its upstream has ended.
     @Test
     void upstreamsThatEndOneAfterTheOtherCountHoweverFast() {
         ended("a", ONE);
         Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(5));
-        suspects.ended(new UpstreamEnd(UpstreamId.of("b"), 1), ran, now.plusMillis(8), now);
-        suspects.ended(new UpstreamEnd(UpstreamId.of("c"), 1), ran, now.plusMillis(16), now);
+        suspects.ended(end("b"), ran, now.plusMillis(8), now);
+        suspects.ended(end("c"), ran, now.plusMillis(16), now);
         assertEquals(3, suspects.count(ONE, now));
     }
 
@@ -104,6 +125,10 @@
         for (RequestDigest each : running) {
             ran.put(each, Duration.ofMillis(500));
         }
-        return suspects.ended(new UpstreamEnd(UpstreamId.of(upstream), 1), ran, now, now);
+        return suspects.ended(end(upstream), ran, now, now);
+    }
+
+    private static UpstreamEnd end(String upstream) {
+        return new UpstreamEnd(UpstreamId.of(upstream), 1);
     }
 }
