Count the ends of upstreams that were about to leave

Cause: a run that broke at an upstream about to leave was left out, as its end was planned. But one that leaves lets its work end first; what it cuts off it cuts off by ending under it. Class: a reason to doubt the evidence taken for a proof against it.

Ruled out: counting only those that end well before their time to leave is over, as routers do not know that time.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -133,10 +133,6 @@
 
     /** The request, sent at that time, ran at the upstream and came to no whole answer there. */
     void cut(Upstream upstream, RequestDigest request, Instant sentAt, Cut how) {
-        if (upstream.facts().draining()) {
-            notCounted("draining", 1);
-            return;
-        }
         ends.cut(upstream, request, sentAt, how);
     }
 
