Remember for some seconds after an end what becomes of requests, so that answers between two ends count

Cause: answers counted from the second end on only, when a request comes to be watched. That it was answered between the first and the second, or that upstreams bore it again and again, nobody remembered. A word of an end that came after that of a later success counted as well.

Now, for ten seconds after each end, routers remember what becomes of requests (512 of them, a digest for each answer), and say so to those that count when one comes to be watched. Only ends after the last success count, in whichever order words come. A watch lasts 30 s, as the next end starts it anew.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Evidence.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Evidence.java
@@ -17,6 +17,7 @@
 
     private final Map<UpstreamEnd, Sighting> sightings = new HashMap<>();
     private int borne;
+    private Instant clearedAt = Instant.MIN;
 
     /** An upstream ended while a run of the request was there, which had begun then. */
     private record Sighting(Instant began, Instant at) {}
@@ -28,14 +29,28 @@
         long between(Instant from, Instant to);
     }
 
-    /** It was there at an end; several routers may say so of the same. */
+    /**
+     * It was there at an end; several routers may say so of the same. Word of an end may come after
+     * that of a later success.
+     */
     void seen(UpstreamEnd end, Instant began, Instant at) {
-        sightings.putIfAbsent(end, new Sighting(began, at));
+        if (at.isAfter(clearedAt)) {
+            sightings.putIfAbsent(end, new Sighting(began, at));
+        }
     }
 
-    /** An upstream took it and did not end. */
-    void borne() {
-        borne++;
+    /** An upstream took it and did not end, so often. */
+    void borne(int times) {
+        borne += times;
+    }
+
+    /** It was answered with a success then: whatever ended before that did not end by it. */
+    void cleared(Instant at) {
+        if (at.isAfter(clearedAt)) {
+            clearedAt = at;
+            borne = 0;
+            sightings.values().removeIf(each -> !each.at.isAfter(at));
+        }
     }
 
     int timesBorne() {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Suspects.java
@@ -61,11 +61,11 @@
         return known == null ? Instant.MIN : known.lastEnd();
     }
 
-    /** An upstream took it and did not end, though it gave no success. */
-    public void borne(RequestDigest request) {
+    /** An upstream took it so often and did not end, though it gave no success. */
+    public void borne(RequestDigest request, int times) {
         Evidence known = evidence.get(request);
         if (known != null) {
-            known.borne();
+            known.borne(times);
         }
     }
 
@@ -83,9 +83,12 @@
         return ends.values().stream().filter(at -> !at.isBefore(from) && !at.isAfter(to)).count();
     }
 
-    /** It was answered with a success: it is not the cause. */
-    public void cleared(RequestDigest request) {
-        evidence.remove(request);
+    /** It was answered with a success then: it is not the cause of ends before that. */
+    public void cleared(RequestDigest request, Instant at) {
+        Evidence known = evidence.get(request);
+        if (known != null) {
+            known.cleared(at);
+        }
     }
 
     /** How many requests are remembered. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
@@ -23,9 +23,12 @@
     /** Tells all others that the request is kept out. */
     void keptOut(Quarantine.Entry entry);
 
-    /** Tells all others that the request was answered with a success, sent so long ago. */
+    /** Tells all others that the request, sent so long ago, was answered with a success now. */
     void cleared(RequestDigest request, Duration sentAgo);
 
-    /** Tells those that count that an upstream took the request and did not end. */
-    void borne(RequestDigest request);
+    /** Tells those that count that the request was answered with a success so long ago. */
+    void succeededBefore(RequestDigest request, Duration ago);
+
+    /** Tells those that count that an upstream took the request so often and did not end. */
+    void borne(RequestDigest request, int times);
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.crashes.CrashSettings;
 import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RecentAnswers;
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.Suspects;
 import io.damaskyoke.control.crashes.UpstreamEnd;
@@ -36,6 +37,15 @@
      */
     private static final Duration HOLD = Duration.ofSeconds(2);
 
+    /** So long each answer to a watched request is told; another end makes it begin anew. */
+    private static final Duration WATCH = Duration.ofSeconds(30);
+
+    /** After an end, what becomes of requests is remembered for so long. */
+    private static final Duration ALERT = Duration.ofSeconds(10);
+
+    /** Requests whose answers are remembered. */
+    private static final int MOST_ANSWERED = 512;
+
     /** Watched requests beyond this are not remembered. */
     private static final int MOST_WATCHED = 512;
 
@@ -49,6 +59,8 @@
     private final Quarantine quarantine = new Quarantine(settings);
     private final Map<RequestDigest, Instant> watched = new HashMap<>();
     private final UpstreamEnds ends;
+    private final RecentAnswers recent = new RecentAnswers(MOST_ANSWERED);
+    private Instant alertUntil = Instant.MIN;
     private final Map<RequestDigest, Control.Cancellable> held = new HashMap<>();
 
     /**
@@ -99,31 +111,40 @@
 
     /** True if an answer to some request would be news. */
     boolean awaitsAnswers() {
-        return !watched.isEmpty() || !quarantine.isEmpty();
+        return !watched.isEmpty() || !quarantine.isEmpty() || now().isBefore(alertUntil);
     }
 
     /** The request, sent at that time, was answered in full with this status. */
     void answered(RequestDigest request, Instant sentAt, int status) {
         forgetOld();
-        if (!watched.containsKey(request) && !quarantine.knows(request)) {
-            return;
-        }
-        if (!success(status)) {
+        if (success(status)) {
+            recent.succeeded(request, sentAt, now());
+            succeeded(request, sentAt, status);
+        } else {
             borne(request, Integer.toString(status));
-            return;
         }
+    }
+
+    private void succeeded(RequestDigest request, Instant sentAt, int status) {
         Duration ago = Duration.between(sentAt, now());
-        if (toldCleared(request, ago)) {
+        if (matters(request) && toldCleared(request, ago)) {
             metrics.count("requests_cleared", "status", Integer.toString(status));
             LOG.info("request {} is cleared, answered with {}", request, status);
             news.cleared(request, ago);
         }
     }
 
-    private void borne(RequestDigest request, String how) {
-        metrics.count("requests_borne", "status", how);
-        toldBorne(request);
-        news.borne(request);
+    private void borne(RequestDigest request, String status) {
+        recent.borne(request);
+        if (matters(request)) {
+            metrics.count("requests_borne", "status", status);
+            toldBorne(request, 1);
+            news.borne(request, 1);
+        }
+    }
+
+    private boolean matters(RequestDigest request) {
+        return watched.containsKey(request) || quarantine.knows(request);
     }
 
     // Only a success proves that the request has run; an upstream may fail it before it does.
@@ -158,12 +179,20 @@
 
     /** Another router has found out that an upstream has ended; {@code passOn} if others wait. */
     void toldEnd(UpstreamEnd end, boolean passOn) {
-        if (ends.told(end) && passOn) {
-            news.passEndOn(end);
+        if (ends.told(end)) {
+            alert();
+            if (passOn) {
+                news.passEndOn(end);
+            }
         }
     }
 
+    private void alert() {
+        alertUntil = now().plus(ALERT);
+    }
+
     private void tell(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+        alert();
         if (counts.getAsBoolean()) {
             told(end, ago, ran);
         }
@@ -195,8 +224,8 @@
     }
 
     private void watch(RequestDigest request) {
-        toldWatched(request);
         news.watched(request);
+        toldWatched(request);
     }
 
     // A request that is asked again and again may run at several upstreams that end for one reason.
@@ -247,11 +276,32 @@
     /** Another router says that one more end would be enough. */
     void toldWatched(RequestDigest request) {
         forgetOld();
-        if (watched.size() < MOST_WATCHED) {
-            watched.put(request, now().plus(settings.remembered()));
+        boolean known = watched.containsKey(request);
+        if (known || watched.size() < MOST_WATCHED) {
+            watched.put(request, now().plus(WATCH));
+        }
+        if (!known) {
+            tellRecent(request);
+        }
+    }
+
+    private void tellRecent(RequestDigest request) {
+        RecentAnswers.Answers answers = recent.of(request);
+        Instant now = now();
+        answers.success()
+                .map(success -> Duration.between(success.answeredAt(), now))
+                .ifPresent(ago -> tellSucceededBefore(request, ago));
+        if (answers.borne() > 0) {
+            toldBorne(request, answers.borne());
+            news.borne(request, answers.borne());
         }
     }
 
+    private void tellSucceededBefore(RequestDigest request, Duration ago) {
+        toldSucceededBefore(request, ago);
+        news.succeededBefore(request, ago);
+    }
+
     // While one is watched, each answer costs a digest.
     private void forgetOld() {
         Instant now = now();
@@ -259,7 +309,7 @@
     }
 
     /**
-     * The request, sent so long ago, was answered with a success somewhere.
+     * The request, sent so long ago, has just been answered with a success somewhere.
      *
      * @return true unless it stays kept out
      */
@@ -268,14 +318,21 @@
             return false;
         }
         watched.remove(request);
-        Optional.ofNullable(held.remove(request)).ifPresent(Control.Cancellable::cancel);
-        suspects.cleared(request);
+        toldSucceededBefore(request, Duration.ZERO);
         return true;
     }
 
-    /** An upstream took the request and did not end, somewhere. */
-    void toldBorne(RequestDigest request) {
-        suspects.borne(request);
+    /** The request was answered with a success so long ago, somewhere, before it was watched. */
+    void toldSucceededBefore(RequestDigest request, Duration ago) {
+        suspects.cleared(request, now().minus(ago));
+        if (!suspects.convicts(request, now())) {
+            Optional.ofNullable(held.remove(request)).ifPresent(Control.Cancellable::cancel);
+        }
+    }
+
+    /** Upstreams took the request so often and did not end, somewhere. */
+    void toldBorne(RequestDigest request, int times) {
+        suspects.borne(request, times);
     }
 
     /** Tells all that is kept out, to routers that have just come. */
@@ -301,9 +358,7 @@
 
         @Override
         public void survived(RequestDigest request) {
-            if (watched.containsKey(request) || quarantine.knows(request)) {
-                borne(request, "none");
-            }
+            borne(request, "none");
         }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourFrames.java
@@ -192,6 +192,22 @@
         return suspect(SuspectRequest.newBuilder().setRequest(request.value()).setState(state));
     }
 
+    static Frame borne(RequestDigest request, int times) {
+        return suspect(
+                SuspectRequest.newBuilder()
+                        .setRequest(request.value())
+                        .setState(SuspectRequest.State.BORNE)
+                        .setTimes(times));
+    }
+
+    static Frame succeededBefore(RequestDigest request, Duration ago) {
+        return suspect(
+                SuspectRequest.newBuilder()
+                        .setRequest(request.value())
+                        .setState(SuspectRequest.State.SUCCEEDED)
+                        .setAnsweredMsAgo(ago.toMillis()));
+    }
+
     static Frame cleared(RequestDigest request, Duration sentAgo) {
         return suspect(
                 SuspectRequest.newBuilder()
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourNews.java
@@ -116,8 +116,13 @@
     }
 
     @Override
-    public void borne(RequestDigest request) {
-        parts.crashes().toldBorne(request);
+    public void succeededBefore(RequestDigest request, Duration ago) {
+        parts.crashes().toldSucceededBefore(request, ago);
+    }
+
+    @Override
+    public void borne(RequestDigest request, int times) {
+        parts.crashes().toldBorne(request, times);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -95,11 +95,14 @@
         /** A router keeps the request out. */
         void keptOut(Quarantine.Entry entry);
 
-        /** A router has seen the request, sent so long ago, answered with a success. */
+        /** A router has just seen the request, sent so long ago, answered with a success. */
         void cleared(RequestDigest request, Duration sentAgo);
 
-        /** A router has seen an upstream take the request and not end. */
-        void borne(RequestDigest request);
+        /** A router saw the request answered with a success so long ago. */
+        void succeededBefore(RequestDigest request, Duration ago);
+
+        /** A router has seen upstreams take the request so often and not end. */
+        void borne(RequestDigest request, int times);
 
         /** A router can't reach an upstream in this life; all others are to be told or are. */
         void lost(UpstreamId upstream, long startedAt, boolean passOn);
@@ -234,8 +237,13 @@
     }
 
     @Override
-    public void borne(RequestDigest request) {
-        sendToWatchers(NeighbourFrames.suspect(request, SuspectRequest.State.BORNE));
+    public void succeededBefore(RequestDigest request, Duration ago) {
+        sendToWatchers(NeighbourFrames.succeededBefore(request, ago));
+    }
+
+    @Override
+    public void borne(RequestDigest request, int times) {
+        sendToWatchers(NeighbourFrames.borne(request, times));
     }
 
     @Override
@@ -398,7 +406,9 @@
         switch (line.getState()) {
             case WATCHED -> listener.watched(request);
             case CLEARED -> listener.cleared(request, Duration.ofMillis(line.getSentMsAgo()));
-            case BORNE -> listener.borne(request);
+            case SUCCEEDED ->
+                    listener.succeededBefore(request, Duration.ofMillis(line.getAnsweredMsAgo()));
+            case BORNE -> listener.borne(request, Math.max(1, line.getTimes()));
             case KEPT_OUT ->
                     listener.keptOut(NeighbourFrames.keptOut(line, control.clock().instant()));
             default -> {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
@@ -48,7 +48,12 @@
     }
 
     @Override
-    public void borne(RequestDigest request) {
-        routers.borne(request);
+    public void succeededBefore(RequestDigest request, Duration ago) {
+        routers.succeededBefore(request, ago);
+    }
+
+    @Override
+    public void borne(RequestDigest request, int times) {
+        routers.borne(request, times);
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectsTest.java
@@ -39,15 +39,25 @@
     void aSuccessClearsARequest() {
         ended("a", ONE);
         ended("b", ONE);
-        suspects.cleared(ONE);
+        suspects.cleared(ONE, now);
         assertEquals(List.of(), ended("c", ONE));
     }
 
+    // Guards against word of an end that comes after word of a later success.
+    @Test
+    void endsFromBeforeASuccessDoNotCountHoweverLateTheyAreTold() {
+        suspects.ended(end("a"), Map.of(ONE, Duration.ofMillis(500)), now, now);
+        suspects.cleared(ONE, now.plusMillis(300));
+        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(500));
+        suspects.ended(end("b"), ran, now.plusMillis(100), now.plusMillis(400));
+        assertEquals(0, suspects.count(ONE, now));
+    }
+
     // Guards against a failure as answer that lets a deadly request go on.
     @Test
     void aRequestThatIsBorneNowAndThenStaysTheCause() {
         ended("a", ONE);
-        suspects.borne(ONE);
+        suspects.borne(ONE, 1);
         ended("b", ONE);
         assertEquals(List.of(ONE), ended("c", ONE));
     }
@@ -57,7 +67,7 @@
     void aRequestThatIsBorneMoreOftenThanUpstreamsEndIsNotTheCause() {
         ended("a", ONE);
         ended("b", ONE);
-        IntStream.range(0, 4).forEach(each -> suspects.borne(ONE));
+        IntStream.range(0, 4).forEach(each -> suspects.borne(ONE, 1));
         assertEquals(List.of(), ended("c", ONE));
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
@@ -407,8 +407,13 @@
             }
 
             @Override
-            public void borne(RequestDigest request) {
-                tell(from, MOST_COUNTING, router -> router.toldBorne(request));
+            public void succeededBefore(RequestDigest request, Duration ago) {
+                tell(from, MOST_COUNTING, router -> router.toldSucceededBefore(request, ago));
+            }
+
+            @Override
+            public void borne(RequestDigest request, int times) {
+                tell(from, MOST_COUNTING, router -> router.toldBorne(request, times));
             }
         };
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
@@ -27,5 +27,8 @@
     public void cleared(RequestDigest request, Duration sentAgo) {}
 
     @Override
-    public void borne(RequestDigest request) {}
+    public void succeededBefore(RequestDigest request, Duration ago) {}
+
+    @Override
+    public void borne(RequestDigest request, int times) {}
 }
