Take a request that was cleared out of the store, and tell a router that still refuses it

Callers saw: in the simulated world an innocent request stayed refused for minutes at routers that had started again or had missed one word, up to 179 times in 30 s.

Cause: the store kept the entry of a request that an answer had cleared, and each router that started read it; and that a request is cleared is said once, so who misses it keeps it out until a success comes, which it prevents by refusing. Class: knowledge that is written down and never taken back.

Now the entry is taken out of the store with the clearing. A router that refuses a request says so to those that count, at most every five seconds for each request; one that has heard of a success after the last end answers that it is cleared. The same answers the store's late word of an entry.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
@@ -114,6 +114,11 @@
         return entries.containsKey(request);
     }
 
+    /** What is held of the request. */
+    public Optional<Entry> find(RequestDigest request) {
+        return Optional.ofNullable(entries.get(request));
+    }
+
     /** True if it may not go to an upstream now. */
     public boolean keepsOut(RequestDigest request, Instant now) {
         return knows(request) && now.isBefore(entries.get(request).until());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashNews.java
@@ -23,9 +23,15 @@
     /** Tells all others that the request is kept out. */
     void keptOut(Quarantine.Entry entry);
 
+    /** Tells those that count that this router refuses the request, in case they know better. */
+    void refused(Quarantine.Entry entry);
+
     /** Tells all others that the request, sent so long ago, was answered with a success now. */
     void cleared(RequestDigest request, Duration sentAgo);
 
+    /** Takes it out of what outlives the routers: it is kept out no longer. */
+    void released(RequestDigest request);
+
     /** Tells those that count that the request was answered with a success so long ago. */
     void succeededBefore(RequestDigest request, Duration ago);
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.Control;
+import io.damaskyoke.control.RecentlyUsed;
 import io.damaskyoke.control.crashes.CrashSettings;
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RecentAnswers;
@@ -40,6 +41,9 @@
     /** So long each answer to a watched request is told; another end makes it begin anew. */
     private static final Duration WATCH = Duration.ofSeconds(30);
 
+    /** A router that refuses a request asks so often whether it should. */
+    private static final Duration REMIND = Duration.ofSeconds(5);
+
     /** After an end, what becomes of requests is remembered for so long. */
     private static final Duration ALERT = Duration.ofSeconds(10);
 
@@ -60,6 +64,7 @@
     private final Map<RequestDigest, Instant> watched = new HashMap<>();
     private final UpstreamEnds ends;
     private final RecentAnswers recent = new RecentAnswers(MOST_ANSWERED);
+    private final Map<RequestDigest, Instant> reminded = new RecentlyUsed<>(MOST_WATCHED);
     private Instant alertUntil = Instant.MIN;
     private final Map<RequestDigest, Control.Cancellable> held = new HashMap<>();
 
@@ -89,7 +94,20 @@
 
     /** How long the request is kept from all upstreams; empty if it may go, perhaps as a trial. */
     Optional<Duration> refused(RequestDigest request) {
-        return quarantine.left(request, tries.getAsBoolean(), now());
+        Optional<Duration> left = quarantine.left(request, tries.getAsBoolean(), now());
+        if (left.isPresent()) {
+            remind(request);
+        }
+        return left;
+    }
+
+    // Word that it is cleared may not have come here, and would be missed for minutes.
+    private void remind(RequestDigest request) {
+        Instant last = reminded.getOrDefault(request, Instant.MIN);
+        if (now().isAfter(last.plus(REMIND))) {
+            reminded.put(request, now());
+            quarantine.find(request).ifPresent(news::refused);
+        }
     }
 
     /** Shows how many requests are watched, held until that is decided, and kept out. */
@@ -127,10 +145,14 @@
 
     private void succeeded(RequestDigest request, Instant sentAt, int status) {
         Duration ago = Duration.between(sentAt, now());
+        boolean keptOut = quarantine.knows(request);
         if (matters(request) && toldCleared(request, ago)) {
             metrics.count("requests_cleared", "status", Integer.toString(status));
             LOG.info("request {} is cleared, answered with {}", request, status);
             news.cleared(request, ago);
+            if (keptOut) {
+                news.released(request);
+            }
         }
     }
 
@@ -260,16 +282,30 @@
 
     /** Another router keeps a request out, or the store says that one does. */
     void told(Quarantine.Entry entry) {
-        if (quarantine.told(entry)) {
+        Optional<Instant> success = successAfter(entry);
+        if (success.isPresent()) {
+            if (counts.getAsBoolean()) {
+                news.cleared(entry.request(), Duration.between(success.get(), now()));
+                news.released(entry.request());
+            }
+        } else if (quarantine.told(entry)) {
             LOG.warn("request {} is kept from all upstreams, as is told", entry.request());
         }
     }
 
+    // When the run was sent whose success the other router does not know of.
+    private Optional<Instant> successAfter(Quarantine.Entry entry) {
+        return recent.of(entry.request())
+                .success()
+                .map(RecentAnswers.Success::sentAt)
+                .filter(sentAt -> sentAt.isAfter(entry.lastEnd()));
+    }
+
     /** The store holds that the request is kept out; when that began, it does not tell. */
     void toldByStore(RequestDigest request, int trials) {
         if (!quarantine.knows(request)) {
-            Instant now = now();
-            told(new Quarantine.Entry(request, now.plus(settings.quarantine()), trials, now));
+            Instant until = now().plus(settings.quarantine());
+            told(new Quarantine.Entry(request, until, trials, Instant.EPOCH));
         }
     }
 
@@ -318,6 +354,7 @@
             return false;
         }
         watched.remove(request);
+        recent.succeeded(request, now().minus(sentAgo), now());
         toldSucceededBefore(request, Duration.ZERO);
         return true;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -231,6 +231,16 @@
         sendAll(NeighbourFrames.keptOut(entry, control.clock().instant()));
     }
 
+    @Override
+    public void released(RequestDigest request) {
+        // Routers are told with the answer that cleared it.
+    }
+
+    @Override
+    public void refused(Quarantine.Entry entry) {
+        sendToWatchers(NeighbourFrames.keptOut(entry, control.clock().instant()));
+    }
+
     @Override
     public void cleared(RequestDigest request, Duration sentAgo) {
         sendAll(NeighbourFrames.cleared(request, sentAgo));
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.Control;
 import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.KeyValueStore.Condition;
 import io.damaskyoke.platform.KeyValueStore.Write;
@@ -41,7 +42,7 @@
         store.grantLease(term)
                 .thenCompose(
                         lease -> {
-                            String key = prefix + entry.request().value();
+                            String key = key(entry.request());
                             byte[] value =
                                     Integer.toString(entry.trials())
                                             .getBytes(StandardCharsets.UTF_8);
@@ -57,6 +58,21 @@
                         });
     }
 
+    /** Takes it out, now or when the store is back. */
+    void remove(RequestDigest request) {
+        store.commit(List.of(), List.of(new Write.Delete(key(request))))
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                control.run(() -> control.after(RETRY, () -> remove(request)));
+                            }
+                        });
+    }
+
+    private String key(RequestDigest request) {
+        return prefix + request.value();
+    }
+
     private Instant now() {
         return control.clock().instant();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoredCrashNews.java
@@ -42,11 +42,21 @@
         store.write(entry);
     }
 
+    @Override
+    public void refused(Quarantine.Entry entry) {
+        routers.refused(entry);
+    }
+
     @Override
     public void cleared(RequestDigest request, Duration sentAgo) {
         routers.cleared(request, sentAgo);
     }
 
+    @Override
+    public void released(RequestDigest request) {
+        store.remove(request);
+    }
+
     @Override
     public void succeededBefore(RequestDigest request, Duration ago) {
         routers.succeededBefore(request, ago);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashWorld.java
@@ -401,6 +401,16 @@
                 tell(from, routers.size(), router -> router.told(entry));
             }
 
+            @Override
+            public void refused(Quarantine.Entry entry) {
+                tell(from, MOST_COUNTING, router -> router.told(entry));
+            }
+
+            @Override
+            public void released(RequestDigest request) {
+                stored.remove(request);
+            }
+
             @Override
             public void cleared(RequestDigest request, Duration sentAgo) {
                 tell(from, routers.size(), router -> router.toldCleared(request, sentAgo));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashNews.java
@@ -23,6 +23,12 @@
     @Override
     public void keptOut(Quarantine.Entry entry) {}
 
+    @Override
+    public void refused(Quarantine.Entry entry) {}
+
+    @Override
+    public void released(RequestDigest request) {}
+
     @Override
     public void cleared(RequestDigest request, Duration sentAgo) {}
 
