Try a request that is kept out twice at the most, also when a trial shows nothing

Callers saw nothing yet; found while looking for the same class elsewhere. A trial that an upstream fails without running the request neither clears it nor counts as an end, and was made again each minute: 991 sends in 1,000 minutes where the rule allows three for ever.

Cause: only a trial under which an upstream ended counted against the two that are allowed. Now each trial counts. QuarantineTest#trialsThatShowNothing... red before (991), green now.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
@@ -101,6 +101,9 @@
         if (!tries) {
             return Optional.of(TRIAL);
         }
+        if (known.trials() >= settings.trials()) {
+            return Optional.of(FOR_GOOD);
+        }
         entries.put(request, trial(known, now));
         return Optional.empty();
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
@@ -70,6 +70,18 @@
         assertTrue(quarantine.add(ONE, now, now).isEmpty());
     }
 
+    // Guards against a trial that shows nothing, as its upstream fails it, and is made each minute.
+    @Test
+    void trialsThatShowNothingAreMadeTwiceAtTheMost() {
+        quarantine.add(ONE, now, now);
+        int trials = 0;
+        for (int minute = 0; minute < 1_000; minute++) {
+            now = now.plus(Duration.ofMinutes(1));
+            trials += quarantine.left(ONE, true, now).isEmpty() ? 1 : 0;
+        }
+        assertEquals(2, trials);
+    }
+
     // Guards against a bad release of the upstreams, under which they end whatever they run.
     @Test
     void whereSoManySeemToBeTheCauseNoMoreAreKeptOut() {
