Look again whether a request is kept out when its bytes leave

Between the choice of the upstream and the open connection up to a quarter of a second may pass, or longer where the thread is held; a request that comes to be kept out in that time was sent all the same. The drained zone and the time that is left are looked at there already. A trial leaves once.

CrashingRequestTest, PlatformRouterTest, HeldThreadTest green; the case itself has no test of its own.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Attempt.java
@@ -108,6 +108,11 @@
             flow.notSent("the upstream leaves");
             return false;
         }
+        if (!flow.leavesOnce()) {
+            callOff();
+            flow.keptOut();
+            return false;
+        }
         left = true;
         upstream.left(now);
         headers.set(
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Flow.java
@@ -126,9 +126,29 @@
 
     // What it was let in for may have changed while it waited, or it has just ended one itself.
     private boolean keptOutByNow() {
-        boolean keptOut = !trial && !flows.crashes().idle() && flows.crashes().keepsOut(digest());
+        return !trial && !flows.crashes().idle() && flows.crashes().keepsOut(digest());
+    }
+
+    /**
+     * True if it may leave for an upstream now, as far as upstreams have ended under it; one trial
+     * leaves once.
+     */
+    boolean leavesOnce() {
+        boolean keptOut = keptOutByNow();
         trial = false;
-        return keptOut;
+        return !keptOut;
+    }
+
+    /** It was kept out before it left, so nothing was sent. */
+    void keptOut() {
+        takeBack();
+        refuseForCrashes(COME_BACK_IF_KEPT_OUT);
+    }
+
+    private void takeBack() {
+        runs--;
+        sends--;
+        attempt = null;
     }
 
     private void refuseForCrashes(Duration left) {
@@ -243,9 +263,7 @@
 
     /** Its time was over before it left, so nothing was sent. */
     void tooLate() {
-        runs--;
-        sends--;
-        attempt = null;
+        takeBack();
         timeUp();
     }
 
@@ -334,9 +352,7 @@
 
     /** Nothing was sent, for this reason; trying elsewhere costs nobody anything. */
     void notSent(String reason) {
-        runs--;
-        sends--;
-        attempt = null;
+        takeBack();
         why = reason;
         flows.dispatch().enqueue(this);
     }
