--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashHardshipsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashHardshipsTest.java
@@ -171,14 +171,21 @@
         assertInnocentsAreServed(Hardship.RACKS);
     }
 
+    // Guards against an innocent request that ran wherever a deadly one ended an upstream.
+    @Test
+    void noInnocentRequestIsKeptOutBesideADeadlyOne() {
+        assertEquals(List.of(), innocentsRefused(4, 13, 60, 0.5, 1.2));
+        assertEquals(List.of(), innocentsRefused(33, 42, 150, 1.5, 1.2));
+    }
+
     private static void assertReachesFew(Hardship... hardships) {
         assertEquals(List.of(), over(6, 13, 60, 0.1, hardships));
         assertEquals(List.of(), over(33, 42, 150, 0.3, hardships));
     }
 
     private static void assertInnocentsAreServed(Hardship... hardships) {
-        assertEquals(List.of(), innocentsRefused(4, 13, 60, 0.5, hardships));
-        assertEquals(List.of(), innocentsRefused(33, 42, 150, 1.5, hardships));
+        assertEquals(List.of(), innocentsRefused(4, 13, 60, 0.5, 0, hardships));
+        assertEquals(List.of(), innocentsRefused(33, 42, 150, 1.5, 0, hardships));
     }
 
     private static List<String> over(
@@ -196,11 +203,16 @@
     }
 
     private static List<String> innocentsRefused(
-            int routers, int workers, double perSecond, double endsPerSecond, Hardship... all) {
+            int routers,
+            int workers,
+            double perSecond,
+            double endsPerSecond,
+            double deadlyPerSecond,
+            Hardship... all) {
         List<String> refused = new ArrayList<>();
         for (long seed = 1; seed <= SEEDS; seed++) {
             CrashWorld world = new CrashWorld(seed, routers, workers, all);
-            world.pass(TIME, perSecond, endsPerSecond, 0);
+            world.pass(TIME, perSecond, endsPerSecond, deadlyPerSecond);
             if (world.innocentsRefused() > 0) {
                 refused.add("seed " + seed + ": " + world.innocentsRefused());
             }
