Take an upstream that answers again for one that has not ended

A look that is refused is taken for an end. An upstream whose connections are all in use refuses more and runs on; remembered as ended, each run that a caller called off there would have been told as one more end. An answer to what was sent later shows that it is there. UpstreamEndsTest#anUpstreamThatRefusesAndAnswersLaterHasNotEnded, red without it by reading (the run is told at once where the end is known).

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
@@ -196,13 +196,19 @@
 
     /** The upstream has answered a request that was sent then. */
     void answered(Upstream upstream, Instant sentAt) {
-        if (lives.isEmpty()) {
+        if (lives.isEmpty() && known.isEmpty()) {
             return;
         }
-        Life life = lives.get(lifeOf(upstream.facts()));
+        UpstreamEnd end = lifeOf(upstream.facts());
+        Life life = lives.get(end);
         if (life != null) {
             survived(life, sentAt);
         }
+        // One with all its connections in use refuses more, and is there all the same.
+        Instant endedAt = known.get(end);
+        if (endedAt != null && sentAt.isAfter(endedAt)) {
+            known.remove(end);
+        }
     }
 
     private void survived(Life life, Instant sentAt) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamEndsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamEndsTest.java
@@ -87,6 +87,17 @@
         assertEquals(List.of(ONE), ran);
     }
 
+    // Guards against an upstream whose connections are all in use, and that refuses more.
+    @Test
+    void anUpstreamThatRefusesAndAnswersLaterHasNotEnded() {
+        ends.told(new UpstreamEnd(upstream.facts().id(), 1));
+        pass(Duration.ofSeconds(1));
+        ends.answered(upstream, now());
+        ends.cut(upstream, ONE, now(), Cut.CALLER_GONE);
+        pass(Duration.ofSeconds(2));
+        assertEquals(List.of(), ran);
+    }
+
     @Test
     void anUpstreamThatStartsAgainHasEnded() {
         ends.cut(upstream, ONE, now(), Cut.BROKE);
