Split what CrashWatch and Neighbours had grown; do not believe an old success against the store's word

By reading: a success of long ago made a router doubt an entry of the store, tell all that the request is cleared and take the entry out. A router that keeps the request out itself now goes by that, and an entry of the store alone is neither answered nor taken out. A router that finds an end by itself remembers answers, too.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashWatch.java
@@ -8,6 +8,7 @@
 import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.Suspects;
 import io.damaskyoke.control.crashes.UpstreamEnd;
+import io.damaskyoke.control.crashes.WatchedRequests;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -61,7 +62,7 @@
     private final CrashSettings settings = CrashSettings.usual();
     private final Suspects suspects = new Suspects(settings);
     private final Quarantine quarantine = new Quarantine(settings);
-    private final Map<RequestDigest, Instant> watched = new HashMap<>();
+    private final WatchedRequests watched = new WatchedRequests(MOST_WATCHED, WATCH);
     private final UpstreamEnds ends;
     private final RecentAnswers recent = new RecentAnswers(MOST_ANSWERED);
     private final Map<RequestDigest, Instant> reminded = new RecentlyUsed<>(MOST_WATCHED);
@@ -134,7 +135,7 @@
 
     /** The request, sent at that time, was answered in full with this status. */
     void answered(RequestDigest request, Instant sentAt, int status) {
-        forgetOld();
+        watched.forgetOld(now());
         if (success(status)) {
             recent.succeeded(request, sentAt, now());
             succeeded(request, sentAt, status);
@@ -166,7 +167,7 @@
     }
 
     private boolean matters(RequestDigest request) {
-        return watched.containsKey(request) || quarantine.knows(request);
+        return watched.contains(request) || quarantine.knows(request);
     }
 
     // Only a success proves that the request has run; an upstream may fail it before it does.
@@ -229,7 +230,7 @@
         notCounted("together_with_others", ran.size() - (known(ran, now) - before));
         for (RequestDigest each : ran.keySet()) {
             boolean nearly = suspects.count(each, now) >= settings.ends() - 1;
-            if (nearly && !watched.containsKey(each)) {
+            if (nearly && !watched.contains(each)) {
                 watch(each);
             }
         }
@@ -280,21 +281,29 @@
         news.keptOut(entry);
     }
 
-    /** Another router keeps a request out, or the store says that one does. */
+    /** Another router keeps a request out. */
     void told(Quarantine.Entry entry) {
         Optional<Instant> success = successAfter(entry);
-        if (success.isPresent()) {
-            if (counts.getAsBoolean()) {
-                news.cleared(entry.request(), Duration.between(success.get(), now()));
-                news.released(entry.request());
-            }
-        } else if (quarantine.told(entry)) {
+        if (success.isEmpty()) {
+            take(entry);
+        } else if (counts.getAsBoolean()) {
+            news.cleared(entry.request(), Duration.between(success.get(), now()));
+            news.released(entry.request());
+        }
+    }
+
+    private void take(Quarantine.Entry entry) {
+        if (quarantine.told(entry)) {
             LOG.warn("request {} is kept from all upstreams, as is told", entry.request());
         }
     }
 
-    // When the run was sent whose success the other router does not know of.
+    // When the run was sent whose success the other router does not know of. What is kept out here
+    // is so in spite of earlier successes.
     private Optional<Instant> successAfter(Quarantine.Entry entry) {
+        if (quarantine.knows(entry.request())) {
+            return Optional.empty();
+        }
         return recent.of(entry.request())
                 .success()
                 .map(RecentAnswers.Success::sentAt)
@@ -303,20 +312,16 @@
 
     /** The store holds that the request is kept out; when that began, it does not tell. */
     void toldByStore(RequestDigest request, int trials) {
-        if (!quarantine.knows(request)) {
-            Instant until = now().plus(settings.quarantine());
-            told(new Quarantine.Entry(request, until, trials, Instant.EPOCH));
+        Instant until = now().plus(settings.quarantine());
+        Quarantine.Entry entry = new Quarantine.Entry(request, until, trials, Instant.EPOCH);
+        if (!quarantine.knows(request) && successAfter(entry).isEmpty()) {
+            take(entry);
         }
     }
 
     /** Another router says that one more end would be enough. */
     void toldWatched(RequestDigest request) {
-        forgetOld();
-        boolean known = watched.containsKey(request);
-        if (known || watched.size() < MOST_WATCHED) {
-            watched.put(request, now().plus(WATCH));
-        }
-        if (!known) {
+        if (watched.add(request, now())) {
             tellRecent(request);
         }
     }
@@ -338,12 +343,6 @@
         news.succeededBefore(request, ago);
     }
 
-    // While one is watched, each answer costs a digest.
-    private void forgetOld() {
-        Instant now = now();
-        watched.values().removeIf(until -> until.isBefore(now));
-    }
-
     /**
      * The request, sent so long ago, has just been answered with a success somewhere.
      *
@@ -390,6 +389,7 @@
 
         @Override
         public void found(UpstreamEnd end) {
+            alert();
             news.found(end);
         }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -256,7 +256,8 @@
 
     private CrashNews crashNews() {
         return new StoredCrashNews(
-                neighbours, new QuarantineStore(control, store, members.keptOutPrefix()));
+                neighbours.crashNews(),
+                new QuarantineStore(control, store, members.keptOutPrefix()));
     }
 
     private void look(Upstream upstream, boolean vouch, Consumer<UpstreamEnds.Sign> then) {
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourCrashNews.java
@@ -0,0 +1,92 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.crashes.Quarantine;
+import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.UpstreamEnd;
+import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.SuspectRequest;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+
+/**
+ * Tells the other routers what is known of requests under which upstreams end. In a large fleet
+ * only those that follow the store for all have a link to every other router.
+ */
+final class NeighbourCrashNews implements CrashNews {
+    private final InstantSource clock;
+    private final Wire wire;
+
+    /** Takes frames to other routers. */
+    interface Wire {
+        /** To all others that this router has a link to, or opens one. */
+        void toAll(Frame frame);
+
+        /** To those that follow the store for all, which count the ends. */
+        void toWatchers(Frame frame);
+
+        /** True if this router is one of them, and passes on what it hears. */
+        boolean passesOn();
+    }
+
+    NeighbourCrashNews(InstantSource clock, Wire wire) {
+        this.clock = clock;
+        this.wire = wire;
+    }
+
+    @Override
+    public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
+        wire.toWatchers(NeighbourFrames.ended(end, ago, ran));
+    }
+
+    @Override
+    public void found(UpstreamEnd end) {
+        if (wire.passesOn()) {
+            wire.toAll(NeighbourFrames.found(end, false));
+        } else {
+            wire.toWatchers(NeighbourFrames.found(end, true));
+        }
+    }
+
+    @Override
+    public void passEndOn(UpstreamEnd end) {
+        if (wire.passesOn()) {
+            wire.toAll(NeighbourFrames.found(end, false));
+        }
+    }
+
+    @Override
+    public void watched(RequestDigest request) {
+        wire.toAll(NeighbourFrames.suspect(request, SuspectRequest.State.WATCHED));
+    }
+
+    @Override
+    public void keptOut(Quarantine.Entry entry) {
+        wire.toAll(NeighbourFrames.keptOut(entry, clock.instant()));
+    }
+
+    @Override
+    public void released(RequestDigest request) {
+        // Routers are told with the answer that cleared it.
+    }
+
+    @Override
+    public void refused(Quarantine.Entry entry) {
+        wire.toWatchers(NeighbourFrames.keptOut(entry, clock.instant()));
+    }
+
+    @Override
+    public void cleared(RequestDigest request, Duration sentAgo) {
+        wire.toAll(NeighbourFrames.cleared(request, sentAgo));
+    }
+
+    @Override
+    public void succeededBefore(RequestDigest request, Duration ago) {
+        wire.toWatchers(NeighbourFrames.succeededBefore(request, ago));
+    }
+
+    @Override
+    public void borne(RequestDigest request, int times) {
+        wire.toWatchers(NeighbourFrames.borne(request, times));
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -42,7 +42,7 @@
 
 /** What direct routers tell each other, as frames. Its methods belong to the control thread. */
 final class Neighbours
-        implements PeerListener, LeaderNews, CrashNews, LostUpstreams.Wire, LimitedUpstreams.Wire {
+        implements PeerListener, LeaderNews, LostUpstreams.Wire, LimitedUpstreams.Wire {
     /** Routers report to the leader every 0.6 s at least. */
     private static final Duration STORE_SEEN = Duration.ofMillis(1_200);
 
@@ -204,56 +204,26 @@
         sendAll(NeighbourFrames.open(load, control.clock().instant()));
     }
 
-    @Override
-    public void ended(UpstreamEnd end, Duration ago, Map<RequestDigest, Duration> ran) {
-        sendToWatchers(NeighbourFrames.ended(end, ago, ran));
-    }
-
-    @Override
-    public void found(UpstreamEnd end) {
-        tellThroughWatchers(passOn -> NeighbourFrames.found(end, passOn));
-    }
-
-    @Override
-    public void passEndOn(UpstreamEnd end) {
-        if (members.watches()) {
-            sendAll(NeighbourFrames.found(end, false));
-        }
-    }
-
-    @Override
-    public void watched(RequestDigest request) {
-        sendAll(NeighbourFrames.suspect(request, SuspectRequest.State.WATCHED));
-    }
-
-    @Override
-    public void keptOut(Quarantine.Entry entry) {
-        sendAll(NeighbourFrames.keptOut(entry, control.clock().instant()));
-    }
-
-    @Override
-    public void released(RequestDigest request) {
-        // Routers are told with the answer that cleared it.
-    }
-
-    @Override
-    public void refused(Quarantine.Entry entry) {
-        sendToWatchers(NeighbourFrames.keptOut(entry, control.clock().instant()));
-    }
-
-    @Override
-    public void cleared(RequestDigest request, Duration sentAgo) {
-        sendAll(NeighbourFrames.cleared(request, sentAgo));
-    }
+    /** Tells the other routers of requests under which upstreams end. */
+    CrashNews crashNews() {
+        return new NeighbourCrashNews(
+                control.clock(),
+                new NeighbourCrashNews.Wire() {
+                    @Override
+                    public void toAll(Frame frame) {
+                        sendAll(frame);
+                    }
 
-    @Override
-    public void succeededBefore(RequestDigest request, Duration ago) {
-        sendToWatchers(NeighbourFrames.succeededBefore(request, ago));
-    }
+                    @Override
+                    public void toWatchers(Frame frame) {
+                        sendToWatchers(frame);
+                    }
 
-    @Override
-    public void borne(RequestDigest request, int times) {
-        sendToWatchers(NeighbourFrames.borne(request, times));
+                    @Override
+                    public boolean passesOn() {
+                        return members.watches();
+                    }
+                });
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
@@ -100,6 +100,10 @@
 
     /** A run without a whole answer. */
     private record Run(Instant sentAt, Instant cutAt) {
+        Duration ranUntil(Instant end) {
+            return sentAt.isBefore(end) ? Duration.between(sentAt, end) : Duration.ZERO;
+        }
+
         boolean calledOffBefore(Instant end) {
             return cutAt.plus(CALLED_OFF_BEFORE).isBefore(end);
         }
@@ -290,7 +294,7 @@
                     if (run.calledOffBefore(end)) {
                         metrics.count("ends_not_counted", "why", "called_off_before");
                     } else {
-                        ran.put(request, Duration.between(run.sentAt, end));
+                        ran.put(request, run.ranUntil(end));
                     }
                 });
         life.runs.clear();
