Look into a break at once, also where a look for a caller that has left is due

Found by reading the change: both looks shared one mark, so that a break within 0.6 s of a caller's leaving was looked into up to 0.6 s late, and the sum from the third end came to 3.3 s of the 3.0 s that are there.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamEnds.java
@@ -69,6 +69,7 @@
     private final Map<UpstreamEnd, Life> lives = new HashMap<>();
     private final Map<UpstreamEnd, Instant> known = new RecentlyUsed<>(MOST_ENDS);
     private final Set<UpstreamEnd> looks = new HashSet<>();
+    private final Set<UpstreamEnd> laterLooks = new HashSet<>();
 
     /** What a look at an upstream shows. */
     enum Sign {
@@ -142,8 +143,10 @@
         }
         if (known.containsKey(life.end)) {
             tellSoon(life);
+        } else if (how == Cut.BROKE) {
+            lookSoon(upstream, life.end);
         } else {
-            lookAfter(how == Cut.BROKE ? GATHER : AFTER_CLOSING, upstream, life.end);
+            lookLater(upstream, life.end);
         }
     }
 
@@ -166,9 +169,22 @@
         }
     }
 
-    private void lookAfter(Duration delay, Upstream upstream, UpstreamEnd end) {
+    private void lookSoon(Upstream upstream, UpstreamEnd end) {
         if (looks.add(end)) {
-            control.after(delay, () -> look(upstream, end, 0));
+            control.after(GATHER, () -> look(upstream, end, 0));
+        }
+    }
+
+    private void lookLater(Upstream upstream, UpstreamEnd end) {
+        if (laterLooks.add(end)) {
+            control.after(AFTER_CLOSING, () -> lookNow(upstream, end));
+        }
+    }
+
+    private void lookNow(Upstream upstream, UpstreamEnd end) {
+        laterLooks.remove(end);
+        if (looks.add(end)) {
+            look(upstream, end, 0);
         }
     }
 
@@ -232,7 +248,7 @@
     void unreachable(Upstream upstream) {
         UpstreamEnd end = lifeOf(upstream.facts());
         if (!known.containsKey(end)) {
-            lookAfter(GATHER, upstream, end);
+            lookSoon(upstream, end);
         }
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamEndsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamEndsTest.java
@@ -69,6 +69,16 @@
         assertEquals(List.of(OTHER), ran);
     }
 
+    // Guards against a look for a caller that has left, which holds up the one for a break.
+    @Test
+    void aBreakIsLookedIntoAtOnceThoughACallerHasJustLeft() {
+        signs.add(Sign.ENDED);
+        ends.cut(upstream, ONE, now(), Cut.CALLER_GONE);
+        ends.cut(upstream, OTHER, now(), Cut.BROKE);
+        pass(Duration.ofMillis(50));
+        assertEquals(List.of(ONE, OTHER), ran);
+    }
+
     @Test
     void aRunWhoseUpstreamAnswersLaterHasBeenBorne() {
         Instant sentAt = now();
