Weigh a request that ran at one end only without looking at the others

An end tells of some hundred requests, nearly all of which ran at no other end; each looked through up to 1,024 ends a few times.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Evidence.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Evidence.java
@@ -82,6 +82,10 @@
      * at some of them only, something else ended all of them, and they count as one.
      */
     int weight(Ends ends) {
+        // Nearly all requests that ran at an end ran at no other, and there may be hundreds.
+        if (sightings.size() <= 1) {
+            return sightings.size();
+        }
         List<Sighting> ordered =
                 sightings.values().stream().sorted(Comparator.comparing(Sighting::at)).toList();
         int weight = 0;
