--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Evidence.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Evidence.java
@@ -11,7 +11,7 @@
 /** What speaks against one request, and what for it. */
 final class Evidence {
     /** Upstreams of a rack end within this, as several routers see it. */
-    static final Duration TOGETHER = Duration.ofMillis(150);
+    private static final Duration TOGETHER = Duration.ofMillis(150);
 
     /** Routers' words of when something was may differ by this. */
     private static final Duration INEXACT = Duration.ofMillis(50);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourCrashNews.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/NeighbourCrashNews.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
+import java.util.function.Function;
 
 /**
  * Tells the other routers what is known of requests under which upstreams end. In a large fleet
@@ -25,6 +26,9 @@
         /** To those that follow the store for all, which count the ends. */
         void toWatchers(Frame frame);
 
+        /** To all others, through those if need be; the frame says whether to pass it on. */
+        void throughWatchers(Function<Boolean, Frame> frame);
+
         /** True if this router is one of them, and passes on what it hears. */
         boolean passesOn();
     }
@@ -41,11 +45,7 @@
 
     @Override
     public void found(UpstreamEnd end) {
-        if (wire.passesOn()) {
-            wire.toAll(NeighbourFrames.found(end, false));
-        } else {
-            wire.toWatchers(NeighbourFrames.found(end, true));
-        }
+        wire.throughWatchers(passOn -> NeighbourFrames.found(end, passOn));
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Neighbours.java
@@ -219,6 +219,11 @@
                         sendToWatchers(frame);
                     }
 
+                    @Override
+                    public void throughWatchers(Function<Boolean, Frame> frame) {
+                        tellThroughWatchers(frame);
+                    }
+
                     @Override
                     public boolean passesOn() {
                         return members.watches();
