--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/CrashEvidence.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/CrashEvidence.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 
 /**
- * Collects the evidence for and against one suspect request: the crashes at which it ran, the runs
- * that the upstream survived, and its last success.
+ * Collects the evidence for and against one suspect: the crashes at which it ran, the runs that the
+ * upstream survived, and its last success.
  */
 final class CrashEvidence {
     /** Crashes of the upstreams of one rack are seen within this time, by several routers. */
@@ -19,15 +19,15 @@
     /** Maximum difference between the times that several routers give for the same event. */
     private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(50);
 
-    private final Map<UpstreamCrash, CrashedRun> runs = new HashMap<>();
+    private final Map<UpstreamCrash, RunAtCrash> runs = new HashMap<>();
     private int survivedRuns;
     private Instant clearedAt = Instant.MIN;
 
     /**
-     * A crash of an upstream while a run of the request, which began at {@code startedAt}, was
+     * A crash of an upstream while a run of the suspect, which began at {@code startedAt}, was
      * there.
      */
-    private record CrashedRun(Instant startedAt, Instant crashedAt) {}
+    private record RunAtCrash(Instant startedAt, Instant crashedAt) {}
 
     /** Counts the crashes of upstreams in a period, whichever requests ran there. */
     @FunctionalInterface
@@ -37,21 +37,21 @@
     }
 
     /**
-     * Records that the request was running at a crash. Several routers may report the same crash,
+     * Records that the suspect was running at a crash. Several routers may report the same crash,
      * and a report may arrive after that of a later success, which clears it.
      */
     void addCrash(UpstreamCrash crash, Instant startedAt, Instant crashedAt) {
         if (crashedAt.isAfter(clearedAt)) {
-            runs.putIfAbsent(crash, new CrashedRun(startedAt, crashedAt));
+            runs.putIfAbsent(crash, new RunAtCrash(startedAt, crashedAt));
         }
     }
 
-    /** Records runs of the request that did not crash the upstream. */
+    /** Records runs of the suspect that did not crash the upstream. */
     void addSurvivedRuns(int times) {
         survivedRuns += times;
     }
 
-    /** Records that the request succeeded: it did not cause the crashes up to that time. */
+    /** Records that the suspect succeeded: it did not cause the crashes up to that time. */
     void recordSuccess(Instant at) {
         if (at.isAfter(clearedAt)) {
             clearedAt = at;
@@ -70,43 +70,43 @@
     }
 
     /**
-     * Returns the time of the n-th crash at which the request ran, in order of time, or empty if
+     * Returns the time of the n-th crash at which the suspect ran, in order of time, or empty if
      * there are fewer. The crashes of a rack are not merged here.
      */
     Optional<Instant> crashTime(int number) {
         return runs.values().stream()
-                .map(CrashedRun::crashedAt)
+                .map(RunAtCrash::crashedAt)
                 .sorted()
                 .skip(number - 1)
                 .findFirst();
     }
 
     /**
-     * Returns the time of the last crash at which the request ran, or {@link Instant#MIN} if there
+     * Returns the time of the last crash at which the suspect ran, or {@link Instant#MIN} if there
      * is none.
      */
     Instant lastCrashAt() {
         return runs.values().stream()
-                .map(CrashedRun::crashedAt)
+                .map(RunAtCrash::crashedAt)
                 .max(Comparator.naturalOrder())
                 .orElse(Instant.MIN);
     }
 
     /**
-     * Returns the number of crashes that count against the request. Of several upstreams that crash
-     * at the same moment, each counts if the request ran at all of them: these are copies running
+     * Returns the number of crashes that count against the suspect. Of several upstreams that crash
+     * at the same moment, each counts if the suspect ran at all of them: these are copies running
      * side by side. If it ran at some of them only, they have another common cause and count as
      * one.
      *
      * @param crashes all crashes, whichever requests ran there
      */
     int countedCrashes(CrashHistory crashes) {
-        // Nearly all requests that run at a crash run at a single one, and there may be hundreds.
+        // Nearly all suspects that run at a crash run at a single one, and there may be hundreds.
         if (runs.size() <= 1) {
             return runs.size();
         }
-        List<CrashedRun> ordered =
-                runs.values().stream().sorted(Comparator.comparing(CrashedRun::crashedAt)).toList();
+        List<RunAtCrash> ordered =
+                runs.values().stream().sorted(Comparator.comparing(RunAtCrash::crashedAt)).toList();
         int count = 0;
         for (int first = 0, next; first < ordered.size(); first = next) {
             next = first + 1;
@@ -119,11 +119,11 @@
         return count;
     }
 
-    private static boolean simultaneous(CrashedRun one, CrashedRun next) {
+    private static boolean simultaneous(RunAtCrash one, RunAtCrash next) {
         return !next.crashedAt.isAfter(one.crashedAt.plus(SIMULTANEOUS_WITHIN));
     }
 
-    private static int countedCrashes(List<CrashedRun> group, CrashHistory crashes) {
+    private static int countedCrashes(List<RunAtCrash> group, CrashHistory crashes) {
         Instant from = group.get(0).crashedAt.minus(SIMULTANEOUS_WITHIN);
         Instant to = group.get(group.size() - 1).crashedAt.plus(SIMULTANEOUS_WITHIN);
         return crashes.countBetween(from, to) > group.size()
@@ -133,10 +133,10 @@
 
     // Counts a crash only if the run began after the previous counted crash: a request that is
     // retried at once is sent after the crash before.
-    private static int countSequential(List<CrashedRun> group) {
+    private static int countSequential(List<RunAtCrash> group) {
         int count = 0;
         Instant last = Instant.MIN;
-        for (CrashedRun each : group) {
+        for (RunAtCrash each : group) {
             if (!each.startedAt.plus(CLOCK_TOLERANCE).isBefore(last)) {
                 count++;
                 last = each.crashedAt;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
@@ -9,11 +9,12 @@
 import java.util.TreeMap;
 
 /**
- * Keeps poison requests away from all upstreams: {@code quarantine.tryAdmit(digest, mayTry, now)}.
+ * Keeps the suspects that crash upstreams away from all of them: {@code
+ * quarantine.tryAdmit(suspect, mayTry, now)}.
  *
- * <p>When its quarantine is over, a request gets a trial, since a newer release of the upstreams
+ * <p>When its quarantine is over, a suspect gets a trial, since a newer release of the upstreams
  * may survive it. Each failed trial is followed by a longer quarantine, and after the last one the
- * request is quarantined for good.
+ * suspect is quarantined for good.
  */
 public final class Quarantine {
     /** Longer than any router process runs. */
@@ -29,16 +30,16 @@
     private static final int QUARANTINE_GROWTH = 3;
 
     private final CrashSettings settings;
-    private final Map<RequestDigest, Entry> entries = new TreeMap<>();
+    private final Map<CrashSuspect, Entry> entries = new TreeMap<>();
 
     /**
-     * One quarantined request.
+     * One quarantined request or prompt part.
      *
-     * @param until when the request may get its next trial
+     * @param until when the suspect may get its next trial
      * @param trials number of trials so far
      * @param lastCrashAt time of the last counted crash
      */
-    public record Entry(RequestDigest request, Instant until, int trials, Instant lastCrashAt) {}
+    public record Entry(CrashSuspect suspect, Instant until, int trials, Instant lastCrashAt) {}
 
     /** Creates an empty quarantine. */
     public Quarantine(CrashSettings settings) {
@@ -46,16 +47,16 @@
     }
 
     /**
-     * Quarantines a request that has reached the number of crashes.
+     * Quarantines a suspect that has reached the number of crashes.
      *
      * @param lastCrashAt time of the last counted crash
-     * @return the new entry to announce, or empty if the request is already quarantined for as
+     * @return the new entry to announce, or empty if the suspect is already quarantined for as
      *     long, or the quarantine is full
      */
-    public Optional<Entry> add(RequestDigest request, Instant lastCrashAt, Instant now) {
-        Entry known = entries.get(request);
+    public Optional<Entry> add(CrashSuspect suspect, Instant lastCrashAt, Instant now) {
+        Entry known = entries.get(suspect);
         int trials = known == null ? 0 : known.trials();
-        Entry entry = new Entry(request, now.plus(quarantineTime(trials)), trials, lastCrashAt);
+        Entry entry = new Entry(suspect, now.plus(quarantineTime(trials)), trials, lastCrashAt);
         return merge(entry) ? Optional.of(entry) : Optional.empty();
     }
 
@@ -71,42 +72,42 @@
      * Returns true if this changed the quarantine.
      */
     public boolean merge(Entry entry) {
-        Entry known = entries.get(entry.request());
+        Entry known = entries.get(entry.suspect());
         if (known == null && entries.size() >= settings.maxQuarantined()) {
             return false;
         }
         if (known != null && !known.until().isBefore(entry.until())) {
             return false;
         }
-        entries.put(entry.request(), entry);
+        entries.put(entry.suspect(), entry);
         return true;
     }
 
     /**
-     * Records that a run of the request succeeded. A run that was sent before the last counted
-     * crash proves nothing, and the request stays quarantined.
+     * Records that a run of the suspect succeeded. A run that was sent before the last counted
+     * crash proves nothing, and the suspect stays quarantined.
      *
      * @param sentAt when the successful run was sent
-     * @return true if the request is not quarantined any more
+     * @return true if the suspect is not quarantined any more
      */
-    public boolean recordSuccess(RequestDigest request, Instant sentAt) {
-        Entry known = entries.get(request);
+    public boolean recordSuccess(CrashSuspect suspect, Instant sentAt) {
+        Entry known = entries.get(suspect);
         boolean stays = known != null && !sentAt.isAfter(known.lastCrashAt());
         if (!stays) {
-            entries.remove(request);
+            entries.remove(suspect);
         }
         return !stays;
     }
 
     /**
-     * Decides whether a request may be sent to an upstream, and starts a trial if one is due.
+     * Decides whether a suspect may be sent to an upstream, and starts a trial if one is due.
      *
-     * @param mayTry whether this router makes the trials of the request; one router of all does, so
-     *     that the request is let through once and not once by each
-     * @return how long the request stays quarantined, or empty if it may be sent
+     * @param mayTry whether this router makes the trials of the suspect; one router of all does, so
+     *     that the suspect is let through once and not once by each
+     * @return how long the suspect stays quarantined, or empty if it may be sent
      */
-    public Optional<Duration> tryAdmit(RequestDigest request, boolean mayTry, Instant now) {
-        Entry known = entries.get(request);
+    public Optional<Duration> tryAdmit(CrashSuspect suspect, boolean mayTry, Instant now) {
+        Entry known = entries.get(suspect);
         if (known == null) {
             return Optional.empty();
         }
@@ -119,36 +120,36 @@
         if (known.trials() >= settings.maxTrials()) {
             return Optional.of(PERMANENT);
         }
-        entries.put(request, entryOnTrial(known, now));
+        entries.put(suspect, entryOnTrial(known, now));
         return Optional.empty();
     }
 
     private static Entry entryOnTrial(Entry known, Instant now) {
         return new Entry(
-                known.request(), now.plus(TRIAL_TIME), known.trials() + 1, known.lastCrashAt());
+                known.suspect(), now.plus(TRIAL_TIME), known.trials() + 1, known.lastCrashAt());
     }
 
-    /** Returns true if the request is quarantined or on trial. */
-    public boolean contains(RequestDigest request) {
-        return entries.containsKey(request);
+    /** Returns true if the suspect is quarantined or on trial. */
+    public boolean contains(CrashSuspect suspect) {
+        return entries.containsKey(suspect);
     }
 
-    /** Returns the entry of the request. */
-    public Optional<Entry> find(RequestDigest request) {
-        return Optional.ofNullable(entries.get(request));
+    /** Returns the entry of the suspect. */
+    public Optional<Entry> find(CrashSuspect suspect) {
+        return Optional.ofNullable(entries.get(suspect));
     }
 
-    /** Returns true if the request must not be sent to an upstream now. */
-    public boolean isQuarantined(RequestDigest request, Instant now) {
-        return contains(request) && now.isBefore(entries.get(request).until());
+    /** Returns true if the suspect must not be sent to an upstream now. */
+    public boolean isQuarantined(CrashSuspect suspect, Instant now) {
+        return contains(suspect) && now.isBefore(entries.get(suspect).until());
     }
 
-    /** Returns true if no request is quarantined, so that no digest need be computed. */
+    /** Returns true if nothing is quarantined, so that no request need be identified. */
     public boolean isEmpty() {
         return entries.isEmpty();
     }
 
-    /** Returns the number of quarantined requests, those on trial included. */
+    /** Returns the number of quarantined suspects, those on trial included. */
     public int size() {
         return entries.size();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CallerRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.upstreams.ModelRef;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -13,6 +14,8 @@
  * @param host the host name by which the route is selected
  * @param callerKey the caller key, if any
  * @param model the requested model, at a model service
+ * @param promptParts the ids of the prompt's parts that other requests may share, in order; the
+ *     part that belongs to this request alone is not among them
  * @param tokens the caller's figure for the tokens of prompt and answer together
  * @param deadline how long the caller waits from now
  * @param lastEventId the id of the last event that the caller received, if it resumes a stream
@@ -22,6 +25,7 @@
         String host,
         Optional<String> callerKey,
         Optional<ModelRef> model,
+        List<String> promptParts,
         OptionalLong tokens,
         Optional<Duration> deadline,
         Optional<String> lastEventId) {}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
-import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.RequestIdentity;
 import io.damaskyoke.control.direct.AllowedRegions;
 import io.damaskyoke.control.direct.Route;
 import io.damaskyoke.control.upstreams.ModelRef;
@@ -17,6 +18,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -58,7 +60,7 @@
     private int sendCount;
     private int possibleRuns;
     private String lastReason = "";
-    private RequestDigest digest;
+    private RequestIdentity identity;
     private boolean trial;
 
     /**
@@ -107,8 +109,8 @@
         call.onDisconnect(this::handleCallerGone);
         call.onWritable(this::resumeReading);
         if (!inFlight.crashes().isQuarantineEmpty()) {
-            boolean mayBeTrial = inFlight.crashes().hasQuarantineEntry(digest());
-            Optional<Duration> quarantineLeft = inFlight.crashes().tryAdmit(digest());
+            boolean mayBeTrial = inFlight.crashes().hasQuarantineEntry(identity());
+            Optional<Duration> quarantineLeft = inFlight.crashes().tryAdmit(identity());
             if (quarantineLeft.isPresent()) {
                 refuseAsPoisonRequest(quarantineLeft.get());
                 return;
@@ -118,13 +120,20 @@
         inFlight.dispatcher().enqueue(this);
     }
 
-    /** Returns the digest that identifies the request, whichever id it comes with. */
-    RequestDigest digest() {
-        if (digest == null) {
+    /** Returns what the request is recognized by, whichever id it comes with. */
+    RequestIdentity identity() {
+        if (identity == null) {
             String workspace = admission.workspace().map(WorkspaceId::value).orElse("");
-            digest = RequestDigest.of(call.target(), workspace, call.body().nioBuffer());
+            identity =
+                    new RequestIdentity(
+                            CrashSuspect.request(call.target(), workspace, call.body().nioBuffer()),
+                            promptParts());
         }
-        return digest;
+        return identity;
+    }
+
+    private List<CrashSuspect> promptParts() {
+        return request.promptParts().stream().distinct().map(CrashSuspect::promptPart).toList();
     }
 
     // The request may have been quarantined while it was queued, perhaps because its own earlier
@@ -132,7 +141,7 @@
     private boolean isQuarantinedNow() {
         return !trial
                 && !inFlight.crashes().isQuarantineEmpty()
-                && inFlight.crashes().isQuarantined(digest());
+                && inFlight.crashes().isQuarantined(identity());
     }
 
     /**
@@ -515,6 +524,7 @@
         timings.appendTo(text, now);
         if (!lastReason.isEmpty()) {
             text.append(" why=\"").append(lastReason).append('"');
+            text.append(" prompt_parts=").append(request.promptParts());
         }
         return text.toString();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -1,7 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.ControlThread;
-import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.follow.ChangeListener;
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.PollTiming;
@@ -63,7 +63,7 @@
     private long leaderRevision;
     private WatchPlan plan = WatchPlan.of(List.of());
     private Runnable onChange = () -> {};
-    private BiConsumer<RequestDigest, Integer> onQuarantined = (request, trials) -> {};
+    private BiConsumer<CrashSuspect, Integer> onQuarantined = (request, trials) -> {};
     private long leaseId;
     private boolean leaving;
 
@@ -98,7 +98,7 @@
     }
 
     /** Runs {@code action} for each quarantined request in the store, with its count of trials. */
-    void onQuarantined(BiConsumer<RequestDigest, Integer> action) {
+    void onQuarantined(BiConsumer<CrashSuspect, Integer> action) {
         onQuarantined = action;
     }
 
@@ -293,7 +293,7 @@
             String digest = entry.key().substring(quarantinePrefix().length());
             String trials = new String(entry.value(), StandardCharsets.UTF_8);
             try {
-                onQuarantined.accept(new RequestDigest(digest), Integer.parseInt(trials));
+                onQuarantined.accept(CrashSuspect.request(digest), Integer.parseInt(trials));
             } catch (NumberFormatException e) {
                 LOG.warn("ignoring unreadable entry {}: {}", entry.key(), e.getMessage());
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerCrashAnnouncer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerCrashAnnouncer.java
@@ -1,17 +1,17 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.peer.wire.Frame;
-import io.damaskyoke.peer.wire.SuspectRequest;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Map;
+import java.util.List;
 import java.util.function.Function;
 
 /**
- * Announces crashes and poison requests to the peer routers. In a large fleet only the watchers,
+ * Announces crashes and their suspects to the peer routers. In a large fleet only the watchers,
  * which follow the store for all, have a link to every other router.
  */
 final class PeerCrashAnnouncer implements CrashAnnouncer {
@@ -41,9 +41,8 @@
     }
 
     @Override
-    public void announceRunsAtCrash(
-            UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
-        sender.sendToWatchers(PeerRouterFrames.upstreamCrash(crash, ago, runTimes));
+    public void announceRunsAtCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+        sender.sendToWatchers(CrashFrames.upstreamCrash(crash, ago, runs));
     }
 
     @Override
@@ -59,37 +58,37 @@
     }
 
     @Override
-    public void announceWatched(RequestDigest request) {
-        sender.sendToAll(PeerRouterFrames.suspect(request, SuspectRequest.State.WATCHED));
+    public void announceWatched(CrashSuspect suspect) {
+        sender.sendToAll(CrashFrames.watched(suspect));
     }
 
     @Override
     public void announceQuarantined(Quarantine.Entry entry) {
-        sender.sendToAll(PeerRouterFrames.quarantined(entry, clock.instant()));
+        sender.sendToAll(CrashFrames.quarantined(entry, clock.instant()));
     }
 
     @Override
-    public void removeStored(RequestDigest request) {
-        // The other routers learn this from the announced success that cleared the request.
+    public void removeStored(CrashSuspect suspect) {
+        // The other routers learn this from the announced success that cleared the suspect.
     }
 
     @Override
     public void announceRefused(Quarantine.Entry entry) {
-        sender.sendToWatchers(PeerRouterFrames.quarantined(entry, clock.instant()));
+        sender.sendToWatchers(CrashFrames.quarantined(entry, clock.instant()));
     }
 
     @Override
-    public void announceCleared(RequestDigest request, Duration sentAgo) {
-        sender.sendToAll(PeerRouterFrames.cleared(request, sentAgo));
+    public void announceCleared(CrashSuspect suspect, Duration sentAgo) {
+        sender.sendToAll(CrashFrames.cleared(suspect, sentAgo));
     }
 
     @Override
-    public void announceEarlierSuccess(RequestDigest request, Duration ago) {
-        sender.sendToWatchers(PeerRouterFrames.succeededBefore(request, ago));
+    public void announceEarlierSuccess(CrashSuspect suspect, Duration ago) {
+        sender.sendToWatchers(CrashFrames.succeededBefore(suspect, ago));
     }
 
     @Override
-    public void announceSurvivedRuns(RequestDigest request, int runs) {
-        sender.sendToWatchers(PeerRouterFrames.survivedRuns(request, runs));
+    public void announceSurvivedRuns(CrashSuspect suspect, int runs) {
+        sender.sendToWatchers(CrashFrames.survivedRuns(suspect, runs));
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerMessageHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerMessageHandler.java
@@ -1,7 +1,8 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.UnansweredLoadOrder;
@@ -88,9 +89,8 @@
     }
 
     @Override
-    public void upstreamCrashed(
-            UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> ran) {
-        dependencies.crashes().countCrash(crash, ago, ran);
+    public void upstreamCrashed(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+        dependencies.crashes().countCrash(crash, ago, runs);
     }
 
     @Override
@@ -109,28 +109,28 @@
     }
 
     @Override
-    public void requestWatched(RequestDigest request) {
-        dependencies.crashes().startWatching(request);
+    public void suspectWatched(CrashSuspect suspect) {
+        dependencies.crashes().startWatching(suspect);
     }
 
     @Override
-    public void requestQuarantined(Quarantine.Entry entry) {
+    public void suspectQuarantined(Quarantine.Entry entry) {
         dependencies.crashes().quarantineReceived(entry);
     }
 
     @Override
-    public void requestCleared(RequestDigest request, Duration sentAgo) {
-        dependencies.crashes().clearRequest(request, sentAgo);
+    public void suspectCleared(CrashSuspect suspect, Duration sentAgo) {
+        dependencies.crashes().clear(suspect, sentAgo);
     }
 
     @Override
-    public void requestSucceededBefore(RequestDigest request, Duration ago) {
-        dependencies.crashes().recordEarlierSuccess(request, ago);
+    public void suspectSucceededBefore(CrashSuspect suspect, Duration ago) {
+        dependencies.crashes().recordEarlierSuccess(suspect, ago);
     }
 
     @Override
-    public void requestSurvived(RequestDigest request, int times) {
-        dependencies.crashes().addSurvivedRuns(request, times);
+    public void suspectSurvived(CrashSuspect suspect, int times) {
+        dependencies.crashes().addSurvivedRuns(suspect, times);
     }
 
     @Override
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouterFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouterFrames.java
@@ -2,8 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import io.damaskyoke.control.cold.RequestLimit;
-import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.UnansweredLoadOrder;
@@ -13,7 +11,6 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.peer.wire.ChangesFetch;
-import io.damaskyoke.peer.wire.CutRequest;
 import io.damaskyoke.peer.wire.Departures;
 import io.damaskyoke.peer.wire.DrainedZone;
 import io.damaskyoke.peer.wire.Frame;
@@ -25,9 +22,7 @@
 import io.damaskyoke.peer.wire.RunningCount;
 import io.damaskyoke.peer.wire.StoreChange;
 import io.damaskyoke.peer.wire.StoreChanges;
-import io.damaskyoke.peer.wire.SuspectRequest;
 import io.damaskyoke.peer.wire.UnansweredLoad;
-import io.damaskyoke.peer.wire.UpstreamEnded;
 import io.damaskyoke.peer.wire.UpstreamLimit;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
@@ -122,34 +117,6 @@
                 now.minusMillis(line.getAgeMs()));
     }
 
-    static Frame upstreamCrash(
-            UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
-        UpstreamEnded.Builder ended =
-                UpstreamEnded.newBuilder()
-                        .setUpstream(crash.upstream().value())
-                        .setStartedAt(crash.startedAt())
-                        .setEndedMsAgo((int) ago.toMillis());
-        runTimes.forEach(
-                (request, time) ->
-                        ended.addRequests(
-                                CutRequest.newBuilder()
-                                        .setRequest(request.value())
-                                        .setRanMs((int) time.toMillis())));
-        return Frame.newBuilder().setUpstreamEnded(ended).build();
-    }
-
-    static UpstreamCrash crash(UpstreamEnded ended) {
-        return new UpstreamCrash(UpstreamId.of(ended.getUpstream()), ended.getStartedAt());
-    }
-
-    static Map<RequestDigest, Duration> runTimes(UpstreamEnded ended) {
-        Map<RequestDigest, Duration> runTimes = new HashMap<>();
-        for (CutRequest each : ended.getRequestsList()) {
-            runTimes.put(new RequestDigest(each.getRequest()), Duration.ofMillis(each.getRanMs()));
-        }
-        return runTimes;
-    }
-
     static Frame limit(DeclaredLimits.Announcement announcement, boolean passOn) {
         UpstreamLimit limit =
                 UpstreamLimit.newBuilder()
@@ -192,60 +159,6 @@
         return Frame.newBuilder().setLostUpstream(lost).build();
     }
 
-    static Frame suspect(RequestDigest request, SuspectRequest.State state) {
-        return suspect(SuspectRequest.newBuilder().setRequest(request.value()).setState(state));
-    }
-
-    static Frame survivedRuns(RequestDigest request, int times) {
-        return suspect(
-                SuspectRequest.newBuilder()
-                        .setRequest(request.value())
-                        .setState(SuspectRequest.State.BORNE)
-                        .setTimes(times));
-    }
-
-    static Frame succeededBefore(RequestDigest request, Duration ago) {
-        return suspect(
-                SuspectRequest.newBuilder()
-                        .setRequest(request.value())
-                        .setState(SuspectRequest.State.SUCCEEDED)
-                        .setAnsweredMsAgo(ago.toMillis()));
-    }
-
-    static Frame cleared(RequestDigest request, Duration sentAgo) {
-        return suspect(
-                SuspectRequest.newBuilder()
-                        .setRequest(request.value())
-                        .setState(SuspectRequest.State.CLEARED)
-                        .setSentMsAgo(sentAgo.toMillis()));
-    }
-
-    static Frame quarantined(Quarantine.Entry entry, Instant now) {
-        return suspect(
-                SuspectRequest.newBuilder()
-                        .setRequest(entry.request().value())
-                        .setState(SuspectRequest.State.KEPT_OUT)
-                        .setLeftMs(millisBetween(now, entry.until()))
-                        .setTrials(entry.trials())
-                        .setEndedMsAgo(millisBetween(entry.lastCrashAt(), now)));
-    }
-
-    static Quarantine.Entry quarantined(SuspectRequest line, Instant now) {
-        return new Quarantine.Entry(
-                new RequestDigest(line.getRequest()),
-                now.plusMillis(line.getLeftMs()),
-                line.getTrials(),
-                now.minusMillis(line.getEndedMsAgo()));
-    }
-
-    private static long millisBetween(Instant from, Instant to) {
-        return Math.max(0, Duration.between(from, to).toMillis());
-    }
-
-    private static Frame suspect(SuspectRequest.Builder line) {
-        return Frame.newBuilder().setSuspectRequest(line).build();
-    }
-
     static Frame departures(List<UpstreamDeparture> departures) {
         Departures.Builder all = Departures.newBuilder();
         for (UpstreamDeparture each : departures) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
@@ -2,8 +2,9 @@
 
 import com.google.protobuf.ByteString;
 import io.damaskyoke.control.ControlThread;
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.UnansweredLoadOrder;
@@ -91,8 +92,8 @@
         /** A leader announced a load order that was not answered. */
         void unansweredLoadAnnounced(UnansweredLoadOrder load);
 
-        /** An upstream crashed {@code ago}; {@code ran} is how long each request had run there. */
-        void upstreamCrashed(UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> ran);
+        /** An upstream crashed {@code ago} with these runs of the sending router. */
+        void upstreamCrashed(UpstreamCrash crash, Duration ago, List<CrashedRun> runs);
 
         /**
          * A router detected that an upstream crashed; {@code passOn} if this router is to pass the
@@ -100,20 +101,20 @@
          */
         void crashDetected(UpstreamCrash crash, boolean passOn);
 
-        /** By a router's count, one more crash makes the request a poison request. */
-        void requestWatched(RequestDigest request);
+        /** By a router's count, one more crash quarantines the suspect. */
+        void suspectWatched(CrashSuspect suspect);
 
-        /** A router quarantined the request. */
-        void requestQuarantined(Quarantine.Entry entry);
+        /** A router quarantined the suspect. */
+        void suspectQuarantined(Quarantine.Entry entry);
 
-        /** The request succeeded just now at a router, which had sent it {@code sentAgo}. */
-        void requestCleared(RequestDigest request, Duration sentAgo);
+        /** A request of the suspect, sent {@code sentAgo}, succeeded just now at a router. */
+        void suspectCleared(CrashSuspect suspect, Duration sentAgo);
 
-        /** The request succeeded {@code ago} at a router. */
-        void requestSucceededBefore(RequestDigest request, Duration ago);
+        /** A request of the suspect succeeded {@code ago} at a router. */
+        void suspectSucceededBefore(CrashSuspect suspect, Duration ago);
 
-        /** The request ran {@code times} times at a router without crashing the upstream. */
-        void requestSurvived(RequestDigest request, int times);
+        /** Upstreams of a router survived {@code times} runs of the suspect. */
+        void suspectSurvived(CrashSuspect suspect, int times);
 
         /**
          * A router can't reach the incarnation of an upstream that started at {@code startedAt};
@@ -356,7 +357,11 @@
             listener.unansweredLoadAnnounced(
                     PeerRouterFrames.unansweredLoad(frame.getUnansweredLoad(), now));
         } else if (frame.hasSuspectRequest()) {
-            handleSuspectRequest(frame.getSuspectRequest());
+            SuspectRequest line = frame.getSuspectRequest();
+            handleSuspect(CrashSuspect.request(line.getRequest()), line);
+        } else if (frame.hasSuspectPart()) {
+            SuspectRequest line = frame.getSuspectPart();
+            handleSuspect(CrashSuspect.promptPart(line.getRequest()), line);
         } else if (frame.hasLeaseEnd()) {
             listener.leaseEndRequested(from, frame.getLeaseEnd().getLease());
         } else if (frame.hasStoredFetch()) {
@@ -388,9 +393,9 @@
         if (frame.hasUpstreamEnded()) {
             UpstreamEnded ended = frame.getUpstreamEnded();
             listener.upstreamCrashed(
-                    PeerRouterFrames.crash(ended),
+                    CrashFrames.crash(ended),
                     Duration.ofMillis(ended.getEndedMsAgo()),
-                    PeerRouterFrames.runTimes(ended));
+                    CrashFrames.crashedRuns(ended));
         } else if (frame.hasLostUpstream()) {
             handleLostUpstream(frame.getLostUpstream());
         } else if (frame.hasUpstreamLimit()) {
@@ -409,19 +414,18 @@
         }
     }
 
-    private void handleSuspectRequest(SuspectRequest line) {
-        RequestDigest request = new RequestDigest(line.getRequest());
+    private void handleSuspect(CrashSuspect suspect, SuspectRequest line) {
         switch (line.getState()) {
-            case WATCHED -> listener.requestWatched(request);
+            case WATCHED -> listener.suspectWatched(suspect);
             case CLEARED ->
-                    listener.requestCleared(request, Duration.ofMillis(line.getSentMsAgo()));
+                    listener.suspectCleared(suspect, Duration.ofMillis(line.getSentMsAgo()));
             case SUCCEEDED ->
-                    listener.requestSucceededBefore(
-                            request, Duration.ofMillis(line.getAnsweredMsAgo()));
-            case BORNE -> listener.requestSurvived(request, Math.max(1, line.getTimes()));
+                    listener.suspectSucceededBefore(
+                            suspect, Duration.ofMillis(line.getAnsweredMsAgo()));
+            case BORNE -> listener.suspectSurvived(suspect, Math.max(1, line.getTimes()));
             case KEPT_OUT ->
-                    listener.requestQuarantined(
-                            PeerRouterFrames.quarantined(line, control.clock().instant()));
+                    listener.suspectQuarantined(
+                            CrashFrames.quarantined(suspect, line, control.clock().instant()));
             default -> {
                 // A newer version may send states that this one doesn't know; they are ignored.
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PoisonRequestDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PoisonRequestDetector.java
@@ -3,12 +3,14 @@
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.LruMap;
 import io.damaskyoke.control.crashes.CrashSettings;
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashSuspects;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RecentOutcomes;
-import io.damaskyoke.control.crashes.RequestDigest;
-import io.damaskyoke.control.crashes.SuspectRequests;
+import io.damaskyoke.control.crashes.RequestIdentity;
 import io.damaskyoke.control.crashes.UpstreamCrash;
-import io.damaskyoke.control.crashes.WatchedRequests;
+import io.damaskyoke.control.crashes.WatchedSuspects;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -16,6 +18,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -58,20 +61,27 @@
     /** The most requests that are watched at a time; further ones are not recorded. */
     private static final int MAX_WATCHED = 512;
 
+    /** After a crash, the reports of all routers have come in by then. */
+    private static final Duration REPORTS_COMPLETE_AFTER = Duration.ofMillis(100);
+
+    private static final int MAX_LOGGED_SUSPECTS = 5;
+    private static final int MAX_LOGGED_CRASHES = 256;
+
     private final ControlThread control;
     private final Metrics metrics;
     private final CrashAnnouncer announcer;
     private final BooleanSupplier countsCrashes;
     private final BooleanSupplier sendsTrials;
     private final CrashSettings settings = CrashSettings.defaults();
-    private final SuspectRequests suspects = new SuspectRequests(settings);
+    private final CrashSuspects suspects = new CrashSuspects(settings);
     private final Quarantine quarantine = new Quarantine(settings);
-    private final WatchedRequests watched = new WatchedRequests(MAX_WATCHED, WATCH_TIME);
+    private final WatchedSuspects watched = new WatchedSuspects(MAX_WATCHED, WATCH_TIME);
     private final UpstreamCrashDetector crashDetector;
     private final RecentOutcomes recentOutcomes = new RecentOutcomes(MAX_RECORDED_OUTCOMES);
-    private final Map<RequestDigest, Instant> lastRefusalAnnouncements = new LruMap<>(MAX_WATCHED);
+    private final Map<CrashSuspect, Instant> lastRefusalAnnouncements = new LruMap<>(MAX_WATCHED);
+    private final Map<UpstreamCrash, Boolean> loggedCrashes = new LruMap<>(MAX_LOGGED_CRASHES);
     private Instant recordOutcomesUntil = Instant.MIN;
-    private final Map<RequestDigest, ControlThread.Cancellable> clearingTimers = new HashMap<>();
+    private final Map<CrashSuspect, ControlThread.Cancellable> clearingTimers = new HashMap<>();
 
     /**
      * Creates a detector without any known crash.
@@ -101,7 +111,8 @@
     }
 
     /** Returns how long the request stays quarantined; empty if it may be sent, or as a trial. */
-    Optional<Duration> tryAdmit(RequestDigest request) {
+    Optional<Duration> tryAdmit(RequestIdentity identity) {
+        CrashSuspect request = identity.request();
         Optional<Duration> left = quarantine.tryAdmit(request, sendsTrials.getAsBoolean(), now());
         if (left.isPresent()) {
             announceRefusal(request);
@@ -111,7 +122,7 @@
 
     // The announcement that cleared the request may have been lost, and the request would stay
     // quarantined here for minutes.
-    private void announceRefusal(RequestDigest request) {
+    private void announceRefusal(CrashSuspect request) {
         Instant last = lastRefusalAnnouncements.getOrDefault(request, Instant.MIN);
         if (now().isAfter(last.plus(REFUSAL_ANNOUNCEMENT_INTERVAL))) {
             lastRefusalAnnouncements.put(request, now());
@@ -127,13 +138,13 @@
     }
 
     /** Returns true if the request is quarantined, as a queued one may be by now. */
-    boolean isQuarantined(RequestDigest request) {
-        return quarantine.isQuarantined(request, now());
+    boolean isQuarantined(RequestIdentity identity) {
+        return quarantine.isQuarantined(identity.request(), now());
     }
 
     /** Returns true if the request has crashed upstreams before, so that sending it is a trial. */
-    boolean hasQuarantineEntry(RequestDigest request) {
-        return quarantine.contains(request);
+    boolean hasQuarantineEntry(RequestIdentity identity) {
+        return quarantine.contains(identity.request());
     }
 
     /** Returns true if the outcome of some request matters, so that answers must be recorded. */
@@ -142,7 +153,8 @@
     }
 
     /** Records that the request sent at that time was answered in full with this status. */
-    void recordAnswer(RequestDigest request, Instant sentAt, int status) {
+    void recordAnswer(RequestIdentity identity, Instant sentAt, int status) {
+        CrashSuspect request = identity.request();
         watched.removeExpired(now());
         if (isSuccess(status)) {
             recentOutcomes.recordSuccess(request, sentAt, now());
@@ -152,12 +164,12 @@
         }
     }
 
-    private void recordSuccess(RequestDigest request, Instant sentAt, int status) {
+    private void recordSuccess(CrashSuspect request, Instant sentAt, int status) {
         Duration ago = Duration.between(sentAt, now());
         boolean quarantined = quarantine.contains(request);
-        if (isTracked(request) && clearRequest(request, ago)) {
+        if (isTracked(request) && clear(request, ago)) {
             metrics.count("requests_cleared", "status", Integer.toString(status));
-            LOG.info("request {} is no longer suspect: answered with status {}", request, status);
+            LOG.info("{} is no longer suspect: answered with status {}", request, status);
             announcer.announceCleared(request, ago);
             if (quarantined) {
                 announcer.removeStored(request);
@@ -165,7 +177,7 @@
         }
     }
 
-    private void recordSurvivedRun(RequestDigest request, String status) {
+    private void recordSurvivedRun(CrashSuspect request, String status) {
         recentOutcomes.recordSurvivedRun(request);
         if (isTracked(request)) {
             metrics.count("requests_borne", "status", status);
@@ -174,7 +186,7 @@
         }
     }
 
-    private boolean isTracked(RequestDigest request) {
+    private boolean isTracked(CrashSuspect request) {
         return watched.contains(request) || quarantine.contains(request);
     }
 
@@ -185,7 +197,7 @@
 
     /** Records that the request sent at that time ran at the upstream without a complete answer. */
     void recordCutRun(
-            Upstream upstream, RequestDigest request, Instant sentAt, IncompleteRunCause how) {
+            Upstream upstream, RequestIdentity request, Instant sentAt, IncompleteRunCause how) {
         crashDetector.recordCutRun(upstream, request, sentAt, how);
     }
 
@@ -227,23 +239,24 @@
         recordOutcomesUntil = now().plus(OUTCOME_RECORDING_TIME);
     }
 
-    private void reportCrash(
-            UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
+    private void reportCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
         startRecordingOutcomes();
         if (countsCrashes.getAsBoolean()) {
-            countCrash(crash, ago, runTimes);
+            countCrash(crash, ago, runs);
         }
-        announcer.announceRunsAtCrash(crash, ago, runTimes);
+        announcer.announceRunsAtCrash(crash, ago, runs);
     }
 
     /** Counts a crash that a router announced to this counting router, and what ran then. */
-    void countCrash(UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
+    void countCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+        logCommonSuspectsSoon(crash);
         Instant now = now();
-        int before = countedCrashes(runTimes, now);
-        suspects.recordCrash(crash, runTimes, now.minus(ago), now).forEach(this::suspectRequest);
+        List<CrashSuspect> requests = runs.stream().map(run -> run.request().request()).toList();
+        int before = countedCrashes(requests, now);
+        suspects.recordCrash(crash, runs, now.minus(ago), now).forEach(this::suspectRequest);
         countIgnoredRuns(
-                "together_with_others", runTimes.size() - (countedCrashes(runTimes, now) - before));
-        for (RequestDigest each : runTimes.keySet()) {
+                "together_with_others", requests.size() - (countedCrashes(requests, now) - before));
+        for (CrashSuspect each : requests) {
             boolean nearly = suspects.countedCrashes(each, now) >= settings.crashThreshold() - 1;
             if (nearly && !watched.contains(each)) {
                 watchRequest(each);
@@ -251,10 +264,25 @@
         }
     }
 
-    private int countedCrashes(Map<RequestDigest, Duration> runTimes, Instant now) {
-        return runTimes.keySet().stream()
-                .mapToInt(each -> suspects.countedCrashes(each, now))
-                .sum();
+    // Several routers report the runs at one crash, each within some milliseconds.
+    private void logCommonSuspectsSoon(UpstreamCrash crash) {
+        if (loggedCrashes.put(crash, true) == null) {
+            control.after(REPORTS_COMPLETE_AFTER, () -> logCommonSuspects(crash));
+        }
+    }
+
+    private void logCommonSuspects(UpstreamCrash crash) {
+        List<String> common = suspects.describeMostCrashed(MAX_LOGGED_SUSPECTS, now());
+        if (!common.isEmpty()) {
+            LOG.info(
+                    "crash of upstream {}: ran at most crashes without a success since: {}",
+                    crash.upstream(),
+                    common);
+        }
+    }
+
+    private int countedCrashes(List<CrashSuspect> requests, Instant now) {
+        return requests.stream().mapToInt(each -> suspects.countedCrashes(each, now)).sum();
     }
 
     private void countIgnoredRuns(String why, int runs) {
@@ -263,14 +291,14 @@
         }
     }
 
-    private void watchRequest(RequestDigest request) {
+    private void watchRequest(CrashSuspect request) {
         announcer.announceWatched(request);
         startWatching(request);
     }
 
     // A request that is repeated may run at several upstreams that crash for one unrelated reason.
     // Then it runs at others too, and one of them answers it within the clearing time.
-    private void suspectRequest(RequestDigest request) {
+    private void suspectRequest(CrashSuspect request) {
         if (quarantine.contains(request)) {
             quarantineRequest(request);
         } else if (!clearingTimers.containsKey(request)) {
@@ -283,7 +311,7 @@
 
     // If the crashes first looked like the failure of a rack, the request has already gone without
     // a success for part of the clearing time.
-    private Duration clearingTime(RequestDigest request) {
+    private Duration clearingTime(CrashSuspect request) {
         Instant now = now();
         Duration left =
                 suspects.thresholdReachedAt(request)
@@ -292,14 +320,14 @@
         return left.compareTo(MIN_CLEARING_TIME) > 0 ? left : MIN_CLEARING_TIME;
     }
 
-    private void decideAfterClearingTime(RequestDigest request) {
+    private void decideAfterClearingTime(CrashSuspect request) {
         clearingTimers.remove(request);
         if (suspects.isPoisonRequest(request, now())) {
             quarantineRequest(request);
         }
     }
 
-    private void quarantineRequest(RequestDigest request) {
+    private void quarantineRequest(CrashSuspect request) {
         quarantine
                 .add(request, suspects.lastCrashAt(request), now())
                 .ifPresent(this::quarantineRequest);
@@ -307,9 +335,9 @@
 
     private void quarantineRequest(Quarantine.Entry entry) {
         LOG.warn(
-                "request {} is quarantined from all upstreams: it crashed {} of them",
-                entry.request(),
-                suspects.countedCrashes(entry.request(), now()));
+                "{} is quarantined from all upstreams: it crashed {} of them",
+                entry.suspect(),
+                suspects.countedCrashes(entry.suspect(), now()));
         announcer.announceQuarantined(entry);
     }
 
@@ -319,32 +347,32 @@
         if (success.isEmpty()) {
             mergeAnnounced(entry);
         } else if (countsCrashes.getAsBoolean()) {
-            announcer.announceCleared(entry.request(), Duration.between(success.get(), now()));
-            announcer.removeStored(entry.request());
+            announcer.announceCleared(entry.suspect(), Duration.between(success.get(), now()));
+            announcer.removeStored(entry.suspect());
         }
     }
 
     private void mergeAnnounced(Quarantine.Entry entry) {
         if (quarantine.merge(entry)) {
-            LOG.warn("request {} is quarantined, as another router reports", entry.request());
+            LOG.warn("{} is quarantined, as another router reports", entry.suspect());
         }
     }
 
     // Returns when the successful run was sent that the other router does not know of. A request
     // that is quarantined here is so in spite of earlier successes.
     private Optional<Instant> successAfter(Quarantine.Entry entry) {
-        if (quarantine.contains(entry.request())) {
+        if (quarantine.contains(entry.suspect())) {
             return Optional.empty();
         }
         return recentOutcomes
-                .outcomeOf(entry.request())
+                .outcomeOf(entry.suspect())
                 .lastSuccess()
                 .map(RecentOutcomes.Success::sentAt)
                 .filter(sentAt -> sentAt.isAfter(entry.lastCrashAt()));
     }
 
     /** Merges a quarantine that the store holds; the store does not say when it began. */
-    void quarantineReadFromStore(RequestDigest request, int trials) {
+    void quarantineReadFromStore(CrashSuspect request, int trials) {
         Instant until = now().plus(settings.firstQuarantine());
         Quarantine.Entry entry = new Quarantine.Entry(request, until, trials, Instant.EPOCH);
         if (!quarantine.contains(request) && successAfter(entry).isEmpty()) {
@@ -353,13 +381,13 @@
     }
 
     /** Watches a request that another router announced as one crash short of quarantine. */
-    void startWatching(RequestDigest request) {
+    void startWatching(CrashSuspect request) {
         if (watched.add(request, now())) {
             announceRecentOutcome(request);
         }
     }
 
-    private void announceRecentOutcome(RequestDigest request) {
+    private void announceRecentOutcome(CrashSuspect request) {
         RecentOutcomes.Outcome answers = recentOutcomes.outcomeOf(request);
         Instant now = now();
         answers.lastSuccess()
@@ -371,7 +399,7 @@
         }
     }
 
-    private void announceEarlierSuccess(RequestDigest request, Duration ago) {
+    private void announceEarlierSuccess(CrashSuspect request, Duration ago) {
         recordEarlierSuccess(request, ago);
         announcer.announceEarlierSuccess(request, ago);
     }
@@ -381,7 +409,7 @@
      *
      * @return true unless the request stays quarantined
      */
-    boolean clearRequest(RequestDigest request, Duration sentAgo) {
+    boolean clear(CrashSuspect request, Duration sentAgo) {
         if (!quarantine.recordSuccess(request, now().minus(sentAgo))) {
             return false;
         }
@@ -392,7 +420,7 @@
     }
 
     /** Records a success so long ago at any router, from before the request was watched. */
-    void recordEarlierSuccess(RequestDigest request, Duration ago) {
+    void recordEarlierSuccess(CrashSuspect request, Duration ago) {
         suspects.recordSuccess(request, now().minus(ago));
         if (!suspects.isPoisonRequest(request, now())) {
             Optional.ofNullable(clearingTimers.remove(request))
@@ -401,7 +429,7 @@
     }
 
     /** Records this number of runs, at any router, that did not crash their upstream. */
-    void addSurvivedRuns(RequestDigest request, int times) {
+    void addSurvivedRuns(CrashSuspect request, int times) {
         suspects.addSurvivedRuns(request, times);
     }
 
@@ -417,9 +445,8 @@
     /** Announces the crashes and survived runs that this router detects. */
     private final class CrashListener implements UpstreamCrashDetector.Listener {
         @Override
-        public void runsCrashed(
-                UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
-            reportCrash(crash, ago, runTimes);
+        public void runsCrashed(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+            reportCrash(crash, ago, runs);
         }
 
         @Override
@@ -429,8 +456,8 @@
         }
 
         @Override
-        public void runSurvived(RequestDigest request) {
-            recordSurvivedRun(request, "none");
+        public void runSurvived(RequestIdentity request) {
+            recordSurvivedRun(request.request(), "none");
         }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
@@ -1,8 +1,8 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.ControlThread;
+import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.platform.KeyValueStore;
 import io.damaskyoke.platform.KeyValueStore.Condition;
 import io.damaskyoke.platform.KeyValueStore.Write;
@@ -12,8 +12,8 @@
 import java.util.List;
 
 /**
- * Stores the quarantined requests so that they outlive the routers: all routers may be killed at
- * once, and would let the same request crash upstreams again. Control thread only.
+ * Stores what is quarantined so that it outlives the routers: all routers may be killed at once,
+ * and would let the same requests crash upstreams again. Control thread only.
  */
 final class QuarantineStore {
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
@@ -42,7 +42,7 @@
         store.grantLease(term)
                 .thenCompose(
                         lease -> {
-                            String key = key(entry.request());
+                            String key = key(entry.suspect());
                             byte[] value =
                                     Integer.toString(entry.trials())
                                             .getBytes(StandardCharsets.UTF_8);
@@ -58,20 +58,20 @@
                         });
     }
 
-    /** Removes the request; retried while the store is unavailable. */
-    void remove(RequestDigest request) {
-        store.commit(List.of(), List.of(new Write.Delete(key(request))))
+    /** Removes the suspect; retried while the store is unavailable. */
+    void remove(CrashSuspect suspect) {
+        store.commit(List.of(), List.of(new Write.Delete(key(suspect))))
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
                                 control.run(
-                                        () -> control.after(RETRY_DELAY, () -> remove(request)));
+                                        () -> control.after(RETRY_DELAY, () -> remove(suspect)));
                             }
                         });
     }
 
-    private String key(RequestDigest request) {
-        return prefix + request.value();
+    private String key(CrashSuspect suspect) {
+        return prefix + suspect.id();
     }
 
     private Instant now() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoringCrashAnnouncer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StoringCrashAnnouncer.java
@@ -1,10 +1,11 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import java.time.Duration;
-import java.util.Map;
+import java.util.List;
 
 /** Announces to the other routers at once, and stores the quarantine, which must outlive them. */
 final class StoringCrashAnnouncer implements CrashAnnouncer {
@@ -17,9 +18,8 @@
     }
 
     @Override
-    public void announceRunsAtCrash(
-            UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
-        routers.announceRunsAtCrash(crash, ago, runTimes);
+    public void announceRunsAtCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+        routers.announceRunsAtCrash(crash, ago, runs);
     }
 
     @Override
@@ -33,8 +33,8 @@
     }
 
     @Override
-    public void announceWatched(RequestDigest request) {
-        routers.announceWatched(request);
+    public void announceWatched(CrashSuspect suspect) {
+        routers.announceWatched(suspect);
     }
 
     @Override
@@ -49,22 +49,22 @@
     }
 
     @Override
-    public void announceCleared(RequestDigest request, Duration sentAgo) {
-        routers.announceCleared(request, sentAgo);
+    public void announceCleared(CrashSuspect suspect, Duration sentAgo) {
+        routers.announceCleared(suspect, sentAgo);
     }
 
     @Override
-    public void removeStored(RequestDigest request) {
-        store.remove(request);
+    public void removeStored(CrashSuspect suspect) {
+        store.remove(suspect);
     }
 
     @Override
-    public void announceEarlierSuccess(RequestDigest request, Duration ago) {
-        routers.announceEarlierSuccess(request, ago);
+    public void announceEarlierSuccess(CrashSuspect suspect, Duration ago) {
+        routers.announceEarlierSuccess(suspect, ago);
     }
 
     @Override
-    public void announceSurvivedRuns(RequestDigest request, int runs) {
-        routers.announceSurvivedRuns(request, runs);
+    public void announceSurvivedRuns(CrashSuspect suspect, int runs) {
+        routers.announceSurvivedRuns(suspect, runs);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -104,7 +104,7 @@
     }
 
     private void reportIncompleteRun(IncompleteRunCause cause) {
-        inFlight.crashes().recordCutRun(upstream, forwarded.digest(), sentAt, cause);
+        inFlight.crashes().recordCutRun(upstream, forwarded.identity(), sentAt, cause);
     }
 
     // The connection may have taken long to open, or the thread may have been delayed. So the
@@ -299,7 +299,7 @@
     // Records that the upstream answered the request and so did not crash on it.
     private void recordSurvivedRun() {
         if (inFlight.crashes().needsOutcomes() && !forwarded.call().over()) {
-            inFlight.crashes().recordAnswer(forwarded.digest(), sentAt, answer.status());
+            inFlight.crashes().recordAnswer(forwarded.identity(), sentAt, answer.status());
         }
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCrashDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCrashDetector.java
@@ -2,7 +2,9 @@
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.LruMap;
-import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
+import io.damaskyoke.control.crashes.RequestIdentity;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
@@ -10,6 +12,7 @@
 import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -95,18 +98,18 @@
 
     /** Receives the crashes of upstreams and the requests that ran there. */
     interface Listener {
-        /** Reports how long each request had run at the upstream when it crashed, so long ago. */
-        void runsCrashed(UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes);
+        /** Reports the runs that were at the upstream when it crashed, so long ago. */
+        void runsCrashed(UpstreamCrash crash, Duration ago, List<CrashedRun> runs);
 
         /** Reports that this router detected the crash, of which others may not know. */
         void crashDetected(UpstreamCrash crash);
 
         /** Reports that the upstream has answered since, so that it survived the canceled run. */
-        void runSurvived(RequestDigest request);
+        void runSurvived(RequestIdentity request);
     }
 
     /** A run of a request without a complete answer. */
-    private record CutRun(Instant sentAt, Instant cutAt) {
+    private record CutRun(RequestIdentity request, Instant sentAt, Instant cutAt) {
         Duration ranUntil(Instant crashedAt) {
             return sentAt.isBefore(crashedAt) ? Duration.between(sentAt, crashedAt) : Duration.ZERO;
         }
@@ -119,7 +122,7 @@
     /** One incarnation of an upstream, with its runs without a complete answer. */
     private static final class Incarnation {
         private final UpstreamCrash crash;
-        private final Map<RequestDigest, CutRun> runs = new TreeMap<>();
+        private final Map<CrashSuspect, CutRun> runs = new TreeMap<>();
         private Instant lastCutAt;
         private Instant lastBreakAt;
         private boolean reportScheduled;
@@ -139,7 +142,7 @@
 
     /** Records that the request sent at that time ran at the upstream without a complete answer. */
     void recordCutRun(
-            Upstream upstream, RequestDigest request, Instant sentAt, IncompleteRunCause how) {
+            Upstream upstream, RequestIdentity request, Instant sentAt, IncompleteRunCause how) {
         metrics.count("runs_cut", "how", how.metricLabel());
         Incarnation incarnation =
                 incarnations.computeIfAbsent(crashOf(upstream.facts()), this::createIncarnation);
@@ -148,7 +151,8 @@
             incarnation.lastBreakAt = incarnation.lastCutAt;
         }
         if (incarnation.runs.size() < MAX_RUNS) {
-            incarnation.runs.put(request, new CutRun(sentAt, incarnation.lastCutAt));
+            incarnation.runs.put(
+                    request.request(), new CutRun(request, sentAt, incarnation.lastCutAt));
         }
         if (knownCrashes.containsKey(incarnation.crash)) {
             reportSoon(incarnation);
@@ -247,14 +251,13 @@
     }
 
     private void reportSurvivedRuns(Incarnation incarnation, Instant sentAt) {
-        Iterator<Map.Entry<RequestDigest, CutRun>> each = incarnation.runs.entrySet().iterator();
+        Iterator<CutRun> each = incarnation.runs.values().iterator();
         while (each.hasNext()) {
-            Map.Entry<RequestDigest, CutRun> entry = each.next();
-            CutRun run = entry.getValue();
+            CutRun run = each.next();
             boolean sameIncarnation = sentAt.isBefore(run.cutAt.plus(MIN_RESTART_TIME));
             if (run.wasCanceledBefore(sentAt) && sameIncarnation) {
                 each.remove();
-                listener.runSurvived(entry.getKey());
+                listener.runSurvived(run.request());
             }
         }
     }
@@ -321,18 +324,17 @@
         incarnation.reportScheduled = false;
         Instant crashedAt =
                 incarnation.lastBreakAt == null ? incarnation.lastCutAt : incarnation.lastBreakAt;
-        Map<RequestDigest, Duration> runTimes = new TreeMap<>();
-        incarnation.runs.forEach(
-                (request, run) -> {
-                    if (run.wasCanceledBefore(crashedAt)) {
-                        metrics.count("ends_not_counted", "why", "called_off_before");
-                    } else {
-                        runTimes.put(request, run.ranUntil(crashedAt));
-                    }
-                });
+        List<CrashedRun> runs = new ArrayList<>();
+        for (CutRun run : incarnation.runs.values()) {
+            if (run.wasCanceledBefore(crashedAt)) {
+                metrics.count("ends_not_counted", "why", "called_off_before");
+            } else {
+                runs.add(new CrashedRun(run.request(), run.ranUntil(crashedAt)));
+            }
+        }
         incarnation.runs.clear();
-        if (!runTimes.isEmpty()) {
-            listener.runsCrashed(incarnation.crash, Duration.between(crashedAt, now()), runTimes);
+        if (!runs.isEmpty()) {
+            listener.runsCrashed(incarnation.crash, Duration.between(crashedAt, now()), runs);
         }
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/SuspectRequestsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/CrashSuspectsTest.java
@@ -5,17 +5,16 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-class SuspectRequestsTest {
-    private static final RequestDigest ONE = new RequestDigest("01");
-    private static final RequestDigest OTHER = new RequestDigest("02");
+class CrashSuspectsTest {
+    private static final CrashSuspect ONE = CrashSuspect.request("01");
+    private static final CrashSuspect OTHER = CrashSuspect.request("02");
 
-    private final SuspectRequests suspects = new SuspectRequests(CrashSettings.defaults());
+    private final CrashSuspects suspects = new CrashSuspects(CrashSettings.defaults());
     private Instant now = Instant.ofEpochSecond(100);
 
     @Test
@@ -47,9 +46,9 @@
     // Guards against a report of a crash that arrives after the report of a later success.
     @Test
     void crashesBeforeASuccessDoNotCountHoweverLateTheyAreReported() {
-        suspects.recordCrash(crashOf("a"), Map.of(ONE, Duration.ofMillis(500)), now, now);
+        suspects.recordCrash(crashOf("a"), List.of(run(ONE, Duration.ofMillis(500))), now, now);
         suspects.recordSuccess(ONE, now.plusMillis(300));
-        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(500));
+        List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(500)));
         suspects.recordCrash(crashOf("b"), ran, now.plusMillis(100), now.plusMillis(400));
         assertEquals(0, suspects.countedCrashes(ONE, now));
     }
@@ -85,7 +84,7 @@
     @Test
     void theNumberOfTrackedRequestsIsBounded() {
         for (int each = 0; each < 10_000; each++) {
-            recordCrash("a", new RequestDigest("r" + each));
+            recordCrash("a", CrashSuspect.request("r" + each));
         }
         assertEquals(CrashSettings.defaults().maxSuspects(), suspects.size());
     }
@@ -95,18 +94,18 @@
     @Test
     void crashesTogetherWithThoseOfOtherUpstreamsCountAsOne() {
         recordCrash("a", ONE);
-        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(700));
+        List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(700)));
         suspects.recordCrash(crashOf("b"), ran, now.plusMillis(40), now);
         suspects.recordCrash(crashOf("c"), ran, now.plusMillis(90), now);
         suspects.recordCrash(
-                crashOf("d"), Map.of(OTHER, Duration.ofMillis(700)), now.plusMillis(20), now);
+                crashOf("d"), List.of(run(OTHER, Duration.ofMillis(700))), now.plusMillis(20), now);
         assertEquals(1, suspects.countedCrashes(ONE, now));
     }
 
     // Guards against counting several copies of a poison request that run side by side as one.
     @Test
     void simultaneousCrashesUnderCopiesOfARequestCountEach() {
-        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(100));
+        List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(100)));
         suspects.recordCrash(crashOf("a"), ran, now, now);
         suspects.recordCrash(crashOf("b"), ran, now.plusMillis(5), now);
         suspects.recordCrash(crashOf("c"), ran, now.plusMillis(90), now);
@@ -116,7 +115,7 @@
     // Guards against ignoring long runs that were under way when the previous upstream crashed.
     @Test
     void crashesUnderCopiesAtDifferentTimesCountEach() {
-        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofSeconds(2));
+        List<CrashedRun> ran = List.of(run(ONE, Duration.ofSeconds(2)));
         suspects.recordCrash(crashOf("a"), ran, now, now);
         suspects.recordCrash(crashOf("b"), ran, now.plusMillis(400), now);
         suspects.recordCrash(crashOf("c"), ran, now.plusMillis(900), now);
@@ -128,21 +127,23 @@
     @Test
     void crashesOneAfterTheOtherCountHoweverFastTheyFollow() {
         recordCrash("a", ONE);
-        Map<RequestDigest, Duration> ran = Map.of(ONE, Duration.ofMillis(5));
+        List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(5)));
         suspects.recordCrash(crashOf("b"), ran, now.plusMillis(8), now);
         suspects.recordCrash(crashOf("c"), ran, now.plusMillis(16), now);
         assertEquals(3, suspects.countedCrashes(ONE, now));
     }
 
-    private List<RequestDigest> recordCrash(String upstream, RequestDigest... running) {
+    private List<CrashSuspect> recordCrash(String upstream, CrashSuspect... running) {
         now = now.plusSeconds(1);
-        Map<RequestDigest, Duration> ran = new HashMap<>();
-        for (RequestDigest each : running) {
-            ran.put(each, Duration.ofMillis(500));
-        }
+        List<CrashedRun> ran =
+                Stream.of(running).map(each -> run(each, Duration.ofMillis(500))).toList();
         return suspects.recordCrash(crashOf(upstream), ran, now, now);
     }
 
+    private static CrashedRun run(CrashSuspect request, Duration time) {
+        return new CrashedRun(RequestIdentity.of(request), time);
+    }
+
     private static UpstreamCrash crashOf(String upstream) {
         return new UpstreamCrash(UpstreamId.of(upstream), 1);
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class QuarantineTest {
-    private static final RequestDigest ONE = new RequestDigest("01");
+    private static final CrashSuspect ONE = CrashSuspect.request("01");
 
     private final Quarantine quarantine = new Quarantine(CrashSettings.defaults());
     private Instant now = Instant.ofEpochSecond(100);
@@ -88,7 +88,7 @@
     @Test
     void theNumberOfQuarantinedRequestsIsBounded() {
         for (int each = 0; each < 1_000; each++) {
-            quarantine.add(new RequestDigest("r" + each), now, now);
+            quarantine.add(CrashSuspect.request("r" + each), now, now);
         }
         assertEquals(CrashSettings.defaults().maxQuarantined(), quarantine.entries().size());
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/RecentOutcomesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/RecentOutcomesTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class RecentOutcomesTest {
-    private static final RequestDigest ONE = new RequestDigest("01");
+    private static final CrashSuspect ONE = CrashSuspect.request("01");
     private static final Instant SENT = Instant.ofEpochSecond(100);
 
     private final RecentOutcomes recent = new RecentOutcomes(2);
@@ -33,8 +33,8 @@
     @Test
     void theLeastRecentlySeenRequestIsEvicted() {
         recent.recordSurvivedRun(ONE);
-        recent.recordSurvivedRun(new RequestDigest("02"));
-        recent.recordSurvivedRun(new RequestDigest("03"));
+        recent.recordSurvivedRun(CrashSuspect.request("02"));
+        recent.recordSurvivedRun(CrashSuspect.request("03"));
         assertEquals(0, recent.outcomeOf(ONE).survivedRuns());
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
@@ -1,8 +1,10 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.TestControlThread;
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.RequestIdentity;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.Upstream;
@@ -62,8 +64,9 @@
     private final UpstreamTable table = new UpstreamTable();
     private final List<Worker> workers = new ArrayList<>();
     private final List<PoisonRequestDetector> routers = new ArrayList<>();
-    private final Map<RequestDigest, Integer> stored = new HashMap<>();
-    private final RequestDigest poisonRequest = new RequestDigest("deadly");
+    private final Map<CrashSuspect, Integer> stored = new HashMap<>();
+    private final RequestIdentity poisonRequest =
+            RequestIdentity.of(CrashSuspect.request("deadly"));
     private final List<Instant> poisonCrashes = new ArrayList<>();
     private int lateSendsOfPoisonRequest;
     private int poisonRequestsRefused;
@@ -86,7 +89,7 @@
     }
 
     private record Run(
-            RequestDigest request, int router, int retries, long incarnation, Instant sentAt) {}
+            RequestIdentity request, int router, int retries, long incarnation, Instant sentAt) {}
 
     CrashSimulation(long seed, int routerCount, int workerCount, InjectedFault... hardships) {
         this.random = new Random(seed);
@@ -152,7 +155,7 @@
 
     private void readStore(int index, PoisonRequestDetector router) {
         restarting.remove(index);
-        stored.forEach((request, trials) -> router.quarantineReadFromStore(request, trials));
+        stored.forEach((suspect, trials) -> router.quarantineReadFromStore(suspect, trials));
     }
 
     /** Returns how many innocent requests were refused. */
@@ -203,7 +206,7 @@
         }
     }
 
-    private void sendAll(RequestDigest request) {
+    private void sendAll(RequestIdentity request) {
         send(request, RETRIES);
         if (has(InjectedFault.COPIES)) {
             send(request, RETRIES);
@@ -212,10 +215,10 @@
     }
 
     // One request in four repeats one of a few polls; the others are sent only once.
-    private RequestDigest innocent() {
-        return random.nextInt(4) == 0
-                ? new RequestDigest("poll-" + random.nextInt(POLLERS))
-                : new RequestDigest("once-" + ++innocents);
+    private RequestIdentity innocent() {
+        String id =
+                random.nextInt(4) == 0 ? "poll-" + random.nextInt(POLLERS) : "once-" + ++innocents;
+        return RequestIdentity.of(CrashSuspect.request(id));
     }
 
     private void crashSome() {
@@ -231,7 +234,7 @@
         }
     }
 
-    private void send(RequestDigest request, int retries) {
+    private void send(RequestIdentity request, int retries) {
         int index = random.nextInt(routers.size());
         PoisonRequestDetector router = routers.get(index);
         if (!router.isQuarantineEmpty() && router.tryAdmit(request).isPresent()) {
@@ -316,8 +319,8 @@
         }
     }
 
-    private int status(RequestDigest request) {
-        boolean poll = request.value().startsWith("poll-");
+    private int status(RequestIdentity request) {
+        boolean poll = request.request().id().startsWith("poll-");
         boolean fails = request.equals(poisonRequest) || (poll && has(InjectedFault.FAILING_POLLS));
         return fails ? FAILED : ANSWERED;
     }
@@ -395,8 +398,8 @@
         return new CrashAnnouncer() {
             @Override
             public void announceRunsAtCrash(
-                    UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {
-                announce(from, COUNTING_ROUTERS, router -> router.countCrash(crash, ago, runTimes));
+                    UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+                announce(from, COUNTING_ROUTERS, router -> router.countCrash(crash, ago, runs));
             }
 
             @Override
@@ -410,13 +413,13 @@
             }
 
             @Override
-            public void announceWatched(RequestDigest request) {
-                announce(from, routers.size(), router -> router.startWatching(request));
+            public void announceWatched(CrashSuspect suspect) {
+                announce(from, routers.size(), router -> router.startWatching(suspect));
             }
 
             @Override
             public void announceQuarantined(Quarantine.Entry entry) {
-                stored.putIfAbsent(entry.request(), entry.trials());
+                stored.putIfAbsent(entry.suspect(), entry.trials());
                 announce(from, routers.size(), router -> router.quarantineReceived(entry));
             }
 
@@ -426,26 +429,26 @@
             }
 
             @Override
-            public void removeStored(RequestDigest request) {
-                stored.remove(request);
+            public void removeStored(CrashSuspect suspect) {
+                stored.remove(suspect);
             }
 
             @Override
-            public void announceCleared(RequestDigest request, Duration sentAgo) {
-                announce(from, routers.size(), router -> router.clearRequest(request, sentAgo));
+            public void announceCleared(CrashSuspect suspect, Duration sentAgo) {
+                announce(from, routers.size(), router -> router.clear(suspect, sentAgo));
             }
 
             @Override
-            public void announceEarlierSuccess(RequestDigest request, Duration ago) {
+            public void announceEarlierSuccess(CrashSuspect suspect, Duration ago) {
                 announce(
                         from,
                         COUNTING_ROUTERS,
-                        router -> router.recordEarlierSuccess(request, ago));
+                        router -> router.recordEarlierSuccess(suspect, ago));
             }
 
             @Override
-            public void announceSurvivedRuns(RequestDigest request, int runs) {
-                announce(from, COUNTING_ROUTERS, router -> router.addSurvivedRuns(request, runs));
+            public void announceSurvivedRuns(CrashSuspect suspect, int runs) {
+                announce(from, COUNTING_ROUTERS, router -> router.addSurvivedRuns(suspect, runs));
             }
         };
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashAnnouncer.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashAnnouncer.java
@@ -1,16 +1,16 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
-import io.damaskyoke.control.crashes.RequestDigest;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import java.time.Duration;
-import java.util.Map;
+import java.util.List;
 
 /** Discards all announcements. */
 final class SilentCrashAnnouncer implements CrashAnnouncer {
     @Override
-    public void announceRunsAtCrash(
-            UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> runTimes) {}
+    public void announceRunsAtCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {}
 
     @Override
     public void announceCrash(UpstreamCrash crash) {}
@@ -19,7 +19,7 @@
     public void forwardCrash(UpstreamCrash crash) {}
 
     @Override
-    public void announceWatched(RequestDigest request) {}
+    public void announceWatched(CrashSuspect suspect) {}
 
     @Override
     public void announceQuarantined(Quarantine.Entry entry) {}
@@ -28,14 +28,14 @@
     public void announceRefused(Quarantine.Entry entry) {}
 
     @Override
-    public void removeStored(RequestDigest request) {}
+    public void removeStored(CrashSuspect suspect) {}
 
     @Override
-    public void announceCleared(RequestDigest request, Duration sentAgo) {}
+    public void announceCleared(CrashSuspect suspect, Duration sentAgo) {}
 
     @Override
-    public void announceEarlierSuccess(RequestDigest request, Duration ago) {}
+    public void announceEarlierSuccess(CrashSuspect suspect, Duration ago) {}
 
     @Override
-    public void announceSurvivedRuns(RequestDigest request, int runs) {}
+    public void announceSurvivedRuns(CrashSuspect suspect, int runs) {}
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -98,6 +98,7 @@
                 "host",
                 Optional.empty(),
                 Optional.empty(),
+                List.of(),
                 OptionalLong.empty(),
                 Optional.empty(),
                 Optional.empty());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamCrashDetectorTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamCrashDetectorTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.damaskyoke.control.TestControlThread;
-import io.damaskyoke.control.crashes.RequestDigest;
+import io.damaskyoke.control.crashes.CrashSuspect;
+import io.damaskyoke.control.crashes.CrashedRun;
+import io.damaskyoke.control.crashes.RequestIdentity;
 import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.Upstream;
@@ -26,14 +28,14 @@
 import org.junit.jupiter.api.Test;
 
 class UpstreamCrashDetectorTest {
-    private static final RequestDigest ONE = new RequestDigest("01");
-    private static final RequestDigest OTHER = new RequestDigest("02");
+    private static final RequestIdentity ONE = RequestIdentity.of(CrashSuspect.request("01"));
+    private static final RequestIdentity OTHER = RequestIdentity.of(CrashSuspect.request("02"));
 
     private final TestControlThread control = new TestControlThread();
     private final UpstreamTable table = new UpstreamTable();
     private final Deque<ProbeResult> probeResults = new ArrayDeque<>();
-    private final List<RequestDigest> ran = new ArrayList<>();
-    private final List<RequestDigest> survived = new ArrayList<>();
+    private final List<RequestIdentity> ran = new ArrayList<>();
+    private final List<RequestIdentity> survived = new ArrayList<>();
     private final List<UpstreamCrash> detected = new ArrayList<>();
     private final UpstreamCrashDetector detector =
             new UpstreamCrashDetector(control, this::probe, new RecordingListener(), new Metrics());
@@ -157,9 +159,8 @@
 
     private final class RecordingListener implements UpstreamCrashDetector.Listener {
         @Override
-        public void runsCrashed(
-                UpstreamCrash crash, Duration ago, Map<RequestDigest, Duration> all) {
-            ran.addAll(all.keySet());
+        public void runsCrashed(UpstreamCrash crash, Duration ago, List<CrashedRun> all) {
+            all.forEach(each -> ran.add(each.request()));
         }
 
         @Override
@@ -168,7 +169,7 @@
         }
 
         @Override
-        public void runSurvived(RequestDigest request) {
+        public void runSurvived(RequestIdentity request) {
             survived.add(request);
         }
     }
