--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
@@ -48,12 +48,10 @@
     private static final Duration CUT_OFF_TIME = Duration.ofSeconds(2);
     private static final Duration ROUTER_RESTART_INTERVAL = Duration.ofSeconds(1);
     private static final int RACK_SIZE = 4;
-    private static final int POLLERS = 5;
     private static final int RETRIES = 1;
     private static final int ANSWERED = 200;
     private static final int FAILED = 500;
     private static final Duration KNOWN_BY = Duration.ofSeconds(3);
-    private static final int CRASHES_TO_KNOW = 3;
 
     private final TestControlThread time = new TestControlThread();
     private final Random random;
@@ -65,15 +63,15 @@
     private final List<Worker> workers = new ArrayList<>();
     private final List<PoisonRequestDetector> routers = new ArrayList<>();
     private final Map<CrashSuspect, Integer> stored = new HashMap<>();
-    private final RequestIdentity poisonRequest =
-            RequestIdentity.of(CrashSuspect.request("deadly"));
+    private final SimulatedRequests requests;
     private final List<Instant> poisonCrashes = new ArrayList<>();
     private int lateSendsOfPoisonRequest;
     private int poisonRequestsRefused;
     private int innocentsRefused;
+    private int lateInnocents;
+    private int lateInnocentsRefused;
     private int crashes;
     private int messages;
-    private long innocents;
     private long revision;
 
     /** The true state of one upstream: its incarnation and the runs in progress. */
@@ -92,6 +90,16 @@
             RequestIdentity request, int router, int retries, long incarnation, Instant sentAt) {}
 
     CrashSimulation(long seed, int routerCount, int workerCount, InjectedFault... hardships) {
+        this(seed, routerCount, workerCount, new RepeatedPoisonRequest(), hardships);
+    }
+
+    CrashSimulation(
+            long seed,
+            int routerCount,
+            int workerCount,
+            SimulatedRequests requests,
+            InjectedFault... hardships) {
+        this.requests = requests;
         this.random = new Random(seed);
         this.faultRandom = new Random(~seed);
         this.hardships = Set.of(hardships);
@@ -163,6 +171,16 @@
         return innocentsRefused;
     }
 
+    /** Returns how many innocent requests were sent or refused when the cause should be known. */
+    int lateInnocents() {
+        return lateInnocents;
+    }
+
+    /** Returns how many of them were refused. */
+    int lateInnocentsRefused() {
+        return lateInnocentsRefused;
+    }
+
     /** Returns how often the poison request was sent after all routers should know of it. */
     int lateSendsOfPoisonRequest() {
         return lateSendsOfPoisonRequest;
@@ -195,13 +213,13 @@
         double seconds = TICK.toMillis() / 1000.0;
         for (Instant end = now().plus(duration); now().isBefore(end); time.advance(TICK)) {
             for (double left = perSecond * seconds; chance(left); left--) {
-                sendAll(innocent());
+                sendAll(requests.innocent(random));
             }
             if (chance(crashesPerSecond * seconds)) {
                 crashSome();
             }
             if (chance(poisonPerSecond * seconds)) {
-                sendAll(poisonRequest);
+                sendAll(requests.poison());
             }
         }
     }
@@ -214,13 +232,6 @@
         }
     }
 
-    // One request in four repeats one of a few polls; the others are sent only once.
-    private RequestIdentity innocent() {
-        String id =
-                random.nextInt(4) == 0 ? "poll-" + random.nextInt(POLLERS) : "once-" + ++innocents;
-        return RequestIdentity.of(CrashSuspect.request(id));
-    }
-
     private void crashSome() {
         int first = random.nextInt(workers.size());
         int together = random.nextInt(4) == 0 ? 3 : 1;
@@ -237,9 +248,9 @@
     private void send(RequestIdentity request, int retries) {
         int index = random.nextInt(routers.size());
         PoisonRequestDetector router = routers.get(index);
-        if (!router.isQuarantineEmpty() && router.tryAdmit(request).isPresent()) {
-            innocentsRefused += request.equals(poisonRequest) ? 0 : 1;
-            poisonRequestsRefused += request.equals(poisonRequest) ? 1 : 0;
+        boolean refused = !router.isQuarantineEmpty() && router.tryAdmit(request).isPresent();
+        countAdmission(request, refused);
+        if (refused) {
             return;
         }
         Worker worker = workers.get(random.nextInt(workers.size()));
@@ -249,7 +260,7 @@
         }
         Run run = new Run(request, index, retries, worker.incarnation, now());
         worker.runs.add(run);
-        if (request.equals(poisonRequest)) {
+        if (requests.isPoison(request)) {
             countPoisonRequest(index);
             runPoisonRequest(worker, run);
         } else {
@@ -257,6 +268,17 @@
         }
     }
 
+    private void countAdmission(RequestIdentity request, boolean refused) {
+        if (requests.isPoison(request)) {
+            poisonRequestsRefused += refused ? 1 : 0;
+            return;
+        }
+        boolean late = isSince(KNOWN_BY.multipliedBy(2));
+        innocentsRefused += refused ? 1 : 0;
+        lateInnocents += late ? 1 : 0;
+        lateInnocentsRefused += late && refused ? 1 : 0;
+    }
+
     private void runPoisonRequest(Worker worker, Run run) {
         if (has(InjectedFault.ERROR_ANSWERS) && oneIn(10)) {
             soon(MAX_DELAY_MILLIS, () -> answer(worker, run));
@@ -296,11 +318,14 @@
 
     private void countPoisonRequest(int router) {
         boolean inTouch = !cutOff.contains(router) && !restarting.contains(router);
-        boolean known =
-                inTouch
-                        && poisonCrashes.size() >= CRASHES_TO_KNOW
-                        && now().isAfter(poisonCrashes.get(CRASHES_TO_KNOW - 1).plus(KNOWN_BY));
-        lateSendsOfPoisonRequest += known ? 1 : 0;
+        lateSendsOfPoisonRequest += inTouch && isSince(KNOWN_BY) ? 1 : 0;
+    }
+
+    // Returns true if the crash by which the routers learn the cause is longer ago than this.
+    private boolean isSince(Duration longerThan) {
+        int crash = requests.crashesToKnow();
+        return poisonCrashes.size() >= crash
+                && now().isAfter(poisonCrashes.get(crash - 1).plus(longerThan));
     }
 
     private void kill(Worker worker, Run run) {
@@ -320,8 +345,8 @@
     }
 
     private int status(RequestIdentity request) {
-        boolean poll = request.request().id().startsWith("poll-");
-        boolean fails = request.equals(poisonRequest) || (poll && has(InjectedFault.FAILING_POLLS));
+        boolean failingPoll = requests.isPoll(request) && has(InjectedFault.FAILING_POLLS);
+        boolean fails = requests.isPoison(request) || failingPoll;
         return fails ? FAILED : ANSWERED;
     }
 
