Find the prompt part that crashes upstreams, and quarantine it

Callers saw: requests with one part in their prompts crashed upstreams one after the other, a dozen sound runs were cut off each time, and the upstreams lost their models.

Cause: a request was recognized by the digest of its target, workspace and body alone. Poison requests that are not alike have a digest each, so that no crash was ever counted twice. Class: an identity that is narrower than the cause.

Change: the prompt parts of a run are suspects beside the request itself. CrashSuspects explains the recent crashes by their likeliest causes, and the crashes that one explains count against no other: those that never succeeded come first, then those with most crashes, then those with fewest runs. So frequent sound parts, which run at each crash, are not blamed, nor the route, the caller or the first part. CrashCauseFinder holds a cause for two seconds as before, asks all routers twice for successes before it decides, and takes one second from the fifth crash for a part that never succeeded. A router records the successes of prompt parts at all times, and those of requests also for ten seconds after its start. A part's first quarantine lasts five seconds, so that one trial frees a sound part; then ten minutes, then for good. A trial is told to all routers and to the store, so that it is not made again after a restart. Requests with two quarantined suspects are no trials, as their outcome proves nothing.

Each crash cuts a dozen sound runs that share parts, and while upstreams crash, a sound part has no success for a while.

The simulation of crashes let timers of killed routers announce; it no longer does. That is stricter for poison requests, and removed quarantines by routers that did not exist any more.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/CrashEvidence.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/CrashEvidence.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Collects the evidence for and against one suspect: the crashes at which it ran, the runs that the
@@ -19,30 +20,30 @@
     /** Maximum difference between the times that several routers give for the same event. */
     private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(50);
 
-    private final Map<UpstreamCrash, RunAtCrash> runs = new HashMap<>();
+    private final Map<UpstreamCrash, RunsAtCrash> runs = new HashMap<>();
     private int survivedRuns;
     private Instant clearedAt = Instant.MIN;
 
     /**
-     * A crash of an upstream while a run of the suspect, which began at {@code startedAt}, was
-     * there.
+     * The runs of the suspect at one crash.
+     *
+     * @param startedAt when the run began that was reported first
+     * @param crashedAt when the upstream crashed
+     * @param count number of runs, over all routers
      */
-    private record RunAtCrash(Instant startedAt, Instant crashedAt) {}
-
-    /** Counts the crashes of upstreams in a period, whichever requests ran there. */
-    @FunctionalInterface
-    interface CrashHistory {
-        /** Returns the number of crashes from the first instant to the second, both inclusive. */
-        long countBetween(Instant from, Instant to);
+    private record RunsAtCrash(Instant startedAt, Instant crashedAt, int count) {
+        RunsAtCrash plus(RunsAtCrash other) {
+            return new RunsAtCrash(startedAt, crashedAt, count + other.count);
+        }
     }
 
     /**
-     * Records that the suspect was running at a crash. Several routers may report the same crash,
-     * and a report may arrive after that of a later success, which clears it.
+     * Records that a run of the suspect was in progress at a crash. Several routers may report the
+     * same crash, and a report may arrive after that of a later success, which clears it.
      */
-    void addCrash(UpstreamCrash crash, Instant startedAt, Instant crashedAt) {
+    void addRun(UpstreamCrash crash, Instant startedAt, Instant crashedAt) {
         if (crashedAt.isAfter(clearedAt)) {
-            runs.putIfAbsent(crash, new RunAtCrash(startedAt, crashedAt));
+            runs.merge(crash, new RunsAtCrash(startedAt, crashedAt, 1), RunsAtCrash::plus);
         }
     }
 
@@ -64,6 +65,21 @@
         return survivedRuns;
     }
 
+    /** Returns true if the suspect has ever succeeded. */
+    boolean hasSucceeded() {
+        return clearedAt.isAfter(Instant.MIN);
+    }
+
+    /** Returns the crashes at which the suspect ran and that no success has cleared. */
+    Set<UpstreamCrash> crashes() {
+        return runs.keySet();
+    }
+
+    /** Returns the number of runs of the suspect at these crashes. */
+    int runCount() {
+        return runs.values().stream().mapToInt(RunsAtCrash::count).sum();
+    }
+
     /** Removes the crashes before the given time. */
     void removeBefore(Instant oldest) {
         runs.values().removeIf(each -> each.crashedAt.isBefore(oldest));
@@ -75,7 +91,7 @@
      */
     Optional<Instant> crashTime(int number) {
         return runs.values().stream()
-                .map(RunAtCrash::crashedAt)
+                .map(RunsAtCrash::crashedAt)
                 .sorted()
                 .skip(number - 1)
                 .findFirst();
@@ -87,7 +103,7 @@
      */
     Instant lastCrashAt() {
         return runs.values().stream()
-                .map(RunAtCrash::crashedAt)
+                .map(RunsAtCrash::crashedAt)
                 .max(Comparator.naturalOrder())
                 .orElse(Instant.MIN);
     }
@@ -98,15 +114,20 @@
      * side by side. If it ran at some of them only, they have another common cause and count as
      * one.
      *
-     * @param crashes all crashes, whichever requests ran there
+     * @param crashTimes the times of all crashes, whatever ran there
+     * @param explained crashes that do not count, as another suspect caused them
      */
-    int countedCrashes(CrashHistory crashes) {
+    int countedCrashes(CrashTimes crashTimes, Set<UpstreamCrash> explained) {
         // Nearly all suspects that run at a crash run at a single one, and there may be hundreds.
         if (runs.size() <= 1) {
-            return runs.size();
+            return explained.containsAll(runs.keySet()) ? 0 : runs.size();
         }
-        List<RunAtCrash> ordered =
-                runs.values().stream().sorted(Comparator.comparing(RunAtCrash::crashedAt)).toList();
+        List<RunsAtCrash> ordered =
+                runs.entrySet().stream()
+                        .filter(each -> !explained.contains(each.getKey()))
+                        .map(Map.Entry::getValue)
+                        .sorted(Comparator.comparing(RunsAtCrash::crashedAt))
+                        .toList();
         int count = 0;
         for (int first = 0, next; first < ordered.size(); first = next) {
             next = first + 1;
@@ -114,29 +135,29 @@
                     && simultaneous(ordered.get(next - 1), ordered.get(next))) {
                 next++;
             }
-            count += countedCrashes(ordered.subList(first, next), crashes);
+            count += countedCrashes(ordered.subList(first, next), crashTimes);
         }
         return count;
     }
 
-    private static boolean simultaneous(RunAtCrash one, RunAtCrash next) {
+    private static boolean simultaneous(RunsAtCrash one, RunsAtCrash next) {
         return !next.crashedAt.isAfter(one.crashedAt.plus(SIMULTANEOUS_WITHIN));
     }
 
-    private static int countedCrashes(List<RunAtCrash> group, CrashHistory crashes) {
+    private static int countedCrashes(List<RunsAtCrash> group, CrashTimes crashTimes) {
         Instant from = group.get(0).crashedAt.minus(SIMULTANEOUS_WITHIN);
         Instant to = group.get(group.size() - 1).crashedAt.plus(SIMULTANEOUS_WITHIN);
-        return crashes.countBetween(from, to) > group.size()
+        return crashTimes.countBetween(from, to) > group.size()
                 ? countSequential(group)
                 : group.size();
     }
 
     // Counts a crash only if the run began after the previous counted crash: a request that is
     // retried at once is sent after the crash before.
-    private static int countSequential(List<RunAtCrash> group) {
+    private static int countSequential(List<RunsAtCrash> group) {
         int count = 0;
         Instant last = Instant.MIN;
-        for (RunAtCrash each : group) {
+        for (RunsAtCrash each : group) {
             if (!each.startedAt.plus(CLOCK_TOLERANCE).isBefore(last)) {
                 count++;
                 last = each.crashedAt;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/crashes/Quarantine.java
@@ -56,15 +56,20 @@
     public Optional<Entry> add(CrashSuspect suspect, Instant lastCrashAt, Instant now) {
         Entry known = entries.get(suspect);
         int trials = known == null ? 0 : known.trials();
-        Entry entry = new Entry(suspect, now.plus(quarantineTime(trials)), trials, lastCrashAt);
+        Entry entry =
+                new Entry(suspect, now.plus(quarantineTime(suspect, trials)), trials, lastCrashAt);
         return merge(entry) ? Optional.of(entry) : Optional.empty();
     }
 
-    private Duration quarantineTime(int trials) {
-        return trials >= settings.maxTrials()
-                ? PERMANENT
-                : settings.firstQuarantine()
-                        .multipliedBy((long) Math.pow(QUARANTINE_GROWTH, trials));
+    /** Returns how long the suspect is quarantined after this many trials. */
+    public Duration quarantineTime(CrashSuspect suspect, int trials) {
+        if (trials >= settings.maxTrials()) {
+            return PERMANENT;
+        }
+        if (suspect.isPromptPart()) {
+            return trials == 0 ? settings.firstPartQuarantine() : settings.firstQuarantine();
+        }
+        return settings.firstQuarantine().multipliedBy((long) Math.pow(QUARANTINE_GROWTH, trials));
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -274,7 +274,7 @@
     private CrashAnnouncer crashAnnouncer() {
         return new StoringCrashAnnouncer(
                 peers.crashAnnouncer(),
-                new QuarantineStore(control, store, members.quarantinePrefix()));
+                new QuarantineStore(control, store, members::quarantinePrefix));
     }
 
     private void probe(
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -109,7 +109,7 @@
         call.onDisconnect(this::handleCallerGone);
         call.onWritable(this::resumeReading);
         if (!inFlight.crashes().isQuarantineEmpty()) {
-            boolean mayBeTrial = inFlight.crashes().hasQuarantineEntry(identity());
+            boolean mayBeTrial = !inFlight.crashes().quarantinedSuspects(identity()).isEmpty();
             Optional<Duration> quarantineLeft = inFlight.crashes().tryAdmit(identity());
             if (quarantineLeft.isPresent()) {
                 refuseAsPoisonRequest(quarantineLeft.get());
@@ -132,7 +132,8 @@
         return identity;
     }
 
-    private List<CrashSuspect> promptParts() {
+    /** Returns the parts of the prompt that other requests may share. */
+    List<CrashSuspect> promptParts() {
         return request.promptParts().stream().distinct().map(CrashSuspect::promptPart).toList();
     }
 
@@ -167,6 +168,7 @@
     }
 
     private void refuseAsPoisonRequest(Duration retryAfter) {
+        lastReason = "quarantined: " + inFlight.crashes().quarantinedSuspects(identity());
         String text = "upstreams have crashed while running this request";
         if (possibleRuns > 0) {
             refuse(Refusal.mayHaveRun(RefusalCode.UPSTREAM_FAILED, text));
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -38,6 +38,7 @@
     private static final String ROUTERS = FLEET + "routers/";
 
     private static final String QUARANTINED = FLEET + "kept-out/";
+    private static final String QUARANTINED_PARTS = FLEET + "kept-out-parts/";
 
     /** Earlier versions, which may run beside this one, use this key. */
     private static final String LEADER = FLEET + "giver";
@@ -97,14 +98,26 @@
         register();
     }
 
-    /** Runs {@code action} for each quarantined request in the store, with its count of trials. */
+    /** Runs {@code action} for each quarantined suspect in the store, with its count of trials. */
     void onQuarantined(BiConsumer<CrashSuspect, Integer> action) {
         onQuarantined = action;
     }
 
-    /** Returns the key prefix of quarantined requests. */
-    String quarantinePrefix() {
-        return prefix + QUARANTINED;
+    /** Returns the key prefix of quarantined suspects of the kind of this one. */
+    String quarantinePrefix(CrashSuspect suspect) {
+        return prefix + (suspect.isPromptPart() ? QUARANTINED_PARTS : QUARANTINED);
+    }
+
+    private Optional<CrashSuspect> quarantinedSuspect(String key) {
+        if (key.startsWith(prefix + QUARANTINED)) {
+            String digest = key.substring((prefix + QUARANTINED).length());
+            return Optional.of(CrashSuspect.request(digest));
+        }
+        if (key.startsWith(prefix + QUARANTINED_PARTS)) {
+            String part = key.substring((prefix + QUARANTINED_PARTS).length());
+            return Optional.of(CrashSuspect.promptPart(part));
+        }
+        return Optional.empty();
     }
 
     /** Returns the VM id of this router. */
@@ -289,11 +302,10 @@
 
     /** Applies changes in the fleet's entries. */
     private final class Listener implements ChangeListener {
-        private void putQuarantined(Entry entry) {
-            String digest = entry.key().substring(quarantinePrefix().length());
+        private void putQuarantined(CrashSuspect suspect, Entry entry) {
             String trials = new String(entry.value(), StandardCharsets.UTF_8);
             try {
-                onQuarantined.accept(CrashSuspect.request(digest), Integer.parseInt(trials));
+                onQuarantined.accept(suspect, Integer.parseInt(trials));
             } catch (NumberFormatException e) {
                 LOG.warn("ignoring unreadable entry {}: {}", entry.key(), e.getMessage());
             }
@@ -327,8 +339,9 @@
                 LOG.info("leader: {}", leader.map(VmId::value).orElse("nobody"));
                 return;
             }
-            if (key.startsWith(quarantinePrefix())) {
-                entry.ifPresent(this::putQuarantined);
+            Optional<CrashSuspect> suspect = quarantinedSuspect(key);
+            if (suspect.isPresent()) {
+                entry.ifPresent(found -> putQuarantined(suspect.get(), found));
                 return;
             }
             if (!key.startsWith(prefix + ROUTERS)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PoisonRequestDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PoisonRequestDetector.java
@@ -4,7 +4,6 @@
 import io.damaskyoke.control.LruMap;
 import io.damaskyoke.control.crashes.CrashSettings;
 import io.damaskyoke.control.crashes.CrashSuspect;
-import io.damaskyoke.control.crashes.CrashSuspects;
 import io.damaskyoke.control.crashes.CrashedRun;
 import io.damaskyoke.control.crashes.Quarantine;
 import io.damaskyoke.control.crashes.RecentOutcomes;
@@ -17,7 +16,6 @@
 import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,62 +24,51 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Detects poison requests, which crash the upstreams that they are sent to, and quarantines them:
- * {@code detector.recordCutRun(upstream, digest, sentAt, how)} when a run is cut off, {@code
- * detector.tryAdmit(digest)} before a request is sent. Control thread only.
+ * Detects what crashes upstreams, a request that is sent again or a part that prompts share, and
+ * quarantines it: {@code detector.recordCutRun(upstream, request, sentAt, how)} when a run is cut
+ * off, {@code detector.tryAdmit(request)} before a request is sent. Control thread only.
  *
  * <p>{@link UpstreamCrashDetector} finds out which requests ran at an upstream when it crashed.
- * That is announced to the counting routers, which suspect the requests that several crashes have
- * in common.
+ * That is announced to the counting routers, each of which has a {@link CrashCauseFinder}.
  */
 final class PoisonRequestDetector {
     private static final Logger LOG = LogManager.getLogger(PoisonRequestDetector.class);
 
-    /**
-     * How long a suspect may still be cleared by a success before it is quarantined. All routers
-     * have to know of the quarantine three seconds after the third crash.
-     */
-    private static final Duration CLEARING_TIME = Duration.ofSeconds(2);
-
-    /** How long the answers to a watched request are announced; a further crash restarts it. */
+    /** How long the answers to a watched suspect are announced; a further crash restarts it. */
     private static final Duration WATCH_TIME = Duration.ofSeconds(30);
 
-    /** How often a router that refuses a request announces this, in case it missed a success. */
+    /** How often a router that refuses a suspect announces this, in case it missed a success. */
     private static final Duration REFUSAL_ANNOUNCEMENT_INTERVAL = Duration.ofSeconds(5);
 
-    /** How long after a crash the outcomes of requests are recorded. */
+    /** How often a router announces its last success of a suspect when it is asked for it. */
+    private static final Duration SUCCESS_ANNOUNCEMENT_INTERVAL = Duration.ofMillis(150);
+
+    /** How long after a crash, or after the start, the outcomes of requests are recorded. */
     private static final Duration OUTCOME_RECORDING_TIME = Duration.ofSeconds(10);
 
     /** The most requests whose outcomes are recorded. */
-    private static final int MAX_RECORDED_OUTCOMES = 512;
+    private static final int MAX_RECORDED_REQUESTS = 512;
 
-    /** The shortest clearing time, which leaves other routers time to announce recent successes. */
-    private static final Duration MIN_CLEARING_TIME = Duration.ofMillis(500);
+    /** The most prompt parts whose outcomes are recorded; those that are in use are kept. */
+    private static final int MAX_RECORDED_PARTS = 2_048;
 
-    /** The most requests that are watched at a time; further ones are not recorded. */
+    /** The most suspects that are watched at a time; further ones are not recorded. */
     private static final int MAX_WATCHED = 512;
 
-    /** After a crash, the reports of all routers have come in by then. */
-    private static final Duration REPORTS_COMPLETE_AFTER = Duration.ofMillis(100);
-
-    private static final int MAX_LOGGED_SUSPECTS = 5;
-    private static final int MAX_LOGGED_CRASHES = 256;
-
     private final ControlThread control;
     private final Metrics metrics;
     private final CrashAnnouncer announcer;
     private final BooleanSupplier countsCrashes;
     private final BooleanSupplier sendsTrials;
-    private final CrashSettings settings = CrashSettings.defaults();
-    private final CrashSuspects suspects = new CrashSuspects(settings);
-    private final Quarantine quarantine = new Quarantine(settings);
+    private final Quarantine quarantine;
     private final WatchedSuspects watched = new WatchedSuspects(MAX_WATCHED, WATCH_TIME);
     private final UpstreamCrashDetector crashDetector;
-    private final RecentOutcomes recentOutcomes = new RecentOutcomes(MAX_RECORDED_OUTCOMES);
+    private final CrashCauseFinder causeFinder;
+    private final RecentOutcomes requestOutcomes = new RecentOutcomes(MAX_RECORDED_REQUESTS);
+    private final RecentOutcomes partOutcomes = new RecentOutcomes(MAX_RECORDED_PARTS);
     private final Map<CrashSuspect, Instant> lastRefusalAnnouncements = new LruMap<>(MAX_WATCHED);
-    private final Map<UpstreamCrash, Boolean> loggedCrashes = new LruMap<>(MAX_LOGGED_CRASHES);
-    private Instant recordOutcomesUntil = Instant.MIN;
-    private final Map<CrashSuspect, ControlThread.Cancellable> clearingTimers = new HashMap<>();
+    private final Map<CrashSuspect, Instant> lastSuccessAnnouncements = new LruMap<>(MAX_WATCHED);
+    private Instant recordOutcomesUntil;
 
     /**
      * Creates a detector without any known crash.
@@ -96,55 +83,69 @@
             BooleanSupplier countsCrashes,
             BooleanSupplier sendsTrials,
             Metrics metrics) {
+        CrashSettings settings = CrashSettings.defaults();
         this.control = control;
         this.metrics = metrics;
         this.announcer = announcer;
+        this.quarantine = new Quarantine(settings);
         this.crashDetector =
                 new UpstreamCrashDetector(control, prober, new CrashListener(), metrics);
+        this.causeFinder = new CrashCauseFinder(control, settings, new CauseListener(), metrics);
         this.countsCrashes = countsCrashes;
         this.sendsTrials = sendsTrials;
+        // Upstreams may have crashed just before this router started.
+        startRecordingOutcomes();
+    }
+
+    /** Registers gauges of the watched, the undecided and the quarantined suspects. */
+    void registerGauges() {
+        metrics.gauge("requests_watched", watched::size);
+        metrics.gauge("requests_held", causeFinder::heldCount);
+        metrics.gauge("requests_kept_out", quarantine::size);
     }
 
-    /** Returns true if no request is quarantined, so that none need be checked before a send. */
+    /** Returns true if nothing is quarantined, so that no request need be checked before a send. */
     boolean isQuarantineEmpty() {
         return quarantine.isEmpty();
     }
 
     /** Returns how long the request stays quarantined; empty if it may be sent, or as a trial. */
-    Optional<Duration> tryAdmit(RequestIdentity identity) {
-        CrashSuspect request = identity.request();
-        Optional<Duration> left = quarantine.tryAdmit(request, sendsTrials.getAsBoolean(), now());
+    Optional<Duration> tryAdmit(RequestIdentity request) {
+        List<CrashSuspect> quarantined = quarantinedSuspects(request);
+        if (quarantined.isEmpty()) {
+            return Optional.empty();
+        }
+        // The outcome of a trial with several quarantined suspects would prove nothing of either.
+        boolean mayBeTrial = quarantined.size() == 1 && sendsTrials.getAsBoolean();
+        CrashSuspect suspect = quarantined.get(0);
+        Optional<Duration> left = quarantine.tryAdmit(suspect, mayBeTrial, now());
         if (left.isPresent()) {
-            announceRefusal(request);
+            announceRefusal(suspect);
+        } else {
+            LOG.info("{} is sent to an upstream as a trial", suspect);
+            quarantine.find(suspect).ifPresent(announcer::announceQuarantined);
         }
         return left;
     }
 
-    // The announcement that cleared the request may have been lost, and the request would stay
+    /** Returns the request and those of its prompt parts that are quarantined or on trial. */
+    List<CrashSuspect> quarantinedSuspects(RequestIdentity request) {
+        return request.suspects().stream().filter(quarantine::contains).toList();
+    }
+
+    // The announcement that cleared the suspect may have been lost, and the suspect would stay
     // quarantined here for minutes.
-    private void announceRefusal(CrashSuspect request) {
-        Instant last = lastRefusalAnnouncements.getOrDefault(request, Instant.MIN);
+    private void announceRefusal(CrashSuspect suspect) {
+        Instant last = lastRefusalAnnouncements.getOrDefault(suspect, Instant.MIN);
         if (now().isAfter(last.plus(REFUSAL_ANNOUNCEMENT_INTERVAL))) {
-            lastRefusalAnnouncements.put(request, now());
-            quarantine.find(request).ifPresent(announcer::announceRefused);
+            lastRefusalAnnouncements.put(suspect, now());
+            quarantine.find(suspect).ifPresent(announcer::announceRefused);
         }
     }
 
-    /** Registers gauges of the watched, the undecided and the quarantined requests. */
-    void registerGauges() {
-        metrics.gauge("requests_watched", watched::size);
-        metrics.gauge("requests_held", clearingTimers::size);
-        metrics.gauge("requests_kept_out", quarantine::size);
-    }
-
     /** Returns true if the request is quarantined, as a queued one may be by now. */
-    boolean isQuarantined(RequestIdentity identity) {
-        return quarantine.isQuarantined(identity.request(), now());
-    }
-
-    /** Returns true if the request has crashed upstreams before, so that sending it is a trial. */
-    boolean hasQuarantineEntry(RequestIdentity identity) {
-        return quarantine.contains(identity.request());
+    boolean isQuarantined(RequestIdentity request) {
+        return request.suspects().stream().anyMatch(each -> quarantine.isQuarantined(each, now()));
     }
 
     /** Returns true if the outcome of some request matters, so that answers must be recorded. */
@@ -152,42 +153,56 @@
         return !watched.isEmpty() || !quarantine.isEmpty() || now().isBefore(recordOutcomesUntil);
     }
 
+    /**
+     * Records that a request with these prompt parts, sent at that time, has succeeded. Recorded at
+     * all times, as a part that has succeeded before is rarely the cause of a crash.
+     */
+    void recordSuccess(List<CrashSuspect> promptParts, Instant sentAt) {
+        promptParts.forEach(each -> partOutcomes.recordSuccess(each, sentAt, now()));
+    }
+
     /** Records that the request sent at that time was answered in full with this status. */
-    void recordAnswer(RequestIdentity identity, Instant sentAt, int status) {
-        CrashSuspect request = identity.request();
+    void recordAnswer(RequestIdentity request, Instant sentAt, int status) {
         watched.removeExpired(now());
-        if (isSuccess(status)) {
-            recentOutcomes.recordSuccess(request, sentAt, now());
-            recordSuccess(request, sentAt, status);
-        } else {
-            recordSurvivedRun(request, Integer.toString(status));
+        for (CrashSuspect each : request.suspects()) {
+            if (isSuccess(status)) {
+                recordSuccess(each, sentAt, status);
+            } else {
+                recordSurvivedRun(each, Integer.toString(status));
+            }
         }
     }
 
-    private void recordSuccess(CrashSuspect request, Instant sentAt, int status) {
+    private void recordSuccess(CrashSuspect suspect, Instant sentAt, int status) {
+        outcomesOf(suspect).recordSuccess(suspect, sentAt, now());
+        causeFinder.recordSuccess(suspect, now());
         Duration ago = Duration.between(sentAt, now());
-        boolean quarantined = quarantine.contains(request);
-        if (isTracked(request) && clear(request, ago)) {
+        boolean quarantined = quarantine.contains(suspect);
+        if (isTracked(suspect) && clear(suspect, ago)) {
             metrics.count("requests_cleared", "status", Integer.toString(status));
-            LOG.info("{} is no longer suspect: answered with status {}", request, status);
-            announcer.announceCleared(request, ago);
+            LOG.info("{} is no longer suspect: answered with status {}", suspect, status);
+            announcer.announceCleared(suspect, ago);
             if (quarantined) {
-                announcer.removeStored(request);
+                announcer.removeStored(suspect);
             }
         }
     }
 
-    private void recordSurvivedRun(CrashSuspect request, String status) {
-        recentOutcomes.recordSurvivedRun(request);
-        if (isTracked(request)) {
+    private RecentOutcomes outcomesOf(CrashSuspect suspect) {
+        return suspect.isPromptPart() ? partOutcomes : requestOutcomes;
+    }
+
+    private void recordSurvivedRun(CrashSuspect suspect, String status) {
+        outcomesOf(suspect).recordSurvivedRun(suspect);
+        if (isTracked(suspect)) {
             metrics.count("requests_borne", "status", status);
-            addSurvivedRuns(request, 1);
-            announcer.announceSurvivedRuns(request, 1);
+            addSurvivedRuns(suspect, 1);
+            announcer.announceSurvivedRuns(suspect, 1);
         }
     }
 
-    private boolean isTracked(CrashSuspect request) {
-        return watched.contains(request) || quarantine.contains(request);
+    private boolean isTracked(CrashSuspect suspect) {
+        return watched.contains(suspect) || quarantine.contains(suspect);
     }
 
     // Only a success proves that the request ran; an upstream may fail a request before running it.
@@ -249,96 +264,14 @@
 
     /** Counts a crash that a router announced to this counting router, and what ran then. */
     void countCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
-        logCommonSuspectsSoon(crash);
-        Instant now = now();
-        List<CrashSuspect> requests = runs.stream().map(run -> run.request().request()).toList();
-        int before = countedCrashes(requests, now);
-        suspects.recordCrash(crash, runs, now.minus(ago), now).forEach(this::suspectRequest);
-        countIgnoredRuns(
-                "together_with_others", requests.size() - (countedCrashes(requests, now) - before));
-        for (CrashSuspect each : requests) {
-            boolean nearly = suspects.countedCrashes(each, now) >= settings.crashThreshold() - 1;
-            if (nearly && !watched.contains(each)) {
-                watchRequest(each);
-            }
-        }
+        causeFinder.countCrash(crash, ago, runs, this::lastSuccess);
     }
 
-    // Several routers report the runs at one crash, each within some milliseconds.
-    private void logCommonSuspectsSoon(UpstreamCrash crash) {
-        if (loggedCrashes.put(crash, true) == null) {
-            control.after(REPORTS_COMPLETE_AFTER, () -> logCommonSuspects(crash));
-        }
-    }
-
-    private void logCommonSuspects(UpstreamCrash crash) {
-        List<String> common = suspects.describeMostCrashed(MAX_LOGGED_SUSPECTS, now());
-        if (!common.isEmpty()) {
-            LOG.info(
-                    "crash of upstream {}: ran at most crashes without a success since: {}",
-                    crash.upstream(),
-                    common);
-        }
-    }
-
-    private int countedCrashes(List<CrashSuspect> requests, Instant now) {
-        return requests.stream().mapToInt(each -> suspects.countedCrashes(each, now)).sum();
-    }
-
-    private void countIgnoredRuns(String why, int runs) {
-        if (runs > 0) {
-            metrics.count("ends_not_counted", "why", why, runs);
-        }
-    }
-
-    private void watchRequest(CrashSuspect request) {
-        announcer.announceWatched(request);
-        startWatching(request);
-    }
-
-    // A request that is repeated may run at several upstreams that crash for one unrelated reason.
-    // Then it runs at others too, and one of them answers it within the clearing time.
-    private void suspectRequest(CrashSuspect request) {
-        if (quarantine.contains(request)) {
-            quarantineRequest(request);
-        } else if (!clearingTimers.containsKey(request)) {
-            watchRequest(request);
-            clearingTimers.put(
-                    request,
-                    control.after(clearingTime(request), () -> decideAfterClearingTime(request)));
-        }
-    }
-
-    // If the crashes first looked like the failure of a rack, the request has already gone without
-    // a success for part of the clearing time.
-    private Duration clearingTime(CrashSuspect request) {
-        Instant now = now();
-        Duration left =
-                suspects.thresholdReachedAt(request)
-                        .map(at -> Duration.between(now, at.plus(CLEARING_TIME)))
-                        .orElse(CLEARING_TIME);
-        return left.compareTo(MIN_CLEARING_TIME) > 0 ? left : MIN_CLEARING_TIME;
-    }
-
-    private void decideAfterClearingTime(CrashSuspect request) {
-        clearingTimers.remove(request);
-        if (suspects.isPoisonRequest(request, now())) {
-            quarantineRequest(request);
-        }
-    }
-
-    private void quarantineRequest(CrashSuspect request) {
-        quarantine
-                .add(request, suspects.lastCrashAt(request), now())
-                .ifPresent(this::quarantineRequest);
-    }
-
-    private void quarantineRequest(Quarantine.Entry entry) {
-        LOG.warn(
-                "{} is quarantined from all upstreams: it crashed {} of them",
-                entry.suspect(),
-                suspects.countedCrashes(entry.suspect(), now()));
-        announcer.announceQuarantined(entry);
+    private Optional<Instant> lastSuccess(CrashSuspect suspect) {
+        return outcomesOf(suspect)
+                .outcomeOf(suspect)
+                .lastSuccess()
+                .map(RecentOutcomes.Success::answeredAt);
     }
 
     /** Merges a quarantine entry that another router announced. */
@@ -353,18 +286,19 @@
     }
 
     private void mergeAnnounced(Quarantine.Entry entry) {
-        if (quarantine.merge(entry)) {
+        boolean known = quarantine.contains(entry.suspect());
+        if (quarantine.merge(entry) && !known) {
             LOG.warn("{} is quarantined, as another router reports", entry.suspect());
         }
     }
 
-    // Returns when the successful run was sent that the other router does not know of. A request
+    // Returns when the successful run was sent that the other router does not know of. A suspect
     // that is quarantined here is so in spite of earlier successes.
     private Optional<Instant> successAfter(Quarantine.Entry entry) {
         if (quarantine.contains(entry.suspect())) {
             return Optional.empty();
         }
-        return recentOutcomes
+        return outcomesOf(entry.suspect())
                 .outcomeOf(entry.suspect())
                 .lastSuccess()
                 .map(RecentOutcomes.Success::sentAt)
@@ -372,68 +306,71 @@
     }
 
     /** Merges a quarantine that the store holds; the store does not say when it began. */
-    void quarantineReadFromStore(CrashSuspect request, int trials) {
-        Instant until = now().plus(settings.firstQuarantine());
-        Quarantine.Entry entry = new Quarantine.Entry(request, until, trials, Instant.EPOCH);
-        if (!quarantine.contains(request) && successAfter(entry).isEmpty()) {
+    void quarantineReadFromStore(CrashSuspect suspect, int trials) {
+        Instant until = now().plus(quarantine.quarantineTime(suspect, trials));
+        Quarantine.Entry entry = new Quarantine.Entry(suspect, until, trials, Instant.EPOCH);
+        if (!quarantine.contains(suspect) && successAfter(entry).isEmpty()) {
             mergeAnnounced(entry);
         }
     }
 
-    /** Watches a request that another router announced as one crash short of quarantine. */
-    void startWatching(CrashSuspect request) {
-        if (watched.add(request, now())) {
-            announceRecentOutcome(request);
+    /**
+     * Watches a suspect that another router announced as one crash short of quarantine, and
+     * announces its last success that this router knows.
+     */
+    void startWatching(CrashSuspect suspect) {
+        boolean added = watched.add(suspect, now());
+        RecentOutcomes.Outcome known = outcomesOf(suspect).outcomeOf(suspect);
+        if (added || isSuccessAnnouncementDue(suspect)) {
+            lastSuccessAnnouncements.put(suspect, now());
+            known.lastSuccess()
+                    .map(success -> Duration.between(success.answeredAt(), now()))
+                    .ifPresent(ago -> announceEarlierSuccess(suspect, ago));
+        }
+        if (added && known.survivedRuns() > 0) {
+            addSurvivedRuns(suspect, known.survivedRuns());
+            announcer.announceSurvivedRuns(suspect, known.survivedRuns());
         }
     }
 
-    private void announceRecentOutcome(CrashSuspect request) {
-        RecentOutcomes.Outcome answers = recentOutcomes.outcomeOf(request);
-        Instant now = now();
-        answers.lastSuccess()
-                .map(success -> Duration.between(success.answeredAt(), now))
-                .ifPresent(ago -> announceEarlierSuccess(request, ago));
-        if (answers.survivedRuns() > 0) {
-            addSurvivedRuns(request, answers.survivedRuns());
-            announcer.announceSurvivedRuns(request, answers.survivedRuns());
-        }
+    // All counting routers ask at about the same time.
+    private boolean isSuccessAnnouncementDue(CrashSuspect suspect) {
+        Instant last = lastSuccessAnnouncements.getOrDefault(suspect, Instant.MIN);
+        return now().isAfter(last.plus(SUCCESS_ANNOUNCEMENT_INTERVAL));
     }
 
-    private void announceEarlierSuccess(CrashSuspect request, Duration ago) {
-        recordEarlierSuccess(request, ago);
-        announcer.announceEarlierSuccess(request, ago);
+    private void announceEarlierSuccess(CrashSuspect suspect, Duration ago) {
+        recordEarlierSuccess(suspect, ago);
+        announcer.announceEarlierSuccess(suspect, ago);
     }
 
     /**
-     * Records that the request, sent so long ago, has just been answered with a success somewhere.
+     * Records that a request of the suspect, sent so long ago, has just been answered with a
+     * success somewhere.
      *
-     * @return true unless the request stays quarantined
+     * @return true unless the suspect stays quarantined
      */
-    boolean clear(CrashSuspect request, Duration sentAgo) {
-        if (!quarantine.recordSuccess(request, now().minus(sentAgo))) {
+    boolean clear(CrashSuspect suspect, Duration sentAgo) {
+        if (!quarantine.recordSuccess(suspect, now().minus(sentAgo))) {
             return false;
         }
-        watched.remove(request);
-        recentOutcomes.recordSuccess(request, now().minus(sentAgo), now());
-        recordEarlierSuccess(request, Duration.ZERO);
+        watched.remove(suspect);
+        outcomesOf(suspect).recordSuccess(suspect, now().minus(sentAgo), now());
+        recordEarlierSuccess(suspect, Duration.ZERO);
         return true;
     }
 
-    /** Records a success so long ago at any router, from before the request was watched. */
-    void recordEarlierSuccess(CrashSuspect request, Duration ago) {
-        suspects.recordSuccess(request, now().minus(ago));
-        if (!suspects.isPoisonRequest(request, now())) {
-            Optional.ofNullable(clearingTimers.remove(request))
-                    .ifPresent(ControlThread.Cancellable::cancel);
-        }
+    /** Records a success so long ago at any router, from before the suspect was watched. */
+    void recordEarlierSuccess(CrashSuspect suspect, Duration ago) {
+        causeFinder.recordSuccess(suspect, now().minus(ago));
     }
 
     /** Records this number of runs, at any router, that did not crash their upstream. */
-    void addSurvivedRuns(CrashSuspect request, int times) {
-        suspects.addSurvivedRuns(request, times);
+    void addSurvivedRuns(CrashSuspect suspect, int times) {
+        causeFinder.addSurvivedRuns(suspect, times);
     }
 
-    /** Announces all quarantined requests, for routers that have just joined. */
+    /** Announces all quarantined suspects, for routers that have just joined. */
     void announceQuarantine() {
         quarantine.entries().forEach(announcer::announceQuarantined);
     }
@@ -457,7 +394,45 @@
 
         @Override
         public void runSurvived(RequestIdentity request) {
-            recordSurvivedRun(request.request(), "none");
+            request.suspects().forEach(each -> recordSurvivedRun(each, "none"));
+        }
+    }
+
+    /** Watches and quarantines what this router, as a counting router, suspects and finds. */
+    private final class CauseListener implements CrashCauseFinder.Listener {
+        @Override
+        public void suspected(CrashSuspect suspect, boolean again) {
+            if (again || !watched.contains(suspect)) {
+                announcer.announceWatched(suspect);
+                startWatching(suspect);
+            }
+        }
+
+        @Override
+        public void causeFound(CrashSuspect suspect, int crashes, Instant lastCrashAt) {
+            boolean newCrash =
+                    quarantine
+                            .find(suspect)
+                            .map(known -> lastCrashAt.isAfter(known.lastCrashAt()))
+                            .orElse(true);
+            if (newCrash) {
+                quarantine
+                        .add(suspect, lastCrashAt, now())
+                        .ifPresent(entry -> announceQuarantined(entry, crashes));
+            }
+        }
+
+        private void announceQuarantined(Quarantine.Entry entry, int crashes) {
+            LOG.warn(
+                    "{} is quarantined from all upstreams: it crashed {} of them",
+                    entry.suspect(),
+                    crashes);
+            announcer.announceQuarantined(entry);
+        }
+
+        @Override
+        public boolean isKnownCause(CrashSuspect suspect) {
+            return quarantine.contains(suspect);
         }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
@@ -8,8 +8,10 @@
 import io.damaskyoke.platform.KeyValueStore.Write;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
 
 /**
  * Stores what is quarantined so that it outlives the routers: all routers may be killed at once,
@@ -23,58 +25,85 @@
 
     private final ControlThread control;
     private final KeyValueStore store;
-    private final String prefix;
+    private final Function<CrashSuspect, String> prefix;
+    private final Map<CrashSuspect, Quarantine.Entry> unwritten = new HashMap<>();
 
-    /** Creates a store that writes each entry under the prefix and the request's digest. */
-    QuarantineStore(ControlThread control, KeyValueStore store, String prefix) {
+    /**
+     * Creates a store.
+     *
+     * @param prefix returns the key prefix for suspects of the kind of this one
+     */
+    QuarantineStore(
+            ControlThread control, KeyValueStore store, Function<CrashSuspect, String> prefix) {
         this.control = control;
         this.store = store;
         this.prefix = prefix;
     }
 
-    /** Writes the entry unless another router has; retried while the store is unavailable. */
+    /**
+     * Writes the entry, unless another router has and this one has not been tried since; retried
+     * while the store is unavailable.
+     */
     void write(Quarantine.Entry entry) {
-        Duration left = Duration.between(now(), entry.until());
-        if (left.compareTo(RETRY_DELAY) <= 0) {
+        if (entry.equals(unwritten.put(entry.suspect(), entry))) {
             return;
         }
-        Duration term = left.compareTo(MAX_LEASE) < 0 ? left : MAX_LEASE;
-        store.grantLease(term)
-                .thenCompose(
-                        lease -> {
-                            String key = key(entry.suspect());
-                            byte[] value =
-                                    Integer.toString(entry.trials())
-                                            .getBytes(StandardCharsets.UTF_8);
-                            return store.commit(
-                                    List.of(new Condition.Absent(key)),
-                                    List.of(new Write.Put(key, value, lease)));
-                        })
-                .whenComplete(
-                        (done, failure) -> {
-                            if (failure != null) {
-                                control.run(() -> control.after(RETRY_DELAY, () -> write(entry)));
-                            }
-                        });
+        writeUnlessReplaced(entry);
+    }
+
+    // The lease outlasts a short quarantine: a suspect stays quarantined until its trial succeeds.
+    private void writeUnlessReplaced(Quarantine.Entry entry) {
+        if (!entry.equals(unwritten.get(entry.suspect()))) {
+            return;
+        }
+        store.grantLease(MAX_LEASE)
+                .thenCompose(lease -> store.commit(conditions(entry), List.of(put(entry, lease))))
+                .whenComplete((done, failure) -> control.run(() -> written(entry, failure)));
+    }
+
+    private List<Condition> conditions(Quarantine.Entry entry) {
+        return entry.trials() == 0
+                ? List.of(new Condition.Absent(key(entry.suspect())))
+                : List.of();
+    }
+
+    private Write put(Quarantine.Entry entry, long lease) {
+        byte[] value = Integer.toString(entry.trials()).getBytes(StandardCharsets.UTF_8);
+        return new Write.Put(key(entry.suspect()), value, lease);
+    }
+
+    private void written(Quarantine.Entry entry, Throwable failure) {
+        if (failure != null) {
+            control.after(RETRY_DELAY, () -> writeUnlessReplaced(entry));
+        } else {
+            unwritten.remove(entry.suspect(), entry);
+        }
     }
 
     /** Removes the suspect; retried while the store is unavailable. */
     void remove(CrashSuspect suspect) {
+        unwritten.remove(suspect);
+        removeUnlessWritten(suspect);
+    }
+
+    private void removeUnlessWritten(CrashSuspect suspect) {
+        if (unwritten.containsKey(suspect)) {
+            return;
+        }
         store.commit(List.of(), List.of(new Write.Delete(key(suspect))))
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
                                 control.run(
-                                        () -> control.after(RETRY_DELAY, () -> remove(suspect)));
+                                        () ->
+                                                control.after(
+                                                        RETRY_DELAY,
+                                                        () -> removeUnlessWritten(suspect)));
                             }
                         });
     }
 
     private String key(CrashSuspect suspect) {
-        return prefix + suspect.id();
-    }
-
-    private Instant now() {
-        return control.clock().instant();
+        return prefix.apply(suspect) + suspect.id();
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -298,7 +298,13 @@
 
     // Records that the upstream answered the request and so did not crash on it.
     private void recordSurvivedRun() {
-        if (inFlight.crashes().needsOutcomes() && !forwarded.call().over()) {
+        if (forwarded.call().over()) {
+            return;
+        }
+        if (answer.isSuccess()) {
+            inFlight.crashes().recordSuccess(forwarded.promptParts(), sentAt);
+        }
+        if (inFlight.crashes().needsOutcomes()) {
             inFlight.crashes().recordAnswer(forwarded.identity(), sentAt, answer.status());
         }
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/CrashSuspectsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/CrashSuspectsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 class CrashSuspectsTest {
+    private static final int CRASHES = CrashSettings.defaults().crashThreshold();
     private static final CrashSuspect ONE = CrashSuspect.request("01");
     private static final CrashSuspect OTHER = CrashSuspect.request("02");
 
@@ -46,10 +47,10 @@
     // Guards against a report of a crash that arrives after the report of a later success.
     @Test
     void crashesBeforeASuccessDoNotCountHoweverLateTheyAreReported() {
-        suspects.recordCrash(crashOf("a"), List.of(run(ONE, Duration.ofMillis(500))), now, now);
+        suspects.recordCrash(crashOf("a"), List.of(run(ONE, Duration.ofMillis(500))), now);
         suspects.recordSuccess(ONE, now.plusMillis(300));
         List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(500)));
-        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(100), now.plusMillis(400));
+        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(100));
         assertEquals(0, suspects.countedCrashes(ONE, now));
     }
 
@@ -95,10 +96,10 @@
     void crashesTogetherWithThoseOfOtherUpstreamsCountAsOne() {
         recordCrash("a", ONE);
         List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(700)));
-        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(40), now);
-        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(90), now);
+        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(40));
+        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(90));
         suspects.recordCrash(
-                crashOf("d"), List.of(run(OTHER, Duration.ofMillis(700))), now.plusMillis(20), now);
+                crashOf("d"), List.of(run(OTHER, Duration.ofMillis(700))), now.plusMillis(20));
         assertEquals(1, suspects.countedCrashes(ONE, now));
     }
 
@@ -106,9 +107,9 @@
     @Test
     void simultaneousCrashesUnderCopiesOfARequestCountEach() {
         List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(100)));
-        suspects.recordCrash(crashOf("a"), ran, now, now);
-        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(5), now);
-        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(90), now);
+        suspects.recordCrash(crashOf("a"), ran, now);
+        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(5));
+        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(90));
         assertEquals(3, suspects.countedCrashes(ONE, now));
     }
 
@@ -116,9 +117,9 @@
     @Test
     void crashesUnderCopiesAtDifferentTimesCountEach() {
         List<CrashedRun> ran = List.of(run(ONE, Duration.ofSeconds(2)));
-        suspects.recordCrash(crashOf("a"), ran, now, now);
-        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(400), now);
-        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(900), now);
+        suspects.recordCrash(crashOf("a"), ran, now);
+        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(400));
+        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(900));
         assertEquals(3, suspects.countedCrashes(ONE, now));
     }
 
@@ -128,8 +129,8 @@
     void crashesOneAfterTheOtherCountHoweverFastTheyFollow() {
         recordCrash("a", ONE);
         List<CrashedRun> ran = List.of(run(ONE, Duration.ofMillis(5)));
-        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(8), now);
-        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(16), now);
+        suspects.recordCrash(crashOf("b"), ran, now.plusMillis(8));
+        suspects.recordCrash(crashOf("c"), ran, now.plusMillis(16));
         assertEquals(3, suspects.countedCrashes(ONE, now));
     }
 
@@ -137,7 +138,8 @@
         now = now.plusSeconds(1);
         List<CrashedRun> ran =
                 Stream.of(running).map(each -> run(each, Duration.ofMillis(500))).toList();
-        return suspects.recordCrash(crashOf(upstream), ran, now, now);
+        suspects.recordCrash(crashOf(upstream), ran, now);
+        return suspects.causes(CRASHES, now);
     }
 
     private static CrashedRun run(CrashSuspect request, Duration time) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
@@ -63,6 +63,7 @@
     private final List<Worker> workers = new ArrayList<>();
     private final List<PoisonRequestDetector> routers = new ArrayList<>();
     private final Map<CrashSuspect, Integer> stored = new HashMap<>();
+    private final Map<Integer, Integer> currentStarts = new HashMap<>();
     private final SimulatedRequests requests;
     private final List<Instant> poisonCrashes = new ArrayList<>();
     private int lateSendsOfPoisonRequest;
@@ -72,6 +73,7 @@
     private int lateInnocentsRefused;
     private int crashes;
     private int messages;
+    private int starts;
     private long revision;
 
     /** The true state of one upstream: its incarnation and the runs in progress. */
@@ -152,12 +154,13 @@
         PoisonRequestDetector router =
                 new PoisonRequestDetector(
                         time,
-                        announcerOf(index),
+                        announcerOf(index, ++starts),
                         this::probe,
                         () -> counts,
                         () -> index == 0,
                         new Metrics());
         routers.set(index, router);
+        currentStarts.put(index, starts);
         soon(STORE_LAG_MILLIS, () -> readStore(index, router));
     }
 
@@ -338,8 +341,12 @@
     private void answer(Worker worker, Run run) {
         if (worker.incarnation == run.incarnation() && worker.runs.remove(run)) {
             PoisonRequestDetector router = routers.get(run.router());
+            int status = status(run.request());
+            if (status == ANSWERED) {
+                router.recordSuccess(run.request().promptParts(), run.sentAt());
+            }
             if (router.needsOutcomes()) {
-                router.recordAnswer(run.request(), run.sentAt(), status(run.request()));
+                router.recordAnswer(run.request(), run.sentAt(), status);
             }
         }
     }
@@ -419,17 +426,28 @@
                                         : UpstreamCrashDetector.ProbeResult.CRASHED));
     }
 
-    private CrashAnnouncer announcerOf(int from) {
+    private CrashAnnouncer announcerOf(int from, int start) {
         return new CrashAnnouncer() {
+            // Timers of a router that was killed still run here, but it announces nothing.
+            private boolean isRunning() {
+                return currentStarts.getOrDefault(from, start) == start;
+            }
+
+            private void announce(int most, Consumer<PoisonRequestDetector> what) {
+                if (isRunning()) {
+                    CrashSimulation.this.announce(from, most, what);
+                }
+            }
+
             @Override
             public void announceRunsAtCrash(
                     UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
-                announce(from, COUNTING_ROUTERS, router -> router.countCrash(crash, ago, runs));
+                announce(COUNTING_ROUTERS, router -> router.countCrash(crash, ago, runs));
             }
 
             @Override
             public void announceCrash(UpstreamCrash crash) {
-                announce(from, routers.size(), router -> router.crashReceived(crash, false));
+                announce(routers.size(), router -> router.crashReceived(crash, false));
             }
 
             @Override
@@ -439,41 +457,42 @@
 
             @Override
             public void announceWatched(CrashSuspect suspect) {
-                announce(from, routers.size(), router -> router.startWatching(suspect));
+                announce(routers.size(), router -> router.startWatching(suspect));
             }
 
             @Override
             public void announceQuarantined(Quarantine.Entry entry) {
-                stored.putIfAbsent(entry.suspect(), entry.trials());
-                announce(from, routers.size(), router -> router.quarantineReceived(entry));
+                if (isRunning()) {
+                    stored.merge(entry.suspect(), entry.trials(), Math::max);
+                }
+                announce(routers.size(), router -> router.quarantineReceived(entry));
             }
 
             @Override
             public void announceRefused(Quarantine.Entry entry) {
-                announce(from, COUNTING_ROUTERS, router -> router.quarantineReceived(entry));
+                announce(COUNTING_ROUTERS, router -> router.quarantineReceived(entry));
             }
 
             @Override
             public void removeStored(CrashSuspect suspect) {
-                stored.remove(suspect);
+                if (isRunning()) {
+                    stored.remove(suspect);
+                }
             }
 
             @Override
             public void announceCleared(CrashSuspect suspect, Duration sentAgo) {
-                announce(from, routers.size(), router -> router.clear(suspect, sentAgo));
+                announce(routers.size(), router -> router.clear(suspect, sentAgo));
             }
 
             @Override
             public void announceEarlierSuccess(CrashSuspect suspect, Duration ago) {
-                announce(
-                        from,
-                        COUNTING_ROUTERS,
-                        router -> router.recordEarlierSuccess(suspect, ago));
+                announce(COUNTING_ROUTERS, router -> router.recordEarlierSuccess(suspect, ago));
             }
 
             @Override
             public void announceSurvivedRuns(CrashSuspect suspect, int runs) {
-                announce(from, COUNTING_ROUTERS, router -> router.addSurvivedRuns(suspect, runs));
+                announce(COUNTING_ROUTERS, router -> router.addSurvivedRuns(suspect, runs));
             }
         };
     }
