--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/CrashSuspectsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/CrashSuspectsTest.java
@@ -14,6 +14,9 @@
     private static final int CRASHES = CrashSettings.defaults().crashThreshold();
     private static final CrashSuspect ONE = CrashSuspect.request("01");
     private static final CrashSuspect OTHER = CrashSuspect.request("02");
+    private static final CrashSuspect PART = CrashSuspect.promptPart("5c1e");
+    private static final CrashSuspect FREQUENT = CrashSuspect.promptPart("91bd");
+    private static final CrashSuspect RARE = CrashSuspect.promptPart("e440");
 
     private final CrashSuspects suspects = new CrashSuspects(CrashSettings.defaults());
     private Instant now = Instant.ofEpochSecond(100);
@@ -134,6 +137,66 @@
         assertEquals(3, suspects.countedCrashes(ONE, now));
     }
 
+    // Guards against requests that crash upstreams one after the other, since no two are alike.
+    @Test
+    void aPartOfTheirPromptsIsTheCauseThoughNoTwoRequestsAreAlike() {
+        recordCrash("a", run("1", PART, FREQUENT), run("2", FREQUENT));
+        recordCrash("b", run("3", FREQUENT), run("4", FREQUENT, PART));
+        assertEquals(List.of(PART), recordCrash("c", run("5", PART), run("6", RARE)));
+    }
+
+    // Guards against blaming a frequent sound part, which runs at each crash too.
+    @Test
+    void ofPartsThatRanAtTheSameCrashesTheOneWithFewestRunsIsTheCause() {
+        recordCrash("a", run("1", PART), run("2", FREQUENT), run("3", FREQUENT));
+        recordCrash("b", run("4", PART), run("5", FREQUENT), run("6", FREQUENT));
+        assertEquals(
+                List.of(PART),
+                recordCrash("c", run("7", PART), run("8", FREQUENT), run("9", FREQUENT)));
+    }
+
+    // Guards against blaming a sound part for a few crashes of other causes beside it.
+    @Test
+    void aPartThatHasSucceededIsNoCauseWhereAnotherOneExplainsTheCrashes() {
+        recordCrash("a", run("1", FREQUENT));
+        suspects.recordSuccess(FREQUENT, now);
+        recordCrash("b", run("2", PART, FREQUENT));
+        recordCrash("c", run("3", FREQUENT));
+        recordCrash("d", run("4", PART, FREQUENT));
+        assertEquals(List.of(PART), recordCrash("e", run("5", PART, FREQUENT)));
+    }
+
+    // Guards against refusing requests that share a part with a request that crashes upstreams.
+    @Test
+    void aRequestThatIsSentAgainIsTheCauseAndNotItsParts() {
+        recordCrash("a", run("1", PART));
+        recordCrash("b", run("1", PART));
+        assertEquals(List.of(CrashSuspect.request("1")), recordCrash("c", run("1", PART)));
+    }
+
+    // Guards against a second poison part that stays hidden behind the first one.
+    @Test
+    void twoPartsThatCrashUpstreamsAreBothFound() {
+        for (String each : List.of("a", "b", "c", "d")) {
+            recordCrash(each, run(each, PART));
+        }
+        recordCrash("e", run("5", RARE));
+        recordCrash("f", run("6", RARE));
+        assertEquals(List.of(PART, RARE), recordCrash("g", run("7", RARE)));
+    }
+
+    private List<CrashSuspect> recordCrash(String upstream, CrashedRun... runs) {
+        now = now.plusSeconds(1);
+        suspects.recordCrash(crashOf(upstream), List.of(runs), now);
+        return suspects.causes(CRASHES, now);
+    }
+
+    private static CrashedRun run(String request, CrashSuspect... parts) {
+        return new CrashedRun(
+                new RequestIdentity(CrashSuspect.request(request), List.of(parts)),
+                Duration.ofMillis(100));
+    }
+
     private List<CrashSuspect> recordCrash(String upstream, CrashSuspect... running) {
         now = now.plusSeconds(1);
         List<CrashedRun> ran =
--- a/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/crashes/QuarantineTest.java
@@ -11,6 +11,7 @@
 
 class QuarantineTest {
     private static final CrashSuspect ONE = CrashSuspect.request("01");
+    private static final CrashSuspect PART = CrashSuspect.promptPart("5c1e");
 
     private final Quarantine quarantine = new Quarantine(CrashSettings.defaults());
     private Instant now = Instant.ofEpochSecond(100);
@@ -84,6 +85,31 @@
         assertEquals(2, trials);
     }
 
+    // Guards against a sound part that is quarantined by mistake and keeps many callers out.
+    @Test
+    void aPromptPartGetsItsFirstTrialAfterSeconds() {
+        quarantine.add(PART, now, now);
+        now = now.plusSeconds(5);
+        assertTrue(quarantine.tryAdmit(PART, false, now).isPresent());
+        assertTrue(quarantine.tryAdmit(PART, true, now).isEmpty());
+        assertTrue(quarantine.recordSuccess(PART, now));
+    }
+
+    // Guards against trials without a limit: three requests are allowed after the fifth crash.
+    @Test
+    void aPromptPartThatFailsItsTrialsIsTriedTwiceAtMost() {
+        quarantine.add(PART, now, now);
+        int trials = 0;
+        for (int second = 0; second < 100_000; second++) {
+            now = now.plusSeconds(1);
+            if (quarantine.tryAdmit(PART, true, now).isEmpty()) {
+                trials++;
+                quarantine.add(PART, now, now.plusSeconds(1));
+            }
+        }
+        assertEquals(2, trials);
+    }
+
     // Guards against a faulty release of the upstreams, which crashes under any request.
     @Test
     void theNumberOfQuarantinedRequestsIsBounded() {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashAnnouncer.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashAnnouncer.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** Discards all announcements. */
-final class SilentCrashAnnouncer implements CrashAnnouncer {
+class SilentCrashAnnouncer implements CrashAnnouncer {
     @Override
     public void announceRunsAtCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {}
 
