--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
@@ -37,7 +37,7 @@
      */
     private static final Duration CLEARING_TIME = Duration.ofSeconds(2);
 
-    /** Number of crashes from which a shorter clearing time is enough for a prompt part. */
+    /** Number of crashes from which a prompt part that never succeeded has less clearing time. */
     private static final int DECISIVE_CRASHES = 5;
 
     private static final Duration DECISIVE_CLEARING_TIME = Duration.ofSeconds(1);
@@ -208,8 +208,8 @@
         return left.compareTo(MIN_CLEARING_TIME) > 0 ? left : MIN_CLEARING_TIME;
     }
 
-    // A prompt part that has never succeeded anywhere and has crashed several upstreams needs less
-    // time: a sound part that is used so often succeeds somewhere.
+    // A prompt part that has never succeeded and that ran at this many crashes needs less time: a
+    // sound part that is in such frequent use has succeeded before.
     private Optional<Instant> decisiveAt(CrashSuspect suspect) {
         return suspect.isPromptPart() && !suspects.hasSucceeded(suspect)
                 ? suspects.crashTime(suspect, DECISIVE_CRASHES)
