Give the reason for the shorter clearing time of a prompt part

The constant had none. CrashCauseFinder.suspect, a method with the name of its argument, becomes reportSuspected. Nothing else changes; PromptPartTrialTest and CrashSuspectsTest pass.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
@@ -40,6 +40,10 @@
     /** Number of crashes from which a prompt part that never succeeded has less clearing time. */
     private static final int DECISIVE_CRASHES = 5;
 
+    /**
+     * The clearing time from that crash on. All routers have to know of the quarantine of a part
+     * three seconds after its fifth crash.
+     */
     private static final Duration DECISIVE_CLEARING_TIME = Duration.ofSeconds(1);
 
     /** The shortest clearing time, which leaves other routers time to announce recent successes. */
@@ -130,7 +134,7 @@
         }
         requests.stream()
                 .filter(each -> suspects.countedCrashes(each, now) >= crashThreshold - 1)
-                .forEach(this::suspect);
+                .forEach(this::reportSuspected);
         runs.forEach(run -> reviewSoon(crash, run.request()));
     }
 
@@ -149,7 +153,7 @@
     private void review(UpstreamCrash crash) {
         reviewScheduled = false;
         List<CrashSuspect> nearCauses = suspects.causes(crashThreshold - 1, now());
-        nearCauses.forEach(this::suspect);
+        nearCauses.forEach(this::reportSuspected);
         suspects.causes(crashThreshold, now()).stream()
                 .filter(unreviewed::contains)
                 .forEach(this::hold);
@@ -161,7 +165,7 @@
         return requests.stream().mapToInt(each -> suspects.countedCrashes(each, now)).sum();
     }
 
-    private void suspect(CrashSuspect suspect) {
+    private void reportSuspected(CrashSuspect suspect) {
         suspectedSince.putIfAbsent(suspect, now());
         listener.suspected(suspect, false);
     }
