Cancel the newest requests of a withdrawn key first

Callers saw nothing; a request that waited at an agent ran although its caller key was withdrawn.

Cause: the router canceled its requests in the order of their arrival. The cancel of the running request freed the agent's only slot, and the agent started the queued request before the cancel of that one arrived.

Ruled out: a lost cancel. Both cancels arrive; only their order matters.

Change: the newest are canceled first. Cancels of one router travel over one link, in order, so a queued request is canceled before the request that it waits for.

Not covered: requests with the same key that wait at one agent through two routers; the cancels of two routers have no order.

--- a/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/RequestDispatcher.java
@@ -26,6 +26,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -119,7 +120,11 @@
 
     /** Refuses the waiting requests whose caller key is no longer granted. */
     void configurationChanged(Configuration now) {
-        for (RequestFlow flow : new ArrayList<>(flows)) {
+        // If a running request was canceled before those queued behind it at its agent, the agent
+        // would start one of them in its place.
+        List<RequestFlow> newestFirst = new ArrayList<>(flows);
+        Collections.reverse(newestFirst);
+        for (RequestFlow flow : newestFirst) {
             if (!now.isGranted(flow.request().key())) {
                 flow.callerKeyWithdrawn();
             }
