Bound upstreams' answers that have no end

Callers of a route waited until the deadline (504), and the router's memory and thread were taken by one answer.

Cause: UpstreamAttempt kept all of a body, EventSplitter all of an event. Both grew without a bound. EventSplitter copied and searched all pending bytes again for each piece, and the composite buffer of a body copied all that it held whenever it had sixteen pieces, so the thread was busy too.

Ruled out: heads, which the decoder bounds at 64 KB.

Change: settings direct.max-answer (4 MiB) and direct.max-event (1 MiB). A larger answer fails the attempt, which the upstream's health and the crash detection count as before; a log line names request, upstream and reason. EventSplitter searches each byte once and copies seldom. An answer to another request is discarded up to 4 MiB.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -269,7 +269,8 @@
                 members::size,
                 crashes,
                 lostUpstreams,
-                limits);
+                limits,
+                settings.answerLimits());
     }
 
     private CrashAnnouncer crashAnnouncer() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/EventSplitter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/EventSplitter.java
@@ -18,7 +18,14 @@
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
 
-    private ByteBuf pending = Unpooled.EMPTY_BUFFER;
+    /** The bytes of an incomplete event, in a buffer that only this object writes to. */
+    private ByteBuf incomplete = Unpooled.EMPTY_BUFFER;
+
+    /** Index of the first byte of the line that is being searched. */
+    private int lineStart;
+
+    /** Index up to which the bytes have been searched for the end of a line. */
+    private int searchedTo;
 
     /** A complete event with its bytes unchanged, and its id if it has one. */
     record StreamEvent(ByteBuf bytes, Optional<String> id) {}
@@ -27,13 +34,31 @@
      * Adds received bytes, takes over their buffer, and returns the events that are now complete.
      */
     List<StreamEvent> add(ByteBuf data) {
-        ByteBuf all = data;
-        if (pending.isReadable()) {
-            all = Unpooled.buffer(pending.readableBytes() + data.readableBytes());
-            all.writeBytes(pending).writeBytes(data);
-            data.release();
+        if (!incomplete.isReadable()) {
+            lineStart = data.readerIndex();
+            searchedTo = lineStart;
+            return split(data, false);
         }
-        pending.release();
+        ByteBuf all = incomplete.writeBytes(data);
+        data.release();
+        return split(all, true);
+    }
+
+    /** Returns the size of the incomplete event that is buffered, in bytes; zero if none is. */
+    int incompleteBytes() {
+        return incomplete.readableBytes();
+    }
+
+    /** Discards the buffered bytes. */
+    void clear() {
+        incomplete.release();
+        incomplete = Unpooled.EMPTY_BUFFER;
+    }
+
+    // An incomplete event is searched once and copied seldom, as its buffer doubles. If each piece
+    // caused a search and a copy of all that came before, a large event in small pieces would block
+    // the thread for seconds.
+    private List<StreamEvent> split(ByteBuf all, boolean own) {
         List<StreamEvent> events = new ArrayList<>();
         int end = endOfEvent(all);
         while (end >= 0) {
@@ -41,40 +66,40 @@
             events.add(new StreamEvent(event, idOf(event)));
             end = endOfEvent(all);
         }
-        pending = all.isReadable() ? all : Unpooled.EMPTY_BUFFER;
-        if (pending != all) {
-            all.release();
+        if (own && events.isEmpty()) {
+            return events;
         }
+        incomplete = copyOfRest(all);
+        all.release();
         return events;
     }
 
-    /** Returns true if an incomplete event is buffered. */
-    boolean hasIncompleteEvent() {
-        return pending.isReadable();
-    }
-
-    /** Discards the buffered bytes. */
-    void clear() {
-        pending.release();
-        pending = Unpooled.EMPTY_BUFFER;
+    private ByteBuf copyOfRest(ByteBuf all) {
+        if (!all.isReadable()) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        lineStart -= all.readerIndex();
+        searchedTo -= all.readerIndex();
+        return Unpooled.buffer(all.readableBytes()).writeBytes(all);
     }
 
     // An event ends with an empty line.
-    private static int endOfEvent(ByteBuf bytes) {
-        int lineStart = bytes.readerIndex();
-        while (true) {
-            int lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_FEED);
-            if (lineEnd < 0) {
-                return -1;
-            }
+    private int endOfEvent(ByteBuf bytes) {
+        int lineEnd = bytes.indexOf(searchedTo, bytes.writerIndex(), LINE_FEED);
+        while (lineEnd >= 0) {
             int length = lineEnd - lineStart;
             boolean empty =
                     length == 0 || length == 1 && bytes.getByte(lineStart) == CARRIAGE_RETURN;
-            if (empty && lineStart > bytes.readerIndex()) {
-                return lineEnd + 1;
-            }
+            boolean first = lineStart == bytes.readerIndex();
             lineStart = lineEnd + 1;
+            searchedTo = lineStart;
+            if (empty && !first) {
+                return lineStart;
+            }
+            lineEnd = bytes.indexOf(searchedTo, bytes.writerIndex(), LINE_FEED);
         }
+        searchedTo = bytes.writerIndex();
+        return -1;
     }
 
     private static Optional<String> idOf(ByteBuf event) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.routing.SharedRetryBudget;
 import io.damaskyoke.http.HttpClient;
+import io.damaskyoke.settings.DirectSettings;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -23,6 +24,7 @@
     private final PoisonRequestDetector crashes;
     private final LostUpstreamAnnouncer lostUpstreams;
     private final DeclaredLimits limitedUpstreams;
+    private final DirectSettings.AnswerLimits answerLimits;
     private final RequestLog requestLog;
     private final UnservedModels unservedModels = new UnservedModels();
     private final Set<ForwardedRequest> requests = new LinkedHashSet<>();
@@ -46,7 +48,8 @@
             IntSupplier routerCount,
             PoisonRequestDetector crashes,
             LostUpstreamAnnouncer lostUpstreams,
-            DeclaredLimits limitedUpstreams) {
+            DeclaredLimits limitedUpstreams,
+            DirectSettings.AnswerLimits answerLimits) {
         this.dialect = dialect;
         this.client = client;
         this.dispatcher = dispatcher;
@@ -56,6 +59,7 @@
         this.crashes = crashes;
         this.lostUpstreams = lostUpstreams;
         this.limitedUpstreams = limitedUpstreams;
+        this.answerLimits = answerLimits;
         this.requestLog = new RequestLog(clock);
     }
 
@@ -83,6 +87,10 @@
         return limitedUpstreams;
     }
 
+    DirectSettings.AnswerLimits answerLimits() {
+        return answerLimits;
+    }
+
     UnservedModels unservedModels() {
         return unservedModels;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.time.Instant;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Sends a request once to one upstream and reads the answer.
@@ -22,6 +24,8 @@
  * detection and the upstream's statistics learn of it too.
  */
 final class UpstreamAttempt implements ResponseListener {
+    private static final Logger LOG = LogManager.getLogger(UpstreamAttempt.class);
+
     /**
      * Longest idle time of a pooled connection for requests that must not be repeated. The upstream
      * has hardly ever closed a connection that was used so recently.
@@ -251,10 +255,14 @@
             forwarded.startStream(answer.status(), inFlight.dialect().toCaller(headers));
             forwarded.forwardEvent(event.bytes(), event.id());
         }
+        int mostBytes = inFlight.answerLimits().eventBytes();
+        if (!finished && splitter.incompleteBytes() > mostBytes) {
+            failInvalid("event of the stream is larger than " + mostBytes + " bytes");
+        }
     }
 
     private void finishStream() {
-        if (splitter.hasIncompleteEvent() || !isTrusted()) {
+        if (splitter.incompleteBytes() > 0 || !isTrusted()) {
             failInvalid("stream ended within an event, or without the upstream's seal");
             return;
         }
@@ -266,9 +274,14 @@
 
     private void bufferBody(ByteBuf data) {
         if (body == null) {
-            body = Unpooled.compositeBuffer();
+            // With its default size the buffer would copy all that it holds again and again.
+            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
         }
         body.addComponent(true, data);
+        int mostBytes = inFlight.answerLimits().bodyBytes();
+        if (body.readableBytes() > mostBytes) {
+            failInvalid("answer is larger than " + mostBytes + " bytes");
+        }
     }
 
     private void finishAnswer() {
@@ -320,6 +333,11 @@
     }
 
     private void failInvalid(String reason) {
+        LOG.warn(
+                "answer rejected request={} upstream={} reason={}",
+                forwarded.request().attemptId(),
+                upstream.facts().id(),
+                reason);
         upstream.requestFailed(inFlight.now());
         reportIncompleteRun(IncompleteRunCause.GARBLED);
         releaseBody();
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -31,6 +31,12 @@
      */
     private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+    /**
+     * The longest body of a response to another request that is received and discarded. Longer ones
+     * would take the thread's time until the request's deadline.
+     */
+    private static final int MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
+
     private final HttpClient client;
     private final Endpoint endpoint;
     private Channel channel;
@@ -41,6 +47,7 @@
     private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
     private long idleSince;
     private int requestNumber;
+    private int skippedBytes;
 
     private enum State {
         CONNECTING,
@@ -183,6 +190,7 @@
         }
         if (!request.isOwnResponse().test(headers)) {
             state = State.SKIPPING;
+            skippedBytes = 0;
             keepAlive = false;
             return;
         }
@@ -207,10 +215,7 @@
     private void part(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (state != State.READING) {
-            content.release();
-            if (state == State.SKIPPING && last) {
-                state = State.AWAITING;
-            }
+            skip(content, last);
             return;
         }
         if (content.content().isReadable()) {
@@ -223,6 +228,19 @@
         }
     }
 
+    private void skip(HttpContent content, boolean last) {
+        skippedBytes += content.content().readableBytes();
+        content.release();
+        if (state != State.SKIPPING) {
+            return;
+        }
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+            fail(ExchangeFailure.GARBLED);
+        } else if (last) {
+            state = State.AWAITING;
+        }
+    }
+
     private void finish() {
         ResponseListener notified = listener;
         listener = null;
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
@@ -21,6 +21,7 @@
  * @param grace how long a stop may take
  * @param zones availability zones, their regions, and how one is left
  * @param cold what upstreams bear that have just started
+ * @param answerLimits how large upstreams' answers may be
  * @param peer how it talks to other routers
  */
 public record DirectSettings(
@@ -38,6 +39,7 @@
         Duration grace,
         Zones zones,
         Cold cold,
+        AnswerLimits answerLimits,
         PeerSettings peer) {
     /**
      * Availability zones.
@@ -54,4 +56,13 @@
      * @param slack requests a second beyond that
      */
     public record Cold(double overage, double slack) {}
+
+    /**
+     * The largest answers of upstreams. The attempt that gets a larger one fails: an upstream may
+     * send bytes without end, which would fill the router's memory.
+     *
+     * @param bodyBytes the largest body of an answer that is no stream, in bytes
+     * @param eventBytes the largest event of a stream, in bytes
+     */
+    public record AnswerLimits(int bodyBytes, int eventBytes) {}
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -332,7 +332,16 @@
                                     Kind.NUMBER,
                                     "Requests a second that a cold upstream bears beyond that.")
                             .range("0", "1000000")
-                            .fallback("0"));
+                            .fallback("0"),
+                    Key.of(
+                                    "direct.max-answer",
+                                    Kind.SIZE,
+                                    "Largest body of an upstream's answer that is no stream.")
+                            .range("64KiB", "256MiB")
+                            .fallback("4MiB"),
+                    Key.of("direct.max-event", Kind.SIZE, "Largest event of an upstream's stream.")
+                            .range("1KiB", "64MiB")
+                            .fallback("1MiB"));
 
     static final List<Key> DIRECT =
             Stream.of(PROCESS.subList(0, 2), DIRECT_ONLY, PEER).flatMap(List::stream).toList();
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
@@ -60,6 +60,8 @@
                         values.table("direct.zones"), values.duration("direct.zone-drain-limit")),
                 new DirectSettings.Cold(
                         values.number("direct.cold-overage"), values.number("direct.cold-slack")),
+                new DirectSettings.AnswerLimits(
+                        values.integer("direct.max-answer"), values.integer("direct.max-event")),
                 peer(values));
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -18,6 +18,7 @@
 import io.damaskyoke.http.HttpLoop;
 import io.damaskyoke.http.HttpServer;
 import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.settings.DirectSettings;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
@@ -77,7 +78,8 @@
                             () -> true,
                             new Metrics()),
                     new LostUpstreamAnnouncer(Instant::now, upstreams, new SilentWire()),
-                    new DeclaredLimits(Instant::now, upstreams, new SilentLimits()));
+                    new DeclaredLimits(Instant::now, upstreams, new SilentLimits()),
+                    new DirectSettings.AnswerLimits(1 << 20, 1 << 20));
     private final HttpServer upstream = server(upstreamLoop, this::recordCall);
     private final HttpServer router = server(loop, this::startFlow);
 
