Read only as many new connections as the thread can serve

What callers saw: a router that gets many times its usual new connections answers hardly any request that it has read before the caller leaves, also those that it read first.

Cause: every connection was accepted and read, sixteen a pass, however far the thread was behind. The rest waited in the kernel's backlog of 1,024, where they can't be told from new ones, and was read when its callers had left. Each request that was read took its share of the thread from those that were under way.

Ruled out: the limit of accepts a pass alone.

Change: all connections are accepted at once and wait unread (UnreadConnections). Each pass reads up to a limit that halves after a pass of more than 100 ms and grows by one otherwise, 16 at first, 64 at most. Connections that have waited 250 ms are closed unread; the balancer's callers then try another router. A stall alone closes nothing that the next pass can serve. Considered: to stop accepting, which leaves connections to age in the backlog, and to limit requests under way, which mostly wait for upstreams.

Not tried: whole routers with such parts of a core, a simulated balancer before several of them.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -434,6 +434,7 @@
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.defaults(), ingress);
         metrics.gauge("direct_left_before_served", callers::abandonedRequests);
+        metrics.gauge("direct_closed_unread", callers::connectionsClosedUnread);
         crashes.registerGauges();
         new DrainProgress(upstreams).registerGauges(metrics);
         limits.registerGauges(metrics);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -41,12 +42,15 @@
     /** The limit of reads of one connection in a read pass, so that others get their turn. */
     private static final int MAX_READS_PER_PASS = 16;
 
+    private static final int MAX_ACCEPTS_PER_PASS = 1024;
+
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final HttpLoop loop;
     private final HttpHandler handler;
     private final Set<ServerConnection> connections = new HashSet<>();
+    private final UnreadConnections unread = new UnreadConnections();
     private HttpLimits limits;
     private Channel channel;
     private boolean draining;
@@ -81,6 +85,7 @@
             HttpLoop loop, ServerSocketChannel open, HttpLimits limits, HttpHandler handler) {
         HttpServer server = new HttpServer(loop, limits, handler);
         server.channel = server.bootstrap(open).register().channel();
+        loop.reads().beforeEachPass(server::admitUnread);
         loop.events()
                 .scheduleWithFixedDelay(
                         server::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -148,8 +153,22 @@
         return abandonedRequests;
     }
 
+    /** Returns the number of connections that were closed unread, as the thread was too busy. */
+    public long connectionsClosedUnread() {
+        return unread.closed();
+    }
+
     void opened(ServerConnection connection) {
         connections.add(connection);
+        unread.add(connection, System.nanoTime());
+    }
+
+    private void admitUnread(long busyNanos) {
+        unread.admit(System.nanoTime(), busyNanos);
+        if (unread.anyWaiting()) {
+            // Keeps the next pass from sleeping until there are bytes to read.
+            loop.events().execute(() -> {});
+        }
     }
 
     void closed(ServerConnection connection) {
@@ -171,6 +190,8 @@
         return new ServerBootstrap()
                 .group(loop.group())
                 .channelFactory(() -> new NioServerSocketChannel(socket))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAll())
+                .childOption(ChannelOption.AUTO_READ, false)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
@@ -184,6 +205,11 @@
                         });
     }
 
+    // A connection that waits in the kernel's backlog can't be told from a new one.
+    private static RecvByteBufAllocator acceptAll() {
+        return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_PASS);
+    }
+
     // By default a read that does not fill its buffer is the last one of its read pass. The
     // disconnect of a caller would then be known only a pass after its request.
     private static RecvByteBufAllocator readUntilEmpty() {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ReadPassHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ReadPassHandler.java
@@ -4,7 +4,10 @@
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoRegistration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /** Wraps the handler that reads a loop's sockets and records when each read pass takes place. */
 final class ReadPassHandler implements IoHandler {
@@ -19,6 +22,7 @@
     private static final long MAX_ARRIVAL_OFFSET_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final ActiveTimeContext activeTime = new ActiveTimeContext();
+    private final List<LongConsumer> beforePass = new ArrayList<>();
     private IoHandler sockets;
     private boolean reading;
     private long passStartNanos = System.nanoTime();
@@ -31,6 +35,14 @@
         return this;
     }
 
+    /**
+     * Runs a step before each read pass from now on. It is given how long the last pass, and the
+     * tasks after it, kept the thread busy, in nanoseconds.
+     */
+    void beforeEachPass(LongConsumer step) {
+        beforePass.add(step);
+    }
+
     /** Returns true during a read pass, when only some of the sockets are read. */
     boolean isReading() {
         return reading;
@@ -66,6 +78,7 @@
         passCount++;
         passStartNanos = System.nanoTime();
         stalledNanos = passStartNanos - lastFoundNanos;
+        beforePass.forEach(step -> step.accept(stalledNanos));
         try {
             return sockets.run(activeTime.over(context));
         } finally {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -17,7 +17,8 @@
 import java.util.ArrayDeque;
 
 /** A connection of a caller to the server, which handles its requests one after the other. */
-final class ServerConnection extends ChannelInboundHandlerAdapter {
+final class ServerConnection extends ChannelInboundHandlerAdapter
+        implements UnreadConnections.Unread {
     /** The limit of pipelined requests; bytes beyond it stay in the kernel. */
     private static final int MAX_PIPELINED = 4;
 
@@ -26,7 +27,7 @@
     private Channel channel;
     private HttpCall call;
     private long openedNanos;
-    private long openedInPass;
+    private long firstReadPass;
     private boolean anyRequestArrived;
     private long arrivingSince;
     private long idleSince = System.nanoTime();
@@ -56,11 +57,11 @@
         }
     }
 
-    // A request that is found in the first read pass of a new connection may have arrived together
-    // with it, and the pass that accepted the connection was the one that followed the stall.
+    // A request that is found in the first pass that reads a new connection may have arrived
+    // together with it, before a stall or while the connection waited to be read.
     private long arrivalNanos() {
         ReadPassHandler reads = server.reads();
-        boolean withConnection = !anyRequestArrived && reads.passCount() <= openedInPass + 1;
+        boolean withConnection = !anyRequestArrived && reads.passCount() <= firstReadPass;
         return withConnection ? openedNanos : reads.arrivalNanos();
     }
 
@@ -109,10 +110,20 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         openedNanos = server.reads().arrivalNanos();
-        openedInPass = server.reads().passCount();
         server.opened(this);
     }
 
+    @Override
+    public void startReading() {
+        firstReadPass = server.reads().passCount();
+        channel.config().setAutoRead(true);
+    }
+
+    @Override
+    public void closeUnread() {
+        channel.close();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (refused || !(message instanceof FullHttpRequest request)) {
