Look at the remaining suspects again when one is cleared

What callers see: a repeated poison request crashes more upstreams than it may, where a poison part crashes others at the same time.

Cause: a suspect that is held is dropped if another one explains its crashes better when its time is over. If the other one, a sound poll, is cleared a moment later, the first one is looked at again only at its next crash.

Tests: the simulation counts each poison by itself, so that two can come at once.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
@@ -69,6 +69,7 @@
     private final Map<CrashSuspect, Instant> suspectedSince = new LruMap<>(MAX_SUSPECTED);
     private final Set<CrashSuspect> unreviewed = new HashSet<>();
     private boolean reviewScheduled;
+    private boolean remainingReviewScheduled;
 
     /** A suspect that is held until the given time, and the timer of the next step. */
     private record HeldSuspect(Instant decideAt, ControlThread.Cancellable timer) {}
@@ -254,10 +255,23 @@
     /** Records a success of the suspect at any router, at that time. */
     void recordSuccess(CrashSuspect suspect, Instant at) {
         suspects.recordSuccess(suspect, at);
-        suspectedSince.remove(suspect);
+        boolean suspected = suspectedSince.remove(suspect) != null;
         if (held.containsKey(suspect) && !isCause(suspect)) {
             release(suspect);
         }
+        if (suspected && !remainingReviewScheduled) {
+            remainingReviewScheduled = true;
+            control.after(REPORTS_COMPLETE_AFTER, this::reviewRemaining);
+        }
+    }
+
+    // The suspect that is cleared may have explained the crashes of another one better than that
+    // one itself. If that one had to wait for its next crash, it would go on crashing upstreams.
+    private void reviewRemaining() {
+        remainingReviewScheduled = false;
+        suspects.causes(crashThreshold, now()).stream()
+                .filter(each -> !listener.isKnownCause(each))
+                .forEach(this::hold);
     }
 
     /** Records this number of runs, at any router, that did not crash their upstream. */
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashSimulation.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -65,8 +66,8 @@
     private final Map<CrashSuspect, Integer> stored = new HashMap<>();
     private final Map<Integer, Integer> currentStarts = new HashMap<>();
     private final SimulatedRequests requests;
-    private final List<Instant> poisonCrashes = new ArrayList<>();
-    private int lateSendsOfPoisonRequest;
+    private final Map<CrashSuspect, List<Instant>> crashesByPoison = new HashMap<>();
+    private final Map<CrashSuspect, Integer> lateSends = new HashMap<>();
     private int poisonRequestsRefused;
     private int innocentsRefused;
     private int lateInnocents;
@@ -184,9 +185,12 @@
         return lateInnocentsRefused;
     }
 
-    /** Returns how often the poison request was sent after all routers should know of it. */
+    /**
+     * Returns how often a poison was sent after all routers should know of it; of several poisons
+     * the one that was sent most often.
+     */
     int lateSendsOfPoisonRequest() {
-        return lateSendsOfPoisonRequest;
+        return lateSends.values().stream().mapToInt(each -> each).max().orElse(0);
     }
 
     /** Returns how often the poison request was refused. */
@@ -263,26 +267,27 @@
         }
         Run run = new Run(request, index, retries, worker.incarnation, now());
         worker.runs.add(run);
-        if (requests.isPoison(request)) {
-            countPoisonRequest(index);
-            runPoisonRequest(worker, run);
+        Optional<CrashSuspect> poison = requests.poisonIn(request);
+        if (poison.isPresent()) {
+            countPoisonRequest(poison.get(), index);
+            runPoisonRequest(worker, run, poison.get());
         } else {
             soon(MAX_RUN_MILLIS, () -> answer(worker, run));
         }
     }
 
     private void countAdmission(RequestIdentity request, boolean refused) {
-        if (requests.isPoison(request)) {
+        if (requests.poisonIn(request).isPresent()) {
             poisonRequestsRefused += refused ? 1 : 0;
             return;
         }
-        boolean late = isSince(KNOWN_BY.multipliedBy(2));
+        boolean late = allKnownFor(KNOWN_BY.multipliedBy(2));
         innocentsRefused += refused ? 1 : 0;
         lateInnocents += late ? 1 : 0;
         lateInnocentsRefused += late && refused ? 1 : 0;
     }
 
-    private void runPoisonRequest(Worker worker, Run run) {
+    private void runPoisonRequest(Worker worker, Run run, CrashSuspect poison) {
         if (has(InjectedFault.ERROR_ANSWERS) && oneIn(10)) {
             soon(MAX_DELAY_MILLIS, () -> answer(worker, run));
             return;
@@ -299,7 +304,7 @@
         if (has(InjectedFault.DRAINING) && oneIn(2)) {
             soon(LEAVES_BEFORE_MILLIS, () -> drain(worker));
         }
-        time.after(Duration.ofMillis(runs), () -> kill(worker, run));
+        time.after(Duration.ofMillis(runs), () -> kill(worker, run, poison));
     }
 
     private void callerLeaves(Worker worker, Run run) {
@@ -319,21 +324,35 @@
         }
     }
 
-    private void countPoisonRequest(int router) {
+    private void countPoisonRequest(CrashSuspect poison, int router) {
         boolean inTouch = !cutOff.contains(router) && !restarting.contains(router);
-        lateSendsOfPoisonRequest += inTouch && isSince(KNOWN_BY) ? 1 : 0;
+        boolean late =
+                knownFrom(poison).filter(from -> now().isAfter(from.plus(KNOWN_BY))).isPresent();
+        if (inTouch && late) {
+            lateSends.merge(poison, 1, Integer::sum);
+        }
+    }
+
+    /** Returns the time of the crash by which the routers learn of a poison, if there was one. */
+    private Optional<Instant> knownFrom(CrashSuspect poison) {
+        return crashesByPoison.getOrDefault(poison, List.of()).stream()
+                .skip(SimulatedRequests.crashesToKnow(poison) - 1)
+                .findFirst();
     }
 
-    // Returns true if the crash by which the routers learn the cause is longer ago than this.
-    private boolean isSince(Duration longerThan) {
-        int crash = requests.crashesToKnow();
-        return poisonCrashes.size() >= crash
-                && now().isAfter(poisonCrashes.get(crash - 1).plus(longerThan));
+    // Poisons that have caused too few crashes to be known are left out.
+    private boolean allKnownFor(Duration longerThan) {
+        List<Instant> known =
+                crashesByPoison.keySet().stream()
+                        .flatMap(poison -> knownFrom(poison).stream())
+                        .toList();
+        return !known.isEmpty()
+                && known.stream().allMatch(from -> now().isAfter(from.plus(longerThan)));
     }
 
-    private void kill(Worker worker, Run run) {
+    private void kill(Worker worker, Run run, CrashSuspect poison) {
         if (worker.up && worker.incarnation == run.incarnation()) {
-            poisonCrashes.add(now());
+            crashesByPoison.computeIfAbsent(poison, any -> new ArrayList<>()).add(now());
             crash(worker);
         }
     }
@@ -353,7 +372,7 @@
 
     private int status(RequestIdentity request) {
         boolean failingPoll = requests.isPoll(request) && has(InjectedFault.FAILING_POLLS);
-        boolean fails = requests.isPoison(request) || failingPoll;
+        boolean fails = requests.poisonIn(request).isPresent() || failingPoll;
         return fails ? FAILED : ANSWERED;
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/PromptPartHardshipsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/PromptPartHardshipsTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -54,7 +55,45 @@
                 InjectedFault.WRONG_PROBES);
     }
 
+    // Guards against two causes whose crashes are put on one of them, or on a sound part.
+    @ParameterizedTest
+    @CsvSource({"4, 13, 60, 4", "6, 13, 60, 6", "33, 42, 150, 6"})
+    void twoPoisonPartsAreBothFound(
+            int routers, int workers, double perSecond, double poisonPerSecond) {
+        LongFunction<SimulatedRequests> requests =
+                seed -> new PoisonPromptParts(seed).andAnotherPart();
+        assertHandled(requests, routers, workers, perSecond, 0.1, poisonPerSecond);
+    }
+
+    // Guards against a poison request that is taken for a sound part, or hides a poison part.
+    @ParameterizedTest
+    @CsvSource({"4, 13, 60, 4", "6, 13, 60, 6", "33, 42, 150, 6"})
+    void aPoisonPartAndARepeatedPoisonRequestAreBothFound(
+            int routers, int workers, double perSecond, double poisonPerSecond) {
+        LongFunction<SimulatedRequests> requests =
+                seed -> new PoisonPromptParts(seed).andARepeatedRequest();
+        assertHandled(requests, routers, workers, perSecond, 0.1, poisonPerSecond);
+    }
+
+    private static void assertHandled(
+            int routers,
+            int workers,
+            double perSecond,
+            double crashesPerSecond,
+            double poisonPerSecond,
+            InjectedFault... all) {
+        assertHandled(
+                PoisonPromptParts::new,
+                routers,
+                workers,
+                perSecond,
+                crashesPerSecond,
+                poisonPerSecond,
+                all);
+    }
+
     private static void assertHandled(
+            LongFunction<SimulatedRequests> requests,
             int routers,
             int workers,
             double perSecond,
@@ -64,7 +103,7 @@
         List<String> missed = new ArrayList<>();
         for (long seed = 1; seed <= SEEDS; seed++) {
             CrashSimulation simulation =
-                    new CrashSimulation(seed, routers, workers, new PoisonPromptParts(seed), all);
+                    new CrashSimulation(seed, routers, workers, requests.apply(seed), all);
             simulation.advance(TIME, perSecond, crashesPerSecond, poisonPerSecond);
             int sends = simulation.lateSendsOfPoisonRequest();
             int innocents = simulation.lateInnocents();
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RepeatedPoisonRequest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/RepeatedPoisonRequest.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.RequestIdentity;
+import java.util.Optional;
 import java.util.Random;
 
 /** Requests without prompt parts, and one poison request that is sent again and again. */
@@ -26,17 +27,12 @@
     }
 
     @Override
-    public boolean isPoison(RequestIdentity request) {
-        return request.equals(POISON);
+    public Optional<CrashSuspect> poisonIn(RequestIdentity request) {
+        return request.equals(POISON) ? Optional.of(POISON.request()) : Optional.empty();
     }
 
     @Override
     public boolean isPoll(RequestIdentity request) {
         return request.request().id().startsWith("poll-");
     }
-
-    @Override
-    public int crashesToKnow() {
-        return 3;
-    }
 }
