--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/FleetFailureTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/FleetFailureTest.java
@@ -215,8 +215,9 @@
         await().atMost(LIMIT).until(() -> chatsAtEngine() == 7);
         ProcessFleet.terminate(fleet, name);
         for (CompletableFuture<HttpResponse<String>> answer : answers) {
-            assertEquals(200, answer.join().statusCode());
-            assertTrue(answer.join().body().strip().endsWith("data: [DONE]"));
+            String body = answer.join().body();
+            assertEquals(200, answer.join().statusCode(), body);
+            assertTrue(body.strip().endsWith("data: [DONE]"), body);
         }
         assertEquals(0, ProcessFleet.awaitExit(fleet, name));
     }
