Use the whole store before the first request once its speed is known

Cause: loads ahead of need leave one load at full speed to models that requests wait for.

Change: before the first request all loads at full speed are used, once a finished load has shown how many these are.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
@@ -327,7 +327,16 @@
         // dozen models that requests wait for would be loaded from the store at once, and each load
         // would take minutes.
         private boolean storeAllows(boolean needed) {
-            return storeLoadLimiter.allows(spec, engines, chosenFromStore, needed, now);
+            return storeLoadLimiter.allows(spec, engines, chosenFromStore, purpose(needed), now);
+        }
+
+        private StoreLoadLimiter.Purpose purpose(boolean needed) {
+            if (needed) {
+                return StoreLoadLimiter.Purpose.NEEDED;
+            }
+            return demand.hasSeenNoRequests()
+                    ? StoreLoadLimiter.Purpose.BEFORE_REQUESTS
+                    : StoreLoadLimiter.Purpose.AHEAD;
         }
 
         // The store allows a few loads per minute. If they were spent on second copies of busy
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/StoreLoadLimiter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/StoreLoadLimiter.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /**
- * Limits the loads from the weight store: {@code limiter.allows(spec, engines, chosen, needed,
+ * Limits the loads from the weight store: {@code limiter.allows(spec, engines, chosen, purpose,
  * now)}.
  *
  * <p>The store runs a few loads at once at full speed. More than that slow each other down, so that
@@ -56,6 +56,17 @@
     private Instant runningRecordedAt = Instant.MIN;
     private double loadSeconds;
     private int running;
+    private boolean estimated;
+
+    /** What a load from the store is for. */
+    enum Purpose {
+        /** Requests wait for the model. */
+        NEEDED,
+        /** No request waits for the model. */
+        AHEAD,
+        /** The same, and there has been no request for any model yet. */
+        BEFORE_REQUESTS
+    }
 
     StoreLoadLimiter(Duration window) {
         this.window = window;
@@ -71,22 +82,20 @@
      * chosen.
      *
      * @param chosen loads from the store that this round has chosen
-     * @param needed whether requests wait for the model
+     * @param purpose what the load is for
      */
     boolean allows(
             EngineSpec spec,
             Collection<EngineState> engines,
             int chosen,
-            boolean needed,
+            Purpose purpose,
             Instant now) {
         while (!startTimes.isEmpty() && startTimes.peek().plus(window).isBefore(now)) {
             startTimes.remove();
         }
         double maxStarts =
                 Math.max(1, spec.loadsPerSecond() * window.toMillis() / 1000.0 * USED_RATE_PART);
-        // Loads ahead of need leave one of the loads at full speed to models that requests wait
-        // for.
-        int maxRunning = needed ? fullSpeedLoads : Math.max(1, fullSpeedLoads - 1);
+        int maxRunning = usesAll(purpose) ? fullSpeedLoads : Math.max(1, fullSpeedLoads - 1);
         boolean reported =
                 !now.isBefore(allReportedAt) || engines.stream().allMatch(EngineState::hasReported);
         return reported
@@ -94,6 +103,12 @@
                 && countRunning(engines) + chosen < maxRunning;
     }
 
+    // Loads ahead of need leave one of the loads at full speed to models that requests wait for.
+    // Before the first request there are none, but the estimate may be too high.
+    private boolean usesAll(Purpose purpose) {
+        return purpose == Purpose.NEEDED || purpose == Purpose.BEFORE_REQUESTS && estimated;
+    }
+
     /** Records the number of running loads; called in each planning round. */
     void recordRunning(int runningNow, Instant now) {
         if (!runningRecordedAt.equals(Instant.MIN)) {
@@ -120,6 +135,7 @@
         if (atStart == null) {
             return;
         }
+        estimated = true;
         double concurrency = (loadSeconds - atStart) / seconds(took);
         double slowdown = seconds(took) / seconds(undisturbed);
         if (slowdown > SLOWDOWN_RATIO) {
