--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/AdapterPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/AdapterPlanner.java
@@ -72,12 +72,7 @@
         AdapterOrder best = null;
         double lowestCost = Double.MAX_VALUE;
         for (EngineState engine : engines) {
-            if (assigned.contains(engine)
-                    || !engine.acceptsOrders(now)
-                    || engine.plannedLoad() != null
-                    || !engine.holds(adapter.model())
-                    || !engine.wouldFitAfterRestart(adapter)
-                    || demand.isSuspect(engine.id())) {
+            if (assigned.contains(engine) || !canTakeOrder(engine, adapter, now)) {
                 continue;
             }
             boolean hasSlot = engine.adapterCount() < engine.spec().adapterSlots();
@@ -98,6 +93,14 @@
         return best;
     }
 
+    private boolean canTakeOrder(EngineState engine, ModelRef adapter, Instant now) {
+        return engine.acceptsOrders(now)
+                && engine.plannedLoad() == null
+                && engine.holds(adapter.model())
+                && engine.wouldFitAfterRestart(adapter)
+                && !demand.isSuspect(engine.id());
+    }
+
     private double victimCost(ModelRef victim) {
         return demand.arrivalsPerSecond(victim);
     }
