--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateInput.java
@@ -25,8 +25,17 @@
     /** The store did not answer a read. */
     record SharesReadFailed() implements RateInput {}
 
-    /** The platform listed these VMs as routers. */
-    record RoutersListed(Set<VmId> routers) implements RateInput {}
+    /**
+     * The platform listed these VMs as routers.
+     *
+     * @param holderCandidates those of them that may hold shares where not all of them do
+     */
+    record RoutersListed(Set<VmId> routers, Set<VmId> holderCandidates) implements RateInput {
+        /** Creates a list of routers that may all hold shares. */
+        public RoutersListed(Set<VmId> routers) {
+            this(routers, routers);
+        }
+    }
 
     /**
      * A message from another router arrived that says nothing about tokens. It shows that the
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -82,7 +82,7 @@
         } else if (input instanceof RateInput.PeerMessageReceived message) {
             permission.recordContact(message.from(), now);
         } else if (input instanceof RateInput.RoutersListed listed) {
-            permission.updateRouters(listed.routers(), now);
+            permission.updateRouters(listed.routers(), listed.holderCandidates(), now);
         } else if (input instanceof RateInput.WorkspacesConfigured configured) {
             configure(configured.workspaces(), now);
         } else if (input instanceof RateInput.SharesRead read) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingPermission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingPermission.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -25,6 +26,7 @@
     private final Map<WorkspaceId, Set<VmId>> shareHolders = new HashMap<>();
     private final Map<WorkspaceId, VmId> designatedOwners = new HashMap<>();
     private Set<VmId> listedRouters = Set.of();
+    private Set<VmId> holderCandidates = Set.of();
     private boolean everListed;
     private Instant lastReadAt;
     private Instant readNeededSince = Instant.MIN;
@@ -54,9 +56,10 @@
         missingSince.remove(other);
     }
 
-    void updateRouters(Set<VmId> routers, Instant now) {
-        if (!routers.equals(listedRouters)) {
+    void updateRouters(Set<VmId> routers, Set<VmId> candidates, Instant now) {
+        if (!routers.equals(listedRouters) || !candidates.equals(holderCandidates)) {
             listedRouters = routers;
+            holderCandidates = candidates;
             shareHolders.clear();
             designatedOwners.clear();
         }
@@ -91,7 +94,7 @@
     boolean isDesignatedOwner(WorkspaceId workspace) {
         return !listedRouters.isEmpty()
                 && designatedOwners
-                        .computeIfAbsent(workspace, id -> ShareHolders.owner(id, routers()))
+                        .computeIfAbsent(workspace, id -> ShareHolders.owner(id, candidates()))
                         .equals(self);
     }
 
@@ -103,7 +106,16 @@
     }
 
     private Set<VmId> selectShareHolders(WorkspaceId workspace) {
-        return ShareHolders.select(workspace, routers());
+        return ShareHolders.select(workspace, candidates());
+    }
+
+    /**
+     * Returns this router's position among those that should hold shares of the workspace, which is
+     * 0 for the owner; empty if it should hold none.
+     */
+    OptionalInt holderRank(WorkspaceId workspace) {
+        int rank = ShareHolders.ownerFirst(workspace, shareHolders(workspace)).indexOf(self);
+        return rank < 0 ? OptionalInt.empty() : OptionalInt.of(rank);
     }
 
     /** Returns the number of routers according to the list, including this one. */
@@ -111,6 +123,13 @@
         return listedRouters.contains(self) ? listedRouters.size() : listedRouters.size() + 1;
     }
 
+    // A router that is not listed yet counts itself, unless the candidates are only some of the
+    // routers.
+    private Set<VmId> candidates() {
+        boolean all = holderCandidates.size() == listedRouters.size();
+        return all ? routers() : holderCandidates;
+    }
+
     private Set<VmId> routers() {
         Set<VmId> all = new HashSet<>(listedRouters);
         all.add(self);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -240,14 +240,9 @@
         fullUntil = now.plus(pause);
     }
 
-    /**
-     * Records the load that an answer reported.
-     *
-     * @param runningThere number of requests running there, from all routers
-     * @param waitingThere number of requests queued there, from all routers
-     */
-    public void loadReported(int runningThere, int waitingThere, Instant now) {
-        othersReported = Math.max(0, runningThere + waitingThere - inFlight);
+    /** Records the load that an answer reported. */
+    public void loadReported(LoadReport load, Instant now) {
+        othersReported = Math.max(0, load.running() + load.waiting() - inFlight);
         loadReportedAt = now;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CallerRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/CallerRequest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.TokenUsage;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -16,7 +17,7 @@
  * @param model the requested model, at a model service
  * @param promptParts the ids of the prompt's parts that other requests may share, in order; the
  *     part that belongs to this request alone is not among them
- * @param tokens the caller's figure for the tokens of prompt and answer together
+ * @param tokenUsage the caller's figures for the tokens of prompt and answer, if it states them
  * @param deadline how long the caller waits from now
  * @param lastEventId the id of the last event that the caller received, if it resumes a stream
  */
@@ -26,6 +27,13 @@
         Optional<String> callerKey,
         Optional<ModelRef> model,
         List<String> promptParts,
-        OptionalLong tokens,
+        Optional<TokenUsage> tokenUsage,
         Optional<Duration> deadline,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId) {
+    /** Returns the tokens of prompt and answer together, if the caller states them. */
+    public OptionalLong tokens() {
+        return tokenUsage.isPresent()
+                ? OptionalLong.of(tokenUsage.get().total())
+                : OptionalLong.empty();
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -309,7 +309,11 @@
 
     private RouterEntry entry() {
         return new RouterEntry(
-                self, settings.availabilityZone(), settings.peer().host(), settings.peer().port());
+                self,
+                settings.availabilityZone(),
+                settings.peer().host(),
+                settings.peer().port(),
+                settings.capacity());
     }
 
     private PeerMessageHandler.Dependencies messageDependencies() {
@@ -398,7 +402,13 @@
     private RateAdmission rates(Timeline timeline) {
         RateAdmission.Parts parts =
                 new RateAdmission.Parts(
-                        control, store, members, settings.storePrefix(), metrics, timeline);
+                        control,
+                        store,
+                        members,
+                        settings.storePrefix(),
+                        metrics,
+                        timeline,
+                        any -> members.largeRouters());
         return new RateAdmission(parts, self, incarnation, RateSettings.direct());
     }
 
@@ -470,7 +480,9 @@
     // If all routers are slow, a change of leader would only interrupt orders and gain nothing.
     private boolean anotherRouterIsFaster() {
         Duration limit = lag.average().dividedBy(RESIGN_LAG_RATIO);
-        return peers.lowestReportedLag().filter(least -> least.compareTo(limit) < 0).isPresent();
+        return peers.lowestReportedLag(members.largeRouters()::contains)
+                .filter(least -> least.compareTo(limit) < 0)
+                .isPresent();
     }
 
     private void applyConfiguration(DirectConfiguration now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import io.damaskyoke.control.direct.AllowedRegions;
 import io.damaskyoke.control.direct.Route;
 import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.TokenUsage;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.exchange.Refusal;
@@ -187,6 +188,16 @@
         return request.model();
     }
 
+    @Override
+    public Optional<WorkspaceId> workspace() {
+        return admission.workspace();
+    }
+
+    @Override
+    public TokenUsage tokenUsage() {
+        return request.tokenUsage().orElse(TokenUsage.UNKNOWN);
+    }
+
     @Override
     public AllowedRegions allowedRegions() {
         return admission.allowedRegions();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -63,6 +64,7 @@
     private Optional<VmId> leader = Optional.empty();
     private long leaderRevision;
     private WatchPlan plan = WatchPlan.of(List.of());
+    private Set<VmId> large = Set.of();
     private Runnable onChange = () -> {};
     private BiConsumer<CrashSuspect, Integer> onQuarantined = (request, trials) -> {};
     private long leaseId;
@@ -203,6 +205,11 @@
         return routers.keySet();
     }
 
+    /** Returns the routers that get the duties which one router carries out for all others. */
+    Set<VmId> largeRouters() {
+        return large;
+    }
+
     /** Returns the number of routers, including this one. */
     int size() {
         return others().size() + 1;
@@ -326,7 +333,8 @@
         }
 
         private void listChanged() {
-            plan = WatchPlan.of(vms());
+            large = LargeRouters.of(routers.values());
+            plan = WatchPlan.of(vms(), large::contains);
             onChange.run();
         }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
@@ -40,6 +40,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Sends messages to the other direct routers, and passes those received to a {@link Listener}.
@@ -206,12 +207,13 @@
         return send(relay, PeerRouterFrames.changesFetch(fetchNumber, prefix, after, wait));
     }
 
-    /** Returns the smallest lag of a control thread that a router reported recently. */
-    Optional<Duration> lowestReportedLag() {
+    /** Returns the smallest lag of a control thread that one of these routers reported recently. */
+    Optional<Duration> lowestReportedLag(Predicate<VmId> routers) {
         Instant now = control.clock().instant();
-        return reportedLags.values().stream()
-                .filter(each -> now.isBefore(each.reportedAt().plus(LAG_VALIDITY)))
-                .map(ReportedLag::lag)
+        return reportedLags.entrySet().stream()
+                .filter(each -> routers.test(each.getKey()))
+                .filter(each -> now.isBefore(each.getValue().reportedAt().plus(LAG_VALIDITY)))
+                .map(each -> each.getValue().lag())
                 .min(Comparator.naturalOrder());
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PendingRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PendingRequest.java
@@ -2,8 +2,10 @@
 
 import io.damaskyoke.control.direct.AllowedRegions;
 import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.TokenUsage;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.id.WorkspaceId;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +18,12 @@
     /** Returns the model that the upstream must hold, if any. */
     Optional<ModelRef> model();
 
+    /** Returns the workspace of the caller, if the route needs one. */
+    Optional<WorkspaceId> workspace();
+
+    /** Returns the tokens that the request states; {@link TokenUsage#UNKNOWN} if it states none. */
+    TokenUsage tokenUsage();
+
     /** Returns the regions where the request may be served. */
     AllowedRegions allowedRegions();
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/RouterEntry.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/RouterEntry.java
@@ -7,12 +7,18 @@
 import io.damaskyoke.json.JsonTrees;
 import io.damaskyoke.peer.PeerAddress;
 import java.io.IOException;
+import java.util.OptionalDouble;
 
-/** The entry that a router registers in the store, under its lease, so that others find it. */
-record RouterEntry(VmId vm, String zone, String host, int port) {
+/**
+ * The entry that a router registers in the store, under its lease, so that others find it.
+ *
+ * @param capacity processor cores of the router; empty if its settings don't say
+ */
+record RouterEntry(VmId vm, String zone, String host, int port, OptionalDouble capacity) {
     byte[] toJson() {
         ObjectNode entry = JsonTrees.object();
         entry.put("vm", vm.value()).put("zone", zone).put("host", host).put("port", port);
+        capacity.ifPresent(cores -> entry.put("capacity", cores));
         return JsonTrees.write(entry);
     }
 
@@ -23,13 +29,19 @@
                     VmId.of(text(entry, "vm")),
                     text(entry, "zone"),
                     text(entry, "host"),
-                    entry.path("port").asInt());
+                    entry.path("port").asInt(),
+                    capacity(entry.path("capacity")));
         } catch (IOException | IllegalArgumentException e) {
             throw new DirectException(
                     Code.MALFORMED, "a router's entry in the store can't be parsed", e);
         }
     }
 
+    private static OptionalDouble capacity(JsonNode cores) {
+        boolean valid = cores.isNumber() && cores.doubleValue() > 0;
+        return valid ? OptionalDouble.of(cores.doubleValue()) : OptionalDouble.empty();
+    }
+
     private static String text(JsonNode entry, String field) {
         String text = entry.path(field).textValue();
         if (text == null) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.cold.RequestLimit;
+import io.damaskyoke.control.upstreams.LoadReport;
 import java.util.Optional;
 
 /**
@@ -13,7 +14,7 @@
  * @param sealed whether the answer has the upstream's seal, without which no success is accepted
  * @param contentEncoded whether the body has a content encoding, so that it is not as the upstream
  *     made it
- * @param load the requests that run and wait at the upstream, if it reports them
+ * @param load the load that the upstream reports, if it does
  * @param limit the limit on concurrent requests that the upstream declares
  */
 public record UpstreamAnswer(
@@ -22,11 +23,8 @@
         boolean misdirected,
         boolean sealed,
         boolean contentEncoded,
-        Optional<Load> load,
+        Optional<LoadReport> load,
         RequestLimit limit) {
-    /** The numbers of requests that run and wait at the upstream. */
-    public record Load(int running, int waiting) {}
-
     /** Returns true for a 2xx status, which callers take as a success. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -154,11 +154,7 @@
         lastReceivedAt = inFlight.now();
         headers = fromUpstream;
         answer = inFlight.dialect().answer(status, fromUpstream, upstream.facts().id());
-        answer.load()
-                .ifPresent(
-                        load ->
-                                upstream.loadReported(
-                                        load.running(), load.waiting(), lastReceivedAt));
+        answer.load().ifPresent(load -> upstream.loadReported(load, lastReceivedAt));
         inFlight.limitedUpstreams().limitReceived(upstream, answer.limit(), sentAt);
         inFlight.crashes().upstreamAnswered(upstream, sentAt);
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/WatchPlan.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/WatchPlan.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * Chooses the routers that watch the store on behalf of all: {@code
@@ -41,12 +42,21 @@
         this.allWatch = allWatch;
     }
 
-    /** Returns the plan for these routers. */
+    /** Returns the plan for these routers, any of which may be a watcher. */
     static WatchPlan of(Collection<Vm> routers) {
+        return of(routers, any -> true);
+    }
+
+    /**
+     * Returns the plan for these routers.
+     *
+     * @param mayWatch which of them may be watchers where not all of them are
+     */
+    static WatchPlan of(Collection<Vm> routers, Predicate<VmId> mayWatch) {
         if (routers.size() <= MAX_ALL_WATCHING) {
             return new WatchPlan(List.copyOf(routers), true);
         }
-        List<Vm> ranked = ranked(routers);
+        List<Vm> ranked = ranked(routers.stream().filter(vm -> mayWatch.test(vm.id())).toList());
         int zones = (int) routers.stream().map(Vm::zone).distinct().count();
         int count = Math.min(MAX_WATCHERS, Math.max(MIN_WATCHERS, zones));
         return new WatchPlan(List.copyOf(ranked.subList(0, Math.min(count, ranked.size()))), false);
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -27,8 +27,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
 /**
@@ -51,6 +53,7 @@
     private final VmId vm;
     private final Incarnation incarnation;
     private final RateSettings settings;
+    private final UnaryOperator<Set<VmId>> holderCandidates;
     private final Map<ExchangeId, Consumer<Optional<Refusal>>> verdicts = new HashMap<>();
     private RatePeers peers;
     private RateMachine machine;
@@ -67,16 +70,23 @@
         this.vm = vm;
         this.incarnation = incarnation;
         this.settings = settings;
+        this.holderCandidates = parts.holderCandidates();
     }
 
-    /** What rates need of their process. */
+    /**
+     * What rates need of their process.
+     *
+     * @param holderCandidates returns those of the listed routers that may hold shares where not
+     *     all of them do
+     */
     public record Parts(
             ControlThread control,
             KeyValueStore store,
             VmList vmList,
             String storePrefix,
             Metrics metrics,
-            Timeline timeline) {}
+            Timeline timeline,
+            UnaryOperator<Set<VmId>> holderCandidates) {}
 
     /** Begins; {@code given} reaches the other routers, which reach this one at the address. */
     public void start(
@@ -297,8 +307,7 @@
         List<VmList.Vm> routers =
                 vms.stream().filter(vm -> vm.role() == VmList.Role.ROUTER).toList();
         peers.listed(routers);
-        feed(
-                new RateInput.RoutersListed(
-                        routers.stream().<VmId>map(VmList.Vm::id).collect(Collectors.toSet())));
+        Set<VmId> ids = routers.stream().<VmId>map(VmList.Vm::id).collect(Collectors.toSet());
+        feed(new RateInput.RoutersListed(ids, holderCandidates.apply(ids)));
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
+import java.util.function.UnaryOperator;
 
 /**
  * A router process: serves callers and operators, and forwards requests to the agents.
@@ -179,7 +180,8 @@
                 node.vmList(),
                 node.storePrefix(),
                 node.metrics(),
-                node.timeline());
+                node.timeline(),
+                UnaryOperator.identity());
     }
 
     private void startRates(RatePeers peers) {
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.http.Endpoint;
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * What a router that reaches upstreams itself is told at its start.
@@ -22,6 +23,7 @@
  * @param zones availability zones, their regions, and how one is left
  * @param cold what upstreams bear that have just started
  * @param answerLimits how large upstreams' answers may be
+ * @param capacity cores that this router may use; empty if the settings don't say
  * @param peer how it talks to other routers
  */
 public record DirectSettings(
@@ -40,6 +42,7 @@
         Zones zones,
         Cold cold,
         AnswerLimits answerLimits,
+        OptionalDouble capacity,
         PeerSettings peer) {
     /**
      * Availability zones.
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -341,7 +341,17 @@
                             .fallback("4MiB"),
                     Key.of("direct.max-event", Kind.SIZE, "Largest event of an upstream's stream.")
                             .range("1KiB", "64MiB")
-                            .fallback("1MiB"));
+                            .fallback("1MiB"),
+                    Key.of(
+                                    "direct.cpu-share",
+                                    Kind.NUMBER,
+                                    "Part of a core that this router may use; needed where routers"
+                                            + " differ in size.")
+                            .range("0.001", "64")
+                            .optional(),
+                    Key.of("direct.cpu-cores", Kind.NUMBER, "Cores of which it may use that part.")
+                            .range("1", "64")
+                            .fallback("1"));
 
     static final List<Key> DIRECT =
             Stream.of(PROCESS.subList(0, 2), DIRECT_ONLY, PEER).flatMap(List::stream).toList();
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalDouble;
 
 /**
  * Reads settings files: {@code RouterSettings settings = Settings.router(Path.of("router.toml"))}.
@@ -62,9 +63,17 @@
                         values.number("direct.cold-overage"), values.number("direct.cold-slack")),
                 new DirectSettings.AnswerLimits(
                         values.integer("direct.max-answer"), values.integer("direct.max-event")),
+                capacity(values),
                 peer(values));
     }
 
+    private static OptionalDouble capacity(Values values) {
+        OptionalDouble share = values.optionalNumber("direct.cpu-share");
+        return share.isPresent()
+                ? OptionalDouble.of(share.getAsDouble() * values.number("direct.cpu-cores"))
+                : share;
+    }
+
     /** A router's settings from TOML text; the file's name stands in the faults. */
     public static RouterSettings parseRouter(String text, String fileName) {
         Values values = Values.read(text, fileName, Keys.ROUTER);
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The values of one file by key, and the faults found so far.
@@ -69,6 +70,12 @@
         return (Double) values.get(key);
     }
 
+    /** Returns the number, or empty if the file has no such key. */
+    OptionalDouble optionalNumber(String key) {
+        Double value = (Double) values.get(key);
+        return value == null ? OptionalDouble.empty() : OptionalDouble.of(value);
+    }
+
     URI url(String key) {
         return (URI) values.get(key);
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSelectorTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSelectorTest.java
@@ -58,7 +58,7 @@
     @Test
     void theReportedLoadOfOtherRoutersCountsAndFades() {
         put("one", "a", false, Map.of());
-        find("one").loadReported(SLOTS, 0, now);
+        find("one").loadReported(new LoadReport(SLOTS, 0), now);
         assertEquals("nobody", pick(null));
         now = now.plusMillis(900);
         assertEquals("one", pick(null));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LeaderLeaseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LeaderLeaseTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 
 class LeaderLeaseTest {
@@ -153,7 +154,7 @@
                         control,
                         store,
                         "p",
-                        new RouterEntry(vm, "a", "127.0.0.1", 1),
+                        new RouterEntry(vm, "a", "127.0.0.1", 1, OptionalDouble.empty()),
                         PACE,
                         Relay.none(),
                         new Metrics());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -34,7 +35,8 @@
                         control,
                         store,
                         "p",
-                        new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1),
+                        new RouterEntry(
+                                VmId.of("one"), "a", "127.0.0.1", 1, OptionalDouble.empty()),
                         timing,
                         Relay.none(),
                         new Metrics());
@@ -61,7 +63,8 @@
                         control,
                         store,
                         "p",
-                        new RouterEntry(VmId.of("one"), "a", "127.0.0.1", 1),
+                        new RouterEntry(
+                                VmId.of("one"), "a", "127.0.0.1", 1, OptionalDouble.empty()),
                         PACE,
                         Relay.none(),
                         new Metrics());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedOrderRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedOrderRouter.java
@@ -12,6 +12,7 @@
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /**
  * The part of a router that is elected as leader and sends orders, on a VM that can be suspended.
@@ -38,7 +39,7 @@
                         control,
                         store,
                         "p",
-                        new RouterEntry(vm, "a", "127.0.0.1", 1),
+                        new RouterEntry(vm, "a", "127.0.0.1", 1, OptionalDouble.empty()),
                         PACE,
                         Relay.none(),
                         new Metrics());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedRequest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedRequest.java
@@ -2,7 +2,9 @@
 
 import io.damaskyoke.control.direct.AllowedRegions;
 import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.TokenUsage;
 import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.id.WorkspaceId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -33,6 +35,16 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<WorkspaceId> workspace() {
+        return Optional.empty();
+    }
+
+    @Override
+    public TokenUsage tokenUsage() {
+        return TokenUsage.UNKNOWN;
+    }
+
     @Override
     public AllowedRegions allowedRegions() {
         return AllowedRegions.ANYWHERE;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -99,7 +98,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 List.of(),
-                OptionalLong.empty(),
+                Optional.empty(),
                 Optional.empty(),
                 Optional.empty());
     }
