--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/BatchedBorrower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/BatchedBorrower.java
@@ -26,6 +26,7 @@
 
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(20);
     private static final Duration OWNER_REQUEST_INTERVAL = Duration.ofMillis(400);
+    private static final Duration LARGE_STANDBY_REQUEST_INTERVAL = Duration.ofMillis(250);
     private static final int MAX_LENDERS_PER_ROUND = 8;
 
     /**
@@ -65,6 +66,9 @@
     // refilled enough for one request, asking them again brings nothing. Their buckets take longer
     // than this to overflow.
     private Duration requestInterval(WorkspaceAccount account) {
+        if (balancer.hasLargeStandbys(account)) {
+            return LARGE_STANDBY_REQUEST_INTERVAL;
+        }
         return balancer.isOwner(account) ? OWNER_REQUEST_INTERVAL : REQUEST_INTERVAL;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
@@ -51,6 +51,14 @@
     /** All routers but the owner together hold at most this fraction (1/n) of the whole. */
     private static final int STANDBY_DIVISOR = 4;
 
+    /**
+     * Parts of the holders other than the owner where a few routers hold the whole, by rank. An
+     * owner that loses power is replaced only after ten seconds. A workspace that sends half of its
+     * rate is hardly refused meanwhile if the others hold nearly half of it.
+     */
+    private static final List<Integer> STANDBY_PARTS =
+            List.of(ShareTable.WHOLE / 5, ShareTable.WHOLE / 8, ShareTable.WHOLE / 8);
+
     private static final int MIN_WANT_CHANGE = ShareTable.WHOLE / 8;
     private static final int MIN_MOVED_PART = ShareTable.WHOLE / 20;
     private static final long FLEET_WRITES_PER_SECOND = 100;
@@ -140,6 +148,13 @@
         return settings.usesOwners() && part(account) > ShareTable.WHOLE / 2;
     }
 
+    /**
+     * Returns whether the owner of the workspace can borrow several requests' tokens from others.
+     */
+    boolean hasLargeStandbys(WorkspaceAccount account) {
+        return isOwner(account) && ranksStandbys(account);
+    }
+
     /** Returns the other router that owns the workspace, if one does. */
     Optional<VmId> otherOwner(WorkspaceAccount account) {
         if (!settings.usesOwners() || account.row == null) {
@@ -339,18 +354,39 @@
         if (!needsOwner(account)) {
             return table.join(self, vm, address, holders.size(), accrued);
         }
-        int standby = standbyPart(holders.size());
         boolean owner = permission.isDesignatedOwner(account.workspace.id());
-        int part = owner ? ShareTable.WHOLE - standby * (holders.size() - 1) : standby;
+        int part =
+                owner ? ownerPart(account, holders.size()) : standbyPart(account, holders.size());
         return table.joinWithPart(self, vm, address, part, accrued);
     }
 
-    // The part of a router that is not the owner, so that small requests find some tokens when the
-    // owner is lost.
-    private static int standbyPart(int holders) {
+    private int ownerPart(WorkspaceAccount account, int holders) {
+        int standby =
+                ranksStandbys(account)
+                        ? STANDBY_PARTS.stream().mapToInt(Integer::intValue).sum()
+                        : evenStandbyPart(holders) * (holders - 1);
+        return ShareTable.WHOLE - standby;
+    }
+
+    // The part of a router that is not the owner, from which requests are served while the owner is
+    // lost.
+    private int standbyPart(WorkspaceAccount account, int holders) {
+        int rank = permission.holderRank(account.workspace.id()).orElse(0);
+        return ranksStandbys(account) && rank > 0
+                ? STANDBY_PARTS.get(rank - 1)
+                : evenStandbyPart(holders);
+    }
+
+    private static int evenStandbyPart(int holders) {
         return ShareTable.WHOLE / (STANDBY_DIVISOR * holders);
     }
 
+    // Whether a few of many routers hold the workspace, and not a part each of a small fleet.
+    private boolean ranksStandbys(WorkspaceAccount account) {
+        int holders = permission.shareHolders(account.workspace.id()).size();
+        return holders < permission.routerCount() && holders == STANDBY_PARTS.size() + 1;
+    }
+
     private ShareTable adjusted(
             WorkspaceAccount account, ShareTable table, ShareTable.Share own, Instant now) {
         int want = wantedPart(account, table.shares().size(), now);
@@ -498,7 +534,7 @@
 
     // Each router wants a little, so that first requests find tokens during an outage of the store.
     private int wantedPart(WorkspaceAccount account, int routers, Instant now) {
-        int least = standbyPart(routers);
+        int least = standbyPart(account, routers);
         if (needsOwner(account)) {
             return permission.isDesignatedOwner(account.workspace.id()) ? ShareTable.WHOLE : least;
         }
