--- a/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineModels.java
+++ b/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineModels.java
@@ -57,12 +57,14 @@
         private final CompletableFuture<Void> loaded = new CompletableFuture<>();
         private ObjectNode span;
 
+        private boolean ready;
+
         Model(LoadOrder order) {
             this.order = order;
         }
 
         boolean isLoaded() {
-            return loaded.isDone();
+            return ready;
         }
     }
 
@@ -120,22 +122,19 @@
         return models.get(name).loaded;
     }
 
-    void end(String name) {
-        CompletableFuture<Void> loaded;
-        synchronized (this) {
-            onDisk.add(name);
-            loaded = models.get(name).loaded;
-        }
-        loaded.complete(null);
+    /** Records that a load has ended well; its caller completes the returned future. */
+    synchronized CompletableFuture<Void> end(String name) {
+        onDisk.add(name);
+        Model model = models.get(name);
+        model.ready = true;
+        return model.loaded;
     }
 
-    void fail(String name, StandInException error) {
-        CompletableFuture<Void> loaded;
-        synchronized (this) {
-            loaded = models.get(name).loaded;
-            remove(name);
-        }
-        loaded.completeExceptionally(error);
+    /** Records that a load has failed; its caller completes the returned future with the error. */
+    synchronized CompletableFuture<Void> fail(String name) {
+        CompletableFuture<Void> loaded = models.get(name).loaded;
+        remove(name);
+        return loaded;
     }
 
     /** Unloads a model at once; one that isn't here is fine, one that is loading isn't. */
--- a/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineStandIn.java
+++ b/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineStandIn.java
@@ -151,14 +151,18 @@
         return models.loaded(order.model()).thenApply(ok -> Json.answer(done));
     }
 
+    // The order is answered last: a caller that reads the load report next finds the outcome in it.
     private void loadEnded(String model, Throwable error) {
         if (error == null) {
-            models.end(model);
-        } else {
-            String reason = "The weights didn't come: " + error.getMessage();
-            models.fail(model, StandInException.openAi(502, "load_failed", reason));
+            CompletableFuture<Void> loaded = models.end(model);
+            changed();
+            loaded.complete(null);
+            return;
         }
+        CompletableFuture<Void> loaded = models.fail(model);
         changed();
+        String reason = "The weights didn't come: " + error.getMessage();
+        loaded.completeExceptionally(StandInException.openAi(502, "load_failed", reason));
     }
 
     private CompletionStage<Void> fetch(LoadOrder order) {
