--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -443,8 +443,11 @@
         members.onQuarantined(crashes::quarantineReadFromStore);
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.defaults(), ingress);
+        callers.maxUnread(settings.maxUnreadBytes());
         metrics.gauge("direct_left_before_served", callers::abandonedRequests);
         metrics.gauge("direct_closed_unread", callers::connectionsClosedUnread);
+        metrics.gauge("direct_unread_bytes", callers::unreadBytes);
+        metrics.gauge("direct_closed_slow_readers", callers::slowReadersClosed);
         crashes.registerGauges();
         new DrainProgress(upstreams).registerGauges(metrics);
         limits.registerGauges(metrics);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -22,6 +22,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * An HTTP/1.1 server on one address: {@code HttpServer.start(loop, endpoint, limits, handler)}.
@@ -30,6 +32,8 @@
  * other, so that their responses stay in order. The server belongs to one event loop.
  */
 public final class HttpServer implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(HttpServer.class);
+
     private static final int MAX_LINE_BYTES = 8 * 1024;
     private static final int SWEEP_MILLIS = 250;
 
@@ -44,13 +48,20 @@
 
     private static final int MAX_ACCEPTS_PER_PASS = 1024;
 
+    /**
+     * Unread bytes of one connection down to which a paused sender waits. With a lower mark an
+     * upstream would be paused for longer, and might cut its answer off.
+     */
+    private static final int RESUME_BYTES = UnreadResponses.MAX_PER_CONNECTION * 3 / 4;
+
     private static final WriteBufferWaterMark WATER_MARK =
-            new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+            new WriteBufferWaterMark(RESUME_BYTES, UnreadResponses.MAX_PER_CONNECTION);
 
     private final HttpLoop loop;
     private final HttpHandler handler;
     private final Set<ServerConnection> connections = new HashSet<>();
     private final UnreadConnections unread = new UnreadConnections();
+    private final UnreadResponses unreadResponses = new UnreadResponses(LOG::warn);
     private HttpLimits limits;
     private Channel channel;
     private boolean draining;
@@ -102,6 +113,14 @@
         limits = given;
     }
 
+    /**
+     * Changes how many bytes of responses may wait for callers, over all connections. Above it,
+     * connections of callers that read slowly are closed.
+     */
+    public void maxUnread(long bytes) {
+        unreadResponses.limit(bytes);
+    }
+
     /** Starts draining: from now on each response tells its caller that the connection closes. */
     public void drain() {
         draining = true;
@@ -158,6 +177,20 @@
         return unread.closed();
     }
 
+    /** Returns the number of bytes of responses that wait for callers, over all connections. */
+    public long unreadBytes() {
+        return unreadResponses.bytes();
+    }
+
+    /** Returns the number of connections that were closed as their callers read slowly. */
+    public long slowReadersClosed() {
+        return unreadResponses.closed();
+    }
+
+    UnreadResponses unreadResponses() {
+        return unreadResponses;
+    }
+
     void opened(ServerConnection connection) {
         connections.add(connection);
         unread.add(connection, System.nanoTime());
@@ -184,6 +217,7 @@
         long headerNanos = limits.headerTime().toNanos();
         long idleNanos = limits.idleTime().plus(IDLE_MARGIN).toNanos();
         snapshot().forEach(connection -> connection.enforceTimeLimits(now, headerNanos, idleNanos));
+        unreadResponses.refresh(now);
     }
 
     private ServerBootstrap bootstrap(ServerSocketChannel socket) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -18,7 +20,7 @@
 
 /** A connection of a caller to the server, which handles its requests one after the other. */
 final class ServerConnection extends ChannelInboundHandlerAdapter
-        implements UnreadConnections.Unread {
+        implements UnreadConnections.Unread, UnreadResponses.Reader {
     /** The limit of pipelined requests; bytes beyond it stay in the kernel. */
     private static final int MAX_PIPELINED = 4;
 
@@ -32,6 +34,7 @@
     private long arrivingSince;
     private long idleSince = System.nanoTime();
     private boolean refused;
+    private long takenBytes;
 
     ServerConnection(HttpServer server) {
         this.server = server;
@@ -83,7 +86,37 @@
     }
 
     void send(Object message) {
-        channel.writeAndFlush(message);
+        long before = pendingBytes();
+        ChannelFuture written = channel.write(message);
+        long size = pendingBytes() - before;
+        channel.flush();
+        if (!written.isDone()) {
+            written.addListener(ended -> taken(size));
+            server.unreadResponses().written(this, size, System.nanoTime());
+        }
+    }
+
+    private void taken(long size) {
+        takenBytes += size;
+        server.unreadResponses().taken(this, size, System.nanoTime());
+    }
+
+    private long pendingBytes() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.totalPendingWriteBytes();
+    }
+
+    // The size of a message that is partly written counts as pending until the rest is written, as
+    // its buffer is held until then.
+    @Override
+    public long takenBytes() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending == null ? takenBytes : takenBytes + pending.currentProgress();
+    }
+
+    @Override
+    public void closeSlow() {
+        channel.close();
     }
 
     void finished(boolean close) {
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
@@ -23,6 +23,7 @@
  * @param zones availability zones, their regions, and how one is left
  * @param cold what upstreams bear that have just started
  * @param answerLimits how large upstreams' answers may be
+ * @param maxUnreadBytes how many bytes of answers may wait for callers, over all connections
  * @param capacity cores that this router may use; empty if the settings don't say
  * @param peer how it talks to other routers
  */
@@ -42,6 +43,7 @@
         Zones zones,
         Cold cold,
         AnswerLimits answerLimits,
+        int maxUnreadBytes,
         OptionalDouble capacity,
         PeerSettings peer) {
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -342,6 +342,13 @@
                     Key.of("direct.max-event", Kind.SIZE, "Largest event of an upstream's stream.")
                             .range("1KiB", "64MiB")
                             .fallback("1MiB"),
+                    Key.of(
+                                    "direct.max-unread",
+                                    Kind.SIZE,
+                                    "Bytes of answers that may wait for callers, over all"
+                                            + " connections.")
+                            .range("64KiB", "1GiB")
+                            .fallback("16MiB"),
                     Key.of(
                                     "direct.cpu-share",
                                     Kind.NUMBER,
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
@@ -63,6 +63,7 @@
                         values.number("direct.cold-overage"), values.number("direct.cold-slack")),
                 new DirectSettings.AnswerLimits(
                         values.integer("direct.max-answer"), values.integer("direct.max-event")),
+                values.integer("direct.max-unread"),
                 capacity(values),
                 peer(values));
     }
