--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -129,7 +128,7 @@
             data.release();
             return;
         }
-        connection.send(new DefaultHttpContent(data));
+        connection.sendPart(data);
     }
 
     /** Ends a response that was sent in parts. */
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -8,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -96,6 +98,19 @@
         }
     }
 
+    /** Sends a part of a body at once and takes ownership of the buffer. */
+    void sendPart(ByteBuf data) {
+        send(new DefaultHttpContent(pendingBytes() > 0 ? copy(data) : data));
+    }
+
+    // A part is often a small slice of the buffer that it was read into. A slice that waits would
+    // hold all of that buffer in memory, though only the slice is counted.
+    private ByteBuf copy(ByteBuf data) {
+        ByteBuf copy = channel.alloc().directBuffer(data.readableBytes()).writeBytes(data);
+        data.release();
+        return copy;
+    }
+
     private void taken(long size) {
         takenBytes += size;
         server.unreadResponses().taken(this, size, System.nanoTime());
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/SettingsPage.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/SettingsPage.java
@@ -31,6 +31,9 @@
         Keys.AGENT.stream()
                 .filter(key -> !Keys.ROUTER.contains(key))
                 .forEach(key -> addRow(sections, key));
+        Keys.DIRECT.stream()
+                .filter(key -> !Keys.ROUTER.contains(key))
+                .forEach(key -> addRow(sections, key));
         StringBuilder page = new StringBuilder(HEAD);
         sections.forEach(
                 (section, rows) ->
@@ -76,6 +79,10 @@
     private static String readers(String section) {
         boolean router = hasSection(Keys.ROUTER, section);
         boolean agent = hasSection(Keys.AGENT, section);
+        if (!router && !agent) {
+            return "(router that connects to upstreams itself; it also reads the VM, the zone and"
+                    + " [peer])";
+        }
         return router && agent ? "(router and agent)" : router ? "(router)" : "(agent)";
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/http/SlowReaderTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/SlowReaderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
@@ -33,6 +34,7 @@
     private final AtomicInteger canceled = new AtomicInteger();
     private final List<Socket> sockets = new ArrayList<>();
     private long mostUnread;
+    private int slicesHeld;
     private final HttpServer server =
             HttpServer.start(
                     loop,
@@ -86,7 +88,27 @@
         await(() -> server.unreadBytes() == 0);
     }
 
+    // Guards against small parts that wait and hold the large buffers that they were read into.
+    @Test
+    void partsThatWaitHoldNoLargerBuffer() throws IOException {
+        request("/slices");
+        await(() -> server.unreadBytes() > 0);
+        onLoop(() -> slicesHeld == 0);
+        assertEquals(0, slicesHeld);
+    }
+
     private void handle(HttpCall call) {
+        if (call.target().equals("/slices")) {
+            call.start(200, new DefaultHttpHeaders());
+            sendParts(call);
+            for (int each = 0; each < 100; each++) {
+                ByteBuf large = Unpooled.directBuffer(PART_BYTES).writeZero(PART_BYTES);
+                call.part(large.readRetainedSlice(100));
+                large.release();
+                slicesHeld += large.refCnt();
+            }
+            return;
+        }
         if (call.target().equals("/stream")) {
             call.onDisconnect(canceled::incrementAndGet);
             call.onWritable(() -> sendParts(call));
--- a/damaskyoke/src/test/java/io/damaskyoke/http/UnreadResponsesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/UnreadResponsesTest.java
@@ -68,6 +68,17 @@
         assertTrue(callers.get(1).closed);
     }
 
+    // Guards against closing callers in vain, and short responses that are cut off for others'
+    // sake.
+    @Test
+    void aCallerThatLeavesFewBytesIsNotClosed() {
+        unread.limit(LIMIT);
+        List<Caller> callers = addCallers(100);
+        callers.forEach(each -> each.write(KB, 0));
+        playSlowCallers(200, List.of());
+        assertTrue(callers.stream().noneMatch(each -> each.closed));
+    }
+
     // Guards against a log that slow callers fill.
     @Test
     void closedConnectionsAreLoggedOnceASecondAtMost() {
--- a/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
@@ -33,6 +33,16 @@
             """
                     .formatted(SECRET);
 
+    private static final String SMALLEST_DIRECT =
+            """
+            process.vm = "router-1"
+            process.availability-zone = "a"
+            direct.callers = "127.0.0.1:8080"
+            direct.ready = "127.0.0.1:8081"
+            direct.store = "127.0.0.1:2379"
+            peer.host = "127.0.0.1"
+            """;
+
     private static final String KEY_FILE = "key-secret-file = \"key";
 
     @TempDir private Path directory;
@@ -47,6 +57,20 @@
         assertEquals(List.of(URI.create("http://127.0.0.1:2379")), settings.platform().store());
     }
 
+    // Guards against a limit that no router could keep, and against an unintended change of the
+    // default.
+    @Test
+    void aLimitOfUnreadBytesOutOfRangeIsAFaultOfItsKey() {
+        assertEquals(16 << 20, Settings.parseDirect(SMALLEST_DIRECT, "d.toml").maxUnreadBytes());
+        for (String wrong : List.of("\"63KiB\"", "\"2GiB\"", "\"much\"", "7000000.5")) {
+            String text = SMALLEST_DIRECT + "direct.max-unread = " + wrong + "\n";
+            SettingsException thrown =
+                    assertThrows(
+                            SettingsException.class, () -> Settings.parseDirect(text, "d.toml"));
+            assertEquals("direct.max-unread", thrown.faults().get(0).key());
+        }
+    }
+
     @Test
     void claimsAreMadeAsSetAndElseByTheirDefaults() {
         RouterSettings usual = Settings.parseRouter(SMALLEST_ROUTER, "r.toml");
