--- a/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServingMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/serving/ServingMachine.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.control.serving;
 
 import io.damaskyoke.control.StateMachine;
+import io.damaskyoke.control.waiting.FairScheduler;
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.exchange.RefusalCode;
 import io.damaskyoke.id.ExchangeId;
@@ -36,13 +37,13 @@
     private final Map<ExchangeId, QueuedRequest> waiting = new LinkedHashMap<>();
     private final Map<ExchangeId, RunningRequest> running = new HashMap<>();
     private final ServiceTimes serviceTimes = new ServiceTimes();
-    private final FairScheduler scheduler;
+    private final FairScheduler<WorkspaceId> scheduler;
     private boolean draining;
 
     private ServingMachine(int maxRunning, int maxWaiting, ToDoubleFunction<WorkspaceId> weight) {
         this.maxRunning = maxRunning;
         this.maxWaiting = maxWaiting;
-        this.scheduler = new FairScheduler(weight);
+        this.scheduler = new FairScheduler<>(weight);
     }
 
     /**
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/waiting/package-info.java
@@ -0,0 +1,2 @@
+/** The order of waiting requests, and the forecast of their wait. */
+package io.damaskyoke.control.waiting;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -438,6 +438,9 @@
     // Starts reading the store before it serves callers, since their requests need what is read.
     private void startServing(ServerSocketChannel socket) {
         dispatcher.onModelUnavailable(reports::reportSoon);
+        dispatcher.onRefusedAtArrival(
+                reason -> metrics.count("direct_refused_at_arrival", "reason", reason.label()));
+        dispatcher.onWaited(metrics.histogram("direct_queue_wait_ms")::update);
         operatorFollower.start();
         upstreamFollower.start(new UpstreamListener());
         members.onQuarantined(crashes::quarantineReadFromStore);
@@ -496,6 +499,7 @@
                 limited.put(workspace.workspace().id(), workspace.workspace());
             }
         }
+        dispatcher.setShared(!limited.isEmpty());
         rates.configured(limited);
         ingress.serveEarlyCalls();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -118,7 +118,7 @@
             }
             trial = mayBeTrial;
         }
-        inFlight.dispatcher().enqueue(this);
+        inFlight.dispatcher().arrive(this);
     }
 
     /** Returns what the request is recognized by, whichever id it comes with. */
@@ -296,6 +296,15 @@
         handleDeadline();
     }
 
+    @Override
+    public void refuseAtArrival(Duration retryAfter) {
+        request.model().ifPresent(inFlight.unservedModels()::recordUnserved);
+        lastReason = "model expected in " + retryAfter.toMillis() + " ms";
+        refuse(
+                Refusal.notRun(RefusalCode.NO_UPSTREAM, "the model can't be loaded in time")
+                        .retryAfter(retryAfter));
+    }
+
     @Override
     public void handleNoUpstream() {
         request.model().ifPresent(inFlight.unservedModels()::recordUnserved);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PendingRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PendingRequest.java
@@ -2,40 +2,28 @@
 
 import io.damaskyoke.control.direct.AllowedRegions;
 import io.damaskyoke.control.upstreams.ModelRef;
-import io.damaskyoke.control.upstreams.TokenUsage;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
-import io.damaskyoke.id.WorkspaceId;
+import io.damaskyoke.control.waiting.WaitingRequest;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.Set;
 
 /** A request that waits in the {@link UpstreamDispatcher} queues to be sent to an upstream. */
-interface PendingRequest {
+interface PendingRequest extends WaitingRequest {
     /** Returns the service whose upstreams may run the request. */
     String service();
 
     /** Returns the model that the upstream must hold, if any. */
     Optional<ModelRef> model();
 
-    /** Returns the workspace of the caller, if the route needs one. */
-    Optional<WorkspaceId> workspace();
-
-    /** Returns the tokens that the request states; {@link TokenUsage#UNKNOWN} if it states none. */
-    TokenUsage tokenUsage();
-
     /** Returns the regions where the request may be served. */
     AllowedRegions allowedRegions();
 
-    /** Returns the priority; 0 goes first. */
-    int priority();
-
     /** Returns when the request came. */
     Instant arrivedAt();
 
-    /** Returns when the request must be sent at the latest to meet its objective. */
-    Instant onTimeSendDeadline();
-
     /** Returns when the request is refused if it is still queued. */
     Instant queueDeadline();
 
@@ -45,6 +33,13 @@
     /** Sends the request to the upstream. */
     void sendTo(Upstream upstream);
 
+    /**
+     * Refuses the request, which was neither queued nor sent, as its model is not expected in time.
+     *
+     * @param retryAfter the time after which the model is expected
+     */
+    void refuseAtArrival(Duration retryAfter);
+
     /** Refuses the request, as no upstream could take it in time. */
     void handleNoUpstream();
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -9,26 +9,29 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamSelector;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.control.waiting.Turn;
+import io.damaskyoke.control.waiting.TurnOrder;
+import io.damaskyoke.control.waiting.WaitingQueue;
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
- * Queues requests and sends each to an upstream as soon as one has capacity, the highest priority
- * first.
+ * Queues requests and sends each to an upstream as soon as one has capacity, in the service's
+ * {@link TurnOrder}. Requests that can't be sent in time are refused at arrival.
  *
  * <p>Most requests find an upstream with capacity at once. Each model and each set of allowed
  * regions has a queue of its own, so that requests which wait for a model to be loaded, or for
@@ -53,10 +56,13 @@
     private final UpstreamSelector engineSelector;
     private final ArrivalRates arrivalRates = new ArrivalRates();
     private final Map<String, String> regions;
-    private final Map<String, Map<QueueKey, TreeSet<QueueEntry>>> queues = new HashMap<>();
+    private final Map<String, ServiceQueues> queues = new HashMap<>();
+    private final ArrivalCheck arrivalCheck = new ArrivalCheck();
     private final Set<String> servicesToSend = new LinkedHashSet<>();
     private Set<String> engineServices = Set.of();
     private Runnable modelUnavailable = () -> {};
+    private LongConsumer waited = any -> {};
+    private boolean shared;
     private long lastSequence;
 
     /** The key of a queue: what its requests have in common. */
@@ -66,16 +72,27 @@
         }
     }
 
-    /** A queued request with its sequence number, ordered by priority, then by arrival. */
-    private record QueueEntry(PendingRequest request, long sequence)
-            implements Comparable<QueueEntry> {
-        private static final Comparator<QueueEntry> ORDER =
-                Comparator.comparingInt((QueueEntry entry) -> entry.request().priority())
-                        .thenComparingLong(QueueEntry::sequence);
+    /** The queues of a service, which share the order of turns. */
+    private static final class ServiceQueues {
+        private final Map<QueueKey, WaitingQueue<PendingRequest>> byKey = new HashMap<>();
+        private TurnOrder order;
 
+        ServiceQueues(TurnOrder order) {
+            this.order = order;
+        }
+
+        void reorder(TurnOrder given) {
+            order = given;
+            byKey.replaceAll((key, queue) -> queue.reordered(given));
+        }
+    }
+
+    /** The queue that is to be asked next, and the request that was its next when it was added. */
+    private record QueueTurn(WaitingQueue<PendingRequest> queue, Turn<PendingRequest> turn)
+            implements Comparable<QueueTurn> {
         @Override
-        public int compareTo(QueueEntry other) {
-            return ORDER.compare(this, other);
+        public int compareTo(QueueTurn other) {
+            return turn.compareTo(other.turn);
         }
     }
 
@@ -115,6 +132,31 @@
         Set<String> names = new HashSet<>();
         engineSpecs.forEach(spec -> names.add(spec.name()));
         engineServices = names;
+        arrivalCheck.setEngineServices(engineSpecs);
+    }
+
+    /** Sets the action that runs for each request that is refused at arrival. */
+    void onRefusedAtArrival(Consumer<ArrivalCheck.Reason> action) {
+        arrivalCheck.onRefused(action);
+    }
+
+    /** Sets what takes the wait in milliseconds of each request that could not be sent at once. */
+    void onWaited(LongConsumer action) {
+        waited = action;
+    }
+
+    /**
+     * Sets whether waiting requests have their turns by workspace, as workspaces have rate limits.
+     */
+    void setShared(boolean byWorkspace) {
+        if (shared != byWorkspace) {
+            shared = byWorkspace;
+            queues.values().forEach(service -> service.reorder(newOrder()));
+        }
+    }
+
+    private TurnOrder newOrder() {
+        return shared ? TurnOrder.fair() : TurnOrder.byArrival();
     }
 
     /** Records that a caller has requested a model. */
@@ -122,31 +164,72 @@
         arrivalRates.recordArrival(model, clock.instant());
     }
 
-    /** Sends the request now, or queues it until an upstream has capacity. */
+    /**
+     * Takes a request that has just arrived: sends it now, queues it, or refuses it if its model is
+     * not expected in time.
+     */
+    void arrive(PendingRequest request) {
+        Instant now = clock.instant();
+        boolean held = isModelHeld(request, now);
+        Optional<Duration> retryAfter = held ? Optional.empty() : refusal(request, now);
+        if (retryAfter.isPresent()) {
+            request.refuseAtArrival(retryAfter.get());
+            return;
+        }
+        if (held) {
+            request.model().ifPresent(arrivalCheck::recordHeld);
+        }
+        enqueue(request, held, now);
+    }
+
+    /** Takes a request that came before: sends it now, or queues it until an upstream can. */
     void enqueue(PendingRequest request) {
         Instant now = clock.instant();
+        enqueue(request, isModelHeld(request, now), now);
+    }
+
+    private void enqueue(PendingRequest request, boolean held, Instant now) {
         if (allZonesClosed(request, now)) {
             request.handleNoUpstream();
             return;
         }
-        queue(request).add(new QueueEntry(request, ++lastSequence));
+        ServiceQueues service =
+                queues.computeIfAbsent(request.service(), any -> new ServiceQueues(newOrder()));
+        service.byKey
+                .computeIfAbsent(QueueKey.of(request), any -> new WaitingQueue<>(service.order))
+                .add(request, ++lastSequence, now);
         sendQueued(request.service());
-        boolean queued = isQueued(request);
-        if (queued && request.model().isPresent() && !isModelHeld(request, now)) {
+        if (!held) {
             modelUnavailable.run();
         }
     }
 
+    private Optional<Duration> refusal(PendingRequest request, Instant now) {
+        if (!isCrowded(request.service()) || allZonesClosed(request, now)) {
+            return Optional.empty();
+        }
+        ServiceQueues service = queues.get(request.service());
+        WaitingQueue<PendingRequest> queue =
+                service == null ? null : service.byKey.get(QueueKey.of(request));
+        return arrivalCheck.refusal(
+                request,
+                candidates(request),
+                Optional.ofNullable(queue).flatMap(WaitingQueue::oldestQueuedAt),
+                now);
+    }
+
+    /** Returns true if the models of the service do not fit into its upstreams together. */
+    private boolean isCrowded(String service) {
+        return arrivalCheck.appliesTo(service, upstreams.ofService(service).size());
+    }
+
     /** Removes a request whose caller has disconnected or that was answered in another way. */
     void remove(PendingRequest request) {
-        Map<QueueKey, TreeSet<QueueEntry>> serviceQueues = queues.get(request.service());
-        TreeSet<QueueEntry> queue =
-                serviceQueues == null ? null : serviceQueues.get(QueueKey.of(request));
-        if (queue != null) {
-            queue.removeIf(entry -> entry.request() == request);
-            if (queue.isEmpty()) {
-                serviceQueues.remove(QueueKey.of(request));
-            }
+        ServiceQueues service = queues.get(request.service());
+        QueueKey key = QueueKey.of(request);
+        WaitingQueue<PendingRequest> queue = service == null ? null : service.byKey.get(key);
+        if (queue != null && queue.remove(request) && queue.isEmpty()) {
+            service.byKey.remove(key);
         }
     }
 
@@ -159,7 +242,8 @@
      * of its caller is read next.
      */
     void sendQueued(String service) {
-        if (queues.getOrDefault(service, Map.of()).isEmpty()) {
+        ServiceQueues waiting = queues.get(service);
+        if (waiting == null || waiting.byKey.isEmpty()) {
             return;
         }
         servicesToSend.add(service);
@@ -174,36 +258,60 @@
         services.forEach(this::sendQueuedNow);
     }
 
+    // A turn only moves the turns of its workspace back. So the queue that is polled has the next
+    // turn of all unless that turn has moved back since it was added.
     private void sendQueuedNow(String service) {
-        Map<QueueKey, TreeSet<QueueEntry>> serviceQueues = queues.get(service);
-        if (serviceQueues == null || serviceQueues.isEmpty()) {
+        ServiceQueues waiting = queues.get(service);
+        if (waiting == null || waiting.byKey.isEmpty()) {
             return;
         }
-        List<TreeSet<QueueEntry>> byPriority = new ArrayList<>(serviceQueues.values());
-        byPriority.removeIf(TreeSet::isEmpty);
-        byPriority.sort(Comparator.comparing(TreeSet::first));
-        for (TreeSet<QueueEntry> queue : byPriority) {
-            sendQueue(service, queue);
+        Instant now = clock.instant();
+        PriorityQueue<QueueTurn> turns = new PriorityQueue<>(waiting.byKey.size());
+        waiting.byKey.values().forEach(queue -> turns.add(new QueueTurn(queue, queue.next(now))));
+        while (!turns.isEmpty()) {
+            QueueTurn polled = turns.poll();
+            Turn<PendingRequest> next = polled.queue().next(now);
+            if (next == null) {
+                continue;
+            }
+            if (waiting.order.isFair() && next.compareTo(polled.turn()) > 0) {
+                turns.add(new QueueTurn(polled.queue(), next));
+            } else if (send(service, waiting.order, polled.queue(), next, now)) {
+                addAfterTurn(turns, waiting.order, polled, now);
+            }
+        }
+        waiting.byKey.values().removeIf(WaitingQueue::isEmpty);
+    }
+
+    // By arrival, the queue whose first request came first sends all that it can.
+    private static void addAfterTurn(
+            PriorityQueue<QueueTurn> turns, TurnOrder order, QueueTurn served, Instant now) {
+        Turn<PendingRequest> next = order.isFair() ? served.queue().next(now) : served.turn();
+        if (next != null) {
+            turns.add(new QueueTurn(served.queue(), next));
         }
-        serviceQueues.values().removeIf(TreeSet::isEmpty);
     }
 
     /** Sends queued requests of all services and refuses those that have waited too long. */
     void tick() {
         Instant now = clock.instant();
+        arrivalCheck.tick(now);
         List<PendingRequest> expired = new ArrayList<>();
         for (String service : List.copyOf(queues.keySet())) {
             sendQueued(service);
-            for (TreeSet<QueueEntry> queue : queues.get(service).values()) {
-                boolean unservable =
-                        !queue.isEmpty() && allZonesClosed(queue.first().request(), now);
-                queue.stream()
-                        .map(QueueEntry::request)
-                        .filter(request -> unservable || !now.isBefore(request.queueDeadline()))
-                        .forEach(expired::add);
+            for (WaitingQueue<PendingRequest> queue : queues.get(service).byKey.values()) {
+                Turn<PendingRequest> next = queue.next(now);
+                boolean unservable = next != null && allZonesClosed(next.request(), now);
+                queue.forEach(
+                        request -> {
+                            if (unservable || !now.isBefore(request.queueDeadline())) {
+                                expired.add(request);
+                            }
+                        });
             }
         }
         expired.forEach(this::remove);
+        expired.forEach(request -> recordExpired(request, now));
         expired.forEach(PendingRequest::handleNoUpstream);
     }
 
@@ -235,63 +343,87 @@
         return new LoadInput.DemandReported(self, List.copyOf(demands.values()), running, ejected);
     }
 
-    private Map<ModelRef, TreeSet<QueueEntry>> queuedByModel() {
-        Map<ModelRef, TreeSet<QueueEntry>> queued = new TreeMap<>();
-        for (Map<QueueKey, TreeSet<QueueEntry>> serviceQueues : queues.values()) {
-            serviceQueues.forEach(
+    private Map<ModelRef, List<PendingRequest>> queuedByModel() {
+        Map<ModelRef, List<PendingRequest>> queued = new TreeMap<>();
+        for (ServiceQueues service : queues.values()) {
+            service.byKey.forEach(
                     (key, queue) ->
                             key.model()
                                     .filter(any -> !queue.isEmpty())
                                     .map(
                                             model ->
                                                     queued.computeIfAbsent(
-                                                            model, any -> new TreeSet<>()))
-                                    .ifPresent(all -> all.addAll(queue)));
+                                                            model, any -> new ArrayList<>()))
+                                    .ifPresent(all -> queue.forEach(all::add)));
         }
         return queued;
     }
 
     private static LoadInput.ModelDemand modelDemand(
             ModelRef model,
-            TreeSet<QueueEntry> queue,
+            List<PendingRequest> queued,
             Map<ModelRef, Double> arrivalRates,
             Instant now) {
         Instant firstArrival = now;
         int inTime = 0;
-        for (QueueEntry entry : queue) {
-            Instant arrivedAt = entry.request().arrivedAt();
+        int priority = Integer.MAX_VALUE;
+        for (PendingRequest request : queued) {
+            Instant arrivedAt = request.arrivedAt();
             firstArrival = arrivedAt.isBefore(firstArrival) ? arrivedAt : firstArrival;
-            inTime +=
-                    now.plus(LOCAL_LOAD_TIME).isBefore(entry.request().onTimeSendDeadline())
-                            ? 1
-                            : 0;
+            inTime += now.plus(LOCAL_LOAD_TIME).isBefore(request.onTimeSendDeadline()) ? 1 : 0;
+            priority = Math.min(priority, request.priority());
         }
         return new LoadInput.ModelDemand(
                 model,
-                queue.size(),
+                queued.size(),
                 Duration.between(firstArrival, now),
-                queue.first().request().priority(),
+                priority,
                 arrivalRates.getOrDefault(model, 0.0),
                 inTime);
     }
 
-    private void sendQueue(String service, TreeSet<QueueEntry> queue) {
+    private boolean send(
+            String service,
+            TurnOrder order,
+            WaitingQueue<PendingRequest> queue,
+            Turn<PendingRequest> next,
+            Instant now) {
         UpstreamSelector selector =
                 engineServices.contains(service) ? engineSelector : plainSelector;
-        while (!queue.isEmpty()) {
-            QueueEntry first = queue.first();
-            PendingRequest request = first.request();
-            Optional<Upstream> upstream =
-                    selector.pick(
-                            candidates(request),
-                            request.model().orElse(null),
-                            request.excludedUpstreams(),
-                            clock.instant());
-            if (upstream.isEmpty()) {
-                return;
-            }
-            queue.remove(first);
-            request.sendTo(upstream.get());
+        PendingRequest request = next.request();
+        Optional<Upstream> upstream =
+                selector.pick(
+                        candidates(request),
+                        request.model().orElse(null),
+                        request.excludedUpstreams(),
+                        clock.instant());
+        if (upstream.isEmpty()) {
+            return false;
+        }
+        queue.remove(request);
+        recordTurn(order, next, now);
+        request.sendTo(upstream.get());
+        return true;
+    }
+
+    private void recordTurn(TurnOrder order, Turn<PendingRequest> turn, Instant now) {
+        PendingRequest request = turn.request();
+        long millis = now.toEpochMilli() - turn.queuedAt().toEpochMilli();
+        if (millis <= 0) {
+            return;
+        }
+        order.recordTurn(request);
+        waited.accept(millis);
+        if (request.model().isPresent() && isCrowded(request.service())) {
+            arrivalCheck.recordWait(request.model().get(), Duration.ofMillis(millis), now);
+        }
+    }
+
+    private void recordExpired(PendingRequest request, Instant now) {
+        if (request.model().isPresent() && isCrowded(request.service())) {
+            Instant end = now.isBefore(request.queueDeadline()) ? now : request.queueDeadline();
+            Duration wait = Duration.between(request.arrivedAt(), end);
+            arrivalCheck.recordWait(request.model().get(), wait, now);
         }
     }
 
@@ -315,19 +447,7 @@
     }
 
     private boolean isModelHeld(PendingRequest request, Instant now) {
-        return UpstreamSelector.anyHolds(candidates(request), request.model().orElse(null), now);
-    }
-
-    private boolean isQueued(PendingRequest request) {
-        return queues
-                .getOrDefault(request.service(), Map.of())
-                .getOrDefault(QueueKey.of(request), new TreeSet<>())
-                .stream()
-                .anyMatch(entry -> entry.request() == request);
-    }
-
-    private TreeSet<QueueEntry> queue(PendingRequest request) {
-        return queues.computeIfAbsent(request.service(), any -> new HashMap<>())
-                .computeIfAbsent(QueueKey.of(request), any -> new TreeSet<>());
+        return request.model().isEmpty()
+                || UpstreamSelector.anyHolds(candidates(request), request.model().get(), now);
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedRequest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedRequest.java
@@ -74,4 +74,9 @@
     public Set<UpstreamId> excludedUpstreams() {
         return Set.of();
     }
+
+    @Override
+    public void refuseAtArrival(Duration retryAfter) {
+        handleNoUpstream();
+    }
 }
