--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -258,16 +258,38 @@
         services.forEach(this::sendQueuedNow);
     }
 
-    // A turn only moves the turns of its workspace back. So the queue that is polled has the next
-    // turn of all unless that turn has moved back since it was added.
     private void sendQueuedNow(String service) {
         ServiceQueues waiting = queues.get(service);
         if (waiting == null || waiting.byKey.isEmpty()) {
             return;
         }
         Instant now = clock.instant();
+        if (waiting.byKey.size() == 1) {
+            sendQueue(service, waiting.order, waiting.byKey.values().iterator().next(), now);
+        } else {
+            sendInTurn(service, waiting, now);
+        }
+        waiting.byKey.values().removeIf(WaitingQueue::isEmpty);
+    }
+
+    private void sendQueue(
+            String service, TurnOrder order, WaitingQueue<PendingRequest> queue, Instant now) {
+        while (!queue.isEmpty()) {
+            if (!send(service, order, queue, queue.next(now), now)) {
+                return;
+            }
+        }
+    }
+
+    // A turn only moves the turns of its workspace back. So the queue that is polled has the next
+    // turn of all unless that turn has moved back since it was added.
+    private void sendInTurn(String service, ServiceQueues waiting, Instant now) {
         PriorityQueue<QueueTurn> turns = new PriorityQueue<>(waiting.byKey.size());
-        waiting.byKey.values().forEach(queue -> turns.add(new QueueTurn(queue, queue.next(now))));
+        for (WaitingQueue<PendingRequest> queue : waiting.byKey.values()) {
+            if (!queue.isEmpty()) {
+                turns.add(new QueueTurn(queue, queue.next(now)));
+            }
+        }
         while (!turns.isEmpty()) {
             QueueTurn polled = turns.poll();
             Turn<PendingRequest> next = polled.queue().next(now);
@@ -280,7 +302,6 @@
                 addAfterTurn(turns, waiting.order, polled, now);
             }
         }
-        waiting.byKey.values().removeIf(WaitingQueue::isEmpty);
     }
 
     // By arrival, the queue whose first request came first sends all that it can.
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelWorld.java
@@ -79,7 +79,11 @@
     private final Map<String, RequestCounts> counts = new TreeMap<>();
     private final TestControlThread time = new TestControlThread();
     private LoadPlanner planner = new LoadPlanner(LoadSettings.defaults());
+    private final Random patience;
+    private boolean spreadsTimeouts;
+    private boolean refusesAtArrival;
     private boolean hasLeader;
+    private int refusedAtArrival;
     private int served;
     private int asked;
 
@@ -92,6 +96,7 @@
 
     RareModelWorld(int count, int atFullSpeed, long seed) {
         this.random = new Random(seed);
+        this.patience = new Random(seed);
         this.weights = new SimulatedWeightStore(atFullSpeed);
         this.spec = spec((int) (count * MODELS_PER_ENGINE));
         this.dispatcher =
@@ -154,6 +159,27 @@
         }
     }
 
+    /** Spreads the queue timeouts of rare requests, from a quarter to 1.5 times the usual. */
+    void spreadTimeouts() {
+        spreadsTimeouts = true;
+    }
+
+    /** Lets the router refuse requests at arrival. */
+    void refuseAtArrival() {
+        refusesAtArrival = true;
+        dispatcher.onRefusedAtArrival(any -> refusedAtArrival++);
+    }
+
+    int refusedAtArrival() {
+        return refusedAtArrival;
+    }
+
+    private Duration rareQueueTimeout() {
+        return spreadsTimeouts
+                ? RARE_QUEUE_TIMEOUT.dividedBy(4).multipliedBy(1 + patience.nextInt(6))
+                : RARE_QUEUE_TIMEOUT;
+    }
+
     /** Returns the largest number of concurrent loads from the store. */
     int maxConcurrentLoads() {
         return weights.maxConcurrentLoads();
@@ -198,7 +224,7 @@
                     if (now().isBefore(end)) {
                         new Caller(
                                         model(busy),
-                                        busy ? BUSY_QUEUE_TIMEOUT : RARE_QUEUE_TIMEOUT,
+                                        busy ? BUSY_QUEUE_TIMEOUT : rareQueueTimeout(),
                                         false)
                                 .send();
                         arrivals(perSecond, end, busy);
@@ -339,7 +365,11 @@
             count.last = now();
             asked += isRetry ? 0 : 1;
             dispatcher.recordArrival(model);
-            dispatcher.enqueue(this);
+            if (refusesAtArrival) {
+                dispatcher.arrive(this);
+            } else {
+                dispatcher.enqueue(this);
+            }
         }
 
         @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -16,6 +17,9 @@
     /** The planner starts no more concurrent loads than this when it knows nothing of the store. */
     private static final int MAX_CONCURRENT_LOADS = 4;
 
+    /** Fraction of the callers for whom a changed course of loads may make a difference. */
+    private static final double MAX_LOST_FRACTION = 0.01;
+
     private static final Duration STARTUP_TIME = Duration.ofSeconds(19);
     private static final Duration DAY = Duration.ofSeconds(36);
     private static final int LEADER_CHANGES = 4;
@@ -57,9 +61,29 @@
         assertNearlyAllServed(world);
     }
 
+    // Guards against refusals at arrival of requests that would have been served, or that a model
+    // would have been loaded for.
+    @Test
+    void refusalAtArrivalCostsNoServedRequests() {
+        RareModelWorld queueing = new RareModelWorld(36, 2, 2);
+        queueing.spreadTimeouts();
+        simulateDay(queueing);
+        RareModelWorld refusing = new RareModelWorld(36, 2, 2);
+        refusing.spreadTimeouts();
+        refusing.refuseAtArrival();
+        simulateDay(refusing);
+        double least = queueing.servedFraction() - MAX_LOST_FRACTION;
+        assertTrue(refusing.refusedAtArrival() > 0, refusing::toString);
+        assertTrue(refusing.servedFraction() >= least, () -> refusing + " not " + queueing);
+        assertNearlyAllServed(refusing);
+    }
+
     private static RareModelWorld simulateDayWithOneLeader(
             int engines, int atFullSpeed, long seed) {
-        RareModelWorld world = new RareModelWorld(engines, atFullSpeed, seed);
+        return simulateDay(new RareModelWorld(engines, atFullSpeed, seed));
+    }
+
+    private static RareModelWorld simulateDay(RareModelWorld world) {
         world.changeLeader();
         world.advance(STARTUP_TIME);
         world.startArrivals(DAY);
