--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -30,6 +30,15 @@
      */
     private static final double ADAPTER_MARGIN_MILLIS = 5;
 
+    /**
+     * Added to the configured time of a load from disk or main memory, so that a request does not
+     * arrive before the model is ready.
+     */
+    private static final Duration LOAD_TIME_MARGIN = Duration.ofMillis(30);
+
+    /** Age that a report has at most when it arrives. */
+    private static final Duration REPORT_LAG = Duration.ofMillis(300);
+
     private final EngineSpec spec;
     private final Map<ModelRef, Instant> lastUsedAt = new HashMap<>();
     private final Map<ModelRef, Instant> loadingAdapters = new TreeMap<>();
@@ -40,6 +49,10 @@
     private long incarnation;
     private HeldModels held;
     private PendingOrder pending;
+    private PendingOrder assumedDone;
+    private long orderSequence = HeldModels.UNKNOWN_SEQUENCE;
+    private long confirmedSequence = HeldModels.UNKNOWN_SEQUENCE;
+    private boolean needsReportToFinish;
     private PlannedLoad plannedLoad;
     private boolean zoneDrained;
     private boolean known;
@@ -179,6 +192,7 @@
         busyWithUnknownOrder = false;
         reported = false;
         pending = null;
+        assumedDone = null;
         plannedLoad = null;
         reportRequestedAt = Instant.MIN;
     }
@@ -261,29 +275,124 @@
         reset();
         loadingAdapters.clear();
         loadedAt.clear();
+        confirmedSequence = HeldModels.UNKNOWN_SEQUENCE;
         held = now;
     }
 
     /** Applies a report. Returns false if the report is older than what is known. */
-    boolean applyReport(LoadInput.UpstreamReported report) {
+    boolean applyReport(LoadInput.UpstreamReported report, Instant now) {
         lastReportAnswered = true;
         reported = true;
         if (isNewIncarnation(report.held().startedAt())) {
             restarted(report.held());
         }
         updateCopies(report.inMemory(), report.onDisk());
-        if (known && report.held().sequence() < held.sequence()) {
+        if (isOutdated(report.held())) {
             return false;
         }
         known = true;
         HeldModels reportedModels = report.held();
+        boolean isNewer = reportedModels.sequence() > held.sequence();
         held = new HeldModels(incarnation, reportedModels.sequence(), reportedModels.adapters());
         loadingAdapters.keySet().removeIf(held::contains);
+        if (assumedDone != null) {
+            checkAssumption(report.busy(), isNewer, now);
+        }
         return true;
     }
 
+    // An accepted order fixes the count, so a report with a lower one was made before it, even if
+    // the held models have to be reported anew.
+    private boolean isOutdated(HeldModels reportedModels) {
+        long least = known ? held.sequence() : confirmedSequence;
+        boolean statesStart = reportedModels.startedAt() != HeldModels.UNKNOWN_START;
+        return (known || statesStart) && reportedModels.sequence() < least;
+    }
+
+    // An upstream that has accepted a later order was not busy any more. A report with the count of
+    // the assumed order may have been made while the order was carried out.
+    private void checkAssumption(boolean busy, boolean isNewer, Instant now) {
+        boolean loads = assumedDone.operation() == OrderOperation.LOAD;
+        boolean isVisible = held.contains(assumedDone.model()) == loads;
+        if (isNewer || isVisible && !busy) {
+            assumedDone = null;
+        } else if (!isVisible && isReportConclusive(now) && pending == null) {
+            withdrawAssumption();
+        } else {
+            applyAssumption();
+        }
+    }
+
+    private boolean isReportConclusive(Instant now) {
+        return !now.isBefore(assumedDone.dueAt().plus(REPORT_LAG));
+    }
+
+    private void applyAssumption() {
+        ModelRef model = assumedDone.model();
+        held =
+                assumedDone.operation() == OrderOperation.LOAD
+                        ? held.with(model, held.sequence())
+                        : held.without(model, held.sequence());
+    }
+
+    /**
+     * Finishes the accepted order without a report that shows its effect. A later report or a
+     * conflict may show that the order is still carried out.
+     */
+    void assumeOrderDone(Instant now) {
+        PendingOrder order = pending;
+        pending = null;
+        assumedDone = order;
+        if (order.operation() == OrderOperation.LOAD) {
+            loaded(order.model(), now);
+        }
+    }
+
+    /** Records that the upstream was not busy, so that the order before is really finished. */
+    void confirmAssumption() {
+        assumedDone = null;
+    }
+
+    /** Returns true if the last accepted order is taken to be finished without a report. */
+    boolean hasAssumption() {
+        return assumedDone != null;
+    }
+
+    /** Returns true if a report would now show whether the assumption is right. */
+    boolean isAssumptionToBeChecked(Instant now) {
+        return assumedDone != null && isReportConclusive(now);
+    }
+
+    /**
+     * Takes the order that was assumed to be finished as one that is still carried out, and that
+     * only a report finishes.
+     */
+    void withdrawAssumption() {
+        pending = assumedDone;
+        assumedDone = null;
+        needsReportToFinish = true;
+        if (pending.operation() == OrderOperation.LOAD) {
+            held = held.without(pending.model(), held.sequence());
+        }
+    }
+
+    /**
+     * Returns true if the pending order is a load from the upstream's own copy that takes no longer
+     * than configured and is over by that time.
+     */
+    boolean isLoadTimeOver(Instant now) {
+        return pending != null
+                && pending.accepted()
+                && pending.operation() == OrderOperation.LOAD
+                && pending.source() != LoadSource.STORE
+                && !needsReportToFinish
+                && !now.isBefore(pending.dueAt().plus(LOAD_TIME_MARGIN));
+    }
+
     void orderSent(PendingOrder order) {
         pending = order;
+        orderSequence = held.sequence();
+        needsReportToFinish = false;
     }
 
     /** Sets the model to load next, or null for none. */
@@ -298,11 +407,18 @@
     /** Records that the engine has accepted the pending order, which increases its order count. */
     void orderAccepted(Instant due) {
         pending = pending.asAccepted(due);
-        held = new HeldModels(held.startedAt(), held.sequence() + 1, held.adapters());
+        assumedDone = null;
+        confirmedSequence = orderSequence + 1;
+        // A report that was made after the order may have arrived before the answer.
+        long sequence = Math.max(held.sequence(), confirmedSequence);
+        held = new HeldModels(held.startedAt(), sequence, held.adapters());
     }
 
     void unloaded(ModelRef model) {
         held = held.without(model, held.sequence());
+        if (!model.hasAdapter()) {
+            loadingAdapters.keySet().removeIf(each -> each.model().equals(model.model()));
+        }
     }
 
     void loaded(ModelRef model, Instant now) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.StateMachine;
 import io.damaskyoke.control.direct.EngineSpec;
+import io.damaskyoke.control.direct.ModelSpec;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -10,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -76,6 +78,7 @@
     private final ModelPlacer placer;
     private final AdapterPlanner adapters;
     private final Map<String, MemoryFragmentation> fragmentationByService = new HashMap<>();
+    private final Set<String> servicesInRotation = new HashSet<>();
     private Map<String, EngineSpec> specs = new HashMap<>();
     private Set<String> drainedZones = Set.of();
     private long lastOrderNumber;
@@ -139,6 +142,7 @@
             upstreamListed(listed);
         } else if (input instanceof LoadInput.UpstreamRemoved removed) {
             engines.remove(removed.upstream());
+            findServicesInRotation();
         } else if (input instanceof LoadInput.DrainedZonesChanged zonesChanged) {
             drainedZonesChanged(zonesChanged.zones());
         } else if (input instanceof LoadInput.DemandReported report) {
@@ -202,6 +206,32 @@
             spec.models().forEach((name, model) -> weights.put(name, model.weightsMb()));
         }
         demand.setModelSizes(weights);
+        findServicesInRotation();
+    }
+
+    // Models are loaded in rotation where more are configured than the upstreams have room for.
+    private void findServicesInRotation() {
+        servicesInRotation.clear();
+        specs.forEach(
+                (service, spec) -> {
+                    long room = (long) enginesOf(service).size() * modelsPerEngine(spec);
+                    if (spec.models().size() > room) {
+                        servicesInRotation.add(service);
+                    }
+                });
+    }
+
+    private static int modelsPerEngine(EngineSpec spec) {
+        double meanMb =
+                spec.models().values().stream()
+                        .mapToDouble(ModelSpec::weightsMb)
+                        .average()
+                        .orElse(spec.weightsMb());
+        return (int) (spec.weightsMb() / meanMb);
+    }
+
+    private boolean isInRotation(EngineState engine) {
+        return servicesInRotation.contains(engine.facts().service());
     }
 
     private void upstreamListed(LoadInput.UpstreamListed listed) {
@@ -214,6 +244,7 @@
             engine = new EngineState(spec, listed.facts());
             engines.put(engine.id(), engine);
             engine.setZoneDrained(isDrained(engine));
+            findServicesInRotation();
             return;
         }
         engine.applyFacts(listed.facts());
@@ -252,13 +283,18 @@
         if (engine == null) {
             return;
         }
-        if (!engine.applyReport(report)) {
+        boolean assumed = engine.hasAssumption();
+        if (!engine.applyReport(report, now)) {
             return;
         }
-        engine.setBusyWithUnknownOrder(report.busy() && engine.pending() == null);
+        if (assumed && engine.pending() != null && engine.pending().accepted()) {
+            actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
+        }
+        boolean unknownOrder = report.busy() && engine.pending() == null && !engine.hasAssumption();
+        engine.setBusyWithUnknownOrder(unknownOrder);
         if (report.busy()) {
             // An order that this planner does not know of: only a later report shows its effect.
-            if (engine.pending() == null) {
+            if (unknownOrder) {
                 engine.requireReport();
             }
             return;
@@ -317,12 +353,7 @@
         switch (answer.outcome()) {
             case ACCEPTED -> orderAccepted(engine, now, actions);
             case DONE -> orderDone(engine, now, actions);
-            case CONFLICT -> {
-                storeLoadLimiter.loadCanceled(pending.number());
-                engine.orderFinished();
-                engine.requireReport();
-                engine.pauseUntil(now.plus(PAUSE_AFTER_CONFLICT));
-            }
+            case CONFLICT -> orderConflicted(engine, now, actions);
             case UNKNOWN -> {
                 engine.orderFinished();
                 engine.requireReport();
@@ -336,12 +367,36 @@
         }
     }
 
+    private void orderConflicted(EngineState engine, Instant now, List<LoadAction> actions) {
+        EngineState.PendingOrder pending = engine.pending();
+        storeLoadLimiter.loadCanceled(pending.number());
+        engine.orderFinished();
+        engine.pauseUntil(now.plus(PAUSE_AFTER_CONFLICT));
+        if (!engine.hasAssumption()) {
+            engine.requireReport();
+            return;
+        }
+        // The order before this one is probably still carried out.
+        engine.withdrawAssumption();
+        boolean loadsModel =
+                pending.operation() == OrderOperation.LOAD && !pending.model().hasAdapter();
+        if (loadsModel) {
+            engine.setPlannedLoad(
+                    new EngineState.PlannedLoad(
+                            pending.model().model(), now.plus(PLANNED_LOAD_LIFETIME)));
+        }
+        actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
+    }
+
     private void orderAccepted(EngineState engine, Instant now, List<LoadAction> actions) {
         EngineState.PendingOrder pending = engine.pending();
         ModelRef model = pending.model();
         if (pending.operation() == OrderOperation.UNLOAD) {
             engine.orderAccepted(now);
             engine.unloaded(model);
+            if (isUnloadedAtOnce(engine, model, now)) {
+                engine.assumeOrderDone(now);
+            }
             actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
             return;
         }
@@ -355,9 +410,22 @@
         engine.orderAccepted(now.plus(loadTime));
     }
 
+    // An upstream that is still unloading a model answers the next order with a conflict. While it
+    // unloads an adapter it carries out other orders, so a report must show that the slot is free.
+    // Running requests are not known before the routers have reported for a while. Before a load
+    // from the store, which takes seconds, the wait for a report is short.
+    private boolean isUnloadedAtOnce(EngineState engine, ModelRef model, Instant now) {
+        return isInRotation(engine)
+                && !model.hasAdapter()
+                && !demand.isWarmingUp(now)
+                && demand.running(engine.id(), model.model()) == 0
+                && !engine.mayLoadFromStore();
+    }
+
     private void orderDone(EngineState engine, Instant now, List<LoadAction> actions) {
         EngineState.PendingOrder pending = engine.pending();
         engine.orderFinished();
+        engine.confirmAssumption();
         if (pending.operation() == OrderOperation.UNLOAD) {
             engine.setSequence(engine.held().sequence() + 1);
             engine.unloaded(pending.model());
@@ -376,6 +444,7 @@
         for (EngineState engine : engines.values()) {
             engine.setReservations(unansweredOrders);
             completeAdapterLoads(engine, now, actions);
+            completeModelLoad(engine, now, actions);
             followUp(engine, now, actions);
         }
         for (Map.Entry<String, EngineSpec> entry : specs.entrySet()) {
@@ -403,6 +472,14 @@
         }
     }
 
+    // Waiting for a report would leave the upstream idle for as long as reports lag.
+    private void completeModelLoad(EngineState engine, Instant now, List<LoadAction> actions) {
+        if (isInRotation(engine) && engine.isKnown() && engine.isLoadTimeOver(now)) {
+            engine.assumeOrderDone(now);
+            actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
+        }
+    }
+
     /** Requests the reports that are due and takes the next step of a planned load. */
     private void followUp(EngineState engine, Instant now, List<LoadAction> actions) {
         EngineState.PendingOrder pending = engine.pending();
@@ -429,6 +506,9 @@
             }
             return;
         }
+        if (engine.isAssumptionToBeChecked(now) && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
+            requestReport(engine, now, actions);
+        }
         EngineState.PlannedLoad plannedLoad = engine.plannedLoad();
         if (plannedLoad == null || !engine.acceptsOrders(now)) {
             return;
