--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -561,7 +561,13 @@
         List<EngineState> serviceEngines = enginesOf(service);
         MemoryFragmentation fragmentation = fragmentationByService.get(service);
         for (ModelPlacer.Placement placement :
-                placer.plan(spec, fragmentation, serviceEngines, ahead, now)) {
+                placer.plan(
+                        spec,
+                        fragmentation,
+                        serviceEngines,
+                        servicesInRotation.contains(service),
+                        ahead,
+                        now)) {
             placement
                     .engine()
                     .setPlannedLoad(
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
@@ -125,17 +125,24 @@
     /**
      * Returns the placements of a planning round.
      *
+     * @param inRotation whether more models are configured than the engines have room for
      * @param ahead whether to place models that no request waits for as well
      */
     List<Placement> plan(
             EngineSpec spec,
             MemoryFragmentation fragmentation,
             List<EngineState> engines,
+            boolean inRotation,
             boolean ahead,
             Instant now) {
         PlanningRound round =
                 new PlanningRound(
-                        spec, fragmentation, engines, new FleetView(engines, demand, now), now);
+                        spec,
+                        fragmentation,
+                        engines,
+                        inRotation,
+                        new FleetView(engines, demand, now),
+                        now);
         List<Placement> placements = new ArrayList<>();
         for (String model : round.neededModels()) {
             round.place(model, true).ifPresent(placements::add);
@@ -156,6 +163,7 @@
         private final FleetView fleet;
         private final EvictionPlanner evictions;
         private final Instant now;
+        private final boolean keepsAdaptersAvailable;
         private final Set<EngineState> assigned = new HashSet<>();
         private int chosenFromStore;
 
@@ -163,6 +171,7 @@
                 EngineSpec spec,
                 MemoryFragmentation fragmentation,
                 List<EngineState> engines,
+                boolean inRotation,
                 FleetView fleet,
                 Instant now) {
             this.spec = spec;
@@ -170,6 +179,13 @@
             this.fleet = fleet;
             this.evictions = new EvictionPlanner(demand, fleet, fragmentation);
             this.now = now;
+            this.keepsAdaptersAvailable =
+                    inRotation
+                            && engines.stream()
+                                    .anyMatch(
+                                            each ->
+                                                    fleet.isUsable(each)
+                                                            && !isNeededForAdapters(each));
         }
 
         Set<String> neededModels() {
@@ -244,7 +260,9 @@
 
         private Optional<Candidate> candidate(EngineState engine, String model) {
             double blocked = blockedAdapterRequests(engine);
-            if (blocked > MAX_BLOCKED_PER_SECOND && engine.loadSource(model) == LoadSource.STORE) {
+            if (engine.loadSource(model) == LoadSource.STORE
+                    && (blocked > MAX_BLOCKED_PER_SECOND
+                            || keepsAdaptersAvailable && isNeededForAdapters(engine))) {
                 return Optional.empty();
             }
             double costPerSecond = 1 + demand.arrivalsPerSecond(model) + blocked;
@@ -273,6 +291,24 @@
                     engine, source, cost, evictionCost, losesLastCopy(engine, model, plan));
         }
 
+        // A load from the store takes seconds, in which the engine accepts no order for an adapter.
+        // If all engines were needed for adapters, no model could be loaded from the store any
+        // more.
+        private boolean isNeededForAdapters(EngineState engine) {
+            for (String held : engine.held().adapters().keySet()) {
+                if (fleet.availableReplicas(held) <= 1 && usesAdapters(engine, held)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        // Until demand is known, the adapters that are loaded are taken to be in use.
+        private boolean usesAdapters(EngineState engine, String model) {
+            return demand.adapterArrivalsPerSecond(model) > 0
+                    || demand.isWarmingUp(now) && !engine.held().adapters().get(model).isEmpty();
+        }
+
         private double blockedAdapterRequests(EngineState engine) {
             double blocked = 0;
             for (String held : engine.held().adapters().keySet()) {
