--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
@@ -492,7 +492,9 @@
                 untouchedReserve(table, permission.shareHolders(account.workspace.id()).size());
         ShareTable redistributed =
                 table.redistributed(self, giveAway ? target : own.part(), want, reserve);
-        boolean wantChanged = Math.abs(want - own.want()) > MIN_WANT_CHANGE;
+        // Routers that started first knew a short list, and wanted the part of a small fleet.
+        int leastChange = ranksStandbys(account) ? MIN_MOVED_PART : MIN_WANT_CHANGE;
+        boolean wantChanged = Math.abs(want - own.want()) > leastChange;
         int moved = 0;
         for (Map.Entry<Incarnation, ShareTable.Share> entry : redistributed.shares().entrySet()) {
             moved += Math.max(0, entry.getValue().part() - table.part(entry.getKey()));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareHolders.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareHolders.java
@@ -12,7 +12,7 @@
 
 /**
  * Selects the routers that hold shares of a workspace: {@code ShareHolders.select(workspace,
- * routers)}.
+ * candidates, routers)}.
  *
  * <p>With a handful of routers all of them hold one. With dozens, a share would be smaller than a
  * usual request, so that most requests would need transfers from many routers, and at each start
@@ -32,9 +32,18 @@
 
     private ShareHolders() {}
 
-    static Set<VmId> select(WorkspaceId workspace, Collection<VmId> routers) {
-        int count = routers.size() <= MAX_ROUTERS_ALL_HOLDERS ? routers.size() : HOLDERS_OF_MANY;
-        return routers.stream().sorted(order(workspace)).limit(count).collect(Collectors.toSet());
+    /**
+     * Returns the holders.
+     *
+     * @param candidates the routers that may be holders
+     * @param routers number of all routers
+     */
+    static Set<VmId> select(WorkspaceId workspace, Collection<VmId> candidates, int routers) {
+        int count = routers <= MAX_ROUTERS_ALL_HOLDERS ? candidates.size() : HOLDERS_OF_MANY;
+        return candidates.stream()
+                .sorted(order(workspace))
+                .limit(count)
+                .collect(Collectors.toSet());
     }
 
     /** Returns the designated owner, which should hold most of the workspace. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingPermission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/SpendingPermission.java
@@ -106,7 +106,7 @@
     }
 
     private Set<VmId> selectShareHolders(WorkspaceId workspace) {
-        return ShareHolders.select(workspace, candidates());
+        return ShareHolders.select(workspace, candidates(), routers().size());
     }
 
     /**
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/WorkspaceOwnerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/WorkspaceOwnerTest.java
@@ -30,6 +30,7 @@
 
     private final Map<VmId, RateMachine> routers = new TreeMap<>();
     private final Set<VmId> lostRouters = new TreeSet<>();
+    private final Set<VmId> holderCandidates = new TreeSet<>();
     private final Map<Long, Boolean> admitted = new HashMap<>();
     private final Map<Long, Duration> retryAfter = new HashMap<>();
     private ShareTable stored;
@@ -197,6 +198,24 @@
         assertEquals(true, admitted.get(after));
     }
 
+    // Guards against standbys that keep the small parts of a small fleet, as the large routers
+    // start
+    // before the others are on the list. A workspace would then be refused while its owner is lost.
+    @Test
+    void standbysHoldNearlyHalfThoughTheListWasShortAtFirst() {
+        start(sixRouters());
+        advance(5_000);
+        holderCandidates.addAll(sixRouters());
+        start(fifteenRouters());
+        advance(12_000);
+        int standby =
+                stored.shares().values().stream()
+                        .filter(share -> !share.vm().equals(owner()))
+                        .mapToInt(ShareTable.Share::part)
+                        .sum();
+        assertTrue(standby >= 0.4 * ShareTable.WHOLE, stored.toString());
+    }
+
     // Guards against refusals within the rate because the remaining tokens are spread over dozens
     // of routers, too few at each for a request.
     @Test
@@ -310,7 +329,10 @@
         Set<VmId> listed = new TreeSet<>(routers.keySet());
         listed.removeAll(lostRouters);
         for (VmId vm : listed) {
-            feed(vm, new RateInput.RoutersListed(listed));
+            feed(
+                    vm,
+                    new RateInput.RoutersListed(
+                            listed, holderCandidates.isEmpty() ? listed : holderCandidates));
         }
     }
 
