--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/EvenShare.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/EvenShare.java
@@ -43,6 +43,11 @@
         return total / fleet.size() + extra;
     }
 
+    @Override
+    public int routers() {
+        return Math.max(1, routers.get().size());
+    }
+
     private int rank(UpstreamId upstream, Collection<VmId> fleet) {
         long ownHash = hash(upstream, self);
         int before = 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/cold/UpstreamShare.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/cold/UpstreamShare.java
@@ -17,4 +17,9 @@
      * @param all number of requests that all routers may send together in the same period
      */
     int of(UpstreamId upstream, double all);
+
+    /** Returns the number of routers that share the upstreams. */
+    default int routers() {
+        return 1;
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * One version of the complete configuration that operators have set.
@@ -27,6 +28,15 @@
         return Optional.ofNullable(keys.get(key)).map(workspaces::get);
     }
 
+    /** Returns the memory for running requests of one upstream of each model service, in tokens. */
+    public Map<String, Long> tokenMemory() {
+        return modelServices().stream()
+                .collect(
+                        Collectors.toMap(
+                                ServiceSpec::name,
+                                each -> each.engine().map(EngineSpec::kvTokens).orElse(0L)));
+    }
+
     /** Returns the model services. */
     public List<ServiceSpec> modelServices() {
         return services.values().stream().filter(each -> each.engine().isPresent()).toList();
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/TokensInUse.java
@@ -0,0 +1,29 @@
+package io.damaskyoke.control.upstreams;
+
+/** The tokens that requests take in an upstream's memory, as far as this router can tell. */
+final class TokensInUse {
+    /** Weight of the newest request in the moving average: about the last thirty count. */
+    private static final double NEWEST_WEIGHT = 0.03;
+
+    private long own;
+    private double mean;
+
+    /** Records a request of this router that is assigned to the upstream. */
+    void add(TokenUsage tokens) {
+        own += tokens.total();
+        mean = mean == 0 ? tokens.total() : mean + NEWEST_WEIGHT * (tokens.total() - mean);
+    }
+
+    /** Records that a request of this router has finished. */
+    void remove(TokenUsage tokens) {
+        own -= tokens.total();
+    }
+
+    /**
+     * Returns the tokens in use by this router's requests and by so many others, which count as
+     * this router's mean request.
+     */
+    double with(double others) {
+        return own + others * mean;
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -31,6 +32,8 @@
     private final ColdGate cold;
     private final LimitGate limit;
     private final Map<ModelRef, Integer> runningByModel = new TreeMap<>();
+    private final RelativeTime relativeTime = new RelativeTime();
+    private final TokensInUse tokens = new TokensInUse();
     private UpstreamFacts facts;
     private HeldModels held;
     private Instant leaderAnnouncedAt = Instant.MIN;
@@ -39,6 +42,7 @@
     private Instant loadReportedAt = Instant.MIN;
     private double averageMillis;
     private Instant fullUntil = Instant.MIN;
+    private long tokenMemory;
 
     Upstream(UpstreamFacts facts, DrainedZones zones, UpstreamGates gates, Instant now) {
         this.zones = zones;
@@ -129,8 +133,8 @@
     }
 
     /**
-     * Returns the moving average of the time to the first byte of an answer, in milliseconds; 0 if
-     * none has come yet.
+     * Returns the moving average of the time to the first byte of an answer, in milliseconds and at
+     * the usual speed of the upstream; 0 if none has come yet.
      */
     public double averageMillis() {
         return averageMillis;
@@ -138,12 +142,44 @@
 
     /** Returns the estimated number of requests there now, from this router and the others. */
     public double load(Instant now) {
+        return inFlight + others(now);
+    }
+
+    private double others(Instant now) {
         double age =
                 loadReportedAt.equals(Instant.MIN)
                         ? LOAD_VALID_MILLIS
                         : millis(loadReportedAt, now);
         double fresh = Math.max(0, 1 - age / LOAD_VALID_MILLIS);
-        return inFlight + othersReported * fresh;
+        return othersReported * fresh;
+    }
+
+    /** Returns true if it has ever reported how long work takes there, however long ago. */
+    public boolean reportsRelativeTime() {
+        return relativeTime.isKnown();
+    }
+
+    /** Returns the age of the relative time that it has last reported, if there is any. */
+    public Optional<Duration> relativeTimeAge(Instant now) {
+        return relativeTime.age(now);
+    }
+
+    /** Returns how many times as long as usual work takes there now; 1 if that is not known. */
+    double timeFactor(Instant now) {
+        return relativeTime.factor(now);
+    }
+
+    /**
+     * Returns true if its memory has room for the request beside those that run there, or if the
+     * size of its memory is not known.
+     */
+    boolean hasTokenRoom(TokenUsage request, Instant now) {
+        return tokenMemory == 0 || tokens.with(others(now)) + request.total() <= tokenMemory;
+    }
+
+    /** Sets its memory for running requests in tokens; 0 if that is not known. */
+    void setTokenMemory(long size) {
+        tokenMemory = size;
     }
 
     /** Returns the number of this router's requests there now. */
@@ -156,9 +192,15 @@
         return now.isBefore(fullUntil);
     }
 
-    /** Records that a request was assigned to the upstream and is about to be sent. */
+    /** Records that a request that states no tokens was assigned to the upstream. */
     public void requestAssigned(ModelRef model, Instant now) {
+        requestAssigned(model, TokenUsage.UNKNOWN, now);
+    }
+
+    /** Records that a request was assigned to the upstream and is about to be sent. */
+    public void requestAssigned(ModelRef model, TokenUsage usage, Instant now) {
         inFlight++;
+        tokens.add(usage);
         cold.sendStarted();
         limit.sendStarted();
         health.requestSent(now);
@@ -196,9 +238,15 @@
         return cold.connectionLost(now);
     }
 
-    /** Records that a request there is finished, whatever its outcome. */
+    /** Records that a request there that states no tokens is finished, whatever its outcome. */
     public void requestFinished(ModelRef model) {
+        requestFinished(model, TokenUsage.UNKNOWN);
+    }
+
+    /** Records that a request there is finished, whatever its outcome. */
+    public void requestFinished(ModelRef model, TokenUsage usage) {
         inFlight--;
+        tokens.remove(usage);
         if (model != null) {
             runningByModel.computeIfPresent(model, (any, count) -> count == 1 ? null : count - 1);
         }
@@ -212,7 +260,7 @@
     public void requestAnswered(Duration took, Instant now) {
         health.requestAnswered();
         cold.answerReceived(now);
-        double millis = took.toNanos() / NANOS_PER_MILLI;
+        double millis = took.toNanos() / NANOS_PER_MILLI / relativeTime.factor(now);
         averageMillis =
                 averageMillis == 0
                         ? millis
@@ -242,8 +290,13 @@
 
     /** Records the load that an answer reported. */
     public void loadReported(LoadReport load, Instant now) {
-        othersReported = Math.max(0, load.running() + load.waiting() - inFlight);
-        loadReportedAt = now;
+        if (load.requests().isPresent()) {
+            othersReported = Math.max(0, load.requests().getAsInt() - inFlight);
+            loadReportedAt = now;
+        }
+        if (load.relativeTime().isPresent()) {
+            relativeTime.report(load.relativeTime().getAsInt(), now);
+        }
     }
 
     /** Takes the leader's announcement of the models that it holds. */
@@ -276,6 +329,7 @@
                         && now.isBefore(leaderAnnouncedAt.plus(MAX_ENTRY_DELAY));
         if (newIncarnation) {
             limit.reset();
+            relativeTime.discard();
         }
         if (newIncarnation || !announcedRecently) {
             held = given.held();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
@@ -2,41 +2,39 @@
 
 import io.damaskyoke.control.cold.UpstreamShare;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 
 /**
  * Picks the upstream that is expected to answer a request first.
  *
  * <p>The pattern: a dozen upstreams of different speed behind several routers that see only a part
- * of their load. Upstreams are compared by one predicted time in milliseconds, which covers the
- * usual time to answer, the queue, recent failures, a cold start and the distance to another zone.
- * A failing upstream thus gets fewer requests long before it is ejected, and an upstream in a
- * drained zone gets requests only if no other can serve them.
+ * of their load. Upstreams are compared by one {@linkplain AnswerEstimate predicted time}. A
+ * failing upstream thus gets fewer requests long before it is ejected, and an upstream in a drained
+ * zone gets requests only if no other can serve them.
+ *
+ * <p>Where upstreams report how long work takes there now, that counts too, an upstream without
+ * room for the request's tokens comes after the others, and routers of a large fleet choose between
+ * two upstreams drawn at random: with the same old reports, all would send to the same one.
  */
 public final class UpstreamSelector {
-    /** Estimated cost of a failed request to its caller: the wait and the second attempt. */
-    private static final double FAILURE_COST_MILLIS = 1_500;
-
-    /** Round trip between zones; also makes the router prefer its own zone among equals. */
-    private static final double OTHER_ZONE_ROUND_TRIP_MILLIS = 2;
-
-    /** Estimated delay of an answer by a cold upstream. */
-    private static final double COLD_DELAY_MILLIS = 100;
+    /** In larger fleets, each router sees too little of the load to compare all upstreams. */
+    private static final int MAX_ROUTERS_THAT_COMPARE_ALL = 6;
 
-    /** Estimated delay of a batch for each request in it. */
-    private static final double BATCH_MILLIS_PER_REQUEST = 0.5;
+    /** What all routers together may send to an upstream at once, as a multiple of its slots. */
+    private static final int MAX_REQUESTS_PER_SLOT = 4;
 
-    /** Longer than any wait that a caller accepts, so that any other upstream is preferred. */
-    private static final double DRAINED_ZONE_PENALTY_MILLIS = 60_000;
-
-    /** Assumed time to answer of an upstream that has not answered yet. */
-    private static final double ASSUMED_ANSWER_MILLIS = 20;
-
-    private final String zone;
+    private final AnswerEstimate estimate;
     private final double slotFactor;
     private final UpstreamShare share;
+    private final RandomGenerator random;
+    private final List<Upstream> candidates = new ArrayList<>();
 
     /**
      * Creates a selector for a router.
@@ -45,11 +43,25 @@
      * @param slotFactor an upstream counts as full from this many times its slots on
      * @param share this router's share of the requests that a limited upstream can take from all
      *     routers
+     * @param random draws the two upstreams between which a router of a large fleet chooses
      */
-    public UpstreamSelector(String zone, double slotFactor, UpstreamShare share) {
-        this.zone = zone;
+    public UpstreamSelector(
+            String zone, double slotFactor, UpstreamShare share, RandomGenerator random) {
+        this.estimate = new AnswerEstimate(zone);
         this.slotFactor = slotFactor;
         this.share = share;
+        this.random = random;
+    }
+
+    /** Creates a selector with a random generator of its own. */
+    public UpstreamSelector(String zone, double slotFactor, UpstreamShare share) {
+        this(zone, slotFactor, share, new SplittableRandom());
+    }
+
+    /** Returns the best upstream for a request that states no tokens. */
+    public Optional<Upstream> pick(
+            List<Upstream> all, ModelRef model, Set<UpstreamId> tried, Instant now) {
+        return pick(all, model, TokenUsage.UNKNOWN, tried, now);
     }
 
     /**
@@ -57,19 +69,24 @@
      * before.
      */
     public Optional<Upstream> pick(
-            List<Upstream> all, ModelRef model, Set<UpstreamId> tried, Instant now) {
-        Upstream best = null;
-        double least = Double.MAX_VALUE;
+            List<Upstream> all,
+            ModelRef model,
+            TokenUsage tokens,
+            Set<UpstreamId> tried,
+            Instant now) {
+        boolean speedsReported = anyReportsRelativeTime(all);
         for (Upstream upstream : all) {
-            if (!isCandidate(upstream, model, now) || tried.contains(upstream.facts().id())) {
-                continue;
-            }
-            double millis = predictedMillis(upstream, now);
-            if (millis < least) {
-                least = millis;
-                best = upstream;
+            if (isCandidate(upstream, model, speedsReported, now)
+                    && !tried.contains(upstream.facts().id())) {
+                candidates.add(upstream);
             }
         }
+        if (speedsReported) {
+            keepPreferred(tokens, now);
+            drawCandidates();
+        }
+        Upstream best = best(speedsReported, now);
+        candidates.clear();
         return Optional.ofNullable(best);
     }
 
@@ -81,11 +98,22 @@
         return all.stream().anyMatch(each -> each.accepts(now) && holds(each, model));
     }
 
-    private boolean isCandidate(Upstream upstream, ModelRef model, Instant now) {
+    private static boolean anyReportsRelativeTime(List<Upstream> all) {
+        for (Upstream upstream : all) {
+            if (upstream.reportsRelativeTime()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isCandidate(
+            Upstream upstream, ModelRef model, boolean speedsReported, Instant now) {
         return upstream.accepts(now)
                 && !upstream.isFull(now)
                 && upstream.load(now) < maxLoad(upstream)
                 && holds(upstream, model)
+                && (!speedsReported || isWithinShare(upstream))
                 && upstream.hasCapacity(share, now);
     }
 
@@ -97,21 +125,54 @@
         return upstream.facts().slots() * slotFactor;
     }
 
-    private double predictedMillis(Upstream upstream, Instant now) {
-        double average =
-                upstream.averageMillis() == 0 ? ASSUMED_ANSWER_MILLIS : upstream.averageMillis();
-        double load = upstream.load(now);
-        int slots = Math.max(1, upstream.facts().slots());
-        double queued = Math.max(0, load + 1 - slots) * average / slots;
-        double cold = upstream.isCold(now) ? COLD_DELAY_MILLIS : 0;
-        double otherZone = upstream.facts().zone().equals(zone) ? 0 : OTHER_ZONE_ROUND_TRIP_MILLIS;
-        double drained = upstream.isZoneDrained() ? DRAINED_ZONE_PENALTY_MILLIS : 0;
-        return average
-                + queued
-                + load * BATCH_MILLIS_PER_REQUEST
-                + upstream.failureRate() * FAILURE_COST_MILLIS
-                + cold
-                + otherZone
-                + drained;
+    // Below an even part the exact share, which takes longer to compute, makes no difference.
+    private boolean isWithinShare(Upstream upstream) {
+        int all = MAX_REQUESTS_PER_SLOT * upstream.facts().slots();
+        return upstream.inFlight() < Math.max(1, all / share.routers())
+                || upstream.inFlight() < share.of(upstream.facts().id(), all);
+    }
+
+    // Keeps those outside drained zones, and of these the ones with room for the tokens, if any.
+    private void keepPreferred(TokenUsage tokens, Instant now) {
+        keepIfAny(candidates, each -> !each.isZoneDrained());
+        keepIfAny(candidates, each -> each.hasTokenRoom(tokens, now));
+    }
+
+    private void drawCandidates() {
+        if (candidates.size() <= 2 || share.routers() <= MAX_ROUTERS_THAT_COMPARE_ALL) {
+            return;
+        }
+        for (int drawn = 0; drawn < 2; drawn++) {
+            Collections.swap(candidates, drawn, random.nextInt(drawn, candidates.size()));
+        }
+        candidates.subList(2, candidates.size()).clear();
+    }
+
+    private Upstream best(boolean speedsReported, Instant now) {
+        Upstream best = null;
+        double least = Double.MAX_VALUE;
+        for (Upstream upstream : candidates) {
+            double millis =
+                    speedsReported
+                            ? estimate.millisAtCurrentSpeed(upstream, now)
+                            : estimate.millis(upstream, now);
+            if (millis < least) {
+                least = millis;
+                best = upstream;
+            }
+        }
+        return best;
+    }
+
+    private static void keepIfAny(List<Upstream> from, Predicate<Upstream> preferred) {
+        int kept = 0;
+        for (int index = 0; index < from.size(); index++) {
+            if (preferred.test(from.get(index))) {
+                Collections.swap(from, kept++, index);
+            }
+        }
+        if (kept > 0) {
+            from.subList(kept, from.size()).clear();
+        }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -24,6 +24,7 @@
     private final DrainedZones zones;
     private final Map<UpstreamId, UpstreamGates> gates = new HashMap<>();
     private Map<String, ColdLimit> coldLimits = Map.of();
+    private Map<String, Long> tokenMemory = Map.of();
     private long revision;
 
     /** Creates a table of upstreams whose zones may be drained. */
@@ -49,7 +50,9 @@
         }
         Upstream known = byId.get(facts.id());
         if (known == null) {
-            byId.put(facts.id(), new Upstream(facts, zones, gates(facts), now));
+            Upstream added = new Upstream(facts, zones, gates(facts), now);
+            added.setTokenMemory(tokenMemory.getOrDefault(facts.service(), 0L));
+            byId.put(facts.id(), added);
             index();
             return true;
         }
@@ -101,6 +104,16 @@
         byId.values().forEach(each -> gates(each.facts()));
     }
 
+    /** Sets the memory for running requests of each service's upstreams, in tokens. */
+    public void setTokenMemory(Map<String, Long> given) {
+        tokenMemory = Map.copyOf(given);
+        byId.values()
+                .forEach(
+                        each ->
+                                each.setTokenMemory(
+                                        tokenMemory.getOrDefault(each.facts().service(), 0L)));
+    }
+
     /** Records that the upstreams of the zone may have become cold just now, without a report. */
     public void markPossiblyCold(String zone, Instant now) {
         byId.values().stream()
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -270,6 +270,7 @@
                 crashes,
                 lostUpstreams,
                 limits,
+                new ReportedLoads(clock, upstreams, metrics),
                 settings.answerLimits());
     }
 
@@ -489,6 +490,7 @@
         callers.limits(now.limits());
         dispatcher.setEngineServices(now.modelServices());
         upstreams.setColdLimits(ColdLimits.of(now, settings.cold()));
+        upstreams.setTokenMemory(now.tokenMemory());
         coordinator.configurationChanged(now);
         Map<WorkspaceId, Workspace> limited = new HashMap<>();
         for (WorkspaceSpec workspace : now.workspaces().values()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -24,6 +24,7 @@
     private final PoisonRequestDetector crashes;
     private final LostUpstreamAnnouncer lostUpstreams;
     private final DeclaredLimits limitedUpstreams;
+    private final ReportedLoads reportedLoads;
     private final DirectSettings.AnswerLimits answerLimits;
     private final RequestLog requestLog;
     private final UnservedModels unservedModels = new UnservedModels();
@@ -49,6 +50,7 @@
             PoisonRequestDetector crashes,
             LostUpstreamAnnouncer lostUpstreams,
             DeclaredLimits limitedUpstreams,
+            ReportedLoads reportedLoads,
             DirectSettings.AnswerLimits answerLimits) {
         this.dialect = dialect;
         this.client = client;
@@ -59,6 +61,7 @@
         this.crashes = crashes;
         this.lostUpstreams = lostUpstreams;
         this.limitedUpstreams = limitedUpstreams;
+        this.reportedLoads = reportedLoads;
         this.answerLimits = answerLimits;
         this.requestLog = new RequestLog(clock);
     }
@@ -87,6 +90,10 @@
         return limitedUpstreams;
     }
 
+    ReportedLoads reportedLoads() {
+        return reportedLoads;
+    }
+
     DirectSettings.AnswerLimits answerLimits() {
         return answerLimits;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAnswer.java
@@ -15,6 +15,7 @@
  * @param contentEncoded whether the body has a content encoding, so that it is not as the upstream
  *     made it
  * @param load the load that the upstream reports, if it does
+ * @param invalidLoadFigures number of the figures of its load that make no sense and are ignored
  * @param limit the limit on concurrent requests that the upstream declares
  */
 public record UpstreamAnswer(
@@ -24,6 +25,7 @@
         boolean sealed,
         boolean contentEncoded,
         Optional<LoadReport> load,
+        int invalidLoadFigures,
         RequestLimit limit) {
     /** Returns true for a 2xx status, which callers take as a success. */
     public boolean isSuccess() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -68,7 +68,7 @@
     }
 
     void start() {
-        upstream.requestAssigned(forwarded.model().orElse(null), sentAt);
+        upstream.requestAssigned(forwarded.model().orElse(null), forwarded.tokenUsage(), sentAt);
         String attemptId = forwarded.request().attemptId();
         ClientRequest request =
                 new ClientRequest(
@@ -154,7 +154,7 @@
         lastReceivedAt = inFlight.now();
         headers = fromUpstream;
         answer = inFlight.dialect().answer(status, fromUpstream, upstream.facts().id());
-        answer.load().ifPresent(load -> upstream.loadReported(load, lastReceivedAt));
+        inFlight.reportedLoads().answerReceived(upstream, answer);
         inFlight.limitedUpstreams().limitReceived(upstream, answer.limit(), sentAt);
         inFlight.crashes().upstreamAnswered(upstream, sentAt);
     }
@@ -355,7 +355,7 @@
         if (!sent) {
             upstream.requestNotSent();
         }
-        upstream.requestFinished(forwarded.model().orElse(null));
+        upstream.requestFinished(forwarded.model().orElse(null), forwarded.tokenUsage());
         inFlight.sendQueued(forwarded.service());
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -101,8 +102,10 @@
         this.clock = clock;
         this.afterReads = afterReads;
         this.regions = Map.copyOf(regions);
-        this.plainSelector = new UpstreamSelector(zone, PLAIN_REQUESTS_PER_SLOT, share);
-        this.engineSelector = new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share);
+        this.plainSelector =
+                new UpstreamSelector(zone, PLAIN_REQUESTS_PER_SLOT, share, new SplittableRandom());
+        this.engineSelector =
+                new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share, new SplittableRandom());
     }
 
     /** Sets the action that runs when a request is queued for a model that no upstream holds. */
@@ -285,6 +288,7 @@
                     selector.pick(
                             candidates(request),
                             request.model().orElse(null),
+                            request.tokenUsage(),
                             request.excludedUpstreams(),
                             clock.instant());
             if (upstream.isEmpty()) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -116,7 +116,14 @@
     @Override
     public UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected) {
         return new UpstreamAnswer(
-                status, status == 503, false, true, false, Optional.empty(), RequestLimit.NO_LIMIT);
+                status,
+                status == 503,
+                false,
+                true,
+                false,
+                Optional.empty(),
+                0,
+                RequestLimit.NO_LIMIT);
     }
 
     @Override
