--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/AnswerEstimate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/AnswerEstimate.java
@@ -57,9 +57,10 @@
                 + delayMillis(upstream, now);
     }
 
-    private static double usualMillis(Upstream upstream) {
+    /** Returns the usual time to answer, without a queue or delays. */
+    static double usualMillis(Upstream upstream) {
         double average = upstream.averageMillis();
-        return average == 0 ? ASSUMED_ANSWER_MILLIS : average;
+        return average > 0 ? average : ASSUMED_ANSWER_MILLIS;
     }
 
     private static double queuedMillis(Upstream upstream, double load, double each) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -15,6 +15,7 @@
  */
 public final class Upstream {
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
 
     /**
      * The load that an answer reported loses weight linearly and no longer counts after this time.
@@ -146,6 +147,9 @@
     }
 
     private double others(Instant now) {
+        if (othersReported == 0) {
+            return 0;
+        }
         double age =
                 loadReportedAt.equals(Instant.MIN)
                         ? LOAD_VALID_MILLIS
@@ -337,7 +341,9 @@
         return true;
     }
 
+    // Without a Duration, as this runs for each upstream at each choice.
     private static double millis(Instant from, Instant to) {
-        return Duration.between(from, to).toNanos() / NANOS_PER_MILLI;
+        long seconds = to.getEpochSecond() - from.getEpochSecond();
+        return (seconds * NANOS_PER_SECOND + to.getNano() - from.getNano()) / NANOS_PER_MILLI;
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
@@ -142,12 +142,29 @@
         if (candidates.size() <= 2 || share.routers() <= MAX_ROUTERS_THAT_COMPARE_ALL) {
             return;
         }
-        for (int drawn = 0; drawn < 2; drawn++) {
-            Collections.swap(candidates, drawn, random.nextInt(drawn, candidates.size()));
-        }
+        Collections.swap(candidates, 0, draw(0));
+        Collections.swap(candidates, 1, draw(1));
         candidates.subList(2, candidates.size()).clear();
     }
 
+    // Draws in proportion to the usual speed. Drawn evenly, two slow upstreams would come together
+    // so often that they get more than they can serve.
+    private int draw(int from) {
+        int last = candidates.size() - 1;
+        double sum = 0;
+        for (int index = from; index <= last; index++) {
+            sum += 1 / AnswerEstimate.usualMillis(candidates.get(index));
+        }
+        double left = random.nextDouble() * sum;
+        for (int index = from; index < last; index++) {
+            left -= 1 / AnswerEstimate.usualMillis(candidates.get(index));
+            if (left < 0) {
+                return index;
+            }
+        }
+        return last;
+    }
+
     private Upstream best(boolean speedsReported, Instant now) {
         Upstream best = null;
         double least = Double.MAX_VALUE;
