--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -118,8 +119,10 @@
         this.clock = clock;
         this.afterReads = afterReads;
         this.regions = Map.copyOf(regions);
-        this.plainSelector = new UpstreamSelector(zone, PLAIN_REQUESTS_PER_SLOT, share);
-        this.engineSelector = new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share);
+        this.plainSelector =
+                new UpstreamSelector(zone, PLAIN_REQUESTS_PER_SLOT, share, new SplittableRandom());
+        this.engineSelector =
+                new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share, new SplittableRandom());
     }
 
     /** Sets the action that runs when a request is queued for a model that no upstream holds. */
@@ -416,6 +419,7 @@
                 selector.pick(
                         candidates(request),
                         request.model().orElse(null),
+                        request.tokenUsage(),
                         request.excludedUpstreams(),
                         clock.instant());
         if (upstream.isEmpty()) {
