--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -36,6 +36,9 @@
      */
     private static final Duration LOAD_TIME_MARGIN = Duration.ofMillis(30);
 
+    /** An unload that takes longer waits for a running request. */
+    private static final Duration MAX_IDLE_UNLOAD_TIME = Duration.ofMillis(300);
+
     /** Age that a report has at most when it arrives. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
@@ -358,6 +361,16 @@
         return assumedDone != null;
     }
 
+    /**
+     * Returns true if the last accepted order unloads a model and may take this long although no
+     * request runs on the model.
+     */
+    boolean hasJustBegunToUnload(Instant now) {
+        return assumedDone != null
+                && assumedDone.operation() == OrderOperation.UNLOAD
+                && now.isBefore(assumedDone.dueAt().plus(MAX_IDLE_UNLOAD_TIME));
+    }
+
     /** Returns true if a report would now show whether the assumption is right. */
     boolean isAssumptionToBeChecked(Instant now) {
         return assumedDone != null && isReportConclusive(now);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -51,6 +51,12 @@
     /** Pause after a conflict, in which the upstream can finish the order that it carries out. */
     private static final Duration PAUSE_AFTER_CONFLICT = Duration.ofMillis(80);
 
+    /**
+     * The same after a conflict with the unload of an idle model, which takes less than the lag of
+     * the report that would show its end.
+     */
+    private static final Duration PAUSE_DURING_UNLOAD = Duration.ofMillis(40);
+
     /** Pause after an upstream has refused an order. */
     private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(500);
 
@@ -376,8 +382,6 @@
             engine.requireReport();
             return;
         }
-        // The order before this one is probably still carried out.
-        engine.withdrawAssumption();
         boolean loadsModel =
                 pending.operation() == OrderOperation.LOAD && !pending.model().hasAdapter();
         if (loadsModel) {
@@ -385,6 +389,12 @@
                     new EngineState.PlannedLoad(
                             pending.model().model(), now.plus(PLANNED_LOAD_LIFETIME)));
         }
+        if (loadsModel && engine.hasJustBegunToUnload(now)) {
+            engine.pauseUntil(now.plus(PAUSE_DURING_UNLOAD));
+            return;
+        }
+        // The order before this one is probably still carried out.
+        engine.withdrawAssumption();
         actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnreportedOrdersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnreportedOrdersTest.java
@@ -54,6 +54,7 @@
     void aLoadThatMeetsAnUnloadInProgressIsRepeatedOnceAReportShowsItsEnd() {
         startUnload(Map.of());
         answer(OrderOutcome.ACCEPTED);
+        now = now.plusMillis(320);
         answer(OrderOutcome.CONFLICT);
         now = now.plusMillis(100);
         report(true, held(1, "a", "b", "c"));
@@ -65,6 +66,23 @@
         assertEquals(3, sent.size());
     }
 
+    // Guards against an upstream that is idle until a report shows the end of an unload, which
+    // takes
+    // a fraction of the time by which reports lag.
+    @Test
+    void aLoadThatMeetsAnUnloadThatHasJustBegunIsRepeatedWithoutAReport() {
+        startUnload(Map.of());
+        answer(OrderOutcome.ACCEPTED);
+        now = now.plusMillis(5);
+        answer(OrderOutcome.CONFLICT);
+        tick();
+        assertEquals(2, sent.size());
+        now = now.plusMillis(40);
+        tick();
+        assertEquals(3, sent.size());
+        assertEquals("LOAD d 1", lastOrder());
+    }
+
     // Guards against an upstream that counts as loading until a report that lags shows the model.
     @Test
     void aLoadFromDiskIsFinishedOnceItsTimeHasPassed() {
