--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -333,11 +333,19 @@
         }
 
         private void listChanged() {
-            large = LargeRouters.of(routers.values());
+            updateLargeRouters();
             plan = WatchPlan.of(vms(), large::contains);
             onChange.run();
         }
 
+        private void updateLargeRouters() {
+            Set<VmId> now = LargeRouters.of(routers.values());
+            if (now.size() != large.size()) {
+                LOG.info("large routers: {} of {}", now.size(), routers.size());
+            }
+            large = now;
+        }
+
         private void put(String key, Optional<Entry> entry) {
             if (key.equals(leaderKey())) {
                 leader =
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/WatchPlan.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/WatchPlan.java
@@ -56,9 +56,13 @@
         if (routers.size() <= MAX_ALL_WATCHING) {
             return new WatchPlan(List.copyOf(routers), true);
         }
-        List<Vm> ranked = ranked(routers.stream().filter(vm -> mayWatch.test(vm.id())).toList());
         int zones = (int) routers.stream().map(Vm::zone).distinct().count();
         int count = Math.min(MAX_WATCHERS, Math.max(MIN_WATCHERS, zones));
+        List<Vm> ranked = ranked(routers.stream().filter(vm -> mayWatch.test(vm.id())).toList());
+        if (ranked.size() < count) {
+            // Those that may watch are all in one or two of the zones.
+            ranked = ranked(routers);
+        }
         return new WatchPlan(List.copyOf(ranked.subList(0, Math.min(count, ranked.size()))), false);
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/WatchPlanTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/WatchPlanTest.java
@@ -59,6 +59,21 @@
         first.values().forEach(asked -> assertTrue(asked <= 60, first.toString()));
     }
 
+    // Guards against watchers, and so leaders, on small VMs.
+    @Test
+    void onlyLargeRoutersWatchWhereTheyAreInAllZones() {
+        WatchPlan plan = WatchPlan.of(routers(27, 3), router -> number(router) < 6);
+        assertEquals(4, plan.watchers().size());
+        plan.watchers().forEach(each -> assertTrue(number(each) < 6, each.value()));
+    }
+
+    // Guards against too few watchers where the large routers are in one zone.
+    @Test
+    void smallRoutersWatchTooWhereTheLargeOnesAreInOneZone() {
+        WatchPlan plan = WatchPlan.of(routers(27, 3), router -> number(router) % 3 == 0);
+        assertEquals(4, plan.watchers().size());
+    }
+
     @Test
     void theSameListGivesTheSamePlan() {
         List<Vm> other = new ArrayList<>(routers(33, 5));
