--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -36,10 +36,10 @@
      */
     private static final Duration LOAD_TIME_MARGIN = Duration.ofMillis(30);
 
-    /** An unload that takes longer waits for a running request. */
+    /** Longest unload of an idle model; one that takes longer waits for a running request. */
     private static final Duration MAX_IDLE_UNLOAD_TIME = Duration.ofMillis(300);
 
-    /** Age that a report has at most when it arrives. */
+    /** Greatest age of a report at its arrival. Measured lags are 100 and 200 ms. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     private final EngineSpec spec;
@@ -362,8 +362,8 @@
     }
 
     /**
-     * Returns true if the last accepted order unloads a model and may take this long although no
-     * request runs on the model.
+     * Returns true if the last accepted order unloads a model and was accepted so recently that the
+     * upstream may still be unloading although no request runs on the model.
      */
     boolean hasJustBegunToUnload(Instant now) {
         return assumedDone != null
@@ -390,8 +390,8 @@
     }
 
     /**
-     * Returns true if the pending order is a load from the upstream's own copy that takes no longer
-     * than configured and is over by that time.
+     * Returns true if the pending order is a load from the upstream's disk or main memory whose
+     * configured time has passed, unless the load has already been found to take longer.
      */
     boolean isLoadTimeOver(Instant now) {
         return pending != null
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -52,8 +52,8 @@
     private static final Duration PAUSE_AFTER_CONFLICT = Duration.ofMillis(80);
 
     /**
-     * The same after a conflict with the unload of an idle model, which takes less than the lag of
-     * the report that would show its end.
+     * Pause after a conflict with the unload of an idle model. Such an unload takes up to 50 ms,
+     * less than the lag of the report that would show its end.
      */
     private static final Duration PAUSE_DURING_UNLOAD = Duration.ofMillis(40);
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
@@ -292,8 +292,7 @@
         }
 
         // A load from the store takes seconds, in which the engine accepts no order for an adapter.
-        // If all engines were needed for adapters, no model could be loaded from the store any
-        // more.
+        // If all engines were needed for adapters, no model could be loaded from the store.
         private boolean isNeededForAdapters(EngineState engine) {
             for (String held : engine.held().adapters().keySet()) {
                 if (fleet.availableReplicas(held) <= 1 && usesAdapters(engine, held)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/waiting/ArrivalRefusals.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/waiting/ArrivalRefusals.java
@@ -11,7 +11,7 @@
 /**
  * Decides which of the requests that are predicted to wait too long are refused at arrival. One
  * request for each model in each second is queued all the same: its wait corrects a wrong
- * prediction, and it is what the model is loaded for.
+ * prediction, and the leader loads models only for queued requests.
  */
 public final class ArrivalRefusals {
     private static final Logger LOG = LogManager.getLogger(ArrivalRefusals.class);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/UnreadResponses.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/UnreadResponses.java
@@ -107,7 +107,7 @@
     }
 
     /**
-     * Looks which callers have taken a part of a response that they have not taken whole, and logs
+     * Records which callers have taken a further part of a response since the last call, and logs
      * closed connections.
      */
     void refresh(long nowNanos) {
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnreportedOrdersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnreportedOrdersTest.java
@@ -67,8 +67,7 @@
     }
 
     // Guards against an upstream that is idle until a report shows the end of an unload, which
-    // takes
-    // a fraction of the time by which reports lag.
+    // takes a fraction of the time by which reports lag.
     @Test
     void aLoadThatMeetsAnUnloadThatHasJustBegunIsRepeatedWithoutAReport() {
         startUnload(Map.of());
--- a/damaskyoke/src/test/java/io/damaskyoke/control/rates/WorkspaceOwnerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/rates/WorkspaceOwnerTest.java
@@ -198,9 +198,8 @@
         assertEquals(true, admitted.get(after));
     }
 
-    // Guards against standbys that keep the small parts of a small fleet, as the large routers
-    // start
-    // before the others are on the list. A workspace would then be refused while its owner is lost.
+    // Guards against standbys that keep the small parts of a small fleet because the large routers
+    // start before the others are listed. A workspace would be refused while its owner is lost.
     @Test
     void standbysHoldNearlyHalfThoughTheListWasShortAtFirst() {
         start(sixRouters());
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSpeedTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSpeedTest.java
@@ -47,6 +47,7 @@
         assertTrue(busiest <= MOST_PER_SPEED, "busiest of each moment " + busiest);
     }
 
+    // Guards against a choice by the usual speed alone while an upstream reports a slowdown.
     @Test
     void anUpstreamThatIsSlowNowGetsFewerRequests() {
         answered("usual", 40, 100);
@@ -136,6 +137,7 @@
         assertEquals("nobody", pick(share, TokenUsage.UNKNOWN));
     }
 
+    // Guards against a share that rounds down to zero, so that a router can send nothing.
     @Test
     void inAFleetOfMoreRoutersThanSlotsEachMaySendOne() {
         answered("one", 10, 100);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LargeRoutersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LargeRoutersTest.java
@@ -21,7 +21,7 @@
         assertTrue(large.contains(VmId.of("1.5-0")), large.toString());
     }
 
-    // Guards against a single large router that gets every duty and takes them all along.
+    // Guards against so few large routers that the loss of one interrupts every duty.
     @Test
     void allRoutersCountWhereFewerThanFourAreLarge() {
         List<RouterEntry> routers = routers(3, 1.5);
@@ -38,6 +38,7 @@
         assertEquals(28, LargeRouters.of(routers).size());
     }
 
+    // Guards against a capacity that other routers can't read, so that all count as large.
     @Test
     void theEntryInTheStoreKeepsTheCapacity() {
         RouterEntry entry = routers(1, 1.5).get(0);
--- a/damaskyoke/src/test/java/io/damaskyoke/http/SlowReaderTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/SlowReaderTest.java
@@ -51,8 +51,7 @@
     }
 
     // Guards against a sum that does not follow what the sockets take, and against runs at
-    // upstreams
-    // that go on for callers whose connections were closed.
+    // upstreams that go on for callers whose connections were closed.
     @Test
     void callersThatReadNothingAreClosedAboveTheLimitAndTheirRunsCanceled() throws IOException {
         loop.events().execute(() -> server.maxUnread(LIMIT));
--- a/damaskyoke/src/test/java/io/damaskyoke/http/UnreadResponsesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/UnreadResponsesTest.java
@@ -68,8 +68,7 @@
         assertTrue(callers.get(1).closed);
     }
 
-    // Guards against closing callers in vain, and short responses that are cut off for others'
-    // sake.
+    // Guards against closing callers whose few unread bytes free hardly any memory.
     @Test
     void aCallerThatLeavesFewBytesIsNotClosed() {
         unread.limit(LIMIT);
