--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/BatchedBorrower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/BatchedBorrower.java
@@ -64,7 +64,7 @@
 
     // An owner waits for its own rate, and the shares of the others are small. Until they have
     // refilled enough for one request, asking them again brings nothing. Their buckets take longer
-    // than this to overflow.
+    // than this to overflow. Large standbys refill sooner, so they are asked more often.
     private Duration requestInterval(WorkspaceAccount account) {
         if (balancer.hasLargeStandbys(account)) {
             return LARGE_STANDBY_REQUEST_INTERVAL;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
@@ -149,7 +149,8 @@
     }
 
     /**
-     * Returns whether the owner of the workspace can borrow several requests' tokens from others.
+     * Returns true if this router owns the workspace and the shares of the standbys are large
+     * enough to lend the tokens of several requests.
      */
     boolean hasLargeStandbys(WorkspaceAccount account) {
         return isOwner(account) && ranksStandbys(account);
@@ -381,7 +382,8 @@
         return ShareTable.WHOLE / (STANDBY_DIVISOR * holders);
     }
 
-    // Whether a few of many routers hold the workspace, and not a part each of a small fleet.
+    // True if only a few of many routers hold shares of the workspace. In a small fleet every
+    // router holds one, and the standbys have even parts.
     private boolean ranksStandbys(WorkspaceAccount account) {
         int holders = permission.shareHolders(account.workspace.id()).size();
         return holders < permission.routerCount() && holders == STANDBY_PARTS.size() + 1;
@@ -492,7 +494,8 @@
                 untouchedReserve(table, permission.shareHolders(account.workspace.id()).size());
         ShareTable redistributed =
                 table.redistributed(self, giveAway ? target : own.part(), want, reserve);
-        // Routers that started first knew a short list, and wanted the part of a small fleet.
+        // Routers that started before the others were listed wanted the parts of a small fleet. A
+        // ranked part can differ from that by less than MIN_WANT_CHANGE.
         int leastChange = ranksStandbys(account) ? MIN_MOVED_PART : MIN_WANT_CHANGE;
         boolean wantChanged = Math.abs(want - own.want()) > leastChange;
         int moved = 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LargeRouters.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LargeRouters.java
@@ -10,8 +10,9 @@
  * LargeRouters.of(entries)}.
  *
  * <p>A leader or the owner of a rate limit on a VM with a fifth of a core answers so late that it
- * resigns or is given up, and its successor is no better. So these duties go to the routers with at
- * least half of the largest capacity. Routers that have read the same entries select the same.
+ * resigns or is taken for lost, and its successor is no faster. So these duties go to the routers
+ * with at least half of the largest capacity. Routers that have read the same entries select the
+ * same.
  */
 final class LargeRouters {
     /** One may be killed, one suspended and one partitioned, and one is left. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/WatchPlan.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/WatchPlan.java
@@ -60,7 +60,7 @@
         int count = Math.min(MAX_WATCHERS, Math.max(MIN_WATCHERS, zones));
         List<Vm> ranked = ranked(routers.stream().filter(vm -> mayWatch.test(vm.id())).toList());
         if (ranked.size() < count) {
-            // Those that may watch are all in one or two of the zones.
+            // At most two are ranked in each zone: those that may watch are in too few zones.
             ranked = ranked(routers);
         }
         return new WatchPlan(List.copyOf(ranked.subList(0, Math.min(count, ranked.size()))), false);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/UnreadResponses.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/UnreadResponses.java
@@ -19,6 +19,8 @@
 
     private static final long DEFAULT_LIMIT = 16 << 20;
     private static final long LOG_PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final String CLOSED_MESSAGE =
+            "closed connections of callers that read slowly, count=%d unread_bytes=%d limit=%d";
 
     private final Map<Reader, Unread> waiting = new LinkedHashMap<>();
     private final Consumer<String> log;
@@ -114,9 +116,7 @@
         waiting.values().forEach(each -> each.refresh(nowNanos));
         if (closed > loggedClosed
                 && (loggedClosed == 0 || nowNanos - loggedNanos >= LOG_PERIOD_NANOS)) {
-            log.accept(
-                    "closed connections of callers that read slowly, count=%d unread_bytes=%d limit=%d"
-                            .formatted(closed - loggedClosed, bytes, limit));
+            log.accept(CLOSED_MESSAGE.formatted(closed - loggedClosed, bytes, limit));
             loggedClosed = closed;
             loggedNanos = nowNanos;
         }
--- a/damaskyoke/src/test/java/io/damaskyoke/control/waiting/WaitingTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/waiting/WaitingTest.java
@@ -40,7 +40,7 @@
         }
     }
 
-    // Guards against requests that are late anyway, or a busy workspace's, before those of others.
+    // Guards against late requests, or those of a busy workspace, that go before the others.
     @Test
     void turnsGoByPriorityThenTimelinessThenWorkspaceThenDeadline() {
         TurnOrder order = TurnOrder.fair();
@@ -54,7 +54,7 @@
         assertEquals("urgent busy-next other other-next busy-late late", drain(queue, order));
     }
 
-    // Guards against another order of service in deployments without rate limits.
+    // Guards against a changed order of requests in deployments without rate limits.
     @Test
     void withoutRateLimitsTurnsGoByPriorityThenArrival() {
         TurnOrder order = TurnOrder.byArrival();
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/DispatchOrderTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/DispatchOrderTest.java
@@ -55,7 +55,7 @@
         assertTrue(byArrival < usual - 0.05, shares);
     }
 
-    // Guards against callers that wait to their end for a model which can't be loaded until then.
+    // Guards against callers that wait until their timeout for a model that comes too late.
     @Test
     void aRequestThatCannotBeSentInTimeIsRefusedWithTheTimeOfTheLoad() {
         configure(20);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelWorld.java
@@ -79,7 +79,7 @@
     private final Map<String, RequestCounts> counts = new TreeMap<>();
     private final TestControlThread time = new TestControlThread();
     private LoadPlanner planner = new LoadPlanner(LoadSettings.defaults());
-    private final Random patience;
+    private final Random timeoutRandom;
     private boolean spreadsTimeouts;
     private boolean refusesAtArrival;
     private boolean hasLeader;
@@ -96,7 +96,7 @@
 
     RareModelWorld(int count, int atFullSpeed, long seed) {
         this.random = new Random(seed);
-        this.patience = new Random(seed);
+        this.timeoutRandom = new Random(seed);
         this.weights = new SimulatedWeightStore(atFullSpeed);
         this.spec = spec((int) (count * MODELS_PER_ENGINE));
         this.dispatcher =
@@ -176,7 +176,7 @@
 
     private Duration rareQueueTimeout() {
         return spreadsTimeouts
-                ? RARE_QUEUE_TIMEOUT.dividedBy(4).multipliedBy(1 + patience.nextInt(6))
+                ? RARE_QUEUE_TIMEOUT.dividedBy(4).multipliedBy(1 + timeoutRandom.nextInt(6))
                 : RARE_QUEUE_TIMEOUT;
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/http/UnreadResponsesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/UnreadResponsesTest.java
@@ -31,7 +31,7 @@
         assertTrue(slow.stream().anyMatch(each -> !each.closed));
     }
 
-    // Guards against a load that the limit has no effect on.
+    // Guards against a simulated load that stays below the limit and so does not test it.
     @Test
     void withoutTheLimitTheSameCallersLeaveThreeTimesAsMuch() {
         unread.limit(1024 * LIMIT);
