--- a/damaskyoke/src/main/java/io/damaskyoke/control/waiting/WaitingQueue.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/waiting/WaitingQueue.java
@@ -11,8 +11,8 @@
 
 /**
  * Requests that wait for the same thing, such as a model: {@code queue.next(now)} has the next turn
- * by the queue's {@link TurnOrder}. To find it takes time in proportion to the workspaces that
- * wait, not to the requests.
+ * by the queue's {@link TurnOrder}. Finding it takes time in proportion to the workspaces that
+ * wait, and removing a request in proportion to the requests of its workspace.
  */
 public final class WaitingQueue<R extends WaitingRequest> {
     private final TurnOrder order;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -32,7 +32,8 @@
 
 /**
  * Queues requests and sends each to an upstream as soon as one has capacity, in the service's
- * {@link TurnOrder}. Requests that can't be sent in time are refused at arrival.
+ * {@link TurnOrder}. Where the models of a service do not fit into its upstreams together, requests
+ * whose model is not expected in time are refused at arrival.
  *
  * <p>Most requests find an upstream with capacity at once. Each model and each set of allowed
  * regions has a queue of its own, so that requests which wait for a model to be loaded, or for
@@ -431,6 +432,7 @@
         return true;
     }
 
+    // A request that is sent at once takes no turn from another, so it is not recorded.
     private void recordTurn(TurnOrder order, Turn<PendingRequest> turn, Instant now) {
         PendingRequest request = turn.request();
         long millis = now.toEpochMilli() - turn.queuedAt().toEpochMilli();
