--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -36,9 +36,6 @@
      */
     private static final Duration LOAD_TIME_MARGIN = Duration.ofMillis(30);
 
-    /** Longest unload of an idle model; one that takes longer waits for a running request. */
-    private static final Duration MAX_IDLE_UNLOAD_TIME = Duration.ofMillis(300);
-
     /** Greatest age of a report at its arrival. Measured lags are 100 and 200 ms. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
@@ -52,7 +49,7 @@
     private long incarnation;
     private HeldModels held;
     private PendingOrder pending;
-    private PendingOrder assumedDone;
+    private PendingOrder assumedLoaded;
     private long orderSequence = HeldModels.UNKNOWN_SEQUENCE;
     private long confirmedSequence = HeldModels.UNKNOWN_SEQUENCE;
     private boolean needsReportToFinish;
@@ -195,7 +192,7 @@
         busyWithUnknownOrder = false;
         reported = false;
         pending = null;
-        assumedDone = null;
+        assumedLoaded = null;
         plannedLoad = null;
         reportRequestedAt = Instant.MIN;
     }
@@ -298,8 +295,8 @@
         boolean isNewer = reportedModels.sequence() > held.sequence();
         held = new HeldModels(incarnation, reportedModels.sequence(), reportedModels.adapters());
         loadingAdapters.keySet().removeIf(held::contains);
-        if (assumedDone != null) {
-            checkAssumption(report.busy(), isNewer, now);
+        if (assumedLoaded != null) {
+            checkAssumedLoad(report.busy(), isNewer, now);
         }
         return true;
     }
@@ -312,81 +309,57 @@
         return (known || statesStart) && reportedModels.sequence() < least;
     }
 
-    // An upstream that has accepted a later order was not busy any more. A report with the count of
-    // the assumed order may have been made while the order was carried out.
-    private void checkAssumption(boolean busy, boolean isNewer, Instant now) {
-        boolean loads = assumedDone.operation() == OrderOperation.LOAD;
-        boolean isVisible = held.contains(assumedDone.model()) == loads;
+    // An upstream that has accepted a later order was not busy any more. A report with the same
+    // count may have been made while the load was carried out.
+    private void checkAssumedLoad(boolean busy, boolean isNewer, Instant now) {
+        boolean isVisible = held.contains(assumedLoaded.model());
         if (isNewer || isVisible && !busy) {
-            assumedDone = null;
+            assumedLoaded = null;
         } else if (!isVisible && isReportConclusive(now) && pending == null) {
-            withdrawAssumption();
+            withdrawAssumedLoad();
         } else {
-            applyAssumption();
+            held = held.with(assumedLoaded.model(), held.sequence());
         }
     }
 
     private boolean isReportConclusive(Instant now) {
-        return !now.isBefore(assumedDone.dueAt().plus(REPORT_LAG));
-    }
-
-    private void applyAssumption() {
-        ModelRef model = assumedDone.model();
-        held =
-                assumedDone.operation() == OrderOperation.LOAD
-                        ? held.with(model, held.sequence())
-                        : held.without(model, held.sequence());
+        return !now.isBefore(assumedLoaded.dueAt().plus(REPORT_LAG));
     }
 
     /**
-     * Finishes the accepted order without a report that shows its effect. A later report or a
-     * conflict may show that the order is still carried out.
+     * Takes the accepted load as finished without a report that shows the model. A later report or
+     * a conflict may show that the load is still carried out.
      */
-    void assumeOrderDone(Instant now) {
-        PendingOrder order = pending;
+    void assumeLoaded(Instant now) {
+        assumedLoaded = pending;
         pending = null;
-        assumedDone = order;
-        if (order.operation() == OrderOperation.LOAD) {
-            loaded(order.model(), now);
-        }
+        loaded(assumedLoaded.model(), now);
     }
 
-    /** Records that the upstream was not busy, so that the order before is really finished. */
-    void confirmAssumption() {
-        assumedDone = null;
+    /** Records that the upstream was not busy, so that the load is really finished. */
+    void confirmAssumedLoad() {
+        assumedLoaded = null;
     }
 
-    /** Returns true if the last accepted order is taken to be finished without a report. */
-    boolean hasAssumption() {
-        return assumedDone != null;
-    }
-
-    /**
-     * Returns true if the last accepted order unloads a model and was accepted so recently that the
-     * upstream may still be unloading although no request runs on the model.
-     */
-    boolean hasJustBegunToUnload(Instant now) {
-        return assumedDone != null
-                && assumedDone.operation() == OrderOperation.UNLOAD
-                && now.isBefore(assumedDone.dueAt().plus(MAX_IDLE_UNLOAD_TIME));
+    /** Returns true if the last accepted load is taken to be finished without a report. */
+    boolean hasAssumedLoad() {
+        return assumedLoaded != null;
     }
 
     /** Returns true if a report would now show whether the assumption is right. */
-    boolean isAssumptionToBeChecked(Instant now) {
-        return assumedDone != null && isReportConclusive(now);
+    boolean isAssumedLoadToBeChecked(Instant now) {
+        return assumedLoaded != null && isReportConclusive(now);
     }
 
     /**
-     * Takes the order that was assumed to be finished as one that is still carried out, and that
+     * Takes the load that was assumed to be finished as one that is still carried out, and that
      * only a report finishes.
      */
-    void withdrawAssumption() {
-        pending = assumedDone;
-        assumedDone = null;
+    void withdrawAssumedLoad() {
+        pending = assumedLoaded;
+        assumedLoaded = null;
         needsReportToFinish = true;
-        if (pending.operation() == OrderOperation.LOAD) {
-            held = held.without(pending.model(), held.sequence());
-        }
+        held = held.without(pending.model(), held.sequence());
     }
 
     /**
@@ -420,7 +393,7 @@
     /** Records that the engine has accepted the pending order, which increases its order count. */
     void orderAccepted(Instant due) {
         pending = pending.asAccepted(due);
-        assumedDone = null;
+        assumedLoaded = null;
         confirmedSequence = orderSequence + 1;
         // A report that was made after the order may have arrived before the answer.
         long sequence = Math.max(held.sequence(), confirmedSequence);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -51,12 +51,6 @@
     /** Pause after a conflict, in which the upstream can finish the order that it carries out. */
     private static final Duration PAUSE_AFTER_CONFLICT = Duration.ofMillis(80);
 
-    /**
-     * Pause after a conflict with the unload of an idle model. Such an unload takes up to 50 ms,
-     * less than the lag of the report that would show its end.
-     */
-    private static final Duration PAUSE_DURING_UNLOAD = Duration.ofMillis(40);
-
     /** Pause after an upstream has refused an order. */
     private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(500);
 
@@ -289,14 +283,15 @@
         if (engine == null) {
             return;
         }
-        boolean assumed = engine.hasAssumption();
+        boolean assumed = engine.hasAssumedLoad();
         if (!engine.applyReport(report, now)) {
             return;
         }
         if (assumed && engine.pending() != null && engine.pending().accepted()) {
             actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
         }
-        boolean unknownOrder = report.busy() && engine.pending() == null && !engine.hasAssumption();
+        boolean unknownOrder =
+                report.busy() && engine.pending() == null && !engine.hasAssumedLoad();
         engine.setBusyWithUnknownOrder(unknownOrder);
         if (report.busy()) {
             // An order that this planner does not know of: only a later report shows its effect.
@@ -378,7 +373,7 @@
         storeLoadLimiter.loadCanceled(pending.number());
         engine.orderFinished();
         engine.pauseUntil(now.plus(PAUSE_AFTER_CONFLICT));
-        if (!engine.hasAssumption()) {
+        if (!engine.hasAssumedLoad()) {
             engine.requireReport();
             return;
         }
@@ -389,12 +384,8 @@
                     new EngineState.PlannedLoad(
                             pending.model().model(), now.plus(PLANNED_LOAD_LIFETIME)));
         }
-        if (loadsModel && engine.hasJustBegunToUnload(now)) {
-            engine.pauseUntil(now.plus(PAUSE_DURING_UNLOAD));
-            return;
-        }
         // The order before this one is probably still carried out.
-        engine.withdrawAssumption();
+        engine.withdrawAssumedLoad();
         actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
     }
 
@@ -404,9 +395,6 @@
         if (pending.operation() == OrderOperation.UNLOAD) {
             engine.orderAccepted(now);
             engine.unloaded(model);
-            if (isUnloadedAtOnce(engine, model, now)) {
-                engine.assumeOrderDone(now);
-            }
             actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
             return;
         }
@@ -420,22 +408,10 @@
         engine.orderAccepted(now.plus(loadTime));
     }
 
-    // An upstream that is still unloading a model answers the next order with a conflict. While it
-    // unloads an adapter it carries out other orders, so a report must show that the slot is free.
-    // Running requests are not known before the routers have reported for a while. Before a load
-    // from the store, which takes seconds, the wait for a report is short.
-    private boolean isUnloadedAtOnce(EngineState engine, ModelRef model, Instant now) {
-        return isInRotation(engine)
-                && !model.hasAdapter()
-                && !demand.isWarmingUp(now)
-                && demand.running(engine.id(), model.model()) == 0
-                && !engine.mayLoadFromStore();
-    }
-
     private void orderDone(EngineState engine, Instant now, List<LoadAction> actions) {
         EngineState.PendingOrder pending = engine.pending();
         engine.orderFinished();
-        engine.confirmAssumption();
+        engine.confirmAssumedLoad();
         if (pending.operation() == OrderOperation.UNLOAD) {
             engine.setSequence(engine.held().sequence() + 1);
             engine.unloaded(pending.model());
@@ -485,7 +461,7 @@
     // Waiting for a report would leave the upstream idle for as long as reports lag.
     private void completeModelLoad(EngineState engine, Instant now, List<LoadAction> actions) {
         if (isInRotation(engine) && engine.isKnown() && engine.isLoadTimeOver(now)) {
-            engine.assumeOrderDone(now);
+            engine.assumeLoaded(now);
             actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
         }
     }
@@ -516,7 +492,7 @@
             }
             return;
         }
-        if (engine.isAssumptionToBeChecked(now) && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
+        if (engine.isAssumedLoadToBeChecked(now) && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
             requestReport(engine, now, actions);
         }
         EngineState.PlannedLoad plannedLoad = engine.plannedLoad();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -340,7 +340,7 @@
 
         private void updateLargeRouters() {
             Set<VmId> now = LargeRouters.of(routers.values());
-            if (now.size() != large.size()) {
+            if (!now.equals(large)) {
                 LOG.info("large routers: {} of {}", now.size(), routers.size());
             }
             large = now;
