--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -36,7 +36,7 @@
      */
     private static final Duration LOAD_TIME_MARGIN = Duration.ofMillis(30);
 
-    /** Greatest age of a report at its arrival. Measured lags are 100 and 200 ms. */
+    /** Greatest age of a report at its arrival. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     private final EngineSpec spec;
--- a/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.claims.ClaimSettings;
 import io.damaskyoke.settings.SettingsException.Code;
@@ -71,6 +72,21 @@
         }
     }
 
+    // Guards against a router that gets duties for all others by a capacity that it does not have.
+    @Test
+    void aCapacityOutOfRangeIsAFaultOfItsKey() {
+        assertTrue(Settings.parseDirect(SMALLEST_DIRECT, "d.toml").capacity().isEmpty());
+        String set = SMALLEST_DIRECT + "direct.cpu-share = 0.75\ndirect.cpu-cores = 2\n";
+        assertEquals(1.5, Settings.parseDirect(set, "d.toml").capacity().orElseThrow());
+        for (String wrong : List.of("0", "-1", "65", "\"half\"")) {
+            String text = SMALLEST_DIRECT + "direct.cpu-share = " + wrong + "\n";
+            SettingsException thrown =
+                    assertThrows(
+                            SettingsException.class, () -> Settings.parseDirect(text, "d.toml"));
+            assertEquals("direct.cpu-share", thrown.faults().get(0).key());
+        }
+    }
+
     @Test
     void claimsAreMadeAsSetAndElseByTheirDefaults() {
         RouterSettings usual = Settings.parseRouter(SMALLEST_ROUTER, "r.toml");
