--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -8,8 +8,10 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -428,6 +430,19 @@
         loadingAdapters.put(adapter, readyAt);
     }
 
+    /** Marks adapters as loaded whose load time has passed; returns true if there are any. */
+    boolean completeAdapterLoads(Instant now) {
+        List<ModelRef> ready = new ArrayList<>();
+        loadingAdapters.forEach(
+                (adapter, readyAt) -> {
+                    if (!now.isBefore(readyAt)) {
+                        ready.add(adapter);
+                    }
+                });
+        ready.forEach(adapter -> loaded(adapter, now));
+        return !ready.isEmpty();
+    }
+
     Map<ModelRef, Instant> loadingAdapters() {
         return loadingAdapters;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -2,7 +2,6 @@
 
 import io.damaskyoke.control.StateMachine;
 import io.damaskyoke.control.direct.EngineSpec;
-import io.damaskyoke.control.direct.ModelSpec;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.UpstreamId;
@@ -11,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -78,7 +76,7 @@
     private final ModelPlacer placer;
     private final AdapterPlanner adapters;
     private final Map<String, MemoryFragmentation> fragmentationByService = new HashMap<>();
-    private final Set<String> servicesInRotation = new HashSet<>();
+    private final CrowdedServices crowded = new CrowdedServices();
     private Map<String, EngineSpec> specs = new HashMap<>();
     private Set<String> drainedZones = Set.of();
     private long lastOrderNumber;
@@ -142,7 +140,7 @@
             upstreamListed(listed);
         } else if (input instanceof LoadInput.UpstreamRemoved removed) {
             engines.remove(removed.upstream());
-            findServicesInRotation();
+            crowded.update(specs, engines.values());
         } else if (input instanceof LoadInput.DrainedZonesChanged zonesChanged) {
             drainedZonesChanged(zonesChanged.zones());
         } else if (input instanceof LoadInput.DemandReported report) {
@@ -206,32 +204,7 @@
             spec.models().forEach((name, model) -> weights.put(name, model.weightsMb()));
         }
         demand.setModelSizes(weights);
-        findServicesInRotation();
-    }
-
-    // Models are loaded in rotation where more are configured than the upstreams have room for.
-    private void findServicesInRotation() {
-        servicesInRotation.clear();
-        specs.forEach(
-                (service, spec) -> {
-                    long room = (long) enginesOf(service).size() * modelsPerEngine(spec);
-                    if (spec.models().size() > room) {
-                        servicesInRotation.add(service);
-                    }
-                });
-    }
-
-    private static int modelsPerEngine(EngineSpec spec) {
-        double meanMb =
-                spec.models().values().stream()
-                        .mapToDouble(ModelSpec::weightsMb)
-                        .average()
-                        .orElse(spec.weightsMb());
-        return (int) (spec.weightsMb() / meanMb);
-    }
-
-    private boolean isInRotation(EngineState engine) {
-        return servicesInRotation.contains(engine.facts().service());
+        crowded.update(specs, this.engines.values());
     }
 
     private void upstreamListed(LoadInput.UpstreamListed listed) {
@@ -244,7 +217,7 @@
             engine = new EngineState(spec, listed.facts());
             engines.put(engine.id(), engine);
             engine.setZoneDrained(isDrained(engine));
-            findServicesInRotation();
+            crowded.update(specs, engines.values());
             return;
         }
         engine.applyFacts(listed.facts());
@@ -429,7 +402,9 @@
         storeLoadLimiter.recordRunning(StoreLoadLimiter.countRunning(engines.values()), now);
         for (EngineState engine : engines.values()) {
             engine.setReservations(unansweredOrders);
-            completeAdapterLoads(engine, now, actions);
+            if (engine.completeAdapterLoads(now)) {
+                actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
+            }
             completeModelLoad(engine, now, actions);
             followUp(engine, now, actions);
         }
@@ -441,26 +416,11 @@
         }
     }
 
-    // Marks adapters as loaded once their load time has passed.
-    private static void completeAdapterLoads(
-            EngineState engine, Instant now, List<LoadAction> actions) {
-        List<ModelRef> loaded = new ArrayList<>();
-        engine.loadingAdapters()
-                .forEach(
-                        (adapter, readyAt) -> {
-                            if (!now.isBefore(readyAt)) {
-                                loaded.add(adapter);
-                            }
-                        });
-        loaded.forEach(adapter -> engine.loaded(adapter, now));
-        if (!loaded.isEmpty()) {
-            actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
-        }
-    }
-
     // Waiting for a report would leave the upstream idle for as long as reports lag.
     private void completeModelLoad(EngineState engine, Instant now, List<LoadAction> actions) {
-        if (isInRotation(engine) && engine.isKnown() && engine.isLoadTimeOver(now)) {
+        if (crowded.contains(engine.facts().service())
+                && engine.isKnown()
+                && engine.isLoadTimeOver(now)) {
             engine.assumeLoaded(now);
             actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
         }
@@ -470,13 +430,7 @@
     private void followUp(EngineState engine, Instant now, List<LoadAction> actions) {
         EngineState.PendingOrder pending = engine.pending();
         if (!engine.isKnown()) {
-            Duration interval =
-                    engine.hasAnsweredReportRequest()
-                            ? UNKNOWN_ORDER_REPORT_INTERVAL
-                            : REPORT_TIMEOUT;
-            if (engine.isReportDue(now, interval)) {
-                requestReport(engine, now, actions);
-            }
+            requestMissingReport(engine, now, actions);
             return;
         }
         if (pending != null) {
@@ -512,6 +466,14 @@
         evictOrLoad(engine, model, fleet, now, actions);
     }
 
+    private static void requestMissingReport(
+            EngineState engine, Instant now, List<LoadAction> actions) {
+        boolean answers = engine.hasAnsweredReportRequest();
+        if (engine.isReportDue(now, answers ? UNKNOWN_ORDER_REPORT_INTERVAL : REPORT_TIMEOUT)) {
+            requestReport(engine, now, actions);
+        }
+    }
+
     private void evictOrLoad(
             EngineState engine,
             String model,
@@ -551,7 +513,7 @@
                         spec,
                         fragmentation,
                         serviceEngines,
-                        servicesInRotation.contains(service),
+                        crowded.contains(service),
                         ahead,
                         now)) {
             placement
