--- a/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineModels.java
+++ b/damaskyoke-standins/src/main/java/io/damaskyoke/standins/EngineModels.java
@@ -56,7 +56,6 @@
         private final LoadOrder order;
         private final CompletableFuture<Void> loaded = new CompletableFuture<>();
         private ObjectNode span;
-
         private boolean ready;
 
         Model(LoadOrder order) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -51,10 +51,19 @@
     private long incarnation;
     private HeldModels held;
     private PendingOrder pending;
+
+    /** An accepted load that no report has shown yet, but whose expected time has passed. */
     private PendingOrder assumedLoaded;
+
+    /** The sequence that was known when the pending order was sent. */
     private long orderSequence = HeldModels.UNKNOWN_SEQUENCE;
+
+    /** The sequence after the last accepted order; reports with a lower one are older. */
     private long confirmedSequence = HeldModels.UNKNOWN_SEQUENCE;
+
+    /** Whether the pending load was assumed to be finished before, and a report disproved it. */
     private boolean needsReportToFinish;
+
     private PlannedLoad plannedLoad;
     private boolean zoneDrained;
     private boolean known;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -76,7 +76,7 @@
     private final ModelPlacer placer;
     private final AdapterPlanner adapters;
     private final Map<String, MemoryFragmentation> fragmentationByService = new HashMap<>();
-    private final CrowdedServices crowded = new CrowdedServices();
+    private final OversubscribedServices oversubscribed = new OversubscribedServices();
     private Map<String, EngineSpec> specs = new HashMap<>();
     private Set<String> drainedZones = Set.of();
     private long lastOrderNumber;
@@ -140,7 +140,7 @@
             upstreamListed(listed);
         } else if (input instanceof LoadInput.UpstreamRemoved removed) {
             engines.remove(removed.upstream());
-            crowded.update(specs, engines.values());
+            oversubscribed.update(specs, engines.values());
         } else if (input instanceof LoadInput.DrainedZonesChanged zonesChanged) {
             drainedZonesChanged(zonesChanged.zones());
         } else if (input instanceof LoadInput.DemandReported report) {
@@ -204,7 +204,7 @@
             spec.models().forEach((name, model) -> weights.put(name, model.weightsMb()));
         }
         demand.setModelSizes(weights);
-        crowded.update(specs, this.engines.values());
+        oversubscribed.update(specs, this.engines.values());
     }
 
     private void upstreamListed(LoadInput.UpstreamListed listed) {
@@ -217,7 +217,7 @@
             engine = new EngineState(spec, listed.facts());
             engines.put(engine.id(), engine);
             engine.setZoneDrained(isDrained(engine));
-            crowded.update(specs, engines.values());
+            oversubscribed.update(specs, engines.values());
             return;
         }
         engine.applyFacts(listed.facts());
@@ -418,7 +418,7 @@
 
     // Waiting for a report would leave the upstream idle for as long as reports lag.
     private void completeModelLoad(EngineState engine, Instant now, List<LoadAction> actions) {
-        if (crowded.contains(engine.facts().service())
+        if (oversubscribed.contains(engine.facts().service())
                 && engine.isKnown()
                 && engine.isLoadTimeOver(now)) {
             engine.assumeLoaded(now);
@@ -513,7 +513,7 @@
                         spec,
                         fragmentation,
                         serviceEngines,
-                        crowded.contains(service),
+                        oversubscribed.contains(service),
                         ahead,
                         now)) {
             placement
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ModelPlacer.java
@@ -125,14 +125,14 @@
     /**
      * Returns the placements of a planning round.
      *
-     * @param inRotation whether more models are configured than the engines have room for
+     * @param oversubscribed whether more models are configured than the engines have room for
      * @param ahead whether to place models that no request waits for as well
      */
     List<Placement> plan(
             EngineSpec spec,
             MemoryFragmentation fragmentation,
             List<EngineState> engines,
-            boolean inRotation,
+            boolean oversubscribed,
             boolean ahead,
             Instant now) {
         PlanningRound round =
@@ -140,7 +140,7 @@
                         spec,
                         fragmentation,
                         engines,
-                        inRotation,
+                        oversubscribed,
                         new FleetView(engines, demand, now),
                         now);
         List<Placement> placements = new ArrayList<>();
@@ -171,7 +171,7 @@
                 EngineSpec spec,
                 MemoryFragmentation fragmentation,
                 List<EngineState> engines,
-                boolean inRotation,
+                boolean oversubscribed,
                 FleetView fleet,
                 Instant now) {
             this.spec = spec;
@@ -180,7 +180,7 @@
             this.evictions = new EvictionPlanner(demand, fleet, fragmentation);
             this.now = now;
             this.keepsAdaptersAvailable =
-                    inRotation
+                    oversubscribed
                             && engines.stream()
                                     .anyMatch(
                                             each ->
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/CrowdedServices.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/OversubscribedServices.java
@@ -11,7 +11,7 @@
  * Finds the services whose configuration names more models than their listed engines have room for,
  * so that models are loaded in rotation.
  */
-final class CrowdedServices {
+final class OversubscribedServices {
     private final Set<String> names = new HashSet<>();
 
     /** Finds the services anew, after a change of the configuration or of the engines. */
@@ -29,6 +29,7 @@
                 });
     }
 
+    /** Returns true if the service has more models than room. */
     boolean contains(String service) {
         return names.contains(service);
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/RelativeTime.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/RelativeTime.java
@@ -18,7 +18,9 @@
 
     private static final double MAX_FACTOR = 4;
 
+    /** Upstreams become slow or quick again within some hundred milliseconds. */
     private static final Duration FULL_AGE = Duration.ofMillis(300);
+
     private static final Duration MAX_AGE = Duration.ofMillis(1_200);
     private static final double FADING_NANOS = MAX_AGE.minus(FULL_AGE).toNanos();
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/TokensInUse.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/TokensInUse.java
@@ -20,10 +20,12 @@
     }
 
     /**
-     * Returns the tokens in use by this router's requests and by so many others, which count as
-     * this router's mean request.
+     * Returns the tokens in use by this router's requests and by those of other routers, whose
+     * tokens are taken to be the mean of this router's requests.
+     *
+     * @param otherRequests number of the other routers' requests
      */
-    double with(double others) {
-        return own + others * mean;
+    double with(double otherRequests) {
+        return own + otherRequests * mean;
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
@@ -19,15 +19,21 @@
  * failing upstream thus gets fewer requests long before it is ejected, and an upstream in a drained
  * zone gets requests only if no other can serve them.
  *
- * <p>Where upstreams report how long work takes there now, that counts too, an upstream without
- * room for the request's tokens comes after the others, and routers of a large fleet choose between
- * two upstreams drawn at random: with the same old reports, all would send to the same one.
+ * <p>Where upstreams report how long work takes there now, the predicted time includes it, and an
+ * upstream without room for the request's tokens gets the request only if no other can take it. In
+ * a large fleet each router then chooses between two upstreams drawn at random. Otherwise all
+ * routers would send to the same one, as all have the same old reports.
+ *
+ * <p>A selector is for one thread.
  */
 public final class UpstreamSelector {
     /** In larger fleets, each router sees too little of the load to compare all upstreams. */
     private static final int MAX_ROUTERS_THAT_COMPARE_ALL = 6;
 
-    /** What all routers together may send to an upstream at once, as a multiple of its slots. */
+    /**
+     * What all routers together may send to an upstream at once, as a multiple of its slots. What
+     * is queued at a router can still go to another upstream; what is queued at an upstream can't.
+     */
     private static final int MAX_REQUESTS_PER_SLOT = 4;
 
     private final AnswerEstimate estimate;
@@ -147,8 +153,8 @@
         candidates.subList(2, candidates.size()).clear();
     }
 
-    // Draws in proportion to the usual speed. Drawn evenly, two slow upstreams would come together
-    // so often that they get more than they can serve.
+    // Draws in proportion to the usual speed. With equal probabilities, a slow upstream would be
+    // drawn together with another slow one so often that it gets more requests than it can serve.
     private int draw(int from) {
         int last = candidates.size() - 1;
         double sum = 0;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/waiting/Turn.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/waiting/Turn.java
@@ -6,6 +6,7 @@
 /**
  * The next request of a queue, comparable with the next of another queue of the service.
  *
+ * @param request the request that is sent next
  * @param late whether the request can no longer be answered in time
  * @param start the virtual start time of its workspace's next turn
  * @param sendBy when it must be sent to be answered in time
--- a/damaskyoke/src/main/java/io/damaskyoke/control/waiting/WaitForecast.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/waiting/WaitForecast.java
@@ -46,13 +46,13 @@
      * prediction is wrong; the wait so far is the better guess then.
      *
      * @param loadTime time of a load from the nearest copy
-     * @param oldestArrival arrival of the oldest request that waits for the model now, if any
+     * @param oldestQueuedAt since when the oldest request for the model has been queued, if any is
      */
     public Duration expectedWait(
-            ModelRef model, Duration loadTime, Optional<Instant> oldestArrival, Instant now) {
+            ModelRef model, Duration loadTime, Optional<Instant> oldestQueuedAt, Instant now) {
         Duration total = longer(loadTime, learned(model, now).orElse(Duration.ZERO));
         Duration waited =
-                oldestArrival.map(since -> Duration.between(since, now)).orElse(Duration.ZERO);
+                oldestQueuedAt.map(since -> Duration.between(since, now)).orElse(Duration.ZERO);
         return waited.compareTo(total) < 0 ? total.minus(waited) : waited;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/waiting/WaitingQueue.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/waiting/WaitingQueue.java
@@ -68,7 +68,7 @@
                 .min(Comparator.naturalOrder());
     }
 
-    /** Passes each waiting request on, in no particular order. */
+    /** Runs the action for each waiting request, in no particular order. */
     public void forEach(Consumer<? super R> action) {
         byWorkspace
                 .values()
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ArrivalCheck.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ArrivalCheck.java
@@ -20,7 +20,9 @@
  * applies to services whose models do not fit into their upstreams together. Traffic thread only.
  */
 final class ArrivalCheck {
+    /** The predicted wait of a request with little time left can be too short for a retry. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
+
     private static final Duration EXPIRE_PERIOD = Duration.ofSeconds(1);
 
     private final WaitForecast forecast = new WaitForecast();
@@ -67,7 +69,11 @@
         }
     }
 
-    /** Returns true if the service's models do not fit into so many upstreams together. */
+    /**
+     * Returns true if the service's models do not fit into its upstreams together.
+     *
+     * @param upstreams number of the service's upstreams
+     */
     boolean appliesTo(String service, int upstreams) {
         EngineSpec engine = engines.get(service);
         return engine != null
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -505,7 +505,7 @@
                 limited.put(workspace.workspace().id(), workspace.workspace());
             }
         }
-        dispatcher.setShared(!limited.isEmpty());
+        dispatcher.setFairAmongWorkspaces(!limited.isEmpty());
         rates.configured(limited);
         ingress.serveEarlyCalls();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -25,7 +25,6 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -64,7 +63,7 @@
     private Set<String> engineServices = Set.of();
     private Runnable modelUnavailable = () -> {};
     private LongConsumer waited = any -> {};
-    private boolean shared;
+    private boolean fairAmongWorkspaces;
     private long lastSequence;
 
     /** The key of a queue: what its requests have in common. */
@@ -120,10 +119,8 @@
         this.clock = clock;
         this.afterReads = afterReads;
         this.regions = Map.copyOf(regions);
-        this.plainSelector =
-                new UpstreamSelector(zone, PLAIN_REQUESTS_PER_SLOT, share, new SplittableRandom());
-        this.engineSelector =
-                new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share, new SplittableRandom());
+        this.plainSelector = new UpstreamSelector(zone, PLAIN_REQUESTS_PER_SLOT, share);
+        this.engineSelector = new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share);
     }
 
     /** Sets the action that runs when a request is queued for a model that no upstream holds. */
@@ -144,23 +141,21 @@
         arrivalCheck.onRefused(action);
     }
 
-    /** Sets what takes the wait in milliseconds of each request that could not be sent at once. */
+    /** Sets the action that gets the wait, in milliseconds, of each request not sent at once. */
     void onWaited(LongConsumer action) {
         waited = action;
     }
 
-    /**
-     * Sets whether waiting requests have their turns by workspace, as workspaces have rate limits.
-     */
-    void setShared(boolean byWorkspace) {
-        if (shared != byWorkspace) {
-            shared = byWorkspace;
+    /** Sets whether workspaces share the upstreams fairly, or waiting requests go by arrival. */
+    void setFairAmongWorkspaces(boolean fair) {
+        if (fairAmongWorkspaces != fair) {
+            fairAmongWorkspaces = fair;
             queues.values().forEach(service -> service.reorder(newOrder()));
         }
     }
 
     private TurnOrder newOrder() {
-        return shared ? TurnOrder.fair() : TurnOrder.byArrival();
+        return fairAmongWorkspaces ? TurnOrder.fair() : TurnOrder.byArrival();
     }
 
     /** Records that a caller has requested a model. */
@@ -186,7 +181,7 @@
         enqueue(request, held, now);
     }
 
-    /** Takes a request that came before: sends it now, or queues it until an upstream can. */
+    /** Sends a request that has arrived earlier, such as a retry, or queues it. */
     void enqueue(PendingRequest request) {
         Instant now = clock.instant();
         enqueue(request, isModelHeld(request, now), now);
@@ -209,7 +204,7 @@
     }
 
     private Optional<Duration> refusal(PendingRequest request, Instant now) {
-        if (!isCrowded(request.service()) || allZonesClosed(request, now)) {
+        if (!isOversubscribed(request.service()) || allZonesClosed(request, now)) {
             return Optional.empty();
         }
         ServiceQueues service = queues.get(request.service());
@@ -223,7 +218,7 @@
     }
 
     /** Returns true if the models of the service do not fit into its upstreams together. */
-    private boolean isCrowded(String service) {
+    private boolean isOversubscribed(String service) {
         return arrivalCheck.appliesTo(service, upstreams.ofService(service).size());
     }
 
@@ -441,13 +436,13 @@
         }
         order.recordTurn(request);
         waited.accept(millis);
-        if (request.model().isPresent() && isCrowded(request.service())) {
+        if (request.model().isPresent() && isOversubscribed(request.service())) {
             arrivalCheck.recordWait(request.model().get(), Duration.ofMillis(millis), now);
         }
     }
 
     private void recordExpired(PendingRequest request, Instant now) {
-        if (request.model().isPresent() && isCrowded(request.service())) {
+        if (request.model().isPresent() && isOversubscribed(request.service())) {
             Instant end = now.isBefore(request.queueDeadline()) ? now : request.queueDeadline();
             Duration wait = Duration.between(request.arrivedAt(), end);
             arrivalCheck.recordWait(request.model().get(), wait, now);
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnreportedOrdersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnreportedOrdersTest.java
@@ -21,7 +21,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
-/** Tests orders whose effect is assumed before a report shows it, on one upstream. */
+/** Tests loads that are assumed to be finished before a report shows the model. */
 class UnreportedOrdersTest {
     private static final UpstreamId ONE = UpstreamId.of("one");
     private static final Duration DISK_LOAD_TIME = Duration.ofMillis(800);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/DispatchOrderTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/DispatchOrderTest.java
@@ -93,8 +93,8 @@
         assertEquals(List.of(), refused);
     }
 
-    private double shareInTime(int factor, boolean shared) {
-        dispatcher.setShared(shared);
+    private double shareInTime(int factor, boolean fair) {
+        dispatcher.setFairAmongWorkspaces(fair);
         addUpstream();
         time.every(Duration.ofMillis(50), dispatcher::tick);
         Random random = new Random(7);
