Log and count the pauses and departures that upstreams state in their answers

All that an answer says about its upstream is now one type, UpstreamStatements, applied in one place, UpstreamStatementHandler. It reads Retry-After (seconds with fractions, or a date) and Server-Leaving, logs 'upstream X asks for a pause of N ms', counts pauses that are too long or can't be read, and requests that are sent in a pause. What requests do is unchanged.

--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
@@ -0,0 +1,56 @@
+package io.damaskyoke.control.notices;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Knows until when an upstream wants no requests from this router: {@code gate.isPaused(now)}.
+ *
+ * <p>Each answer asks for a pause of its own. The end of all pauses counts, so a later and shorter
+ * one takes nothing back.
+ */
+public final class PauseGate {
+    /** Longer pauses are shortened: a wrong figure must not close an upstream until a restart. */
+    public static final Duration MAX_PAUSE = Duration.ofMinutes(10);
+
+    private Instant pausedUntil = Instant.MIN;
+    private long sentInPause;
+
+    /**
+     * Takes the pause that an answer asks for.
+     *
+     * @return true if the pauses now end later, by more than answers to simultaneous requests
+     *     differ
+     */
+    public boolean pauseRequested(Duration pause, Instant now) {
+        Instant until = now.plus(pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause);
+        if (!until.isAfter(now) || !until.isAfter(pausedUntil)) {
+            return false;
+        }
+        boolean isNew = !isPaused(now);
+        pausedUntil = until;
+        return isNew;
+    }
+
+    /** Returns true while the upstream wants no requests. */
+    public boolean isPaused(Instant now) {
+        return now.isBefore(pausedUntil);
+    }
+
+    /** Returns the end of the last pause; {@code Instant.MIN} if there was none. */
+    public Instant pausedUntil() {
+        return pausedUntil;
+    }
+
+    /** Records that a request was sent. */
+    public void requestSent(Instant now) {
+        if (isPaused(now)) {
+            sentInPause++;
+        }
+    }
+
+    /** Returns the number of requests that were sent in pauses. */
+    public long sentInPause() {
+        return sentInPause;
+    }
+}
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.control.cold.ColdGate;
 import io.damaskyoke.control.cold.LimitGate;
 import io.damaskyoke.control.cold.UpstreamShare;
+import io.damaskyoke.control.notices.PauseGate;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
@@ -32,6 +33,7 @@
     private final DrainedZones zones;
     private final ColdGate cold;
     private final LimitGate limit;
+    private final PauseGate pause;
     private final Map<ModelRef, Integer> runningByModel = new TreeMap<>();
     private final RelativeTime relativeTime = new RelativeTime();
     private final TokensInUse tokens = new TokensInUse();
@@ -49,6 +51,7 @@
         this.zones = zones;
         this.cold = gates.cold();
         this.limit = gates.limit();
+        this.pause = gates.pause();
         this.facts = facts;
         this.held = facts.held();
         cold.upstreamReported(facts.remainingColdTime(), now);
@@ -91,6 +94,11 @@
         return limit;
     }
 
+    /** Returns the pauses that the upstream has asked for. */
+    public PauseGate pause() {
+        return pause;
+    }
+
     /** Returns true if it has recently started, or may have, and is slow. */
     public boolean isCold(Instant now) {
         boolean mayBe = !cold.limit().isNone() && cold.isCold(now);
@@ -224,6 +232,7 @@
     public void requestSent(Instant now) {
         cold.requestSent(now);
         limit.requestSent(now);
+        pause.requestSent(now);
     }
 
     /** Records that a request will not be sent. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamGates.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamGates.java
@@ -2,13 +2,14 @@
 
 import io.damaskyoke.control.cold.ColdGate;
 import io.damaskyoke.control.cold.LimitGate;
+import io.damaskyoke.control.notices.PauseGate;
 
 /**
  * The limits on requests to one upstream. They are kept when its entry is removed from the list.
  */
-record UpstreamGates(ColdGate cold, LimitGate limit) {
+record UpstreamGates(ColdGate cold, LimitGate limit, PauseGate pause) {
     /** Creates gates that let every request pass. */
     UpstreamGates() {
-        this(new ColdGate(), new LimitGate());
+        this(new ColdGate(), new LimitGate(), new PauseGate());
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Dialect.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dialect.java
@@ -8,6 +8,7 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Instant;
 import java.util.Optional;
 
 /**
@@ -57,8 +58,13 @@
     /** Returns true if an answer with these headers belongs to this attempt of a request. */
     boolean belongsToAttempt(String attempt, HttpHeaders fromUpstream);
 
-    /** Parses the status and headers of an upstream's answer. */
-    UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected);
+    /** Parses the status and headers of an upstream's answer to a request. */
+    UpstreamAnswer answer(
+            int status, HttpHeaders fromUpstream, UpstreamId expected, Instant receivedAt);
+
+    /** Parses what an answer to a request, an order or a report says about its upstream. */
+    UpstreamStatements statements(
+            int status, HttpHeaders fromUpstream, UpstreamId expected, Instant receivedAt);
 
     /** Returns the headers to send to the caller for an answer with these upstream headers. */
     HttpHeaders toCaller(HttpHeaders fromUpstream);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -104,6 +104,7 @@
     private final PoisonRequestDetector crashes;
     private final LostUpstreamAnnouncer lostUpstreams;
     private final DeclaredLimits limits;
+    private final UpstreamStatementHandler statements;
     private final InFlightRequests inFlight;
     private final RateAdmission rates;
     private final RatePeers ratePeers;
@@ -154,6 +155,13 @@
                         metrics);
         this.lostUpstreams = new LostUpstreamAnnouncer(clock, upstreams, peers);
         this.limits = new DeclaredLimits(clock, upstreams, peers);
+        this.statements =
+                new UpstreamStatementHandler(
+                        clock,
+                        upstreams,
+                        limits,
+                        new ReportedLoads(clock, upstreams, metrics),
+                        metrics);
         this.inFlight = createInFlightRequests();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
@@ -269,8 +277,7 @@
                 members::size,
                 crashes,
                 lostUpstreams,
-                limits,
-                new ReportedLoads(clock, upstreams, metrics),
+                statements,
                 settings.answerLimits());
     }
 
@@ -456,6 +463,7 @@
         crashes.registerGauges();
         new DrainProgress(upstreams).registerGauges(metrics);
         limits.registerGauges(metrics);
+        statements.registerGauges();
         coordinator.registerMetrics(metrics);
         metrics.gauge("models_unserved", inFlight.unservedModels()::unservedCount);
         String address = settings.peer().host() + ':' + settings.peer().port();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -23,8 +23,7 @@
     private final SlidingMaximum routerCount;
     private final PoisonRequestDetector crashes;
     private final LostUpstreamAnnouncer lostUpstreams;
-    private final DeclaredLimits limitedUpstreams;
-    private final ReportedLoads reportedLoads;
+    private final UpstreamStatementHandler statements;
     private final DirectSettings.AnswerLimits answerLimits;
     private final RequestLog requestLog;
     private final UnservedModels unservedModels = new UnservedModels();
@@ -49,8 +48,7 @@
             IntSupplier routerCount,
             PoisonRequestDetector crashes,
             LostUpstreamAnnouncer lostUpstreams,
-            DeclaredLimits limitedUpstreams,
-            ReportedLoads reportedLoads,
+            UpstreamStatementHandler statements,
             DirectSettings.AnswerLimits answerLimits) {
         this.dialect = dialect;
         this.client = client;
@@ -60,8 +58,7 @@
         this.routerCount = new SlidingMaximum(routerCount, clock, retryBounds.window());
         this.crashes = crashes;
         this.lostUpstreams = lostUpstreams;
-        this.limitedUpstreams = limitedUpstreams;
-        this.reportedLoads = reportedLoads;
+        this.statements = statements;
         this.answerLimits = answerLimits;
         this.requestLog = new RequestLog(clock);
     }
@@ -86,12 +83,8 @@
         return lostUpstreams;
     }
 
-    DeclaredLimits limitedUpstreams() {
-        return limitedUpstreams;
-    }
-
-    ReportedLoads reportedLoads() {
-        return reportedLoads;
+    UpstreamStatementHandler statements() {
+        return statements;
     }
 
     DirectSettings.AnswerLimits answerLimits() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ReportedLoads.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ReportedLoads.java
@@ -24,11 +24,11 @@
     }
 
     /** Takes the load that the answer reports, if any, and counts the figures that are invalid. */
-    void answerReceived(Upstream upstream, UpstreamAnswer answer) {
-        if (answer.invalidLoadFigures() > 0) {
-            invalidFigures.inc(answer.invalidLoadFigures());
+    void answerReceived(Upstream upstream, UpstreamStatements statements) {
+        if (statements.invalidLoadFigures() > 0) {
+            invalidFigures.inc(statements.invalidLoadFigures());
         }
-        answer.load().ifPresent(load -> upstream.loadReported(load, clock.instant()));
+        statements.load().ifPresent(load -> upstream.loadReported(load, clock.instant()));
     }
 
     private long meanAgeMillis() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -153,9 +153,10 @@
         }
         lastReceivedAt = inFlight.now();
         headers = fromUpstream;
-        answer = inFlight.dialect().answer(status, fromUpstream, upstream.facts().id());
-        inFlight.reportedLoads().answerReceived(upstream, answer);
-        inFlight.limitedUpstreams().limitReceived(upstream, answer.limit(), sentAt);
+        answer =
+                inFlight.dialect()
+                        .answer(status, fromUpstream, upstream.facts().id(), lastReceivedAt);
+        inFlight.statements().answerReceived(upstream, answer.statements(), sentAt);
         inFlight.crashes().upstreamAnswered(upstream, sentAt);
     }
 
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -0,0 +1,84 @@
+package io.damaskyoke.direct;
+
+import io.damaskyoke.control.notices.PauseGate;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.http.RetryAfter;
+import io.damaskyoke.metrics.Metrics;
+import java.time.Instant;
+import java.time.InstantSource;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Applies what answers say about their upstreams, whatever they answer. Traffic thread only. */
+final class UpstreamStatementHandler {
+    private static final Logger LOG = LogManager.getLogger(UpstreamStatementHandler.class);
+
+    private final InstantSource clock;
+    private final UpstreamTable upstreams;
+    private final DeclaredLimits limits;
+    private final ReportedLoads loads;
+    private final Metrics metrics;
+
+    UpstreamStatementHandler(
+            InstantSource clock,
+            UpstreamTable upstreams,
+            DeclaredLimits limits,
+            ReportedLoads loads,
+            Metrics metrics) {
+        this.clock = clock;
+        this.upstreams = upstreams;
+        this.limits = limits;
+        this.loads = loads;
+        this.metrics = metrics;
+    }
+
+    /** Registers gauges of the paused and leaving upstreams. */
+    void registerGauges() {
+        metrics.gauge("upstreams_paused", this::pausedCount);
+        metrics.gauge("upstream_sent_in_pause", this::sentInPause);
+    }
+
+    /** Applies what the answer to a request says that was assigned to the upstream at that time. */
+    void answerReceived(Upstream upstream, UpstreamStatements statements, Instant assignedAt) {
+        loads.answerReceived(upstream, statements);
+        limits.limitReceived(upstream, statements.limit(), assignedAt);
+        if (statements.pause().kind() != RetryAfter.Kind.NONE) {
+            pauseRequested(upstream, statements.pause());
+        }
+        if (statements.leaving()) {
+            metrics.count("upstream_answers_leaving");
+        }
+    }
+
+    private void pauseRequested(Upstream upstream, RetryAfter pause) {
+        UpstreamId id = upstream.facts().id();
+        if (pause.kind() == RetryAfter.Kind.INVALID) {
+            metrics.count("upstream_pauses_invalid");
+            LOG.warn("upstream {} asks for a pause whose length can't be read", id);
+            return;
+        }
+        metrics.count("upstream_pauses_requested");
+        boolean tooLong = pause.pause().compareTo(PauseGate.MAX_PAUSE) > 0;
+        if (tooLong) {
+            metrics.count("upstream_pauses_shortened");
+        }
+        if (upstream.pause().pauseRequested(pause.pause(), clock.instant())) {
+            LOG.info(
+                    "upstream {} asks for a pause of {} ms{}",
+                    id,
+                    pause.pause().toMillis(),
+                    tooLong ? ", shortened to " + PauseGate.MAX_PAUSE.toMillis() + " ms" : "");
+        }
+    }
+
+    private long pausedCount() {
+        Instant now = clock.instant();
+        return upstreams.all().stream().filter(each -> each.pause().isPaused(now)).count();
+    }
+
+    private long sentInPause() {
+        return upstreams.all().stream().mapToLong(each -> each.pause().sentInPause()).sum();
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -78,8 +78,12 @@
                             () -> true,
                             new Metrics()),
                     new LostUpstreamAnnouncer(Instant::now, upstreams, new SilentWire()),
-                    new DeclaredLimits(Instant::now, upstreams, new SilentLimits()),
-                    new ReportedLoads(Instant::now, upstreams, new Metrics()),
+                    new UpstreamStatementHandler(
+                            Instant::now,
+                            upstreams,
+                            new DeclaredLimits(Instant::now, upstreams, new SilentLimits()),
+                            new ReportedLoads(Instant::now, upstreams, new Metrics()),
+                            new Metrics()),
                     new DirectSettings.AnswerLimits(1 << 20, 1 << 20));
     private final HttpServer upstream = server(upstreamLoop, this::recordCall);
     private final HttpServer router = server(loop, this::startFlow);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -9,10 +9,12 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpLimits;
+import io.damaskyoke.http.RetryAfter;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -114,16 +116,27 @@
     }
 
     @Override
-    public UpstreamAnswer answer(int status, HttpHeaders fromUpstream, UpstreamId expected) {
+    public UpstreamAnswer answer(
+            int status, HttpHeaders fromUpstream, UpstreamId expected, Instant receivedAt) {
         return new UpstreamAnswer(
                 status,
                 status == 503,
                 false,
                 true,
                 false,
+                statements(status, fromUpstream, expected, receivedAt));
+    }
+
+    @Override
+    public UpstreamStatements statements(
+            int status, HttpHeaders fromUpstream, UpstreamId expected, Instant receivedAt) {
+        return new UpstreamStatements(
+                Optional.of(expected),
                 Optional.empty(),
                 0,
-                RequestLimit.NO_LIMIT);
+                RequestLimit.NO_LIMIT,
+                RetryAfter.parse(fromUpstream.getAll("Retry-After"), Optional.empty(), receivedAt),
+                fromUpstream.contains("Leaving"));
     }
 
     @Override
