Send nothing to an upstream until the end of the pause that it asked for

Callers saw: requests refused with 'all upstreams are at capacity' while other upstreams that held their model had room, because each send to an upstream that had asked for a pause took one retry of the service's budget.

Ruled out: sends past a pause that was known, and a pause that ended early; first attempts went there 0 to 1 ms after they came, and no run there succeeded meanwhile.

Now an upstream takes no request until the end of all its pauses, checked when it is chosen and again when the request is written, as the connection may have opened meanwhile. Requests that are held back go back to the queue as unsent and take no retry. The pause is kept with the upstream's gates, so it outlives its entry; a new incarnation has none. It belongs to the upstream that the answer names, which need not be the addressed one. It is at most ten minutes, counted and logged where it is shortened.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
@@ -13,25 +13,35 @@
     /** Longer pauses are shortened: a wrong figure must not close an upstream until a restart. */
     public static final Duration MAX_PAUSE = Duration.ofMinutes(10);
 
+    private StatementOrigin origin = new StatementOrigin();
     private Instant pausedUntil = Instant.MIN;
     private long sentInPause;
 
     /**
      * Takes the pause that an answer asks for.
      *
-     * @return true if the pauses now end later, by more than answers to simultaneous requests
-     *     differ
+     * @param startedAt start of the upstream's incarnation, in Unix milliseconds
+     * @return true if there was no pause before
      */
-    public boolean pauseRequested(Duration pause, Instant now) {
+    public boolean pauseRequested(Duration pause, long startedAt, Instant now) {
         Instant until = now.plus(pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause);
         if (!until.isAfter(now) || !until.isAfter(pausedUntil)) {
             return false;
         }
         boolean isNew = !isPaused(now);
         pausedUntil = until;
+        origin.stated(startedAt, now);
         return isNew;
     }
 
+    /** Takes the incarnation that the list states; a new one has asked for nothing yet. */
+    public void incarnationListed(long startedAt, Instant now) {
+        if (isPaused(now) && origin.isOutdatedBy(startedAt, now)) {
+            origin = new StatementOrigin();
+            pausedUntil = Instant.MIN;
+        }
+    }
+
     /** Returns true while the upstream wants no requests. */
     public boolean isPaused(Instant now) {
         return now.isBefore(pausedUntil);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -34,6 +34,7 @@
     private final ColdGate cold;
     private final LimitGate limit;
     private final PauseGate pause;
+    private final UpstreamGates gates;
     private final Map<ModelRef, Integer> runningByModel = new TreeMap<>();
     private final RelativeTime relativeTime = new RelativeTime();
     private final TokensInUse tokens = new TokensInUse();
@@ -52,9 +53,11 @@
         this.cold = gates.cold();
         this.limit = gates.limit();
         this.pause = gates.pause();
+        this.gates = gates;
         this.facts = facts;
         this.held = facts.held();
         cold.upstreamReported(facts.remainingColdTime(), now);
+        gates.incarnationListed(facts.held().startedAt(), now);
     }
 
     /** Returns the newest entry of the upstream in the platform's list. */
@@ -70,9 +73,17 @@
         return held;
     }
 
-    /** Returns true if new requests may go there: it is open, and not ejected. */
+    /** Returns true if new requests may go there: they may be sent, and it is not ejected. */
     public boolean accepts(Instant now) {
-        return isOpen(now) && health.accepts(now);
+        return maySend(now) && health.accepts(now);
+    }
+
+    /**
+     * Returns true if a request that was assigned to it may be sent: it is open, and has not asked
+     * for a pause.
+     */
+    public boolean maySend(Instant now) {
+        return isOpen(now) && !pause.isPaused(now);
     }
 
     /** Returns true unless it drains or its zone is closed, whatever its health. */
@@ -337,6 +348,7 @@
         boolean newIncarnation = given.held().startedAt() != facts.held().startedAt();
         facts = given;
         cold.upstreamReported(given.remainingColdTime(), now);
+        gates.incarnationListed(given.held().startedAt(), now);
         boolean announcedRecently =
                 !leaderAnnouncedAt.equals(Instant.MIN)
                         && now.isBefore(leaderAnnouncedAt.plus(MAX_ENTRY_DELAY));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamGates.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamGates.java
@@ -3,6 +3,7 @@
 import io.damaskyoke.control.cold.ColdGate;
 import io.damaskyoke.control.cold.LimitGate;
 import io.damaskyoke.control.notices.PauseGate;
+import java.time.Instant;
 
 /**
  * The limits on requests to one upstream. They are kept when its entry is removed from the list.
@@ -12,4 +13,9 @@
     UpstreamGates() {
         this(new ColdGate(), new LimitGate(), new PauseGate());
     }
+
+    /** Takes the incarnation that the list states, by its start in Unix milliseconds. */
+    void incarnationListed(long startedAt, Instant now) {
+        pause.incarnationListed(startedAt, now);
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.control.upstreams;
 
 import io.damaskyoke.control.cold.ColdLimit;
+import io.damaskyoke.control.notices.PauseGate;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -132,6 +133,14 @@
         return found;
     }
 
+    /**
+     * Returns the pauses that an upstream has asked for, also if it is not listed: its entry may
+     * come, or come back.
+     */
+    public PauseGate pause(UpstreamId id) {
+        return gates.computeIfAbsent(id, any -> new UpstreamGates()).pause();
+    }
+
     /** Returns the upstreams of a service. */
     public List<Upstream> ofService(String service) {
         return byService.getOrDefault(service, List.of());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -121,9 +121,10 @@
             forwarded.refuseExpired();
             return false;
         }
-        if (!upstream.isOpen(now)) {
+        if (!upstream.maySend(now)) {
             abandon();
-            forwarded.requeueUnsent("upstream is leaving");
+            forwarded.requeueUnsent(
+                    upstream.isOpen(now) ? "upstream asked for a pause" : "upstream is leaving");
             return false;
         }
         if (!forwarded.passesQuarantine()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.notices.PauseGate;
+import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
@@ -44,16 +45,21 @@
     void answerReceived(Upstream upstream, UpstreamStatements statements, Instant assignedAt) {
         loads.answerReceived(upstream, statements);
         limits.limitReceived(upstream, statements.limit(), assignedAt);
+        statements.from().ifPresent(id -> closingStatementsReceived(id, statements));
+    }
+
+    // The answer may be of another upstream than the addressed one: of the one that was given its
+    // address, or of the one that had it before.
+    private void closingStatementsReceived(UpstreamId id, UpstreamStatements statements) {
         if (statements.pause().kind() != RetryAfter.Kind.NONE) {
-            pauseRequested(upstream, statements.pause());
+            pauseRequested(id, statements.pause());
         }
         if (statements.leaving()) {
             metrics.count("upstream_answers_leaving");
         }
     }
 
-    private void pauseRequested(Upstream upstream, RetryAfter pause) {
-        UpstreamId id = upstream.facts().id();
+    private void pauseRequested(UpstreamId id, RetryAfter pause) {
         if (pause.kind() == RetryAfter.Kind.INVALID) {
             metrics.count("upstream_pauses_invalid");
             LOG.warn("upstream {} asks for a pause whose length can't be read", id);
@@ -64,7 +70,7 @@
         if (tooLong) {
             metrics.count("upstream_pauses_shortened");
         }
-        if (upstream.pause().pauseRequested(pause.pause(), clock.instant())) {
+        if (upstreams.pause(id).pauseRequested(pause.pause(), startedAt(id), clock.instant())) {
             LOG.info(
                     "upstream {} asks for a pause of {} ms{}",
                     id,
@@ -73,6 +79,13 @@
         }
     }
 
+    private long startedAt(UpstreamId id) {
+        return upstreams
+                .find(id)
+                .map(upstream -> upstream.facts().held().startedAt())
+                .orElse(HeldModels.UNKNOWN_START);
+    }
+
     private long pausedCount() {
         Instant now = clock.instant();
         return upstreams.all().stream().filter(each -> each.pause().isPaused(now)).count();
