Count a 503 that asks for a pause as an answer and not as a failure

Callers saw: an upstream that answered one request with 503 and Retry-After, but without confirming that nothing had run, was avoided long after its pause, while a slower one got everything.

Cause: the answer counted as a failure. Three of them also ejected it, and the probe that follows an ejection went into the middle of the pause.

An upstream that asks for a pause has answered in good health; the pause alone keeps requests away. Evidence: RequestedPauseTest, one second after a pause of 0.7 s: 0 requests to the quick upstream and 88 to the slow one before; after it the quick one gets the larger part.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -230,6 +230,11 @@
             return;
         }
         firstByteReceived = true;
+        if (answer.statements().asksForPause()) {
+            // It has answered in good health; the pause alone keeps requests away.
+            upstream.requestRejected(lastReceivedAt, Duration.ZERO);
+            return;
+        }
         boolean serverFailure =
                 answer.status() >= MIN_SERVER_ERROR && answer.status() != GATEWAY_TIMEOUT;
         if (serverFailure) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatements.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatements.java
@@ -23,4 +23,9 @@
         int invalidLoadFigures,
         RequestLimit limit,
         RetryAfter pause,
-        boolean leaving) {}
+        boolean leaving) {
+    /** Returns true if the upstream states a pause. */
+    public boolean asksForPause() {
+        return pause.kind() == RetryAfter.Kind.VALID;
+    }
+}
