Refuse a request at once if all upstreams that could serve it pause for too long

Callers saw: requests waited for 1.8 s, until their time to be sent was over, for upstreams that had asked for a pause of 4 s.

Cause: nothing compared the end of the pauses with the time that a request has. Now a request is refused at arrival, at a retry, or when a pause begins or grows while it waits, if the earliest end of the pauses of the upstreams that could serve it is later than its time to be sent. For a model, a load at an upstream that is not paused counts as well. It is refused as not run, with Retry-After by the earliest end, spread over half of that time and at most a second, so that callers do not return in the same moment. A retry that can't be served takes nothing of the retry budget. Queues are per model and allowed regions, so no other request waits behind it.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.cold.ColdLimit;
 import io.damaskyoke.control.notices.PauseGate;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -26,6 +27,7 @@
     private final Map<UpstreamId, UpstreamGates> gates = new HashMap<>();
     private Map<String, ColdLimit> coldLimits = Map.of();
     private Map<String, Long> tokenMemory = Map.of();
+    private Instant lastPauseEnd = Instant.MIN;
     private long revision;
 
     /** Creates a table of upstreams whose zones may be drained. */
@@ -134,11 +136,26 @@
     }
 
     /**
-     * Returns the pauses that an upstream has asked for, also if it is not listed: its entry may
-     * come, or come back.
+     * Records that an upstream has asked for a pause, also if it is not listed: its entry may come,
+     * or come back.
+     *
+     * @return true if it was not paused before
      */
-    public PauseGate pause(UpstreamId id) {
-        return gates.computeIfAbsent(id, any -> new UpstreamGates()).pause();
+    public boolean pauseRequested(UpstreamId id, Duration pause, Instant now) {
+        PauseGate gate = gates.computeIfAbsent(id, any -> new UpstreamGates()).pause();
+        Upstream listed = byId.get(id);
+        long startedAt =
+                listed == null ? HeldModels.UNKNOWN_START : listed.facts().held().startedAt();
+        boolean isNew = gate.pauseRequested(pause, startedAt, now);
+        if (gate.pausedUntil().isAfter(lastPauseEnd)) {
+            lastPauseEnd = gate.pausedUntil();
+        }
+        return isNew;
+    }
+
+    /** Returns false if no upstream is paused; takes no look at any upstream. */
+    public boolean mayBePaused(Instant now) {
+        return now.isBefore(lastPauseEnd);
     }
 
     /** Returns the upstreams of a service. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ArrivalCheck.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ArrivalCheck.java
@@ -25,6 +25,9 @@
 
     private static final Duration EXPIRE_PERIOD = Duration.ofSeconds(1);
 
+    /** The time of a load where no upstream can load the model. */
+    private static final Duration FOREVER = Duration.ofDays(365);
+
     private final WaitForecast forecast = new WaitForecast();
     private final ArrivalRefusals refusals = new ArrivalRefusals();
     private final Map<String, EngineSpec> engines = new HashMap<>();
@@ -37,7 +40,9 @@
         /** An upstream has a copy of the model but has to load it. */
         MODEL_UNAVAILABLE("model_unavailable"),
         /** The model has to be loaded from the weight store. */
-        STORE_LOAD("store_load");
+        STORE_LOAD("store_load"),
+        /** An upstream holds the model but has asked for a pause. */
+        PAUSED("paused");
 
         private final String label;
 
@@ -127,6 +132,19 @@
         }
     }
 
+    /**
+     * Returns how long it takes until an upstream that accepts requests has loaded the model; empty
+     * if that is not known or nothing has to be loaded.
+     */
+    Optional<Duration> loadTimeUnlessPaused(
+            String service, ModelRef model, List<Upstream> candidates, Instant now) {
+        boolean anyAccepts = candidates.stream().anyMatch(each -> each.accepts(now));
+        if (!engines.containsKey(service) || !anyAccepts) {
+            return Optional.of(FOREVER);
+        }
+        return nearestLoad(service, model, candidates, now).map(Load::time);
+    }
+
     // Empty if the model is unknown, or if it is held and only its adapter has to be loaded, as
     // nothing is known of the time that an adapter takes.
     private Optional<Load> nearestLoad(
@@ -138,6 +156,7 @@
         Load nearest = new Load(spec.storeLoadTime(), Reason.STORE_LOAD);
         for (Upstream upstream : candidates) {
             if (!upstream.accepts(now)) {
+                nearest = shorter(nearest, pauseAtHolder(upstream, model, now));
                 continue;
             }
             if (upstream.held().contains(model.base())) {
@@ -148,6 +167,15 @@
         return Optional.of(nearest);
     }
 
+    private static Optional<Load> pauseAtHolder(Upstream upstream, ModelRef model, Instant now) {
+        boolean paused = upstream.isOpen(now) && upstream.pause().isPaused(now);
+        if (!paused || !upstream.held().contains(model)) {
+            return Optional.empty();
+        }
+        Duration left = Duration.between(now, upstream.pause().pausedUntil());
+        return Optional.of(new Load(left, Reason.PAUSED));
+    }
+
     private static Optional<Load> localLoad(Upstream upstream, ModelSpec spec) {
         if (upstream.facts().inMemory().contains(spec.name())) {
             return Optional.of(new Load(spec.memoryLoadTime(), Reason.MODEL_UNAVAILABLE));
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -305,10 +305,21 @@
                         .retryAfter(retryAfter));
     }
 
+    @Override
+    public void refusePaused(Duration retryAfter) {
+        lastReason = "upstreams are paused";
+        inFlight.statements().recordRefusedInPause();
+        refuseUnserved("the upstreams have asked for a pause", retryAfter);
+    }
+
     @Override
     public void handleNoUpstream() {
-        request.model().ifPresent(inFlight.unservedModels()::recordUnserved);
         Duration wait = request.model().isPresent() ? RETRY_AFTER_MODEL_UNSERVED : RETRY_AFTER;
+        refuseUnserved("no upstream could take the request in time", wait);
+    }
+
+    private void refuseUnserved(String reason, Duration retryAfter) {
+        request.model().ifPresent(inFlight.unservedModels()::recordUnserved);
         if (answerStarted) {
             abort("no upstream could resume the stream in time");
         } else if (possibleRuns > 0) {
@@ -317,11 +328,7 @@
                             RefusalCode.UPSTREAM_FAILED,
                             "no other upstream could take the request in time"));
         } else {
-            refuse(
-                    Refusal.notRun(
-                                    RefusalCode.NO_UPSTREAM,
-                                    "no upstream could take the request in time")
-                            .retryAfter(wait));
+            refuse(Refusal.notRun(RefusalCode.NO_UPSTREAM, reason).retryAfter(retryAfter));
         }
     }
 
@@ -430,7 +437,10 @@
     }
 
     private void retryWithinBudget(boolean notRun) {
-        if (inFlight.takeRetry(service)) {
+        Optional<Duration> pause = inFlight.dispatcher().pauseRefusal(this);
+        if (pause.isPresent()) {
+            refusePaused(pause.get());
+        } else if (inFlight.takeRetry(service)) {
             inFlight.dispatcher().enqueue(this);
         } else if (answerStarted) {
             abort("retry budget exhausted");
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PendingRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PendingRequest.java
@@ -40,6 +40,13 @@
      */
     void refuseAtArrival(Duration retryAfter);
 
+    /**
+     * Refuses the request, as the upstreams that could serve it are paused for too long.
+     *
+     * @param retryAfter the time after which one may serve it
+     */
+    void refusePaused(Duration retryAfter);
+
     /** Refuses the request, as no upstream could take it in time. */
     void handleNoUpstream();
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -19,12 +19,14 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -59,6 +61,7 @@
     private final Map<String, String> regions;
     private final Map<String, ServiceQueues> queues = new HashMap<>();
     private final ArrivalCheck arrivalCheck = new ArrivalCheck();
+    private final PauseCheck pauseCheck;
     private final Set<String> servicesToSend = new LinkedHashSet<>();
     private Set<String> engineServices = Set.of();
     private Runnable modelUnavailable = () -> {};
@@ -116,6 +119,7 @@
             Consumer<Runnable> afterReads,
             UpstreamShare share) {
         this.upstreams = upstreams;
+        this.pauseCheck = new PauseCheck(upstreams, arrivalCheck, new SplittableRandom());
         this.clock = clock;
         this.afterReads = afterReads;
         this.regions = Map.copyOf(regions);
@@ -192,6 +196,11 @@
             request.handleNoUpstream();
             return;
         }
+        Optional<Duration> pause = pauseRefusal(request, now);
+        if (pause.isPresent()) {
+            request.refusePaused(pause.get());
+            return;
+        }
         ServiceQueues service =
                 queues.computeIfAbsent(request.service(), any -> new ServiceQueues(newOrder()));
         service.byKey
@@ -217,6 +226,25 @@
                 now);
     }
 
+    /**
+     * Returns when to retry a request that is not worth queueing, as all upstreams that could serve
+     * it are paused for too long; empty if it is.
+     */
+    Optional<Duration> pauseRefusal(PendingRequest request) {
+        return pauseRefusal(request, clock.instant());
+    }
+
+    private Optional<Duration> pauseRefusal(PendingRequest request, Instant now) {
+        return servableFrom(request, now)
+                .filter(from -> from.isAfter(request.queueDeadline()))
+                .map(from -> pauseCheck.retryAfter(from, now));
+    }
+
+    private Optional<Instant> servableFrom(PendingRequest request, Instant now) {
+        return pauseCheck.servableFrom(
+                request.service(), request.model(), candidates(request), now);
+    }
+
     /** Returns true if the models of the service do not fit into its upstreams together. */
     private boolean isOversubscribed(String service) {
         return arrivalCheck.appliesTo(service, upstreams.ofService(service).size());
@@ -333,6 +361,37 @@
         expired.forEach(this::remove);
         expired.forEach(request -> recordExpired(request, now));
         expired.forEach(PendingRequest::handleNoUpstream);
+        if (upstreams.mayBePaused(now)) {
+            refusePaused(now);
+        }
+    }
+
+    // All requests of a queue can be served by the same upstreams.
+    private void refusePaused(Instant now) {
+        Map<PendingRequest, Duration> refused = new LinkedHashMap<>();
+        for (ServiceQueues service : queues.values()) {
+            for (WaitingQueue<PendingRequest> queue : service.byKey.values()) {
+                Turn<PendingRequest> next = queue.next(now);
+                Optional<Instant> from =
+                        next == null ? Optional.empty() : servableFrom(next.request(), now);
+                from.ifPresent(at -> addLate(queue, at, now, refused));
+            }
+        }
+        refused.keySet().forEach(this::remove);
+        refused.forEach(PendingRequest::refusePaused);
+    }
+
+    private void addLate(
+            WaitingQueue<PendingRequest> queue,
+            Instant servableFrom,
+            Instant now,
+            Map<PendingRequest, Duration> late) {
+        queue.forEach(
+                request -> {
+                    if (servableFrom.isAfter(request.queueDeadline())) {
+                        late.put(request, pauseCheck.retryAfter(servableFrom, now));
+                    }
+                });
     }
 
     /** Returns this router's demand for models and its view of the upstreams, for the leader. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -1,7 +1,6 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.notices.PauseGate;
-import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
@@ -70,7 +69,7 @@
         if (tooLong) {
             metrics.count("upstream_pauses_shortened");
         }
-        if (upstreams.pause(id).pauseRequested(pause.pause(), startedAt(id), clock.instant())) {
+        if (upstreams.pauseRequested(id, pause.pause(), clock.instant())) {
             LOG.info(
                     "upstream {} asks for a pause of {} ms{}",
                     id,
@@ -79,11 +78,9 @@
         }
     }
 
-    private long startedAt(UpstreamId id) {
-        return upstreams
-                .find(id)
-                .map(upstream -> upstream.facts().held().startedAt())
-                .orElse(HeldModels.UNKNOWN_START);
+    /** Counts a request that was refused, as all upstreams that could serve it are paused. */
+    void recordRefusedInPause() {
+        metrics.count("direct_refused_in_pause");
     }
 
     private long pausedCount() {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedRequest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedRequest.java
@@ -75,6 +75,11 @@
         return Set.of();
     }
 
+    @Override
+    public void refusePaused(Duration retryAfter) {
+        handleNoUpstream();
+    }
+
     @Override
     public void refuseAtArrival(Duration retryAfter) {
         handleNoUpstream();
