Send nothing more to an upstream that has said in an answer that it leaves

Callers would have seen: requests cut off at an upstream that had left, where the store calls it ready for ever or can't be reached.

Cause: Server-Leaving was not read, so a departure was known from the list alone. Now any answer that says so, a success, a failure or the head of a stream, closes its upstream to new requests, retries and resumed streams at once, as an entry that drains does. Running streams go on. The leader takes it for an upstream that drains, loads nothing there and loads elsewhere what only it holds. The notice is kept with the gates: neither an entry of the same incarnation nor its removal and return takes it back, a new incarnation does.

An upstream that starts again under its name is used.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -86,9 +86,14 @@
         return isOpen(now) && !pause.isPaused(now);
     }
 
-    /** Returns true unless it drains or its zone is closed, whatever its health. */
+    /** Returns true unless it leaves or its zone is closed, whatever its health. */
     public boolean isOpen(Instant now) {
-        return !facts.draining() && !isZoneClosed(now);
+        return !isLeaving() && !isZoneClosed(now);
+    }
+
+    /** Returns true if it drains by its entry, or has said in an answer that it leaves. */
+    public boolean isLeaving() {
+        return facts.draining() || gates.departure().isLeaving();
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -143,16 +143,28 @@
      */
     public boolean pauseRequested(UpstreamId id, Duration pause, Instant now) {
         PauseGate gate = gates.computeIfAbsent(id, any -> new UpstreamGates()).pause();
-        Upstream listed = byId.get(id);
-        long startedAt =
-                listed == null ? HeldModels.UNKNOWN_START : listed.facts().held().startedAt();
-        boolean isNew = gate.pauseRequested(pause, startedAt, now);
+        boolean isNew = gate.pauseRequested(pause, startedAt(id), now);
         if (gate.pausedUntil().isAfter(lastPauseEnd)) {
             lastPauseEnd = gate.pausedUntil();
         }
         return isNew;
     }
 
+    /**
+     * Records that an upstream has said that it leaves, also if it is not listed.
+     *
+     * @return true if it had not said so before
+     */
+    public boolean departureStated(UpstreamId id, Instant now) {
+        UpstreamGates found = gates.computeIfAbsent(id, any -> new UpstreamGates());
+        return found.departure().departureStated(startedAt(id), now);
+    }
+
+    private long startedAt(UpstreamId id) {
+        Upstream listed = byId.get(id);
+        return listed == null ? HeldModels.UNKNOWN_START : listed.facts().held().startedAt();
+    }
+
     /** Returns false if no upstream is paused; takes no look at any upstream. */
     public boolean mayBePaused(Instant now) {
         return now.isBefore(lastPauseEnd);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -446,6 +446,7 @@
     // Starts reading the store before it serves callers, since their requests need what is read.
     private void startServing(ServerSocketChannel socket) {
         dispatcher.onModelUnavailable(reports::reportSoon);
+        statements.onDeparture(coordinator::upstreamListed);
         dispatcher.onRefusedAtArrival(
                 reason -> metrics.count("direct_refused_at_arrival", "reason", reason.label()));
         dispatcher.onWaited(metrics.histogram("direct_queue_wait_ms")::update);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DrainProgress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DrainProgress.java
@@ -37,7 +37,7 @@
         Set<String> inDrainedZones = new HashSet<>();
         Set<String> elsewhere = new HashSet<>();
         for (Upstream upstream : upstreams.all()) {
-            boolean drains = upstream.isZoneDrained() || upstream.facts().draining();
+            boolean drains = upstream.isZoneDrained() || upstream.isLeaving();
             (drains ? inDrainedZones : elsewhere).addAll(upstream.held().adapters().keySet());
         }
         inDrainedZones.removeAll(elsewhere);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoadCoordinator.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoadCoordinator.java
@@ -125,8 +125,14 @@
         upstreams.all().forEach(each -> upstreamListed(each.facts()));
     }
 
+    /**
+     * Records that an upstream was listed or its entry changed, or that it has said in an answer
+     * that it leaves, which its entry may never tell.
+     */
     void upstreamListed(UpstreamFacts facts) {
-        feed(new LoadInput.UpstreamListed(facts));
+        boolean leaving = upstreams.find(facts.id()).filter(Upstream::isLeaving).isPresent();
+        UpstreamFacts known = leaving ? facts.drainingSince(facts.revision()) : facts;
+        feed(new LoadInput.UpstreamListed(known));
     }
 
     /** Replaces the set of drained availability zones. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -2,12 +2,14 @@
 
 import io.damaskyoke.control.notices.PauseGate;
 import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.http.RetryAfter;
 import io.damaskyoke.metrics.Metrics;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -20,6 +22,7 @@
     private final DeclaredLimits limits;
     private final ReportedLoads loads;
     private final Metrics metrics;
+    private Consumer<UpstreamFacts> onDeparture = any -> {};
 
     UpstreamStatementHandler(
             InstantSource clock,
@@ -36,10 +39,16 @@
 
     /** Registers gauges of the paused and leaving upstreams. */
     void registerGauges() {
+        metrics.gauge("upstreams_leaving", this::leavingCount);
         metrics.gauge("upstreams_paused", this::pausedCount);
         metrics.gauge("upstream_sent_in_pause", this::sentInPause);
     }
 
+    /** Sets the action that runs for each upstream that says that it leaves. */
+    void onDeparture(Consumer<UpstreamFacts> action) {
+        onDeparture = action;
+    }
+
     /** Applies what the answer to a request says that was assigned to the upstream at that time. */
     void answerReceived(Upstream upstream, UpstreamStatements statements, Instant assignedAt) {
         loads.answerReceived(upstream, statements);
@@ -55,7 +64,16 @@
         }
         if (statements.leaving()) {
             metrics.count("upstream_answers_leaving");
+            departureStated(id);
+        }
+    }
+
+    private void departureStated(UpstreamId id) {
+        if (!upstreams.departureStated(id, clock.instant())) {
+            return;
         }
+        LOG.info("upstream {} says in an answer that it leaves", id);
+        upstreams.find(id).map(Upstream::facts).ifPresent(onDeparture);
     }
 
     private void pauseRequested(UpstreamId id, RetryAfter pause) {
@@ -83,6 +101,10 @@
         metrics.count("direct_refused_in_pause");
     }
 
+    private long leavingCount() {
+        return upstreams.all().stream().filter(Upstream::isLeaving).count();
+    }
+
     private long pausedCount() {
         Instant now = clock.instant();
         return upstreams.all().stream().filter(each -> each.pause().isPaused(now)).count();
