Tell the statements of an upstream's incarnations apart

- The answer of a new incarnation to a request that was assigned before its start counted as one of the earlier incarnation, as its connection was opened late.
Now the time counts at which the bytes are written (SentTo).
- A pause that ended before an earlier one did not record who asked for it, so the entry of that incarnation ended it.
Now each statement is recorded.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
@@ -25,12 +25,11 @@
      */
     public boolean pauseRequested(Duration pause, long startedAt, Instant now) {
         Instant until = now.plus(pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause);
-        if (!until.isAfter(now) || !until.isAfter(pausedUntil)) {
-            return false;
-        }
-        boolean isNew = !isPaused(now);
-        pausedUntil = until;
+        boolean isNew = !isPaused(now) && until.isAfter(now);
         origin.stated(startedAt, now);
+        if (until.isAfter(pausedUntil)) {
+            pausedUntil = until;
+        }
         return isNew;
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -143,7 +143,7 @@
      */
     public boolean pauseRequested(UpstreamId id, Duration pause, Instant now) {
         PauseGate gate = gates.computeIfAbsent(id, any -> new UpstreamGates()).pause();
-        boolean isNew = gate.pauseRequested(pause, startedAt(id), now);
+        boolean isNew = gate.pauseRequested(pause, listedStart(id), now);
         if (gate.pausedUntil().isAfter(lastPauseEnd)) {
             lastPauseEnd = gate.pausedUntil();
         }
@@ -157,10 +157,11 @@
      */
     public boolean departureStated(UpstreamId id, Instant now) {
         UpstreamGates found = gates.computeIfAbsent(id, any -> new UpstreamGates());
-        return found.departure().departureStated(startedAt(id), now);
+        return found.departure().departureStated(listedStart(id), now);
     }
 
-    private long startedAt(UpstreamId id) {
+    /** Returns the start of the listed incarnation of an upstream; unknown if it is not listed. */
+    public long listedStart(UpstreamId id) {
         Upstream listed = byId.get(id);
         return listed == null ? HeldModels.UNKNOWN_START : listed.facts().held().startedAt();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -47,6 +47,7 @@
     private final EventSplitter splitter = new EventSplitter();
     private final Instant sentAt;
     private Instant lastReceivedAt;
+    private SentTo sentTo;
     private ClientCall call;
     private UpstreamAnswer answer;
     private HttpHeaders headers;
@@ -133,6 +134,7 @@
             return false;
         }
         sent = true;
+        sentTo = SentTo.of(upstream, now);
         upstream.requestSent(now);
         headers.set(
                 inFlight.dialect()
@@ -157,7 +159,7 @@
         answer =
                 inFlight.dialect()
                         .answer(status, fromUpstream, upstream.facts().id(), lastReceivedAt);
-        inFlight.statements().answerReceived(upstream, answer.statements(), sentAt);
+        inFlight.statements().answerReceived(sentTo, answer.statements());
         inFlight.crashes().upstreamAnswered(upstream, sentAt);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.metrics.Metrics;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -49,11 +50,19 @@
         onDeparture = action;
     }
 
-    /** Applies what the answer to a request says that was assigned to the upstream at that time. */
-    void answerReceived(Upstream upstream, UpstreamStatements statements, Instant assignedAt) {
-        loads.answerReceived(upstream, statements);
-        limits.limitReceived(upstream, statements.limit(), assignedAt);
-        statements.from().ifPresent(id -> closingStatementsReceived(id, statements));
+    /** Applies what the answer to a request says. */
+    void answerReceived(SentTo sentTo, UpstreamStatements statements) {
+        loads.answerReceived(sentTo.upstream(), statements);
+        limits.limitReceived(sentTo.upstream(), statements.limit(), sentTo.at());
+        closingStatementsReceived(sentTo, statements);
+    }
+
+    private void closingStatementsReceived(SentTo sentTo, UpstreamStatements statements) {
+        boolean isAddressed = statements.from().equals(Optional.of(sentTo.id()));
+        long listedStart = upstreams.listedStart(sentTo.id());
+        if (!isAddressed || !sentTo.isOutdatedBy(listedStart)) {
+            statements.from().ifPresent(id -> closingStatementsReceived(id, statements));
+        }
     }
 
     // The answer may be of another upstream than the addressed one: of the one that was given its
