Fill an upstream gradually after its pause

Callers would see: the upstream's next pause as soon as one ends, as every router sends at once what has waited for it.

Now a router sends one request after a pause, and may have one more under way with each that is answered, until that reaches the upstream's slots. Only answers to requests that were sent after the pause count, so a run from before it opens nothing. A new pause begins anew.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
@@ -8,6 +8,10 @@
  *
  * <p>Each answer asks for a pause of its own. The end of all pauses counts, so a later and shorter
  * one takes nothing back.
+ *
+ * <p>After a pause all routers and all that waits at them come at once, and the upstream would have
+ * to ask for the next one. So a router sends one request first, and may have one more under way
+ * with each that is answered, until nothing is held back any more.
  */
 public final class PauseGate {
     /** Longer pauses are shortened: a wrong figure must not close an upstream until a restart. */
@@ -15,6 +19,9 @@
 
     private StatementOrigin origin = new StatementOrigin();
     private Instant pausedUntil = Instant.MIN;
+    private boolean recovering;
+    private int allowedAtOnce;
+    private int underWay;
     private long sentInPause;
 
     /**
@@ -27,6 +34,9 @@
         Instant until = now.plus(pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause);
         boolean isNew = !isPaused(now) && until.isAfter(now);
         origin.stated(startedAt, now);
+        recovering |= until.isAfter(now);
+        allowedAtOnce = 1;
+        underWay = 0;
         if (until.isAfter(pausedUntil)) {
             pausedUntil = until;
         }
@@ -38,9 +48,47 @@
         if (isPaused(now) && origin.isOutdatedBy(startedAt, now)) {
             origin = new StatementOrigin();
             pausedUntil = Instant.MIN;
+            recovering = false;
         }
     }
 
+    /**
+     * Returns true if one more request may be under way to the upstream, as far as its last pause
+     * is concerned.
+     *
+     * @param slots maximum number of requests that it runs at once
+     */
+    public boolean hasCapacity(int slots) {
+        if (!recovering) {
+            return true;
+        }
+        recovering = allowedAtOnce <= slots;
+        return !recovering || underWay < allowedAtOnce;
+    }
+
+    /** Records that a request was assigned to the upstream, which is not paused. */
+    public void requestAssigned() {
+        underWay++;
+    }
+
+    /** Records that an answer to a request began that was assigned then. */
+    public void requestAnswered(Instant assignedAt) {
+        if (isAfterPause(assignedAt)) {
+            allowedAtOnce++;
+        }
+    }
+
+    /** Records that a request that was assigned then is finished, whatever its outcome. */
+    public void requestFinished(Instant assignedAt) {
+        if (isAfterPause(assignedAt)) {
+            underWay--;
+        }
+    }
+
+    private boolean isAfterPause(Instant assignedAt) {
+        return recovering && !assignedAt.isBefore(pausedUntil);
+    }
+
     /** Returns true while the upstream wants no requests. */
     public boolean isPaused(Instant now) {
         return now.isBefore(pausedUntil);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -98,10 +98,11 @@
 
     /**
      * Returns true unless this router has sent its share of the requests that the upstream allows,
-     * or can serve while cold.
+     * can serve while cold, or takes soon after a pause.
      */
     public boolean hasCapacity(UpstreamShare share, Instant now) {
-        return limit.hasCapacity(facts.id(), share, now)
+        return pause.hasCapacity(facts.slots())
+                && limit.hasCapacity(facts.id(), share, now)
                 && cold.hasCapacity(() -> share.of(facts.id(), cold.limit().perSecond()), now);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -70,6 +70,7 @@
 
     void start() {
         upstream.requestAssigned(forwarded.model().orElse(null), forwarded.tokenUsage(), sentAt);
+        upstream.pause().requestAssigned();
         String attemptId = forwarded.request().attemptId();
         ClientRequest request =
                 new ClientRequest(
@@ -243,6 +244,7 @@
             upstream.requestFailed(lastReceivedAt);
         } else {
             upstream.requestAnswered(Duration.between(sentAt, lastReceivedAt), lastReceivedAt);
+            upstream.pause().requestAnswered(sentAt);
         }
     }
 
@@ -365,6 +367,7 @@
             upstream.requestNotSent();
         }
         upstream.requestFinished(forwarded.model().orElse(null), forwarded.tokenUsage());
+        upstream.pause().requestFinished(sentAt);
         inFlight.sendQueued(forwarded.service());
     }
 }
