Keep orders and report requests from an engine until the end of its pause

A leader would order loads, and ask for reports, at an engine that had asked it for a pause, also where the engine said so in its answer to an order.

Cause: the answers to orders and reports were read for their status alone. Now they are read for what they say about their engine by the same code as answers to requests, and neither an order nor a report request is sent in a pause, checked again once a connection is open. Such an order counts as refused, so that the planner tries another engine or the same one later. They do not lift a limit on requests, which they need not state.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -136,7 +136,15 @@
         this.peers = new PeerRouters(control, members);
         this.lease = new LeaderLease(control, store, members, self, lag);
         this.handOver = new LeaderHandOver(control, store, lease, peers, members);
-        UpstreamClient calls = new UpstreamClient(client, dialect, control);
+        this.limits = new DeclaredLimits(clock, upstreams, peers);
+        this.statements =
+                new UpstreamStatementHandler(
+                        clock,
+                        upstreams,
+                        limits,
+                        new ReportedLoads(clock, upstreams, metrics),
+                        metrics);
+        UpstreamClient calls = new UpstreamClient(client, dialect, control, statements);
         this.coordinator =
                 new LoadCoordinator(control, upstreams, lease, calls, self, peers, control.clock());
         this.configuration = new ConfigurationHolder(dialect, this::applyConfiguration);
@@ -154,14 +162,6 @@
                         this::isFirstWatcher,
                         metrics);
         this.lostUpstreams = new LostUpstreamAnnouncer(clock, upstreams, peers);
-        this.limits = new DeclaredLimits(clock, upstreams, peers);
-        this.statements =
-                new UpstreamStatementHandler(
-                        clock,
-                        upstreams,
-                        limits,
-                        new ReportedLoads(clock, upstreams, metrics),
-                        metrics);
         this.inFlight = createInFlightRequests();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoadCoordinator.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoadCoordinator.java
@@ -236,7 +236,7 @@
                         order.sequence());
         long startNanos = System.nanoTime();
         client.sendOrder(
-                to.get().facts(),
+                to.get(),
                 body,
                 outcome -> {
                     LOG.info(
@@ -268,7 +268,7 @@
             return;
         }
         client.requestReport(
-                to.get().facts(),
+                to.get(),
                 report ->
                         feed(
                                 report.<LoadInput>map(found -> found)
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
@@ -3,7 +3,8 @@
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OrderOutcome;
-import io.damaskyoke.control.upstreams.UpstreamFacts;
+import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.http.BufferedResponse;
 import io.damaskyoke.http.ClientRequest;
 import io.damaskyoke.http.ExchangeFailure;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -36,16 +38,22 @@
     private final HttpClient client;
     private final Dialect dialect;
     private final ControlThread control;
+    private final UpstreamStatementHandler statements;
 
-    UpstreamClient(HttpClient client, Dialect dialect, ControlThread control) {
+    UpstreamClient(
+            HttpClient client,
+            Dialect dialect,
+            ControlThread control,
+            UpstreamStatementHandler statements) {
         this.client = client;
         this.dialect = dialect;
         this.control = control;
+        this.statements = statements;
     }
 
     @Override
-    public void sendOrder(UpstreamFacts to, Dialect.Order order, Consumer<OrderOutcome> then) {
-        HttpHeaders headers = dialect.callHeaders(to.id());
+    public void sendOrder(Upstream to, Dialect.Order order, Consumer<OrderOutcome> then) {
+        HttpHeaders headers = dialect.callHeaders(to.facts().id());
         headers.set("Content-Type", "application/json");
         call(
                 to,
@@ -62,32 +70,31 @@
     }
 
     @Override
-    public void requestReport(
-            UpstreamFacts from, Consumer<Optional<LoadInput.UpstreamReported>> then) {
+    public void requestReport(Upstream from, Consumer<Optional<LoadInput.UpstreamReported>> then) {
         call(
                 from,
                 HttpMethod.GET,
                 dialect.reportPath(),
-                dialect.callHeaders(from.id()),
+                dialect.callHeaders(from.facts().id()),
                 new byte[0],
                 REPORT_TIMEOUT,
-                answer -> then.accept(read(from, answer)));
+                answer -> then.accept(read(from.facts().id(), answer)));
     }
 
-    private Optional<LoadInput.UpstreamReported> read(UpstreamFacts from, BufferedResponse answer) {
+    private Optional<LoadInput.UpstreamReported> read(UpstreamId from, BufferedResponse answer) {
         if (answer.failure().isPresent() || answer.status() != OK) {
             return Optional.empty();
         }
         try {
-            return Optional.of(dialect.report(from.id(), answer.body()));
+            return Optional.of(dialect.report(from, answer.body()));
         } catch (DirectException e) {
-            LOG.warn("the report of upstream {} is unreadable: {}", from.id(), e.getMessage());
+            LOG.warn("the report of upstream {} is unreadable: {}", from, e.getMessage());
             return Optional.empty();
         }
     }
 
     private void call(
-            UpstreamFacts to,
+            Upstream to,
             HttpMethod method,
             String path,
             HttpHeaders headers,
@@ -97,11 +104,36 @@
         ClientRequest request =
                 new ClientRequest(
                         method, path, headers, Unpooled.wrappedBuffer(body), any -> true, MAX_IDLE);
-        BufferedResponse.Reader reader = new BufferedResponse.Reader(then);
-        var call = client.send(to.endpoint(), request, reader);
+        SentTo sentTo = SentTo.of(to, control.clock().instant());
+        BufferedResponse.Reader reader =
+                new BufferedResponse.Reader(
+                        answer -> {
+                            applyStatements(sentTo, answer);
+                            then.accept(answer);
+                        },
+                        () -> !isPaused(to));
+        if (isPaused(to)) {
+            request.body().release();
+            control.run(() -> reader.failed(ExchangeFailure.NOT_CONNECTED));
+            return;
+        }
+        var call = client.send(to.facts().endpoint(), request, reader);
         control.after(timeout, () -> reader.expire(call));
     }
 
+    private boolean isPaused(Upstream to) {
+        return to.pause().isPaused(control.clock().instant());
+    }
+
+    private void applyStatements(SentTo sentTo, BufferedResponse answer) {
+        if (answer.failure().isEmpty()) {
+            Instant now = control.clock().instant();
+            statements.callAnswered(
+                    sentTo,
+                    dialect.statements(answer.status(), answer.headers(), sentTo.id(), now));
+        }
+    }
+
     private static OrderOutcome outcome(ExchangeFailure failure) {
         return failure.mayHaveArrived() ? OrderOutcome.UNKNOWN : OrderOutcome.REFUSED;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -57,6 +57,14 @@
         closingStatementsReceived(sentTo, statements);
     }
 
+    /**
+     * Applies what the answer to an order or a report request says. It need not state the limit on
+     * requests, so it does not lift one.
+     */
+    void callAnswered(SentTo sentTo, UpstreamStatements statements) {
+        closingStatementsReceived(sentTo, statements);
+    }
+
     private void closingStatementsReceived(SentTo sentTo, UpstreamStatements statements) {
         boolean isAddressed = statements.from().equals(Optional.of(sentTo.id()));
         long listedStart = upstreams.listedStart(sentTo.id());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
@@ -11,6 +11,7 @@
 import io.damaskyoke.control.loads.UnansweredLoadOrder;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.http.HttpLimits;
@@ -180,21 +181,20 @@
     OrderClient callsOf(ControlThread router) {
         return new OrderClient() {
             @Override
-            public void sendOrder(
-                    UpstreamFacts to, Dialect.Order order, Consumer<OrderOutcome> then) {
+            public void sendOrder(Upstream to, Dialect.Order order, Consumer<OrderOutcome> then) {
                 Answer<OrderOutcome> answer = new Answer<>(router, then);
                 router.after(ORDER_TIMEOUT, () -> answer.complete(OrderOutcome.UNKNOWN));
-                send(engine(to), order, answer);
+                send(engine(to.facts()), order, answer);
             }
 
             @Override
             public void requestReport(
-                    UpstreamFacts from, Consumer<Optional<LoadInput.UpstreamReported>> then) {
+                    Upstream from, Consumer<Optional<LoadInput.UpstreamReported>> then) {
                 Answer<Optional<LoadInput.UpstreamReported>> answer = new Answer<>(router, then);
                 router.after(REPORT_TIMEOUT, () -> answer.complete(Optional.empty()));
                 deliver(
                         () ->
-                                engine(from)
+                                engine(from.facts())
                                         .report()
                                         .ifPresent(
                                                 r ->
