Forget no pause and no departure when the whole list goes and comes back

In an outage of the store the whole list may go, and a router would have taken requests to upstreams that had said that they leave, or had asked for a pause.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamGates.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamGates.java
@@ -15,6 +15,11 @@
         this(new ColdGate(), new LimitGate(), new PauseGate(), new DepartureNotice());
     }
 
+    /** Returns true if they would still count should their upstream, which is gone, be back. */
+    boolean isKeptUnlisted(Instant now) {
+        return pause.isPaused(now) || departure.isKeptUnlisted(now);
+    }
+
     /** Takes the incarnation that the list states, by its start in Unix milliseconds. */
     void incarnationListed(long startedAt, Instant now) {
         pause.incarnationListed(startedAt, now);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -53,7 +53,7 @@
         }
         Upstream known = byId.get(facts.id());
         if (known == null) {
-            Upstream added = new Upstream(facts, zones, gates(facts), now);
+            Upstream added = new Upstream(facts, zones, gates(facts, now), now);
             added.setTokenMemory(tokenMemory.getOrDefault(facts.service(), 0L));
             byId.put(facts.id(), added);
             index();
@@ -104,7 +104,7 @@
     /** Sets the limits for cold upstreams, by service. */
     public void setColdLimits(Map<String, ColdLimit> given) {
         coldLimits = Map.copyOf(given);
-        byId.values().forEach(each -> gates(each.facts()));
+        byId.values().forEach(each -> setColdLimit(gates.get(each.facts().id()), each.facts()));
     }
 
     /** Sets the memory for running requests of each service's upstreams, in tokens. */
@@ -125,16 +125,25 @@
     }
 
     // Gates are kept when an upstream is removed from the list: otherwise one that returns under
-    // its name a moment later would get another share within the same second.
-    private UpstreamGates gates(UpstreamFacts facts) {
+    // its name a moment later would get another share within the same second. In an outage of the
+    // store the whole list may go and come back; no pause and no departure is forgotten then.
+    private UpstreamGates gates(UpstreamFacts facts, Instant now) {
         if (gates.size() > 2 * byId.size() + MAX_SPARE_GATES) {
-            gates.keySet().retainAll(byId.keySet());
+            gates.entrySet()
+                    .removeIf(
+                            each ->
+                                    !byId.containsKey(each.getKey())
+                                            && !each.getValue().isKeptUnlisted(now));
         }
         UpstreamGates found = gates.computeIfAbsent(facts.id(), any -> new UpstreamGates());
-        found.cold().setLimit(coldLimits.getOrDefault(facts.service(), ColdLimit.NONE));
+        setColdLimit(found, facts);
         return found;
     }
 
+    private void setColdLimit(UpstreamGates found, UpstreamFacts facts) {
+        found.cold().setLimit(coldLimits.getOrDefault(facts.service(), ColdLimit.NONE));
+    }
+
     /**
      * Records that an upstream has asked for a pause, also if it is not listed: its entry may come,
      * or come back.
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -21,6 +21,7 @@
 import io.damaskyoke.settings.DirectSettings;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -44,6 +45,7 @@
 /** Tests what happens to waiting requests whose caller leaves while the event loop is blocked. */
 class BlockedEventLoopTest {
     private static final String SERVICE = "service";
+    private static final UpstreamId ID = UpstreamId.of("i-1");
     private static final Duration LIMIT = Duration.ofSeconds(10);
 
     private final HttpLoop loop = HttpLoop.start();
@@ -147,6 +149,41 @@
     // zone was closed while the connection was being opened.
     @Test
     void nothingIsWrittenWhenAConnectionOpensAfterTheZoneWasClosed() throws Exception {
+        assertNothingIsWrittenAfter(() -> upstreams.zones().drain("a", Instant.MIN));
+    }
+
+    // Guards against a request that is written when its upstream connection opens, although the
+    // upstream asked for a pause while the connection was being opened.
+    @Test
+    void nothingIsWrittenWhenAConnectionOpensInAPause() throws Exception {
+        Duration pause = Duration.ofMinutes(1);
+        assertNothingIsWrittenAfter(() -> upstreams.pauseRequested(ID, pause, Instant.now()));
+    }
+
+    // Guards against a pause that is lost with the answer that asks for it, as the router reads
+    // first
+    // that the caller has disconnected.
+    @Test
+    void aPauseCountsThoughTheCallerOfItsAnswerHasDisconnected() throws Exception {
+        putUpstream(upstream.port());
+        Socket first = send("/first");
+        await().atMost(LIMIT).until(() -> reached.contains("/first"));
+
+        CountDownLatch release = blockEventLoop();
+        first.close();
+        pause("/first", "60");
+        release.countDown();
+
+        await().atMost(LIMIT)
+                .until(
+                        () ->
+                                loop.events()
+                                        .submit(() -> upstreams.mayBePaused(Instant.now()))
+                                        .get());
+    }
+
+    // The change comes while the connection of the request is being opened.
+    private void assertNothingIsWrittenAfter(Runnable change) throws Exception {
         try (ServerSocket fullBacklog = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Socket one = new Socket(InetAddress.getLoopbackAddress(), fullBacklog.getLocalPort());
             Socket two = new Socket(InetAddress.getLoopbackAddress(), fullBacklog.getLocalPort());
@@ -155,7 +192,7 @@
             await().atMost(LIMIT).until(() -> openRequests() == 1);
 
             CountDownLatch release = blockEventLoop();
-            loop.events().execute(() -> upstreams.zones().drain("a", Instant.MIN));
+            loop.events().execute(change);
             fullBacklog.accept().close();
             fullBacklog.accept().close();
             Socket router = fullBacklog.accept();
@@ -176,7 +213,7 @@
     private void putUpstream(int port) {
         UpstreamFacts facts =
                 new UpstreamFacts(
-                        UpstreamId.of("i-1"),
+                        ID,
                         1,
                         SERVICE,
                         new Endpoint("127.0.0.1", port),
@@ -226,15 +263,17 @@
     }
 
     private void answer(String target) {
+        answer(target, 200, new DefaultHttpHeaders());
+    }
+
+    private void pause(String target, String seconds) {
+        answer(target, 503, new DefaultHttpHeaders().set("Retry-After", seconds));
+    }
+
+    private void answer(String target, int status, HttpHeaders headers) {
         upstreamLoop
                 .events()
-                .submit(
-                        () ->
-                                running.get(target)
-                                        .answer(
-                                                200,
-                                                new DefaultHttpHeaders(),
-                                                Unpooled.EMPTY_BUFFER))
+                .submit(() -> running.get(target).answer(status, headers, Unpooled.EMPTY_BUFFER))
                 .syncUninterruptibly();
     }
 
