Do not shorten the pause of a full upstream by a later and shorter one

The pause of an upstream that was full was overwritten by each further rejection, so a later and shorter one ended it early. Its end is now the latest of all. UpstreamNoticesTest#aFullUpstreamStaysFullUntilTheLastOfItsPauses failed before.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -315,7 +315,8 @@
     public void requestRejected(Instant now, Duration pause) {
         health.requestAnswered();
         cold.answerReceived(now);
-        fullUntil = now.plus(pause);
+        Instant until = now.plus(pause);
+        fullUntil = until.isAfter(fullUntil) ? until : fullUntil;
     }
 
     /** Records the load that an answer reported. */
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
@@ -87,6 +87,17 @@
         assertTrue(upstream.accepts(start.plus(PauseGate.MAX_PAUSE)));
     }
 
+    // Guards against a short pause of a full upstream that ends a longer one.
+    @Test
+    void aFullUpstreamStaysFullUntilTheLastOfItsPauses() {
+        list("u1", start, 1);
+        Upstream upstream = table.find(ONE).orElseThrow();
+        upstream.requestRejected(start, Duration.ofMillis(300));
+        upstream.requestRejected(start, Duration.ofMillis(30));
+        assertTrue(upstream.isFull(start.plusMillis(299)));
+        assertFalse(upstream.isFull(start.plusMillis(300)));
+    }
+
     // Guards against requests that all go at once to an upstream whose pause has ended.
     @Test
     void afterAPauseRequestsComeOneByOneAndThenAsUsual() {
