Tell the leader and the other routers of pauses and departures known from answers

The leader's planner saw ejected and draining upstreams only. A model whose only copy was at an upstream that had asked for a long pause, or had said that it leaves, was not loaded elsewhere, and other routers went on sending to one that leaves until they heard it themselves.

A router's report now names as suspect what has asked it for a pause longer than a load from disk takes, and what leaves; as before, the planner heeds it where half of the routers agree.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandAggregator.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/DemandAggregator.java
@@ -190,7 +190,8 @@
     }
 
     /**
-     * Returns true if at least half of the routers report that the upstream fails their requests.
+     * Returns true if at least half of the routers report that the upstream fails their requests,
+     * has asked them for a long pause, or leaves.
      */
     boolean isSuspect(UpstreamId upstream) {
         int reporting = suspectReports.getOrDefault(upstream, 0);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadInput.java
@@ -33,7 +33,8 @@
      * A router reported its demand. The report replaces the previous one of the same router.
      *
      * @param running requests of that router that run on each upstream
-     * @param suspects upstreams that fail the router's requests
+     * @param suspects upstreams that fail the router's requests, have asked it for a long pause, or
+     *     leave
      */
     record DemandReported(
             VmId router,
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -104,6 +104,7 @@
     private final PoisonRequestDetector crashes;
     private final LostUpstreamAnnouncer lostUpstreams;
     private final DeclaredLimits limits;
+    private final AnnouncedDepartures departures;
     private final UpstreamStatementHandler statements;
     private final InFlightRequests inFlight;
     private final RateAdmission rates;
@@ -137,12 +138,14 @@
         this.lease = new LeaderLease(control, store, members, self, lag);
         this.handOver = new LeaderHandOver(control, store, lease, peers, members);
         this.limits = new DeclaredLimits(clock, upstreams, peers);
+        this.departures = new AnnouncedDepartures(clock, upstreams, peers);
         this.statements =
                 new UpstreamStatementHandler(
                         clock,
                         upstreams,
                         limits,
                         new ReportedLoads(clock, upstreams, metrics),
+                        departures,
                         metrics);
         UpstreamClient calls = new UpstreamClient(client, dialect, control, statements);
         this.coordinator =
@@ -334,6 +337,7 @@
                 crashes,
                 lostUpstreams,
                 limits,
+                departures,
                 reports,
                 configuration,
                 drains,
@@ -446,7 +450,7 @@
     // Starts reading the store before it serves callers, since their requests need what is read.
     private void startServing(ServerSocketChannel socket) {
         dispatcher.onModelUnavailable(reports::reportSoon);
-        statements.onDeparture(coordinator::upstreamListed);
+        departures.onDeparture(coordinator::upstreamListed);
         dispatcher.onRefusedAtArrival(
                 reason -> metrics.count("direct_refused_at_arrival", "reason", reason.label()));
         dispatcher.onWaited(metrics.histogram("direct_queue_wait_ms")::update);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerMessageHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerMessageHandler.java
@@ -39,6 +39,7 @@
             PoisonRequestDetector crashes,
             LostUpstreamAnnouncer lostUpstreams,
             DeclaredLimits limits,
+            AnnouncedDepartures departures,
             DemandReporter reports,
             ConfigurationHolder configuration,
             ZoneDrains drains,
@@ -103,6 +104,11 @@
         dependencies.lostUpstreams().lossAnnounced(upstream, startedAt, passOn);
     }
 
+    @Override
+    public void upstreamLeaves(UpstreamId upstream, long startedAt, boolean passOn) {
+        dependencies.departures().departureAnnounced(upstream, startedAt, passOn);
+    }
+
     @Override
     public void upstreamLimited(DeclaredLimits.Announcement announcement, boolean passOn) {
         dependencies.limits().announcementReceived(announcement, passOn);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouterFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouterFrames.java
@@ -23,6 +23,7 @@
 import io.damaskyoke.peer.wire.StoreChange;
 import io.damaskyoke.peer.wire.StoreChanges;
 import io.damaskyoke.peer.wire.UnansweredLoad;
+import io.damaskyoke.peer.wire.UpstreamLeaving;
 import io.damaskyoke.peer.wire.UpstreamLimit;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
@@ -159,6 +160,16 @@
         return Frame.newBuilder().setLostUpstream(lost).build();
     }
 
+    static Frame leaving(UpstreamId upstream, long startedAt, boolean passOn) {
+        UpstreamLeaving leaving =
+                UpstreamLeaving.newBuilder()
+                        .setUpstream(upstream.value())
+                        .setStartedAt(startedAt)
+                        .setPassOn(passOn)
+                        .build();
+        return Frame.newBuilder().setUpstreamLeaving(leaving).build();
+    }
+
     static Frame departures(List<UpstreamDeparture> departures) {
         Departures.Builder all = Departures.newBuilder();
         for (UpstreamDeparture each : departures) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
@@ -28,6 +28,7 @@
 import io.damaskyoke.peer.wire.StoredNews;
 import io.damaskyoke.peer.wire.SuspectRequest;
 import io.damaskyoke.peer.wire.UpstreamEnded;
+import io.damaskyoke.peer.wire.UpstreamLeaving;
 import io.damaskyoke.peer.wire.UpstreamLimit;
 import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
@@ -50,6 +51,7 @@
         implements PeerListener,
                 LeaderAnnouncements,
                 LostUpstreamAnnouncer.Transport,
+                AnnouncedDepartures.Transport,
                 DeclaredLimits.Announcer {
     /** Twice the interval of at most 0.6 s at which routers report to the leader. */
     private static final Duration STORE_STATUS_VALIDITY = Duration.ofMillis(1_200);
@@ -123,6 +125,12 @@
          */
         void upstreamLost(UpstreamId upstream, long startedAt, boolean passOn);
 
+        /**
+         * The incarnation of an upstream that started at {@code startedAt} said to a router that it
+         * leaves; {@code passOn} if this router is to pass the announcement on to all others.
+         */
+        void upstreamLeaves(UpstreamId upstream, long startedAt, boolean passOn);
+
         /**
          * An upstream declared its request limit; {@code passOn} if this router is to pass the
          * announcement on to all others.
@@ -266,6 +274,18 @@
         }
     }
 
+    @Override
+    public void announceLeaving(UpstreamId upstream, long startedAt) {
+        announceThroughWatchers(passOn -> PeerRouterFrames.leaving(upstream, startedAt, passOn));
+    }
+
+    @Override
+    public void forwardLeaving(UpstreamId upstream, long startedAt) {
+        if (members.watchesStore()) {
+            sendAll(PeerRouterFrames.leaving(upstream, startedAt, false));
+        }
+    }
+
     @Override
     public void announceLimit(DeclaredLimits.Announcement announcement) {
         announceThroughWatchers(passOn -> PeerRouterFrames.limit(announcement, passOn));
@@ -400,6 +420,12 @@
                     CrashFrames.crashedRuns(ended));
         } else if (frame.hasLostUpstream()) {
             handleLostUpstream(frame.getLostUpstream());
+        } else if (frame.hasUpstreamLeaving()) {
+            UpstreamLeaving leaving = frame.getUpstreamLeaving();
+            listener.upstreamLeaves(
+                    UpstreamId.of(leaving.getUpstream()),
+                    leaving.getStartedAt(),
+                    leaving.getPassOn());
         } else if (frame.hasUpstreamLimit()) {
             UpstreamLimit limit = frame.getUpstreamLimit();
             listener.upstreamLimited(PeerRouterFrames.limit(limit), limit.getPassOn());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -410,16 +410,23 @@
                                 demands.put(
                                         model, modelDemand(model, queue, arrivalsPerSecond, now)));
         Map<UpstreamId, Map<ModelRef, Integer>> running = new TreeMap<>();
-        Set<UpstreamId> ejected = new HashSet<>();
+        Set<UpstreamId> suspects = new HashSet<>();
         for (Upstream upstream : upstreams.all()) {
             if (!upstream.runningByModel().isEmpty()) {
                 running.put(upstream.facts().id(), new TreeMap<>(upstream.runningByModel()));
             }
-            if (upstream.isEjected()) {
-                ejected.add(upstream.facts().id());
+            if (isSuspect(upstream, now)) {
+                suspects.add(upstream.facts().id());
             }
         }
-        return new LoadInput.DemandReported(self, List.copyOf(demands.values()), running, ejected);
+        return new LoadInput.DemandReported(self, List.copyOf(demands.values()), running, suspects);
+    }
+
+    // A model that only a paused upstream holds is better loaded elsewhere, unless the pause ends
+    // sooner than the load.
+    private static boolean isSuspect(Upstream upstream, Instant now) {
+        boolean pausedForLong = upstream.pause().isPaused(now.plus(LOCAL_LOAD_TIME));
+        return upstream.isEjected() || upstream.isLeaving() || pausedForLong;
     }
 
     private Map<ModelRef, List<PendingRequest>> queuedByModel() {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -2,7 +2,6 @@
 
 import io.damaskyoke.control.notices.PauseGate;
 import io.damaskyoke.control.upstreams.Upstream;
-import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.http.RetryAfter;
@@ -10,7 +9,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -22,19 +20,21 @@
     private final UpstreamTable upstreams;
     private final DeclaredLimits limits;
     private final ReportedLoads loads;
+    private final AnnouncedDepartures departures;
     private final Metrics metrics;
-    private Consumer<UpstreamFacts> onDeparture = any -> {};
 
     UpstreamStatementHandler(
             InstantSource clock,
             UpstreamTable upstreams,
             DeclaredLimits limits,
             ReportedLoads loads,
+            AnnouncedDepartures departures,
             Metrics metrics) {
         this.clock = clock;
         this.upstreams = upstreams;
         this.limits = limits;
         this.loads = loads;
+        this.departures = departures;
         this.metrics = metrics;
     }
 
@@ -45,11 +45,6 @@
         metrics.gauge("upstream_sent_in_pause", this::sentInPause);
     }
 
-    /** Sets the action that runs for each upstream that says that it leaves. */
-    void onDeparture(Consumer<UpstreamFacts> action) {
-        onDeparture = action;
-    }
-
     /** Applies what the answer to a request says. */
     void answerReceived(SentTo sentTo, UpstreamStatements statements) {
         loads.answerReceived(sentTo.upstream(), statements);
@@ -81,16 +76,8 @@
         }
         if (statements.leaving()) {
             metrics.count("upstream_answers_leaving");
-            departureStated(id);
-        }
-    }
-
-    private void departureStated(UpstreamId id) {
-        if (!upstreams.departureStated(id, clock.instant())) {
-            return;
+            departures.departureStated(id);
         }
-        LOG.info("upstream {} says in an answer that it leaves", id);
-        upstreams.find(id).map(Upstream::facts).ifPresent(onDeparture);
     }
 
     private void pauseRequested(UpstreamId id, RetryAfter pause) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -85,6 +85,8 @@
                             upstreams,
                             new DeclaredLimits(Instant::now, upstreams, new SilentLimits()),
                             new ReportedLoads(Instant::now, upstreams, new Metrics()),
+                            new AnnouncedDepartures(
+                                    Instant::now, upstreams, new SilentDepartures()),
                             new Metrics()),
                     new DirectSettings.AnswerLimits(1 << 20, 1 << 20));
     private final HttpServer upstream = server(upstreamLoop, this::recordCall);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/PausedUpstreamDispatchTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/PausedUpstreamDispatchTest.java
@@ -14,6 +14,7 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -119,6 +120,17 @@
         assertTrue(refused.get(0).compareTo(LONG) >= 0, "retry after " + refused.get(0));
     }
 
+    // Guards against a leader that leaves a model at an upstream which takes no requests for it.
+    @Test
+    void theLeaderLearnsWhichUpstreamsArePausedForLongOrLeave() {
+        List.of("one", "two", "three", "four").forEach(this::list);
+        pause("one", LONG);
+        pause("two", Duration.ofMillis(100));
+        upstreams.departureStated(UpstreamId.of("three"), time.clock().instant());
+        Set<UpstreamId> suspects = dispatcher.demand(VmId.of("vm")).suspects();
+        assertEquals(Set.of(UpstreamId.of("one"), UpstreamId.of("three")), suspects);
+    }
+
     private void configure(Duration loadTime) {
         Map<String, ModelSpec> models =
                 Map.of(
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
@@ -115,7 +115,11 @@
         Metrics metrics = new Metrics();
         DeclaredLimits limits = new DeclaredLimits(time.clock(), table, new SilentAnnouncer());
         ReportedLoads loads = new ReportedLoads(time.clock(), table, metrics);
-        handler = new UpstreamStatementHandler(time.clock(), table, limits, loads, metrics);
+        AnnouncedDepartures departures =
+                new AnnouncedDepartures(time.clock(), table, new SilentDepartures());
+        handler =
+                new UpstreamStatementHandler(
+                        time.clock(), table, limits, loads, departures, metrics);
         workers.forEach(Worker::list);
     }
 
