--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -8,6 +8,7 @@
 import io.damaskyoke.control.upstreams.TokenUsage;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.direct.crashes.IncompleteRunCause;
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.exchange.RefusalCode;
 import io.damaskyoke.http.HttpCall;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.routing.SharedRetryBudget;
+import io.damaskyoke.direct.crashes.PoisonRequestDetector;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.settings.DirectSettings;
 import java.time.Duration;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerMessageHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerMessageHandler.java
@@ -10,6 +10,7 @@
 import io.damaskyoke.control.upstreams.UpstreamDeparture;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
+import io.damaskyoke.direct.crashes.PoisonRequestDetector;
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.platform.PolledStore.Changes;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouterFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouterFrames.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import io.damaskyoke.control.cold.RequestLimit;
-import io.damaskyoke.control.crashes.UpstreamCrash;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.UnansweredLoadOrder;
 import io.damaskyoke.control.upstreams.HeldModels;
@@ -142,20 +141,11 @@
     }
 
     static Frame lost(UpstreamId upstream, long startedAt, boolean passOn) {
-        return lost(new UpstreamCrash(upstream, startedAt), passOn, false);
-    }
-
-    static Frame crashDetected(UpstreamCrash crash, boolean passOn) {
-        return lost(crash, passOn, true);
-    }
-
-    private static Frame lost(UpstreamCrash crash, boolean passOn, boolean crashed) {
         LostUpstream lost =
                 LostUpstream.newBuilder()
-                        .setUpstream(crash.upstream().value())
-                        .setStartedAt(crash.startedAt())
+                        .setUpstream(upstream.value())
+                        .setStartedAt(startedAt)
                         .setPassOn(passOn)
-                        .setEnded(crashed)
                         .build();
         return Frame.newBuilder().setLostUpstream(lost).build();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.direct.RouteKind;
 import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.direct.crashes.IncompleteRunCause;
 import io.damaskyoke.http.ClientCall;
 import io.damaskyoke.http.ClientRequest;
 import io.damaskyoke.http.ExchangeFailure;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashAnnouncer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/CrashAnnouncer.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.CrashedRun;
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** Announces crashes of upstreams and their suspects to the other routers. */
-interface CrashAnnouncer {
+public interface CrashAnnouncer {
     /** Announces to the counting routers a crash so long ago and the runs at it. */
     void announceRunsAtCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs);
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashCauseFinder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/CrashCauseFinder.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.LruMap;
@@ -28,7 +28,7 @@
  * <p>A suspect that explains enough crashes is held for the clearing time, in which one success at
  * any router clears it. If it is still a cause then, it is found.
  */
-final class CrashCauseFinder {
+public final class CrashCauseFinder {
     private static final Logger LOG = LogManager.getLogger(CrashCauseFinder.class);
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/CrashFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/CrashFrames.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.CrashedRun;
@@ -8,6 +8,7 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.peer.wire.CutRequest;
 import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.LostUpstream;
 import io.damaskyoke.peer.wire.SuspectRequest;
 import io.damaskyoke.peer.wire.UpstreamEnded;
 import java.time.Duration;
@@ -21,9 +22,21 @@
  * <p>Requests and prompt parts have frames of different kinds. A router of an earlier version knows
  * only requests, and ignores the frames and fields of prompt parts.
  */
-final class CrashFrames {
+public final class CrashFrames {
     private CrashFrames() {}
 
+    /** Returns the announcement of a crash; {@code passOn} if the receiver is to pass it on. */
+    public static Frame crashDetected(UpstreamCrash crash, boolean passOn) {
+        LostUpstream lost =
+                LostUpstream.newBuilder()
+                        .setUpstream(crash.upstream().value())
+                        .setStartedAt(crash.startedAt())
+                        .setPassOn(passOn)
+                        .setEnded(true)
+                        .build();
+        return Frame.newBuilder().setLostUpstream(lost).build();
+    }
+
     static Frame upstreamCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
         UpstreamEnded.Builder ended =
                 UpstreamEnded.newBuilder()
@@ -43,11 +56,11 @@
         return line.build();
     }
 
-    static UpstreamCrash crash(UpstreamEnded ended) {
+    public static UpstreamCrash crash(UpstreamEnded ended) {
         return new UpstreamCrash(UpstreamId.of(ended.getUpstream()), ended.getStartedAt());
     }
 
-    static List<CrashedRun> crashedRuns(UpstreamEnded ended) {
+    public static List<CrashedRun> crashedRuns(UpstreamEnded ended) {
         return ended.getRequestsList().stream().map(CrashFrames::crashedRun).toList();
     }
 
@@ -85,7 +98,7 @@
                         .setSentMsAgo(sentAgo.toMillis()));
     }
 
-    static Frame quarantined(Quarantine.Entry entry, Instant now) {
+    public static Frame quarantined(Quarantine.Entry entry, Instant now) {
         return frame(
                 entry.suspect(),
                 SuspectRequest.newBuilder()
@@ -95,7 +108,8 @@
                         .setEndedMsAgo(millisBetween(entry.lastCrashAt(), now)));
     }
 
-    static Quarantine.Entry quarantined(CrashSuspect suspect, SuspectRequest line, Instant now) {
+    public static Quarantine.Entry quarantined(
+            CrashSuspect suspect, SuspectRequest line, Instant now) {
         return new Quarantine.Entry(
                 suspect,
                 now.plusMillis(line.getLeftMs()),
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/IncompleteRunCause.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/IncompleteRunCause.java
@@ -1,9 +1,9 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import java.util.Locale;
 
 /** The reason why a run at an upstream ended without a complete answer. */
-enum IncompleteRunCause {
+public enum IncompleteRunCause {
     /** The connection to the upstream broke. */
     BROKE,
     /** The caller disconnected, and this router closed the connection to the upstream. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerCrashAnnouncer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/PeerCrashAnnouncer.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.CrashedRun;
@@ -14,12 +14,12 @@
  * Announces crashes and their suspects to the peer routers. In a large fleet only the watchers,
  * which follow the store for all, have a link to every other router.
  */
-final class PeerCrashAnnouncer implements CrashAnnouncer {
+public final class PeerCrashAnnouncer implements CrashAnnouncer {
     private final InstantSource clock;
     private final FrameSender sender;
 
     /** Sends frames to other routers. */
-    interface FrameSender {
+    public interface FrameSender {
         /** Sends to all others to which this router has a link or opens one. */
         void sendToAll(Frame frame);
 
@@ -35,7 +35,7 @@
         boolean isWatcher();
     }
 
-    PeerCrashAnnouncer(InstantSource clock, FrameSender sender) {
+    public PeerCrashAnnouncer(InstantSource clock, FrameSender sender) {
         this.clock = clock;
         this.sender = sender;
     }
@@ -47,13 +47,13 @@
 
     @Override
     public void announceCrash(UpstreamCrash crash) {
-        sender.sendThroughWatchers(passOn -> PeerRouterFrames.crashDetected(crash, passOn));
+        sender.sendThroughWatchers(passOn -> CrashFrames.crashDetected(crash, passOn));
     }
 
     @Override
     public void forwardCrash(UpstreamCrash crash) {
         if (sender.isWatcher()) {
-            sender.sendToAll(PeerRouterFrames.crashDetected(crash, false));
+            sender.sendToAll(CrashFrames.crashDetected(crash, false));
         }
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PoisonRequestDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/PoisonRequestDetector.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.LruMap;
@@ -31,7 +31,7 @@
  * <p>{@link UpstreamCrashDetector} finds out which requests ran at an upstream when it crashed.
  * That is announced to the counting routers, each of which has a {@link CrashCauseFinder}.
  */
-final class PoisonRequestDetector {
+public final class PoisonRequestDetector {
     private static final Logger LOG = LogManager.getLogger(PoisonRequestDetector.class);
 
     /** How long the answers to a watched suspect are announced; a further crash restarts it. */
@@ -76,7 +76,7 @@
      * @param countsCrashes whether this router is one of those that count crashes for the fleet
      * @param sendsTrials whether this router is the one that sends quarantined requests as a trial
      */
-    PoisonRequestDetector(
+    public PoisonRequestDetector(
             ControlThread control,
             CrashAnnouncer announcer,
             UpstreamCrashDetector.Prober prober,
@@ -98,19 +98,19 @@
     }
 
     /** Registers gauges of the watched, the undecided and the quarantined suspects. */
-    void registerGauges() {
+    public void registerGauges() {
         metrics.gauge("requests_watched", watched::size);
         metrics.gauge("requests_held", causeFinder::heldCount);
         metrics.gauge("requests_kept_out", quarantine::size);
     }
 
     /** Returns true if nothing is quarantined, so that no request need be checked before a send. */
-    boolean isQuarantineEmpty() {
+    public boolean isQuarantineEmpty() {
         return quarantine.isEmpty();
     }
 
     /** Returns how long the request stays quarantined; empty if it may be sent, or as a trial. */
-    Optional<Duration> tryAdmit(RequestIdentity request) {
+    public Optional<Duration> tryAdmit(RequestIdentity request) {
         List<CrashSuspect> quarantined = quarantinedSuspects(request);
         if (quarantined.isEmpty()) {
             return Optional.empty();
@@ -129,7 +129,7 @@
     }
 
     /** Returns the request and those of its prompt parts that are quarantined or on trial. */
-    List<CrashSuspect> quarantinedSuspects(RequestIdentity request) {
+    public List<CrashSuspect> quarantinedSuspects(RequestIdentity request) {
         return request.suspects().stream().filter(quarantine::contains).toList();
     }
 
@@ -144,12 +144,12 @@
     }
 
     /** Returns true if the request is quarantined, as a queued one may be by now. */
-    boolean isQuarantined(RequestIdentity request) {
+    public boolean isQuarantined(RequestIdentity request) {
         return request.suspects().stream().anyMatch(each -> quarantine.isQuarantined(each, now()));
     }
 
     /** Returns true if the outcome of some request matters, so that answers must be recorded. */
-    boolean needsOutcomes() {
+    public boolean needsOutcomes() {
         return !watched.isEmpty() || !quarantine.isEmpty() || now().isBefore(recordOutcomesUntil);
     }
 
@@ -157,12 +157,12 @@
      * Records that a request with these prompt parts, sent at that time, has succeeded. Recorded at
      * all times, as a part that has succeeded before is rarely the cause of a crash.
      */
-    void recordSuccess(List<CrashSuspect> promptParts, Instant sentAt) {
+    public void recordSuccess(List<CrashSuspect> promptParts, Instant sentAt) {
         promptParts.forEach(each -> partOutcomes.recordSuccess(each, sentAt, now()));
     }
 
     /** Records that the request sent at that time was answered in full with this status. */
-    void recordAnswer(RequestIdentity request, Instant sentAt, int status) {
+    public void recordAnswer(RequestIdentity request, Instant sentAt, int status) {
         watched.removeExpired(now());
         for (CrashSuspect each : request.suspects()) {
             if (isSuccess(status)) {
@@ -211,28 +211,28 @@
     }
 
     /** Records that the request sent at that time ran at the upstream without a complete answer. */
-    void recordCutRun(
+    public void recordCutRun(
             Upstream upstream, RequestIdentity request, Instant sentAt, IncompleteRunCause how) {
         crashDetector.recordCutRun(upstream, request, sentAt, how);
     }
 
     /** Records that the upstream answered a request that was sent at that time. */
-    void upstreamAnswered(Upstream upstream, Instant sentAt) {
+    public void upstreamAnswered(Upstream upstream, Instant sentAt) {
         crashDetector.upstreamAnswered(upstream, sentAt);
     }
 
     /** Records that no connection to the upstream could be made. */
-    void upstreamUnreachable(Upstream upstream) {
+    public void upstreamUnreachable(Upstream upstream) {
         crashDetector.upstreamUnreachable(upstream);
     }
 
     /** Records that the upstream has been removed from the list. */
-    void upstreamRemoved(UpstreamId upstream) {
+    public void upstreamRemoved(UpstreamId upstream) {
         crashDetector.upstreamRemoved(upstream);
     }
 
     /** Records an entry of the list, which may be of a newer incarnation of the upstream. */
-    void upstreamListed(UpstreamFacts facts) {
+    public void upstreamListed(UpstreamFacts facts) {
         crashDetector.upstreamListed(facts);
     }
 
@@ -241,7 +241,7 @@
      *
      * @param passOn whether this router passes the announcement on to the others
      */
-    void crashReceived(UpstreamCrash crash, boolean passOn) {
+    public void crashReceived(UpstreamCrash crash, boolean passOn) {
         if (crashDetector.crashReceived(crash)) {
             startRecordingOutcomes();
             if (passOn) {
@@ -263,7 +263,7 @@
     }
 
     /** Counts a crash that a router announced to this counting router, and what ran then. */
-    void countCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
+    public void countCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {
         causeFinder.countCrash(crash, ago, runs, this::lastSuccess);
     }
 
@@ -275,7 +275,7 @@
     }
 
     /** Merges a quarantine entry that another router announced. */
-    void quarantineReceived(Quarantine.Entry entry) {
+    public void quarantineReceived(Quarantine.Entry entry) {
         Optional<Instant> success = successAfter(entry);
         if (success.isEmpty()) {
             mergeAnnounced(entry);
@@ -306,7 +306,7 @@
     }
 
     /** Merges a quarantine that the store holds; the store does not say when it began. */
-    void quarantineReadFromStore(CrashSuspect suspect, int trials) {
+    public void quarantineReadFromStore(CrashSuspect suspect, int trials) {
         Instant until = now().plus(quarantine.quarantineTime(suspect, trials));
         Quarantine.Entry entry = new Quarantine.Entry(suspect, until, trials, Instant.EPOCH);
         if (!quarantine.contains(suspect) && successAfter(entry).isEmpty()) {
@@ -318,7 +318,7 @@
      * Watches a suspect that another router announced as one crash short of quarantine, and
      * announces its last success that this router knows.
      */
-    void startWatching(CrashSuspect suspect) {
+    public void startWatching(CrashSuspect suspect) {
         boolean added = watched.add(suspect, now());
         RecentOutcomes.Outcome known = outcomesOf(suspect).outcomeOf(suspect);
         if (added || isSuccessAnnouncementDue(suspect)) {
@@ -350,7 +350,7 @@
      *
      * @return true unless the suspect stays quarantined
      */
-    boolean clear(CrashSuspect suspect, Duration sentAgo) {
+    public boolean clear(CrashSuspect suspect, Duration sentAgo) {
         if (!quarantine.recordSuccess(suspect, now().minus(sentAgo))) {
             return false;
         }
@@ -361,17 +361,17 @@
     }
 
     /** Records a success so long ago at any router, from before the suspect was watched. */
-    void recordEarlierSuccess(CrashSuspect suspect, Duration ago) {
+    public void recordEarlierSuccess(CrashSuspect suspect, Duration ago) {
         causeFinder.recordSuccess(suspect, now().minus(ago));
     }
 
     /** Records this number of runs, at any router, that did not crash their upstream. */
-    void addSurvivedRuns(CrashSuspect suspect, int times) {
+    public void addSurvivedRuns(CrashSuspect suspect, int times) {
         causeFinder.addSurvivedRuns(suspect, times);
     }
 
     /** Announces all quarantined suspects, for routers that have just joined. */
-    void announceQuarantine() {
+    public void announceQuarantine() {
         quarantine.entries().forEach(announcer::announceQuarantined);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/QuarantineStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/QuarantineStore.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.crashes.CrashSuspect;
@@ -17,7 +17,7 @@
  * Stores what is quarantined so that it outlives the routers: all routers may be killed at once,
  * and would let the same requests crash upstreams again. Control thread only.
  */
-final class QuarantineStore {
+public final class QuarantineStore {
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
     /** The longest lease that the store grants. */
@@ -33,7 +33,7 @@
      *
      * @param prefix returns the key prefix for suspects of the kind of this one
      */
-    QuarantineStore(
+    public QuarantineStore(
             ControlThread control, KeyValueStore store, Function<CrashSuspect, String> prefix) {
         this.control = control;
         this.store = store;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StoringCrashAnnouncer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/StoringCrashAnnouncer.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.CrashedRun;
@@ -8,11 +8,11 @@
 import java.util.List;
 
 /** Announces to the other routers at once, and stores the quarantine, which must outlive them. */
-final class StoringCrashAnnouncer implements CrashAnnouncer {
+public final class StoringCrashAnnouncer implements CrashAnnouncer {
     private final CrashAnnouncer routers;
     private final QuarantineStore store;
 
-    StoringCrashAnnouncer(CrashAnnouncer routers, QuarantineStore store) {
+    public StoringCrashAnnouncer(CrashAnnouncer routers, QuarantineStore store) {
         this.routers = routers;
         this.store = store;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamCrashDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/UpstreamCrashDetector.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.LruMap;
@@ -34,7 +34,7 @@
  * them when it knows that this incarnation of the upstream has crashed: its address refuses
  * connections, or the list no longer has it or has another incarnation.
  */
-final class UpstreamCrashDetector {
+public final class UpstreamCrashDetector {
     private static final Logger LOG = LogManager.getLogger(UpstreamCrashDetector.class);
 
     /** Connections that break together cause one probe; the address refuses by then. */
@@ -77,7 +77,7 @@
     private final Set<UpstreamCrash> delayedProbes = new HashSet<>();
 
     /** The result of a probe of an upstream. */
-    enum ProbeResult {
+    public enum ProbeResult {
         /** The upstream has crashed: its address refuses connections. */
         CRASHED,
         /** The upstream is up: it accepts connections, or has kept some open. */
@@ -87,7 +87,7 @@
     }
 
     /** Probes whether an upstream has crashed. */
-    interface Prober {
+    public interface Prober {
         /**
          * Connects to the upstream and passes on the result.
          *
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashHardshipsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/crashes/CrashHardshipsTest.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/InjectedFault.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/crashes/InjectedFault.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 /** A fault that a {@link CrashSimulation} injects only if a test asks for it. */
 enum InjectedFault {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RepeatedPoisonRequest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/crashes/RepeatedPoisonRequest.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.RequestIdentity;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SilentCrashAnnouncer.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/crashes/SilentCrashAnnouncer.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import io.damaskyoke.control.crashes.CrashSuspect;
 import io.damaskyoke.control.crashes.CrashedRun;
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** Discards all announcements. */
-class SilentCrashAnnouncer implements CrashAnnouncer {
+public class SilentCrashAnnouncer implements CrashAnnouncer {
     @Override
     public void announceRunsAtCrash(UpstreamCrash crash, Duration ago, List<CrashedRun> runs) {}
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamCrashDetectorTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/crashes/UpstreamCrashDetectorTest.java
@@ -1,4 +1,4 @@
-package io.damaskyoke.direct;
+package io.damaskyoke.direct.crashes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -12,7 +12,7 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
-import io.damaskyoke.direct.UpstreamCrashDetector.ProbeResult;
+import io.damaskyoke.direct.crashes.UpstreamCrashDetector.ProbeResult;
 import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
