Keep the router's constructor and the package of crashes within the linter's rules

The constructor of DirectRouter was three lines too long and a method that became public had no comment. The tests of pauses share one way to write an entry.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -144,14 +144,7 @@
         this.handOver = new LeaderHandOver(control, store, lease, peers, members);
         this.limits = new DeclaredLimits(clock, upstreams, peers);
         this.departures = new AnnouncedDepartures(clock, upstreams, peers);
-        this.statements =
-                new UpstreamStatementHandler(
-                        clock,
-                        upstreams,
-                        limits,
-                        new ReportedLoads(clock, upstreams, metrics),
-                        departures,
-                        metrics);
+        this.statements = createStatementHandler();
         UpstreamClient calls = new UpstreamClient(client, dialect, control, statements);
         this.coordinator =
                 new LoadCoordinator(control, upstreams, lease, calls, self, peers, control.clock());
@@ -245,6 +238,11 @@
         LOG.info("stopped");
     }
 
+    private UpstreamStatementHandler createStatementHandler() {
+        ReportedLoads loads = new ReportedLoads(clock, upstreams, metrics);
+        return new UpstreamStatementHandler(clock, upstreams, limits, loads, departures, metrics);
+    }
+
     private UpstreamDispatcher createDispatcher() {
         return new UpstreamDispatcher(
                 upstreams,
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/CrashFrames.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/crashes/CrashFrames.java
@@ -98,6 +98,7 @@
                         .setSentMsAgo(sentAgo.toMillis()));
     }
 
+    /** Returns the announcement of an entry of the quarantine. */
     public static Frame quarantined(Quarantine.Entry entry, Instant now) {
         return frame(
                 entry.suspect(),
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
@@ -5,11 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.notices.PauseGate;
-import io.damaskyoke.http.Endpoint;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Tests what the table keeps of the pauses and departures that upstreams state. */
@@ -130,18 +128,12 @@
 
     private void list(String id, Instant now, long startedAt) {
         table.put(
-                new UpstreamFacts(
-                        UpstreamId.of(id),
+                TestFacts.of(
+                        id,
                         ++revision,
                         "service",
-                        new Endpoint("127.0.0.1", 1),
-                        "a",
                         4,
-                        false,
-                        Duration.ZERO,
-                        new HeldModels(startedAt, HeldModels.UNKNOWN_SEQUENCE, Map.of()),
-                        Set.of(),
-                        Set.of()),
+                        new HeldModels(startedAt, HeldModels.UNKNOWN_SEQUENCE, Map.of())),
                 now);
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/PauseRecoverySimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/PauseRecoverySimulation.java
@@ -2,18 +2,16 @@
 
 import io.damaskyoke.control.TestControlThread;
 import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.TestFacts;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
-import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
-import io.damaskyoke.http.Endpoint;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * Routers before upstreams that ask for a pause when they are full, and that are full for a while
@@ -106,18 +104,12 @@
         }
 
         private UpstreamFacts facts(int engine) {
-            return new UpstreamFacts(
-                    UpstreamId.of("" + engine),
+            return TestFacts.of(
+                    "" + engine,
                     1,
                     SERVICE,
-                    new Endpoint("127.0.0.1", 1),
-                    "a",
                     SLOTS,
-                    false,
-                    Duration.ZERO,
-                    new HeldModels(1, HeldModels.UNKNOWN_SEQUENCE, Map.of()),
-                    Set.of(),
-                    Set.of());
+                    new HeldModels(1, HeldModels.UNKNOWN_SEQUENCE, Map.of()));
         }
 
         void arrive() {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/PausedUpstreamDispatchTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/PausedUpstreamDispatchTest.java
@@ -9,11 +9,10 @@
 import io.damaskyoke.control.direct.ServiceSpec;
 import io.damaskyoke.control.upstreams.HeldModels;
 import io.damaskyoke.control.upstreams.ModelRef;
+import io.damaskyoke.control.upstreams.TestFacts;
 import io.damaskyoke.control.upstreams.Upstream;
-import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
-import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -21,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 
 /** Tests what becomes of requests while the upstreams that could serve them are paused. */
@@ -150,21 +150,10 @@
     }
 
     private void list(String id, String... models) {
-        Map<String, Set<String>> held = new java.util.TreeMap<>();
+        Map<String, Set<String>> held = new TreeMap<>();
         List.of(models).forEach(model -> held.put(model, Set.of()));
         upstreams.put(
-                new UpstreamFacts(
-                        UpstreamId.of(id),
-                        1,
-                        SERVICE,
-                        new Endpoint("127.0.0.1", 1),
-                        "a",
-                        8,
-                        false,
-                        Duration.ZERO,
-                        new HeldModels(1, 1, held),
-                        Set.of(),
-                        Set.of()),
+                TestFacts.of(id, 1, SERVICE, 8, new HeldModels(1, 1, held)),
                 time.clock().instant());
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
@@ -3,11 +3,11 @@
 import io.damaskyoke.control.TestControlThread;
 import io.damaskyoke.control.cold.RequestLimit;
 import io.damaskyoke.control.upstreams.HeldModels;
+import io.damaskyoke.control.upstreams.TestFacts;
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamTable;
-import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.RetryAfter;
 import io.damaskyoke.metrics.Metrics;
 import java.time.Duration;
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * The decisions of one router before upstreams that pause, leave, restart and answer late, in
@@ -240,18 +239,12 @@
         }
 
         private UpstreamFacts facts() {
-            return new UpstreamFacts(
-                    id,
+            return TestFacts.of(
+                    id.value(),
                     ++revision,
                     SERVICE,
-                    new Endpoint("127.0.0.1", 1),
-                    "a",
                     SLOTS,
-                    false,
-                    Duration.ZERO,
-                    new HeldModels(born, HeldModels.UNKNOWN_SEQUENCE, Map.of()),
-                    Set.of(),
-                    Set.of());
+                    new HeldModels(born, HeldModels.UNKNOWN_SEQUENCE, Map.of()));
         }
 
         void requestArrived(Request request) {
