Leave the gradual return as it is at an answer that asks for no time

Found by reading: Retry-After of 0 during the return after a pause began to count anew what was under way, so that more requests than allowed could follow when those before it finished. Such an answer now changes nothing. UpstreamNoticesTest#aPauseOfNoTimeLeavesTheGradualReturnAsItIs guards it.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
@@ -31,15 +31,16 @@
      * @return true if there was no pause before
      */
     public boolean pauseRequested(Duration pause, long startedAt, Instant now) {
-        Instant until = now.plus(pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause);
-        boolean isNew = !isPaused(now) && until.isAfter(now);
         origin.stated(startedAt, now);
-        recovering |= until.isAfter(now);
+        Instant until = now.plus(pause.compareTo(MAX_PAUSE) > 0 ? MAX_PAUSE : pause);
+        if (!until.isAfter(now)) {
+            return false;
+        }
+        boolean isNew = !isPaused(now);
+        pausedUntil = until.isAfter(pausedUntil) ? until : pausedUntil;
+        recovering = true;
         allowedAtOnce = 1;
         underWay = 0;
-        if (until.isAfter(pausedUntil)) {
-            pausedUntil = until;
-        }
         return isNew;
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
@@ -85,6 +85,23 @@
         assertTrue(upstream.accepts(start.plus(PauseGate.MAX_PAUSE)));
     }
 
+    // Guards against more requests at once than the gradual return allows, as an answer in it asks
+    // for
+    // no time at all.
+    @Test
+    void aPauseOfNoTimeLeavesTheGradualReturnAsItIs() {
+        PauseGate gate = new PauseGate();
+        gate.pauseRequested(Duration.ofSeconds(1), 1, start);
+        Instant after = start.plusSeconds(1);
+        gate.requestAssigned();
+        gate.pauseRequested(Duration.ZERO, 1, after);
+        assertFalse(gate.hasCapacity(4));
+        gate.requestFinished(after);
+        assertTrue(gate.hasCapacity(4));
+        gate.requestAssigned();
+        assertFalse(gate.hasCapacity(4));
+    }
+
     // Guards against a short pause of a full upstream that ends a longer one.
     @Test
     void aFullUpstreamStaysFullUntilTheLastOfItsPauses() {
