Bound what is kept of upstreams that were never listed

Found by reading: the pauses and departures of answers under other names than the addressed one are kept although the list does not have these names, departures for an hour. An upstream that answers under ever new names could have filled the memory. At most 4,096 such names are kept; a listed upstream's word always counts. UpstreamNoticesTest#noticesOfUnlistedNamesAreBounded guards it.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -20,6 +20,9 @@
      */
     private static final int MAX_SPARE_GATES = 64;
 
+    /** Bounds the upstreams that have stated something in their answers but were never listed. */
+    private static final int MAX_UNLISTED_NOTICES = 4_096;
+
     private final Map<UpstreamId, Upstream> byId = new TreeMap<>();
     private final Map<String, List<Upstream>> byService = new HashMap<>();
     private final Map<UpstreamId, Long> removedAt = new HashMap<>();
@@ -151,7 +154,7 @@
      * @return true if it was not paused before
      */
     public boolean pauseRequested(UpstreamId id, Duration pause, Instant now) {
-        PauseGate gate = gates.computeIfAbsent(id, any -> new UpstreamGates()).pause();
+        PauseGate gate = gatesOf(id).pause();
         boolean isNew = gate.pauseRequested(pause, listedStart(id), now);
         if (gate.pausedUntil().isAfter(lastPauseEnd)) {
             lastPauseEnd = gate.pausedUntil();
@@ -165,8 +168,15 @@
      * @return true if it had not said so before
      */
     public boolean departureStated(UpstreamId id, Instant now) {
-        UpstreamGates found = gates.computeIfAbsent(id, any -> new UpstreamGates());
-        return found.departure().departureStated(listedStart(id), now);
+        return gatesOf(id).departure().departureStated(listedStart(id), now);
+    }
+
+    // An upstream that answers under ever new names must not fill the memory.
+    private UpstreamGates gatesOf(UpstreamId id) {
+        boolean isFull = gates.size() >= 2 * byId.size() + MAX_UNLISTED_NOTICES;
+        return isFull && !gates.containsKey(id)
+                ? new UpstreamGates()
+                : gates.computeIfAbsent(id, any -> new UpstreamGates());
     }
 
     /** Returns the start of the listed incarnation of an upstream; unknown if it is not listed. */
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
@@ -102,6 +102,18 @@
         assertFalse(gate.hasCapacity(4));
     }
 
+    // Guards against an upstream that fills the memory by answers under ever new names.
+    @Test
+    void noticesOfUnlistedNamesAreBounded() {
+        list("u1", start, 1);
+        for (int each = 0; each < 10_000; each++) {
+            table.departureStated(UpstreamId.of("name" + each), start);
+        }
+        assertTrue(table.departureStated(UpstreamId.of("name9999"), start));
+        assertTrue(table.departureStated(ONE, start));
+        assertFalse(table.departureStated(ONE, start));
+    }
+
     // Guards against a short pause of a full upstream that ends a longer one.
     @Test
     void aFullUpstreamStaysFullUntilTheLastOfItsPauses() {
