Log an unreadable pause once for each upstream

A line for each such answer would take the time of a router with a fraction of a core while its upstream is overloaded. The counter still counts each of them. UpstreamNoticesTest#anUnreadablePauseIsReportedOnce guards it.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/notices/PauseGate.java
@@ -23,6 +23,7 @@
     private int allowedAtOnce;
     private int underWay;
     private long sentInPause;
+    private boolean invalidSeen;
 
     /**
      * Takes the pause that an answer asks for.
@@ -44,6 +45,13 @@
         return isNew;
     }
 
+    /** Records a pause whose length can't be read; returns true the first time. */
+    public boolean markInvalid() {
+        boolean firstTime = !invalidSeen;
+        invalidSeen = true;
+        return firstTime;
+    }
+
     /** Takes the incarnation that the list states; a new one has asked for nothing yet. */
     public void incarnationListed(long startedAt, Instant now) {
         if (isPaused(now) && origin.isOutdatedBy(startedAt, now)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamStatementHandler.java
@@ -83,7 +83,10 @@
     private void pauseRequested(UpstreamId id, RetryAfter pause) {
         if (pause.kind() == RetryAfter.Kind.INVALID) {
             metrics.count("upstream_pauses_invalid");
-            LOG.warn("upstream {} asks for a pause whose length can't be read", id);
+            upstreams
+                    .find(id)
+                    .filter(upstream -> upstream.pause().markInvalid())
+                    .ifPresent(any -> LOG.warn("upstream {} asks for an unreadable pause", id));
             return;
         }
         metrics.count("upstream_pauses_requested");
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
@@ -102,6 +102,14 @@
         assertFalse(gate.hasCapacity(4));
     }
 
+    // Guards against a log line for each answer of an upstream whose pauses can't be read.
+    @Test
+    void anUnreadablePauseIsReportedOnce() {
+        PauseGate gate = new PauseGate();
+        assertTrue(gate.markInvalid());
+        assertFalse(gate.markInvalid());
+    }
+
     // Guards against an upstream that fills the memory by answers under ever new names.
     @Test
     void noticesOfUnlistedNamesAreBounded() {
