Log where an answer came, and count those that belong to no request

Callers got a success where the upstream had answered with a failure, and no line told on which connection and as which answer of it the passed answer came, nor that an answer was thrown away.

No behaviour changes.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -11,6 +11,7 @@
 import io.damaskyoke.direct.crashes.IncompleteRunCause;
 import io.damaskyoke.exchange.Refusal;
 import io.damaskyoke.exchange.RefusalCode;
+import io.damaskyoke.http.AnswerPlace;
 import io.damaskyoke.http.HttpCall;
 import io.damaskyoke.id.WorkspaceId;
 import io.netty.buffer.ByteBuf;
@@ -462,6 +463,11 @@
         finish("answered " + status);
     }
 
+    /** Records where the answer to the current attempt began. */
+    void recordAnswer(AnswerPlace place) {
+        timings.recordAnswer(place);
+    }
+
     /** Starts the answer to the caller, unless this attempt resumes a stream that has started. */
     void startStream(int status, HttpHeaders headers) {
         if (!answerStarted) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/RequestTimings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/RequestTimings.java
@@ -1,8 +1,11 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.upstreams.UpstreamId;
+import io.damaskyoke.http.AnswerPlace;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Records when a request was sent and when the parts of its answer came, for the request log.
@@ -17,6 +20,7 @@
     private Instant firstPartAt;
     private Instant lastPartAt;
     private Duration longestPause = Duration.ZERO;
+    private final List<AnswerPlace> answers = new ArrayList<>();
 
     RequestTimings(Instant arrivedAt) {
         this.arrivedAt = arrivedAt;
@@ -28,6 +32,11 @@
         sentAt = now;
     }
 
+    /** Records where the answer to the last send began. */
+    void recordAnswer(AnswerPlace place) {
+        answers.add(place);
+    }
+
     /** Records that a part of the answer is forwarded to the caller. */
     void recordPart(Instant now) {
         if (firstPartAt == null) {
@@ -41,7 +50,8 @@
 
     /**
      * Appends the upstream and the times in milliseconds since the request's first byte: now, the
-     * last send and the first part, and the longest pause between two parts.
+     * last send and the first part, and the longest pause between two parts; and where the answers
+     * to its sends came, in the order of the sends that were answered.
      */
     void appendTo(StringBuilder text, Instant now) {
         text.append(" ms=").append(millisSinceArrival(now));
@@ -53,6 +63,9 @@
             text.append(" first_ms=").append(millisSinceArrival(firstPartAt));
             text.append(" pause_ms=").append(longestPause.toMillis());
         }
+        if (!answers.isEmpty()) {
+            text.append(" answers=").append(answers);
+        }
     }
 
     private long millisSinceArrival(Instant at) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -158,6 +158,7 @@
         }
         lastReceivedAt = inFlight.now();
         headers = fromUpstream;
+        forwarded.recordAnswer(call.place());
         answer =
                 inFlight.dialect()
                         .answer(status, fromUpstream, upstream.facts().id(), lastReceivedAt);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientCall.java
@@ -7,4 +7,7 @@
 
     /** Pauses or resumes reading the response, which applies backpressure to the server. */
     void reading(boolean wanted);
+
+    /** Returns where the response came that began last on the request's connection. */
+    AnswerPlace place();
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -39,6 +39,7 @@
 
     private final HttpClient client;
     private final Endpoint endpoint;
+    private final long number;
     private Channel channel;
     private State state = State.CONNECTING;
     private ClientRequest request;
@@ -47,6 +48,7 @@
     private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
     private long idleSince;
     private int requestNumber;
+    private int answerNumber;
     private int skippedBytes;
 
     private enum State {
@@ -61,9 +63,10 @@
         CLOSED
     }
 
-    ClientConnection(HttpClient client, Endpoint endpoint) {
+    ClientConnection(HttpClient client, Endpoint endpoint, long number) {
         this.client = client;
         this.endpoint = endpoint;
+        this.number = number;
     }
 
     Endpoint endpoint() {
@@ -129,6 +132,9 @@
         if (state == State.IDLE || state == State.CLOSED || !(message instanceof HttpObject)) {
             // Bytes that answer no request must not be taken for the response to a later one.
             ReferenceCountUtil.release(message);
+            if (state == State.IDLE) {
+                recordUnmatched(UnmatchedAnswer.NO_REQUEST);
+            }
             discard();
             return;
         }
@@ -184,11 +190,13 @@
         if (status < 200) {
             return;
         }
+        answerNumber++;
         HttpHeaders headers = response.headers();
         if (!HttpUtil.isKeepAlive(response)) {
             keepAlive = false;
         }
         if (!request.isOwnResponse().test(headers)) {
+            recordUnmatched(UnmatchedAnswer.OTHER_REQUEST);
             state = State.SKIPPING;
             skippedBytes = 0;
             keepAlive = false;
@@ -199,6 +207,14 @@
         listener.head(status, headers);
     }
 
+    private void recordUnmatched(UnmatchedAnswer reason) {
+        client.unmatchedAnswers().record(endpoint, reason, place());
+    }
+
+    private AnswerPlace place() {
+        return new AnswerPlace(number, requestNumber, answerNumber);
+    }
+
     private void readKeepAlive(String value) {
         int at = value == null ? -1 : value.indexOf("timeout=");
         if (at < 0) {
@@ -309,6 +325,11 @@
             }
         }
 
+        @Override
+        public AnswerPlace place() {
+            return ClientConnection.this.place();
+        }
+
         private boolean current() {
             return ownNumber == requestNumber && state != State.IDLE && state != State.CLOSED;
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -40,11 +40,14 @@
     private final Metrics metrics;
     private final Map<Endpoint, ArrayDeque<ClientConnection>> idle = new HashMap<>();
     private final Bootstrap bootstrap;
+    private final UnmatchedAnswers unmatchedAnswers;
+    private long connectionCount;
 
     /** Creates a client on the loop that abandons a connection attempt after the timeout. */
     public HttpClient(HttpLoop loop, Duration connectTimeout, Metrics metrics) {
         this.loop = loop;
         this.metrics = metrics;
+        this.unmatchedAnswers = new UnmatchedAnswers(metrics);
         this.bootstrap =
                 new Bootstrap()
                         .group(loop.group())
@@ -64,7 +67,7 @@
             return kept.begin(request, listener);
         }
         metrics.count("http_connects");
-        ClientConnection fresh = new ClientConnection(this, to);
+        ClientConnection fresh = new ClientConnection(this, to, ++connectionCount);
         ClientCall call = fresh.begin(request, listener);
         bootstrap
                 .clone()
@@ -111,6 +114,7 @@
 
     /** Closes the idle connections to a server that is gone or no longer trusted. */
     public void closeIdle(Endpoint gone) {
+        unmatchedAnswers.forget(gone);
         ArrayDeque<ClientConnection> connections = idle.remove(gone);
         if (connections != null) {
             connections.forEach(ClientConnection::close);
@@ -137,6 +141,10 @@
         return loop;
     }
 
+    UnmatchedAnswers unmatchedAnswers() {
+        return unmatchedAnswers;
+    }
+
     void addIdle(ClientConnection connection) {
         ArrayDeque<ClientConnection> kept =
                 idle.computeIfAbsent(connection.endpoint(), any -> new ArrayDeque<>());
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/UnmatchedAnswer.java
@@ -0,0 +1,9 @@
+package io.damaskyoke.http;
+
+/** Why a response, or the bytes of one, is taken for no request's. */
+public enum UnmatchedAnswer {
+    /** It names another request than the one that awaits a response. */
+    OTHER_REQUEST,
+    /** It came while no request awaited a response. */
+    NO_REQUEST
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
@@ -20,7 +20,8 @@
     private static final Duration LIMIT = Duration.ofSeconds(10);
     private static final String OK = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 2\r\n\r\nok";
 
-    private final HttpClient client = new HttpClient(LOOP, Duration.ofMillis(500), new Metrics());
+    private final Metrics metrics = new Metrics();
+    private final HttpClient client = new HttpClient(LOOP, Duration.ofMillis(500), metrics);
 
     @AfterAll
     static void stop() {
@@ -123,6 +124,8 @@
         String other = "HTTP/1.1 200 OK\r\nTry: 0\r\nContent-Length: 5\r\n\r\nother";
         try (RawServer server = new RawServer(other + OK)) {
             assertEquals("200 ok", ask(server));
+            assertEquals(1, unmatchedAnswers("reason", "other_request"));
+            assertEquals(1, unmatchedAnswers("server", server.endpoint().toString()));
         }
     }
 
@@ -132,9 +135,15 @@
             assertEquals("200 ok", ask(server));
             assertEquals("200 ok", ask(server));
             assertEquals(2, server.connections());
+            assertEquals(1, unmatchedAnswers("reason", "no_request"));
         }
     }
 
+    private long unmatchedAnswers(String label, String value) {
+        String name = label.equals("server") ? "http_unmatched_answers" : "http_unmatched_reasons";
+        return metrics.counter(name + "{" + label + "=\"" + value + "\"}").getCount();
+    }
+
     private String ask(RawServer server) {
         return ask(server.endpoint(), LIMIT);
     }
