Tell the sends of one request apart by the connections that carried them

Callers got a success where the upstream had answered with a failure, and payments ran twice. Cause: the router matched an answer by the id of the caller's attempt alone. All its sends of one attempt bear that id, so an extra rejection, written when the repeat came on the same connection, was taken for the answer to the repeat; and an answer without an id was taken for any request's. Orders and reports, whose answers name nothing, shared connections with requests.

Now no connection carries the same id twice, which holds also for two callers that use one id. An answer without an id counts only on a connection that has carried nothing else, and that connection is closed then, so that a server that names no requests is served as before, on a connection for each. What is matched by order never shares a connection with what is matched by id. One place decides it: CarriedRequests and ResponseMatch.

Why it suffices: an extra answer is one to an earlier request of the same connection. If it names it, the id differs from the awaited one; if it names none, it is skipped.

Ruled out: closing the upstream's other idle connections too, which the rule makes needless.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Dialect.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Dialect.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -55,8 +56,8 @@
     /** Returns the headers to send to the upstream for a request with these caller headers. */
     HttpHeaders toUpstream(HttpHeaders fromCaller, ForwardingMetadata forwarding);
 
-    /** Returns true if an answer with these headers belongs to this attempt of a request. */
-    boolean belongsToAttempt(String attempt, HttpHeaders fromUpstream);
+    /** Returns the attempts that an upstream's answer with these headers names. */
+    List<String> answeredAttempts(HttpHeaders fromUpstream);
 
     /** Parses the status and headers of an upstream's answer to a request. */
     UpstreamAnswer answer(
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -7,6 +7,7 @@
 import io.damaskyoke.http.ClientRequest;
 import io.damaskyoke.http.ExchangeFailure;
 import io.damaskyoke.http.ResponseListener;
+import io.damaskyoke.http.ResponseMatch;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
@@ -72,15 +73,15 @@
     void start() {
         upstream.requestAssigned(forwarded.model().orElse(null), forwarded.tokenUsage(), sentAt);
         upstream.pause().requestAssigned();
-        String attemptId = forwarded.request().attemptId();
         ClientRequest request =
                 new ClientRequest(
                         HttpMethod.valueOf(forwarded.call().method()),
                         forwarded.call().target(),
                         new DefaultHttpHeaders(),
                         forwarded.bodyForAttempt(),
-                        answerHeaders ->
-                                inFlight.dialect().belongsToAttempt(attemptId, answerHeaders),
+                        ResponseMatch.byId(
+                                forwarded.request().attemptId(),
+                                inFlight.dialect()::answeredAttempts),
                         forwarded.route().isRepeatable()
                                 ? MAX_IDLE_REPEATABLE
                                 : MAX_IDLE_NON_REPEATABLE);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.http.ClientRequest;
 import io.damaskyoke.http.ExchangeFailure;
 import io.damaskyoke.http.HttpClient;
+import io.damaskyoke.http.ResponseMatch;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -103,7 +104,12 @@
             Consumer<BufferedResponse> then) {
         ClientRequest request =
                 new ClientRequest(
-                        method, path, headers, Unpooled.wrappedBuffer(body), any -> true, MAX_IDLE);
+                        method,
+                        path,
+                        headers,
+                        Unpooled.wrappedBuffer(body),
+                        ResponseMatch.byOrder(),
+                        MAX_IDLE);
         SentTo sentTo = SentTo.of(to, control.clock().instant());
         BufferedResponse.Reader reader =
                 new BufferedResponse.Reader(
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -44,10 +44,10 @@
     private State state = State.CONNECTING;
     private ClientRequest request;
     private ResponseListener listener;
+    private final CarriedRequests carried = new CarriedRequests();
     private boolean keepAlive;
     private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
     private long idleSince;
-    private int requestNumber;
     private int answerNumber;
     private int skippedBytes;
 
@@ -86,14 +86,19 @@
         return now - idleSince >= keepAliveNanos;
     }
 
+    /** Returns true if the response to the request could be told from those to earlier ones. */
+    boolean mayCarry(ClientRequest next) {
+        return carried.mayAdd(next.match());
+    }
+
     ClientCall begin(ClientRequest given, ResponseListener responseListener) {
         request = given;
         listener = responseListener;
-        requestNumber++;
+        carried.add(given.match());
         if (state == State.IDLE) {
             write();
         }
-        return new Call(requestNumber);
+        return new Call(carried.count());
     }
 
     void connectFailed() {
@@ -173,7 +178,7 @@
             return;
         }
         state = State.AWAITING;
-        keepAlive = true;
+        keepAlive = !request.match().needsOwnConnection() && !carried.isFull();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         channel.writeAndFlush(
                 new DefaultFullHttpRequest(
@@ -195,24 +200,33 @@
         if (!HttpUtil.isKeepAlive(response)) {
             keepAlive = false;
         }
-        if (!request.isOwnResponse().test(headers)) {
-            recordUnmatched(UnmatchedAnswer.OTHER_REQUEST);
-            state = State.SKIPPING;
-            skippedBytes = 0;
+        if (request.match().isById() && !request.match().isNamed(headers)) {
+            // The connection is closed after this request: its server names no requests, or has
+            // sent an extra response.
             keepAlive = false;
-            return;
+            boolean unnamed = request.match().isUnnamed(headers);
+            if (!unnamed || carried.count() > 1) {
+                skip(unnamed ? UnmatchedAnswer.UNNAMED : UnmatchedAnswer.OTHER_REQUEST);
+                return;
+            }
         }
         readKeepAlive(headers.get("Keep-Alive"));
         state = State.READING;
         listener.head(status, headers);
     }
 
+    private void skip(UnmatchedAnswer reason) {
+        recordUnmatched(reason);
+        state = State.SKIPPING;
+        skippedBytes = 0;
+    }
+
     private void recordUnmatched(UnmatchedAnswer reason) {
         client.unmatchedAnswers().record(endpoint, reason, place());
     }
 
     private AnswerPlace place() {
-        return new AnswerPlace(number, requestNumber, answerNumber);
+        return new AnswerPlace(number, carried.count(), answerNumber);
     }
 
     private void readKeepAlive(String value) {
@@ -331,7 +345,7 @@
         }
 
         private boolean current() {
-            return ownNumber == requestNumber && state != State.IDLE && state != State.CLOSED;
+            return ownNumber == carried.count() && state != State.IDLE && state != State.CLOSED;
         }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientRequest.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.function.Predicate;
 
 /**
  * A complete HTTP request to a server.
@@ -13,9 +12,7 @@
  * @param path the path and query, as sent
  * @param headers the headers; the client adds Content-Length
  * @param body the complete body, possibly empty; the client releases it
- * @param isOwnResponse tells from a response's headers whether it belongs to this request. A server
- *     may send a second response to an earlier request on the connection, which must not be taken
- *     for the response to this one
+ * @param match how the response is told from extra ones to earlier requests
  * @param idleLimit how long a pooled connection may have been idle to be reused for this request;
  *     zero always opens a new connection
  */
@@ -24,5 +21,5 @@
         String path,
         HttpHeaders headers,
         ByteBuf body,
-        Predicate<HttpHeaders> isOwnResponse,
+        ResponseMatch match,
         Duration idleLimit) {}
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -62,7 +62,7 @@
 
     /** Sends the request over a pooled or a new connection; the listener receives the response. */
     public ClientCall send(Endpoint to, ClientRequest request, ResponseListener listener) {
-        ClientConnection kept = kept(to, request.idleLimit());
+        ClientConnection kept = kept(to, request);
         if (kept != null) {
             return kept.begin(request, listener);
         }
@@ -163,16 +163,23 @@
     }
 
     // The most recently used one comes first: the server is the least likely to close it.
-    private ClientConnection kept(Endpoint to, Duration limit) {
+    private ClientConnection kept(Endpoint to, ClientRequest request) {
         ArrayDeque<ClientConnection> connections = idle.get(to);
-        while (connections != null && !connections.isEmpty()) {
-            ClientConnection first = connections.peekFirst();
-            if (!first.usable(System.nanoTime(), limit)) {
+        if (connections == null) {
+            return null;
+        }
+        long now = System.nanoTime();
+        Iterator<ClientConnection> each = connections.iterator();
+        while (each.hasNext()) {
+            ClientConnection next = each.next();
+            if (!next.usable(now, request.idleLimit())) {
                 return null;
             }
-            connections.removeFirst();
-            if (first.open()) {
-                return first;
+            if (!next.open()) {
+                each.remove();
+            } else if (next.mayCarry(request)) {
+                each.remove();
+                return next;
             }
         }
         return null;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -111,8 +111,8 @@
     }
 
     @Override
-    public boolean belongsToAttempt(String attempt, HttpHeaders fromUpstream) {
-        return true;
+    public List<String> answeredAttempts(HttpHeaders fromUpstream) {
+        return List.of();
     }
 
     @Override
--- a/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
@@ -18,10 +18,11 @@
 class HttpClientTest {
     private static final HttpLoop LOOP = HttpLoop.start();
     private static final Duration LIMIT = Duration.ofSeconds(10);
-    private static final String OK = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 2\r\n\r\nok";
+    private static final String OK = "HTTP/1.1 200 OK\r\nTry: <id>\r\nContent-Length: 2\r\n\r\nok";
 
     private final Metrics metrics = new Metrics();
     private final HttpClient client = new HttpClient(LOOP, Duration.ofMillis(500), metrics);
+    private int askCount;
 
     @AfterAll
     static void stop() {
@@ -49,7 +50,7 @@
     @Test
     void aConnectionThatTheServerClosesIsNotReused() {
         String last =
-                "HTTP/1.1 200 OK\r\nTry: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+                "HTTP/1.1 200 OK\r\nTry: <id>\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
         try (RawServer server = new RawServer(last)) {
             assertEquals("200 ok", ask(server));
             assertEquals("200 ok", ask(server));
@@ -61,7 +62,8 @@
     void anAnswerWithFewerBytesThanItSaysIsCutShort() {
         // The server declares five bytes, sends two and closes. If that passed for a success, the
         // caller would take half a response for a complete one.
-        String cut = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 5\r\n\r\nok" + RawServer.CLOSE;
+        String cut =
+                "HTTP/1.1 200 OK\r\nTry: <id>\r\nContent-Length: 5\r\n\r\nok" + RawServer.CLOSE;
         try (RawServer server = new RawServer(cut)) {
             assertEquals("CUT_SHORT", ask(server));
         }
@@ -70,7 +72,7 @@
     @Test
     void aStreamWithoutItsLastChunkIsCutShort() {
         String cut =
-                "HTTP/1.1 200 OK\r\nTry: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                "HTTP/1.1 200 OK\r\nTry: <id>\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
                         + RawServer.CLOSE;
         try (RawServer server = new RawServer(cut)) {
             assertEquals("CUT_SHORT", ask(server));
@@ -79,7 +81,7 @@
 
     @Test
     void anAnswerWithoutALengthEndsWithItsConnection() {
-        String open = "HTTP/1.1 200 OK\r\nTry: 1\r\n\r\nok" + RawServer.CLOSE;
+        String open = "HTTP/1.1 200 OK\r\nTry: <id>\r\n\r\nok" + RawServer.CLOSE;
         try (RawServer server = new RawServer(open)) {
             assertEquals("200 ok", ask(server));
         }
@@ -88,7 +90,7 @@
     @Test
     void anAnswerWithoutALengthThatIsResetIsCutShort() {
         // The connection is reset, so that it is unknown whether more bytes were to follow.
-        String reset = "HTTP/1.1 200 OK\r\nTry: 1\r\n\r\nok" + RawServer.RESET;
+        String reset = "HTTP/1.1 200 OK\r\nTry: <id>\r\n\r\nok" + RawServer.RESET;
         try (RawServer server = new RawServer(reset)) {
             assertEquals("CUT_SHORT", ask(server));
         }
@@ -129,6 +131,39 @@
         }
     }
 
+    // Guards against an extra response to the first send that is taken for that to the second.
+    @Test
+    void aRequestThatIsSentAgainGoesOnAnotherConnection() {
+        try (RawServer server = new RawServer(OK)) {
+            assertEquals("200 ok", ask(server.endpoint(), "a", LIMIT));
+            assertEquals("200 ok", ask(server.endpoint(), "b", LIMIT));
+            assertEquals(1, server.connections());
+            assertEquals("200 ok", ask(server.endpoint(), "a", LIMIT));
+            assertEquals(2, server.connections());
+        }
+    }
+
+    // Guards against an extra response without an id that is taken for that to the next request.
+    @Test
+    void aResponseWithoutAnIdIsSkippedOnAConnectionThatHasCarriedAnotherRequest() {
+        String unnamed = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull";
+        try (RawServer server = new RawServer(OK, unnamed + OK)) {
+            assertEquals("200 ok", ask(server));
+            assertEquals("200 ok", ask(server));
+            assertEquals(1, unmatchedAnswers("reason", "unnamed"));
+        }
+    }
+
+    // Guards against a server without ids whose second response would be awaited in vain.
+    @Test
+    void aServerThatNamesNoRequestsGetsAConnectionForEach() {
+        try (RawServer server = new RawServer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")) {
+            assertEquals("200 ok", ask(server));
+            assertEquals("200 ok", ask(server));
+            assertEquals(2, server.connections());
+        }
+    }
+
     @Test
     void bytesOnAnIdleConnectionCloseIt() {
         try (RawServer server = new RawServer(OK + OK, OK)) {
@@ -149,19 +184,24 @@
     }
 
     private String ask(Endpoint to, Duration idleLimit) {
+        return ask(to, String.valueOf(++askCount), idleLimit);
+    }
+
+    private String ask(Endpoint to, String id, Duration idleLimit) {
         CompletableFuture<String> outcome = new CompletableFuture<>();
-        LOOP.events().execute(() -> send(to, idleLimit, outcome));
+        LOOP.events().execute(() -> send(to, id, idleLimit, outcome));
         return outcome.orTimeout(LIMIT.toSeconds(), TimeUnit.SECONDS).join();
     }
 
-    private void send(Endpoint to, Duration idleLimit, CompletableFuture<String> outcome) {
+    private void send(
+            Endpoint to, String id, Duration idleLimit, CompletableFuture<String> outcome) {
         ClientRequest request =
                 new ClientRequest(
                         HttpMethod.GET,
                         "/",
-                        new DefaultHttpHeaders(),
+                        new DefaultHttpHeaders().set("Try", id),
                         Unpooled.EMPTY_BUFFER,
-                        headers -> headers.get("Try", "1").equals("1"),
+                        ResponseMatch.byId(id, headers -> headers.getAll("Try")),
                         idleLimit);
         client.send(to, request, new Recorder(outcome));
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
@@ -15,6 +15,9 @@
     static final String CLOSE = "<close>";
     static final String RESET = "<reset>";
 
+    /** Stands for the value of the request's header {@code try}. */
+    static final String ID = "<id>";
+
     private final ServerSocket server;
     private final List<String> answers;
     private final AtomicInteger next = new AtomicInteger();
@@ -56,11 +59,16 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            while (readRequest(socket.getInputStream())) {
+            for (String request = readRequest(socket.getInputStream());
+                    !request.isEmpty();
+                    request = readRequest(socket.getInputStream())) {
                 String answer = answers.get(Math.min(next.getAndIncrement(), answers.size() - 1));
                 boolean reset = answer.endsWith(RESET);
                 boolean close = reset || answer.endsWith(CLOSE);
-                String text = answer.replace(CLOSE, "").replace(RESET, "");
+                String text =
+                        answer.replace(CLOSE, "")
+                                .replace(RESET, "")
+                                .replace(ID, header(request, "try"));
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
                 socket.getOutputStream().flush();
                 if (reset) {
@@ -75,22 +83,28 @@
         }
     }
 
-    private static boolean readRequest(InputStream in) throws IOException {
+    /** Returns the head of the next request, or an empty text if there is none. */
+    private static String readRequest(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int read = in.read();
             if (read < 0) {
-                return false;
+                return "";
             }
             head.append((char) read);
         }
-        int at = head.indexOf("content-length: ");
-        int length = 0;
-        if (at >= 0) {
-            int from = at + "content-length: ".length();
-            length = Integer.parseInt(head.substring(from, head.indexOf("\r\n", from)));
+        String length = header(head.toString(), "content-length");
+        int bytes = length.isEmpty() ? 0 : Integer.parseInt(length);
+        return in.readNBytes(bytes).length == bytes ? head.toString() : "";
+    }
+
+    private static String header(String head, String name) {
+        for (String line : head.split("\r\n")) {
+            if (line.toLowerCase().startsWith(name + ": ")) {
+                return line.substring(name.length() + 2);
+            }
         }
-        return in.readNBytes(length).length == length;
+        return "";
     }
 
     @Override
