Close a connection that brought an untrusted success

A complete success without the upstream's seal failed its attempt, but its connection was back in the pool by then and carried the next request, as the cancellation of a call that is over does nothing. The listener now says before the end whether the connection may carry other requests.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -181,6 +181,12 @@
         }
     }
 
+    // What sends an untrusted success may send more of them.
+    @Override
+    public boolean mayReuseConnection() {
+        return finished || !answer.isSuccess() || isTrusted();
+    }
+
     @Override
     public void end() {
         if (finished) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -275,7 +275,7 @@
         ResponseListener notified = listener;
         listener = null;
         request = null;
-        if (keepAlive && channel.isActive()) {
+        if (keepAlive && channel.isActive() && notified.mayReuseConnection()) {
             state = State.IDLE;
             idleSince = System.nanoTime();
             channel.config().setAutoRead(true);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ResponseListener.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ResponseListener.java
@@ -23,6 +23,14 @@
     /** Receives a part of the body; the listener owns the buffer and releases it. */
     void part(ByteBuf data);
 
+    /**
+     * Returns true if the connection may carry other requests after the response, which is
+     * complete; called before {@link #end}.
+     */
+    default boolean mayReuseConnection() {
+        return true;
+    }
+
     /** Called when the response is complete. */
     void end();
 
