Ask an upstream again that was slow or failed once

After a single slow answer or failure a quick upstream got no more requests while a slower one served: the averages of answer times and of failures change by answers only, and it got none.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
@@ -23,6 +23,7 @@
     /** Weight of the newest outcome in the moving average of failures: about the last ten count. */
     private static final double NEWEST_WEIGHT = 0.1;
 
+    private final OutcomeAge age = new OutcomeAge();
     private State state = State.SERVING;
     private int consecutiveFailures;
     private double failureRate;
@@ -53,9 +54,9 @@
         return state != State.SERVING;
     }
 
-    /** Returns the moving average of the failure rate, from 0 to 1. */
-    double failureRate() {
-        return failureRate;
+    /** Returns the moving average of the failure rate, from 0 to 1; less of it if it is old. */
+    double failureRate(Instant now) {
+        return failureRate * age.weight(now);
     }
 
     void requestSent(Instant now) {
@@ -64,8 +65,9 @@
         }
     }
 
-    void requestAnswered() {
-        failureRate *= 1 - NEWEST_WEIGHT;
+    void requestAnswered(Instant now) {
+        failureRate = failureRate(now) * (1 - NEWEST_WEIGHT);
+        age.record(now);
         consecutiveFailures = 0;
         if (state != State.SERVING) {
             state = State.SERVING;
@@ -81,7 +83,8 @@
     }
 
     void requestFailed(Instant now) {
-        failureRate = failureRate * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
+        failureRate = failureRate(now) * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
+        age.record(now);
         consecutiveFailures++;
         if (state == State.PROBING || consecutiveFailures >= FAILURES_TO_EJECT) {
             state = State.EJECTED;
