--- a/damaskyoke/src/main/java/io/damaskyoke/http/ResponseMatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ResponseMatch.java
@@ -6,7 +6,7 @@
 
 /**
  * How the response to a request is told from extra ones: {@code ResponseMatch.byId("9c41", headers
- * -> headers.getAll("Attempt-Id"))}.
+ * -> headers.getAll("Request-Id"))}.
  *
  * <p>A server may answer a request twice, the second time when the next request of the connection
  * awaits its response. Requests of different kinds never share a connection.
