Give each order and report request a connection of its own

Routers believed an order accepted that the upstream had refused, and took a report of the moment before the last order for the newest one, so that models were ordered again that were loaded already. Cause: an answer to an order or a report names nothing, and the router took the answers of a connection in their order, so that after one extra answer each later one counted for the call after its own.

Evidence: ExtraAnswersToCallsTest, three tests red before: ACCEPTED for an order that was answered with 409, the report with 3 orders for the one with 4, the report's 200 for the answer to an order; ExtraAnswersToOrdersTest, whole routers before an engine that answers each call twice: seven orders where four suffice ("load o 0" and three others a second time or with a sequence that no longer held). All four green now.

Why it suffices: a connection that carries one request can't bring the answer to an earlier one. Ruled out: a check of what the answer says. The answer to an order has no body that names it; a report states a sequence, but two reports of one sequence differ in what they hold, and a refused order leaves the sequence as it was; Instance-Id names the upstream and not the call.

The price is one connection for each order and report request. An order to an upstream that accepts no more connections is reset and its outcome unknown, as before where no connection was kept (at most 2 s).

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
@@ -33,7 +33,6 @@
      */
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(150);
 
-    private static final Duration MAX_IDLE = Duration.ofSeconds(2);
     private static final int OK = 200;
 
     private final HttpClient client;
@@ -108,8 +107,8 @@
                         path,
                         headers,
                         Unpooled.wrappedBuffer(body),
-                        ResponseMatch.byOrder(),
-                        MAX_IDLE);
+                        ResponseMatch.byConnection(),
+                        Duration.ZERO);
         SentTo sentTo = SentTo.of(to, control.clock().instant());
         BufferedResponse.Reader reader =
                 new BufferedResponse.Reader(
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
@@ -374,17 +374,4 @@
             // The caller gets a refusal.
         }
     }
-
-    /** Announces nothing. */
-    private static final class SilentAnnouncer implements DeclaredLimits.Announcer {
-        @Override
-        public void announceLimit(DeclaredLimits.Announcement announcement) {
-            // No other router.
-        }
-
-        @Override
-        public void forwardLimit(DeclaredLimits.Announcement announcement) {
-            // No other router.
-        }
-    }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -25,7 +25,7 @@
  *
  * <p>The store's value is "ready" or "draining" for an upstream and the version number for a
  * configuration. The key of a drained zone ends with the zone's name. Headers are copied unchanged,
- * and orders are not supported.
+ * orders have no body, and a report is the number of orders accepted.
  */
 final class TestDialect implements Dialect {
     @Override
@@ -112,7 +112,7 @@
 
     @Override
     public List<String> answeredAttempts(HttpHeaders fromUpstream) {
-        return List.of();
+        return fromUpstream.getAll("Attempt");
     }
 
     @Override
@@ -151,31 +151,33 @@
 
     @Override
     public String orderPath() {
-        throw new UnsupportedOperationException();
+        return "/order";
     }
 
     @Override
     public byte[] orderBody(Order order) {
-        throw new UnsupportedOperationException();
+        return new byte[0];
     }
 
     @Override
     public OrderOutcome outcome(int status) {
-        throw new UnsupportedOperationException();
+        return status == 202 ? OrderOutcome.ACCEPTED : OrderOutcome.REFUSED;
     }
 
     @Override
     public HttpHeaders callHeaders(UpstreamId to) {
-        throw new UnsupportedOperationException();
+        return new DefaultHttpHeaders();
     }
 
     @Override
     public String reportPath() {
-        throw new UnsupportedOperationException();
+        return "/report";
     }
 
     @Override
     public LoadInput.UpstreamReported report(UpstreamId from, byte[] body) {
-        throw new UnsupportedOperationException();
+        long sequence = Long.parseLong(new String(body, StandardCharsets.UTF_8));
+        return new LoadInput.UpstreamReported(
+                from, false, new HeldModels(1, sequence, Map.of()), Set.of(), Set.of());
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
@@ -11,19 +11,23 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A server that answers its n-th request, on any connection, with the n-th text unchanged. */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
     static final String CLOSE = "<close>";
     static final String RESET = "<reset>";
 
     /** Stands for the value of the request's header {@code try}. */
     static final String ID = "<id>";
 
+    /** Stands for the previous answer on the same connection, which comes once more. */
+    public static final String AGAIN = "<again>";
+
     private final ServerSocket server;
     private final List<String> answers;
     private final AtomicInteger next = new AtomicInteger();
     private final AtomicInteger connections = new AtomicInteger();
 
-    RawServer(String... answers) {
+    /** Starts a server that gives the last answer to all further requests. */
+    public RawServer(String... answers) {
         this.answers = List.of(answers);
         try {
             server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -35,7 +39,8 @@
         accepting.start();
     }
 
-    Endpoint endpoint() {
+    /** Returns the address that it listens on. */
+    public Endpoint endpoint() {
         return new Endpoint("127.0.0.1", server.getLocalPort());
     }
 
@@ -58,6 +63,7 @@
     }
 
     private void serve(Socket socket) {
+        String previous = "";
         try (socket) {
             for (String request = readRequest(socket.getInputStream());
                     !request.isEmpty();
@@ -68,7 +74,9 @@
                 String text =
                         answer.replace(CLOSE, "")
                                 .replace(RESET, "")
-                                .replace(ID, header(request, "try"));
+                                .replace(ID, header(request, "try"))
+                                .replace(AGAIN, previous);
+                previous = text;
                 socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
                 socket.getOutputStream().flush();
                 if (reset) {
