Skip answers to requests where an order or a report is awaited

An answer that names an attempt of a caller's request was taken for the answer to an order: the order counted as accepted. Cause: a call that gets a connection of its own took any answer. Orders and report requests name no attempt, so an answer that names one can't be theirs; it is skipped now, counted as other_request, and the own answer or the timeout decides.

Nothing is matched by order any more, so that kind goes: a request has an id that responses echo, or a connection of its own, and one rule in ClientConnection serves both.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
@@ -107,7 +107,7 @@
                         path,
                         headers,
                         Unpooled.wrappedBuffer(body),
-                        ResponseMatch.byConnection(),
+                        ResponseMatch.byConnection(dialect::answeredAttempts),
                         Duration.ZERO);
         SentTo sentTo = SentTo.of(to, control.clock().instant());
         BufferedResponse.Reader reader =
--- a/damaskyoke/src/main/java/io/damaskyoke/http/CarriedRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/CarriedRequests.java
@@ -2,7 +2,7 @@
 
 import java.util.Arrays;
 
-/** The requests that a connection has carried, of one kind of {@link ResponseMatch}. */
+/** The requests that a connection has carried. */
 final class CarriedRequests {
     /** A connection that has carried so many is closed, which bounds what it remembers. */
     private static final int MAX_IDS = 256;
@@ -11,42 +11,33 @@
 
     // Ids of equal hash count as the same one; then a request only goes on another connection.
     private int[] hashes = new int[INITIAL_IDS];
-    private int idCount;
-    private int requestCount;
-    private boolean byId;
+    private int count;
 
     /** Returns true if the response to the request could be told from those to earlier ones. */
     boolean mayAdd(ResponseMatch match) {
-        if (requestCount == 0) {
+        if (count == 0) {
             return true;
         }
-        if (match.needsOwnConnection() || match.isById() != byId || isFull()) {
-            return false;
-        }
-        return !byId || !contains(match.id().hashCode());
+        return !match.needsOwnConnection() && !isFull() && !contains(match.id().hashCode());
     }
 
     void add(ResponseMatch match) {
-        requestCount++;
-        byId = match.isById();
-        if (byId) {
-            if (idCount == hashes.length) {
-                hashes = Arrays.copyOf(hashes, 2 * idCount);
-            }
-            hashes[idCount++] = match.id().hashCode();
+        if (count == hashes.length) {
+            hashes = Arrays.copyOf(hashes, 2 * count);
         }
+        hashes[count++] = match.id().hashCode();
     }
 
     boolean isFull() {
-        return idCount >= MAX_IDS;
+        return count >= MAX_IDS;
     }
 
     int count() {
-        return requestCount;
+        return count;
     }
 
     private boolean contains(int hash) {
-        for (int each = 0; each < idCount; each++) {
+        for (int each = 0; each < count; each++) {
             if (hashes[each] == hash) {
                 return true;
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -200,7 +200,7 @@
         if (!HttpUtil.isKeepAlive(response)) {
             keepAlive = false;
         }
-        if (request.match().isById() && !request.match().isNamed(headers)) {
+        if (!request.match().isNamed(headers)) {
             // The connection is closed after this request: its server names no requests, or has
             // sent an extra response.
             keepAlive = false;
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ResponseMatch.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ResponseMatch.java
@@ -9,26 +9,15 @@
  * -> headers.getAll("Request-Id"))}.
  *
  * <p>A server may answer a request twice, the second time when the next request of the connection
- * awaits its response. Requests of different kinds never share a connection.
+ * awaits its response. So a connection carries several requests only if responses name them.
  */
 public final class ResponseMatch {
-    private enum Kind {
-        ID,
-        ORDER,
-        SINGLE
-    }
-
-    private static final ResponseMatch BY_ORDER =
-            new ResponseMatch(Kind.ORDER, "", any -> List.of());
-    private static final ResponseMatch SINGLE =
-            new ResponseMatch(Kind.SINGLE, "", any -> List.of());
+    private static final ResponseMatch BY_CONNECTION = byConnection(any -> List.of());
 
-    private final Kind kind;
     private final String id;
     private final Function<HttpHeaders, List<String>> echoedIds;
 
-    private ResponseMatch(Kind kind, String id, Function<HttpHeaders, List<String>> echoedIds) {
-        this.kind = kind;
+    private ResponseMatch(String id, Function<HttpHeaders, List<String>> echoedIds) {
         this.id = id;
         this.echoedIds = echoedIds;
     }
@@ -42,17 +31,22 @@
      * @param echoedIds returns the ids that the headers of a response name
      */
     public static ResponseMatch byId(String id, Function<HttpHeaders, List<String>> echoedIds) {
-        return id.isEmpty() ? SINGLE : new ResponseMatch(Kind.ID, id, echoedIds);
-    }
-
-    /** Takes the responses of a connection for those to its requests, in their order. */
-    public static ResponseMatch byOrder() {
-        return BY_ORDER;
+        return id.isEmpty() ? BY_CONNECTION : new ResponseMatch(id, echoedIds);
     }
 
     /** Gives the request a connection that carries no other one. */
     public static ResponseMatch byConnection() {
-        return SINGLE;
+        return BY_CONNECTION;
+    }
+
+    /**
+     * Gives the request, which has no id, a connection that carries no other one, and skips
+     * responses that name an id.
+     *
+     * @param echoedIds returns the ids that the headers of a response name
+     */
+    public static ResponseMatch byConnection(Function<HttpHeaders, List<String>> echoedIds) {
+        return new ResponseMatch("", echoedIds);
     }
 
     /** Returns the id, or an empty text if responses name none. */
@@ -61,11 +55,7 @@
     }
 
     boolean needsOwnConnection() {
-        return kind == Kind.SINGLE;
-    }
-
-    boolean isById() {
-        return kind == Kind.ID;
+        return id.isEmpty();
     }
 
     /** Returns true if a response with these headers names no request. */
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/ExtraAnswersToCallsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/ExtraAnswersToCallsTest.java
@@ -31,6 +31,8 @@
     private static final Duration LIMIT = Duration.ofSeconds(10);
     private static final String ACCEPTED = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
     private static final String REFUSED = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
+    private static final String ACCEPTED_ATTEMPT =
+            "HTTP/1.1 202 Accepted\r\nAttempt: 7\r\nContent-Length: 0\r\n\r\n";
 
     private final Metrics metrics = new Metrics();
     private final UpstreamTable table = new UpstreamTable();
@@ -72,6 +74,25 @@
         }
     }
 
+    // Guards against an answer to a request that is taken for that to an order.
+    @Test
+    void anAnswerThatNamesAnAttemptIsNotTakenForThatToAnOrder() {
+        try (RawServer server = new RawServer(ACCEPTED_ATTEMPT + REFUSED)) {
+            assertEquals(OrderOutcome.REFUSED, order(list(server)));
+            assertEquals(
+                    1,
+                    metrics.counter("http_unmatched_reasons{reason=\"other_request\"}").getCount());
+        }
+    }
+
+    // Guards against an order that waits for more than its time for an answer of its own.
+    @Test
+    void theOutcomeIsUnknownIfOnlyAnswersToAttemptsCome() {
+        try (RawServer server = new RawServer(ACCEPTED_ATTEMPT)) {
+            assertEquals(OrderOutcome.UNKNOWN, order(list(server)));
+        }
+    }
+
     private static String report(long sequence) {
         return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + sequence;
     }
