Answer a refused request after the requests before it, and once

A caller that pipelined a request with a body above the limit got its 413 as the answer to the request before, which ran all the same. A 413 or 417 on its own was followed by a 408 on the idle connection, which a caller could take for the answer to its next request. An ambiguous request cut off the request before it.

Cause: the aggregator writes its refusals when the request arrives, whatever awaits its response; and a refused request never counted as over, so that the time limit for incomplete requests ran on.

Now the connection writes all refusals, after the responses to the requests before, and each says that the connection closes. The close follows a second later: a caller that still sends its body would otherwise lose the refusal to a reset.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -12,7 +12,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -270,7 +269,7 @@
                         })
                 .addLast(new StrictRequestDecoder(config))
                 .addLast(new HttpResponseEncoder())
-                .addLast(new HttpObjectAggregator(limits.bodyBytes()))
+                .addLast(new OrderedAggregator(limits.bodyBytes(), connection))
                 .addLast(connection);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /** A connection of a caller to the server, which handles its requests one after the other. */
 final class ServerConnection extends ChannelInboundHandlerAdapter
@@ -26,6 +27,12 @@
     /** The limit of pipelined requests; bytes beyond it stay in the kernel. */
     private static final int MAX_PIPELINED = 4;
 
+    /**
+     * The time for which a refused caller may go on sending. A close before that might reset the
+     * connection, and the caller would lose the refusal.
+     */
+    private static final long REFUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final HttpServer server;
     private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private Channel channel;
@@ -36,6 +43,8 @@
     private long arrivingSince;
     private long idleSince = System.nanoTime();
     private boolean refused;
+    private HttpResponseStatus pendingRefusal;
+    private long refusalSentNanos;
     private long takenBytes;
 
     ServerConnection(HttpServer server) {
@@ -54,9 +63,14 @@
         return call != null || arrivingSince != 0 || !pipelined.isEmpty();
     }
 
+    /** Returns true if a request awaits its response. */
+    boolean anyCall() {
+        return call != null || !pipelined.isEmpty();
+    }
+
     /** Records the arrival of a request's first bytes; called before the decoder reads them. */
     void requestBytesArrived() {
-        if (arrivingSince == 0) {
+        if (arrivingSince == 0 && !refused) {
             arrivingSince = arrivalNanos();
             anyRequestArrived = true;
         }
@@ -74,7 +88,9 @@
      * Enforces the time limits: answers an incomplete request with 408, closes an idle connection.
      */
     void enforceTimeLimits(long now, long headerNanos, long idleNanos) {
-        if (call == null && arrivingSince != 0 && now - arrivingSince > headerNanos) {
+        if (refusalSentNanos != 0 && now - refusalSentNanos > REFUSED_NANOS) {
+            channel.close();
+        } else if (call == null && arrivingSince != 0 && now - arrivingSince > headerNanos) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (!busy() && now - idleSince > idleNanos) {
             channel.close();
@@ -144,6 +160,8 @@
         }
         if (!pipelined.isEmpty()) {
             begin(pipelined.remove());
+        } else if (pendingRefusal != null) {
+            sendRefusal(pendingRefusal);
         }
         channel.config().setAutoRead(true);
     }
@@ -233,18 +251,29 @@
         return HttpResponseStatus.BAD_REQUEST;
     }
 
-    // Bytes after a request that can't be parsed might be taken for a request of their own, so the
-    // connection is closed after the error response.
-    private void refuse(HttpResponseStatus status) {
-        refused = true;
-        if (call != null) {
-            channel.close();
+    /**
+     * Answers a request that can't be handled, after the responses to those before it, and ignores
+     * the bytes that follow it: they might be taken for a request of their own.
+     */
+    void refuse(HttpResponseStatus status) {
+        if (refused) {
             return;
         }
+        refused = true;
+        arrivingSince = 0;
+        if (anyCall()) {
+            pendingRefusal = status;
+        } else {
+            sendRefusal(status);
+        }
+    }
+
+    private void sendRefusal(HttpResponseStatus status) {
         var answer =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(answer);
+        refusalSentNanos = System.nanoTime();
     }
 }
