Cut a stream that is answered a second time

A caller whose stream had begun, and was refused then, got no end of it; the answer to the next request of its connection was sent as the rest of the stream. By reading, this happens where a stream is to be resumed and its request is quarantined meanwhile.

Cause: the call took an answer after the beginning of a stream. The encoder rejected its head, so nothing was sent, but the call counted as answered and the connection began the next request, whose parts the encoder appended to the open stream. A second beginning was dropped the same way, and the stream went on with the parts of both.

Now either one aborts the call: the connection is closed without the last chunk, so that the caller knows that the stream is incomplete, and no other answer follows.

Evidence: CallerAnswersTest#anAnswerAfterAStreamHasBegunCutsTheStream, before "begun" of both requests and the last chunk in one response, now one "begun" without it; #aStreamThatBeginsTwiceIsCut, before two complete answers, now one that is cut. HttpServerTest and SlowReaderTest pass.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
@@ -29,6 +29,7 @@
     private final boolean lastOfCaller;
     private Runnable onDisconnect = NOTHING;
     private Runnable onWritable = NOTHING;
+    private boolean started;
     private boolean over;
 
     HttpCall(ServerConnection connection, FullHttpRequest request, long arrivedNanos) {
@@ -86,10 +87,14 @@
         return over;
     }
 
-    /** Sends a complete response and takes ownership of the body. */
+    /**
+     * Sends a complete response and takes ownership of the body. After {@link #start} it aborts the
+     * call instead, as the caller would take the response for a part of the first one's body.
+     */
     public void answer(int status, HttpHeaders headers, ByteBuf body) {
-        if (over) {
+        if (over || started) {
             body.release();
+            abort();
             return;
         }
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
@@ -109,11 +114,16 @@
         finish(close);
     }
 
-    /** Sends the status and headers of a chunked response; the body follows in parts. */
+    /**
+     * Sends the status and headers of a chunked response; the body follows in parts. A second call
+     * aborts the response.
+     */
     public void start(int status, HttpHeaders headers) {
-        if (over) {
+        if (over || started) {
+            abort();
             return;
         }
+        started = true;
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         setCloseHeader(headers);
--- a/damaskyoke/src/test/java/io/damaskyoke/http/CallerAnswersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/CallerAnswersTest.java
@@ -88,6 +88,24 @@
         assertTrue(answers.endsWith("got /last"), answers);
     }
 
+    // Guards against an answer in the middle of a stream, after which the answer to the next
+    // request is sent as the rest of the stream.
+    @Test
+    void anAnswerAfterAStreamHasBegunCutsTheStream() throws IOException {
+        String answers = talk(request("GET", "/both") + request("GET", "/stream"));
+        assertEquals(List.of("200"), statuses(answers));
+        assertTrue(answers.contains("begun"), answers);
+        assertFalse(answers.contains("\r\n0\r\n"), answers);
+    }
+
+    // Guards against a stream that begins twice.
+    @Test
+    void aStreamThatBeginsTwiceIsCut() throws IOException {
+        String answers = talk(request("GET", "/again") + request("GET", "/last"));
+        assertEquals(List.of("200"), statuses(answers));
+        assertFalse(answers.contains("\r\n0\r\n"), answers);
+    }
+
     // Guards against the answer to a request that was queued behind a stream, sent as the rest of
     // the stream after it was aborted.
     @Test
@@ -129,6 +147,19 @@
                 answer(call);
                 answer(call);
             }
+            case "/stream" -> {
+                begin(call);
+                call.end();
+            }
+            case "/both" -> {
+                begin(call);
+                answer(call);
+            }
+            case "/again" -> {
+                begin(call);
+                begin(call);
+                call.end();
+            }
             case "/abort" -> {
                 begin(call);
                 loop.events().schedule(call::abort, 50, TimeUnit.MILLISECONDS);
