Send no body in a streamed answer to HEAD

A caller whose HEAD request is answered with a stream read the chunks as the beginning of the next answer of its connection.

Cause: only complete answers left the body out for HEAD. The encoder does not know the method.

Now the call sends the headers, without a length, and discards the parts.

Evidence: CallerAnswersTest#theAnswerAfterABodilessStreamFollowsItsHeaders, before "5 begun 0" between the headers and the next answer, now nothing. HttpServerTest and SlowReaderTest pass.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpCall.java
@@ -6,9 +6,11 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -27,6 +29,7 @@
     private final FullHttpRequest request;
     private final long arrivedNanos;
     private final boolean lastOfCaller;
+    private final boolean bodiless;
     private Runnable onDisconnect = NOTHING;
     private Runnable onWritable = NOTHING;
     private boolean started;
@@ -37,6 +40,7 @@
         this.request = request;
         this.arrivedNanos = arrivedNanos;
         this.lastOfCaller = !HttpUtil.isKeepAlive(request);
+        this.bodiless = request.method().equals(HttpMethod.HEAD);
     }
 
     /** Returns the method, for example {@code GET}. */
@@ -100,17 +104,10 @@
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         boolean close = setCloseHeader(headers);
-        boolean bodiless = request.method().name().equals("HEAD");
         if (bodiless) {
             body.release();
         }
-        connection.send(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        bodiless ? Unpooled.EMPTY_BUFFER : body,
-                        headers,
-                        EmptyHttpHeaders.INSTANCE));
+        connection.send(response(status, headers, bodiless ? Unpooled.EMPTY_BUFFER : body));
         finish(close);
     }
 
@@ -125,8 +122,13 @@
         }
         started = true;
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         setCloseHeader(headers);
+        if (bodiless) {
+            connection.send(response(status, headers, Unpooled.EMPTY_BUFFER));
+            return;
+        }
+        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         connection.send(
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
@@ -134,7 +136,7 @@
 
     /** Sends a part of the body at once and takes ownership of the buffer. */
     public void part(ByteBuf data) {
-        if (over) {
+        if (over || bodiless) {
             data.release();
             return;
         }
@@ -146,7 +148,9 @@
         if (over) {
             return;
         }
-        connection.send(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (!bodiless) {
+            connection.send(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
         finish(lastOfCaller || connection.draining());
     }
 
@@ -178,6 +182,15 @@
         }
     }
 
+    private static FullHttpResponse response(int status, HttpHeaders headers, ByteBuf body) {
+        return new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                body,
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+    }
+
     private boolean setCloseHeader(HttpHeaders headers) {
         boolean close = lastOfCaller || connection.draining();
         if (close) {
--- a/damaskyoke/src/test/java/io/damaskyoke/http/CallerAnswersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/CallerAnswersTest.java
@@ -80,6 +80,17 @@
         assertEquals(List.of("417"), statuses(talk(odd)));
     }
 
+    // Guards against the end of a stream that is sent to a caller that awaits no body, and that
+    // reads it as the beginning of its next answer.
+    @Test
+    void theAnswerAfterABodilessStreamFollowsItsHeaders() throws IOException {
+        String answers = talk(request("HEAD", "/stream") + request("GET", "/last"));
+        assertEquals(List.of("200", "200"), statuses(answers));
+        assertFalse(answers.contains("begun"), answers);
+        assertFalse(answers.contains("0\r\n\r\nHTTP"), answers);
+        assertTrue(answers.endsWith("got /last"), answers);
+    }
+
     // Guards against a second answer to one request that the caller takes for that to its next one.
     @Test
     void aCallThatIsAnsweredTwiceIsAnsweredOnce() throws IOException {
