Don't answer an empty line between requests

A caller that sends an empty line after a body, as some do, got a 408 on its idle connection and could take it for the answer to its next request.

Cause: any bytes counted as the beginning of a request, also those that the decoder skips.

Now line ends between requests begin none.

Evidence: CallerAnswersTest#anEmptyLineAfterARequestIsNotAnswered, before one 408 after the answer, now nothing. HttpServerTest and SlowReaderTest pass.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -263,7 +264,9 @@
                         new ChannelInboundHandlerAdapter() {
                             @Override
                             public void channelRead(ChannelHandlerContext context, Object bytes) {
-                                connection.requestBytesArrived();
+                                if (!isEmptyLines((ByteBuf) bytes)) {
+                                    connection.requestBytesArrived();
+                                }
                                 context.fireChannelRead(bytes);
                             }
                         })
@@ -272,4 +275,9 @@
                 .addLast(new OrderedAggregator(limits.bodyBytes(), connection))
                 .addLast(connection);
     }
+
+    // Some callers send an empty line after a body; it begins no request.
+    private static boolean isEmptyLines(ByteBuf bytes) {
+        return bytes.forEachByte(each -> each == '\r' || each == '\n') < 0;
+    }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/http/CallerAnswersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/CallerAnswersTest.java
@@ -80,6 +80,19 @@
         assertEquals(List.of("417"), statuses(talk(odd)));
     }
 
+    // Guards against a timeout that is sent on an idle connection, as an empty line after a body
+    // counts as the beginning of a request.
+    @Test
+    void anEmptyLineAfterARequestIsNotAnswered() throws IOException {
+        String hi = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
+        try (Socket socket = connect()) {
+            write(socket, hi);
+            socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+            write(socket, "\r\n");
+            assertEquals(List.of(), statuses(read(socket)));
+        }
+    }
+
     // Guards against the end of a stream that is sent to a caller that awaits no body, and that
     // reads it as the beginning of its next answer.
     @Test
