Give each call to the store a connection of its own

A second answer to one call of the store was taken for the answer to the next: two leases with the id of the first, a commit that failed and counted as done, a lease that had ended and counted as alive.

Cause: the calls shared a pool of connections, and their answers name no call, so that they were matched by order.

Now each call has a connection of its own, which is closed when the call is over or out of time; before, a call that timed out held its pooled connection for up to three time limits. Ruled out: asking the server to close the connection, as the client's pool decides by the answer and a server may leave the request unheeded.

Evidence: ExtraStoreAnswersTest, before lease 7 for 8, committed for not committed, alive for ended; all right now, also where the extra answer follows at once. EtcdStoreTest passes. The cost of a connect for each call was not measured.

--- a/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdCalls.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdCalls.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.damaskyoke.platform.PlatformException.Code;
+import io.damaskyoke.platform.SingleCalls.Reply;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
 import java.net.URI;
@@ -10,27 +11,23 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.apache.pekko.actor.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
-import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
 import org.apache.pekko.stream.BufferOverflowException;
 
 /**
  * Single calls to the JSON gateway: tries the endpoints in turn, keeps to one time limit, and tells
  * calls that had no effect from those that may have had one.
  *
- * <p>The pool's own retries are off: it would send a write again after a cut connection, although
- * the first may have taken effect. Its backoff is off too: in an outage calls would wait in the
- * pool until they time out, and nobody could say any more that they were never sent.
+ * <p>Each call is sent once to an endpoint: a write that is sent again after a cut connection may
+ * take effect twice.
  */
 final class EtcdCalls {
     private static final int CLIENT_ERROR = 400;
@@ -38,16 +35,13 @@
     private static final int NOT_FOUND = 404;
     private static final int GRPC_NOT_FOUND = 5;
     private static final String LEASE_PATH = "/v3/lease/";
-    private static final int OPEN_REQUESTS = 1024;
-    private static final int IDLE_TIMEOUTS = 3;
     private static final int SHOWN_BYTES = 200;
     private static final long MAX_ANSWER_BYTES = 64L << 20;
 
-    private final ActorSystem system;
     private final List<URI> endpoints;
+    private final Map<URI, SingleCalls> connections;
     private final Duration timeout;
     private final StoreHealth health;
-    private final ConnectionPoolSettings pool;
     private final AtomicInteger preferred = new AtomicInteger();
 
     /** What a call does, and so what a missing answer means. */
@@ -61,19 +55,29 @@
     /** One call; {@code end} is its limit on the monotonic clock, in nanoseconds. */
     private record Call(String op, Kind kind, String path, byte[] body, long end) {}
 
-    private record Reply(int status, byte[] body) {}
-
     EtcdCalls(
             ActorSystem system,
             List<URI> endpoints,
             Duration timeout,
             int connections,
             StoreHealth health) {
-        this.system = system;
         this.endpoints = List.copyOf(endpoints);
         this.timeout = timeout;
         this.health = health;
-        this.pool = pool(connections);
+        Duration connecting = timeout.dividedBy(endpoints.size() + 1);
+        this.connections =
+                endpoints.stream()
+                        .distinct()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        endpoint -> endpoint,
+                                        endpoint ->
+                                                new SingleCalls(
+                                                        system,
+                                                        endpoint,
+                                                        connections,
+                                                        connecting,
+                                                        MAX_ANSWER_BYTES)));
     }
 
     /**
@@ -135,24 +139,12 @@
         HttpRequest request =
                 HttpRequest.POST(endpoint.resolve(call.path()).toString())
                         .withEntity(ContentTypes.APPLICATION_JSON, call.body());
-        return Http.get(system)
-                .singleRequest(
-                        request, Http.get(system).defaultClientHttpsContext(), pool, system.log())
-                .thenCompose(this::strict)
-                .toCompletableFuture()
-                .orTimeout(limit.toNanos(), TimeUnit.NANOSECONDS)
+        return connections
+                .get(endpoint)
+                .send(request, limit)
                 .thenApply(EtcdCalls::refuseServerError);
     }
 
-    private CompletionStage<Reply> strict(HttpResponse response) {
-        return response.entity()
-                .toStrict(timeout.toMillis(), MAX_ANSWER_BYTES, system)
-                .thenApply(
-                        entity ->
-                                new Reply(
-                                        response.status().intValue(), entity.getData().toArray()));
-    }
-
     /** A 5xx may come from a proxy, or from a store that gave up waiting for its own write. */
     private static Reply refuseServerError(Reply reply) {
         if (reply.status() >= SERVER_ERROR) {
@@ -207,19 +199,4 @@
         String body = new String(reply.body(), StandardCharsets.UTF_8);
         return reply.status() + ": " + body.substring(0, Math.min(body.length(), SHOWN_BYTES));
     }
-
-    private ConnectionPoolSettings pool(int connections) {
-        Duration connecting = timeout.dividedBy(endpoints.size() + 1);
-        ClientConnectionSettings connection =
-                ClientConnectionSettings.create(system)
-                        .withConnectingTimeout(connecting)
-                        .withIdleTimeout(timeout.multipliedBy(IDLE_TIMEOUTS));
-        return ConnectionPoolSettings.create(system)
-                .withConnectionSettings(connection)
-                .withMaxConnections(connections)
-                .withMaxOpenRequests(OPEN_REQUESTS)
-                .withMaxRetries(0)
-                .withBaseConnectionBackoff(Duration.ZERO)
-                .withMaxConnectionBackoff(Duration.ZERO);
-    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/EtcdStore.java
@@ -198,7 +198,10 @@
             return this;
         }
 
-        /** How many connections are kept to each endpoint, watches aside; 8 if not set. */
+        /**
+         * How many calls to each endpoint run at once, each on a connection of its own; 8 if not
+         * set. Watches are not counted.
+         */
         public Builder connections(int value) {
             if (value < 1) {
                 throw new IllegalArgumentException("connections must be at least 1: " + value);
