Read the list of VMs on a connection of its own

A second answer with an earlier list of VMs was taken for the next one, so that a VM that had been added since was missing.

Cause: the readings shared a pool of connections and were matched by order. The pool also sent a reading again after a cut, up to five times.

Now each reading has a connection of its own, as calls to the store have.

Evidence: ExtraStoreAnswersTest#anExtraListOfVmsIsNotTakenForTheNextOne, before no VM, now one.

--- a/damaskyoke/src/main/java/io/damaskyoke/platform/HttpVmList.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/HttpVmList.java
@@ -12,12 +12,9 @@
 import java.util.Objects;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
-import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
 
 /**
  * The platform's list by one HTTP GET: {@code HttpVmList.of(system, uri, Duration.ofSeconds(2))}.
@@ -29,14 +26,15 @@
 public final class HttpVmList implements VmList {
     private static final int OK = 200;
     private static final int MAX_PORT = 65_535;
+    private static final int MAX_RUNNING = 4;
     private static final long MAX_ANSWER_BYTES = 16L << 20;
 
-    private final ActorSystem system;
+    private final SingleCalls calls;
     private final URI address;
     private final Duration timeout;
 
     private HttpVmList(ActorSystem system, URI address, Duration timeout) {
-        this.system = system;
+        this.calls = new SingleCalls(system, address, MAX_RUNNING, timeout, MAX_ANSWER_BYTES);
         this.address = address;
         this.timeout = timeout;
     }
@@ -52,23 +50,17 @@
 
     @Override
     public CompletionStage<List<Vm>> read() {
-        return Http.get(system)
-                .singleRequest(HttpRequest.GET(address.toString()))
-                .thenCompose(this::body)
-                .toCompletableFuture()
-                .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+        return calls.send(HttpRequest.GET(address.toString()), timeout)
+                .thenApply(HttpVmList::body)
                 .handle(HttpVmList::finish);
     }
 
-    private CompletionStage<byte[]> body(HttpResponse response) {
-        if (response.status().intValue() != OK) {
-            response.discardEntityBytes(system);
+    private static byte[] body(SingleCalls.Reply reply) {
+        if (reply.status() != OK) {
             throw new PlatformException(
-                    Code.UNAVAILABLE, "the list of VMs answered " + response.status());
+                    Code.UNAVAILABLE, "the list of VMs answered " + reply.status());
         }
-        return response.entity()
-                .toStrict(timeout.toMillis(), MAX_ANSWER_BYTES, system)
-                .thenApply(entity -> entity.getData().toArray());
+        return reply.body();
     }
 
     private static List<Vm> finish(byte[] body, Throwable error) {
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/ExtraStoreAnswersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/ExtraStoreAnswersTest.java
@@ -82,6 +82,21 @@
         }
     }
 
+    // Guards against a list of VMs from before a VM was added.
+    @Test
+    void anExtraListOfVmsIsNotTakenForTheNextOne() {
+        server.answers("{\"vms\":[]}", "{\"vms\":[" + vm() + "]}");
+        VmList list = HttpVmList.of(system, server.address().resolve("/vms"), LONG);
+        assertEquals(0, join(list.read()).size());
+        assertEquals(1, join(list.read()).size());
+    }
+
+    private static String vm() {
+        return "{\"vm\":\"a\",\"role\":\"agent\",\"availability_zone\":\"z\","
+                + "\"address\":\"127.0.0.1\",\"peer_port\":1,\"operator_port\":2,"
+                + "\"state\":\"live\"}";
+    }
+
     private WatchedStore store() {
         URI address = server.address();
         return EtcdStore.builder(system)
