Test that an answer that comes twice decides no other call to an engine

Orders, reports and requests each have a connection of their own, so that an extra answer finds no later call. HttpEngineTest#anExtraAnswerToAnOrderDecidesNoOtherOrder, #anExtraReportIsNotTakenForTheNextOne and HttpUpstreamTest#anExtraAnswerIsPassedOnForNoRequest pass without a change.

--- a/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpEngineTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpEngineTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
@@ -126,6 +127,51 @@
         }
     }
 
+    // Guards against a load that failed and counts as done, as the answer to an earlier order comes
+    // twice.
+    @Test
+    void anExtraAnswerToAnOrderDecidesNoOtherOrder() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        RawServer.Handler twice =
+                socket -> {
+                    String ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                    String full = "HTTP/1.1 507 Full\r\nContent-Length: 0\r\n\r\n";
+                    boolean first = requests.getAndIncrement() == 0;
+                    RawServer.write(socket, first ? ok + ok : full + ok);
+                };
+        try (RawServer server = new RawServer(twice)) {
+            HttpEngine own = engine(server.url().toString());
+            get(own.load(ADAPTER, 1));
+            assertEquals(Code.OUT_OF_MEMORY, failure(own.load(ADAPTER, 2)));
+            assertEquals(2, server.sockets.size());
+        }
+    }
+
+    // Guards against a report from before a load, taken for the current one as it comes twice.
+    @Test
+    void anExtraReportIsNotTakenForTheNextOne() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        RawServer.Handler twice =
+                socket -> {
+                    String report = report(requests.incrementAndGet());
+                    RawServer.write(socket, report + report);
+                };
+        try (RawServer server = new RawServer(twice)) {
+            HttpEngine own = engine(server.url().toString());
+            assertEquals(1, get(own.report()).running());
+            assertEquals(2, get(own.report()).running());
+        }
+    }
+
+    private static String report(int running) {
+        String body =
+                "{\"memory_bytes\":1,\"memory_used_bytes\":0,\"loaded\":[],\"loading\":[],"
+                        + "\"cached_on_disk\":[],\"waiting\":0,\"running\":"
+                        + running
+                        + "}";
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
     private static HttpEngine engine(String url) {
         HttpUpstream upstream =
                 HttpUpstream.builder()
--- a/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpUpstreamTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpUpstreamTest.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.util.ByteString;
@@ -165,6 +166,27 @@
         }
     }
 
+    // Guards against an answer that comes twice and is passed on as a part of the first, or as the
+    // answer to the next request.
+    @Test
+    void anExtraAnswerIsPassedOnForNoRequest() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        RawServer.Handler twice =
+                socket -> {
+                    String answer =
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#"
+                                    + requests.incrementAndGet();
+                    RawServer.write(socket, answer + answer);
+                };
+        try (RawServer server = new RawServer(twice)) {
+            HttpUpstream upstream = to(server.url());
+            for (int request = 1; request <= 9; request++) {
+                assertEquals("#" + request, text(get(upstream.send(order()))));
+            }
+            assertEquals(9, server.sockets.size());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
