Don't refuse a running exchange as not run

A router was told that a request had not run, and could send it to another agent, while the first agent was running it: the invocation had come again in a form that can't be read, and the refusal of that was taken for the answer to the first, as both bear the exchange's number.

Cause: a malformed invocation was refused before the agent looked whether it had taken one with this number. Our routers send each invocation once, so this takes a fault on their side.

Now such an invocation is not answered on the link of the running exchange, and refused as one that may have run elsewhere and after the end.

Evidence: ExchangeTest#aMalformedDuplicateInvocationDoesNotRefuseTheRunningOne, before refused, now served. Three more tests passed before and pass now: a late answer on another link, an answer from before a reconnect, a second answer to an exchange.

--- a/damaskyoke/src/main/java/io/damaskyoke/peer/ExchangeServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/peer/ExchangeServer.java
@@ -77,7 +77,7 @@
             exchange = decode(link, frame);
         } catch (IllegalArgumentException e) {
             metrics.count("exchange_malformed");
-            refuse(link, frame.getExchange(), malformed(e.getMessage()));
+            refuseMalformed(link, frame.getExchange(), malformed(e.getMessage()));
             return;
         }
         if (registerIfNew(link, exchange)) {
@@ -110,6 +110,16 @@
         return false;
     }
 
+    /** Refuses an invocation that can't be read; as not run only if no other one had its id. */
+    private void refuseMalformed(PeerLink link, ExchangeId id, Refused malformed) {
+        ServedExchange first = running.get(id);
+        if (first == null && endedExchanges.find(id).isEmpty()) {
+            refuse(link, id, malformed);
+        } else if (first == null || first.link() != link) {
+            refuse(link, id, duplicate());
+        }
+    }
+
     private void handle(ServedExchange exchange) {
         exchange.cancelIfLinkClosed();
         try {
--- a/damaskyoke/src/test/java/io/damaskyoke/peer/ExchangeTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/peer/ExchangeTest.java
@@ -20,6 +20,7 @@
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.peer.wire.End;
 import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.Invoke;
 import io.damaskyoke.peer.wire.Load;
 import io.damaskyoke.peer.wire.Started;
 import java.nio.charset.StandardCharsets;
@@ -261,6 +262,85 @@
         assertEquals(0, client.running());
     }
 
+    // Guards against a late answer of one agent that is taken for that of the next one to which the
+    // same request was sent.
+    @Test
+    void aLateAnswerOnAnotherLinkIsDropped() throws Exception {
+        Exchange first = invoke(1);
+        PeerLink late = taken().link();
+        first.cancel("slow");
+        assertInstanceOf(ExchangeResult.Lost.class, get(first.result()));
+        try (PeerNetwork other =
+                network("agent-2", metrics, LONG).addListener(server()).build().start()) {
+            link = get(router.connect(address("agent-2", other.port())));
+            Exchange second = invoke(1);
+            IncomingExchange taken = taken();
+            Frame.Builder frame = frame(1);
+            late.send(frame.setSequence(0).setStarted(Started.getDefaultInstance()).build());
+            late.send(frame.setSequence(1).setEnd(End.getDefaultInstance()).build());
+            String crossed = "exchange_frames_dropped{reason=\"crossed\"}";
+            await().until(() -> count(metrics, crossed) == 2);
+            serve(taken, Source.single(ByteString.fromString("second")));
+            assertEquals("second", get(collected(served(second))).utf8String());
+        }
+    }
+
+    // Guards against an answer from before a reconnect that is taken for the answer after it.
+    @Test
+    void anAnswerFromBeforeAReconnectIsDropped() throws Exception {
+        Exchange first = invoke(1);
+        IncomingExchange taken = taken();
+        router.forget(address("agent-1", agent.port()));
+        assertInstanceOf(ExchangeResult.Lost.class, get(first.result()));
+        await().until(taken::cancelled);
+        connect();
+        Exchange second = invoke(1);
+        serve(taken, Source.single(ByteString.fromString("first")));
+        ExchangeResult.Refused refused =
+                assertInstanceOf(ExchangeResult.Refused.class, get(second.result()));
+        assertFalse(refused.refusal().notRun());
+        assertTrue(incoming.isEmpty());
+    }
+
+    // Guards against an answer to an exchange that has ended, which ends another one.
+    @Test
+    void aSecondAnswerToAnExchangeIsNotSent() throws Exception {
+        Exchange exchange = invoke(1);
+        Exchange other = invoke(2);
+        IncomingExchange taken = taken();
+        serve(taken, Source.single(ByteString.fromString("paid")));
+        assertEquals("paid", get(collected(served(exchange))).utf8String());
+        taken.refuse(Refusal.notRun(RefusalCode.OVERLOADED, "full"), LOAD);
+        serve(taken, Source.single(ByteString.fromString("again")));
+        serve(taken(), Source.single(ByteString.fromString("other")));
+        assertEquals("other", get(collected(served(other))).utf8String());
+        assertEquals(0, count(metrics, "exchange_frames_dropped{reason=\"unknown\"}"));
+    }
+
+    // Guards against a request that runs and is refused as not run, as its invocation came again
+    // in a form that can't be read.
+    @Test
+    void aMalformedDuplicateInvocationDoesNotRefuseTheRunningOne() throws Exception {
+        Exchange exchange = invoke(1);
+        IncomingExchange taken = taken();
+        link.send(frame(1).setInvoke(Invoke.getDefaultInstance()).build());
+        await().until(() -> count(metrics, "exchange_malformed") == 1);
+        serve(taken, Source.single(ByteString.fromString("paid")));
+        assertEquals("paid", get(collected(served(exchange))).utf8String());
+    }
+
+    private static Frame.Builder frame(long counter) {
+        return Frame.newBuilder().setExchange(InvokeCodec.toWire(request(counter).id()));
+    }
+
+    private ExchangeServer server() {
+        return ExchangeServer.of(
+                incoming::add,
+                InstantSource.system(),
+                SystemMaterializer.get(SYSTEM).materializer(),
+                metrics);
+    }
+
     private static Source<ByteString, NotUsed> numbered(long id) {
         return Source.repeat(ByteString.fromString(id + " ".repeat(200))).take(200);
     }
