Test that each answer of the caller server goes to its own request

CallerServerTest#pipelinedRequestsAreAnsweredInTheirOrder, #nothingFollowsAStreamThatBrokeOff and #anAnswerAfterItsConnectionHasEndedIsSentToNobody pass without a change.

--- a/damaskyoke/src/test/java/io/damaskyoke/caller/CallerServerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/caller/CallerServerTest.java
@@ -257,6 +257,66 @@
         assertFalse(json(answer).path("error").path("not_run").asBoolean(true));
     }
 
+    // Guards against an answer that is sent to the request before its own, which takes longer.
+    @Test
+    void pipelinedRequestsAreAnsweredInTheirOrder() throws IOException {
+        CompletableFuture<Answer> later = new CompletableFuture<>();
+        upstream =
+                request ->
+                        request.path().equals("/first")
+                                ? later
+                                : now(served("text/plain", Source.single(bytes("second"))));
+        start(Duration.ofSeconds(5));
+        try (Socket socket = connect()) {
+            send(
+                    socket,
+                    keepAlive(request("PUT /v1/services/ledger/first", ""))
+                            + request("PUT /v1/services/ledger/second", ""));
+            await().atMost(PATIENCE).until(() -> !requests.isEmpty());
+            later.complete(served("text/plain", Source.single(bytes("first"))));
+            String answers = readAll(socket);
+            assertEquals(2, answers.split("HTTP/1.1 200 ", -1).length - 1, answers);
+            assertTrue(answers.indexOf("first") < answers.indexOf("second"), answers);
+        }
+    }
+
+    // Guards against the answer to a request that was queued behind a stream, sent as the rest of
+    // the stream after it broke off.
+    @Test
+    void nothingFollowsAStreamThatBrokeOff() throws IOException {
+        upstream = request -> now(served("text/event-stream", cut(bytes("data: 1\n\n"))));
+        String answers =
+                exchange(
+                        keepAlive(request("POST /v1/chat/completions", HELLO))
+                                + request("GET /v1/models", ""));
+        assertEquals(1, answers.split("HTTP/1.1 ", -1).length - 1, answers);
+        assertFalse(answers.contains("\r\n0\r\n"), answers);
+    }
+
+    // Guards against an answer to a caller that has disconnected, sent on the connection that
+    // followed it.
+    @Test
+    void anAnswerAfterItsConnectionHasEndedIsSentToNobody() throws IOException {
+        CompletableFuture<Answer> late = new CompletableFuture<>();
+        CompletableFuture<Answer> next = new CompletableFuture<>();
+        upstream = request -> request.path().equals("/late") ? late : next;
+        start(Duration.ofSeconds(5));
+        try (Socket socket = connect()) {
+            send(socket, request("PUT /v1/services/ledger/late", ""));
+            await().atMost(PATIENCE).until(() -> !signals.isEmpty());
+        }
+        await().atMost(PATIENCE).until(() -> signals.peek().cancelled());
+        try (Socket socket = connect()) {
+            send(socket, request("PUT /v1/services/ledger/next", ""));
+            await().atMost(PATIENCE).until(() -> signals.size() == 2);
+            late.complete(served("text/plain", Source.single(bytes("of the first"))));
+            next.complete(served("text/plain", Source.single(bytes("of the second"))));
+            String answers = readAll(socket);
+            assertEquals(1, answers.split("HTTP/1.1 200 ", -1).length - 1, answers);
+            assertTrue(answers.endsWith("of the second"), answers);
+        }
+    }
+
     /* A large answer is on its way already when it breaks off: its last chunk must not come. */
     @Test
     void aLargeAnswerThatBreaksOffEndsWithoutItsLastChunk() throws IOException {
