Test that an extra answer to a watch reports nothing

A watch has a connection of its own, and ends with the first answer on it. ExtraStoreAnswersTest#anExtraAnswerToAWatchReportsNothing passes without a change, three of three runs.

--- a/damaskyoke/src/test/java/io/damaskyoke/platform/ExtraStoreAnswersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/ExtraStoreAnswersTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.damaskyoke.platform.KeyValueStore.Change;
+import io.damaskyoke.platform.WatchedStore.WatchListener;
 import io.damaskyoke.timeline.HybridClock;
 import io.damaskyoke.timeline.Timeline;
 import java.io.IOException;
@@ -9,7 +11,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.ActorSystem;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
@@ -82,6 +87,34 @@
         }
     }
 
+    // Guards against changes that are reported twice, or under a watch that has ended.
+    @Test
+    void anExtraAnswerToAWatchReportsNothing() {
+        server.answers(
+                "{\"result\":{\"header\":{\"revision\":\"4\"},\"events\":[{\"kv\":{\"key\":\"L2E=\",\"value\":\"dg==\",\"mod_revision\":\"4\",\"version\":\"1\"}}]}}\n");
+        server.answerTwiceAtOnce();
+        List<Long> revisions = new CopyOnWriteArrayList<>();
+        CompletableFuture<PlatformException> ended = new CompletableFuture<>();
+        try (WatchedStore store = store()) {
+            store.watch(
+                    "/a",
+                    1,
+                    new WatchListener() {
+                        @Override
+                        public void changed(List<Change> changes, long revision) {
+                            revisions.add(revision);
+                        }
+
+                        @Override
+                        public void ended(PlatformException cause) {
+                            ended.complete(cause);
+                        }
+                    });
+            join(ended.orTimeout(LONG.toSeconds(), TimeUnit.SECONDS));
+            assertEquals(List.of(4L), revisions);
+        }
+    }
+
     // Guards against a list of VMs from before a VM was added.
     @Test
     void anExtraListOfVmsIsNotTakenForTheNextOne() {
