Read the other upstreams when an entry of the list has no name

An entry of another writer whose key is the bare prefix of the list ended the step that reads the list: every upstream after it, that is all of them, stayed unknown until its own entry changed, and all requests were refused. The removal of such an entry hid the changes that came in the same answer.

UpstreamFollowerTest#aKeyWithoutANameHidesNoOtherUpstream: 0 upstreams of 1 before, 1 now. UpstreamFollowerTest#theEndOfANamelessEntryHidesNoOtherChange: IllegalArgumentException before.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.PollTiming;
 import io.damaskyoke.follow.Relay;
+import io.damaskyoke.follow.UnreadableEntries;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
@@ -48,6 +49,7 @@
     private final Dialect dialect;
     private final UpstreamTable table;
     private final Follower follower;
+    private final UnreadableEntries unreadable;
     private final Map<UpstreamId, Long> awaitedReturns = new HashMap<>();
     private boolean storeUnanswered;
     private long readUpTo;
@@ -73,6 +75,7 @@
         this.control = control;
         this.dialect = dialect;
         this.table = table;
+        this.unreadable = new UnreadableEntries("upstreams", metrics, LOG::warn);
         this.follower =
                 Follower.of("upstreams")
                         .under(dialect.upstreamPrefix())
@@ -149,8 +152,9 @@
         readUpTo = revision;
         boolean afterOutage = afterOutage(silence);
         Set<UpstreamId> listed = new HashSet<>();
+        unreadable.keepOnly(entries);
         for (Entry entry : entries) {
-            listed.add(id(entry.key()));
+            id(entry.key()).ifPresent(listed::add);
             put(entry);
         }
         for (UpstreamId id : List.copyOf(ids())) {
@@ -172,7 +176,8 @@
             if (change.entry().isPresent()) {
                 put(change.entry().get());
             } else {
-                remove(id(change.key()), change.revision(), afterOutage);
+                unreadable.forget(change.key());
+                id(change.key()).ifPresent(id -> remove(id, change.revision(), afterOutage));
             }
         }
     }
@@ -185,9 +190,10 @@
 
     private void put(Entry entry) {
         Optional<UpstreamFacts> facts =
-                dialect.upstream(entry.key(), entry.value(), entry.modRevision());
+                unreadable.read(
+                        entry.key(),
+                        () -> dialect.upstream(entry.key(), entry.value(), entry.modRevision()));
         if (facts.isEmpty()) {
-            LOG.warn("the entry {} describes no upstream and is ignored", entry.key());
             return;
         }
         awaitedReturns.remove(facts.get().id());
@@ -268,7 +274,12 @@
         return table.all().stream().map(each -> each.facts().id()).toList();
     }
 
-    private UpstreamId id(String key) {
-        return UpstreamId.of(key.substring(dialect.upstreamPrefix().length()));
+    // Another writer may have written an entry without a name.
+    private Optional<UpstreamId> id(String key) {
+        String prefix = dialect.upstreamPrefix();
+        boolean names = key.startsWith(prefix) && key.length() > prefix.length();
+        return names
+                ? Optional.of(UpstreamId.of(key.substring(prefix.length())))
+                : Optional.empty();
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
@@ -100,6 +100,31 @@
         assertEquals(1, table.all().size());
     }
 
+    // Guards against one entry without a name that hides all upstreams that are read with it.
+    @Test
+    void aKeyWithoutANameHidesNoOtherUpstream() {
+        put("", "ready");
+        put("i-1", "ready");
+        start();
+        assertEquals(1, table.all().size());
+    }
+
+    // Guards against the end of a nameless entry that hides the changes that come with it.
+    @Test
+    void theEndOfANamelessEntryHidesNoOtherChange() {
+        put("i-1", "ready");
+        put("", "junk");
+        start();
+        store.silenceWatches(true);
+        remove("");
+        remove("i-1");
+        put("i-2", "ready");
+        store.silenceWatches(false);
+        store.cutWatches();
+        pass(1_000);
+        assertEquals(List.of("i-1 ready", "i-1 gone", "i-2 ready"), events);
+    }
+
     @Test
     void aBrokenWatchReadsTheListAgain() {
         start();
