Keep the list of routers in use beside an odd entry

An entry of another writer among those of the routers whose name or zone is no id, whose port is out of range, or a leader's entry that is no id, threw in the middle of reading the list. Routers after it stayed unknown; with an odd zone or port every later change failed in the same way, so that the router kept its old list for as long as the entry was there. Entries are now checked one by one when they are read, and one by which no router can be reached is skipped and counted. Routers are not removed by the end of an entry whose name is no id.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.follow.Follower;
 import io.damaskyoke.follow.PollTiming;
 import io.damaskyoke.follow.Relay;
+import io.damaskyoke.follow.UnreadableEntries;
 import io.damaskyoke.id.AvailabilityZone;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.metrics.Metrics;
@@ -26,6 +27,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -61,6 +63,7 @@
     private final String prefix;
     private final Map<VmId, RouterEntry> routers = new TreeMap<>();
     private final Follower follower;
+    private final UnreadableEntries unreadable;
     private Optional<VmId> leader = Optional.empty();
     private long leaderRevision;
     private WatchPlan plan = WatchPlan.of(List.of());
@@ -82,6 +85,7 @@
         this.store = store;
         this.self = self;
         this.prefix = storePrefix;
+        this.unreadable = new UnreadableEntries("routers", metrics, LOG::warn);
         this.follower =
                 Follower.of("routers")
                         .under(prefix + FLEET)
@@ -309,19 +313,11 @@
 
     /** Applies changes in the fleet's entries. */
     private final class Listener implements ChangeListener {
-        private void putQuarantined(CrashSuspect suspect, Entry entry) {
-            String trials = new String(entry.value(), StandardCharsets.UTF_8);
-            try {
-                onQuarantined.accept(suspect, Integer.parseInt(trials));
-            } catch (NumberFormatException e) {
-                LOG.warn("ignoring unreadable entry {}: {}", entry.key(), e.getMessage());
-            }
-        }
-
         @Override
         public void entriesRead(List<Entry> entries, long revision, Duration silence) {
             routers.clear();
             leader = Optional.empty();
+            unreadable.keepOnly(entries);
             entries.forEach(entry -> put(entry.key(), Optional.of(entry)));
             listChanged();
         }
@@ -348,31 +344,46 @@
 
         private void put(String key, Optional<Entry> entry) {
             if (key.equals(leaderKey())) {
-                leader =
-                        entry.map(found -> new String(found.value(), StandardCharsets.UTF_8))
-                                .map(VmId::of);
-                leaderRevision = entry.map(Entry::modRevision).orElse(0L);
-                LOG.info("leader: {}", leader.map(VmId::value).orElse("nobody"));
-                return;
-            }
-            Optional<CrashSuspect> suspect = quarantinedSuspect(key);
-            if (suspect.isPresent()) {
-                entry.ifPresent(found -> putQuarantined(suspect.get(), found));
+                putLeader(entry);
                 return;
             }
-            if (!key.startsWith(prefix + ROUTERS)) {
+            if (key.startsWith(prefix + ROUTERS)) {
+                putRouter(key, entry);
                 return;
             }
-            VmId vm = VmId.of(key.substring((prefix + ROUTERS).length()));
+            quarantinedSuspect(key).ifPresent(suspect -> putQuarantined(suspect, key, entry));
+        }
+
+        private void putLeader(Optional<Entry> entry) {
+            leader = read(leaderKey(), entry, found -> VmId.of(text(found)));
+            leaderRevision = entry.map(Entry::modRevision).orElse(0L);
+            LOG.info("leader: {}", leader.map(VmId::value).orElse("nobody"));
+        }
+
+        private void putRouter(String key, Optional<Entry> entry) {
+            String name = key.substring((prefix + ROUTERS).length());
             if (entry.isEmpty()) {
-                routers.remove(vm);
-                return;
+                routers.keySet().removeIf(vm -> vm.value().equals(name));
             }
-            try {
-                routers.put(vm, RouterEntry.parse(entry.get().value()));
-            } catch (DirectException e) {
-                LOG.warn("ignoring unreadable entry {}: {}", key, e.getMessage());
+            read(key, entry, found -> RouterEntry.parse(found.value()).reachableAs(name))
+                    .ifPresent(router -> routers.put(router.vm(), router));
+        }
+
+        private void putQuarantined(CrashSuspect suspect, String key, Optional<Entry> entry) {
+            read(key, entry, found -> Integer.parseInt(text(found)))
+                    .ifPresent(trials -> onQuarantined.accept(suspect, trials));
+        }
+
+        private <T> Optional<T> read(String key, Optional<Entry> entry, Function<Entry, T> parser) {
+            if (entry.isEmpty()) {
+                unreadable.forget(key);
             }
+            return entry.flatMap(
+                    found -> unreadable.read(key, () -> Optional.of(parser.apply(found))));
+        }
+
+        private static String text(Entry entry) {
+            return new String(entry.value(), StandardCharsets.UTF_8);
         }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/RouterEntry.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/RouterEntry.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.damaskyoke.direct.DirectException.Code;
+import io.damaskyoke.id.AvailabilityZone;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.json.JsonTrees;
 import io.damaskyoke.peer.PeerAddress;
@@ -37,6 +38,24 @@
         }
     }
 
+    /**
+     * Returns this entry if others can reach a router by it.
+     *
+     * @param name the name of the router, by the key of the entry
+     * @throws DirectException MALFORMED if it names another router, no zone, or no address
+     */
+    RouterEntry reachableAs(String name) {
+        try {
+            AvailabilityZone.of(zone);
+            if (vm.value().equals(name) && !address().host().isBlank()) {
+                return this;
+            }
+        } catch (IllegalArgumentException e) {
+            throw new DirectException(Code.MALFORMED, e.getMessage(), e);
+        }
+        throw new DirectException(Code.MALFORMED, "it names another router or no host");
+    }
+
     private static OptionalDouble capacity(JsonNode cores) {
         boolean valid = cores.isNumber() && cores.doubleValue() > 0;
         return valid ? OptionalDouble.of(cores.doubleValue()) : OptionalDouble.empty();
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
@@ -14,8 +14,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class MembershipTest {
@@ -79,6 +81,52 @@
         assertEquals(1, members.read().toCompletableFuture().join().size());
     }
 
+    // Guards against one entry of another writer after which the list of routers stays as it was.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "routers/|{}",
+                "routers/a b|{}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"a\",\"host\":\"h\",\"port\":-1}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"a\",\"host\":\"h\",\"port\":65536}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"a\",\"host\":\"h\",\"port\":1e400}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"\",\"host\":\"h\",\"port\":1}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"a b\",\"host\":\"h\",\"port\":1}",
+                "routers/x|{\"vm\":\"y\",\"zone\":\"a\",\"host\":\"h\",\"port\":1}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"a\",\"host\":\"\",\"port\":1}",
+                "routers/x|{\"vm\":\"x\",\"zone\":\"a\",\"host\":\"h\"}",
+                "giver|a router?",
+                "kept-out/|-1",
+                "kept-out/x|99999999999",
+                "kept-out-parts/|1e400"
+            })
+    void anOddEntryAmongTheRoutersHidesNoOther(String key, String value) {
+        put("p/fleet/" + key, value);
+        putRouter("yet");
+        Membership members =
+                new Membership(
+                        control, store, "p", entry("one"), PACE, Relay.none(), new Metrics());
+        members.start(() -> members.others().forEach(RouterEntry::address));
+        control.advance(Duration.ofSeconds(1));
+        putRouter("two");
+        control.advance(Duration.ofSeconds(3));
+        putRouter("zzz");
+        control.advance(Duration.ofSeconds(3));
+        assertEquals(
+                Set.of(VmId.of("one"), VmId.of("two"), VmId.of("yet"), VmId.of("zzz")),
+                Set.copyOf(members.routerIds()));
+    }
+
+    private void putRouter(String name) {
+        Write write = new Write.Put("p/fleet/routers/" + name, entry(name).toJson(), 0);
+        store.commit(List.of(), List.of(write));
+    }
+
+    private static RouterEntry entry(String name) {
+        return new RouterEntry(VmId.of(name), "a", "127.0.0.1", 1, OptionalDouble.empty());
+    }
+
     private void put(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
         store.commit(List.of(), List.of(new Write.Put(key, bytes, 0)));
