Apply drains beside a configuration that can't be read

A configuration whose reading threw anything but the layer's own exception ended the step that reads the operators' keys: a zone whose drain was read with it was not drained, and got requests. The holder now keeps the configuration in force whatever reading another one throws.

OperatorSettingsFollowerTest#anOddConfigurationHidesNoDrain: no zone drained before, one now.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
@@ -54,26 +54,42 @@
         if (revision <= revision()) {
             return;
         }
+        Optional<DirectConfiguration> next = read(bytes, revision);
+        if (next.isPresent() && isNewer(next.get())) {
+            putInForce(next.get(), bytes, source);
+        }
+    }
+
+    // It may come from another writer: whatever is wrong with it, the one in force stays.
+    private Optional<DirectConfiguration> read(byte[] bytes, long revision) {
         try {
-            DirectConfiguration next = dialect.configuration(bytes, revision);
-            if (current != null && next.version() < current.version()) {
-                LOG.warn(
-                        "ignoring configuration version={}: it is older than the one in force",
-                        next.version());
-                return;
-            }
-            current = next;
-            storedBytes = bytes;
-            routes = new RouteTable(next.routes());
-            LOG.info(
-                    "configuration version={} revision={} from={} routes={} in force",
-                    next.version(),
-                    revision,
-                    source,
-                    next.routes().size());
-            onChange.accept(next);
-        } catch (DirectException e) {
+            return Optional.of(dialect.configuration(bytes, revision));
+        } catch (RuntimeException e) {
             LOG.error("ignoring the configuration at revision {}: {}", revision, e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private boolean isNewer(DirectConfiguration next) {
+        if (current == null || next.version() >= current.version()) {
+            return true;
         }
+        LOG.warn(
+                "ignoring configuration version={}: it is older than the one in force",
+                next.version());
+        return false;
+    }
+
+    private void putInForce(DirectConfiguration next, byte[] bytes, String source) {
+        current = next;
+        storedBytes = bytes;
+        routes = new RouteTable(next.routes());
+        LOG.info(
+                "configuration version={} revision={} from={} routes={} in force",
+                next.version(),
+                next.revision(),
+                source,
+                next.routes().size());
+        onChange.accept(next);
     }
 }
