Go on reading the list of VMs after one that a listener can't take

The next reading was arranged after the listeners had the list. A VM with a peer port of 0, which the list allows, ends a listener by an exception, and with it all later readings. The next reading is arranged first now.

VmListReaderTest#aListThatAListenerCantTakeIsNotTheLast: 1 reading before, 4 in three seconds now.

--- a/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
@@ -50,11 +50,12 @@
     }
 
     private void took(List<VmList.Vm> vms, Instant askedAt, Throwable failure) {
+        // First, as a listener that throws must not end the reading.
+        control.after(pause.get(), this::read);
         if (failure == null) {
             listeners.forEach(listener -> listener.read(vms, askedAt));
         } else {
             metrics.count("vm_list_failures");
         }
-        control.after(pause.get(), this::read);
     }
 }
