Follow the agents' registrations beside an odd one

A key below the registrations that is no VM id ended the step that takes the list, before the watch was opened and the next listing arranged: no agent was found, and none followed. A value of null ended the step that publishes all agents, and a port out of range or a missing host was taken and failed each request sent there.

--- a/damaskyoke/src/main/java/io/damaskyoke/node/AgentRegistrations.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/AgentRegistrations.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * The agents' registrations as far as this process knows them: a relay watches them in the store,
@@ -24,6 +25,7 @@
  */
 final class AgentRegistrations {
     private static final Duration RETRY = Duration.ofSeconds(2);
+    private static final byte[] REMOVED = new byte[0];
     private static final Duration RELIST = Duration.ofMinutes(5);
 
     private final ControlThread control;
@@ -100,7 +102,10 @@
             again(RETRY);
             return;
         }
-        List<Row> rows = found.entries().stream().map(this::row).toList();
+        List<Row> rows =
+                found.entries().stream()
+                        .flatMap(entry -> row(entry.key(), entry.value(), entry.modRevision()))
+                        .toList();
         take(new Delta(rows, found.revision(), true));
         if (watching) {
             openWatch(found.revision() + 1);
@@ -126,12 +131,14 @@
         timer.ifPresent(ControlThread.Cancellable::cancel);
     }
 
-    private Row row(KeyValueStore.Entry entry) {
-        return new Row(vm(entry.key()), entry.value(), entry.modRevision());
-    }
-
-    private VmId vm(String key) {
-        return VmId.of(key.substring(prefix.length()));
+    // One key of another writer must not hide the agents that are read with it.
+    private Stream<Row> row(String key, byte[] value, long revision) {
+        try {
+            return Stream.of(new Row(VmId.of(key.substring(prefix.length())), value, revision));
+        } catch (IllegalArgumentException e) {
+            metrics.count("agent_registrations_unreadable");
+            return Stream.empty();
+        }
     }
 
     private void changed(long number, List<KeyValueStore.Change> changes, long revision) {
@@ -139,10 +146,9 @@
             return;
         }
         for (KeyValueStore.Change change : changes) {
-            table.put(
-                    change.entry()
-                            .map(this::row)
-                            .orElseGet(() -> new Row(vm(change.key()), new byte[0], revision)));
+            byte[] value = change.entry().map(KeyValueStore.Entry::value).orElse(REMOVED);
+            long at = change.entry().map(KeyValueStore.Entry::modRevision).orElse(revision);
+            row(change.key(), value, at).forEach(table::put);
         }
         tell();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/Registration.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/Registration.java
@@ -22,6 +22,7 @@
         String host,
         int port) {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MAX_PORT = 65_535;
 
     /** The key prefix of all registrations below the deployment's own prefix. */
     public static final String PREFIX = "/agents/";
@@ -47,6 +48,9 @@
     public static Registration parse(byte[] json) {
         try {
             Stored stored = JSON.readValue(json, Stored.class);
+            if (stored == null || !stored.namesAnAddress()) {
+                throw new IllegalArgumentException("it names no host or no port");
+            }
             return new Registration(
                     VmId.of(stored.vm()),
                     Incarnation.of(stored.incarnation()),
@@ -66,5 +70,9 @@
             @JsonProperty("pool") String pool,
             @JsonProperty("availability_zone") String zone,
             @JsonProperty("host") String host,
-            @JsonProperty("port") int port) {}
+            @JsonProperty("port") int port) {
+        private boolean namesAnAddress() {
+            return host != null && !host.isBlank() && port > 0 && port <= MAX_PORT;
+        }
+    }
 }
