--- a/damaskyoke/src/test/java/io/damaskyoke/control/configuration/TicketParserTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/configuration/TicketParserTest.java
@@ -9,10 +9,36 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TicketParserTest {
     private final TicketParser parser = TicketParser.withHasher(KeyHasher.of("0123456789abcdef"));
 
+    // Guards against a stored ticket of another writer that ends the thread which reads it.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "null",
+                "7",
+                "{\"number\":1e400}",
+                "{\"number\":99999999999999999999}",
+                "{\"number\":1,\"models\":[null]}",
+                "{\"number\":1,\"models\":[[]]}",
+                "{\"number\":1,\"models\":[{\"name\":\"\u0000\"}]}"
+            })
+    void anOddTicketIsRefused(String ticket) {
+        assertRefused(ticket);
+        assertRefused("{\"number\":" + "9".repeat(5_000) + "}");
+        assertRefused("[".repeat(200_000) + "]".repeat(200_000));
+    }
+
+    private void assertRefused(String ticket) {
+        byte[] json = ticket.getBytes(StandardCharsets.UTF_8);
+        assertThrows(TicketException.class, () -> parser.parse(json));
+        assertThrows(TicketException.class, () -> TicketParser.forStoredTickets().parse(json));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/PeerRouterFramesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/PeerRouterFramesTest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.upstreams.HeldModels;
@@ -8,14 +9,19 @@
 import io.damaskyoke.control.upstreams.UpstreamDeparture;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.id.VmId;
+import io.damaskyoke.peer.wire.DrainedZone;
 import io.damaskyoke.peer.wire.Frame;
+import io.damaskyoke.peer.wire.ModelDemand;
 import io.damaskyoke.peer.wire.RouterReport;
+import io.damaskyoke.peer.wire.UpstreamLimit;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PeerRouterFramesTest {
     private static final VmId SENDER = VmId.of("router-1");
@@ -55,6 +61,36 @@
         assertEquals(status, PeerRouterFrames.status(report, now));
     }
 
+    // Guards against a figure of another router whose time overflows and ends the handling.
+    @ParameterizedTest
+    @ValueSource(longs = {Long.MIN_VALUE, -1, 0, Integer.MAX_VALUE, Long.MAX_VALUE - 1})
+    void oddFiguresOfAnotherRouterOverflowNothing(long figure) {
+        Instant now = Instant.parse("2026-12-01T00:00:00Z");
+        RouterReport report =
+                RouterReport.newBuilder()
+                        .setNumber(figure)
+                        .setUpstreamsRevision(figure)
+                        .setLateMs((int) figure)
+                        .addDrainedZones(
+                                DrainedZone.newBuilder().setZone("a").setAskedMsAgo(figure))
+                        .addDemand(
+                                ModelDemand.newBuilder()
+                                        .setWaiting((int) figure)
+                                        .setOldestMs((int) figure)
+                                        .setPerSecond(Double.NaN))
+                        .build();
+        assertEquals(1, PeerRouterFrames.status(report, now).drains().notBefore().size());
+        assertEquals(1, PeerRouterFrames.demandReported(SENDER, report).demands().size());
+        UpstreamLimit limit =
+                UpstreamLimit.newBuilder()
+                        .setUpstream("i-1")
+                        .setNamed(true)
+                        .setPerSecond(figure * 1e300)
+                        .setAgeMs((int) figure)
+                        .build();
+        assertFalse(PeerRouterFrames.limit(limit).limit().perSecond() < 0);
+    }
+
     @Test
     void whatUpstreamsHoldArrivesAsItWasSent() {
         Map<UpstreamId, HeldModels> sent =
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/UpstreamFollowerTest.java
@@ -125,6 +125,19 @@
         assertEquals(List.of("i-1 ready", "i-1 gone", "i-2 ready"), events);
     }
 
+    // Guards against ten thousand entries of another writer among which an upstream is not found.
+    @Test
+    void tenThousandOddEntriesHideNoUpstream() {
+        for (int each = 0; each < 10_000; each++) {
+            put("h-" + each, "junk");
+        }
+        put("i-1", "ready");
+        start();
+        put("h-10000", "junk");
+        put("i-2", "ready");
+        assertEquals(List.of("i-1 ready", "i-2 ready"), events);
+    }
+
     @Test
     void aBrokenWatchReadsTheListAgain() {
         start();
