Reject heads of answers that run together

What callers saw: a POST that must not be repeated ran twice. An extra answer that was truncated inside a header (`Not-Executed:`) ran together with the next answer on the connection: both made one head with the status of the extra one, its promise that the request has not run, and the id of the next one, so it matched the next request.

Cause: Netty's response decoder takes any text as a header's value or a reason, any `NAME/D.D` as a version, and any number as a status.

A response decoder of our own takes the place of the client codec and refuses a head with a status line in its reason or in a value, a version other than HTTP/1.1 and HTTP/1.0, and a status that has not three digits. The next answer's status line always lies whole within a joined head: in the status line, in a header's name (which the slash makes invalid) or in a value. `Via: HTTP/1.1 proxy` is no status line and passes.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -91,6 +92,11 @@
         return carried.mayAdd(next.match());
     }
 
+    /** Returns true if the response has no body whatever its headers say. */
+    boolean awaitsBodiless() {
+        return request != null && request.method().equals(HttpMethod.HEAD);
+    }
+
     ClientCall begin(ClientRequest given, ResponseListener responseListener) {
         request = given;
         listener = responseListener;
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -10,8 +10,8 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -193,7 +193,9 @@
                         new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                                 .setMaxHeaderSize(MAX_HEADER_BYTES);
-                channel.pipeline().addLast(new HttpClientCodec(config, false, false));
+                channel.pipeline()
+                        .addLast(new StrictResponseDecoder(config, connection::awaitsBodiless));
+                channel.pipeline().addLast(new HttpRequestEncoder());
                 channel.pipeline().addLast(connection);
             }
         };
--- /dev/null
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -0,0 +1,83 @@
+package io.damaskyoke.http;
+
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
+
+/**
+ * Decodes responses and rejects heads that may have been made of two.
+ *
+ * <p>A server may truncate an extra response to an earlier request. If its bytes run together with
+ * the next response, what it says would count as said about the next request, also that this has
+ * not run. The status line of the next response is then found inside the joined head. Such a head
+ * is marked as a decoding failure.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final String STATUS_LINE_START = "HTTP/1.";
+
+    /** Unlike a header {@code Via: HTTP/1.1 proxy}. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d [1-9]\\d\\d( |$)");
+
+    private final BooleanSupplier awaitsBodiless;
+
+    /**
+     * Creates a decoder; {@code awaitsBodiless} is asked at each head whether the request was one
+     * whose response has no body.
+     */
+    StrictResponseDecoder(HttpDecoderConfig config, BooleanSupplier awaitsBodiless) {
+        super(config);
+        this.awaitsBodiless = awaitsBodiless;
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        boolean versionKnown = statusLine[0].equals("HTTP/1.1") || statusLine[0].equals("HTTP/1.0");
+        if (!versionKnown || !isStatus(statusLine[1])) {
+            throw new IllegalArgumentException("not a status line of HTTP/1.1 or HTTP/1.0");
+        }
+        return super.createMessage(statusLine);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        if (containsStatusLine((HttpResponse) message)) {
+            refuse(message, "a status line within a head");
+        }
+        return awaitsBodiless.getAsBoolean() || super.isContentAlwaysEmpty(message);
+    }
+
+    private static boolean isStatus(String text) {
+        return text.length() == 3
+                && text.charAt(0) != '0'
+                && text.chars().allMatch(each -> each >= '0' && each <= '9');
+    }
+
+    private static boolean containsStatusLine(HttpResponse response) {
+        if (containsStatusLine(response.status().reasonPhrase())) {
+            return true;
+        }
+        Iterator<Map.Entry<CharSequence, CharSequence>> headers =
+                response.headers().iteratorCharSequence();
+        while (headers.hasNext()) {
+            if (containsStatusLine(headers.next().getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean containsStatusLine(CharSequence text) {
+        return AsciiString.contains(text, STATUS_LINE_START) && STATUS_LINE.matcher(text).find();
+    }
+
+    private static void refuse(HttpMessage message, String why) {
+        message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(why)));
+    }
+}
--- /dev/null
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
@@ -0,0 +1,157 @@
+package io.damaskyoke.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** How the bytes of a server are cut into responses. */
+class AnswerFramingTest {
+    private static final String OK =
+            "HTTP/1.1 200 OK\r\nTry: <id>\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone";
+    private static final Set<String> FAILURES = Set.of("GARBLED", "CUT_SHORT", "BROKEN");
+
+    private final AskingClient client = new AskingClient();
+
+    @AfterEach
+    void stop() {
+        client.close();
+    }
+
+    // Guards against half a response that looks like a whole one.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nTry: <id>\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone",
+                "HTTP/1.1 200 OK\r\n"
+                        + "Try: <id>\r\n"
+                        + "Content-Length: 13\r\n"
+                        + "Seal: s\r\n\r\n"
+                        + "done and done",
+                "HTTP/1.1 200 OK\r\nTry: <id>\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "4\r\ndone\r\n0\r\n\r\n",
+                "HTTP/1.0 200 OK\r\nTry: <id>\r\nContent-Length: 4\r\n\r\ndone",
+                "HTTP/1.1 503 Service Unavailable\r\nTry: <id>\r\nContent-Length: 4\r\n\r\nfull"
+            })
+    void aResponseThatIsCutAtAnyByteIsNotWhole(String whole) {
+        List<String> cuts = new ArrayList<>();
+        for (int end = 0; end < whole.length(); end++) {
+            cuts.add(whole.substring(0, end) + RawServer.CLOSE);
+        }
+        try (RawServer server = new RawServer(cuts.toArray(String[]::new))) {
+            for (String cut : cuts) {
+                String outcome = client.ask(server);
+                assertTrue(FAILURES.contains(outcome), cut + " gave " + outcome);
+            }
+        }
+    }
+
+    // Guards against a truncated extra response that runs together with the next one, whose promise
+    // that its request has not run is then taken for one about the next.
+    @ParameterizedTest
+    @CsvSource({
+        "200 OK,0",
+        "500 Failed,0",
+        "503 Service Unavailable,0",
+        "200 OK,",
+        "500 Failed,",
+        "503 Service Unavailable,"
+    })
+    void aTruncatedExtraResponseIsNeverJoinedWithTheNext(String status, String id) {
+        String named = id == null ? "" : "Try: " + id + "\r\n";
+        String extra =
+                "HTTP/1.1 "
+                        + status
+                        + "\r\nNot-Run: 1\r\n"
+                        + named
+                        + "Content-Length: 4\r\n\r\nfull";
+        List<String> answers = new ArrayList<>();
+        for (int end = 1; end <= extra.length(); end++) {
+            answers.add(OK);
+            answers.add(extra.substring(0, end) + OK);
+        }
+        try (RawServer server = new RawServer(answers.toArray(String[]::new))) {
+            for (int each = 0; each < answers.size(); each += 2) {
+                assertEquals("200 done", client.ask(server));
+                String outcome = client.ask(server);
+                assertTrue(
+                        outcome.equals("200 done") || FAILURES.contains(outcome),
+                        answers.get(each + 1) + " gave " + outcome);
+            }
+        }
+    }
+
+    // Guards against a length or a status that other readers of the same bytes see differently.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4, 2\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: x\0y\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: x\ry\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: x\u0001y\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nnocolon\r\n",
+                "HTTP/1.1 200 OK\nContent-Length: 4\n",
+                "HTTP/1.1 99 Odd\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 1000 Odd\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 0200 Odd\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 -200 Odd\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 20 Odd\r\nContent-Length: 4\r\n",
+                "http/1.1 200 OK\r\nContent-Length: 4\r\n",
+                "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n",
+                "HTTP/1.7 200 OK\r\nContent-Length: 4\r\n",
+                "TP/1.1 200 OK\r\nContent-Length: 4\r\n",
+                "HHTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+                "ICY 200 OK\r\nContent-Length: 4\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+            })
+    void anAmbiguousHeadIsGarbled(String head) {
+        String body = head.contains("Transfer") ? "4\r\ndone\r\n0\r\n\r\n" : "done";
+        String end = head.endsWith("\r\n") ? "\r\n" : "\n";
+        try (RawServer server = new RawServer(head + "Try: <id>" + end + end + body)) {
+            assertEquals("GARBLED", client.ask(server));
+        }
+    }
+
+    // Guards against a safeguard that rejects sound heads.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, HTTP/1.1 127.0.0.1\r\n",
+                "HTTP/1.1 200 \r\n",
+                "HTTP/1.1 200\r\n",
+                "HTTP/1.0 200 OK\r\n",
+                "\r\nHTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 103 Early Hints\r\nTry: <id>\r\n\r\nHTTP/1.1 200 OK\r\n"
+            })
+    void aSoundHeadIsTaken(String head) {
+        String rest = "Try: <id>\r\nContent-Length: 4\r\n\r\ndone";
+        try (RawServer server = new RawServer(head + rest)) {
+            assertEquals("200 done", client.ask(server));
+        }
+    }
+
+    @Test
+    void theResponseToAHeadRequestHasNoBody() {
+        try (RawServer server = new RawServer(OK.replace("done", ""))) {
+            assertEquals("200 ", client.ask(server, HttpMethod.HEAD));
+        }
+    }
+}
