Reject answers whose body has no known end

What callers saw: an answer of status 101 left its request without any outcome until the deadline, and so did one with an unknown transfer coding on a connection that stays open; one coded as `gzip, chunked` was passed on as a body that it is not, as the header that says so concerns one connection and is dropped.

Cause: the decoder takes an unknown coding for an answer that ends with its connection. After 101 it passes bytes through, and the connection discarded them without an end. No request asks for another protocol, since `Upgrade` is not forwarded.

Both are decoding failures now, so that the exchange fails at once as garbled.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -2,17 +2,21 @@
 
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.AsciiString;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 
 /**
- * Decodes responses and rejects heads that may have been made of two.
+ * Decodes responses and rejects heads that may have been made of two, or whose body has no known
+ * end.
  *
  * <p>A server may truncate an extra response to an earlier request. If its bytes run together with
  * the next response, what it says would count as said about the next request, also that this has
@@ -47,8 +51,13 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        if (containsStatusLine((HttpResponse) message)) {
+        HttpResponse response = (HttpResponse) message;
+        if (containsStatusLine(response)) {
             refuse(message, "a status line within a head");
+        } else if (hasUnknownCoding(message)) {
+            refuse(message, "unknown transfer coding");
+        } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            refuse(message, "a switch of protocols that was not asked for");
         }
         return awaitsBodiless.getAsBoolean() || super.isContentAlwaysEmpty(message);
     }
@@ -77,6 +86,12 @@
         return AsciiString.contains(text, STATUS_LINE_START) && STATUS_LINE.matcher(text).find();
     }
 
+    private static boolean hasUnknownCoding(HttpMessage message) {
+        List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunked = codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked");
+        return !codings.isEmpty() && !chunked;
+    }
+
     private static void refuse(HttpMessage message, String why) {
         message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(why)));
     }
