Give a HEAD request a connection of its own

An answer to HEAD has no body whatever its headers say.

A HEAD request now opens a connection, which is closed after its answer.

AnswerFramingTest#aHeadRequestGoesOnAConnectionOfItsOwn: one connection before, two after.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -89,12 +88,12 @@
 
     /** Returns true if the response to the request could be told from those to earlier ones. */
     boolean mayCarry(ClientRequest next) {
-        return carried.mayAdd(next.match());
+        return !next.needsOwnConnection() && carried.mayAdd(next.match());
     }
 
     /** Returns true if the response has no body whatever its headers say. */
     boolean awaitsBodiless() {
-        return request != null && request.method().equals(HttpMethod.HEAD);
+        return request != null && request.isBodiless();
     }
 
     ClientCall begin(ClientRequest given, ResponseListener responseListener) {
@@ -184,7 +183,7 @@
             return;
         }
         state = State.AWAITING;
-        keepAlive = !request.match().needsOwnConnection() && !carried.isFull();
+        keepAlive = !request.needsOwnConnection() && !carried.isFull();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         channel.writeAndFlush(
                 new DefaultFullHttpRequest(
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientRequest.java
@@ -22,4 +22,17 @@
         HttpHeaders headers,
         ByteBuf body,
         ResponseMatch match,
-        Duration idleLimit) {}
+        Duration idleLimit) {
+    /**
+     * Returns true if the connection may carry no other request: a response without a body is read
+     * as such only after its own request.
+     */
+    boolean needsOwnConnection() {
+        return match.needsOwnConnection() || isBodiless();
+    }
+
+    /** Returns true if the response has no body whatever its headers say. */
+    boolean isBodiless() {
+        return method.equals(HttpMethod.HEAD);
+    }
+}
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
@@ -152,6 +152,18 @@
         }
     }
 
+    // Guards against an extra response to another method that shifts what has a body.
+    @Test
+    void aHeadRequestGoesOnAConnectionOfItsOwn() {
+        String bodiless = OK.replace("done", "");
+        try (RawServer server = new RawServer(OK, bodiless + bodiless, OK)) {
+            assertEquals("200 done", client.ask(server));
+            assertEquals("200 ", client.ask(server, HttpMethod.HEAD));
+            assertEquals("200 done", client.ask(server));
+            assertEquals(2, server.connections());
+        }
+    }
+
     @Test
     void theResponseToAHeadRequestHasNoBody() {
         try (RawServer server = new RawServer(OK.replace("done", ""))) {
