Take no bytes that come before the request for its response

Callers could get an answer to something else: a whole answer that a server wrote on a new connection before it received the request was passed on as the response, and where it confirmed that the request had not run, the request was repeated though nothing had rejected it. Cause: a connection that is still to write its request treated what it read as the response; the write waits until all sockets are read. Such bytes now count as no_request, the connection is closed and the send ends as not connected, since nothing of it was written.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -128,7 +128,7 @@
             return;
         }
         // Connecting may have taken a while; the caller may have canceled the request meanwhile.
-        client.loop().runAfterRead(this::writeIfWanted);
+        client.runAfterRead(this::writeIfWanted);
     }
 
     private void writeIfWanted() {
@@ -139,12 +139,13 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (state == State.IDLE || state == State.CLOSED || !(message instanceof HttpObject)) {
+        if (!isRequestWritten() || !(message instanceof HttpObject)) {
             // Bytes that answer no request must not be taken for the response to a later one.
             ReferenceCountUtil.release(message);
-            if (state == State.IDLE) {
+            if (state != State.CLOSED) {
                 recordUnmatched(UnmatchedAnswer.NO_REQUEST);
             }
+            connectFailed();
             discard();
             return;
         }
@@ -174,6 +175,10 @@
         context.close();
     }
 
+    private boolean isRequestWritten() {
+        return state == State.AWAITING || state == State.SKIPPING || state == State.READING;
+    }
+
     private void write() {
         HttpHeaders headers = request.headers();
         if (!listener.beforeSend(headers)) {
@@ -282,7 +287,7 @@
         request = null;
         if (keepAlive && channel.isActive() && notified.mayReuseConnection()) {
             state = State.IDLE;
-            idleSince = System.nanoTime();
+            idleSince = client.nanoTime();
             channel.config().setAutoRead(true);
             client.addIdle(this);
         } else {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -19,7 +19,9 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * An HTTP client with a connection pool: {@code client.send(endpoint, request, listener)}.
@@ -36,19 +38,36 @@
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
-    private final HttpLoop loop;
+    private final ConnectionOpener opener;
+    private final Executor afterRead;
+    private final LongSupplier nanoTime;
     private final Metrics metrics;
     private final Map<Endpoint, ArrayDeque<ClientConnection>> idle = new HashMap<>();
-    private final Bootstrap bootstrap;
     private final UnmatchedAnswers unmatchedAnswers;
     private long connectionCount;
 
     /** Creates a client on the loop that abandons a connection attempt after the timeout. */
     public HttpClient(HttpLoop loop, Duration connectTimeout, Metrics metrics) {
-        this.loop = loop;
+        this(sockets(loop, connectTimeout), loop::runAfterRead, System::nanoTime, metrics);
+    }
+
+    /**
+     * Creates a client of other connections.
+     *
+     * @param afterRead runs steps once all connections have been read recently
+     * @param nanoTime the current time in nanoseconds since any moment
+     */
+    HttpClient(
+            ConnectionOpener opener, Executor afterRead, LongSupplier nanoTime, Metrics metrics) {
+        this.opener = opener;
+        this.afterRead = afterRead;
+        this.nanoTime = nanoTime;
         this.metrics = metrics;
         this.unmatchedAnswers = new UnmatchedAnswers(metrics);
-        this.bootstrap =
+    }
+
+    private static ConnectionOpener sockets(HttpLoop loop, Duration connectTimeout) {
+        Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop.group())
                         .channel(NioSocketChannel.class)
@@ -58,6 +77,7 @@
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                 (int) connectTimeout.toMillis());
+        return (to, handler) -> bootstrap.clone().handler(handler).connect(to.socket());
     }
 
     /** Sends the request over a pooled or a new connection; the listener receives the response. */
@@ -69,10 +89,7 @@
         metrics.count("http_connects");
         ClientConnection fresh = new ClientConnection(this, to, ++connectionCount);
         ClientCall call = fresh.begin(request, listener);
-        bootstrap
-                .clone()
-                .handler(pipeline(fresh))
-                .connect(to.socket())
+        opener.open(to, pipeline(fresh))
                 .addListener(
                         done -> {
                             if (!done.isSuccess()) {
@@ -94,10 +111,7 @@
      */
     public void probe(Endpoint server, Consumer<Optional<Boolean>> then) {
         metrics.count("http_connects");
-        bootstrap
-                .clone()
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(server.socket())
+        opener.open(server, new ChannelInboundHandlerAdapter())
                 .addListener((ChannelFuture done) -> then.accept(probeResult(done)));
     }
 
@@ -123,7 +137,7 @@
 
     /** Closes the idle connections whose keep-alive time has expired; to be called regularly. */
     public void closeExpired() {
-        long now = System.nanoTime();
+        long now = nanoTime();
         for (ArrayDeque<ClientConnection> connections : idle.values()) {
             Iterator<ClientConnection> each = connections.iterator();
             while (each.hasNext()) {
@@ -137,8 +151,13 @@
         idle.values().removeIf(ArrayDeque::isEmpty);
     }
 
-    HttpLoop loop() {
-        return loop;
+    /** Runs a step once all connections have been read recently. */
+    void runAfterRead(Runnable step) {
+        afterRead.execute(step);
+    }
+
+    long nanoTime() {
+        return nanoTime.getAsLong();
     }
 
     UnmatchedAnswers unmatchedAnswers() {
@@ -168,7 +187,7 @@
         if (connections == null) {
             return null;
         }
-        long now = System.nanoTime();
+        long now = nanoTime();
         Iterator<ClientConnection> each = connections.iterator();
         while (each.hasNext()) {
             ClientConnection next = each.next();
