Match an agent's word on a key by the link it came on

A repeat of a keyed request could be refused as of unknown outcome though the agent that ran it knew the answer: a request may ask several agents in turn, and the late answer of one was taken for that of the next. Nothing ran twice by it, as a record of another run is ignored.

Cause: a query was matched by the request alone. Now the link that carried it counts too.

Evidence: ClaimQueriesTest#aLateAnswerOfOneAgentIsNotTakenForThatOfTheNext, before the second query was over with the first agent's answer, now it waits for its own. ClaimsTest and ClaimPropertyTest pass.

--- a/damaskyoke/src/main/java/io/damaskyoke/router/ClaimQueries.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/ClaimQueries.java
@@ -25,9 +25,12 @@
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
     private final ControlThread control;
-    private final ConcurrentMap<ExchangeId, CompletableFuture<Optional<ClaimRecord>>> pending =
+    // A request may ask several agents, one after the other, and each link is another one.
+    private final ConcurrentMap<Query, CompletableFuture<Optional<ClaimRecord>>> pending =
             new ConcurrentHashMap<>();
 
+    private record Query(ExchangeId request, PeerLink link) {}
+
     ClaimQueries(ControlThread control) {
         this.control = control;
     }
@@ -40,39 +43,41 @@
                         .setCounter(request.id().counter())
                         .build();
         CompletableFuture<Optional<ClaimRecord>> answer = new CompletableFuture<>();
-        pending.put(id, answer);
         ControlThread.Cancellable timeout =
                 control.after(ANSWER_TIMEOUT, () -> answer.complete(Optional.empty()));
+        answer.whenComplete((outcome, failure) -> timeout.cancel());
         agent.whenComplete((link, failure) -> send(link, id, request, answer));
-        answer.whenComplete(
-                (outcome, failure) -> {
-                    timeout.cancel();
-                    pending.remove(id, answer);
-                });
         return answer;
     }
 
     @Override
     public void received(PeerLink link, Frame frame) {
         CompletableFuture<Optional<ClaimRecord>> answer =
-                frame.hasClaimOutcome() ? pending.get(frame.getExchange()) : null;
+                frame.hasClaimOutcome() ? pending.get(new Query(frame.getExchange(), link)) : null;
         if (answer != null) {
             answer.complete(record(frame.getClaimOutcome()));
         }
     }
 
-    private static void send(
+    private void send(
             PeerLink link,
             ExchangeId id,
             Request request,
             CompletableFuture<Optional<ClaimRecord>> answer) {
+        if (link == null) {
+            answer.complete(Optional.empty());
+            return;
+        }
+        Query asked = new Query(id, link);
+        pending.put(asked, answer);
+        answer.whenComplete((outcome, failure) -> pending.remove(asked, answer));
         ClaimQuery query =
                 ClaimQuery.newBuilder()
                         .setWorkspace(request.workspace().value())
                         .setIdempotencyKey(request.idempotencyKey().orElseThrow().value())
                         .build();
         Frame frame = Frame.newBuilder().setExchange(id).setClaimQuery(query).build();
-        if (link == null || !link.send(frame)) {
+        if (!link.send(frame)) {
             answer.complete(Optional.empty());
         }
     }
