Close a connection that holds the beginning of an extra answer

Bytes that followed a complete answer closed the connection only if the decoder made something of them. The beginning of an extra answer, any line without an end, or a single letter stayed in the decoder and came before the next answer on that connection.

A connection with bytes left in its decoder is closed now: at the end of an answer, before its listener can send the next request, and after each read while it is idle. What comes after the next request was written is left to the check of heads and ids.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
@@ -37,9 +38,18 @@
      */
     private static final int MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
 
+    private static final int MAX_LINE_BYTES = 16 * 1024;
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+
     private final HttpClient client;
     private final Endpoint endpoint;
     private final long number;
+    private final StrictResponseDecoder decoder =
+            new StrictResponseDecoder(
+                    new HttpDecoderConfig()
+                            .setMaxInitialLineLength(MAX_LINE_BYTES)
+                            .setMaxHeaderSize(MAX_HEADER_BYTES),
+                    this::awaitsBodiless);
     private Channel channel;
     private State state = State.CONNECTING;
     private ClientRequest request;
@@ -73,6 +83,10 @@
         return endpoint;
     }
 
+    StrictResponseDecoder decoder() {
+        return decoder;
+    }
+
     boolean open() {
         return state == State.IDLE && channel.isActive();
     }
@@ -91,8 +105,7 @@
         return !next.needsOwnConnection() && carried.mayAdd(next.match());
     }
 
-    /** Returns true if the response has no body whatever its headers say. */
-    boolean awaitsBodiless() {
+    private boolean awaitsBodiless() {
         return request != null && request.isBodiless();
     }
 
@@ -163,6 +176,16 @@
         }
     }
 
+    // The beginning of an extra response would wait in the decoder for the next response.
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (state == State.IDLE && decoder.holdsBytes()) {
+            recordUnmatched(UnmatchedAnswer.NO_REQUEST);
+            discard();
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         connectFailed();
@@ -285,6 +308,10 @@
         ResponseListener notified = listener;
         listener = null;
         request = null;
+        if (decoder.holdsBytes()) {
+            recordUnmatched(UnmatchedAnswer.NO_REQUEST);
+            keepAlive = false;
+        }
         if (keepAlive && channel.isActive() && notified.mayReuseConnection()) {
             state = State.IDLE;
             idleSince = client.nanoTime();
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpClient.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.time.Duration;
@@ -32,8 +31,6 @@
  * there.
  */
 public final class HttpClient {
-    private static final int MAX_LINE_BYTES = 16 * 1024;
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final int MAX_IDLE_PER_ENDPOINT = 32;
     private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(32 * 1024, 128 * 1024);
@@ -208,12 +205,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                HttpDecoderConfig config =
-                        new HttpDecoderConfig()
-                                .setMaxInitialLineLength(MAX_LINE_BYTES)
-                                .setMaxHeaderSize(MAX_HEADER_BYTES);
-                channel.pipeline()
-                        .addLast(new StrictResponseDecoder(config, connection::awaitsBodiless));
+                channel.pipeline().addLast(connection.decoder());
                 channel.pipeline().addLast(new HttpRequestEncoder());
                 channel.pipeline().addLast(connection);
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -40,6 +40,11 @@
         this.awaitsBodiless = awaitsBodiless;
     }
 
+    /** Returns true if bytes were received that are not decoded yet. */
+    boolean holdsBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         boolean versionKnown = statusLine[0].equals("HTTP/1.1") || statusLine[0].equals("HTTP/1.0");
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.http;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -164,6 +165,34 @@
         }
     }
 
+    // Guards against the beginning of an extra response that waits for the next one.
+    @ParameterizedTest
+    @ValueSource(strings = {"", RawServer.PAUSE})
+    void furtherBytesOfAnyKindCloseTheConnection(String pause) {
+        for (String further : List.of("H", "nonsense", "HTTP/1.1 503 Full\r\nNot-Run: 1", OK)) {
+            long before = client.unmatched(UnmatchedAnswer.NO_REQUEST);
+            try (RawServer server = new RawServer(OK + pause + further, OK)) {
+                assertEquals("200 done", client.ask(server));
+                await().until(() -> client.unmatched(UnmatchedAnswer.NO_REQUEST) == before + 1);
+                assertEquals("200 done", client.ask(server));
+                assertEquals(2, server.connections(), further);
+            }
+        }
+    }
+
+    // Guards against bytes behind a response that has no body, which would begin the next one.
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void aBodyBehindAResponseThatHasNoneClosesTheConnection(String status) {
+        String bodiless = OK.replace("200 OK", status);
+        try (RawServer server = new RawServer(bodiless, OK)) {
+            assertEquals(status.substring(0, 4), client.ask(server));
+            await().until(() -> client.unmatched(UnmatchedAnswer.NO_REQUEST) == 1);
+            assertEquals("200 done", client.ask(server));
+            assertEquals(2, server.connections());
+        }
+    }
+
     @Test
     void theResponseToAHeadRequestHasNoBody() {
         try (RawServer server = new RawServer(OK.replace("done", ""))) {
--- a/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/RawServer.java
@@ -15,6 +15,9 @@
     static final String CLOSE = "<close>";
     static final String RESET = "<reset>";
 
+    /** Stands between bytes that are to arrive one after the other. */
+    static final String PAUSE = "<pause>";
+
     /** Stands for the value of the request's header {@code try}. */
     static final String ID = "<id>";
 
@@ -77,8 +80,7 @@
                                 .replace(ID, header(request, "try"))
                                 .replace(AGAIN, previous);
                 previous = text;
-                socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-                socket.getOutputStream().flush();
+                write(text, socket);
                 if (reset) {
                     socket.setSoLinger(true, 0);
                 }
@@ -91,6 +93,25 @@
         }
     }
 
+    private static void write(String text, Socket socket) throws IOException {
+        String[] parts = text.split(PAUSE);
+        for (int part = 0; part < parts.length; part++) {
+            if (part > 0) {
+                pause();
+            }
+            socket.getOutputStream().write(parts[part].getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(100);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the head of the next request, or an empty text if there is none. */
     private static String readRequest(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
