--- a/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpUpstreamTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpUpstreamTest.java
@@ -206,6 +206,25 @@
         }
     }
 
+    // Guards against half an answer that looks like a whole one.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nX-Slab: 7\r\nContent-Length: 13\r\n\r\ndone and done",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Slab: 7\r\n\r\n"
+                        + "4\r\ndone\r\n0\r\n\r\n",
+                "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+            })
+    void anAnswerCutAtAnyByteIsNeverWhole(String whole) throws Exception {
+        for (int end = 0; end < whole.length(); end++) {
+            String cut = whole.substring(0, end);
+            try (RawServer server = new RawServer(RawServer.answering(cut))) {
+                CompletableFuture<Answer.Served> answer = to(server.url()).send(order());
+                assertThrows(ExecutionException.class, () -> text(get(answer)), cut);
+            }
+        }
+    }
+
     @Test
     void bytesComeBeforeTheAnswerIsWholeAndCancellingClosesTheConnection() throws Exception {
         // The caller hangs up in the middle of a stream. The engine sees its connection closed and
