Cut a stream where a second answer begins

What callers saw: a stream without a length, behind which the upstream sent a second answer, was passed on as whole, with the second answer's head as an event and with its events once more.

Cause: such a stream ends with its connection, and any lines up to an empty one are an event. No line of an event begins with `HTTP/1.`: all begin with the name of a field or a colon. The stream is cut at such a line now, or resumed where its route allows it.

TruncatedAnswersTest#aSecondAnswerBehindAStreamWithoutALengthIsNotPassedOn: two events where the first answer had one, and the end of a whole stream, before; one event and no end after. A plain body may hold any bytes; there a second answer is part of the body, which aSecondAnswerBehindAPlainOneWithoutALengthIsPartOfItsBody fixes.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/EventSplitter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/EventSplitter.java
@@ -17,6 +17,7 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
+    private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
     /** The bytes of an incomplete event, in a buffer that only this object writes to. */
     private ByteBuf incomplete = Unpooled.EMPTY_BUFFER;
@@ -27,6 +28,8 @@
     /** Index up to which the bytes have been searched for the end of a line. */
     private int searchedTo;
 
+    private boolean holdsStatusLine;
+
     /** A complete event with its bytes unchanged, and its id if it has one. */
     record StreamEvent(ByteBuf bytes, Optional<String> id) {}
 
@@ -44,6 +47,14 @@
         return split(all, true);
     }
 
+    /**
+     * Returns true if a line begins like the status line of an answer, which no line of an event
+     * does. That event and what follows is returned by no call.
+     */
+    boolean holdsStatusLine() {
+        return holdsStatusLine;
+    }
+
     /** Returns the size of the incomplete event that is buffered, in bytes; zero if none is. */
     int incompleteBytes() {
         return incomplete.readableBytes();
@@ -91,6 +102,12 @@
             boolean empty =
                     length == 0 || length == 1 && bytes.getByte(lineStart) == CARRIAGE_RETURN;
             boolean first = lineStart == bytes.readerIndex();
+            if (beginsStatusLine(bytes, length)) {
+                holdsStatusLine = true;
+            }
+            if (holdsStatusLine) {
+                return -1;
+            }
             lineStart = lineEnd + 1;
             searchedTo = lineStart;
             if (empty && !first) {
@@ -102,6 +119,18 @@
         return -1;
     }
 
+    private boolean beginsStatusLine(ByteBuf bytes, int length) {
+        if (length < STATUS_LINE_START.length) {
+            return false;
+        }
+        for (int each = 0; each < STATUS_LINE_START.length; each++) {
+            if (bytes.getByte(lineStart + each) != STATUS_LINE_START[each]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static Optional<String> idOf(ByteBuf event) {
         int lineStart = event.readerIndex();
         while (lineStart < event.writerIndex()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -271,6 +271,10 @@
             forwarded.startStream(answer.status(), inFlight.dialect().toCaller(headers));
             forwarded.forwardEvent(event.bytes(), event.id());
         }
+        if (!finished && splitter.holdsStatusLine()) {
+            failInvalid("a second answer within the stream");
+            return;
+        }
         int mostBytes = inFlight.answerLimits().eventBytes();
         if (!finished && splitter.incompleteBytes() > mostBytes) {
             failInvalid("event of the stream is larger than " + mostBytes + " bytes");
