End an exchange at an extra answer whose end is unknown

A request waited until its deadline though it was known that no answer could be told: an extra answer with neither a length nor chunks came first, and the request's own answer was discarded as a part of its body, for up to 4 MB.

Cause: such an answer was skipped like one whose end shows. Now the exchange fails as garbled at its head, so that a request that may be repeated is sent again at once. Extra answers of status 204 and 304 have no body and are skipped as before, and so is what answers HEAD.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -38,6 +38,9 @@
      */
     private static final int MAX_SKIPPED_BYTES = 4 * 1024 * 1024;
 
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
     private static final int MAX_LINE_BYTES = 16 * 1024;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
 
@@ -240,6 +243,9 @@
             boolean unnamed = request.match().isUnnamed(headers);
             if (!unnamed || carried.count() > 1) {
                 skip(unnamed ? UnmatchedAnswer.UNNAMED : UnmatchedAnswer.OTHER_REQUEST);
+                if (endsWithConnection(response)) {
+                    fail(ExchangeFailure.GARBLED);
+                }
                 return;
             }
         }
@@ -248,6 +254,16 @@
         listener.head(status, headers);
     }
 
+    // Nothing that comes after such a response can be told from its body.
+    private boolean endsWithConnection(HttpResponse response) {
+        int status = response.status().code();
+        return !awaitsBodiless()
+                && status != NO_CONTENT
+                && status != NOT_MODIFIED
+                && !HttpUtil.isContentLengthSet(response)
+                && !HttpUtil.isTransferEncodingChunked(response);
+    }
+
     private void skip(UnmatchedAnswer reason) {
         recordUnmatched(reason);
         state = State.SKIPPING;
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
@@ -153,6 +153,28 @@
         }
     }
 
+    // Guards against a request that waits for its response inside the body of another one.
+    @ParameterizedTest
+    @ValueSource(strings = {"Try: 0\r\n", ""})
+    void anExtraResponseWithoutALengthEndsTheExchangeAtOnce(String name) {
+        String extra = "HTTP/1.1 500 Failed\r\n" + name + "\r\nbody";
+        try (RawServer server = new RawServer(OK, extra + OK)) {
+            assertEquals("200 done", client.ask(server));
+            assertEquals("GARBLED", client.ask(server));
+        }
+    }
+
+    // Guards against an extra response without a body whose end is awaited.
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void anExtraResponseThatHasNoBodyIsSkipped(String status) {
+        String extra = "HTTP/1.1 " + status + "\r\nTry: 0\r\n\r\n";
+        try (RawServer server = new RawServer(OK, extra + OK)) {
+            assertEquals("200 done", client.ask(server));
+            assertEquals("200 done", client.ask(server));
+        }
+    }
+
     // Guards against an extra response to another method that shifts what has a body.
     @Test
     void aHeadRequestGoesOnAConnectionOfItsOwn() {
