Close a connection that holds the first lines of an extra answer

A request failed as garbled on a kept connection though its upstream answered it: a POST got 502 for a run to a good end. The upstream had sent the first lines of a further head after an earlier answer. Cause: the check for bytes that are left in the decoder did not see lines that it had taken in already, and it was not made before the first request of a connection.

Now a head that has begun counts, empty lines, which some servers send, do not, and the check is made after each read while no request awaits an answer.

Evidence: BytesAfterAnswerTest, 4 of 7 red before (two beginnings of a head, the beginning before the request, empty lines), all green now, as are ConnectionPoolPropertyTest, AnswerFramingTest, HttpClientTest and TruncatedAnswersTest.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -158,11 +158,7 @@
         if (!isRequestWritten() || !(message instanceof HttpObject)) {
             // Bytes that answer no request must not be taken for the response to a later one.
             ReferenceCountUtil.release(message);
-            if (state != State.CLOSED) {
-                recordUnmatched(UnmatchedAnswer.NO_REQUEST);
-            }
-            connectFailed();
-            discard();
+            refuseUnasked();
             return;
         }
         HttpObject object = (HttpObject) message;
@@ -182,9 +178,8 @@
     // The beginning of an extra response would wait in the decoder for the next response.
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (state == State.IDLE && decoder.holdsBytes()) {
-            recordUnmatched(UnmatchedAnswer.NO_REQUEST);
-            discard();
+        if (!isRequestWritten() && decoder.holdsBytes()) {
+            refuseUnasked();
         }
         context.fireChannelReadComplete();
     }
@@ -205,6 +200,14 @@
         return state == State.AWAITING || state == State.SKIPPING || state == State.READING;
     }
 
+    private void refuseUnasked() {
+        if (state != State.CLOSED) {
+            recordUnmatched(UnmatchedAnswer.NO_REQUEST);
+        }
+        connectFailed();
+        discard();
+    }
+
     private void write() {
         HttpHeaders headers = request.headers();
         if (!listener.beforeSend(headers)) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -30,6 +30,7 @@
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d [1-9]\\d\\d( |$)");
 
     private final BooleanSupplier awaitsBodiless;
+    private boolean inHead;
 
     /**
      * Creates a decoder; {@code awaitsBodiless} is asked at each head whether the request was one
@@ -40,9 +41,9 @@
         this.awaitsBodiless = awaitsBodiless;
     }
 
-    /** Returns true if bytes were received that are not decoded yet. */
+    /** Returns true if bytes have come, beyond empty lines, that are in no message yet. */
     boolean holdsBytes() {
-        return actualReadableBytes() > 0;
+        return inHead || internalBuffer().forEachByte(each -> each == '\r' || each == '\n') >= 0;
     }
 
     @Override
@@ -51,11 +52,13 @@
         if (!versionKnown || !isStatus(statusLine[1])) {
             throw new IllegalArgumentException("not a status line of HTTP/1.1 or HTTP/1.0");
         }
+        inHead = true;
         return super.createMessage(statusLine);
     }
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        inHead = false;
         HttpResponse response = (HttpResponse) message;
         if (containsStatusLine(response)) {
             refuse(message, "a status line within a head");
