Revert "Ask an upstream again that was slow or failed once"

By reading: an engine that has not answered for seconds while requests run there counts as quick again, so that the slowest one gets the next request. Only an upstream without requests in flight may be forgiven by time. That form was not tried; the finding stays open.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/AnswerEstimate.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/AnswerEstimate.java
@@ -27,6 +27,9 @@
     /** Longer than any wait that a caller accepts, so that any other upstream is preferred. */
     private static final double DRAINED_ZONE_PENALTY_MILLIS = 60_000;
 
+    /** Assumed time to answer of an upstream that has not answered yet. */
+    private static final double ASSUMED_ANSWER_MILLIS = 20;
+
     private final String zone;
 
     /** Creates estimates for a router in this zone. */
@@ -36,16 +39,8 @@
 
     /** Returns the time at the usual speed of the upstream. */
     double millis(Upstream upstream, Instant now) {
-        return millis(upstream, upstream.usualMillis(), now);
-    }
-
-    /** Returns the time if answers of the last seconds count, and less the older they are. */
-    double millisByRecentAnswers(Upstream upstream, Instant now) {
-        return millis(upstream, upstream.expectedMillis(now), now);
-    }
-
-    private double millis(Upstream upstream, double usual, Instant now) {
         double load = upstream.load(now);
+        double usual = usualMillis(upstream);
         return usual
                 + queuedMillis(upstream, load, usual)
                 + load * BATCH_MILLIS_PER_REQUEST
@@ -55,13 +50,19 @@
     /** Returns the time at the current speed of the upstream and with the growth of its batch. */
     double millisAtCurrentSpeed(Upstream upstream, Instant now) {
         double load = upstream.load(now);
-        double current = upstream.usualMillis() * upstream.timeFactor(now);
+        double current = usualMillis(upstream) * upstream.timeFactor(now);
         double batch = FULL_BATCH_GROWTH * load / slots(upstream);
         return current * (1 + batch)
                 + queuedMillis(upstream, load, current)
                 + delayMillis(upstream, now);
     }
 
+    /** Returns the usual time to answer, without a queue or delays. */
+    static double usualMillis(Upstream upstream) {
+        double average = upstream.averageMillis();
+        return average > 0 ? average : ASSUMED_ANSWER_MILLIS;
+    }
+
     private static double queuedMillis(Upstream upstream, double load, double each) {
         int slots = slots(upstream);
         return Math.max(0, load + 1 - slots) * each / slots;
@@ -71,7 +72,7 @@
         double cold = upstream.isCold(now) ? COLD_DELAY_MILLIS : 0;
         double otherZone = upstream.facts().zone().equals(zone) ? 0 : OTHER_ZONE_ROUND_TRIP_MILLIS;
         double drained = upstream.isZoneDrained() ? DRAINED_ZONE_PENALTY_MILLIS : 0;
-        return upstream.failureRate(now) * FAILURE_COST_MILLIS + cold + otherZone + drained;
+        return upstream.failureRate() * FAILURE_COST_MILLIS + cold + otherZone + drained;
     }
 
     private static int slots(Upstream upstream) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -23,6 +23,9 @@
      */
     private static final double LOAD_VALID_MILLIS = 1_000;
 
+    /** Weight of the newest answer in the moving average: about the last eight count. */
+    private static final double NEWEST_WEIGHT = 0.12;
+
     /** A heartbeat and the list's delay: how late an upstream's entry may reach this router. */
     private static final Duration MAX_ENTRY_DELAY = Duration.ofMillis(2_500);
 
@@ -35,13 +38,13 @@
     private final Map<ModelRef, Integer> runningByModel = new TreeMap<>();
     private final RelativeTime relativeTime = new RelativeTime();
     private final TokensInUse tokens = new TokensInUse();
-    private final AnswerTime answerTime = new AnswerTime();
     private UpstreamFacts facts;
     private HeldModels held;
     private Instant leaderAnnouncedAt = Instant.MIN;
     private int inFlight;
     private double othersReported;
     private Instant loadReportedAt = Instant.MIN;
+    private double averageMillis;
     private Instant fullUntil = Instant.MIN;
     private long tokenMemory;
 
@@ -142,12 +145,9 @@
         return health.isEjected();
     }
 
-    /**
-     * Returns the moving average of the failure rate of this router's requests, from 0 to 1; less
-     * of it if no outcome is known of the last seconds.
-     */
-    public double failureRate(Instant now) {
-        return health.failureRate(now);
+    /** Returns the moving average of the failure rate of this router's requests, from 0 to 1. */
+    public double failureRate() {
+        return health.failureRate();
     }
 
     /**
@@ -163,17 +163,7 @@
      * the usual speed of the upstream; 0 if none has come yet.
      */
     public double averageMillis() {
-        return answerTime.average();
-    }
-
-    /** Returns the usual time to the first byte of an answer. */
-    double usualMillis() {
-        return answerTime.usual();
-    }
-
-    /** Returns the time expected to the first byte of the next answer: less if answers are old. */
-    double expectedMillis(Instant now) {
-        return answerTime.expected(now);
+        return averageMillis;
     }
 
     /** Returns the estimated number of requests there now, from this router and the others. */
@@ -298,9 +288,13 @@
      * @param took time from sending the request to the first byte
      */
     public void requestAnswered(Duration took, Instant now) {
-        health.requestAnswered(now);
+        health.requestAnswered();
         cold.answerReceived(now);
-        answerTime.record(took.toNanos() / NANOS_PER_MILLI / relativeTime.factor(now), now);
+        double millis = took.toNanos() / NANOS_PER_MILLI / relativeTime.factor(now);
+        averageMillis =
+                averageMillis == 0
+                        ? millis
+                        : averageMillis + NEWEST_WEIGHT * (millis - averageMillis);
     }
 
     /** Records that it failed a request: no connection, no answer, or none that can be used. */
@@ -319,7 +313,7 @@
      * @param pause for about how long it expects to be full
      */
     public void requestRejected(Instant now, Duration pause) {
-        health.requestAnswered(now);
+        health.requestAnswered();
         cold.answerReceived(now);
         Instant until = now.plus(pause);
         fullUntil = until.isAfter(fullUntil) ? until : fullUntil;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
@@ -23,7 +23,6 @@
     /** Weight of the newest outcome in the moving average of failures: about the last ten count. */
     private static final double NEWEST_WEIGHT = 0.1;
 
-    private final OutcomeAge age = new OutcomeAge();
     private State state = State.SERVING;
     private int consecutiveFailures;
     private double failureRate;
@@ -54,9 +53,9 @@
         return state != State.SERVING;
     }
 
-    /** Returns the moving average of the failure rate, from 0 to 1; less of it if it is old. */
-    double failureRate(Instant now) {
-        return failureRate * age.weight(now);
+    /** Returns the moving average of the failure rate, from 0 to 1. */
+    double failureRate() {
+        return failureRate;
     }
 
     void requestSent(Instant now) {
@@ -65,9 +64,8 @@
         }
     }
 
-    void requestAnswered(Instant now) {
-        failureRate = failureRate(now) * (1 - NEWEST_WEIGHT);
-        age.record(now);
+    void requestAnswered() {
+        failureRate *= 1 - NEWEST_WEIGHT;
         consecutiveFailures = 0;
         if (state != State.SERVING) {
             state = State.SERVING;
@@ -83,8 +81,7 @@
     }
 
     void requestFailed(Instant now) {
-        failureRate = failureRate(now) * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
-        age.record(now);
+        failureRate = failureRate * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
         consecutiveFailures++;
         if (state == State.PROBING || consecutiveFailures >= FAILURES_TO_EJECT) {
             state = State.EJECTED;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamSelector.java
@@ -159,11 +159,11 @@
         int last = candidates.size() - 1;
         double sum = 0;
         for (int index = from; index <= last; index++) {
-            sum += 1 / candidates.get(index).usualMillis();
+            sum += 1 / AnswerEstimate.usualMillis(candidates.get(index));
         }
         double left = random.nextDouble() * sum;
         for (int index = from; index < last; index++) {
-            left -= 1 / candidates.get(index).usualMillis();
+            left -= 1 / AnswerEstimate.usualMillis(candidates.get(index));
             if (left < 0) {
                 return index;
             }
@@ -178,7 +178,7 @@
             double millis =
                     speedsReported
                             ? estimate.millisAtCurrentSpeed(upstream, now)
-                            : millis(upstream, now);
+                            : estimate.millis(upstream, now);
             if (millis < least) {
                 least = millis;
                 best = upstream;
@@ -187,13 +187,6 @@
         return best;
     }
 
-    // A router of a large fleet gets answers too seldom to do without the older ones.
-    private double millis(Upstream upstream, Instant now) {
-        return share.routers() <= MAX_ROUTERS_THAT_COMPARE_ALL
-                ? estimate.millisByRecentAnswers(upstream, now)
-                : estimate.millis(upstream, now);
-    }
-
     private static void keepIfAny(List<Upstream> from, Predicate<Upstream> preferred) {
         int kept = 0;
         for (int index = 0; index < from.size(); index++) {
