Compare the page of metrics with the adapter's counters too

It reads the sources of both now, which is stricter: a counter of the adapter that is not on the page is found as well.

--- a/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/OperatorPagesTest.java
+++ b/damaskyoke-daemons/src/test/java/io/damaskyoke/daemons/OperatorPagesTest.java
@@ -18,7 +18,8 @@
 
 class OperatorPagesTest {
     private static final Path PAGES = Path.of("../docs/operate");
-    private static final Path SOURCES = Path.of("../damaskyoke/src/main/java");
+    private static final List<Path> SOURCES =
+            List.of(Path.of("../damaskyoke/src/main/java"), Path.of("../platform/src/main/java"));
     private static final Pattern METRIC =
             Pattern.compile("\\.\\s*(?:count|counter|gauge|histogram)\\(\\s*\"([a-z_0-9]+)\"");
     private static final Pattern DOCUMENTED =
@@ -27,9 +28,11 @@
     @Test
     void everyMetricIsOnThePageAndNoOther() throws IOException {
         Set<String> inCode = new TreeSet<>();
-        try (Stream<Path> files = Files.walk(SOURCES)) {
-            for (Path file : files.filter(OperatorPagesTest::mayCount).toList()) {
-                inCode.addAll(found(METRIC, Files.readString(file)));
+        for (Path sources : SOURCES) {
+            try (Stream<Path> files = Files.walk(sources)) {
+                for (Path file : files.filter(OperatorPagesTest::mayCount).toList()) {
+                    inCode.addAll(found(METRIC, Files.readString(file)));
+                }
             }
         }
         Set<String> onPage = new TreeSet<>(found(DOCUMENTED, page("metrics.md")));
