Say plainly what the mends of matched answers do

Read as a newcomer would. No logic changes.

Run: http, NamesTest, VmListReaderTest, OperatorSettingsFollowerTest, OperatorPagesTest, ExtraAnswersTest, TruncatedAnswersTest, formatter and linter, all green.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
@@ -60,7 +60,8 @@
         }
     }
 
-    // It may come from another writer: whatever is wrong with it, the one in force stays.
+    // Another writer may have written the value. Whatever is wrong with it, the configuration in
+    // force stays.
     private Optional<DirectConfiguration> read(byte[] bytes, long revision) {
         try {
             return Optional.of(dialect.configuration(bytes, revision));
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -181,7 +181,7 @@
         }
     }
 
-    // What sends an untrusted success may send more of them.
+    // An upstream that sends an untrusted success may send more of them.
     @Override
     public boolean mayReuseConnection() {
         return finished || !answer.isSuccess() || isTrusted();
--- a/damaskyoke/src/main/java/io/damaskyoke/http/CarriedRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/CarriedRequests.java
@@ -4,12 +4,13 @@
 
 /** The requests that a connection has carried. */
 final class CarriedRequests {
-    /** A connection that has carried so many is closed, which bounds what it remembers. */
+    /** A connection is closed after this many requests, as it remembers the id of each. */
     private static final int MAX_IDS = 256;
 
     private static final int INITIAL_IDS = 8;
 
-    // Ids of equal hash count as the same one; then a request only goes on another connection.
+    // Different ids may have equal hashes; the only effect is that a request takes another
+    // connection.
     private int[] hashes = new int[INITIAL_IDS];
     private int count;
 
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -53,11 +53,11 @@
                             .setMaxInitialLineLength(MAX_LINE_BYTES)
                             .setMaxHeaderSize(MAX_HEADER_BYTES),
                     this::awaitsBodiless);
+    private final CarriedRequests carried = new CarriedRequests();
     private Channel channel;
     private State state = State.CONNECTING;
     private ClientRequest request;
     private ResponseListener listener;
-    private final CarriedRequests carried = new CarriedRequests();
     private boolean keepAlive;
     private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
     private long idleSince;
@@ -158,7 +158,7 @@
         if (!isRequestWritten() || !(message instanceof HttpObject)) {
             // Bytes that answer no request must not be taken for the response to a later one.
             ReferenceCountUtil.release(message);
-            refuseUnasked();
+            closeAfterUnrequestedBytes();
             return;
         }
         HttpObject object = (HttpObject) message;
@@ -179,7 +179,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (!isRequestWritten() && decoder.holdsBytes()) {
-            refuseUnasked();
+            closeAfterUnrequestedBytes();
         }
         context.fireChannelReadComplete();
     }
@@ -200,7 +200,7 @@
         return state == State.AWAITING || state == State.SKIPPING || state == State.READING;
     }
 
-    private void refuseUnasked() {
+    private void closeAfterUnrequestedBytes() {
         if (state != State.CLOSED) {
             recordUnmatched(UnmatchedAnswer.NO_REQUEST);
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -61,11 +61,11 @@
         inHead = false;
         HttpResponse response = (HttpResponse) message;
         if (containsStatusLine(response)) {
-            refuse(message, "a status line within a head");
+            reject(message, "a status line within a head");
         } else if (hasUnknownCoding(message)) {
-            refuse(message, "unknown transfer coding");
+            reject(message, "unknown transfer coding");
         } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            refuse(message, "a switch of protocols that was not asked for");
+            reject(message, "a switch of protocols that was not asked for");
         }
         return awaitsBodiless.getAsBoolean() || super.isContentAlwaysEmpty(message);
     }
@@ -100,7 +100,7 @@
         return !codings.isEmpty() && !chunked;
     }
 
-    private static void refuse(HttpMessage message, String why) {
+    private static void reject(HttpMessage message, String why) {
         message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(why)));
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/node/VmListReader.java
@@ -50,7 +50,7 @@
     }
 
     private void took(List<VmList.Vm> vms, Instant askedAt, Throwable failure) {
-        // First, as a listener that throws must not end the reading.
+        // The next reading is arranged before the listeners run, as one of them may throw.
         control.after(pause.get(), this::read);
         if (failure == null) {
             listeners.forEach(listener -> listener.read(vms, askedAt));
