A restarted upstream is not ejected for what the process before it failed

Cause: UpstreamHealth belongs to the id of an upstream and outlived the process behind it. Only an answered request ended an ejection, and an empty upstream gets no request; the leader orders no load on an upstream that half of the routers report as ejected. Each waited for the other's first step.

Fix: a new incarnation begins with its own health. A failure of a request that was assigned before the incarnation was listed does not count against it, as such failures often come after the entry.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -297,14 +297,18 @@
                         : averageMillis + NEWEST_WEIGHT * (millis - averageMillis);
     }
 
-    /** Records that it failed a request: no connection, no answer, or none that can be used. */
-    public void requestFailed(Instant now) {
-        health.requestFailed(now);
+    /**
+     * Records that it failed a request: no connection, no answer, or none that can be used.
+     *
+     * @param assignedAt when the request was assigned to it
+     */
+    public void requestFailed(Instant assignedAt, Instant now) {
+        health.requestFailed(assignedAt, now);
     }
 
-    /** Records that a request was canceled before its outcome was known. */
-    public void requestCanceled() {
-        health.requestCanceled();
+    /** Records that a request ended without showing whether the upstream serves. */
+    public void requestUndecided() {
+        health.requestUndecided();
     }
 
     /**
@@ -360,6 +364,7 @@
                 !leaderAnnouncedAt.equals(Instant.MIN)
                         && now.isBefore(leaderAnnouncedAt.plus(MAX_ENTRY_DELAY));
         if (newIncarnation) {
+            health.incarnationListed(now);
             limit.reset();
             relativeTime.discard();
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
@@ -4,7 +4,7 @@
 import java.time.Instant;
 
 /**
- * Circuit breaker of one upstream, driven by the outcomes of real requests.
+ * Circuit breaker of one incarnation of an upstream, driven by the outcomes of real requests.
  *
  * <p>Health checks can be wrong either way, so they are not used. After several consecutive
  * failures the upstream is ejected for a time that doubles with each ejection. Then it gets a
@@ -28,6 +28,7 @@
     private double failureRate;
     private Duration ejection = FIRST_EJECTION;
     private Instant ejectedUntil = Instant.MIN;
+    private Instant incarnationListedAt = Instant.MIN;
 
     private enum State {
         SERVING,
@@ -53,6 +54,15 @@
         return state != State.SERVING;
     }
 
+    /** Forgets what the incarnation before has shown, as a new one is listed. */
+    void incarnationListed(Instant now) {
+        incarnationListedAt = now;
+        state = State.SERVING;
+        consecutiveFailures = 0;
+        failureRate = 0;
+        ejection = FIRST_EJECTION;
+    }
+
     /** Returns the moving average of the failure rate, from 0 to 1. */
     double failureRate() {
         return failureRate;
@@ -73,14 +83,23 @@
         }
     }
 
-    /** Records that a request was canceled, which shows nothing either way. */
-    void requestCanceled() {
+    /** Records that a request ended without showing whether the upstream serves. */
+    void requestUndecided() {
         if (state == State.PROBING) {
             state = State.EJECTED;
         }
     }
 
-    void requestFailed(Instant now) {
+    /**
+     * Records that a request failed.
+     *
+     * @param assignedAt when it was assigned to the upstream; if that was before the incarnation
+     *     was listed, the failure may be of the one before
+     */
+    void requestFailed(Instant assignedAt, Instant now) {
+        if (assignedAt.isBefore(incarnationListedAt)) {
+            return;
+        }
         failureRate = failureRate * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
         consecutiveFailures++;
         if (state == State.PROBING || consecutiveFailures >= FAILURES_TO_EJECT) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -339,9 +339,7 @@
         if (!now.isBefore(deadline)) {
             handleDeadline();
         } else if (attempt != null && attempt.isSilent(now, idleTimeout())) {
-            attempt.upstream().requestFailed(now);
-            inFlight.lostUpstreams().connectionLost(attempt.upstream());
-            attempt.cancel(IncompleteRunCause.SILENT);
+            attempt.cancelSilent(now);
             handleAttemptFailure("upstream sent nothing until the idle timeout", true);
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -111,6 +111,13 @@
         call.cancel();
     }
 
+    /** Cancels the attempt, as the upstream has been silent for too long. */
+    void cancelSilent(Instant now) {
+        upstream.requestFailed(sentAt, now);
+        inFlight.lostUpstreams().connectionLost(upstream);
+        cancel(IncompleteRunCause.SILENT);
+    }
+
     private void reportIncompleteRun(IncompleteRunCause cause) {
         inFlight.crashes().recordCutRun(upstream, forwarded.identity(), sentAt, cause);
     }
@@ -148,7 +155,7 @@
     }
 
     private void abandon() {
-        upstream.requestCanceled();
+        upstream.requestUndecided();
         finish();
     }
 
@@ -209,7 +216,7 @@
         if (finished) {
             return;
         }
-        upstream.requestFailed(inFlight.now());
+        upstream.requestFailed(sentAt, inFlight.now());
         releaseBody();
         finish();
         boolean broke = failure == ExchangeFailure.BROKEN || failure == ExchangeFailure.CUT_SHORT;
@@ -250,7 +257,7 @@
         boolean serverFailure =
                 answer.status() >= MIN_SERVER_ERROR && answer.status() != GATEWAY_TIMEOUT;
         if (serverFailure) {
-            upstream.requestFailed(lastReceivedAt);
+            upstream.requestFailed(sentAt, lastReceivedAt);
         } else {
             upstream.requestAnswered(Duration.between(sentAt, lastReceivedAt), lastReceivedAt);
             upstream.pause().requestAnswered(sentAt);
@@ -358,7 +365,7 @@
                 forwarded.request().attemptId(),
                 upstream.facts().id(),
                 reason);
-        upstream.requestFailed(inFlight.now());
+        upstream.requestFailed(sentAt, inFlight.now());
         reportIncompleteRun(IncompleteRunCause.GARBLED);
         releaseBody();
         finish();
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSelectorTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSelectorTest.java
@@ -71,7 +71,7 @@
         // is back.
         put("one", "a", false, Map.of());
         for (int i = 0; i < 3; i++) {
-            find("one").requestFailed(now);
+            find("one").requestFailed(now, now);
         }
         assertTrue(find("one").isEjected());
         assertEquals("nobody", pick(null));
@@ -88,7 +88,7 @@
     void anUpstreamThatFailsSomeRequestsGetsFewer() {
         put("grey", "a", false, Map.of());
         put("sound", "b", false, Map.of());
-        find("grey").requestFailed(now);
+        find("grey").requestFailed(now, now);
         find("grey").requestAnswered(Duration.ofMillis(1), now);
         find("sound").requestAnswered(Duration.ofMillis(20), now);
         assertEquals("sound", pick(null));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/ColdStartRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/ColdStartRouter.java
@@ -168,6 +168,7 @@
     private final class Request extends SimulatedRequest {
         private final int ownIncarnation = incarnation;
         private boolean sent;
+        private Instant assignedAt;
 
         Request() {
             super(ColdStartSimulation.SERVICE, simulation.now(), CALLER_WAITS);
@@ -176,7 +177,8 @@
         @Override
         public void sendTo(Upstream upstream) {
             sent = true;
-            upstream.requestAssigned(null, simulation.now());
+            assignedAt = simulation.now();
+            upstream.requestAssigned(null, assignedAt);
             simulation.time.after(NETWORK_DELAY, () -> connect(upstream));
         }
 
@@ -204,7 +206,7 @@
             if (ownIncarnation != incarnation) {
                 return;
             }
-            upstream.requestFailed(simulation.now());
+            upstream.requestFailed(assignedAt, simulation.now());
             connectionLost(upstream);
             upstream.requestNotSent();
             upstream.requestFinished(null);
@@ -218,7 +220,7 @@
             if (engine.isUp() && engine.incarnation() == engineIncarnation) {
                 upstream.requestAnswered(Duration.ofMillis(40), simulation.now());
             } else {
-                upstream.requestFailed(simulation.now());
+                upstream.requestFailed(assignedAt, simulation.now());
                 connectionLost(upstream);
                 simulation.recordRefused();
             }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StatementSimulation.java
@@ -301,22 +301,23 @@
 
         @Override
         public void sendTo(Upstream upstream) {
-            upstream.requestAssigned(null, now());
+            Instant assignedAt = now();
+            upstream.requestAssigned(null, assignedAt);
             boolean opensConnection = random.nextBoolean();
             later(
                     Duration.ofMillis(opensConnection ? random.nextInt(900) : 0),
-                    () -> write(upstream));
+                    () -> write(upstream, assignedAt));
         }
 
-        private void write(Upstream upstream) {
+        private void write(Upstream upstream, Instant assignedAt) {
             Worker worker = worker(upstream.facts().id());
             boolean held = safeguards.checksBeforeSend() && !upstream.maySend(now());
             if (held || !worker.alive) {
-                upstream.requestCanceled();
+                upstream.requestUndecided();
                 upstream.requestNotSent();
                 upstream.requestFinished(null);
                 if (!held) {
-                    upstream.requestFailed(now());
+                    upstream.requestFailed(assignedAt, now());
                 }
                 dispatcher.enqueue(this);
                 return;
