An ejection ends by itself where no request can probe the upstream

Cause: two states of UpstreamHealth had no way out without a request. EJECTED was left by a probe only, and a probe comes only if requests wait for what the upstream holds. PROBING was not left at an answer that shows nothing.

Fix: an upstream that may be probed counts as ejected for two seconds more, and then may be ordered to load. Where a request waits for what it holds, a probe is sent at once, so an upstream that fails its probes stays ejected all along. A request that was misdirected ends its probe; the next request is the next probe.

Test: RestartedUpstreamTest, the last three. Without the change of requestMisdirected and of isEjected the first two of them fail.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -141,8 +141,8 @@
      * Returns true if the upstream is ejected or being probed, as this router's requests failed
      * there.
      */
-    public boolean isEjected() {
-        return health.isEjected();
+    public boolean isEjected(Instant now) {
+        return health.isEjected(now);
     }
 
     /** Returns the moving average of the failure rate of this router's requests, from 0 to 1. */
@@ -341,11 +341,12 @@
     }
 
     /**
-     * Drops the leader's announcement, as the upstream refused a request for something that it
-     * names.
+     * Records that it rejected a request for a model that it lacks, or as another upstream has its
+     * address: the leader's announcement is dropped.
      */
-    public void leaderContradicted() {
+    public void requestMisdirected() {
         held = facts.held();
+        health.requestUndecided();
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamHealth.java
@@ -9,6 +9,9 @@
  * <p>Health checks can be wrong either way, so they are not used. After several consecutive
  * failures the upstream is ejected for a time that doubles with each ejection. Then it gets a
  * single request as a probe; if that is answered, the upstream gets requests again.
+ *
+ * <p>A probe comes only if requests wait for what the upstream holds. So an ejection also ends by
+ * time and with the incarnation, and not only with a probe.
  */
 final class UpstreamHealth {
     /**
@@ -20,6 +23,12 @@
     private static final Duration FIRST_EJECTION = Duration.ofMillis(700);
     private static final Duration MAX_EJECTION = Duration.ofSeconds(5);
 
+    /**
+     * How long an upstream that may be probed still counts as ejected. A probe is sent at once if
+     * any request waits for what it holds.
+     */
+    private static final Duration PROBE_WAIT = Duration.ofSeconds(2);
+
     /** Weight of the newest outcome in the moving average of failures: about the last ten count. */
     private static final double NEWEST_WEIGHT = 0.1;
 
@@ -47,11 +56,15 @@
     }
 
     /**
-     * Returns true unless the upstream is known to serve, so that models that only it holds are
-     * better loaded elsewhere too.
+     * Returns true while the upstream is ejected or being probed, so that models that only it holds
+     * are better loaded elsewhere too. Otherwise it may be ordered to load models.
      */
-    boolean isEjected() {
-        return state != State.SERVING;
+    boolean isEjected(Instant now) {
+        return switch (state) {
+            case SERVING -> false;
+            case EJECTED -> now.isBefore(ejectedUntil.plus(PROBE_WAIT));
+            case PROBING -> true;
+        };
     }
 
     /** Forgets what the incarnation before has shown, as a new one is listed. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -395,7 +395,7 @@
         Upstream upstream = attempt.upstream();
         attempt = null;
         if (answer.misdirected()) {
-            upstream.leaderContradicted();
+            upstream.requestMisdirected();
             modelMissingUntil.put(upstream.facts().id(), inFlight.now().plus(MISSING_MODEL_PAUSE));
         } else {
             upstream.requestRejected(inFlight.now(), FULL_UPSTREAM_PAUSE);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -426,7 +426,7 @@
     // sooner than the load.
     private static boolean isSuspect(Upstream upstream, Instant now) {
         boolean pausedForLong = upstream.pause().isPaused(now.plus(LOCAL_LOAD_TIME));
-        return upstream.isEjected() || upstream.isLeaving() || pausedForLong;
+        return upstream.isEjected(now) || upstream.isLeaving() || pausedForLong;
     }
 
     private Map<ModelRef, List<PendingRequest>> queuedByModel() {
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/RestartedUpstreamTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/RestartedUpstreamTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
@@ -12,6 +13,7 @@
 class RestartedUpstreamTest {
     private static final UpstreamId ID = UpstreamId.of("one");
     private static final int FAILURES_TO_EJECT = 3;
+    private static final Duration LONGEST_EJECTION = Duration.ofSeconds(5);
 
     private final UpstreamTable table = new UpstreamTable();
     private Instant now = Instant.ofEpochSecond(100);
@@ -28,7 +30,7 @@
     void aRestartedUpstreamIsNotEjected() {
         eject(now);
         list(2);
-        assertFalse(upstream().isEjected());
+        assertFalse(upstream().isEjected(now));
         assertTrue(upstream().accepts(now));
     }
 
@@ -41,9 +43,49 @@
         list(2);
         now = now.plusMillis(100);
         eject(before);
-        assertFalse(upstream().isEjected());
+        assertFalse(upstream().isEjected(now));
         eject(now);
-        assertTrue(upstream().isEjected());
+        assertTrue(upstream().isEjected(now));
+    }
+
+    // Guards against a probe that is answered 421 and leaves the upstream as one that is being
+    // probed, which accepts no request at all.
+    @Test
+    void aMisdirectedProbeIsFollowedByAnother() {
+        eject(now);
+        now = now.plus(LONGEST_EJECTION);
+        upstream().requestAssigned(null, now);
+        assertFalse(upstream().accepts(now));
+        upstream().requestMisdirected();
+        assertTrue(upstream().accepts(now));
+    }
+
+    // Guards against an upstream that holds nothing that is requested, so that no probe comes, and
+    // counts as ejected for good.
+    @Test
+    void anEjectionEndsWithoutAProbe() {
+        eject(now);
+        assertTrue(upstream().isEjected(now));
+        now = now.plus(LONGEST_EJECTION);
+        assertFalse(upstream().isEjected(now));
+    }
+
+    // Guards against an upstream that is probed again and again, fails each probe, and counts as
+    // usable in between.
+    @Test
+    void anUpstreamThatFailsItsProbesStaysEjected() {
+        eject(now);
+        for (int probe = 0; probe < 10; probe++) {
+            while (!upstream().accepts(now)) {
+                assertTrue(upstream().isEjected(now));
+                now = now.plusMillis(50);
+            }
+            upstream().requestAssigned(null, now);
+            now = now.plusSeconds(3);
+            assertTrue(upstream().isEjected(now));
+            upstream().requestFailed(now.minusSeconds(3), now);
+            upstream().requestFinished(null);
+        }
     }
 
     private void eject(Instant assignedAt) {
--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSelectorTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamSelectorTest.java
@@ -73,14 +73,14 @@
         for (int i = 0; i < 3; i++) {
             find("one").requestFailed(now, now);
         }
-        assertTrue(find("one").isEjected());
+        assertTrue(find("one").isEjected(now));
         assertEquals("nobody", pick(null));
         now = now.plusMillis(800);
         assertEquals("one", pick(null));
         find("one").requestAssigned(null, now);
         assertEquals("nobody", pick(null));
         find("one").requestAnswered(Duration.ofMillis(5), now);
-        assertFalse(find("one").isEjected());
+        assertFalse(find("one").isEjected(now));
         assertEquals("one", pick(null));
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelWorld.java
@@ -392,7 +392,7 @@
         public void sendTo(Upstream upstream) {
             RareModelEngine engine = engines.get(upstream.facts().id());
             if (!engine.serves(model.model())) {
-                upstream.leaderContradicted();
+                upstream.requestMisdirected();
                 pausedUntil.put(engine.id(), now().plus(MISSING_MODEL_PAUSE));
                 dispatcher.enqueue(this);
                 return;
