A busy model without a replica is loaded in the place of a second one

Seen by callers: after crashes of engines, one of eight equally busy models was never served, with all engines up and free; found by the simulation that this commit adds, after the restarted engines got work again. m1 had no replica, m4 had two.

Cause: EvictionPlanner keeps the replicas that a busy model should have, two at least. Where the engines have room for fewer, the models that came back first kept their second replica, and nothing could be evicted for the last one.

Fix: for a busy model that no engine holds, a model with more than one replica may be evicted, whatever its goal. The other limits (time after a load, running requests) stay. Rare models are treated as before.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EvictionPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EvictionPlanner.java
@@ -184,11 +184,20 @@
         if (demand.isWarmingUp(now) && fleet.replicas(heldModel) > 1) {
             return false;
         }
+        if (fleet.replicas(heldModel) > 1 && isBusyWithoutReplica(forModel)) {
+            return true;
+        }
         int goal = ReplicaGoal.replicasFor(engine.spec(), heldModel, demand);
         return (demand.waitingFor(heldModel) == 0 || fleet.replicas(heldModel) > 1)
                 && (goal == 0 || fleet.replicas(heldModel) > goal);
     }
 
+    // The engines may have no room for as many replicas as all busy models should have. Those that
+    // have none could never be loaded if the others kept their second ones.
+    private boolean isBusyWithoutReplica(String model) {
+        return fleet.replicas(model) == 0 && ReplicaGoal.isBusy(model, demand);
+    }
+
     private Victim victim(EngineState engine, String model, LoadSource source) {
         double reloadSeconds = 1.0;
         if (engine.spec().models().containsKey(model)) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelEngine.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/RareModelEngine.java
@@ -35,6 +35,8 @@
     private Instant loadCompletesAt = Instant.MAX;
     private long sequence;
     private long revision;
+    private long startedAt = 1;
+    private boolean up = true;
 
     RareModelEngine(String name, EngineSpec spec, SimulatedWeightStore store) {
         this.id = UpstreamId.of(name);
@@ -65,6 +67,38 @@
         return loaded.contains(model) && !unloading.equals(model);
     }
 
+    boolean isUp() {
+        return up;
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    /** Loses what it holds and its runs; its disk stays. */
+    void crash() {
+        up = false;
+        loaded.clear();
+        runCounts.clear();
+        unloading = "";
+        loading = "";
+        loadCompletesAt = Instant.MAX;
+        sequence = 0;
+    }
+
+    /** Unloads all that it holds by one order. */
+    void unloadAll() {
+        loaded.clear();
+        runCounts.clear();
+        sequence++;
+    }
+
+    /** Starts again under its name. */
+    void restart(long at) {
+        up = true;
+        startedAt = at;
+    }
+
     void startRun(String model) {
         runCounts.merge(model, 1, Integer::sum);
     }
@@ -117,7 +151,7 @@
         return new LoadInput.UpstreamReported(
                 id,
                 isBusy(),
-                new HeldModels(1, sequence, models()),
+                new HeldModels(startedAt, sequence, models()),
                 Set.of(),
                 Set.copyOf(diskCopies));
     }
@@ -132,7 +166,7 @@
                 spec.slots(),
                 false,
                 Duration.ZERO,
-                new HeldModels(1, HeldModels.UNKNOWN_SEQUENCE, models()),
+                new HeldModels(startedAt, HeldModels.UNKNOWN_SEQUENCE, models()),
                 Set.of(),
                 Set.copyOf(diskCopies));
     }
