The planner asks for a report where the list names other models for long

All engines had been emptied without a restart, as by late orders of a former leader.

Cause: within an incarnation only reports count, and the planner asks for one when an order of its own conflicts. If it believes that all models are held, it sends no order, and nothing ends the belief: neither the entry of the upstream, which is right, nor the answers 421 at the routers.

Fix: an entry that names other models than the known ones for three seconds, a heartbeat and the list's delay, leads to a report, which costs one call.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -41,6 +41,9 @@
     /** Greatest age of a report at its arrival. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
+    /** A heartbeat and the list's delay: how late an entry may name the models that are held. */
+    private static final Duration MAX_ENTRY_DELAY = Duration.ofSeconds(3);
+
     private final EngineSpec spec;
     private final Map<ModelRef, Instant> lastUsedAt = new HashMap<>();
     private final Map<ModelRef, Instant> loadingAdapters = new TreeMap<>();
@@ -72,6 +75,7 @@
     private boolean reported;
     private Instant pausedUntil = Instant.MIN;
     private Instant reportRequestedAt = Instant.MIN;
+    private Instant entryAgreedAt = Instant.MIN;
     private UnansweredLoadOrders.Reservation reservation = UnansweredLoadOrders.Reservation.NONE;
     private UnansweredLoadOrders.Reservation reservationAfterRestart =
             UnansweredLoadOrders.Reservation.NONE;
@@ -182,6 +186,21 @@
         known = false;
     }
 
+    /**
+     * Returns true if the entry has named other models than the known ones for longer than it may
+     * be late. What is held may have changed without an order of this planner.
+     */
+    boolean isContradictedByEntry(Instant now) {
+        boolean differs =
+                !facts.held().adapters().keySet().equals(held.adapters().keySet())
+                        && pending == null
+                        && assumedLoaded == null;
+        if (!differs || !known) {
+            entryAgreedAt = now;
+        }
+        return entryAgreedAt.plus(MAX_ENTRY_DELAY).isBefore(now);
+    }
+
     /** Returns true if any report has been received since this router became leader. */
     boolean hasReported() {
         return reported;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -429,6 +429,9 @@
     /** Requests the reports that are due and takes the next step of a planned load. */
     private void followUp(EngineState engine, Instant now, List<LoadAction> actions) {
         EngineState.PendingOrder pending = engine.pending();
+        if (engine.isContradictedByEntry(now)) {
+            engine.requireReport();
+        }
         if (!engine.isKnown()) {
             requestMissingReport(engine, now, actions);
             return;
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/CrashingEnginesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/CrashingEnginesTest.java
@@ -28,6 +28,17 @@
         assertRecovers(world);
     }
 
+    // Guards against the same for an engine that only lost answers, and then its models.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void emptyEnginesThatFailedRequestsGetWorkAgain(long seed) {
+        CrashingEnginesWorld world = new CrashingEnginesWorld(seed);
+        world.calm(START);
+        world.loseAnswers(TROUBLE);
+        world.unloadAll();
+        assertRecovers(world);
+    }
+
     private static void assertRecovers(CrashingEnginesWorld world) {
         world.calm(RECOVERY);
         world.startCounting();
