What the process before a restart said ends though its clock was set back

Seen by callers: nothing yet; found by reading for what keeps an upstream from work. An upstream that said that it leaves, or asked for a pause, and came back under its id with a start that is not later by its own clock, stayed closed: for ten minutes, or for good after Server-Leaving.

Cause: StatementOrigin took an entry for one of a new incarnation only if its start was later. Upstreams state it by their time of day, which may jump back. If the entry came within 2.5 s of the statement it counted as said by the new incarnation, without an end.

What either of the two may have said holds for 30 s.

--- a/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/upstreams/UpstreamNoticesTest.java
@@ -64,6 +64,31 @@
         assertTrue(table.find(ONE).orElseThrow().accepts(later));
     }
 
+    // Guards against an upstream that stays closed after a restart, as its clock was set back.
+    @Test
+    void anIncarnationThatStartedEarlierByItsClockHasStatedNothing() {
+        long started = start.toEpochMilli();
+        list("u1", start, started);
+        Instant said = start.plusSeconds(5);
+        table.pauseRequested(ONE, PAUSE, said);
+        table.departureStated(ONE, said);
+        list("u1", said.plusSeconds(4), started - 60_000);
+        assertTrue(table.find(ONE).orElseThrow().accepts(said.plusSeconds(4)));
+    }
+
+    // Guards against the same if its entry comes so soon that the new incarnation may have said it.
+    @Test
+    void whatEitherOfTwoIncarnationsMayHaveStatedDoesNotHoldForGood() {
+        long started = start.toEpochMilli();
+        list("u1", start, started);
+        Instant said = start.plusSeconds(5);
+        table.departureStated(ONE, said);
+        list("u1", said.plusSeconds(1), started - 60_000);
+        assertTrue(table.find(ONE).orElseThrow().isLeaving());
+        list("u1", said.plusSeconds(40), started - 60_000);
+        assertFalse(table.find(ONE).orElseThrow().isLeaving());
+    }
+
     // Guards against an entry that was on its way when its upstream, which has just started, said
     // that it leaves.
     @Test
