--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamClient.java
@@ -33,6 +33,9 @@
      */
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(150);
 
+    /** Far more than a report of all models and adapters that an upstream can hold. */
+    private static final long MAX_ANSWER_BYTES = 1 << 20;
+
     private static final int OK = 200;
 
     private final HttpClient client;
@@ -112,6 +115,7 @@
         SentTo sentTo = SentTo.of(to, control.clock().instant());
         BufferedResponse.Reader reader =
                 new BufferedResponse.Reader(
+                        MAX_ANSWER_BYTES,
                         answer -> {
                             applyStatements(sentTo, answer);
                             then.accept(answer);
--- a/damaskyoke/src/main/java/io/damaskyoke/http/BufferedResponse.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/BufferedResponse.java
@@ -27,6 +27,7 @@
 
     /** Collects a response and passes it on once: complete, failed or expired. */
     public static final class Reader implements ResponseListener {
+        private final long maxBytes;
         private final Consumer<BufferedResponse> then;
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         private final BooleanSupplier maySend;
@@ -34,16 +35,21 @@
         private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
         private boolean over;
 
-        /** Creates a reader that passes the response to {@code then}, on the event loop. */
-        public Reader(Consumer<BufferedResponse> then) {
-            this(then, () -> true);
+        /**
+         * Creates a reader that passes the response to {@code then}, on the event loop.
+         *
+         * @param maxBytes the size of the largest body; a larger one is a failure
+         */
+        public Reader(long maxBytes, Consumer<BufferedResponse> then) {
+            this(maxBytes, then, () -> true);
         }
 
         /**
          * Creates a reader of the response to a request that is sent only if {@code maySend} is
          * true once its connection is open; otherwise it fails as one that was not connected.
          */
-        public Reader(Consumer<BufferedResponse> then, BooleanSupplier maySend) {
+        public Reader(long maxBytes, Consumer<BufferedResponse> then, BooleanSupplier maySend) {
+            this.maxBytes = maxBytes;
             this.then = then;
             this.maySend = maySend;
         }
@@ -79,6 +85,11 @@
             bytes.writeBytes(copy);
         }
 
+        @Override
+        public long maxBodyBytes() {
+            return maxBytes;
+        }
+
         @Override
         public void end() {
             finish(new BufferedResponse(status, headers, bytes.toByteArray(), Optional.empty()));
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -63,6 +63,7 @@
     private long idleSince;
     private int answerNumber;
     private int skippedBytes;
+    private long bodyBytes;
 
     private enum State {
         CONNECTING,
@@ -254,6 +255,7 @@
         }
         readKeepAlive(headers.get("Keep-Alive"));
         state = State.READING;
+        bodyBytes = 0;
         listener.head(status, headers);
     }
 
@@ -300,6 +302,12 @@
             skip(content, last);
             return;
         }
+        bodyBytes += content.content().readableBytes();
+        if (bodyBytes > listener.maxBodyBytes()) {
+            content.release();
+            fail(ExchangeFailure.GARBLED);
+            return;
+        }
         if (content.content().isReadable()) {
             listener.part(content.content());
         } else {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ResponseListener.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ResponseListener.java
@@ -31,6 +31,11 @@
         return true;
     }
 
+    /** Returns the size of the largest body that is received; a larger one fails the exchange. */
+    default long maxBodyBytes() {
+        return Long.MAX_VALUE;
+    }
+
     /** Called when the response is complete. */
     void end();
 
--- a/damaskyoke/src/test/java/io/damaskyoke/http/BytesAfterAnswerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/BytesAfterAnswerTest.java
@@ -23,6 +23,7 @@
 
 /** Bytes that come while a connection awaits no response and that make no message by themselves. */
 class BytesAfterAnswerTest {
+    private static final long MAX_ANSWER_BYTES = 1 << 20;
     private static final String OK = "HTTP/1.1 200 OK\r\nTry: 1\r\nContent-Length: 2\r\n\r\nok";
     private static final Endpoint SERVER = new Endpoint("127.0.0.1", 1);
 
@@ -87,7 +88,7 @@
                         Unpooled.EMPTY_BUFFER,
                         ResponseMatch.byId(id, headers -> headers.getAll("Try")),
                         Duration.ofSeconds(1));
-        client.send(SERVER, request, new BufferedResponse.Reader(this::record));
+        client.send(SERVER, request, new BufferedResponse.Reader(MAX_ANSWER_BYTES, this::record));
         if (written) {
             writeRequests();
         }
