An answer in tiny chunks costs no more than its bytes

Cause: direct.max-answer counts the bytes of the body. Each part was a component of a composite buffer, some hundred bytes, and held the whole buffer that it was read into; 5 MB on the wire are 800,000 of them. And after the exchange had failed the decoder went on with all the chunks that were read together.

Fix: AnswerBuffer copies small parts together, and an answer with more than 4,096 parts of less than 64 bytes on average fails. A connection that closes stops its decoder.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -9,7 +9,6 @@
 import io.damaskyoke.http.ResponseListener;
 import io.damaskyoke.http.ResponseMatch;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -53,7 +52,7 @@
     private ClientCall call;
     private UpstreamAnswer answer;
     private HttpHeaders headers;
-    private CompositeByteBuf body;
+    private AnswerBuffer body;
     private boolean firstByteReceived;
     private boolean sent;
     private boolean finished;
@@ -301,13 +300,14 @@
 
     private void bufferBody(ByteBuf data) {
         if (body == null) {
-            // With its default size the buffer would copy all that it holds again and again.
-            body = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+            body = new AnswerBuffer();
         }
-        body.addComponent(true, data);
+        body.add(data);
         int mostBytes = inFlight.answerLimits().bodyBytes();
-        if (body.readableBytes() > mostBytes) {
+        if (body.size() > mostBytes) {
             failInvalid("answer is larger than " + mostBytes + " bytes");
+        } else if (body.isScattered()) {
+            failInvalid("answer has too many parts for its size");
         }
     }
 
@@ -324,7 +324,7 @@
             forwarded.handleAttemptFailure("upstream answered " + answer.status(), true);
             return;
         }
-        ByteBuf completeBody = body == null ? Unpooled.EMPTY_BUFFER : body;
+        ByteBuf completeBody = body == null ? Unpooled.EMPTY_BUFFER : body.take();
         body = null;
         finish();
         if (impliesNotRun(answer.status())) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -133,10 +133,18 @@
     void close() {
         state = State.CLOSED;
         if (channel != null) {
+            stopDecoding();
             channel.close();
         }
     }
 
+    // The decoder would go on with all bytes that were read together, perhaps thousands of chunks.
+    private void stopDecoding() {
+        if (channel.pipeline().context(decoder) != null) {
+            channel.pipeline().remove(decoder);
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
