Large requests and answers in memory are bounded over all connections

Cause: nothing bounded the bytes of request bodies that are received, and each answer was bounded only by itself. The limit of direct memory is that of the heap, 80 MB; beyond it each read of any connection fails after half a second in the allocation, on the thread that serves all callers.

Fix: BodyMemory counts the bytes of bodies beyond their first 16 KB, of requests until they are answered and of answers until they are passed on, up to three fifths of the heap's limit (direct.max-bodies). Answers that wait for callers keep their own bound (direct.max-unread, 16 MiB). A large request whose length has no room is refused at its head; when the limit is reached meanwhile, the arriving request that came last gives way. Both get 503 with Retry-After, which says that they have not run. An answer whose request has run goes before requests that have not; one without room even so ends with 502. A caller refused in the middle of its body has the time of a whole request to send on and to read the refusal.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/AnswerBuffer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/AnswerBuffer.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.direct;
 
+import io.damaskyoke.http.BodyMemory;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
@@ -23,13 +24,31 @@
     private static final int MIN_MEAN_PART_BYTES = 64;
 
     private final CompositeByteBuf parts = Unpooled.compositeBuffer(Integer.MAX_VALUE);
+    private final BodyMemory.Body memory;
     private ByteBuf copies = Unpooled.EMPTY_BUFFER;
     private int partCount;
     private int size;
 
-    /** Adds a part and takes ownership of it. */
-    void add(ByteBuf part) {
+    /** Creates an empty buffer whose bytes are counted there. */
+    AnswerBuffer(BodyMemory.Body memory) {
+        this.memory = memory;
+    }
+
+    /**
+     * Adds a part and takes ownership of it. Returns false if there is no memory for it; the buffer
+     * is to be released then.
+     */
+    boolean add(ByteBuf part) {
         size += part.readableBytes();
+        if (!memory.add(part.readableBytes())) {
+            part.release();
+            return false;
+        }
+        keep(part);
+        return true;
+    }
+
+    private void keep(ByteBuf part) {
         if (partCount++ == 0 || part.readableBytes() >= LARGE_PART_BYTES) {
             keepCopies();
             parts.addComponent(true, part);
@@ -62,12 +81,14 @@
 
     /** Returns the whole body, which the caller owns. The buffer is not to be used any more. */
     ByteBuf take() {
+        memory.release();
         keepCopies();
         return parts;
     }
 
     /** Releases all parts. The buffer is not to be used any more. */
     void release() {
+        memory.release();
         copies.release();
         parts.release();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -17,6 +17,7 @@
 import io.damaskyoke.direct.crashes.StoringCrashAnnouncer;
 import io.damaskyoke.direct.crashes.UpstreamCrashDetector;
 import io.damaskyoke.follow.Follower;
+import io.damaskyoke.http.BodyMemory;
 import io.damaskyoke.http.EarlySocket;
 import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpClient;
@@ -81,6 +82,7 @@
      */
     private static final int RESIGN_LAG_RATIO = 4;
 
+    private static final double BODY_PART_OF_MEMORY = 0.6;
     private static final int TIMELINE_EVENTS = 500;
 
     private final DirectSettings settings;
@@ -111,6 +113,7 @@
     private final DeclaredLimits limits;
     private final AnnouncedDepartures departures;
     private final UpstreamStatementHandler statements;
+    private final BodyMemory bodies;
     private final InFlightRequests inFlight;
     private final RateAdmission rates;
     private final RatePeers ratePeers;
@@ -163,6 +166,7 @@
                         this::isFirstWatcher,
                         metrics);
         this.lostUpstreams = new LostUpstreamAnnouncer(clock, upstreams, peers);
+        this.bodies = new BodyMemory(settings.maxBodyBytes().orElse(defaultBodyBytes()));
         this.inFlight = createInFlightRequests();
         Timeline timeline = Timeline.of(settings.vm(), HybridClock.over(clock), TIMELINE_EVENTS);
         this.rates = rates(timeline);
@@ -284,7 +288,14 @@
                 crashes,
                 lostUpstreams,
                 statements,
-                settings.answerLimits());
+                settings.answerLimits(),
+                bodies);
+    }
+
+    // Buffers may take as much memory as the heap, by default. The rest is for answers that wait
+    // for callers and for what is just being read.
+    private static long defaultBodyBytes() {
+        return (long) (Runtime.getRuntime().maxMemory() * BODY_PART_OF_MEMORY);
     }
 
     private CrashAnnouncer crashAnnouncer() {
@@ -463,6 +474,9 @@
         members.start(this::membersChanged);
         callers = HttpServer.adopt(loop, socket, HttpLimits.defaults(), ingress);
         callers.maxUnread(settings.maxUnreadBytes());
+        callers.bodies(bodies);
+        metrics.gauge("direct_body_bytes", bodies::bytes);
+        metrics.gauge("direct_refused_for_memory", callers::refusedForMemoryCount);
         metrics.gauge("direct_left_before_served", callers::abandonedRequests);
         metrics.gauge("direct_closed_unread", callers::connectionsClosedUnread);
         metrics.gauge("direct_unread_bytes", callers::unreadBytes);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.routing.SharedRetryBudget;
 import io.damaskyoke.direct.crashes.PoisonRequestDetector;
+import io.damaskyoke.http.BodyMemory;
 import io.damaskyoke.http.HttpClient;
 import io.damaskyoke.settings.DirectSettings;
 import java.time.Duration;
@@ -26,6 +27,7 @@
     private final LostUpstreamAnnouncer lostUpstreams;
     private final UpstreamStatementHandler statements;
     private final DirectSettings.AnswerLimits answerLimits;
+    private final BodyMemory bodies;
     private final RequestLog requestLog;
     private final UnservedModels unservedModels = new UnservedModels();
     private final Set<ForwardedRequest> requests = new LinkedHashSet<>();
@@ -50,7 +52,8 @@
             PoisonRequestDetector crashes,
             LostUpstreamAnnouncer lostUpstreams,
             UpstreamStatementHandler statements,
-            DirectSettings.AnswerLimits answerLimits) {
+            DirectSettings.AnswerLimits answerLimits,
+            BodyMemory bodies) {
         this.dialect = dialect;
         this.client = client;
         this.dispatcher = dispatcher;
@@ -61,6 +64,7 @@
         this.lostUpstreams = lostUpstreams;
         this.statements = statements;
         this.answerLimits = answerLimits;
+        this.bodies = bodies;
         this.requestLog = new RequestLog(clock);
     }
 
@@ -92,6 +96,10 @@
         return answerLimits;
     }
 
+    BodyMemory bodies() {
+        return bodies;
+    }
+
     UnservedModels unservedModels() {
         return unservedModels;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -200,7 +200,6 @@
         }
         recordFirstByte();
         if (answer.notRun()) {
-            releaseBody();
             finish();
             forwarded.retryRejected(answer);
         } else if (isStreaming()) {
@@ -216,7 +215,6 @@
             return;
         }
         upstream.requestFailed(sentAt, inFlight.now());
-        releaseBody();
         finish();
         boolean broke = failure == ExchangeFailure.BROKEN || failure == ExchangeFailure.CUT_SHORT;
         if (broke || failure == ExchangeFailure.NOT_CONNECTED) {
@@ -300,9 +298,12 @@
 
     private void bufferBody(ByteBuf data) {
         if (body == null) {
-            body = new AnswerBuffer();
+            body = new AnswerBuffer(inFlight.bodies().answer());
+        }
+        if (!body.add(data)) {
+            failForMemory();
+            return;
         }
-        body.add(data);
         int mostBytes = inFlight.answerLimits().bodyBytes();
         if (body.size() > mostBytes) {
             failInvalid("answer is larger than " + mostBytes + " bytes");
@@ -319,7 +320,6 @@
         recordSurvivedRun();
         boolean serverError = answer.status() >= MIN_SERVER_ERROR;
         if (serverError && forwarded.mayRetryFailure()) {
-            releaseBody();
             finish();
             forwarded.handleAttemptFailure("upstream answered " + answer.status(), true);
             return;
@@ -367,12 +367,20 @@
                 reason);
         upstream.requestFailed(sentAt, inFlight.now());
         reportIncompleteRun(IncompleteRunCause.GARBLED);
-        releaseBody();
         finish();
         call.cancel();
         forwarded.handleAttemptFailure(reason, true);
     }
 
+    // The upstream is sound as far as is known. It has run the request, and another answer to it
+    // would need as much memory.
+    private void failForMemory() {
+        reportIncompleteRun(IncompleteRunCause.GARBLED);
+        abandon();
+        call.cancel();
+        forwarded.handleAttemptFailure("no memory for the answer", false);
+    }
+
     private void releaseBody() {
         if (body != null) {
             body.release();
@@ -383,6 +391,7 @@
     private void finish() {
         finished = true;
         splitter.clear();
+        releaseBody();
         if (!sent) {
             upstream.requestNotSent();
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/HttpServer.java
@@ -62,10 +62,12 @@
     private final Set<ServerConnection> connections = new HashSet<>();
     private final UnreadConnections unread = new UnreadConnections();
     private final UnreadResponses unreadResponses = new UnreadResponses(LOG::warn);
+    private BodyMemory bodies = new BodyMemory(Long.MAX_VALUE);
     private HttpLimits limits;
     private Channel channel;
     private boolean draining;
     private long abandonedRequests;
+    private long refusedForMemory;
 
     private HttpServer(HttpLoop loop, HttpLimits limits, HttpHandler handler) {
         this.loop = loop;
@@ -121,6 +123,28 @@
         unreadResponses.limit(bytes);
     }
 
+    /** Sets what counts the bodies of requests, and limits them, from now on. */
+    public void bodies(BodyMemory given) {
+        bodies = given;
+    }
+
+    int maxBodyBytes() {
+        return limits.bodyBytes();
+    }
+
+    BodyMemory bodies() {
+        return bodies;
+    }
+
+    void refusedForMemory() {
+        refusedForMemory++;
+    }
+
+    /** Returns the number of requests that were refused as there was no memory for their bodies. */
+    public long refusedForMemoryCount() {
+        return refusedForMemory;
+    }
+
     /** Starts draining: from now on each response tells its caller that the connection closes. */
     public void drain() {
         draining = true;
@@ -272,6 +296,7 @@
                         })
                 .addLast(new StrictRequestDecoder(config))
                 .addLast(new HttpResponseEncoder())
+                .addLast(new ArrivingBodies(connection))
                 .addLast(new OrderedAggregator(limits.bodyBytes(), connection))
                 .addLast(connection);
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ServerConnection.java
@@ -29,12 +29,20 @@
 
     /**
      * The time for which a refused caller may go on sending. A close before that might reset the
-     * connection, and the caller would lose the refusal.
+     * connection, and the caller would lose the refusal. One that was refused in the middle of a
+     * large body may need all the time that a request may take.
      */
     private static final long REFUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** When to retry a request that had no room in memory: those in memory take about a second. */
+    private static final int RETRY_AFTER_SECONDS = 1;
+
     private final HttpServer server;
     private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
+
+    /** The bodies of the call, of the pipelined requests and of the one that arrives. */
+    private final ArrayDeque<BodyMemory.Body> bodies = new ArrayDeque<>();
+
     private Channel channel;
     private HttpCall call;
     private long openedNanos;
@@ -45,6 +53,7 @@
     private boolean refused;
     private HttpResponseStatus pendingRefusal;
     private long refusalSentNanos;
+    private boolean refusedForMemory;
     private long takenBytes;
 
     ServerConnection(HttpServer server) {
@@ -84,11 +93,67 @@
         return withConnection ? openedNanos : reads.arrivalNanos();
     }
 
+    boolean isRefused() {
+        return refused;
+    }
+
+    /**
+     * Records the head of a request with a body of that length, 0 if it is not known. Returns false
+     * if there is no memory for it, and refuses it. A body that is too large is refused later.
+     */
+    boolean bodyBegins(long length) {
+        if (length <= server.maxBodyBytes() && !server.bodies().hasRoomFor(length)) {
+            refuseForMemory();
+            return false;
+        }
+        bodies.add(server.bodies().request(this::refuseForMemory));
+        return true;
+    }
+
+    /** Records bytes of the body that arrives. Returns false if the request is refused for them. */
+    boolean bodyReceived(int bytes, boolean last) {
+        BodyMemory.Body body = bodies.peekLast();
+        if (body == null) {
+            return true;
+        }
+        if (!body.add(bytes)) {
+            refuseForMemory();
+            return false;
+        }
+        if (last) {
+            body.complete();
+        }
+        return true;
+    }
+
+    // Without the aggregator nothing holds the bytes that have come, and what follows is dropped.
+    private void refuseForMemory() {
+        refusedForMemory = true;
+        server.refusedForMemory();
+        if (channel.pipeline().get(OrderedAggregator.class) != null) {
+            channel.pipeline().remove(OrderedAggregator.class);
+        }
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
+    private void releaseBodies() {
+        bodies.forEach(BodyMemory.Body::release);
+        bodies.clear();
+    }
+
+    private void releaseFirstBody() {
+        BodyMemory.Body first = bodies.poll();
+        if (first != null) {
+            first.release();
+        }
+    }
+
     /**
      * Enforces the time limits: answers an incomplete request with 408, closes an idle connection.
      */
     void enforceTimeLimits(long now, long headerNanos, long idleNanos) {
-        if (refusalSentNanos != 0 && now - refusalSentNanos > REFUSED_NANOS) {
+        long refusedNanos = refusedForMemory ? headerNanos : REFUSED_NANOS;
+        if (refusalSentNanos != 0 && now - refusalSentNanos > refusedNanos) {
             channel.close();
         } else if (call == null && arrivingSince != 0 && now - arrivingSince > headerNanos) {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -152,6 +217,7 @@
 
     void finished(boolean close) {
         call = null;
+        releaseFirstBody();
         idleSince = System.nanoTime();
         if (close) {
             refused = true;
@@ -222,6 +288,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.closed(this);
+        releaseBodies();
         pipelined.forEach(FullHttpRequest::release);
         pipelined.clear();
         HttpCall open = call;
@@ -273,6 +340,9 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            answer.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        }
         channel.writeAndFlush(answer);
         refusalSentNanos = System.nanoTime();
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/DirectSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * What a router that reaches upstreams itself is told at its start.
@@ -24,6 +25,8 @@
  * @param cold what upstreams bear that have just started
  * @param answerLimits how large upstreams' answers may be
  * @param maxUnreadBytes how many bytes of answers may wait for callers, over all connections
+ * @param maxBodyBytes how many bytes of large requests and answers may be in memory, over all
+ *     connections; empty if the settings don't say
  * @param capacity cores that this router may use; empty if the settings don't say
  * @param peer how it talks to other routers
  */
@@ -44,6 +47,7 @@
         Cold cold,
         AnswerLimits answerLimits,
         int maxUnreadBytes,
+        OptionalLong maxBodyBytes,
         OptionalDouble capacity,
         PeerSettings peer) {
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Keys.java
@@ -349,6 +349,14 @@
                                             + " connections.")
                             .range("64KiB", "1GiB")
                             .fallback("16MiB"),
+                    Key.of(
+                                    "direct.max-bodies",
+                                    Kind.SIZE,
+                                    "Bytes of large requests and answers in memory, over all"
+                                            + " connections; three fifths of the heap's limit if"
+                                            + " not set.")
+                            .range("1MiB", "16GiB")
+                            .optional(),
                     Key.of(
                                     "direct.cpu-share",
                                     Kind.NUMBER,
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Settings.java
@@ -64,6 +64,7 @@
                 new DirectSettings.AnswerLimits(
                         values.integer("direct.max-answer"), values.integer("direct.max-event")),
                 values.integer("direct.max-unread"),
+                values.optionalInteger("direct.max-bodies"),
                 capacity(values),
                 peer(values));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * The values of one file by key, and the faults found so far.
@@ -66,6 +67,12 @@
         return (Long) values.get(key);
     }
 
+    /** Returns the number, or empty if the file has no such key. */
+    OptionalLong optionalInteger(String key) {
+        Long value = (Long) values.get(key);
+        return value == null ? OptionalLong.empty() : OptionalLong.of(value);
+    }
+
     double number(String key) {
         return (Double) values.get(key);
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -14,6 +14,7 @@
 import io.damaskyoke.direct.crashes.PoisonRequestDetector;
 import io.damaskyoke.direct.crashes.SilentCrashAnnouncer;
 import io.damaskyoke.direct.crashes.UpstreamCrashDetector;
+import io.damaskyoke.http.BodyMemory;
 import io.damaskyoke.http.Endpoint;
 import io.damaskyoke.http.HttpCall;
 import io.damaskyoke.http.HttpClient;
@@ -91,7 +92,8 @@
                             new AnnouncedDepartures(
                                     Instant::now, upstreams, new SilentDepartures()),
                             new Metrics()),
-                    new DirectSettings.AnswerLimits(1 << 20, 1 << 20));
+                    new DirectSettings.AnswerLimits(1 << 20, 1 << 20),
+                    new BodyMemory(1 << 20));
     private final HttpServer upstream = server(upstreamLoop, this::recordCall);
     private final HttpServer router = server(loop, this::startFlow);
 
