A stopping router passes no request on that its end might cut

In a whole router with a grace of 8 s a request that began 2.4 s after the stop and was complete at 4.9 s, with six seconds of work, was passed on and cut at 7.3 s (as seen in advance). It may not be repeated, and its caller is not told whether it ran.

Cause: until 1.5 s before the end GracefulShutdown let every request pass that came on an open connection, whatever time it had; only requests that still waited then were refused.

Requests that were sent once go on.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -120,7 +120,30 @@
             }
             trial = mayBeTrial;
         }
-        inFlight.dispatcher().arrive(this);
+        if (!refuseIfCutByStop()) {
+            inFlight.dispatcher().arrive(this);
+        }
+    }
+
+    /**
+     * Refuses the request if it has not been sent, and if this router's shutdown might cut it:
+     * another router has all the time that its caller has.
+     *
+     * @return true if it is refused
+     */
+    boolean refuseIfCutByStop() {
+        if (!neverSent() || !inFlight.isClosedBy(deadline)) {
+            return false;
+        }
+        refuseAsStopping();
+        return true;
+    }
+
+    private void refuseAsStopping() {
+        inFlight.dispatcher().remove(this);
+        refuse(
+                Refusal.notRun(RefusalCode.STOPPING, "this router is shutting down")
+                        .retryAfter(Duration.ZERO));
     }
 
     /** Returns what the request is recognized by, whichever id it comes with. */
@@ -280,6 +303,9 @@
             refuseAsPoisonRequest(RETRY_AFTER_QUARANTINED);
             return;
         }
+        if (refuseIfCutByStop()) {
+            return;
+        }
         sendCount++;
         possibleRuns++;
         timings.recordSent(upstream.facts().id(), inFlight.now());
@@ -380,10 +406,7 @@
      */
     void stop(boolean noMoreTime) {
         if (neverSent()) {
-            inFlight.dispatcher().remove(this);
-            refuse(
-                    Refusal.notRun(RefusalCode.STOPPING, "this router is shutting down")
-                            .retryAfter(Duration.ZERO));
+            refuseAsStopping();
         } else if (noMoreTime) {
             handleDeadline();
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/GracefulShutdown.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/GracefulShutdown.java
@@ -8,7 +8,9 @@
 
 /**
  * Shuts a router down gracefully: waits until the load balancer sends callers elsewhere, finishes
- * open requests, and then closes the connections.
+ * open requests, and then closes the connections. Once the balancer sends callers elsewhere, no
+ * request is passed on that has more time than is left: its caller is told to come back, and
+ * reaches another router.
  *
  * <p>The balancer notices within two or three seconds that a router is not ready, and sends it new
  * connections until then. Closing at once would lose these, and also requests that arrive while a
@@ -60,7 +62,12 @@
                     callers.drain();
                 });
         sleepUntil(Math.min(deadline, start + BALANCER_NOTICE_TIME.toNanos()));
-        runOnControl(callers::stopListening);
+        runOnControl(
+                () -> {
+                    callers.stopListening();
+                    Duration left = Duration.ofNanos(deadline - System.nanoTime());
+                    inFlight.closesAt(control.clock().instant().plus(left));
+                });
         while (System.nanoTime() < deadline) {
             runOnControl(() -> callers.closeIdle(IDLE_BEFORE_CLOSE));
             if (System.nanoTime() > deadline - WAITING_REFUSAL_TIME.toNanos()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -32,6 +32,7 @@
     private final UnservedModels unservedModels = new UnservedModels();
     private final Set<ForwardedRequest> requests = new LinkedHashSet<>();
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
+    private Instant closesAt = Instant.MAX;
 
     /**
      * The limits of the retries that all routers together may send to a service.
@@ -149,6 +150,20 @@
         }
     }
 
+    /**
+     * Records when this router, which is shutting down, closes its connections. From now on no
+     * request is passed on that may take longer, and those that wait to be passed on are refused.
+     */
+    void closesAt(Instant at) {
+        closesAt = at;
+        new ArrayList<>(requests).forEach(ForwardedRequest::refuseIfCutByStop);
+    }
+
+    /** Returns true if this router will have closed its connections by then. */
+    boolean isClosedBy(Instant at) {
+        return at.isAfter(closesAt);
+    }
+
     /**
      * Handles the shutdown of this router: queued requests are refused, and running ones end if
      * {@code noMoreTime} is set.
