A router watches its own entry, and says so when it is off the list

Cause: a registration whose answer is lost is repeated under a second lease. If the first one is carried out after that, the entry is under the first lease and ends with it. The router renewed the second lease and asked only whether that one lives. A router that is not on the list may spend no rate share; /readyz did not look at the list.

Fix: RouterRegistration, taken out of Membership, also watches the entry: gone, or under another lease, at a later revision than its own write, it registers again, once a second at the most. What belongs to an earlier registration is ignored, so renewals do not run twice. A router that has been off an up-to-date list for a second is not ready.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -217,7 +217,10 @@
 
     /** Returns true if the load balancer should send callers here. */
     public boolean ready() {
-        return !stopping && configuration.current().isPresent() && upstreamFollower.hasReadOnce();
+        return !stopping
+                && configuration.current().isPresent()
+                && upstreamFollower.hasReadOnce()
+                && !members.isDelisted();
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -12,11 +12,11 @@
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
-import io.damaskyoke.platform.KeyValueStore.Write;
 import io.damaskyoke.platform.PolledStore;
 import io.damaskyoke.platform.VmList;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -46,16 +46,10 @@
     /** Earlier versions, which may run beside this one, use this key. */
     private static final String LEADER = FLEET + "giver";
 
-    /**
-     * After this the entry of a killed router expires; its next incarnation replaces the entry at
-     * once.
-     */
-    private static final Duration TERM = Duration.ofSeconds(4);
+    private static final Duration FETCH_TIME = Duration.ofMillis(300);
 
-    /** Two renewals may be lost before the entry expires; each renewal costs the store a call. */
-    private static final Duration RENEWAL_PERIOD = Duration.ofMillis(1_500);
-
-    private static final Duration RETRY_DELAY = Duration.ofMillis(300);
+    /** How long a router that registers again may be off its list. */
+    private static final Duration MAX_GAP = Duration.ofSeconds(1);
 
     private final ControlThread control;
     private final PolledStore store;
@@ -63,6 +57,7 @@
     private final String prefix;
     private final Map<VmId, RouterEntry> routers = new TreeMap<>();
     private final Follower follower;
+    private final RouterRegistration registration;
     private final UnreadableEntries unreadable;
     private Optional<VmId> leader = Optional.empty();
     private long leaderRevision;
@@ -70,8 +65,8 @@
     private Set<VmId> large = Set.of();
     private Runnable onChange = () -> {};
     private BiConsumer<CrashSuspect, Integer> onQuarantined = (request, trials) -> {};
-    private long leaseId;
-    private boolean leaving;
+    private Optional<Instant> missingSince = Optional.empty();
+    private boolean everListed;
 
     Membership(
             ControlThread control,
@@ -95,13 +90,20 @@
                         .counting(metrics)
                         .via(relay)
                         .build(new Listener());
+        this.registration =
+                new RouterRegistration(
+                        control,
+                        store,
+                        prefix + ROUTERS + self.vm(),
+                        self.toJson(),
+                        this::fetchOwnEntry);
     }
 
     /** Starts; {@code whenChanged} runs whenever the list of routers or the leader changes. */
     void start(Runnable whenChanged) {
         onChange = whenChanged;
         follower.start();
-        register();
+        registration.start();
     }
 
     /** Runs {@code action} for each quarantined suspect in the store, with its count of trials. */
@@ -221,10 +223,17 @@
 
     /** Revokes this router's entry, so that no other router relies on it. */
     void deregister() {
-        leaving = true;
-        if (leaseId != 0) {
-            store.revokeLease(leaseId);
-        }
+        registration.end();
+    }
+
+    /**
+     * Returns true if this router has been off the list for a while, by a list that is up to date.
+     * The other routers have taken its shares of the rate limits then.
+     */
+    boolean isDelisted() {
+        Instant now = control.clock().instant();
+        return follower.upToDate()
+                && missingSince.filter(since -> since.plus(MAX_GAP).isBefore(now)).isPresent();
     }
 
     // A router that is partitioned from the store must not use its own copy of the list: it would
@@ -256,59 +265,10 @@
         return vms;
     }
 
-    private void register() {
-        if (leaving) {
-            return;
-        }
-        store.grantLease(TERM)
-                .whenComplete((granted, failure) -> control.run(() -> leaseGranted(granted)));
-    }
-
-    private void leaseGranted(Long granted) {
-        if (granted == null) {
-            control.after(RETRY_DELAY, this::register);
-            return;
-        }
-        leaseId = granted;
-        String key = prefix + ROUTERS + self.vm();
-        store.commit(List.of(), List.of(new Write.Put(key, self.toJson(), leaseId)))
-                .whenComplete(
-                        (result, failure) -> control.run(() -> entryWritten(failure == null)));
-    }
-
-    private void entryWritten(boolean done) {
-        if (done) {
-            control.after(RENEWAL_PERIOD, this::keepAlive);
-            fetchOwnEntry();
-        } else {
-            control.after(RETRY_DELAY, this::register);
-        }
-    }
-
     // While this router is not on its own list it may spend no rate share, and would reject
     // requests until the next change arrives; so its own entry is fetched at once.
     private void fetchOwnEntry() {
-        follower.whenCompleteUpTo(control.clock().instant(), RETRY_DELAY, known -> {});
-    }
-
-    private void keepAlive() {
-        if (leaving) {
-            return;
-        }
-        store.keepAlive(leaseId)
-                .whenComplete(
-                        (alive, failure) -> control.run(() -> keptAlive(failure != null, alive)));
-    }
-
-    private void keptAlive(boolean failed, Boolean alive) {
-        if (failed) {
-            control.after(RETRY_DELAY, this::keepAlive);
-        } else if (alive) {
-            control.after(RENEWAL_PERIOD, this::keepAlive);
-        } else {
-            LOG.info("the lease of this router's entry expired, registering again");
-            register();
-        }
+        follower.whenCompleteUpTo(control.clock().instant(), FETCH_TIME, known -> {});
     }
 
     /** Applies changes in the fleet's entries. */
@@ -318,22 +278,45 @@
             routers.clear();
             leader = Optional.empty();
             unreadable.keepOnly(entries);
+            registration.entrySeen(ownEntry(entries), revision);
             entries.forEach(entry -> put(entry.key(), Optional.of(entry)));
             listChanged();
         }
 
         @Override
         public void entriesChanged(List<Change> changes, long revision, Duration silence) {
-            changes.forEach(change -> put(change.key(), change.entry()));
+            for (Change change : changes) {
+                if (change.key().equals(registration.key())) {
+                    registration.entrySeen(change.entry(), change.revision());
+                }
+                put(change.key(), change.entry());
+            }
             listChanged();
         }
 
+        private Optional<Entry> ownEntry(List<Entry> entries) {
+            return entries.stream()
+                    .filter(entry -> entry.key().equals(registration.key()))
+                    .findFirst();
+        }
+
         private void listChanged() {
             updateLargeRouters();
+            updateMissing();
             plan = WatchPlan.of(vms(), large::contains);
             onChange.run();
         }
 
+        private void updateMissing() {
+            boolean listed = routers.containsKey(self.vm());
+            everListed |= listed;
+            if (listed || !everListed) {
+                missingSince = Optional.empty();
+            } else if (missingSince.isEmpty()) {
+                missingSince = Optional.of(control.clock().instant());
+            }
+        }
+
         private void updateLargeRouters() {
             Set<VmId> now = LargeRouters.of(routers.values());
             if (!now.equals(large)) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/MembershipTest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.TestControlThread;
@@ -23,6 +24,8 @@
 class MembershipTest {
     private static final PollTiming PACE = new PollTiming(Duration.ofMillis(2_500), Duration.ZERO);
 
+    private static final String OWN_KEY = "p/fleet/routers/one";
+
     private final TestControlThread control = new TestControlThread();
     private final FakeStore store = new FakeStore(control);
 
@@ -56,6 +59,52 @@
         assertEquals(1, members.read().toCompletableFuture().join().size());
     }
 
+    // Guards against a registration without an answer that is carried out after the one that
+    // repeated it: the entry ends with the first lease, and the router renews only the second.
+    @Test
+    void aRouterWhoseEntryIsUnderAnEarlierLeaseRegistersAgain() {
+        Membership members = started();
+        long earlier = store.grantLease(Duration.ofSeconds(4)).toCompletableFuture().join();
+        store.commit(List.of(), List.of(new Write.Put(OWN_KEY, entry("one").toJson(), earlier)));
+        control.advance(Duration.ofSeconds(3));
+        store.expire(earlier);
+        control.advance(Duration.ofSeconds(1));
+        assertEquals(1, members.read().toCompletableFuture().join().size());
+        assertFalse(members.isDelisted());
+    }
+
+    // Guards against the same if the late write and its end are seen together.
+    @Test
+    void aRouterWhoseEntryIsGoneRegistersAgain() {
+        Membership members = started();
+        store.commit(List.of(), List.of(new Write.Delete(OWN_KEY)));
+        control.advance(Duration.ofSeconds(4));
+        assertEquals(1, members.read().toCompletableFuture().join().size());
+    }
+
+    // Guards against a router that says that it is ready while it may spend no rate share, and
+    // refuses every request of a workspace with a limit.
+    @Test
+    void aRouterThatCannotRegisterSaysThatItIsNotListed() {
+        Membership members = started();
+        store.refuseLeases(true);
+        store.commit(List.of(), List.of(new Write.Delete(OWN_KEY)));
+        control.advance(Duration.ofSeconds(6));
+        assertTrue(members.isDelisted());
+        store.refuseLeases(false);
+        control.advance(Duration.ofSeconds(6));
+        assertFalse(members.isDelisted());
+    }
+
+    private Membership started() {
+        Membership members =
+                new Membership(
+                        control, store, "p", entry("one"), PACE, Relay.none(), new Metrics());
+        members.start(() -> {});
+        control.advance(Duration.ofSeconds(2));
+        return members;
+    }
+
     @Test
     void aRouterThatIsPartitionedFromTheStoreHasNoListOfRouters() {
         // The store no longer answers this router, whose copy of the list still names it. Using
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/FakeStore.java
@@ -33,6 +33,7 @@
     private boolean slow;
     private boolean watchesSilent;
     private boolean watchesRefused;
+    private boolean leasesRefused;
     private int answersToLose;
     private boolean downAfterLoss;
     private int calls;
@@ -166,8 +167,17 @@
         return answer(true, () -> transact(conditions, writes));
     }
 
+    /** Refuses new leases, while all else works. */
+    public synchronized FakeStore refuseLeases(boolean value) {
+        leasesRefused = value;
+        return this;
+    }
+
     @Override
     public CompletionStage<Long> grantLease(Duration ttl) {
+        if (leasesRefused) {
+            return failed(Code.UNAVAILABLE);
+        }
         return answer(
                 true,
                 () -> {
