Tokens accrue and retries are counted by a clock that does not jump

Cause: SuspendAwareClock takes a forward jump of the time of day for a suspension of the VM and adds it for good. That is safe for leases, but the token buckets of the rates and the window of the retry budget ran on the same clock: each jump gave out tokens that never accrued, and forgot retries of the last seconds.

Fix: SuspendAwareClock.steady() is the counter alone. Buckets, the part of a burst that a new incarnation may take, the retry budget and the number of routers that it is shared by run on it. After a suspension tokens come later, which is safe. Leases, deadlines, pauses and declared limits stay on the other clock.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/SuspendAwareClock.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/SuspendAwareClock.java
@@ -13,6 +13,7 @@
  * still look valid on resume, and its holder would act as leader beside its successor. Only the
  * time of day shows the pause, so this clock adds every forward jump of the time of day relative to
  * the counter. If the jump came from setting the system clock, leases expire early, which is safe.
+ * For what is not safe earlier, see {@link #steady}.
  */
 public final class SuspendAwareClock implements InstantSource {
     /** Smaller differences are drift and scheduling; leases have a margin of 0.1 s. */
@@ -38,6 +39,15 @@
         return new SuspendAwareClock(System::nanoTime, Clock.systemUTC());
     }
 
+    /**
+     * Returns the same clock without jumps: it counts neither the time for which the VM was
+     * suspended nor changes of the time of day. What accrues over time, such as the tokens of a
+     * rate, must not come earlier because the system clock was set.
+     */
+    public InstantSource steady() {
+        return () -> start.plusNanos(counter.getAsLong() - startNanos);
+    }
+
     @Override
     public synchronized Instant instant() {
         long elapsed = counter.getAsLong() - startNanos;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -7,10 +7,12 @@
 import io.damaskyoke.id.WorkspaceId;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
 /**
  * The state machine of one router that keeps every workspace within its rate over all routers.
@@ -37,6 +39,7 @@
     private final TokenLender lender;
     private final Map<WorkspaceId, WorkspaceAccount> accounts = new TreeMap<>();
     private long lastNumber;
+    private UnaryOperator<Instant> accrualTime = UnaryOperator.identity();
     private boolean readPending;
     private Instant nextReadAt = Instant.MIN;
 
@@ -66,6 +69,14 @@
         balancer.recordRunning(at);
     }
 
+    /**
+     * Lets tokens accrue by that clock, which has the same begin and must not jump; to be called
+     * before the first input.
+     */
+    public void accrueBy(InstantSource steadyClock) {
+        accrualTime = any -> steadyClock.instant();
+    }
+
     @Override
     public List<RateAction> on(RateInput input, Instant now) {
         List<RateAction> actions = new ArrayList<>();
@@ -150,7 +161,7 @@
 
     // Different routers start the round robin at different lenders.
     private WorkspaceAccount newAccount(Workspace workspace, Instant now) {
-        WorkspaceAccount account = new WorkspaceAccount(workspace, now);
+        WorkspaceAccount account = new WorkspaceAccount(workspace, now, accrualTime);
         account.nextLender = vm.value().hashCode();
         return account;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/ShareBalancer.java
@@ -463,7 +463,8 @@
     // The fraction of a full burst that accrued since this incarnation started: nobody spent on
     // this VM since then.
     private double accruedFraction(WorkspaceAccount account, Instant now) {
-        double seconds = Duration.between(startedAt, now).toMillis() / 1000.0;
+        long millis = Duration.between(startedAt, account.accrualTime(now)).toMillis();
+        double seconds = Math.max(0, millis) / 1000.0;
         return Math.min(1, seconds * account.workspace.rate() / account.workspace.burst());
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/WorkspaceAccount.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/WorkspaceAccount.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /**
  * One workspace's tokens at one router: the router's own bucket, the tokens it borrowed and lent,
@@ -57,14 +58,21 @@
     int nextLender;
     private final ArrayDeque<IncomingTransfer> borrowed = new ArrayDeque<>();
     private final Map<String, OutgoingTransfer> lent = new HashMap<>();
+    private final UnaryOperator<Instant> accrualTime;
     private double demand;
     private Instant demandUpdatedAt;
     private long writtenRevision = -1;
     private Instant writeDeadline = Instant.MIN;
 
-    WorkspaceAccount(Workspace workspace, Instant now) {
+    /**
+     * Creates an account without tokens.
+     *
+     * @param accrualTime the time by which tokens accrue, at a given time
+     */
+    WorkspaceAccount(Workspace workspace, Instant now, UnaryOperator<Instant> accrualTime) {
         this.workspace = workspace;
-        this.bucket = new TokenBucket(now);
+        this.accrualTime = accrualTime;
+        this.bucket = new TokenBucket(accrualTime.apply(now));
         this.demandUpdatedAt = now;
     }
 
@@ -100,7 +108,7 @@
      * @param reservedPart the part of it that is reserved for the next incarnation, in millionths
      */
     void advance(int part, int reservedPart, Instant now) {
-        bucket.refill(now);
+        bucket.refill(accrualTime(now));
         lent.values().removeIf(transfer -> !now.isBefore(transfer.expiry()));
         borrowed.removeIf(transfer -> settleIfUsedUp(transfer, now));
         double fraction = part / (double) ShareTable.WHOLE;
@@ -112,6 +120,11 @@
         updateNearlyFullSince(cap, now);
     }
 
+    /** Returns the time by which tokens accrue, at that time. */
+    Instant accrualTime(Instant now) {
+        return accrualTime.apply(now);
+    }
+
     /** Returns the number of requests that wait for tokens, in the local queue or at a lender. */
     int waitingRequests() {
         return queue.size() + pendingRequests.size();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -41,7 +41,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -90,7 +89,7 @@
     private final VmId self;
     private final Incarnation incarnation;
     private final HttpLoop loop = HttpLoop.start();
-    private final InstantSource clock = SuspendAwareClock.start();
+    private final SuspendAwareClock clock = SuspendAwareClock.start();
     private final Metrics metrics = new Metrics();
     private final EventLoopControlThread control;
     private final HttpClient client;
@@ -286,6 +285,7 @@
                 client,
                 dispatcher,
                 clock,
+                clock.steady(),
                 bounds,
                 members::size,
                 crashes,
@@ -435,6 +435,7 @@
                         store,
                         members,
                         settings.storePrefix(),
+                        clock.steady(),
                         metrics,
                         timeline,
                         any -> members.largeRouters());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/InFlightRequests.java
@@ -21,6 +21,7 @@
     private final HttpClient client;
     private final UpstreamDispatcher dispatcher;
     private final InstantSource clock;
+    private final InstantSource steadyClock;
     private final RetryBounds retryBounds;
     private final SlidingMaximum routerCount;
     private final PoisonRequestDetector crashes;
@@ -48,6 +49,7 @@
             HttpClient client,
             UpstreamDispatcher dispatcher,
             InstantSource clock,
+            InstantSource steadyClock,
             RetryBounds retryBounds,
             IntSupplier routerCount,
             PoisonRequestDetector crashes,
@@ -59,8 +61,9 @@
         this.client = client;
         this.dispatcher = dispatcher;
         this.clock = clock;
+        this.steadyClock = steadyClock;
         this.retryBounds = retryBounds;
-        this.routerCount = new SlidingMaximum(routerCount, clock, retryBounds.window());
+        this.routerCount = new SlidingMaximum(routerCount, steadyClock, retryBounds.window());
         this.crashes = crashes;
         this.lostUpstreams = lostUpstreams;
         this.statements = statements;
@@ -111,7 +114,7 @@
 
     void start(ForwardedRequest request) {
         requests.add(request);
-        retryBudget(request.service()).recordRequest(now());
+        retryBudget(request.service()).recordRequest(steadyClock.instant());
         request.start();
     }
 
@@ -123,11 +126,11 @@
     }
 
     boolean takeRetry(String service) {
-        return retryBudget(service).takeRetry(routerCount.value(), now());
+        return retryBudget(service).takeRetry(routerCount.value(), steadyClock.instant());
     }
 
     boolean hasRetryLeft(String service) {
-        return retryBudget(service).hasRetryLeft(routerCount.value(), now());
+        return retryBudget(service).hasRetryLeft(routerCount.value(), steadyClock.instant());
     }
 
     RequestLog log() {
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -23,6 +23,7 @@
 import io.damaskyoke.timeline.Timeline;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,6 +54,7 @@
     private final VmId vm;
     private final Incarnation incarnation;
     private final RateSettings settings;
+    private final InstantSource accrualClock;
     private final UnaryOperator<Set<VmId>> holderCandidates;
     private final Map<ExchangeId, Consumer<Optional<Refusal>>> verdicts = new HashMap<>();
     private RatePeers peers;
@@ -71,11 +73,13 @@
         this.incarnation = incarnation;
         this.settings = settings;
         this.holderCandidates = parts.holderCandidates();
+        this.accrualClock = parts.accrualClock();
     }
 
     /**
      * What rates need of their process.
      *
+     * @param accrualClock the clock by which tokens accrue, which must not jump
      * @param holderCandidates returns those of the listed routers that may hold shares where not
      *     all of them do
      */
@@ -84,6 +88,7 @@
             KeyValueStore store,
             VmList vmList,
             String storePrefix,
+            InstantSource accrualClock,
             Metrics metrics,
             Timeline timeline,
             UnaryOperator<Set<VmId>> holderCandidates) {}
@@ -106,6 +111,7 @@
             Instant began) {
         peers = given;
         machine = RateMachine.of(incarnation, vm, address, settings);
+        machine.accrueBy(accrualClock);
         machine.setStartTime(began);
         configured(workspaces);
         tickAgain();
--- a/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/router/Router.java
@@ -179,6 +179,7 @@
                 node.store(),
                 node.vmList(),
                 node.storePrefix(),
+                node.control().clock(),
                 node.metrics(),
                 node.timeline(),
                 UnaryOperator.identity());
--- a/damaskyoke/src/test/java/io/damaskyoke/control/SuspendAwareClockTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/SuspendAwareClockTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import org.junit.jupiter.api.Test;
 
 class SuspendAwareClockTest {
@@ -41,6 +42,19 @@
         assertEquals(START.plusMillis(1_000), clock.instant());
     }
 
+    // Guards against tokens of a rate that come early because the system clock was set forward.
+    @Test
+    void theSteadyClockIgnoresEveryJump() {
+        InstantSource steady = clock.steady();
+        for (int jump = 0; jump < 10; jump++) {
+            advance(Duration.ofMillis(300));
+            timeOfDay = timeOfDay.plusMillis(jump % 2 == 0 ? 2_400 : -2_400);
+            clock.instant();
+        }
+        assertEquals(START.plusMillis(3_000), steady.instant());
+        assertEquals(START.plusMillis(15_000), clock.instant());
+    }
+
     private void advance(Duration duration) {
         nanos += duration.toNanos();
         timeOfDay = timeOfDay.plus(duration);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -70,6 +70,7 @@
                             loop::runAfterRead,
                             (upstream, all) -> (int) all),
                     Instant::now,
+                    Instant::now,
                     new InFlightRequests.RetryBounds(Duration.ofSeconds(10), 0.2, 10),
                     () -> 1,
                     new PoisonRequestDetector(
