--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -437,16 +437,7 @@
             return;
         }
         if (pending != null) {
-            boolean due = pending.accepted() && !now.isBefore(pending.dueAt());
-            if (due && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
-                requestReport(engine, now, actions);
-            }
-            if (!pending.accepted()
-                    && now.isAfter(pending.sentAt().plus(settings.orderTimeout()))) {
-                engine.orderFinished();
-                engine.requireReport();
-                engine.setPlannedLoad(null);
-            }
+            followUpOrder(engine, pending, now, actions);
             return;
         }
         if (engine.isAssumedLoadToBeChecked(now) && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
@@ -469,6 +460,22 @@
         evictOrLoad(engine, model, fleet, now, actions);
     }
 
+    private void followUpOrder(
+            EngineState engine,
+            EngineState.PendingOrder pending,
+            Instant now,
+            List<LoadAction> actions) {
+        boolean due = pending.accepted() && !now.isBefore(pending.dueAt());
+        if (due && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
+            requestReport(engine, now, actions);
+        }
+        if (!pending.accepted() && now.isAfter(pending.sentAt().plus(settings.orderTimeout()))) {
+            engine.orderFinished();
+            engine.requireReport();
+            engine.setPlannedLoad(null);
+        }
+    }
+
     private static void requestMissingReport(
             EngineState engine, Instant now, List<LoadAction> actions) {
         boolean answers = engine.hasAnsweredReportRequest();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -6,7 +6,6 @@
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
-import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.control.upstreams.UpstreamSelector;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.control.waiting.Turn;
@@ -49,9 +48,6 @@
      */
     private static final double ENGINE_REQUESTS_PER_SLOT = 1.0;
 
-    /** The usual time to load a model from an upstream's own memory or disk. */
-    private static final Duration LOCAL_LOAD_TIME = Duration.ofMillis(800);
-
     private final UpstreamTable upstreams;
     private final InstantSource clock;
     private final Consumer<Runnable> afterReads;
@@ -397,75 +393,27 @@
     /** Returns this router's demand for models and its view of the upstreams, for the leader. */
     LoadInput.DemandReported demand(VmId self) {
         Instant now = clock.instant();
-        Map<ModelRef, Double> arrivalsPerSecond = arrivalRates.ratesPerSecond(now);
-        Map<ModelRef, LoadInput.ModelDemand> demands = new TreeMap<>();
-        arrivalsPerSecond.forEach(
-                (model, rate) ->
-                        demands.put(
-                                model,
-                                new LoadInput.ModelDemand(model, 0, Duration.ZERO, 9, rate)));
-        queuedByModel()
-                .forEach(
-                        (model, queue) ->
-                                demands.put(
-                                        model, modelDemand(model, queue, arrivalsPerSecond, now)));
-        Map<UpstreamId, Map<ModelRef, Integer>> running = new TreeMap<>();
-        Set<UpstreamId> suspects = new HashSet<>();
-        for (Upstream upstream : upstreams.all()) {
-            if (!upstream.runningByModel().isEmpty()) {
-                running.put(upstream.facts().id(), new TreeMap<>(upstream.runningByModel()));
-            }
-            if (isSuspect(upstream, now)) {
-                suspects.add(upstream.facts().id());
-            }
-        }
-        return new LoadInput.DemandReported(self, List.copyOf(demands.values()), running, suspects);
-    }
-
-    // A model that only a paused upstream holds is better loaded elsewhere, unless the pause ends
-    // sooner than the load.
-    private static boolean isSuspect(Upstream upstream, Instant now) {
-        boolean pausedForLong = upstream.pause().isPaused(now.plus(LOCAL_LOAD_TIME));
-        return upstream.isEjected(now) || upstream.isLeaving() || pausedForLong;
+        return new DemandSummary(arrivalRates.ratesPerSecond(now), now)
+                .report(self, queuedByModel(), upstreams.all());
     }
 
     private Map<ModelRef, List<PendingRequest>> queuedByModel() {
         Map<ModelRef, List<PendingRequest>> queued = new TreeMap<>();
         for (ServiceQueues service : queues.values()) {
-            service.byKey.forEach(
-                    (key, queue) ->
-                            key.model()
-                                    .filter(any -> !queue.isEmpty())
-                                    .map(
-                                            model ->
-                                                    queued.computeIfAbsent(
-                                                            model, any -> new ArrayList<>()))
-                                    .ifPresent(all -> queue.forEach(all::add)));
+            service.byKey.forEach((key, queue) -> addQueued(key.model(), queue, queued));
         }
         return queued;
     }
 
-    private static LoadInput.ModelDemand modelDemand(
-            ModelRef model,
-            List<PendingRequest> queued,
-            Map<ModelRef, Double> arrivalRates,
-            Instant now) {
-        Instant firstArrival = now;
-        int inTime = 0;
-        int priority = Integer.MAX_VALUE;
-        for (PendingRequest request : queued) {
-            Instant arrivedAt = request.arrivedAt();
-            firstArrival = arrivedAt.isBefore(firstArrival) ? arrivedAt : firstArrival;
-            inTime += now.plus(LOCAL_LOAD_TIME).isBefore(request.onTimeSendDeadline()) ? 1 : 0;
-            priority = Math.min(priority, request.priority());
+    private static void addQueued(
+            Optional<ModelRef> model,
+            WaitingQueue<PendingRequest> queue,
+            Map<ModelRef, List<PendingRequest>> queued) {
+        if (model.isPresent() && !queue.isEmpty()) {
+            List<PendingRequest> all =
+                    queued.computeIfAbsent(model.get(), any -> new ArrayList<>());
+            queue.forEach(all::add);
         }
-        return new LoadInput.ModelDemand(
-                model,
-                queued.size(),
-                Duration.between(firstArrival, now),
-                priority,
-                arrivalRates.getOrDefault(model, 0.0),
-                inTime);
     }
 
     private boolean send(
