--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -104,7 +104,14 @@
      * A model that is to be loaded on this engine once there is room. Until then no other model is
      * loaded here.
      */
-    record PlannedLoad(String model, Instant expiresAt) {}
+    record PlannedLoad(String model, Instant expiresAt) {
+        /** Time after which a planned load that could not start is given up. */
+        private static final Duration LIFETIME = Duration.ofSeconds(3);
+
+        static PlannedLoad from(String model, Instant now) {
+            return new PlannedLoad(model, now.plus(LIFETIME));
+        }
+    }
 
     EngineState(EngineSpec spec, UpstreamFacts facts) {
         this.spec = spec;
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -46,12 +46,6 @@
     /** Time after which an unanswered report request is repeated. */
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
 
-    /** Pause after a conflict, in which the upstream can finish the order that it carries out. */
-    private static final Duration PAUSE_AFTER_CONFLICT = Duration.ofMillis(80);
-
-    /** Pause after an upstream has refused an order. */
-    private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(500);
-
     /**
      * Time between searches for models to load ahead of need. Models that requests wait for are
      * planned at once.
@@ -65,9 +59,6 @@
      */
     private static final int MAX_DEMAND_ROUNDS_PER_TICK = 2;
 
-    /** Time after which a planned load that could not start is given up. */
-    private static final Duration PLANNED_LOAD_LIFETIME = Duration.ofSeconds(3);
-
     private final LoadSettings settings;
     private final DemandAggregator demand = new DemandAggregator();
     private final Map<UpstreamId, EngineState> engines = new TreeMap<>();
@@ -75,6 +66,7 @@
     private final StoreLoadLimiter storeLoadLimiter;
     private final ModelPlacer placer;
     private final AdapterPlanner adapters;
+    private final OrderAnswers orderAnswers;
     private final Map<String, MemoryFragmentation> fragmentationByService = new HashMap<>();
     private final OversubscribedServices oversubscribed = new OversubscribedServices();
     private Map<String, EngineSpec> specs = new HashMap<>();
@@ -92,6 +84,7 @@
         this.storeLoadLimiter = new StoreLoadLimiter(settings.storeRateWindow());
         this.placer = new ModelPlacer(demand, storeLoadLimiter);
         this.adapters = new AdapterPlanner(demand);
+        this.orderAnswers = new OrderAnswers(unansweredOrders, storeLoadLimiter);
     }
 
     @Override
@@ -146,7 +139,7 @@
         } else if (input instanceof LoadInput.DemandReported report) {
             demandReported(report, now);
         } else if (input instanceof LoadInput.OrderAnswered answered) {
-            orderAnswered(answered, now, actions);
+            orderAnswers.apply(answered, find(answered.upstream()), now, actions);
         } else if (input instanceof LoadInput.UpstreamReported reported) {
             upstreamReported(reported, now, actions);
         } else if (input instanceof LoadInput.UnansweredLoadAnnounced announced) {
@@ -307,93 +300,6 @@
                 load.number(), undisturbed, Duration.between(load.sentAt(), now));
     }
 
-    // An order without an answer may be carried out seconds later. The next order need not wait for
-    // that: it names the same number of accepted orders, so the upstream accepts only one of the
-    // two.
-    private void orderAnswered(
-            LoadInput.OrderAnswered answer, Instant now, List<LoadAction> actions) {
-        if (answer.outcome() == OrderOutcome.UNKNOWN) {
-            unansweredOrders
-                    .find(answer.upstream(), answer.number())
-                    .ifPresent(load -> actions.add(new LoadAction.AnnounceUnansweredLoad(load)));
-        } else {
-            unansweredOrders.removeAnswered(answer.upstream(), answer.number());
-        }
-        EngineState engine = engines.get(answer.upstream());
-        EngineState.PendingOrder pending = engine == null ? null : engine.pending();
-        if (pending == null || pending.number() != answer.number()) {
-            return;
-        }
-        switch (answer.outcome()) {
-            case ACCEPTED -> orderAccepted(engine, now, actions);
-            case DONE -> orderDone(engine, now, actions);
-            case CONFLICT -> orderConflicted(engine, now, actions);
-            case UNKNOWN -> {
-                engine.orderFinished();
-                engine.requireReport();
-            }
-            default -> {
-                engine.orderFinished();
-                engine.requireReport();
-                engine.setPlannedLoad(null);
-                engine.pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
-            }
-        }
-    }
-
-    private void orderConflicted(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
-        storeLoadLimiter.loadCanceled(pending.number());
-        engine.orderFinished();
-        engine.pauseUntil(now.plus(PAUSE_AFTER_CONFLICT));
-        if (!engine.hasAssumedLoad()) {
-            engine.requireReport();
-            return;
-        }
-        boolean loadsModel =
-                pending.operation() == OrderOperation.LOAD && !pending.model().hasAdapter();
-        if (loadsModel) {
-            engine.setPlannedLoad(
-                    new EngineState.PlannedLoad(
-                            pending.model().model(), now.plus(PLANNED_LOAD_LIFETIME)));
-        }
-        // The order before this one is probably still carried out.
-        engine.withdrawAssumedLoad();
-        actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
-    }
-
-    private void orderAccepted(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
-        ModelRef model = pending.model();
-        if (pending.operation() == OrderOperation.UNLOAD) {
-            engine.orderAccepted(now);
-            engine.unloaded(model);
-            actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
-            return;
-        }
-        if (model.hasAdapter()) {
-            engine.orderAccepted(now);
-            engine.addLoadingAdapter(model, now.plus(engine.adapterLoadTime(model.model())));
-            engine.orderFinished();
-            return;
-        }
-        Duration loadTime = pending.source().loadTime(engine.spec().models().get(model.model()));
-        engine.orderAccepted(now.plus(loadTime));
-    }
-
-    private void orderDone(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
-        engine.orderFinished();
-        engine.confirmAssumedLoad();
-        if (pending.operation() == OrderOperation.UNLOAD) {
-            engine.setSequence(engine.held().sequence() + 1);
-            engine.unloaded(pending.model());
-        } else {
-            engine.loaded(pending.model(), now);
-        }
-        actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
-    }
-
     private void runRound(Instant now, List<LoadAction> actions) {
         planningRounds++;
         demandChanged = false;
@@ -454,8 +360,7 @@
         FleetView fleet = new FleetView(enginesOf(engine.facts().service()), demand, now);
         String model = placer.bestModelFor(engine, plannedLoad.model(), fleet);
         if (!model.equals(plannedLoad.model())) {
-            engine.setPlannedLoad(
-                    new EngineState.PlannedLoad(model, now.plus(PLANNED_LOAD_LIFETIME)));
+            engine.setPlannedLoad(EngineState.PlannedLoad.from(model, now));
         }
         evictOrLoad(engine, model, fleet, now, actions);
     }
@@ -526,11 +431,7 @@
                         oversubscribed.contains(service),
                         ahead,
                         now)) {
-            placement
-                    .engine()
-                    .setPlannedLoad(
-                            new EngineState.PlannedLoad(
-                                    placement.model(), now.plus(PLANNED_LOAD_LIFETIME)));
+            placement.engine().setPlannedLoad(EngineState.PlannedLoad.from(placement.model(), now));
             evictOrLoad(
                     placement.engine(),
                     placement.model(),
