Ordinary requests do not give way to large bodies

Seen by callers: nothing; found on reading the change once more. With the memory for large bodies full, the request that arrived last gave way even if it was small, which frees nothing.

Fix: only requests of which bytes are counted can give way, in the order of their heads.

Tests: BodyMemoryTest.smallRequestsDoNotGiveWay, red before ([small, large] dropped, for [large]).

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/AnswerBuffer.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/AnswerBuffer.java
@@ -74,7 +74,7 @@
         return size;
     }
 
-    /** Returns true if the body came in so many small parts that no sound upstream sends it. */
+    /** Returns true if the body has far more parts than its size explains. */
     boolean isScattered() {
         return partCount > MANY_PARTS + size / MIN_MEAN_PART_BYTES;
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/http/BodyMemory.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/BodyMemory.java
@@ -1,6 +1,8 @@
 package io.damaskyoke.http;
 
-import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * Counts the bytes of large bodies in memory, over all connections: requests until they are
@@ -16,12 +18,12 @@
 public final class BodyMemory {
     private static final long UNCOUNTED_BYTES = 16 * 1024;
 
-    private static final Runnable NOTHING = () -> {};
+    /** The large requests that still arrive, by the number of each, in the order of their heads. */
+    private final TreeMap<Long, Body> arriving = new TreeMap<>();
 
-    private final ArrayDeque<Body> arriving = new ArrayDeque<>();
     private final long limit;
     private long bytes;
-    private long givenWay;
+    private long lastNumber;
 
     /** Creates a memory for this many bytes. */
     public BodyMemory(long limit) {
@@ -30,11 +32,12 @@
 
     /** One body, which may still grow. */
     public final class Body {
-        private final Runnable giveWay;
+        private final Optional<Runnable> giveWay;
+        private final long number = ++lastNumber;
         private long size;
         private long counted;
 
-        private Body(Runnable giveWay) {
+        private Body(Optional<Runnable> giveWay) {
             this.giveWay = giveWay;
         }
 
@@ -45,6 +48,9 @@
         public boolean add(int received) {
             size += received;
             long more = Math.max(0, size - UNCOUNTED_BYTES) - counted;
+            if (counted == 0 && more > 0 && giveWay.isPresent()) {
+                arriving.put(number, this);
+            }
             if (!makeRoom(more, this)) {
                 return false;
             }
@@ -55,12 +61,12 @@
 
         /** Records that the body is complete, so that it does not give way any more. */
         public void complete() {
-            arriving.remove(this);
+            arriving.remove(number);
         }
 
         /** Records that the body is not in memory any more. */
         public void release() {
-            arriving.remove(this);
+            arriving.remove(number);
             bytes -= counted;
             counted = 0;
         }
@@ -77,25 +83,22 @@
      * @param giveWay drops the request, which releases its body
      */
     Body request(Runnable giveWay) {
-        Body body = new Body(giveWay);
-        arriving.add(body);
-        return body;
+        return new Body(Optional.of(giveWay));
     }
 
     /** Returns the empty body of an answer. */
     public Body answer() {
-        return new Body(NOTHING);
+        return new Body(Optional.empty());
     }
 
     private boolean makeRoom(long more, Body forBody) {
         while (bytes + more > limit) {
-            Body last = arriving.peekLast();
-            if (last == null || last == forBody) {
+            Map.Entry<Long, Body> last = arriving.lastEntry();
+            if (last == null || last.getValue() == forBody) {
                 return false;
             }
-            givenWay++;
-            last.giveWay.run();
-            last.release();
+            last.getValue().giveWay.ifPresent(Runnable::run);
+            last.getValue().release();
         }
         return true;
     }
@@ -104,9 +107,4 @@
     public long bytes() {
         return bytes;
     }
-
-    /** Returns how many arriving requests have given way to other bodies. */
-    public long givenWay() {
-        return givenWay;
-    }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/http/BodyMemoryTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/BodyMemoryTest.java
@@ -25,6 +25,17 @@
         }
     }
 
+    // Guards against an ordinary request that is dropped, which frees nothing, as it came last.
+    @Test
+    void smallRequestsDoNotGiveWay() {
+        BodyMemory.Body large = memory.request(() -> dropped.add("large"));
+        assertTrue(large.add(LARGE));
+        BodyMemory.Body small = memory.request(() -> dropped.add("small"));
+        assertTrue(small.add(1_000));
+        fill();
+        assertEquals(List.of("large"), dropped);
+    }
+
     // Guards against bodies that all stop half-way, so that none is ever complete.
     @Test
     void theLastOfTheArrivingRequestsGivesWay() {
--- a/damaskyoke/src/test/java/io/damaskyoke/http/LargeRequestsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/LargeRequestsTest.java
@@ -14,7 +14,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -29,12 +31,13 @@
     private final HttpLoop loop = HttpLoop.start();
     private final BodyMemory memory = new BodyMemory(LIMIT);
     private final List<Socket> sockets = new ArrayList<>();
+    private final Queue<HttpCall> complete = new ConcurrentLinkedQueue<>();
     private final HttpServer server =
             HttpServer.start(
                     loop,
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                     new HttpLimits(2_000, LIMIT, Duration.ofSeconds(10), WAIT_LIMIT),
-                    LargeRequestsTest::answer);
+                    this::handle);
 
     @BeforeEach
     void limitMemory() {
@@ -63,9 +66,11 @@
         assertTrue(answerTo(send("GET /small HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200"));
         finish(first);
         finish(second);
+        assertTrue(answerTo(third).startsWith("HTTP/1.1 503"));
+        await().atMost(WAIT_LIMIT).until(() -> complete.size() == 2);
+        loop.events().execute(() -> complete.forEach(LargeRequestsTest::answer));
         assertTrue(answerTo(first).startsWith("HTTP/1.1 200"));
         assertTrue(answerTo(second).startsWith("HTTP/1.1 200"));
-        assertTrue(answerTo(third).startsWith("HTTP/1.1 503"));
         await().atMost(WAIT_LIMIT).until(() -> bytes() == 0);
         assertEquals(2, server.refusedForMemoryCount());
     }
@@ -79,6 +84,15 @@
         await().atMost(WAIT_LIMIT).until(() -> bytes() == 0);
     }
 
+    // Large requests stay in memory until the test answers them.
+    private void handle(HttpCall call) {
+        if (call.target().equals("/large")) {
+            complete.add(call);
+        } else {
+            answer(call);
+        }
+    }
+
     private static void answer(HttpCall call) {
         call.answer(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
     }
