Logs and metrics that tell apart why a leaving upstream got requests

The record of the incident has no line on the upstream that got requests after its departure was acknowledged. It can't tell a change that this router never received from an entry that it could not read or a removal that it took for a lapse. Now the lines on an upstream carry the revision and the longest possible age of the change, an entry of a known upstream that becomes unreadable is logged, a request that is sent to an upstream known to leave is logged, and the line of counters shows the ages of the views and of the last full reads. No decision is changed.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -104,6 +104,19 @@
         return found;
     }
 
+    /** Returns what is known of an upstream's departure; empty if it is listed and stays. */
+    public Optional<UpstreamDeparture> departureOf(UpstreamId id) {
+        Upstream listed = byId.get(id);
+        if (listed == null) {
+            return Optional.ofNullable(removedAt.get(id))
+                    .map(at -> new UpstreamDeparture(id, at, true));
+        }
+        UpstreamFacts facts = listed.facts();
+        return facts.draining()
+                ? Optional.of(new UpstreamDeparture(id, facts.revision(), false))
+                : Optional.empty();
+    }
+
     /** Sets the limits for cold upstreams, by service. */
     public void setColdLimits(Map<String, ColdLimit> given) {
         coldLimits = Map.copyOf(given);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StatusPages.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StatusPages.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -14,6 +15,10 @@
 final class StatusPages {
     private static final Logger LOG = LogManager.getLogger(StatusPages.class);
 
+    /** Gauges that the line of counters shows too: they tell what this router could know. */
+    private static final Set<String> LOGGED_GAUGES =
+            Set.of("store_view_age_ms", "store_full_read_age_ms", "store_entries_unreadable");
+
     private final Metrics metrics;
     private final BooleanSupplier isReady;
 
@@ -41,6 +46,11 @@
                                         .append(name)
                                         .append('=')
                                         .append(counter.getCount()));
+        metrics.registry()
+                .getGauges((name, gauge) -> LOGGED_GAUGES.contains(name.split("\\{", 2)[0]))
+                .forEach(
+                        (name, gauge) ->
+                                line.append(' ').append(name).append('=').append(gauge.getValue()));
         LOG.info("counters{}", line);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamAttempt.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.direct.RouteKind;
 import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamDeparture;
 import io.damaskyoke.direct.crashes.IncompleteRunCause;
 import io.damaskyoke.http.ClientCall;
 import io.damaskyoke.http.ClientRequest;
@@ -143,6 +144,7 @@
             return false;
         }
         sent = true;
+        inFlight.dispatcher().departureOf(upstream).ifPresent(this::logSentToLeaving);
         sentTo = SentTo.of(upstream, now);
         upstream.requestSent(now);
         headers.set(
@@ -153,6 +155,18 @@
         return true;
     }
 
+    private void logSentToLeaving(UpstreamDeparture departure) {
+        LOG.warn(
+                "request={} is sent to upstream={} although it {}: known at revision {}, assigned"
+                        + " {} ms ago by the entry of revision {}",
+                forwarded.request().attemptId(),
+                departure.upstream(),
+                departure.removed() ? "was removed" : "drains",
+                departure.revision(),
+                Duration.between(sentAt, inFlight.now()).toMillis(),
+                upstream.facts().revision());
+    }
+
     private void abandon() {
         upstream.requestUndecided();
         finish();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamDispatcher.java
@@ -6,6 +6,7 @@
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.Upstream;
+import io.damaskyoke.control.upstreams.UpstreamDeparture;
 import io.damaskyoke.control.upstreams.UpstreamSelector;
 import io.damaskyoke.control.upstreams.UpstreamTable;
 import io.damaskyoke.control.waiting.Turn;
@@ -123,6 +124,11 @@
         this.engineSelector = new UpstreamSelector(zone, ENGINE_REQUESTS_PER_SLOT, share);
     }
 
+    /** Returns what this router knows of the upstream's departure; empty if it stays. */
+    Optional<UpstreamDeparture> departureOf(Upstream upstream) {
+        return upstreams.departureOf(upstream.facts().id());
+    }
+
     /** Sets the action that runs when a request is queued for a model that no upstream holds. */
     void onModelUnavailable(Runnable action) {
         modelUnavailable = action;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -194,6 +194,7 @@
                         entry.key(),
                         () -> dialect.upstream(entry.key(), entry.value(), entry.modRevision()));
         if (facts.isEmpty()) {
+            logUnreadable(entry);
             return;
         }
         awaitedReturns.remove(facts.get().id());
@@ -204,16 +205,36 @@
         boolean changed = before.isEmpty() || before.get().draining() != facts.get().draining();
         if (changed) {
             LOG.info(
-                    "upstream {} at {} service={} draining={} holds={}",
+                    "upstream {} at {} service={} draining={} holds={} revision={}"
+                            + " known_within_ms={}",
                     facts.get().id(),
                     facts.get().endpoint(),
                     facts.get().service(),
                     facts.get().draining(),
-                    facts.get().held().adapters().keySet());
+                    facts.get().held().adapters().keySet(),
+                    facts.get().revision(),
+                    maxChangeAge());
         }
         listener.upstreamListed(facts.get());
     }
 
+    private void logUnreadable(Entry entry) {
+        id(entry.key())
+                .flatMap(table::find)
+                .ifPresent(
+                        known ->
+                                LOG.warn(
+                                        "the entry of upstream {} can't be read any more,"
+                                                + " revision={} last_readable_revision={}",
+                                        known.facts().id(),
+                                        entry.modRevision(),
+                                        known.facts().revision()));
+    }
+
+    private long maxChangeAge() {
+        return follower.maxChangeAge().map(Duration::toMillis).orElse(-1L);
+    }
+
     private void remove(UpstreamId id, long revision, boolean afterOutage) {
         if (afterOutage) {
             awaitReturn(id, revision);
@@ -265,7 +286,11 @@
     private void removeNow(UpstreamId id, long revision) {
         Optional<UpstreamFacts> last = table.find(id).map(known -> known.facts());
         if (table.remove(id, revision)) {
-            LOG.info("upstream {} is removed, revision {}", id, revision);
+            LOG.info(
+                    "upstream {} is removed, revision={} known_within_ms={}",
+                    id,
+                    revision,
+                    maxChangeAge());
             listener.upstreamRemoved(last.orElseThrow());
         }
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -80,6 +80,7 @@
     private boolean silent;
     private boolean fromRelay;
     private boolean lastFromFullRead;
+    private Instant fullReadAt = Instant.MIN;
 
     Follower(FollowerBuilder from, ChangeListener listener) {
         this.name = from.name;
@@ -104,6 +105,7 @@
     /** Starts following and returns this follower. */
     public Follower start() {
         metrics.gauge("store_view_age_ms", "of", name, this::ageMillis);
+        metrics.gauge("store_full_read_age_ms", "of", name, this::fullReadAgeMillis);
         read();
         control.every(CHECK_PERIOD, this::checkCalls);
         return this;
@@ -216,6 +218,30 @@
         return age().map(Duration::toMillis).orElse(-1L);
     }
 
+    private long fullReadAgeMillis() {
+        boolean never = fullReadAt.equals(Instant.MIN);
+        return never ? -1 : Duration.between(fullReadAt, now()).toMillis();
+    }
+
+    /**
+     * Returns the longest time that can have passed since the store acknowledged the changes that a
+     * listener is receiving just now; empty if that is not known.
+     */
+    public Optional<Duration> maxChangeAge() {
+        Instant earliest = earliestChangeTime();
+        return earliest.equals(Instant.MIN)
+                ? Optional.empty()
+                : Optional.of(Duration.between(earliest, now()));
+    }
+
+    private void recordChangeAge() {
+        maxChangeAge()
+                .ifPresent(
+                        age ->
+                                metrics.histogram("store_change_age_ms", "of", name)
+                                        .update(age.toMillis()));
+    }
+
     private void read() {
         StoreCall call = begin(new StoreCall(now(), Duration.ZERO, this::read));
         store.list(prefix)
@@ -248,6 +274,7 @@
         history.startAt(found.revision());
         Instant answered = call.latestAnswerTime(now());
         Duration silence = confirm(call, call.sentAt(), answered, found.revision(), Source.READING);
+        fullReadAt = call.sentAt();
         lastFromFullRead = true;
         listener.entriesRead(found.entries(), found.revision(), silence);
         ask(timing.maxWait());
@@ -333,6 +360,7 @@
         if (!unseen.isEmpty()) {
             history.add(unseen);
             lastFromFullRead = false;
+            recordChangeAge();
             listener.entriesChanged(unseen, unseen.get(unseen.size() - 1).revision(), silence);
         }
         answerPolls();
--- a/damaskyoke/src/main/java/io/damaskyoke/metrics/Metrics.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/metrics/Metrics.java
@@ -40,6 +40,11 @@
         return registry.histogram(name);
     }
 
+    /** A histogram that has a label. */
+    public Histogram histogram(String name, String label, String value) {
+        return registry.histogram(labelled(name, label, value));
+    }
+
     /** A value that is read when somebody asks. */
     public void gauge(String name, Supplier<? extends Number> value) {
         registry.gauge(name, () -> (Gauge<Number>) value::get);
