--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
@@ -25,6 +25,7 @@
     private long revision = 1;
     private long compactedRevision = 1;
     private boolean withholds;
+    private boolean claimsNothingWithheld;
     private long withheldSince;
 
     private record WaitingCall(String prefix, long after, CompletableFuture<Changes> answer) {}
@@ -59,9 +60,24 @@
         withholds = true;
     }
 
+    /**
+     * Withholds new changes from watch calls, which are answered all the same that nothing has
+     * changed up to the newest revision.
+     */
+    void hideChanges() {
+        withholdChanges();
+        claimsNothingWithheld = true;
+    }
+
+    /** Returns hidden changes to the watch calls that ask from a revision before them. */
+    void stopHidingChanges() {
+        withholds = false;
+        claimsNothingWithheld = false;
+    }
+
     /** Compacts the whole history, and fails the watch calls that wait. */
     void dropHistory() {
-        withholds = false;
+        stopHidingChanges();
         compactedRevision = revision;
         history.clear();
         failWaitingCalls();
@@ -97,7 +113,8 @@
 
     private void expire(WaitingCall call) {
         if (waitingCalls.remove(call)) {
-            call.answer.complete(new Changes(List.of(), visibleRevision()));
+            long upTo = claimsNothingWithheld ? revision : visibleRevision();
+            call.answer.complete(new Changes(List.of(), upTo));
         }
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StoreTroubles.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreTroubles.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Consumer;
 
 /**
  * Plays about a minute of random faults between routers and the store, reproducible by a seed, with
@@ -25,12 +26,15 @@
     private final StoreWorld world;
     private final Random random;
     private final Random drainRandom;
+    private final Random entryRandom;
     private boolean playsDrains;
+    private boolean playsLostChanges;
 
     StoreTroubles(StoreWorld world, long seed) {
         this.world = world;
         this.random = new Random(seed);
         this.drainRandom = new Random(~seed);
+        this.entryRandom = new Random(31 * seed);
     }
 
     /** Makes operators also drain and restore zones. */
@@ -39,6 +43,12 @@
         return this;
     }
 
+    /** Makes the store hide changes, and entries become unreadable for a while. */
+    StoreTroubles withLostChanges() {
+        playsLostChanges = true;
+        return this;
+    }
+
     void play() {
         for (int each = 0; each < FAULTS; each++) {
             Duration length = millis(MIN_FAULT_MILLIS, maxFaultMillis());
@@ -47,6 +57,10 @@
             if (playsDrains) {
                 scheduleDrains(length);
             }
+            if (playsLostChanges) {
+                scheduleHiddenDeparture(length);
+                scheduleUnreadableEntry(length);
+            }
             // The next fault often begins before all is settled again.
             world.advance(length.plusMillis(random.nextInt(5_000)));
         }
@@ -115,6 +129,54 @@
         }
     }
 
+    private void scheduleHiddenDeparture(Duration fault) {
+        Duration from = fault.plusMillis(entryRandom.nextInt(3_000));
+        Duration length = Duration.ofMillis(300 + entryRandom.nextInt(2_200));
+        Consumer<SimulatedStore> end = endOfHiding();
+        world.after(from, () -> world.hideChanges(length, end));
+        Duration at = from.plusMillis(entryRandom.nextInt((int) length.toMillis()));
+        boolean drains = entryRandom.nextBoolean();
+        int which = entryRandom.nextInt(1_000);
+        world.after(at, () -> depart(which, drains));
+    }
+
+    private Consumer<SimulatedStore> endOfHiding() {
+        return switch (entryRandom.nextInt(3)) {
+            case 0 -> SimulatedStore::dropHistory;
+            case 1 -> SimulatedStore::stopHidingChanges;
+            default ->
+                    store -> {
+                        store.stopHidingChanges();
+                        store.failWaitingCalls();
+                    };
+        };
+    }
+
+    private void depart(int which, boolean drains) {
+        List<String> alive = world.liveUpstreams();
+        if (alive.size() <= MIN_UPSTREAMS) {
+            world.addUpstream();
+        } else if (drains) {
+            world.drainUpstream(alive.get(which % alive.size()));
+        } else {
+            world.removeUpstream(alive.get(which % alive.size()));
+        }
+    }
+
+    private void scheduleUnreadableEntry(Duration fault) {
+        Duration at = fault.plusMillis(entryRandom.nextInt(4_000));
+        Duration length = Duration.ofMillis(200 + entryRandom.nextInt(6_000));
+        int which = entryRandom.nextInt(1_000);
+        world.after(
+                at,
+                () -> {
+                    List<String> alive = world.liveUpstreams();
+                    if (!alive.isEmpty()) {
+                        world.spoilEntry(alive.get(which % alive.size()), length);
+                    }
+                });
+    }
+
     private void change() {
         List<String> alive = world.liveUpstreams();
         switch (random.nextInt(6)) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /**
@@ -258,6 +259,46 @@
                 });
     }
 
+    /**
+     * Hides changes from watch calls, which are told that nothing has changed up to a revision past
+     * them, and then ends that in the given way.
+     */
+    void hideChanges(Duration length, Consumer<SimulatedStore> end) {
+        log("changes are hidden for " + length.toMillis());
+        store.hideChanges();
+        world.after(
+                length,
+                () -> {
+                    end.accept(store);
+                    log("changes are no longer hidden");
+                    routers.forEach(FollowingRouter::recordRecovery);
+                });
+    }
+
+    /**
+     * Replaces the entry of an upstream with one that can't be read; the upstream writes it again
+     * later.
+     */
+    void spoilEntry(String id, Duration untilWrittenAgain) {
+        liveUpstreams.remove(id);
+        write(
+                () -> {
+                    store.put("up/" + id, bytes("junk"));
+                    drainedAt.put(id, world.clock().instant());
+                    log(id + " can't be read");
+                });
+        world.after(untilWrittenAgain, () -> write(() -> restoreEntry(id)));
+    }
+
+    private void restoreEntry(String id) {
+        store.put("up/" + id, bytes("ready"));
+        drainedAt.remove(id);
+        joinedAt.put(id, world.clock().instant());
+        usedUpstreams.values().forEach(known -> known.remove(id));
+        liveUpstreams.add(id);
+        log(id + " can be read again");
+    }
+
     private void write(Runnable step) {
         if (openOutages > 0) {
             postponed.add(step);
