A change that the store's answers left out is received from a later one

Callers saw their requests run at an upstream that had said seconds before that it leaves: every router kept it, for as long as its entry did not change again.

Cause: Follower went on from the store's revision in each answer, also in one that says that nothing has changed. A store that is about to drop its history answers so although something has (it delivers nothing for a while, then cuts its watches). The next call asked from a revision past the change, which is in the history or not, but is never asked for again, and is not gone (410) either.

Ruled out: the wait of the call and its retry, which StorePromisesTest plays, as there the answers' revision stayed behind the change.

Now the position from which changes are asked for moves with what was received: to the last change, to a full read, and to the revision of an empty answer only once an empty answer sent five seconds later has confirmed it. A change that was left out is in the next answer; if the history was dropped meanwhile, the position is gone with it, and all is read again. No call is added.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -67,6 +67,7 @@
     private final Metrics metrics;
     private final ChangeListener listener;
     private final StoreView view = new StoreView();
+    private final ChangePosition position = new ChangePosition();
     private final Set<StoreCall> open = new HashSet<>();
     private final ViewWaiters waiters;
     private final StepTimer timer;
@@ -272,6 +273,7 @@
         failing = false;
         fromRelay = false;
         history.startAt(found.revision());
+        position.receivedUpTo(found.revision());
         Instant answered = call.latestAnswerTime(now());
         Duration silence = confirm(call, call.sentAt(), answered, found.revision(), Source.READING);
         fullReadAt = call.sentAt();
@@ -295,8 +297,8 @@
     private void send(StoreCall call) {
         CompletionStage<Changes> answer =
                 call.relayed()
-                        ? relay.changes(prefix, view.revision(), call.maxWait())
-                        : store.changes(prefix, view.revision(), call.maxWait());
+                        ? relay.changes(prefix, position.revision(), call.maxWait())
+                        : store.changes(prefix, position.revision(), call.maxWait());
         answer.whenComplete(
                 (changes, failure) -> control.run(() -> answered(call, changes, failure)));
     }
@@ -349,7 +351,7 @@
         }
         List<Change> unseen =
                 changes.changes().stream()
-                        .filter(change -> change.revision() > view.revision())
+                        .filter(change -> change.revision() > position.revision())
                         .toList();
         fromRelay = call.relayed();
         Duration age = changes.age();
@@ -357,7 +359,10 @@
         Instant answered = call.latestAnswerTime(now()).minus(age);
         Duration silence =
                 confirm(call, completeUpTo, answered, changes.revision(), Source.CHANGES);
-        if (!unseen.isEmpty()) {
+        if (unseen.isEmpty()) {
+            position.unchangedUpTo(changes.revision(), call.sentAt().minus(age), now());
+        } else {
+            position.receivedUpTo(unseen.get(unseen.size() - 1).revision());
             history.add(unseen);
             lastFromFullRead = false;
             recordChangeAge();
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -9,6 +9,7 @@
 import io.damaskyoke.platform.KeyValueStore.Listing;
 import io.damaskyoke.platform.PlatformException;
 import io.damaskyoke.platform.PlatformException.Code;
+import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -114,6 +115,29 @@
         assertEquals(List.of(5L, 7L), received);
     }
 
+    // Guards against a change that is lost for good, as the store answered that nothing had changed
+    // up to a revision past it.
+    @Test
+    void aChangeThatAnEarlierAnswerLeftOutIsReceived() {
+        read(5);
+        pass(TIMING.maxWait());
+        store.polls.get(0).complete(ManualStore.unchanged(8));
+        store.polls.get(1).complete(new Changes(ManualStore.set(7).changes(), 8));
+        assertEquals(List.of(5L, 7L), received);
+    }
+
+    // Guards against a position that stays behind the history which an idle store keeps.
+    @Test
+    void thePositionMovesOnOnceLaterAnswersHaveConfirmedIt() {
+        read(5);
+        for (int each = 0; each < 8; each++) {
+            pass(TIMING.maxWait());
+            store.polls.get(each).complete(ManualStore.unchanged(10 + each));
+        }
+        assertEquals(5L, store.polledAfter.get(5));
+        assertEquals(10L, store.polledAfter.get(8));
+    }
+
     @Test
     void allEntriesAreReadAgainAfterACompaction() {
         read(5);
