An entry that can't be read closes the upstream that it named

What callers see: an upstream whose entry becomes unreadable, be it a field that is missing or of another type, a state that isn't named, or no JSON, stayed open at all routers for as long as the entry did not change again, also if it said that it drains. Their requests ran there after it had said that it leaves.

Cause: UpstreamFollower.put returned early for such an entry and left the upstream as it was.

Now the upstream that is known under that key drains as of the entry's revision: requests that wait or are about to be sent go elsewhere, those that run go on, other routers are told, and the next readable entry opens it again. Its state is the only field that a drained entry needs. An entry under a key that names no known upstream is skipped as before.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -194,7 +194,7 @@
                         entry.key(),
                         () -> dialect.upstream(entry.key(), entry.value(), entry.modRevision()));
         if (facts.isEmpty()) {
-            logUnreadable(entry);
+            id(entry.key()).flatMap(table::find).ifPresent(known -> close(known.facts(), entry));
             return;
         }
         awaitedReturns.remove(facts.get().id());
@@ -218,17 +218,25 @@
         listener.upstreamListed(facts.get());
     }
 
-    private void logUnreadable(Entry entry) {
-        id(entry.key())
-                .flatMap(table::find)
-                .ifPresent(
-                        known ->
-                                LOG.warn(
-                                        "the entry of upstream {} can't be read any more,"
-                                                + " revision={} last_readable_revision={}",
-                                        known.facts().id(),
-                                        entry.modRevision(),
-                                        known.facts().revision()));
+    // An entry that can't be read names no upstream that may be used, and may be the departure of
+    // one. Whoever wrote it, the upstream itself writes a readable one while it stays.
+    private void close(UpstreamFacts known, Entry unreadableEntry) {
+        long revision = unreadableEntry.modRevision();
+        if (revision <= known.revision()) {
+            return;
+        }
+        UpstreamFacts closed = known.drainingSince(revision);
+        if (!table.put(closed, control.clock().instant())) {
+            return;
+        }
+        LOG.warn(
+                "the entry of upstream {} can't be read any more, so it gets no requests until it"
+                        + " can: revision={} last_readable_revision={} known_within_ms={}",
+                known.id(),
+                revision,
+                known.revision(),
+                maxChangeAge());
+        listener.upstreamListed(closed);
     }
 
     private long maxChangeAge() {
