An upstream that was removed is closed to requests that were assigned to it

A request holds the upstream to which it was assigned while its connection is opened. The check before its bytes are written asked that object, and one that the list has lost still said that it may be sent to; one that was listed again is another object, so that the old one never learned that it drains. Callers' requests could run at an upstream whose departure this router knew, for as long as a connection takes to open.

Now a removal closes the object itself, and such a request is assigned anew.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/Upstream.java
@@ -47,6 +47,7 @@
     private double averageMillis;
     private Instant fullUntil = Instant.MIN;
     private long tokenMemory;
+    private boolean removed;
 
     Upstream(UpstreamFacts facts, DrainedZones zones, UpstreamGates gates, Instant now) {
         this.zones = zones;
@@ -91,9 +92,17 @@
         return !isLeaving() && !isZoneClosed(now);
     }
 
-    /** Returns true if it drains by its entry, or has said in an answer that it leaves. */
+    /**
+     * Returns true if it drains by its entry, was removed from the list, or has said in an answer
+     * that it leaves.
+     */
     public boolean isLeaving() {
-        return facts.draining() || gates.departure().isLeaving();
+        return facts.draining() || removed || gates.departure().isLeaving();
+    }
+
+    /** Closes it to the requests that were assigned to it while it was listed. */
+    void markRemoved() {
+        removed = true;
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/UpstreamTable.java
@@ -81,6 +81,7 @@
             return false;
         }
         removedAt.put(id, at);
+        known.markRemoved();
         byId.remove(id);
         index();
         return true;
