Each follower compares its view with the store's entries from time to time

What a router follows it was told by changes only, each of them once. A change that is in no answer stayed unknown to it, at the worst for good: an upstream that left went on getting requests, a version of the configuration was not in force.

Now a follower remembers the revision of each key, and asks for a listing that may be some seconds old each ten seconds, or less often for a large list, and a second after a call that failed. Once its answers have reached the listing's revision it knows all of it, or has missed something: it counts that, logs it, and reads everything anew by the way that it takes after a compaction. Behind relays this is twelve times as rare, so that calls to the store hardly grow.

The price is a tenth of a call each ten seconds for each of three followers of a router, beside some two calls a second. A current read each second instead would notice within the bound, and cost half as many calls again.

Evidence: LostDeparturesTest.aDepartureThatNoAnswerTellsIsFoundByAComparison, red without the comparison; FollowerTest: a listing that is older or newer than the view causes no full read.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -68,6 +68,8 @@
     private final ChangeListener listener;
     private final StoreView view = new StoreView();
     private final ChangePosition position = new ChangePosition();
+    private final KnownKeys keys = new KnownKeys();
+    private final ViewComparison comparison = new ViewComparison();
     private final Set<StoreCall> open = new HashSet<>();
     private final ViewWaiters waiters;
     private final StepTimer timer;
@@ -274,6 +276,8 @@
         fromRelay = false;
         history.startAt(found.revision());
         position.receivedUpTo(found.revision());
+        keys.replaceBy(found);
+        comparison.fullyRead(found.entries().size(), now());
         Instant answered = call.latestAnswerTime(now());
         Duration silence = confirm(call, call.sentAt(), answered, found.revision(), Source.READING);
         fullReadAt = call.sentAt();
@@ -317,6 +321,41 @@
         } else if (!now().isBefore(newest.overdueAt()) && open.size() < MAX_OPEN_CALLS) {
             retryOverdue();
         }
+        compareIfDue();
+    }
+
+    private void compareIfDue() {
+        if (!hasReadOnce() || reading || age().orElseThrow().compareTo(longestAge()) > 0) {
+            return;
+        }
+        comparison.takeReached(view.revision()).ifPresent(this::compare);
+        boolean relayed = fromRelay || relay.available();
+        if (comparison.isDue(relayed, now())) {
+            comparison.started(now());
+            store.listPossiblyStale(prefix)
+                    .thenAccept(found -> control.run(() -> comparison.received(found)));
+        }
+    }
+
+    private Duration longestAge() {
+        return fromRelay ? relayedBound() : timing.stalenessBound();
+    }
+
+    private void compare(Listing found) {
+        List<Change> missed = keys.missingFrom(found);
+        keys.forgetRemoved(found.revision());
+        if (missed.isEmpty()) {
+            return;
+        }
+        metrics.count("store_changes_missed", "of", name, missed.size());
+        LOG.warn(
+                "{} changes of {} up to revision {} were not received, one of them of {}; reading"
+                        + " all of it again",
+                missed.size(),
+                name,
+                found.revision(),
+                missed.get(0).key());
+        reload();
     }
 
     // A call that is under way when the store becomes unavailable may never be answered, not even
@@ -363,6 +402,7 @@
             position.unchangedUpTo(changes.revision(), call.sentAt().minus(age), now());
         } else {
             position.receivedUpTo(unseen.get(unseen.size() - 1).revision());
+            keys.apply(unseen);
             history.add(unseen);
             lastFromFullRead = false;
             recordChangeAge();
@@ -392,11 +432,13 @@
         }
     }
 
-    // A relay's answer is as old as the relay's own view, plus the duration of the call to it.
     private Duration bound(StoreCall call) {
-        return call.relayed()
-                ? timing.stalenessBound().plus(timing.atRelay().stalenessBound())
-                : timing.stalenessBound();
+        return call.relayed() ? relayedBound() : timing.stalenessBound();
+    }
+
+    // A relay's answer is as old as the relay's own view, plus the duration of the call to it.
+    private Duration relayedBound() {
+        return timing.stalenessBound().plus(timing.atRelay().stalenessBound());
     }
 
     private void failed(StoreCall call, Throwable failure) {
@@ -414,6 +456,7 @@
             return;
         }
         metrics.count("store_asks_failed", "of", name);
+        comparison.callFailed(now());
         if (call == newest) {
             reportSilence(call, failure.getMessage());
             timer.schedule(RETRY, () -> ask(Duration.ZERO));
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
@@ -13,6 +13,14 @@
      */
     CompletionStage<Changes> changes(String prefix, long after, Duration wait);
 
+    /**
+     * All entries whose key starts with the prefix, as of a revision that may be some seconds old.
+     * This may cost the store less than {@link #list}.
+     */
+    default CompletionStage<Listing> listPossiblyStale(String prefix) {
+        return list(prefix);
+    }
+
     /**
      * Changes in order of revision, and the store's revision up to which there were no others.
      *
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LostDeparturesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LostDeparturesTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Departures of upstreams that no watch call delivers, or whose entry can't be read. */
 class LostDeparturesTest {
@@ -20,6 +21,12 @@
     private static final int PHASE_COUNT = 10;
     private static final Duration HIDDEN = Duration.ofSeconds(1);
 
+    /** Twice the time between comparisons, and the age of a listing. */
+    private static final Duration COMPARED = Duration.ofSeconds(24);
+
+    /** The same behind relays, where comparisons are rarer. */
+    private static final Duration COMPARED_BEHIND_RELAYS = Duration.ofSeconds(244);
+
     /** How the store ends a time in which it hid changes. */
     private enum EndOfHiding {
         HISTORY_DROPPED(SimulatedStore::dropHistory),
@@ -68,6 +75,22 @@
         assertEquals(List.of(), world.violations());
     }
 
+    // Guards against a change that no answer ever tells, at routers that ask the store and at those
+    // behind them.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3})
+    void aDepartureThatNoAnswerTellsIsFoundByAComparison(int behind) {
+        StoreWorld world = new StoreWorld(StorePollTimings.CONFIGURATION, 2, behind);
+        Duration compared = behind == 0 ? COMPARED : COMPARED_BEHIND_RELAYS;
+        String lost = world.liveUpstreams().get(0);
+        world.loseNextChange();
+        world.drainUpstream(lost);
+        world.changeConfiguration();
+        world.addUpstream();
+        world.advance(compared);
+        assertEquals(List.of(), world.routers().stream().filter(each -> each.uses(lost)).toList());
+    }
+
     // Guards against a departure that any mix of faults, hidden changes and unreadable entries
     // keeps from a router.
     @Test
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStore.java
@@ -3,11 +3,15 @@
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Entry;
+import io.damaskyoke.platform.KeyValueStore.Listing;
 import io.damaskyoke.platform.PlatformException;
 import io.damaskyoke.platform.PlatformException.Code;
 import io.damaskyoke.platform.PolledStore.Changes;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -18,6 +22,9 @@
  * that wait. Routers reach it over a {@link SimulatedStorePath}, which is the part that fails.
  */
 final class SimulatedStore {
+    /** How old a listing may be that needs not be current. */
+    private static final Duration STALENESS = Duration.ofSeconds(3);
+
     private final ControlThread control;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
@@ -26,8 +33,13 @@
     private long compactedRevision = 1;
     private boolean withholds;
     private boolean claimsNothingWithheld;
+    private boolean losesNextChange;
+    private final ArrayDeque<Snapshot> snapshots = new ArrayDeque<>();
     private long withheldSince;
 
+    /** All entries as of a time. */
+    private record Snapshot(Instant at, Listing entries) {}
+
     private record WaitingCall(String prefix, long after, CompletableFuture<Changes> answer) {}
 
     SimulatedStore(ControlThread control) {
@@ -94,6 +106,29 @@
         return entries.values().stream().filter(each -> each.key().startsWith(prefix)).toList();
     }
 
+    /** Tells the next change in no answer to a watch call. */
+    void loseNextChange() {
+        losesNextChange = true;
+    }
+
+    /** Returns the entries as they were some seconds ago. */
+    Listing staleList(String prefix) {
+        Instant asOf = control.clock().instant().minus(STALENESS);
+        while (snapshots.size() > 1 && !second(snapshots).at().isAfter(asOf)) {
+            snapshots.removeFirst();
+        }
+        Listing found = snapshots.getFirst().entries();
+        return new Listing(
+                found.entries().stream().filter(each -> each.key().startsWith(prefix)).toList(),
+                found.revision());
+    }
+
+    private static Snapshot second(ArrayDeque<Snapshot> snapshots) {
+        Iterator<Snapshot> each = snapshots.iterator();
+        each.next();
+        return each.next();
+    }
+
     long revision() {
         return revision;
     }
@@ -132,6 +167,12 @@
     }
 
     private void publish(Change change) {
+        Listing now = new Listing(List.copyOf(entries.values()), revision);
+        snapshots.add(new Snapshot(control.clock().instant(), now));
+        if (losesNextChange) {
+            losesNextChange = false;
+            return;
+        }
         history.add(change);
         waitingCalls.removeIf(this::tryAnswer);
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStorePath.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedStorePath.java
@@ -82,6 +82,12 @@
                                 new Listing(store.list(prefix), store.revision())));
     }
 
+    @Override
+    public CompletionStage<Listing> listPossiblyStale(String prefix) {
+        return call(
+                Duration.ZERO, () -> CompletableFuture.completedFuture(store.staleList(prefix)));
+    }
+
     @Override
     public CompletionStage<Changes> changes(String prefix, long after, Duration wait) {
         return call(wait, () -> store.changes(prefix, after, wait));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/StoreWorld.java
@@ -276,6 +276,12 @@
                 });
     }
 
+    /** Tells the next change in no answer to a watch call. */
+    void loseNextChange() {
+        log("the next change is lost");
+        store.loseNextChange();
+    }
+
     /**
      * Replaces the entry of an upstream with one that can't be read; the upstream writes it again
      * later.
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
 class FollowerTest {
@@ -138,6 +139,40 @@
         assertEquals(10L, store.polledAfter.get(8));
     }
 
+    // Guards against a change that no answer tells, and that would be unknown for good.
+    @Test
+    void aChangeThatNoAnswerTellsIsFoundByAComparison() {
+        read(5);
+        passUntilListed(9);
+        store.fullReads.get(1).complete(new Listing(List.of(ManualStore.entry("k", 7)), 8));
+        passUnchanged(Duration.ofSeconds(1), 9);
+        store.fullReads.get(2).complete(new Listing(List.of(ManualStore.entry("k", 7)), 9));
+        assertEquals(List.of(5L, 9L), received);
+    }
+
+    // Guards against full reads that listings cause which are older than the view.
+    @Test
+    void aListingThatIsOlderThanTheViewIsNoReasonForAFullRead() {
+        read(5);
+        store.polls.get(0).complete(ManualStore.set(7));
+        passUntilListed(9);
+        store.fullReads.get(1).complete(listing(5));
+        passUnchanged(Duration.ofSeconds(1), 9);
+        assertEquals(2, store.fullReads.size());
+    }
+
+    // Guards against full reads for changes that are still on their way in an answer.
+    @Test
+    void aListingThatIsNewerThanTheViewIsNoReasonForAFullRead() {
+        read(5);
+        passUntilListed(9);
+        store.fullReads.get(1).complete(listing(20));
+        pass(Duration.ofMillis(200));
+        newestPoll().complete(ManualStore.set(20));
+        passUnchanged(Duration.ofSeconds(1), 20);
+        assertEquals(2, store.fullReads.size());
+    }
+
     @Test
     void allEntriesAreReadAgainAfterACompaction() {
         read(5);
@@ -214,6 +249,27 @@
         store.fullReads.get(0).complete(listing(revision));
     }
 
+    // Lets time pass, in which the store answers that nothing has changed.
+    private void passUnchanged(Duration duration, long revision) {
+        Instant end = now().plus(duration);
+        while (now().isBefore(end)) {
+            pass(Duration.ofMillis(200));
+            newestPoll().complete(ManualStore.unchanged(revision));
+        }
+    }
+
+    private void passUntilListed(long revision) {
+        Instant latest = now().plus(ViewComparison.MIN_INTERVAL.multipliedBy(2));
+        int before = store.fullReads.size();
+        while (store.fullReads.size() == before && now().isBefore(latest)) {
+            passUnchanged(Duration.ofMillis(200), revision);
+        }
+    }
+
+    private CompletableFuture<Changes> newestPoll() {
+        return store.polls.get(store.polls.size() - 1);
+    }
+
     private static Listing listing(long revision) {
         return new Listing(List.of(ManualStore.entry("k", revision)), revision);
     }
