A change that a listener can't process hides none of the others

A listener that threw on one change of an answer lost the rest of that answer for good: the view had taken the answer's revision before, and no later answer brings the changes again. Callers could see all that a lost change brings, a departure among them. By reading; no listener is known to throw.

Now the listener receives such changes again one by one, the failure is logged and counted, and the follower goes on. FollowerTest. aListenerThatThrowsReceivesTheOtherChangesOfTheAnswer: red before (the change beside the bad one was missing), green after.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -65,7 +65,7 @@
     private final PollTiming timing;
     private final ControlThread control;
     private final Metrics metrics;
-    private final ChangeListener listener;
+    private final GuardedListener listener;
     private final StoreView view = new StoreView();
     private final ChangePosition position = new ChangePosition();
     private final KnownKeys keys = new KnownKeys();
@@ -95,7 +95,8 @@
         this.metrics =
                 Objects.requireNonNull(from.metrics, "a follower needs metrics: counting(...)");
         this.relay = from.relay;
-        this.listener = Objects.requireNonNull(listener, "a follower needs a listener: build(...)");
+        Objects.requireNonNull(listener, "a follower needs a listener: build(...)");
+        this.listener = new GuardedListener(name, listener, metrics);
         this.waiters = new ViewWaiters(control);
         this.timer = new StepTimer(control);
     }
@@ -274,6 +275,7 @@
         reading = false;
         failing = false;
         fromRelay = false;
+        List<Change> differences = keys.missingFrom(found);
         history.startAt(found.revision());
         position.receivedUpTo(found.revision());
         keys.replaceBy(found);
@@ -282,7 +284,7 @@
         Duration silence = confirm(call, call.sentAt(), answered, found.revision(), Source.READING);
         fullReadAt = call.sentAt();
         lastFromFullRead = true;
-        listener.entriesRead(found.entries(), found.revision(), silence);
+        listener.entriesRead(found, differences, silence);
         ask(timing.maxWait());
         release();
     }
@@ -367,7 +369,7 @@
         newest.retry().run();
     }
 
-    // The VM was paused during a planned wait, or a listener threw an exception.
+    // The VM was paused during a planned wait, or a step of this follower threw an exception.
     private void resume() {
         if (!timer.isMissingOrOverdue(CHECK_PERIOD)) {
             return;
@@ -406,7 +408,7 @@
             history.add(unseen);
             lastFromFullRead = false;
             recordChangeAge();
-            listener.entriesChanged(unseen, unseen.get(unseen.size() - 1).revision(), silence);
+            listener.entriesChanged(unseen, silence);
         }
         answerPolls();
         if (call == newest) {
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -173,6 +173,15 @@
         assertEquals(2, store.fullReads.size());
     }
 
+    // Guards against a change that a listener can't process and that hides those that came with it.
+    @Test
+    void aListenerThatThrowsReceivesTheOtherChangesOfTheAnswer() {
+        read(5);
+        poison = 7;
+        store.polls.get(0).complete(ManualStore.set(6, 7));
+        assertEquals(List.of(5L, 6L), received);
+    }
+
     @Test
     void allEntriesAreReadAgainAfterACompaction() {
         read(5);
