Split the follower; a relay passes on what its full read finds; older changes

After a full read a relay had no history before it, so that all behind it would have gone to the store until their positions had moved. Now the relay's history takes what the read has found and goes on. - A change that an earlier answer left out is older than that answer. earliestChangeTime, from which the limit of a drained zone counts, now allows for that as it does for a full read.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeHistory.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeHistory.java
@@ -16,12 +16,19 @@
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
     private long from = Long.MAX_VALUE;
 
-    /** Clears the history after a full read at the revision; earlier changes are not available. */
+    /** Begins after the first full read, at this revision. */
     void startAt(long revision) {
-        changes.clear();
         from = revision;
     }
 
+    /** Adds what a later full read has found, as if it had changed at the revision of the read. */
+    void addFoundBy(long revision, List<Change> differences) {
+        add(
+                differences.stream()
+                        .map(change -> new Change(change.key(), revision, change.entry()))
+                        .toList());
+    }
+
     void add(List<Change> newer) {
         changes.addAll(newer);
         while (changes.size() > MAX_CHANGES) {
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -69,7 +69,8 @@
     private final StoreView view = new StoreView();
     private final ChangePosition position = new ChangePosition();
     private final KnownKeys keys = new KnownKeys();
-    private final ViewComparison comparison = new ViewComparison();
+    private final ViewComparison comparison;
+    private final SilenceLog silenceLog;
     private final Set<StoreCall> open = new HashSet<>();
     private final ViewWaiters waiters;
     private final StepTimer timer;
@@ -80,9 +81,8 @@
     private StoreCall confirming;
     private boolean reading = true;
     private boolean failing;
-    private boolean silent;
     private boolean fromRelay;
-    private boolean lastFromFullRead;
+    private boolean changesMayBeOlder;
     private Instant fullReadAt = Instant.MIN;
 
     Follower(FollowerBuilder from, ChangeListener listener) {
@@ -99,6 +99,15 @@
         this.listener = new GuardedListener(name, listener, metrics);
         this.waiters = new ViewWaiters(control);
         this.timer = new StepTimer(control);
+        this.silenceLog = new SilenceLog(name);
+        this.comparison =
+                new ViewComparison(
+                        name,
+                        () -> store.listPossiblyStale(prefix),
+                        keys,
+                        control,
+                        metrics,
+                        this::reload);
     }
 
     /** Starts building a follower whose keys are called by this name in logs and metrics. */
@@ -141,7 +150,7 @@
      */
     public Instant earliestChangeTime() {
         Instant complete = view.previousAsOf();
-        boolean exact = !lastFromFullRead || complete.equals(Instant.MIN);
+        boolean exact = !changesMayBeOlder || complete.equals(Instant.MIN);
         return exact ? complete : complete.minus(COMPACTION_DELAY);
     }
 
@@ -276,14 +285,18 @@
         failing = false;
         fromRelay = false;
         List<Change> differences = keys.missingFrom(found);
-        history.startAt(found.revision());
+        if (hasReadOnce()) {
+            history.addFoundBy(found.revision(), differences);
+        } else {
+            history.startAt(found.revision());
+        }
         position.receivedUpTo(found.revision());
         keys.replaceBy(found);
-        comparison.fullyRead(found.entries().size(), now());
+        comparison.fullyRead(found.entries().size());
         Instant answered = call.latestAnswerTime(now());
         Duration silence = confirm(call, call.sentAt(), answered, found.revision(), Source.READING);
         fullReadAt = call.sentAt();
-        lastFromFullRead = true;
+        changesMayBeOlder = true;
         listener.entriesRead(found, differences, silence);
         ask(timing.maxWait());
         release();
@@ -330,36 +343,13 @@
         if (!hasReadOnce() || reading || age().orElseThrow().compareTo(longestAge()) > 0) {
             return;
         }
-        comparison.takeReached(view.revision()).ifPresent(this::compare);
-        boolean relayed = fromRelay || relay.available();
-        if (comparison.isDue(relayed, now())) {
-            comparison.started(now());
-            store.listPossiblyStale(prefix)
-                    .thenAccept(found -> control.run(() -> comparison.received(found)));
-        }
+        comparison.check(view.revision(), fromRelay || relay.available());
     }
 
     private Duration longestAge() {
         return fromRelay ? relayedBound() : timing.stalenessBound();
     }
 
-    private void compare(Listing found) {
-        List<Change> missed = keys.missingFrom(found);
-        keys.forgetRemoved(found.revision());
-        if (missed.isEmpty()) {
-            return;
-        }
-        metrics.count("store_changes_missed", "of", name, missed.size());
-        LOG.warn(
-                "{} changes of {} up to revision {} were not received, one of them of {}; reading"
-                        + " all of it again",
-                missed.size(),
-                name,
-                found.revision(),
-                missed.get(0).key());
-        reload();
-    }
-
     // A call that is under way when the store becomes unavailable may never be answered, not even
     // after the store's return, and no change is received until it is given up. A parallel call
     // costs little. Both may still be answered; changes that are known already are left out.
@@ -394,6 +384,8 @@
                 changes.changes().stream()
                         .filter(change -> change.revision() > position.revision())
                         .toList();
+        // An answer before has left such a change out.
+        changesMayBeOlder = !unseen.isEmpty() && unseen.get(0).revision() <= view.revision();
         fromRelay = call.relayed();
         Duration age = changes.age();
         Instant completeUpTo = call.completeUpTo(now(), changes.changes().isEmpty()).minus(age);
@@ -406,7 +398,6 @@
             position.receivedUpTo(unseen.get(unseen.size() - 1).revision());
             keys.apply(unseen);
             history.add(unseen);
-            lastFromFullRead = false;
             recordChangeAge();
             listener.entriesChanged(unseen, silence);
         }
@@ -458,7 +449,7 @@
             return;
         }
         metrics.count("store_asks_failed", "of", name);
-        comparison.callFailed(now());
+        comparison.callFailed();
         if (call == newest) {
             reportSilence(call, failure.getMessage());
             timer.schedule(RETRY, () -> ask(Duration.ZERO));
@@ -466,17 +457,7 @@
     }
 
     private void reportSilence(StoreCall call, String why) {
-        if (silent) {
-            return;
-        }
-        silent = true;
-        LOG.info(
-                "no update of {}: call sent {} ms ago at revision {}: {}; view is {} ms old",
-                name,
-                call.age(now()).toMillis(),
-                view.revision(),
-                why,
-                ageMillis());
+        silenceLog.unanswered(why, call.age(now()), position.revision(), ageMillis());
     }
 
     private static boolean compacted(Throwable failure) {
@@ -486,17 +467,7 @@
 
     private Duration confirm(
             StoreCall call, Instant completeUpTo, Instant answered, long revision, Source source) {
-        if (silent) {
-            silent = false;
-            LOG.info(
-                    "updates of {} resumed: revision {} by {}, call sent {} ms ago, view was {} ms"
-                            + " old",
-                    name,
-                    revision,
-                    source,
-                    call.age(now()).toMillis(),
-                    ageMillis());
-        }
+        silenceLog.answered(source, call.age(now()), revision, ageMillis());
         return view.confirm(completeUpTo, answered, revision);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/KnownKeys.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/KnownKeys.java
@@ -59,11 +59,6 @@
         byKey.values().removeIf(known -> !known.exists() && known.revision() <= upTo);
     }
 
-    /** Returns the number of keys that exist. */
-    int size() {
-        return (int) byKey.values().stream().filter(KnownKey::exists).count();
-    }
-
     private boolean isOlder(Entry entry) {
         KnownKey known = byKey.get(entry.key());
         return known == null || known.revision() < entry.modRevision();
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/ViewComparison.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/ViewComparison.java
@@ -1,14 +1,22 @@
 package io.damaskyoke.follow;
 
+import io.damaskyoke.control.ControlThread;
+import io.damaskyoke.metrics.Metrics;
+import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Listing;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
- * Decides when a follower compares its view with a listing of the store's entries, by which it
- * finds changes that no answer has told. Listings may be some seconds old, which makes them cheap;
- * one is compared only when the answers have reached its revision.
+ * Compares what a follower knows with a listing of the store's entries from time to time, by which
+ * it finds changes that no answer has told. Listings may be some seconds old, which makes them
+ * cheap; one is compared only when the answers have reached its revision.
  */
 final class ViewComparison {
     /** The shortest time between two comparisons. */
@@ -26,56 +34,106 @@
     /** Processes that start in the same second begin in one of this many parts of an interval. */
     private static final int START_PARTS = 16;
 
+    private static final Logger LOG = LogManager.getLogger(ViewComparison.class);
+
+    private final String name;
+    private final Supplier<CompletionStage<Listing>> lister;
+    private final KnownKeys keys;
+    private final ControlThread control;
+    private final Metrics metrics;
+    private final Runnable onMissed;
     private Instant due = Instant.MIN;
     private Duration interval = MIN_INTERVAL;
     private Optional<Listing> listing = Optional.empty();
     private boolean asked;
 
+    /**
+     * Creates a comparison that is due some time after the first full read.
+     *
+     * @param name the name of the followed keys
+     * @param lister asks the store for a listing that may be some seconds old
+     * @param onMissed runs when a change has been missed
+     */
+    ViewComparison(
+            String name,
+            Supplier<CompletionStage<Listing>> lister,
+            KnownKeys keys,
+            ControlThread control,
+            Metrics metrics,
+            Runnable onMissed) {
+        this.name = name;
+        this.lister = lister;
+        this.keys = keys;
+        this.control = control;
+        this.metrics = metrics;
+        this.onMissed = onMissed;
+    }
+
     /** Records a full read of so many keys, with which the view is equal. */
-    void fullyRead(int keys, Instant now) {
+    void fullyRead(int count) {
         listing = Optional.empty();
         asked = false;
-        Duration byKeys = INTERVAL_PER_KEY.multipliedBy(keys);
+        Duration byKeys = INTERVAL_PER_KEY.multipliedBy(count);
         interval = byKeys.compareTo(MIN_INTERVAL) > 0 ? byKeys : MIN_INTERVAL;
-        long part = START_PARTS + now.toEpochMilli() % START_PARTS;
-        due = now.plus(interval.multipliedBy(part).dividedBy(START_PARTS));
+        long part = START_PARTS + now().toEpochMilli() % START_PARTS;
+        due = now().plus(interval.multipliedBy(part).dividedBy(START_PARTS));
     }
 
     /** Records a call that failed, with which a change may have been lost. */
-    void callFailed(Instant now) {
-        Instant soon = now.plus(interval.dividedBy(PART_AFTER_FAILURE));
+    void callFailed() {
+        Instant soon = now().plus(interval.dividedBy(PART_AFTER_FAILURE));
         due = soon.isBefore(due) ? soon : due;
     }
 
     /**
-     * Returns true if a listing is to be asked for.
+     * Compares with the last listing if it is reached, and asks for another one if that is due.
      *
+     * @param reached the revision up to which answers have told all changes
      * @param relayed whether this process asks a relay for changes
      */
-    boolean isDue(boolean relayed, Instant now) {
+    void check(long reached, boolean relayed) {
+        if (listing.filter(found -> found.revision() <= reached).isPresent()) {
+            Listing found = listing.get();
+            listing = Optional.empty();
+            compare(found);
+        }
         Duration more = interval.multipliedBy(relayed ? INTERVALS_BEHIND_RELAY - 1 : 0);
-        return !now.isBefore(due.plus(more));
+        if (!now().isBefore(due.plus(more))) {
+            askForListing();
+        }
     }
 
-    /** Records that a listing is asked for; if it does not come, another is due as usual. */
-    void started(Instant now) {
-        due = now.plus(interval);
+    private void askForListing() {
+        due = now().plus(interval);
         asked = true;
+        lister.get().thenAccept(found -> control.run(() -> received(found)));
     }
 
-    /** Takes a listing, unless all has been read since it was asked for. */
-    void received(Listing found) {
+    // All may have been read since the listing was asked for.
+    private void received(Listing found) {
         if (asked) {
             listing = Optional.of(found);
         }
     }
 
-    /** Removes and returns the listing, if answers have reached its revision. */
-    Optional<Listing> takeReached(long revision) {
-        Optional<Listing> reached = listing.filter(found -> found.revision() <= revision);
-        if (reached.isPresent()) {
-            listing = Optional.empty();
+    private void compare(Listing found) {
+        List<Change> missed = keys.missingFrom(found);
+        keys.forgetRemoved(found.revision());
+        if (missed.isEmpty()) {
+            return;
         }
-        return reached;
+        metrics.count("store_changes_missed", "of", name, missed.size());
+        LOG.warn(
+                "{} changes of {} up to revision {} were not received, one of them of {}; reading"
+                        + " all of it again",
+                missed.size(),
+                name,
+                found.revision(),
+                missed.get(0).key());
+        onMissed.run();
+    }
+
+    private Instant now() {
+        return control.clock().instant();
     }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.follow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.TestControlThread;
 import io.damaskyoke.metrics.Metrics;
@@ -173,6 +174,31 @@
         assertEquals(2, store.fullReads.size());
     }
 
+    // Guards against processes behind this one that all ask the store after a full read here.
+    @Test
+    void whatAFullReadFindsIsPassedOnToOthers() {
+        read(5);
+        newestPoll()
+                .completeExceptionally(new PlatformException(Code.COMPACTED, "history is gone"));
+        store.fullReads.get(1).complete(new Listing(List.of(ManualStore.entry("k", 7)), 8));
+        List<Changes> answers = new ArrayList<>();
+        follower.answerPoll(5, Duration.ofSeconds(1), answer -> answer.ifPresent(answers::add));
+        assertEquals(1, answers.size());
+        assertEquals("k", answers.get(0).changes().get(0).key());
+    }
+
+    // Guards against the time of a change that is taken for later than it was, as an earlier answer
+    // left the change out.
+    @Test
+    void aChangeThatAnEarlierAnswerLeftOutMayBeOlderThanThatAnswer() {
+        read(5);
+        pass(TIMING.maxWait());
+        store.polls.get(0).complete(ManualStore.unchanged(8));
+        Instant answered = now();
+        store.polls.get(1).complete(new Changes(ManualStore.set(7).changes(), 8));
+        assertTrue(follower.earliestChangeTime().isBefore(answered.minusSeconds(1)));
+    }
+
     // Guards against a change that a listener can't process and that hides those that came with it.
     @Test
     void aListenerThatThrowsReceivesTheOtherChangesOfTheAnswer() {
