--- a/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/UpstreamFollower.java
@@ -193,29 +193,35 @@
                 unreadable.read(
                         entry.key(),
                         () -> dialect.upstream(entry.key(), entry.value(), entry.modRevision()));
-        if (facts.isEmpty()) {
+        if (facts.isPresent()) {
+            list(facts.get());
+        } else {
             id(entry.key()).flatMap(table::find).ifPresent(known -> close(known.facts(), entry));
-            return;
         }
-        awaitedReturns.remove(facts.get().id());
-        Optional<UpstreamFacts> before = table.find(facts.get().id()).map(known -> known.facts());
-        if (!table.put(facts.get(), control.clock().instant())) {
+    }
+
+    private void list(UpstreamFacts facts) {
+        awaitedReturns.remove(facts.id());
+        Optional<UpstreamFacts> before = table.find(facts.id()).map(known -> known.facts());
+        if (!table.put(facts, control.clock().instant())) {
             return;
         }
-        boolean changed = before.isEmpty() || before.get().draining() != facts.get().draining();
-        if (changed) {
-            LOG.info(
-                    "upstream {} at {} service={} draining={} holds={} revision={}"
-                            + " known_within_ms={}",
-                    facts.get().id(),
-                    facts.get().endpoint(),
-                    facts.get().service(),
-                    facts.get().draining(),
-                    facts.get().held().adapters().keySet(),
-                    facts.get().revision(),
-                    maxChangeAge());
+        if (before.isEmpty() || before.get().draining() != facts.draining()) {
+            logListed(facts);
         }
-        listener.upstreamListed(facts.get());
+        listener.upstreamListed(facts);
+    }
+
+    private void logListed(UpstreamFacts facts) {
+        LOG.info(
+                "upstream {} at {} service={} draining={} holds={} revision={} known_within_ms={}",
+                facts.id(),
+                facts.endpoint(),
+                facts.service(),
+                facts.draining(),
+                facts.held().adapters().keySet(),
+                facts.revision(),
+                maxChangeAge());
     }
 
     // An entry that can't be read names no upstream that may be used, and may be the departure of
