--- a/damaskyoke/src/main/java/io/damaskyoke/direct/StatusPages.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/StatusPages.java
@@ -15,7 +15,7 @@
 final class StatusPages {
     private static final Logger LOG = LogManager.getLogger(StatusPages.class);
 
-    /** Gauges that the line of counters shows too: they tell what this router could know. */
+    /** Gauges in the line of counters: how old the views of the store are, what is unreadable. */
     private static final Set<String> LOGGED_GAUGES =
             Set.of("store_view_age_ms", "store_full_read_age_ms", "store_entries_unreadable");
 
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/ViewComparison.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/ViewComparison.java
@@ -69,7 +69,7 @@
         this.onMissed = onMissed;
     }
 
-    /** Records a full read of so many keys, with which the view is equal. */
+    /** Records a full read that found this number of keys; the view is equal to it. */
     void fullyRead(int count) {
         listing = Optional.empty();
         asked = false;
