--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -384,7 +384,7 @@
                 changes.changes().stream()
                         .filter(change -> change.revision() > position.revision())
                         .toList();
-        // An answer before has left such a change out.
+        // An earlier answer left out a change of a revision that it claimed to cover.
         changesMayBeOlder = !unseen.isEmpty() && unseen.get(0).revision() <= view.revision();
         fromRelay = call.relayed();
         Duration age = changes.age();
