An error in a step of a router's control thread is logged and counted

An error thrown in a step, unlike an exception, ended in the future within which the step ran, and ended periodic steps for good.

Now a step's error is logged like its exception, counted in control_steps_failed, and a periodic step goes on.

EventLoopControlThreadTest.aPeriodicStepRunsAgainAfterAnError failed before (no second run within 10 s).

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -135,8 +135,7 @@
         String suffix = Long.toHexString(ThreadLocalRandom.current().nextLong());
         this.incarnation = Incarnation.of(settings.vm() + ":" + suffix);
         this.upstreams = new UpstreamTable(new DrainedZones(settings.zones().drainLimit()));
-        this.control =
-                new EventLoopControlThread(loop.events(), clock, new EventLoopHoldTimes(metrics));
+        this.control = new EventLoopControlThread(loop.events(), clock, metrics);
         this.client = new HttpClient(loop, CONNECT_TIMEOUT, metrics);
         this.store = stores.open(settings, client, control, metrics);
         this.relays = new StoreRelays(control, this::relaySources, this::requestChanges);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/EventLoopControlThread.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/EventLoopControlThread.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.ControlThread;
+import io.damaskyoke.metrics.Metrics;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
@@ -23,12 +24,14 @@
 
     private final EventLoop loop;
     private final InstantSource clock;
+    private final Metrics metrics;
     private final EventLoopHoldTimes holdTimes;
 
-    EventLoopControlThread(EventLoop loop, InstantSource clock, EventLoopHoldTimes holdTimes) {
+    EventLoopControlThread(EventLoop loop, InstantSource clock, Metrics metrics) {
         this.loop = loop;
         this.clock = clock;
-        this.holdTimes = holdTimes;
+        this.metrics = metrics;
+        this.holdTimes = new EventLoopHoldTimes(metrics);
     }
 
     @Override
@@ -106,12 +109,14 @@
         return clock;
     }
 
-    // A step that throws would silently end its timer, and with it a task of this router.
+    // A step that throws would silently end its timer, and with it a task of this router. Errors
+    // count, too: a future within which the step runs would keep them, and nobody would see them.
     private void runAndLogFailure(Runnable step) {
         long start = System.nanoTime();
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            metrics.count("control_steps_failed");
             LOG.error("a step of the control thread failed", e);
         }
         holdTimes.record(step, System.nanoTime() - start);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -75,9 +75,7 @@
                     () -> 1,
                     new PoisonRequestDetector(
                             new EventLoopControlThread(
-                                    loop.events(),
-                                    InstantSource.system(),
-                                    new EventLoopHoldTimes(new Metrics())),
+                                    loop.events(), InstantSource.system(), new Metrics()),
                             new SilentCrashAnnouncer(),
                             (upstream, vouch, then) ->
                                     then.accept(UpstreamCrashDetector.ProbeResult.UNKNOWN),
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/EventLoopControlThreadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/EventLoopControlThreadTest.java
@@ -1,12 +1,19 @@
 package io.damaskyoke.direct;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.damaskyoke.http.HttpLoop;
+import io.damaskyoke.metrics.Metrics;
+import java.time.Duration;
+import java.time.InstantSource;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class EventLoopControlThreadTest {
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final Duration LIMIT = Duration.ofSeconds(10);
 
     // Guards against a dozen timers that each wake up a VM with a tenth of a core.
     @Test
@@ -40,4 +47,25 @@
                         / NANOS_PER_MILLI,
                 10);
     }
+
+    // Guards against a check that never runs again, without a line, after one input too deep to
+    // read.
+    @Test
+    void aPeriodicStepRunsAgainAfterAnError() {
+        AtomicInteger runs = new AtomicInteger();
+        Metrics metrics = new Metrics();
+        try (HttpLoop loop = HttpLoop.start()) {
+            EventLoopControlThread control =
+                    new EventLoopControlThread(loop.events(), InstantSource.system(), metrics);
+            control.every(
+                    Duration.ofMillis(5),
+                    () -> {
+                        if (runs.incrementAndGet() == 1) {
+                            throw new StackOverflowError();
+                        }
+                    });
+            await().atMost(LIMIT).until(() -> runs.get() > 1);
+        }
+        assertEquals(1, metrics.counter("control_steps_failed").getCount());
+    }
 }
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/ExtraAnswersToCallsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/ExtraAnswersToCallsTest.java
@@ -146,7 +146,7 @@
         return new UpstreamClient(
                 new HttpClient(LOOP, Duration.ofMillis(500), metrics),
                 new TestDialect(),
-                new EventLoopControlThread(LOOP.events(), clock, new EventLoopHoldTimes(metrics)),
+                new EventLoopControlThread(LOOP.events(), clock, metrics),
                 statements);
     }
 }
