An entry that is nested too deep is unreadable, and hides no other

Cause: JsonTrees reads by recursion. A router's threads have 256 KB of stack; from some 300 levels on, fewer than the 1,000 that Jackson allows, reading one entry overflows it. A StackOverflowError is no RuntimeException, so nothing that guards one entry against another caught it. The full read was lost behind the odd entry: keys of workers sort behind it, and nothing brings them again.

Now nothing nested deeper than 64 levels is read as JSON: the parser throws the IOException that every caller of JsonTrees expects. That covers entries, the configuration, routers' entries, shares, reports and the store's answers.

--- a/damaskyoke/src/main/java/io/damaskyoke/json/JsonTrees.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/json/JsonTrees.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -15,7 +16,18 @@
 
 /** Reads and writes trees: {@code JsonTrees.read(bytes).path("port").asInt()}. */
 public final class JsonTrees {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /**
+     * The deepest nesting that is read. Each level takes some hundred bytes of the thread's stack,
+     * and an overflow would be an error that none of those who skip unreadable input expects.
+     */
+    public static final int MAX_DEPTH = 64;
+
+    private static final JsonFactory FACTORY =
+            JsonFactory.builder()
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+                    .build();
+
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTrees() {}
@@ -28,7 +40,7 @@
     /**
      * The first value in the bytes; a missing node if there is none.
      *
-     * @throws IOException if it is not JSON
+     * @throws IOException if it is not JSON, or nested deeper than {@link #MAX_DEPTH}
      */
     public static JsonNode read(byte[] json) throws IOException {
         try (JsonParser parser = FACTORY.createParser(json)) {
--- a/damaskyoke/src/test/java/io/damaskyoke/json/JsonTreesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/json/JsonTreesTest.java
@@ -1,12 +1,16 @@
 package io.damaskyoke.json;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -14,6 +18,9 @@
 class JsonTreesTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    /** The stack of a router that shares a small VM. */
+    private static final long SMALL_STACK_BYTES = 256 * 1024;
+
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -44,6 +51,47 @@
         assertTrue(JsonTrees.read(new byte[0]).isMissingNode());
     }
 
+    // Guards against input that overflows the stack: whoever skips what is no JSON would not expect
+    // an error.
+    @ParameterizedTest
+    @ValueSource(ints = {65, 300, 1_000, 1_001, 300_000})
+    void whatIsNestedTooDeepIsRefusedOnASmallStack(int depth) throws InterruptedException {
+        for (String json :
+                List.of(
+                        lists(depth),
+                        "{\"a\":".repeat(depth) + "1" + "}".repeat(depth),
+                        "{\"a\":" + lists(depth) + "}",
+                        "{\"a\":[".repeat(depth),
+                        "[".repeat(depth))) {
+            assertInstanceOf(IOException.class, failureOnASmallStack(json));
+        }
+    }
+
+    @Test
+    void whatIsNestedAsDeepAsAllowedIsRead() throws InterruptedException {
+        assertNull(failureOnASmallStack(lists(JsonTrees.MAX_DEPTH)));
+    }
+
+    private static Throwable failureOnASmallStack(String json) throws InterruptedException {
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        Runnable read =
+                () -> {
+                    try {
+                        JsonTrees.read(json.getBytes(StandardCharsets.UTF_8));
+                    } catch (IOException | StackOverflowError e) {
+                        failure.set(e);
+                    }
+                };
+        Thread thread = new Thread(null, read, "small-stack", SMALL_STACK_BYTES);
+        thread.start();
+        thread.join();
+        return failure.get();
+    }
+
+    private static String lists(int depth) {
+        return "[".repeat(depth) + "]".repeat(depth);
+    }
+
     private static String text(byte[] json) {
         return new String(json, StandardCharsets.UTF_8);
     }
