An entry or a listener that overflows the stack is guarded like one that throws

The guards around single entries and around a follower's listener caught exceptions only, so that a StackOverflowError lost the rest of the answer. An error without a message is named by its class in the line of the log.

FollowerTest.aListenerWhoseStackOverflowsReceivesTheOtherChangesOfTheAnswer and UnreadableEntriesTest.anEntryThatOverflowsTheStackIsSkippedLikeAnyOther: red before (received 5 of 5 and 6; StackOverflowError), green after.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/GuardedListener.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/GuardedListener.java
@@ -59,7 +59,7 @@
         try {
             step.run();
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             metrics.count("store_listener_failures", "of", name);
             LOG.error("the listener of {} failed to process changes", name, e);
             return false;
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/UnreadableEntries.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/UnreadableEntries.java
@@ -42,7 +42,8 @@
     }
 
     /**
-     * Returns what the parser makes of an entry; empty if it returns nothing or throws.
+     * Returns what the parser makes of an entry; empty if it returns nothing, throws, or overflows
+     * the stack.
      *
      * @param key the key of the entry
      */
@@ -55,8 +56,8 @@
                 add(key, "it has no meaning here");
             }
             return value;
-        } catch (RuntimeException e) {
-            add(key, String.valueOf(e.getMessage()));
+        } catch (RuntimeException | StackOverflowError e) {
+            add(key, e.getMessage() == null ? e.toString() : e.getMessage());
             return Optional.empty();
         }
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -27,6 +27,10 @@
     private final ManualStore store = new ManualStore();
     private final List<Long> received = new ArrayList<>();
     private long poison;
+    private Runnable failure =
+            () -> {
+                throw new IllegalStateException("on purpose");
+            };
     private final Follower follower =
             Follower.of("test")
                     .under("k")
@@ -208,6 +212,20 @@
         assertEquals(List.of(5L, 6L), received);
     }
 
+    // Guards against changes that are lost behind one that overflows the listener's stack.
+    @Test
+    void aListenerWhoseStackOverflowsReceivesTheOtherChangesOfTheAnswer() {
+        read(5);
+        poison = 7;
+        failure = FollowerTest::overflow;
+        store.polls.get(0).complete(ManualStore.set(6, 7));
+        assertEquals(List.of(5L, 6L), received);
+    }
+
+    private static void overflow() {
+        overflow();
+    }
+
     @Test
     void allEntriesAreReadAgainAfterACompaction() {
         read(5);
@@ -327,7 +345,7 @@
         @Override
         public void entriesChanged(List<Change> changes, long revision, Duration silence) {
             if (revision == poison) {
-                throw new IllegalStateException("on purpose");
+                failure.run();
             }
             changes.forEach(change -> received.add(change.revision()));
         }
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/UnreadableEntriesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/UnreadableEntriesTest.java
@@ -46,6 +46,17 @@
         assertTrue(lines.get(0).length() < 300);
     }
 
+    // Guards against an entry that overflows its parser's stack and so hides the entries behind it.
+    @Test
+    void anEntryThatOverflowsTheStackIsSkippedLikeAnyOther() {
+        assertTrue(entries.read("up/1", UnreadableEntriesTest::overflows).isEmpty());
+        assertEquals(1, entries.count());
+    }
+
+    private static Optional<String> overflows() {
+        return overflows();
+    }
+
     private static Optional<String> fails() {
         throw new ArithmeticException("long overflow");
     }
