An answer without a length is cut short if its connection ends before the upload

Callers saw (on the users' machines, rule MIXED): a worker answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written; the part came as a complete answer.

Cause: the reset makes the pending write fail before the read does. Netty then closes the connection without an exception, and the decoder takes the close for the end of the body, as it does for an answer that ends with its connection. The client looked at the reading side only.

Now such an end completes an answer only once its request is written. That also holds for a server that ends its side first and resets later. An answer with its length or in chunks is as before, so a server may still answer before it has read the upload.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -64,6 +65,8 @@
     private int answerNumber;
     private int skippedBytes;
     private long bodyBytes;
+    private ChannelFuture written;
+    private boolean endsWithConnection;
 
     private enum State {
         CONNECTING,
@@ -228,14 +231,15 @@
         state = State.AWAITING;
         keepAlive = !request.needsOwnConnection() && !carried.isFull();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
-        channel.writeAndFlush(
-                new DefaultFullHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        request.method(),
-                        request.path(),
-                        request.body(),
-                        headers,
-                        EmptyHttpHeaders.INSTANCE));
+        written =
+                channel.writeAndFlush(
+                        new DefaultFullHttpRequest(
+                                HttpVersion.HTTP_1_1,
+                                request.method(),
+                                request.path(),
+                                request.body(),
+                                headers,
+                                EmptyHttpHeaders.INSTANCE));
     }
 
     private void head(HttpResponse response) {
@@ -244,6 +248,7 @@
             return;
         }
         answerNumber++;
+        endsWithConnection = endsWithConnection(response);
         HttpHeaders headers = response.headers();
         if (!HttpUtil.isKeepAlive(response)) {
             keepAlive = false;
@@ -255,7 +260,7 @@
             boolean unnamed = request.match().isUnnamed(headers);
             if (!unnamed || carried.count() > 1) {
                 skip(unnamed ? UnmatchedAnswer.UNNAMED : UnmatchedAnswer.OTHER_REQUEST);
-                if (endsWithConnection(response)) {
+                if (endsWithConnection) {
                     fail(ExchangeFailure.GARBLED);
                 }
                 return;
@@ -304,6 +309,9 @@
         keepAliveNanos = Math.max(0, named - KEEP_ALIVE_MARGIN_NANOS);
     }
 
+    // A server that resets the connection may fail the request's write, which closes the connection
+    // here just as the end of the response would. While the request is not written, such an end
+    // doesn't tell that the response is complete.
     private void part(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (state != State.READING) {
@@ -321,7 +329,12 @@
         } else {
             content.release();
         }
-        if (last && state == State.READING) {
+        if (!last || state != State.READING) {
+            return;
+        }
+        if (endsWithConnection && !written.isSuccess()) {
+            fail(ExchangeFailure.CUT_SHORT);
+        } else {
             finish();
         }
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AskingClient.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AskingClient.java
@@ -26,9 +26,14 @@
     }
 
     String ask(RawServer server, HttpMethod method) {
+        return ask(server.endpoint(), method, 0);
+    }
+
+    /** The same for a request with a body of that many bytes. */
+    String ask(Endpoint server, HttpMethod method, int bodyBytes) {
         String id = String.valueOf(++askCount);
         CompletableFuture<String> outcome = new CompletableFuture<>();
-        loop.events().execute(() -> send(server.endpoint(), method, id, outcome));
+        loop.events().execute(() -> send(server, method, id, bodyBytes, outcome));
         return outcome.completeOnTimeout("no outcome", LIMIT.toSeconds(), TimeUnit.SECONDS).join();
     }
 
@@ -44,13 +49,17 @@
     }
 
     private void send(
-            Endpoint to, HttpMethod method, String id, CompletableFuture<String> outcome) {
+            Endpoint to,
+            HttpMethod method,
+            String id,
+            int bodyBytes,
+            CompletableFuture<String> outcome) {
         ClientRequest request =
                 new ClientRequest(
                         method,
                         "/",
                         new DefaultHttpHeaders().set("Try", id),
-                        Unpooled.EMPTY_BUFFER,
+                        Unpooled.wrappedBuffer(new byte[bodyBytes]),
                         ResponseMatch.byId(id, headers -> headers.getAll("Try")),
                         LIMIT);
         client.send(to, request, new Recorder(outcome));
