An answer whose status is above 599 is no answer

The users saw on systems of this kind that an answer with the status 000 was passed on as one (rule MIXED). Here 000 and all that begin with 0 were rejected already; 600 to 999, which the protocol doesn't have either, were passed on. They fail the exchange now.

AnswerFramingTest.anAmbiguousHeadIsGarbled: 600 and 999 red before ("600 done"), 000 and 099 green before and after.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -72,7 +72,8 @@
 
     private static boolean isStatus(String text) {
         return text.length() == 3
-                && text.charAt(0) != '0'
+                && text.charAt(0) >= '1'
+                && text.charAt(0) <= '5'
                 && text.chars().allMatch(each -> each >= '0' && each <= '9');
     }
 
