An answer with a malformed field name is no answer

Here control bytes in names were rejected. Blanks were not: Netty cuts the name of a response's field at a blank and looks for the colon behind it, so that "Content-Length X: 4" was a length; and a line that begins with a blank was passed on as more of the field before it. Both are rejected now, in the one decoder of all answers.

--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -1,5 +1,7 @@
 package io.damaskyoke.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -15,22 +17,30 @@
 import java.util.regex.Pattern;
 
 /**
- * Decodes responses and rejects heads that may have been made of two, or whose body has no known
- * end.
+ * Decodes responses and rejects heads that may have been made of two, that have a malformed line,
+ * or whose body has no known end.
  *
  * <p>A server may truncate an extra response to an earlier request. If its bytes run together with
  * the next response, what it says would count as said about the next request, also that this has
  * not run. The status line of the next response is then found inside the joined head. Such a head
  * is marked as a decoding failure.
+ *
+ * <p>The library's decoder cuts a field name at a blank, so that {@code Content-Length X: 5} would
+ * say how long the body is, and takes a line that begins with a blank for more of the field before
+ * it. Both are rejected, too: other readers of the same bytes may see other fields.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final String STATUS_LINE_START = "HTTP/1.";
 
+    /** What the name of a field may hold beside letters and digits. */
+    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
+
     /** Unlike a header {@code Via: HTTP/1.1 proxy}. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d [1-9]\\d\\d( |$)");
 
     private final BooleanSupplier awaitsBodiless;
     private boolean inHead;
+    private boolean foldedLine;
 
     /**
      * Creates a decoder; {@code awaitsBodiless} is asked at each head whether the request was one
@@ -46,6 +56,65 @@
         return inHead || internalBuffer().forEachByte(each -> each == '\r' || each == '\n') >= 0;
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        boolean headContinues = inHead;
+        int start = in.readerIndex();
+        super.decode(context, in, out);
+        boolean headRead = headContinues || inHead || endsHead(out);
+        if (headRead && hasFoldedLine(in, start, headContinues)) {
+            foldedLine = true;
+        }
+        if (foldedLine && endsHead(out)) {
+            foldedLine = false;
+            reject((HttpMessage) out.get(0), "a line of the head begins with a blank");
+        }
+    }
+
+    // The library's decoder reads whole lines of a head, and no more than the head, in one call.
+    private static boolean hasFoldedLine(ByteBuf in, int start, boolean startsLine) {
+        boolean lineStarts = startsLine;
+        for (int index = start; index < in.readerIndex(); index++) {
+            byte next = in.getByte(index);
+            if (lineStarts && isBlank(next)) {
+                return true;
+            }
+            lineStarts = next == '\n';
+        }
+        return false;
+    }
+
+    private static boolean endsHead(List<Object> out) {
+        return !out.isEmpty() && out.get(0) instanceof HttpMessage;
+    }
+
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        int end = start + length;
+        if (end >= line.length || line[end] != ':') {
+            throw new IllegalArgumentException("a blank in the name of a field");
+        }
+        for (int index = start; index < end; index++) {
+            if (!isTokenCharacter(line[index])) {
+                throw new IllegalArgumentException("the name of a field is no token");
+            }
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
+    private static boolean isTokenCharacter(byte character) {
+        boolean letterOrDigit =
+                character >= 'a' && character <= 'z'
+                        || character >= 'A' && character <= 'Z'
+                        || character >= '0' && character <= '9';
+        return letterOrDigit || TOKEN_MARKS.indexOf(character) >= 0;
+    }
+
+    private static boolean isBlank(byte character) {
+        return character == ' ' || character == '\t';
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         boolean versionKnown = statusLine[0].equals("HTTP/1.1") || statusLine[0].equals("HTTP/1.0");
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
@@ -138,6 +138,45 @@
         }
     }
 
+    // Guards against a field that is cut at a blank in its name, passed on, or taken for another
+    // that
+    // says where the body ends.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length : 4",
+                "Content-Length\t: 4",
+                "Content-Length X: 4",
+                "Content-Length\u000bX: 4",
+                "Content Length: 4",
+                " Content-Length: 4",
+                "\tContent-Length: 4",
+                "Transfer-Encoding : chunked",
+                "A B: x",
+                "A\u0001B: x",
+                "A\u001f: x",
+                "A\u007f: x",
+                "A\0: x",
+                "A\rB: x",
+                "A(B): x",
+                "A\u0080: x",
+                ": x",
+                " : x",
+                " x",
+                "\tx"
+            })
+    void aHeadWithAMalformedFieldNameIsGarbled(String field) {
+        for (String head : List.of("Try: <id>\r\n" + field, field + "\r\nTry: <id>")) {
+            for (String pause : List.of("", RawServer.PAUSE)) {
+                String answer = head.replace("\r\n", "\r\n" + pause) + "\r\n\r\ndone";
+                String bytes = "HTTP/1.1 200 OK\r\n" + pause + answer + RawServer.CLOSE;
+                try (RawServer server = new RawServer(bytes)) {
+                    assertEquals("GARBLED", client.ask(server), answer);
+                }
+            }
+        }
+    }
+
     // Guards against a safeguard that rejects sound heads.
     @ParameterizedTest
     @ValueSource(
@@ -148,7 +187,8 @@
                 "HTTP/1.0 200 OK\r\n",
                 "\r\nHTTP/1.1 200 OK\r\n",
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
-                "HTTP/1.1 103 Early Hints\r\nTry: <id>\r\n\r\nHTTP/1.1 200 OK\r\n"
+                "HTTP/1.1 103 Early Hints\r\nTry: <id>\r\n\r\nHTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~aZ9:x\r\nEmpty:\r\nB: \t y \t\r\n"
             })
     void aSoundHeadIsTaken(String head) {
         String rest = "Try: <id>\r\nContent-Length: 4\r\n\r\ndone";
@@ -157,6 +197,25 @@
         }
     }
 
+    // Guards against a body that is taken for a line of its head.
+    @Test
+    void aBodyMayBeginWithABlank() {
+        String head = "HTTP/1.1 200 OK\r\nTry: <id>\r\n";
+        String sized = head + "Content-Length: 4\r\n\r\n";
+        String chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        String[] answers = {
+            sized + " a\n ",
+            sized + RawServer.PAUSE + "\tb\n\t",
+            chunked + "2\r\n c\r\n2\r\n d\r\n0\r\n\r\n"
+        };
+        try (RawServer server = new RawServer(answers)) {
+            assertEquals("200  a\n ", client.ask(server));
+            assertEquals("200 \tb\n\t", client.ask(server));
+            assertEquals("200  c d", client.ask(server));
+            assertEquals(1, server.connections());
+        }
+    }
+
     // Guards against a request that waits for its response inside the body of another one.
     @ParameterizedTest
     @ValueSource(strings = {"Try: 0\r\n", ""})
--- a/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpUpstreamTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/upstream/HttpUpstreamTest.java
@@ -148,6 +148,27 @@
         }
     }
 
+    // Guards against bytes that are no answer of the protocol and are passed on as one.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 OK\r\n",
+                "HTTP/1.1 099 OK\r\n",
+                "HTTP/1.1 600 OK\r\n",
+                "HTTP/1.1 999 OK\r\n",
+                "HTTP/1.1 200 OK\r\nA B: x\r\n",
+                "HTTP/1.1 200 OK\r\nA : x\r\n",
+                "HTTP/1.1 200 OK\r\nA\u0001B: x\r\n",
+                "HTTP/1.1 200 OK\r\nA\u007f: x\r\n",
+                "HTTP/1.1 200 OK\r\n A: x\r\n"
+            })
+    void aMalformedHeadIsNoAnswer(String head) throws Exception {
+        RawServer.Handler handler = RawServer.answering(head + "Content-Length: 2\r\n\r\nok");
+        try (RawServer server = new RawServer(handler)) {
+            assertEquals(Code.MAY_HAVE_RUN, failure(to(server.url()).send(order())));
+        }
+    }
+
     @Test
     void aConnectionThatTheUpstreamLeftOpenIsNotUsedAgain() throws Exception {
         // The upstream keeps the first connection alive and closes it whenever it likes. A second
