Settings that are nested too deep are a syntax fault

Such settings ended the process at its start with a StackOverflowError, and the thread that reads them again at SIGHUP, in place of a line that names the place. They are read within the limits of JsonTrees now.

--- a/damaskyoke/src/main/java/io/damaskyoke/json/JsonTrees.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/json/JsonTrees.java
@@ -22,16 +22,21 @@
      */
     public static final int MAX_DEPTH = 64;
 
+    private static final StreamReadConstraints LIMITS =
+            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build();
+
     private static final JsonFactory FACTORY =
-            JsonFactory.builder()
-                    .streamReadConstraints(
-                            StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
-                    .build();
+            JsonFactory.builder().streamReadConstraints(LIMITS).build();
 
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTrees() {}
 
+    /** Returns the limits within which trees can be read, for parsers of other formats. */
+    public static StreamReadConstraints limits() {
+        return LIMITS;
+    }
+
     /** An empty object. */
     public static ObjectNode object() {
         return NODES.objectNode();
@@ -49,7 +54,8 @@
     }
 
     /**
-     * The next value of the parser; a missing node if there is none.
+     * The next value of the parser, which keeps to {@link #limits}; a missing node if there is
+     * none.
      *
      * @throws IOException if it can't be parsed
      */
--- a/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/settings/Values.java
@@ -34,6 +34,9 @@
 final class Values {
     private static final int MIN_SECRET_BYTES = 16;
 
+    private static final TomlFactory TOML =
+            TomlFactory.builder().streamReadConstraints(JsonTrees.limits()).build();
+
     private final String file;
     private final Map<String, Object> values = new HashMap<>();
     private final Map<String, String> shown = new HashMap<>();
@@ -162,7 +165,7 @@
     }
 
     private static JsonNode tree(String text) throws JsonProcessingException {
-        try (JsonParser parser = new TomlFactory().createParser(text)) {
+        try (JsonParser parser = TOML.createParser(text)) {
             return JsonTrees.read(parser);
         } catch (JsonProcessingException e) {
             throw e;
--- a/damaskyoke/src/test/java/io/damaskyoke/json/JsonTreesTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/json/JsonTreesTest.java
@@ -10,7 +10,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,9 +17,6 @@
 class JsonTreesTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    /** The stack of a router that shares a small VM. */
-    private static final long SMALL_STACK_BYTES = 256 * 1024;
-
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -73,19 +69,7 @@
     }
 
     private static Throwable failureOnASmallStack(String json) throws InterruptedException {
-        AtomicReference<Throwable> failure = new AtomicReference<>();
-        Runnable read =
-                () -> {
-                    try {
-                        JsonTrees.read(json.getBytes(StandardCharsets.UTF_8));
-                    } catch (IOException | StackOverflowError e) {
-                        failure.set(e);
-                    }
-                };
-        Thread thread = new Thread(null, read, "small-stack", SMALL_STACK_BYTES);
-        thread.start();
-        thread.join();
-        return failure.get();
+        return SmallStack.failureOf(() -> JsonTrees.read(json.getBytes(StandardCharsets.UTF_8)));
     }
 
     private static String lists(int depth) {
--- a/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/settings/SettingsTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.damaskyoke.control.claims.ClaimSettings;
+import io.damaskyoke.json.SmallStack;
 import io.damaskyoke.settings.SettingsException.Code;
 import java.io.IOException;
 import java.net.URI;
@@ -18,6 +20,8 @@
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SettingsTest {
     private static final Path ROOT = Path.of("..");
@@ -182,6 +186,21 @@
         assertEquals(Code.SYNTAX, codeOf(SMALLEST_ROUTER + "peer.host = \"127.0.0.2\"\n"));
     }
 
+    // Guards against a process that ends at its start with an error in place of a line on its
+    // settings.
+    @ParameterizedTest
+    @ValueSource(ints = {65, 900, 100_000})
+    void settingsThatAreNestedTooDeepAreASyntaxFault(int depth) throws InterruptedException {
+        String lists = "peer.odd = " + "[".repeat(depth) + "]".repeat(depth);
+        String tables = "peer" + ".odd".repeat(depth) + " = 1";
+        for (String odd : List.of(lists, tables)) {
+            Throwable failure =
+                    SmallStack.failureOf(
+                            () -> Settings.parseRouter(SMALLEST_ROUTER + odd, "r.toml"));
+            assertEquals(Code.SYNTAX, assertInstanceOf(SettingsException.class, failure).code());
+        }
+    }
+
     @Property(seed = "7", tries = 500)
     void anyTextGivesSettingsOrFaultsOfOneLineEach(@ForAll String name, @ForAll String value) {
         String text = "\"" + name + "\" = \"" + value + "\"\n";
