Changes that are too large for one answer of the store are read in full

A write whose answer is too large is of unknown outcome, as before.

BoundedResponseTest asks for the more exact failure: TOO_LARGE, and no longer any garbled answer. FollowerTest .allEntriesAreReadAgainIfTheChangesAreTooLargeForOneAnswer.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -442,8 +442,12 @@
             }
             return;
         }
-        if (compacted(failure)) {
-            LOG.info("the store has compacted the history of {}, reading all of it again", name);
+        if (canNeverBeAnswered(failure)) {
+            LOG.info(
+                    "no changes of {} after revision {}, reading all of it again: {}",
+                    name,
+                    position.revision(),
+                    failure.getMessage());
             failing = true;
             reload();
             return;
@@ -460,9 +464,11 @@
         silenceLog.unanswered(why, call.age(now()), position.revision(), ageMillis());
     }
 
-    private static boolean compacted(Throwable failure) {
+    // The same call would fail again: its changes are gone, or too many for one answer.
+    private static boolean canNeverBeAnswered(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof PlatformException known && known.code() == Code.COMPACTED;
+        return cause instanceof PlatformException known
+                && (known.code() == Code.COMPACTED || known.code() == Code.TOO_LARGE);
     }
 
     private Duration confirm(
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -321,7 +321,7 @@
         bodyBytes += content.content().readableBytes();
         if (bodyBytes > listener.maxBodyBytes()) {
             content.release();
-            fail(ExchangeFailure.GARBLED);
+            fail(ExchangeFailure.TOO_LARGE);
             return;
         }
         if (content.content().isReadable()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/http/ExchangeFailure.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ExchangeFailure.java
@@ -9,7 +9,9 @@
     /** The connection was reset or closed in the middle of the response. */
     CUT_SHORT(true),
     /** The bytes received are not a valid HTTP response. */
-    GARBLED(true);
+    GARBLED(true),
+    /** The response's body is larger than the listener takes. */
+    TOO_LARGE(true);
 
     private final boolean mayHaveArrived;
 
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/PlatformException.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/PlatformException.java
@@ -16,6 +16,8 @@
         OUTCOME_UNKNOWN,
         /** The answer can't be read. */
         BAD_ANSWER,
+        /** The answer is larger than any that is read; a listing comes in pages. */
+        TOO_LARGE,
         /** The revision asked for is no longer kept; list again. */
         COMPACTED
     }
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -235,6 +235,16 @@
         assertEquals(List.of(5L, 9L), store.polledAfter);
     }
 
+    // Guards against changes that no answer has room for and that are asked for again and again.
+    @Test
+    void allEntriesAreReadAgainIfTheChangesAreTooLargeForOneAnswer() {
+        read(5);
+        store.polls.get(0).completeExceptionally(new PlatformException(Code.TOO_LARGE, "5 MB"));
+        store.fullReads.get(1).complete(listing(9));
+        assertEquals(List.of(5L, 9L), received);
+        assertEquals(List.of(5L, 9L), store.polledAfter);
+    }
+
     @Test
     void theAgeIsCountedFromWhenTheLastAnswerWasComplete() {
         assertEquals(Optional.empty(), follower.age());
--- a/damaskyoke/src/test/java/io/damaskyoke/http/BoundedResponseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/BoundedResponseTest.java
@@ -35,7 +35,7 @@
             HttpClient client = new HttpClient(loop, Duration.ofSeconds(1), new Metrics());
             loop.events().execute(() -> request(client, server.getLocalPort(), response));
             assertEquals(
-                    Optional.of(ExchangeFailure.GARBLED),
+                    Optional.of(ExchangeFailure.TOO_LARGE),
                     response.get(LIMIT_SECONDS, TimeUnit.SECONDS).failure());
             writer.join();
         } finally {
