--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -17,22 +17,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 
 /** A connection of the client to a server, which carries at most one request at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /**
-     * Used if the server sends no keep-alive timeout: common servers close an idle connection after
-     * five seconds.
-     */
-    private static final long DEFAULT_KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(4);
-
-    /**
-     * Subtracted from the server's keep-alive timeout, which is in whole seconds, so that the
-     * connection may close up to a second earlier.
-     */
-    private static final long KEEP_ALIVE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-
     /**
      * The longest body of a response to another request that is received and discarded. Longer ones
      * would take the thread's time until the request's deadline.
@@ -60,7 +47,7 @@
     private ClientRequest request;
     private ResponseListener listener;
     private boolean keepAlive;
-    private long keepAliveNanos = DEFAULT_KEEP_ALIVE_NANOS;
+    private long keepAliveNanos = KeepAliveTimeout.DEFAULT_NANOS;
     private long idleSince;
     private int answerNumber;
     private int skippedBytes;
@@ -266,7 +253,7 @@
                 return;
             }
         }
-        readKeepAlive(headers.get("Keep-Alive"));
+        keepAliveNanos = KeepAliveTimeout.nanos(headers.get("Keep-Alive"), keepAliveNanos);
         state = State.READING;
         bodyBytes = 0;
         listener.head(status, headers);
@@ -296,19 +283,6 @@
         return new AnswerPlace(number, carried.count(), answerNumber);
     }
 
-    private void readKeepAlive(String value) {
-        int at = value == null ? -1 : value.indexOf("timeout=");
-        if (at < 0) {
-            return;
-        }
-        String digits = value.substring(at + "timeout=".length()).split("[^0-9]", 2)[0];
-        if (digits.isEmpty() || digits.length() > 6) {
-            return;
-        }
-        long named = TimeUnit.SECONDS.toNanos(Long.parseLong(digits));
-        keepAliveNanos = Math.max(0, named - KEEP_ALIVE_MARGIN_NANOS);
-    }
-
     // A server that resets the connection may fail the request's write, which closes the connection
     // here just as the end of the response would. While the request is not written, such an end
     // doesn't tell that the response is complete.
