--- a/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/ClientConnection.java
@@ -283,9 +283,6 @@
         return new AnswerPlace(number, carried.count(), answerNumber);
     }
 
-    // A server that resets the connection may fail the request's write, which closes the connection
-    // here just as the end of the response would. While the request is not written, such an end
-    // doesn't tell that the response is complete.
     private void part(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (state != State.READING) {
@@ -303,9 +300,15 @@
         } else {
             content.release();
         }
-        if (!last || state != State.READING) {
-            return;
+        if (last && state == State.READING) {
+            endBody();
         }
+    }
+
+    // A server that resets the connection may fail the request's write, which closes the connection
+    // here just as the end of the response would. While the request is not written, such an end
+    // doesn't tell that the response is complete.
+    private void endBody() {
         if (endsWithConnection && !written.isSuccess()) {
             fail(ExchangeFailure.CUT_SHORT);
         } else {
