One test for both failures that lead to a full read

allEntriesAreReadAgainAfterACompaction and its twin for changes that are too large differed in the failure only; one test with both has the same assertions.

--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class FollowerTest {
     private static final PollTiming TIMING =
@@ -226,20 +228,15 @@
         overflow();
     }
 
-    @Test
-    void allEntriesAreReadAgainAfterACompaction() {
-        read(5);
-        store.polls.get(0).completeExceptionally(new PlatformException(Code.COMPACTED, "gone"));
-        store.fullReads.get(1).complete(listing(9));
-        assertEquals(List.of(5L, 9L), received);
-        assertEquals(List.of(5L, 9L), store.polledAfter);
-    }
-
-    // Guards against changes that no answer has room for and that are asked for again and again.
-    @Test
-    void allEntriesAreReadAgainIfTheChangesAreTooLargeForOneAnswer() {
+    // Guards against changes that are gone, or that no answer has room for, and that are asked for
+    // again and again.
+    @ParameterizedTest
+    @EnumSource(
+            value = Code.class,
+            names = {"COMPACTED", "TOO_LARGE"})
+    void allEntriesAreReadAgainIfTheChangesCanNeverBeAnswered(Code code) {
         read(5);
-        store.polls.get(0).completeExceptionally(new PlatformException(Code.TOO_LARGE, "5 MB"));
+        store.polls.get(0).completeExceptionally(new PlatformException(code, "never"));
         store.fullReads.get(1).complete(listing(9));
         assertEquals(List.of(5L, 9L), received);
         assertEquals(List.of(5L, 9L), store.polledAfter);
