--- a/damaskyoke/src/main/java/io/damaskyoke/direct/EventLoopControlThread.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/EventLoopControlThread.java
@@ -109,8 +109,8 @@
         return clock;
     }
 
-    // A step that throws would silently end its timer, and with it a task of this router. Errors
-    // count, too: a future within which the step runs would keep them, and nobody would see them.
+    // A step that throws would silently end its timer, and with it a task of this router. An error
+    // that left the step would end in a future that nobody looks at.
     private void runAndLogFailure(Runnable step) {
         long start = System.nanoTime();
         try {
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -444,7 +444,8 @@
         }
         if (canNeverBeAnswered(failure)) {
             LOG.info(
-                    "no changes of {} after revision {}, reading all of it again: {}",
+                    "the changes of {} after revision {} can't be received, reading all of it"
+                            + " again: {}",
                     name,
                     position.revision(),
                     failure.getMessage());
--- a/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/http/StrictResponseDecoder.java
@@ -25,9 +25,9 @@
  * not run. The status line of the next response is then found inside the joined head. Such a head
  * is marked as a decoding failure.
  *
- * <p>The library's decoder cuts a field name at a blank, so that {@code Content-Length X: 5} would
- * say how long the body is, and takes a line that begins with a blank for more of the field before
- * it. Both are rejected, too: other readers of the same bytes may see other fields.
+ * <p>Netty's decoder cuts a field name at a blank, so that {@code Content-Length X: 5} would say
+ * how long the body is, and takes a line that begins with a blank for more of the field before it.
+ * Both are rejected: other readers of the same bytes may see other fields.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final String STATUS_LINE_START = "HTTP/1.";
@@ -72,7 +72,7 @@
         }
     }
 
-    // The library's decoder reads whole lines of a head, and no more than the head, in one call.
+    // Netty's decoder reads whole lines of a head, and no more than the head, in one call.
     private static boolean hasFoldedLine(ByteBuf in, int start, boolean startsLine) {
         boolean lineStarts = startsLine;
         for (int index = start; index < in.readerIndex(); index++) {
--- a/damaskyoke/src/main/java/io/damaskyoke/json/JsonTrees.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/json/JsonTrees.java
@@ -17,8 +17,8 @@
 /** Reads and writes trees: {@code JsonTrees.read(bytes).path("port").asInt()}. */
 public final class JsonTrees {
     /**
-     * The deepest nesting that is read. Each level takes some hundred bytes of the thread's stack,
-     * and an overflow would be an error that none of those who skip unreadable input expects.
+     * The deepest nesting that is read. Each level takes some hundred bytes of the thread's stack.
+     * A stack overflow is an error, which callers that skip unreadable input would not catch.
      */
     public static final int MAX_DEPTH = 64;
 
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AnswerBeforeUploadTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerBeforeUploadTest.java
@@ -47,8 +47,7 @@
     }
 
     // Guards against part of an answer that is taken for all of it, as the connection was reset
-    // while
-    // the request was still being written.
+    // while the request was still being written.
     @Test
     void anAnswerWithoutALengthWhoseConnectionIsResetIsCutShort() {
         String outcome =
--- a/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/AnswerFramingTest.java
@@ -138,9 +138,8 @@
         }
     }
 
-    // Guards against a field that is cut at a blank in its name, passed on, or taken for another
-    // that
-    // says where the body ends.
+    // Guards against a malformed field that is passed on, or taken for one that says where the body
+    // ends.
     @ParameterizedTest
     @ValueSource(
             strings = {
