--- a/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/Follower.java
@@ -257,7 +257,7 @@
 
     private void read() {
         StoreCall call = begin(new StoreCall(now(), Duration.ZERO, this::read));
-        store.list(prefix)
+        store.list(prefix, () -> control.run(() -> call.progressed(now())))
                 .whenComplete(
                         (found, failure) -> control.run(() -> readAnswered(call, found, failure)));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/StoreCall.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/StoreCall.java
@@ -12,6 +12,7 @@
     private final Duration maxWait;
     private final Runnable retry;
     private final boolean relayed;
+    private Instant progressedAt;
 
     StoreCall(Instant sentAt, Duration maxWait, Runnable retry) {
         this(sentAt, maxWait, retry, false);
@@ -22,6 +23,7 @@
         this.maxWait = maxWait;
         this.retry = retry;
         this.relayed = relayed;
+        this.progressedAt = sentAt;
     }
 
     /** Returns true if the call went to a relay and not to the store. */
@@ -44,9 +46,14 @@
         return retry;
     }
 
-    /** Returns when the call is overdue. */
+    /** Records that a part of the answer has come. */
+    void progressed(Instant now) {
+        progressedAt = now;
+    }
+
+    /** Returns when the call is overdue, unless a part of its answer comes before. */
     Instant overdueAt() {
-        return sentAt.plus(maxWait).plus(PollTiming.ANSWER_TIMEOUT);
+        return progressedAt.plus(maxWait).plus(PollTiming.ANSWER_TIMEOUT);
     }
 
     /**
--- a/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/platform/PolledStore.java
@@ -13,6 +13,14 @@
      */
     CompletionStage<Changes> changes(String prefix, long after, Duration wait);
 
+    /**
+     * The same as {@link #list(String)}; {@code onPage} runs whenever a part of the listing has
+     * come.
+     */
+    default CompletionStage<Listing> list(String prefix, Runnable onPage) {
+        return list(prefix);
+    }
+
     /**
      * All entries whose key starts with the prefix, as of a revision that may be some seconds old.
      * This may cost the store less than {@link #list}.
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/FollowerTest.java
@@ -97,6 +97,19 @@
         assertEquals(List.of(5L), store.polledAfter);
     }
 
+    // Guards against parallel reads of a long list, which take its time and memory many times over.
+    @Test
+    void aFullReadIsNotOverdueWhileItsPagesCome() {
+        follower.start();
+        for (int page = 0; page < 10; page++) {
+            pass(Duration.ofMillis(300));
+            store.pages.get(0).run();
+        }
+        assertEquals(1, store.fullReads.size());
+        pass(Duration.ofMillis(500));
+        assertEquals(2, store.fullReads.size());
+    }
+
     // Guards against a call that waits after the VM was paused, which would delay for seconds the
     // changes made during the pause.
     @Test
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/ManualStore.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/ManualStore.java
@@ -14,6 +14,7 @@
 final class ManualStore extends OnlyFollowed {
     final List<CompletableFuture<Changes>> polls = new ArrayList<>();
     final List<CompletableFuture<Listing>> fullReads = new ArrayList<>();
+    final List<Runnable> pages = new ArrayList<>();
     final List<Long> polledAfter = new ArrayList<>();
     final List<Duration> waits = new ArrayList<>();
 
@@ -28,8 +29,14 @@
 
     @Override
     public CompletionStage<Listing> list(String prefix) {
+        return list(prefix, () -> {});
+    }
+
+    @Override
+    public CompletionStage<Listing> list(String prefix, Runnable onPage) {
         CompletableFuture<Listing> answer = new CompletableFuture<>();
         fullReads.add(answer);
+        pages.add(onPage);
         return answer;
     }
 
