A relay refuses a fetch at once if its answer is larger than a frame

Behind a relay, from some nine routers on, a batch of changes above peer.max-frame was never sent: the link takes no such frame and says so, and nobody looked. The router that had asked waited for 1.5 s until its fetch expired, and only then asked the store; an upstream that leaves among these changes is to be known within two seconds.

Now the relay answers that it can't tell what has changed, as it does while its view is outdated, and the other router asks the store at once.

PeerRoutersTest.aFetchOfChangesThatNoFrameHoldsIsRefusedAtOnce: red with the mend out (nothing sent), green with it. Not played with whole routers.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/PeerRouters.java
@@ -403,7 +403,7 @@
                     fetch.getPrefix(),
                     fetch.getAfter(),
                     Duration.ofMillis(fetch.getWaitMs()),
-                    answer -> link.send(PeerRouterFrames.changes(fetch.getNumber(), answer)));
+                    answer -> answerFetch(link, fetch.getNumber(), answer));
         } else if (frame.hasStoreChanges()) {
             StoreChanges answer = frame.getStoreChanges();
             listener.changesReceived(from, answer.getNumber(), PeerRouterFrames.changes(answer));
@@ -414,6 +414,13 @@
         }
     }
 
+    // The other router would wait for an answer that no frame holds; refused, it asks the store.
+    static void answerFetch(PeerLink link, long fetchNumber, Optional<Changes> changes) {
+        if (!link.send(PeerRouterFrames.changes(fetchNumber, changes))) {
+            link.send(PeerRouterFrames.changes(fetchNumber, Optional.empty()));
+        }
+    }
+
     private void handleUpstreamFrame(Frame frame) {
         if (frame.hasUpstreamEnded()) {
             UpstreamEnded ended = frame.getUpstreamEnded();
