The history of changes that a follower keeps is bounded in bytes

A router keeps the last 4,096 changes of each list for routers that it may relay to, with their values. One entry of another writer, 250 KB large and written again every 130 ms, filled the heap of 80 MB with them.

Evidence (trial, a router with the deployed limits and a stand-in for the store, 450 writes, two plays): 'no update of upstreams: ... java.lang.OutOfMemoryError: Java heap space' after some 270 writes in both. All 450 requests beside them were served; what else an error of this kind ends is a matter of which thread meets it.

Now a history has 1 MB at most, so that it also fits into one frame to another process at the default of 2 MiB. Whoever asks for older changes is told to ask the store, as before beyond 4,096 changes.

--- a/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeHistory.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeHistory.java
@@ -13,8 +13,18 @@
      */
     private static final int MAX_CHANGES = 4_096;
 
+    /**
+     * The bytes of changes that are kept, so that values of another writer fill no heap, and that
+     * all of them fit into one frame to another process.
+     */
+    private static final int MAX_BYTES = 1 << 20;
+
+    /** What a change takes in a frame beyond its key and value. */
+    private static final int BYTES_PER_CHANGE = 32;
+
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
     private long from = Long.MAX_VALUE;
+    private long bytes;
 
     /** Begins after the first full read, at this revision. */
     void startAt(long revision) {
@@ -30,10 +40,20 @@
     }
 
     void add(List<Change> newer) {
-        changes.addAll(newer);
-        while (changes.size() > MAX_CHANGES) {
-            from = changes.removeFirst().revision();
+        for (Change change : newer) {
+            changes.addLast(change);
+            bytes += size(change);
         }
+        while (changes.size() > MAX_CHANGES || bytes > MAX_BYTES) {
+            Change oldest = changes.removeFirst();
+            bytes -= size(oldest);
+            from = oldest.revision();
+        }
+    }
+
+    private static int size(Change change) {
+        int value = change.entry().map(entry -> entry.value().length).orElse(0);
+        return BYTES_PER_CHANGE + change.key().length() + value;
     }
 
     /**
