An accepted load that no usable report shows for five seconds is given up

Cause: an accepted order was finished by nothing but a report that can be used, and while a load is pending its model is ordered nowhere else.

Now the leader waits five seconds beyond the time at which the load should be finished, and as long after the last usable report. Then it forgets the order, and asks that upstream for a report before it orders anything there, as after an order without an answer: so nothing is loaded beyond the room there is. A load that reports show as going on is waited for as before, however slow. An upstream that has ended is off the list by then.

LoadPlannerTest .aLoadThatNoReportShowsIsOrderedElsewhere red before; .aLoadThatReportsShowIsOrderedOnce green before and after.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -41,6 +41,12 @@
     /** Greatest age of a report at its arrival. */
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
+    /**
+     * How long a load that should be finished is waited for without a report that can be used. An
+     * upstream that has ended is off the list by then.
+     */
+    private static final Duration MAX_REPORT_SILENCE = Duration.ofSeconds(5);
+
     /** A heartbeat and the list's delay: how late an entry may name the models that are held. */
     private static final Duration MAX_ENTRY_DELAY = Duration.ofSeconds(3);
 
@@ -75,6 +81,7 @@
     private boolean reported;
     private Instant pausedUntil = Instant.MIN;
     private Instant reportRequestedAt = Instant.MIN;
+    private Instant usableReportAt = Instant.MIN;
     private Instant entryAgreedAt = Instant.MIN;
     private UnansweredLoadOrders.Reservation reservation = UnansweredLoadOrders.Reservation.NONE;
     private UnansweredLoadOrders.Reservation reservationAfterRestart =
@@ -328,6 +335,7 @@
             return false;
         }
         known = true;
+        usableReportAt = now;
         HeldModels reportedModels = report.held();
         boolean isNewer = reportedModels.sequence() > held.sequence();
         held = new HeldModels(incarnation, reportedModels.sequence(), reportedModels.adapters());
@@ -412,6 +420,17 @@
                 && !now.isBefore(pending.dueAt().plus(LOAD_TIME_MARGIN));
     }
 
+    /**
+     * Returns true if the pending order should be finished for long, and no report that can be used
+     * has come since.
+     */
+    boolean isOrderUnreported(Instant now) {
+        return pending != null
+                && pending.accepted()
+                && now.isAfter(pending.dueAt().plus(MAX_REPORT_SILENCE))
+                && now.isAfter(usableReportAt.plus(MAX_REPORT_SILENCE));
+    }
+
     void orderSent(PendingOrder order) {
         pending = order;
         orderSequence = held.sequence();
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -374,7 +374,9 @@
         if (due && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
             requestReport(engine, now, actions);
         }
-        if (!pending.accepted() && now.isAfter(pending.sentAt().plus(settings.orderTimeout()))) {
+        boolean unanswered =
+                !pending.accepted() && now.isAfter(pending.sentAt().plus(settings.orderTimeout()));
+        if (unanswered || engine.isOrderUnreported(now)) {
             engine.orderFinished();
             engine.requireReport();
             engine.setPlannedLoad(null);
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/LoadPlannerTest.java
@@ -124,6 +124,50 @@
         assertTrue(actual.get(ONE).sequence() > 20, "orders " + actual.get(ONE).sequence());
     }
 
+    // Guards against a load that no report shows and that keeps its model from all other upstreams.
+    @Test
+    void aLoadThatNoReportShowsIsOrderedElsewhere() {
+        orderLoadFromStore("g");
+        assertEquals(List.of(), ordersInSeconds(12, () -> reportFailed(ONE)));
+        list(TWO, held(0, "d", "e"), Set.of());
+        report(TWO, false, actual.get(TWO));
+        assertEquals("LOAD g two 0", lastOrderText);
+    }
+
+    // Guards against a slow load that is ordered again though reports show that it goes on.
+    @Test
+    void aLoadThatReportsShowIsOrderedOnce() {
+        orderLoadFromStore("g");
+        ordersInSeconds(30, () -> report(ONE, true, held(1, "a", "b")));
+        list(TWO, held(0, "d", "e"), Set.of());
+        report(TWO, false, actual.get(TWO));
+        assertFalse(sentOrders.contains("LOAD g two 0"));
+    }
+
+    private void orderLoadFromStore(String model) {
+        planner.on(new LoadInput.ServicesConfigured(Map.of("engines", spec())), now);
+        list(ONE, held(0, "a", "b"), Set.of());
+        planner.on(new LoadInput.Elected(), now);
+        reportWaiting(model, 1);
+        report(ONE, false, actual.get(ONE));
+        assertEquals("LOAD " + model + " one 0", lastOrderText);
+        answer(OrderOutcome.ACCEPTED);
+    }
+
+    private List<String> ordersInSeconds(int seconds, Runnable eachSecond) {
+        List<String> orders = new ArrayList<>();
+        for (int second = 0; second < seconds; second++) {
+            now = now.plusSeconds(1);
+            eachSecond.run();
+            orders.addAll(reportWaiting("g", 1));
+        }
+        return orders;
+    }
+
+    private void reportFailed(UpstreamId id) {
+        planner.on(new LoadInput.ReportFailed(id), now);
+    }
+
     @Test
     void theLeastRecentlyUsedAdapterIsEvicted() {
         start(Set.of(), Set.of());
