--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -421,8 +421,8 @@
     }
 
     /**
-     * Returns true if the pending order should be finished for long, and no report that can be used
-     * has come since.
+     * Returns true if the pending order should have been finished long ago, and no usable report
+     * has come for as long.
      */
     boolean isOrderUnreported(Instant now) {
         return pending != null
--- a/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeHistory.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/follow/ChangeHistory.java
@@ -15,7 +15,7 @@
 
     /**
      * The bytes of changes that are kept, so that values of another writer fill no heap, and that
-     * all of them fit into one frame to another process.
+     * all of them fit into one frame to another process, unless the settings make frames smaller.
      */
     private static final int MAX_BYTES = 1 << 20;
 
