--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -42,8 +42,8 @@
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     /**
-     * How long a load that should be finished is waited for without a report that can be used. An
-     * upstream that has ended is off the list by then.
+     * How long an order that should be finished stays pending without a usable report. An upstream
+     * that has ended is off the list by then.
      */
     private static final Duration MAX_REPORT_SILENCE = Duration.ofSeconds(5);
 
--- a/damaskyoke/src/test/java/io/damaskyoke/follow/ChangeHistoryTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/follow/ChangeHistoryTest.java
@@ -25,10 +25,9 @@
         for (int revision = 1; revision <= WRITES; revision++) {
             history.add(List.of(change(revision, VALUE_BYTES)));
         }
-        assertTrue(history.after(WRITES - 10).isEmpty());
-        List<Change> kept = history.after(WRITES - 4).orElseThrow();
-        assertEquals(4, kept.size());
-        assertTrue(kept.size() * VALUE_BYTES <= MAX_BYTES);
+        int kept = MAX_BYTES / VALUE_BYTES;
+        assertEquals(kept, history.after(WRITES - kept).orElseThrow().size());
+        assertTrue(history.after(WRITES - kept - 1).isEmpty());
     }
 
     // Guards against a change that can't be kept and is taken for one that has not happened.
