Tokens that came while a router stood still are used

Callers saw: a request well within its workspace's rate got 429 "the workspace has used up its rate and burst" with Retry-After: 0.00.

Cause: in the first seconds after a start the router that wrote a workspace's first table holds all of it, and the other asks it for each request. A request waits 150 ms at most. When the process stands still for longer, its timers run at the resumption before the answers that came meanwhile are read, and the first tick refuses the request.

Why this works: a deadline that passed while the router stood still counts only after the usual time of an answer has gone by since (40 to 250 ms). It is one stall a request, so a router that is throttled all the time refuses as before, a stall later at most.

Not mended: an owner that alone stands still for 150 ms, and the three seconds in which the other router has no part.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/QueueAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/QueueAdmission.java
@@ -24,18 +24,21 @@
     private final SpendingPermission permission;
     private final ShareBalancer balancer;
     private final BatchedBorrower batchedBorrower;
+    private final StallDetector stalls;
 
     QueueAdmission(
             Incarnation self,
             RateSettings settings,
             SpendingPermission permission,
             ShareBalancer balancer,
-            BatchedBorrower batchedBorrower) {
+            BatchedBorrower batchedBorrower,
+            StallDetector stalls) {
         this.self = self;
         this.settings = settings;
         this.permission = permission;
         this.balancer = balancer;
         this.batchedBorrower = batchedBorrower;
+        this.stalls = stalls;
     }
 
     /** Admits queued requests in order for as long as there are tokens for the next one. */
@@ -102,7 +105,7 @@
                         && !(balancer.isJoining(now) && !balancer.hasShare(account));
         for (QueuedRequest request : account.queue.inOrder(now)) {
             boolean covered = noLenders || request.arrivalNumber() <= account.lastCoveredArrival;
-            boolean refused = !now.isBefore(request.deadline()) || cannotBeServed && covered;
+            boolean refused = hasTimedOut(account, request, now) || cannotBeServed && covered;
             if (refused && account.queue.remove(request)) {
                 refuseQueued(account, request, now, actions);
                 admit(account, now, actions);
@@ -110,6 +113,11 @@
         }
     }
 
+    private boolean hasTimedOut(WorkspaceAccount account, QueuedRequest request, Instant now) {
+        return request.isExpired(now)
+                && !stalls.mayHideAnswer(request.deadline(), account.answerTime.timeout(), now);
+    }
+
     private void refuseQueued(
             WorkspaceAccount account,
             QueuedRequest request,
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -32,6 +32,7 @@
     private final VmId vm;
     private final RateSettings settings;
     private final SpendingPermission permission;
+    private final StallDetector stalls = new StallDetector();
     private final ShareBalancer balancer;
     private final BatchedBorrower batchedBorrower;
     private final PerRequestBorrower perRequestBorrower;
@@ -52,7 +53,7 @@
         this.batchedBorrower = new BatchedBorrower(self, settings, balancer);
         this.perRequestBorrower = new PerRequestBorrower(self, settings, balancer);
         this.queueAdmission =
-                new QueueAdmission(self, settings, permission, balancer, batchedBorrower);
+                new QueueAdmission(self, settings, permission, balancer, batchedBorrower, stalls);
         this.lender = new TokenLender(self, vm, settings, permission, balancer);
     }
 
@@ -81,6 +82,7 @@
     public List<RateAction> on(RateInput input, Instant now) {
         List<RateAction> actions = new ArrayList<>();
         permission.recordRunning(now);
+        stalls.recordRunning(now);
         balancer.recordRunning(now);
         if (input instanceof RateInput.RequestArrived arrived) {
             arrive(arrived, now, actions);
