One odd address among the rates' shares hides no others

Callers saw: every request refused for as long as one entry stood. An entry of another writer among those of the rates, of a workspace of its own and well-formed, with a share whose address can't be read ("", "nowhere", no port, port 0 or 99999), stopped the reading of all: every router that started found no shares.

Cause: RatePeers parsed the addresses of all rows without a guard. The exception ended the step that takes the rows in, and the next read is asked for only after that step.

Why this works: a share whose address can't be read names no router to ask; the others are taken in.

--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
@@ -5,6 +5,8 @@
 import io.damaskyoke.control.rates.RateInput;
 import io.damaskyoke.control.rates.ShareTable;
 import io.damaskyoke.control.rates.WaitLimits;
+import io.damaskyoke.http.Endpoint;
+import io.damaskyoke.http.HttpException;
 import io.damaskyoke.id.VmId;
 import io.damaskyoke.id.WorkspaceId;
 import io.damaskyoke.peer.PeerAddress;
@@ -134,10 +136,17 @@
     }
 
     private void known(ShareTable.Share share) {
-        int colon = share.address().lastIndexOf(':');
-        String host = share.address().substring(0, colon);
-        int port = Integer.parseInt(share.address().substring(colon + 1));
-        addresses.put(share.vm(), new PeerAddress(share.vm(), host, port));
+        address(share).ifPresent(address -> addresses.put(share.vm(), address));
+    }
+
+    // Rows may come from another writer, and one share must not hide the others.
+    private static Optional<PeerAddress> address(ShareTable.Share share) {
+        try {
+            Endpoint endpoint = Endpoint.parse(share.address());
+            return Optional.of(new PeerAddress(share.vm(), endpoint.host(), endpoint.port()));
+        } catch (HttpException e) {
+            return Optional.empty();
+        }
     }
 
     private void send(VmId to, Frame frame) {
