Tests of a closed port hold the port

Cause, by reading, not brought about: the test closed a server and asked at its port. The system may have given the port to a server of another test process, or the closed server's thread, still in its call to accept, took the connection. EtcdStoreTest took closed ports in the same way.

Why this works: the port is bound by a socket that never listens, until the test has ended. The system refuses connections to it and gives it to nobody. What is asserted is the same.

--- a/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/http/HttpClientTest.java
@@ -112,10 +112,9 @@
 
     @Test
     void aClosedPortIsReportedAsNotConnected() {
-        RawServer server = new RawServer(OK);
-        Endpoint gone = server.endpoint();
-        server.close();
-        assertEquals("NOT_CONNECTED", ask(gone, LIMIT));
+        try (ClosedPort closed = new ClosedPort()) {
+            assertEquals("NOT_CONNECTED", ask(closed.endpoint(), LIMIT));
+        }
     }
 
     @Test
--- a/damaskyoke/src/test/java/io/damaskyoke/platform/EtcdStoreTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/platform/EtcdStoreTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.damaskyoke.http.ClosedPort;
 import io.damaskyoke.metrics.Metrics;
 import io.damaskyoke.platform.KeyValueStore.Change;
 import io.damaskyoke.platform.KeyValueStore.Condition;
@@ -18,9 +19,6 @@
 import io.damaskyoke.timeline.EventType;
 import io.damaskyoke.timeline.HybridClock;
 import io.damaskyoke.timeline.Timeline;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -43,6 +41,7 @@
     private final Metrics metrics = new Metrics();
     private final Timeline timeline =
             Timeline.of("router-1", HybridClock.over(() -> Instant.EPOCH), 100);
+    private final ClosedPort closed = new ClosedPort();
     private final ScriptedGateway gateway = ScriptedGateway.start(system);
     private final WatchedStore store = store(Duration.ofSeconds(20), gateway.address());
 
@@ -61,6 +60,7 @@
     void stop() {
         store.close();
         gateway.stop();
+        closed.close();
     }
 
     @Test
@@ -127,8 +127,8 @@
      * the address; this holds at each of several calls, also those after the first failure.
      */
     @Test
-    void aWriteThatWasNeverSentHadNoEffect() throws IOException {
-        WatchedStore nobody = store(Duration.ofSeconds(20), closedPort());
+    void aWriteThatWasNeverSentHadNoEffect() {
+        WatchedStore nobody = store(Duration.ofSeconds(20), closedAddress());
         for (int call = 0; call < 5; call++) {
             assertEquals(Code.UNAVAILABLE, failure(nobody.commit(List.of(), List.of(put()))));
         }
@@ -150,8 +150,8 @@
     }
 
     @Test
-    void theNextEndpointIsTriedIfOneIsDown() throws IOException {
-        WatchedStore pair = store(Duration.ofSeconds(20), closedPort(), gateway.address());
+    void theNextEndpointIsTriedIfOneIsDown() {
+        WatchedStore pair = store(Duration.ofSeconds(20), closedAddress(), gateway.address());
         gateway.answer(200, "{\"header\":{\"revision\":\"4\"},\"succeeded\":true}");
         assertTrue(join(pair.commit(List.of(), List.of(put()))).committed());
     }
@@ -234,10 +234,8 @@
         return new Write.Put("/a", VALUE, 0);
     }
 
-    private static URI closedPort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return URI.create("http://127.0.0.1:" + socket.getLocalPort());
-        }
+    private URI closedAddress() {
+        return URI.create("http://" + closed.endpoint());
     }
 
     private static <T> T join(CompletionStage<T> stage) {
