A router stood still only if it paused for more than 100 ms

It now asks a router that was frozen for all verdicts a tick (100 ms) after its thaw, that is at the next of its steps of 250 ms; for all other routers it is as before.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/StallDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/StallDetector.java
@@ -11,8 +11,8 @@
  * meanwhile are read.
  */
 final class StallDetector {
-    /** A few times the period of ticks while requests wait. */
-    private static final Duration MIN_STALL = Duration.ofMillis(50);
+    /** A request waits longer than this, and answers usually come within a few milliseconds. */
+    private static final Duration MIN_STALL = Duration.ofMillis(100);
 
     private Instant lastRunAt = Instant.MAX;
     private Instant stalledAt = Instant.MAX;
--- a/damaskyoke/src/test/java/io/damaskyoke/router/SimulatedProcess.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/router/SimulatedProcess.java
@@ -38,6 +38,11 @@
         return control.clock().instant().isBefore(frozenUntil);
     }
 
+    /** Returns true while the process is frozen, and for the given time after that. */
+    public boolean wasFrozenWithin(Duration time) {
+        return control.clock().instant().isBefore(frozenUntil.plus(time));
+    }
+
     @Override
     public void run(Runnable step) {
         control.run(whileAlive(step));
