--- a/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementStore.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/placement/PlacementStore.java
@@ -120,8 +120,7 @@
                 .thenApply(KeyValueStore.TxnResult::committed);
     }
 
-    // A shard that can't be read fails the reading: as an empty one its grants would be given
-    // again.
+    // An unreadable shard fails the read. If it counted as empty, its grants would be given twice.
     private PlacementTable table(KeyValueStore.Listing listing) {
         Map<Integer, PlacementTable.Stored> shards = new HashMap<>();
         for (KeyValueStore.Entry entry : listing.entries()) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/RateMachine.java
@@ -20,7 +20,8 @@
  * <p>It spends its share from a token bucket of its own, borrows tokens from other routers where
  * that is short, lends tokens where it is not, and adjusts its share to its demand. Each request
  * that arrives leads to exactly one {@code AdmitRequest} or {@code RefuseRequest}, at the latest at
- * the first tick after its queue timeout, or a moment later if this router stood still meanwhile.
+ * the first tick after its queue timeout. If the timeout passes in a stall, the answers that
+ * arrived meanwhile are read first.
  */
 public final class RateMachine implements StateMachine<RateInput, RateAction> {
     /** How often the store is read for a workspace whose first table another router must write. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/rates/StallDetector.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/rates/StallDetector.java
@@ -4,14 +4,15 @@
 import java.time.Instant;
 
 /**
- * Detects that this router stood still, so that it doesn't take its own pause for the silence of
- * other routers: {@code stalls.recordRunning(now); if (stalls.mayHideAnswer(deadline, ...)) ...}.
+ * Detects stalls, in which this process did not run: {@code stalls.recordRunning(now); if
+ * (stalls.mayHideAnswer(deadline, answerTime, now)) ...}.
  *
- * <p>After a pause of the process the timers that are due run before the messages that arrived
- * meanwhile are read.
+ * <p>After a stall, the timers that are due run before the messages that arrived meanwhile are
+ * read. Without a check, a request would be refused though the tokens for it have arrived. A
+ * freeze, after which {@link SpendingPermission} requires a read of the store, is a long stall.
  */
 final class StallDetector {
-    /** A request waits longer than this, and answers usually come within a few milliseconds. */
+    /** Longer than the period of ticks while requests wait, shorter than a queue timeout. */
     private static final Duration MIN_STALL = Duration.ofMillis(100);
 
     private Instant lastRunAt = Instant.MAX;
@@ -28,10 +29,10 @@
     }
 
     /**
-     * Returns whether a deadline passed while this router stood still, and an answer that came
-     * before it may still be unread.
+     * Returns whether the deadline passed in the last stall, and answers that arrived in that stall
+     * may still be unread.
      *
-     * @param answerTime how long after a stall an answer may take to be read
+     * @param answerTime the time after a stall in which such answers are read
      */
     boolean mayHideAnswer(Instant deadline, Duration answerTime, Instant now) {
         boolean passedInStall = stalledAt.isBefore(deadline) && !deadline.isAfter(resumedAt);
--- a/damaskyoke/src/test/java/io/damaskyoke/mixed/Checks.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/mixed/Checks.java
@@ -117,7 +117,7 @@
         }
     }
 
-    // A router that was frozen reads what came meanwhile before it refuses, a tick later.
+    // After a freeze a router first reads what arrived meanwhile, and refuses a tick later.
     private void rateAnswers(List<String> now) {
         for (MixedRouter router : world.routers()) {
             if (!router.life.wasFrozenWithin(RateRouter.TICK)) {
