--- /dev/null
+++ b/review/standins-2/Router.java
@@ -0,0 +1,89 @@
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** One router, started with the command of the deploy file. */
+final class Router {
+    final String name;
+    final String host;
+    final int callers;
+    private final int ready;
+    private final Path settings;
+    private final Path log;
+    private final Path repository;
+    private Process process;
+
+    Router(String name, String host, int store, Path repository, Path folder) throws IOException {
+        this.name = name;
+        this.host = host;
+        this.repository = repository;
+        this.callers = freePort(host);
+        this.ready = freePort(host);
+        this.settings = folder.resolve(name + ".toml");
+        this.log = folder.resolve(name + ".log");
+        // As deploy/settings.toml is filled in for a machine of a small site.
+        Files.writeString(
+                settings,
+                "[process]\nvm = \"" + name + "\"\navailability-zone = \"z-a\"\n\n"
+                        + "[direct]\ncallers = \"" + host + ":" + callers + "\"\n"
+                        + "ready = \"" + host + ":" + ready + "\"\n"
+                        + "store = \"" + host + ":" + store + "\"\n"
+                        + "metrics-port = " + freePort(host) + "\n"
+                        + "retry-window = \"10s\"\nretry-ratio = 0.2\nretry-extra = 58\n"
+                        + "grace = \"8s\"\ncpu-share = 0.57\ncpu-cores = 1\n"
+                        + "zones = { \"z-a\" = \"region-a\" }\n\n"
+                        + "[peer]\nhost = \"" + host + "\"\nport = " + freePort(host) + "\n");
+    }
+
+    static int freePort(String host) throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(host, 0));
+            return socket.getLocalPort();
+        }
+    }
+
+    void start() throws IOException {
+        String run =
+                Files.readAllLines(repository.resolve("deploy/system.toml")).stream()
+                        .filter(line -> line.startsWith("run = \""))
+                        .findFirst()
+                        .orElseThrow();
+        run = run.substring(7, run.lastIndexOf('"'));
+        run = run.replace("{{listen.front}}", host + ":" + callers);
+        ProcessBuilder builder = new ProcessBuilder(List.of(run.split(" ")));
+        builder.environment().put("DAMASKYOKE_CONFIG", settings.toString());
+        builder.directory(repository.toFile());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        process = builder.start();
+    }
+
+    void awaitReady() throws InterruptedException {
+        for (int i = 0; i < 150; i++) {
+            try (Socket socket = new Socket(host, ready)) {
+                socket.setSoTimeout(1_000);
+                socket.getOutputStream()
+                        .write("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                if (Http.line(socket.getInputStream()).contains(" 200")) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not up yet.
+            }
+            Thread.sleep(100);
+        }
+        throw new IllegalStateException(name + " doesn't become ready");
+    }
+
+    /** Sends SIGKILL and waits for the end. */
+    void kill() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+}
