--- a/review/standins-2/ModelWorker.java
+++ b/review/standins-2/ModelWorker.java
@@ -51,7 +51,7 @@
         this.record = record;
         this.host = host;
         this.id = id;
-        this.port = Router.freePort(host);
+        this.port = Router.freePort();
         onDisk.addAll(models);
         start(models);
         Http.daemon(
--- a/review/standins-2/Router.java
+++ b/review/standins-2/Router.java
@@ -6,9 +6,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** One router, started with the command of the deploy file. */
 final class Router {
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(12_000 + new Random().nextInt(18_000));
+
     final String name;
     final String host;
     final int callers;
@@ -22,8 +27,8 @@
         this.name = name;
         this.host = host;
         this.repository = repository;
-        this.callers = freePort(host);
-        this.ready = freePort(host);
+        this.callers = freePort();
+        this.ready = freePort();
         this.settings = folder.resolve(name + ".toml");
         this.log = folder.resolve(name + ".log");
         // As deploy/settings.toml is filled in for a machine of a small site.
@@ -33,18 +38,24 @@
                         + "[direct]\ncallers = \"" + host + ":" + callers + "\"\n"
                         + "ready = \"" + host + ":" + ready + "\"\n"
                         + "store = \"" + host + ":" + store + "\"\n"
-                        + "metrics-port = " + freePort(host) + "\n"
+                        + "metrics-port = " + freePort() + "\n"
                         + "retry-window = \"10s\"\nretry-ratio = 0.2\nretry-extra = 58\n"
                         + "grace = \"8s\"\ncpu-share = 0.57\ncpu-cores = 1\n"
                         + "zones = { \"z-a\" = \"region-a\" }\n\n"
-                        + "[peer]\nhost = \"" + host + "\"\nport = " + freePort(host) + "\n");
+                        + "[peer]\nhost = \"" + host + "\"\nport = " + freePort() + "\n");
     }
 
-    static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(host, 0));
-            return socket.getLocalPort();
+    /** A free port below those that outgoing connections get, which could take it meanwhile. */
+    static int freePort() throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress(NEXT_PORT.incrementAndGet()));
+                return socket.getLocalPort();
+            } catch (java.net.BindException e) {
+                // The next one, then.
+            }
         }
+        throw new IOException("no free port");
     }
 
     void start() throws IOException {
@@ -64,7 +75,7 @@
     }
 
     void awaitReady() throws InterruptedException {
-        for (int i = 0; i < 150; i++) {
+        for (int i = 0; i < 600; i++) {
             try (Socket socket = new Socket(host, ready)) {
                 socket.setSoTimeout(1_000);
                 socket.getOutputStream()
@@ -75,11 +86,17 @@
             } catch (IOException e) {
                 // Not up yet.
             }
-            Thread.sleep(100);
+            Thread.sleep(25);
         }
         throw new IllegalStateException(name + " doesn't become ready");
     }
 
+    void signalKill() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
     /** Sends SIGKILL and waits for the end. */
     void kill() throws InterruptedException {
         if (process != null) {
