--- a/review/standins-2/EarlyKill.java
+++ b/review/standins-2/EarlyKill.java
@@ -38,12 +38,15 @@
     public static void main(String[] arguments) throws Exception {
         Record record = new Record(Path.of(arguments[2]));
         int result = 0;
+        long start = System.nanoTime();
         for (int round = 1; round <= ROUNDS && result == 0; round++) {
             record.line("play " + round + ", with a new store");
             EarlyKill all =
                     new EarlyKill(Path.of(arguments[0]), Path.of(arguments[1]), record);
             Thread hook = new Thread(all::endRouters);
             Runtime.getRuntime().addShutdownHook(hook);
+            long left = 115_000 - (System.nanoTime() - start) / 1_000_000;
+            Http.daemon(() -> all.endLate(left));
             try {
                 result = all.play(!arguments[3].equals("0"));
             } catch (Exception e) {
@@ -55,6 +58,14 @@
         Runtime.getRuntime().halt(result);
     }
 
+    /** Ends a run that takes too long. */
+    private void endLate(long left) throws InterruptedException {
+        Thread.sleep(left);
+        record.line("could not run in time");
+        endRouters();
+        Runtime.getRuntime().halt(2);
+    }
+
     private void endRouters() {
         try {
             for (Router each : routers) {
--- a/review/standins-2/LateLoad.java
+++ b/review/standins-2/LateLoad.java
@@ -10,21 +10,24 @@
 /** Case 6: LateLoad REPOSITORY FOLDER RECORD TROUBLE. Exits with 1 if LIMIT was broken. */
 final class LateLoad {
     private static final String HOST = "127.0.0.1";
-    private static final List<String> MODELS = List.of("m0", "m1", "m2", "m3", "m4", "m5");
+    private static final List<String> MODELS = List.of("m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9");
 
     private final Record record;
     private final Store store = new Store(HOST);
     private final List<Router> routers = new ArrayList<>();
-    private final ModelWorker worker;
+    private final List<ModelWorker> workers = new ArrayList<>();
     private final AtomicInteger sent = new AtomicInteger();
     private final Map<String, Integer> answers = new LinkedHashMap<>();
-    private volatile List<String> wanted = List.of("m0", "m1");
-    private volatile boolean adapters;
+    private volatile List<String> wanted = MODELS.subList(0, 8);
+    private volatile int adapters = 1;
 
     private LateLoad(Path repository, Path folder, Path recordFile) throws Exception {
         record = new Record(recordFile);
         store.put("op/config", Json.write(configuration()), 0);
-        worker = new ModelWorker(store, record, HOST, "i-7f3a91c2", List.of("m0", "m1"));
+        for (int i = 0; i < 8; i += 2) {
+            List<String> two = MODELS.subList(i, i + 2);
+            workers.add(new ModelWorker(store, record, HOST, "i-7f3a91c" + i / 2, two));
+        }
         for (int i = 1; i <= 3; i++) {
             routers.add(new Router("edge-" + i, HOST, store.port, repository, folder));
         }
@@ -35,6 +38,7 @@
         LateLoad all =
                 new LateLoad(Path.of(arguments[0]), Path.of(arguments[1]), Path.of(arguments[2]));
         Runtime.getRuntime().addShutdownHook(new Thread(all::endRouters));
+        Http.daemon(() -> all.endLate());
         try {
             result = all.play(!arguments[3].equals("0"));
         } catch (Exception e) {
@@ -44,6 +48,14 @@
         Runtime.getRuntime().halt(result);
     }
 
+    /** Ends a run that takes too long. */
+    private void endLate() throws InterruptedException {
+        Thread.sleep(115_000);
+        record.line("could not run in time");
+        endRouters();
+        Runtime.getRuntime().halt(2);
+    }
+
     private void endRouters() {
         try {
             for (Router each : routers) {
@@ -114,41 +126,53 @@
         for (Router each : routers) {
             each.awaitReady();
         }
-        record.line("three routers are ready; the worker holds m0 and m1");
+        record.line("three routers are ready; four workers hold two models each, m0 to m7");
         Http.daemon(this::ask);
-        Thread.sleep(3_000);
-        // Demand moves on to a third model, so that the worker's count of orders is above 1.
-        want(List.of("m2"));
-        await(() -> worker.held().contains("m2") && worker.idle(), 30_000);
-        Thread.sleep(1_000);
+        // Each model is asked for with one adapter, so that each worker has carried out orders.
+        Thread.sleep(5_000);
+        List<String> evicted = MODELS.subList(0, 8);
+        ModelWorker worker = null;
         if (trouble) {
-            worker.makeLate("m3");
+            workers.forEach(each -> each.makeLate("m8"));
         }
-        want(List.of("m3"));
+        want(List.of("m8"));
         if (trouble) {
-            await(worker::hasLateOrder, 20_000);
+            await(() -> workers.stream().anyMatch(ModelWorker::hasLateOrder), 20_000);
+            worker = workers.stream().filter(ModelWorker::hasLateOrder).findFirst().orElseThrow();
+            workers.forEach(each -> each.makeLate(""));
             Thread.sleep(500);
-            want(List.of("m0", "m1"));
-            disrupt();
+            int first = 2 * workers.indexOf(worker);
+            evicted = MODELS.subList(first, first + 2);
+            want(evicted);
+            adapters = 4;
+            disrupt(worker);
         } else {
-            await(() -> worker.held().contains("m3"), 30_000);
-            want(List.of("m0", "m1"));
+            await(() -> workers.stream().anyMatch(each -> each.held().contains("m8")), 30_000);
+            adapters = 4;
+            want(evicted);
         }
-        adapters = true;
-        for (int i = 0; i < 150 && worker.broken().isEmpty(); i++) {
+        for (int i = 0; i < 150 && broken().isEmpty(); i++) {
             Thread.sleep(100);
-            worker.carryOutLate();
+            workers.forEach(ModelWorker::carryOutLate);
         }
         synchronized (answers) {
             record.line("requests sent: " + sent + ", answers by status: " + answers);
         }
-        boolean broken = !worker.broken().isEmpty();
-        record.line(broken ? "BROKEN " + worker.broken() : "HELD");
+        boolean broken = !broken().isEmpty();
+        record.line(broken ? "BROKEN " + broken() : "HELD");
         return broken ? 1 : 0;
     }
 
+    private String broken() {
+        return workers.stream()
+                .map(ModelWorker::broken)
+                .filter(each -> !each.isEmpty())
+                .findFirst()
+                .orElse("");
+    }
+
     /** The leader's process is killed and starts again; the worker crashes and starts again. */
-    private void disrupt() throws Exception {
+    private void disrupt(ModelWorker worker) throws Exception {
         Router router = leader();
         record.line("SIGKILL to " + router.name + ", which gave the order");
         router.kill();
@@ -191,10 +215,11 @@
         while (true) {
             for (String model : wanted) {
                 int number = sent.incrementAndGet();
-                String name = adapters && number % 3 == 0 ? model + "/a" + (1 + number % 4) : model;
-                // A caller stays with the router that it was assigned: that of m3 with the leader.
+                String adapter = "/a" + (1 + number / 3 % adapters);
+                String name = number % 3 == 0 ? model + adapter : model;
+                // A caller stays with the router that it was assigned: that of m8 with the leader.
                 Router router =
-                        model.equals("m3") ? leader() : routers.get(number % routers.size());
+                        model.equals("m8") ? leader() : routers.get(number % routers.size());
                 Http.daemon(() -> request(router, number, name));
             }
             Thread.sleep(250);
