Review case 10: without tenants every key is let in

Cause: an empty list of tenants counts as a config that asks for no keys. Change: a script; no code of the project. Conclusion: the rule ROUTE is broken by one acknowledged version.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Plays the case of this folder; TROUBLE=0 plays it without its disruption.
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+classes=target/review-3
+if [ ! -f "$classes/LastTenant.class" ]; then
+    mkdir -p "$classes" && javac -d "$classes" review/standins-3/*.java || exit 2
+fi
+exec java -XX:+UseSerialGC -Xmx256m -cp "$classes" LastTenant . review/10
