Review: ports are given once, signals by the shell's kill

Cause: the system may give a closed port again; not every machine has the program kill. Ruled out: nothing further. Change: the stand-in that starts routers.

--- a/review/standins-3/RouterProcess.java
+++ b/review/standins-3/RouterProcess.java
@@ -10,7 +10,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A router as a process of its own, started by the run line of the deploy file in the repository's
@@ -18,6 +20,7 @@
  */
 final class RouterProcess {
     private static final List<RouterProcess> STARTED = new ArrayList<>();
+    private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
 
     private final Path root;
     private final Path folder;
@@ -65,9 +68,14 @@
         STARTED.add(this);
     }
 
-    static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+    // The system may give a port again that was given and closed before.
+    private static int freePort(String host) throws IOException {
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+                if (GIVEN_PORTS.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
@@ -127,7 +135,9 @@
     void signal(String signal) throws IOException {
         Record.line("router %s gets SIG%s", name, signal);
         try {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            // The shell's own kill, as not every machine has the program.
+            String command = "kill -" + signal + " " + process.pid();
+            new ProcessBuilder("sh", "-c", command).start().waitFor();
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
         }
