--- a/review/standins-3/Case.java
+++ b/review/standins-3/Case.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 /** What the cases share: the record, the routers, the exit code, and the end of all processes. */
@@ -13,9 +14,13 @@
 
     private static final int READY_MILLIS = 20_000;
 
+    /** A case may take 120 s. */
+    private static final int LIMIT_MILLIS = 115_000;
+
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     private final Path root;
     private final Path folder;
+    private final AtomicInteger lastNumber = new AtomicInteger();
 
     /** One case; returns its exit code. */
     interface Play {
@@ -32,6 +37,9 @@
         Record.open(Path.of(arguments[1]).resolve("record.txt"));
         Path folder = Files.createTempDirectory("review");
         Runtime.getRuntime().addShutdownHook(new Thread(RouterProcess::endAll));
+        Thread limit = new Thread(Case::endLate);
+        limit.setDaemon(true);
+        limit.start();
         int exit = COULD_NOT_RUN;
         try {
             Case with = new Case(Path.of(arguments[0]).toAbsolutePath(), folder);
@@ -47,9 +55,18 @@
         System.exit(exit);
     }
 
+    private static void endLate() {
+        Record.sleep(LIMIT_MILLIS);
+        Record.line("could not run: not over after %d ms", LIMIT_MILLIS);
+        RouterProcess.endAll();
+        Runtime.getRuntime().halt(COULD_NOT_RUN);
+    }
+
+    /** Starts a fleet of routers with the next numbers and waits until all of them are ready. */
     List<RouterProcess> startRouters(int count, Store store) throws IOException {
         List<RouterProcess> routers = new ArrayList<>();
-        for (int number = 1; number <= count; number++) {
+        for (int started = 0; started < count; started++) {
+            int number = lastNumber.incrementAndGet();
             RouterProcess router = new RouterProcess(root, folder, number, store.address());
             router.start();
             routers.add(router);
--- a/review/standins-3/NewModel.java
+++ b/review/standins-3/NewModel.java
@@ -16,28 +16,26 @@
     /** Requests for each of the two models of the first config go out this many times as often. */
     private static final int BUSY = 5;
 
-    public static void main(String[] arguments) throws Exception {
-        Case.run(arguments, NewModel::play);
-    }
+    private NewModel() {}
 
-    private static int play(Case with) throws Exception {
+    static int play(Case with) throws Exception {
         Store store = new Store();
         Config config = new Config(store, WEIGHTS_MB);
         config.tenant("tenant-1", "key-1");
         config.stream("talk", "/talk/", "engines");
-        config.model("m1", MODEL_MB);
-        config.model("m2", MODEL_MB);
+        config.model("n1", MODEL_MB);
+        config.model("n2", MODEL_MB);
         if (!with.trouble) {
             add(config);
         }
         config.publish();
-        List<String> copies = List.of("m1", "m2", "m3");
-        new ModelWorker(store, config, "i-1", List.of("m1", "m2"), copies);
-        new ModelWorker(store, config, "i-2", List.of("m1", "m2"), copies);
+        List<String> copies = List.of("n1", "n2", "n3");
+        new ModelWorker(store, config, "i-3", List.of("n1", "n2"), copies);
+        new ModelWorker(store, config, "i-4", List.of("n1", "n2"), copies);
         List<RouterProcess> routers = with.startRouters(2, store);
         Record.sleep(2_000);
         AtomicInteger before = new AtomicInteger();
-        send(routers, "/talk/1", List.of("m1", "m2"), 10 * BUSY, GAP_MILLIS / BUSY, before);
+        send(routers, "/talk/1", List.of("n1", "n2"), 10 * BUSY, GAP_MILLIS / BUSY, before);
         if (before.get() < 8 * BUSY) {
             return Case.COULD_NOT_RUN;
         }
@@ -50,7 +48,7 @@
         AtomicInteger first = new AtomicInteger();
         AtomicInteger later = new AtomicInteger();
         Thread old = busy(routers, COUNT * BUSY, first);
-        send(routers, "/new/1", List.of("m3"), COUNT, GAP_MILLIS, later);
+        send(routers, "/new/1", List.of("n3"), COUNT, GAP_MILLIS, later);
         old.join();
         Record.line(
                 "from 8 s after the config: on the first route served %d of %d, on the later one %d of %d",
@@ -60,13 +58,13 @@
     }
 
     private static void add(Config config) {
-        config.model("m3", MODEL_MB);
+        config.model("n3", MODEL_MB);
         config.stream("talk-later", "/new/", "engines");
     }
 
     private static Thread busy(List<RouterProcess> routers, int count, AtomicInteger served) {
         Thread thread =
-                new Thread(() -> send(routers, "/talk/1", List.of("m1", "m2"), count, GAP_MILLIS / BUSY, served));
+                new Thread(() -> send(routers, "/talk/1", List.of("n1", "n2"), count, GAP_MILLIS / BUSY, served));
         thread.start();
         return thread;
     }
--- a/review/standins-3/ResizedModel.java
+++ b/review/standins-3/ResizedModel.java
@@ -13,11 +13,9 @@
 
     private static final int GAP_MILLIS = 400;
 
-    public static void main(String[] arguments) throws Exception {
-        Case.run(arguments, ResizedModel::play);
-    }
+    private ResizedModel() {}
 
-    private static int play(Case with) throws Exception {
+    static int play(Case with) throws Exception {
         Store store = new Store();
         Config config = new Config(store, WEIGHTS_MB);
         config.tenant("tenant-1", "key-1");
--- a/review/standins-3/RouterProcess.java
+++ b/review/standins-3/RouterProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -19,7 +20,8 @@
  * root, with a settings file in the form of deploy/settings.toml.
  */
 final class RouterProcess {
-    private static final List<RouterProcess> STARTED = new ArrayList<>();
+    private static final List<RouterProcess> STARTED =
+            Collections.synchronizedList(new ArrayList<>());
     private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
 
     private final Path root;
@@ -69,7 +71,7 @@
     }
 
     // The system may give a port again that was given and closed before.
-    private static int freePort(String host) throws IOException {
+    private static synchronized int freePort(String host) throws IOException {
         while (true) {
             try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
                 if (GIVEN_PORTS.add(socket.getLocalPort())) {
@@ -152,7 +154,7 @@
     }
 
     static void endAll() {
-        for (RouterProcess each : STARTED) {
+        for (RouterProcess each : List.copyOf(STARTED)) {
             if (each.isAlive()) {
                 each.process.destroyForcibly();
                 each.awaitEnd();
