--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Plays the case of this folder; TROUBLE=0 plays it without its disruption.
-# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+# Writes record.txt here. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 classes=target/review-3
 if [ ! -f "$classes/LastTenant.class" ]; then
