A configuration that grants no key admits nobody

Cause: Ingress asked for no key where the workspaces were empty, and ConfigurationForm read a missing list and an empty one into the same map.

Why it works: CallerKeys keeps "keys are not used" apart from "none is granted" up to the decision, and a configuration that names the list at all uses keys.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
@@ -13,7 +13,7 @@
  * @param version the operators' version number, which only grows
  * @param revision store revision of the configuration
  * @param workspaces the workspaces by id
- * @param keys the workspace of each caller key
+ * @param callerKeys the caller keys, where requests need one
  */
 public record DirectConfiguration(
         long version,
@@ -21,11 +21,11 @@
         List<Route> routes,
         Map<String, ServiceSpec> services,
         Map<WorkspaceId, WorkspaceSpec> workspaces,
-        Map<String, WorkspaceId> keys,
+        CallerKeys callerKeys,
         HttpLimits limits) {
     /** Returns the workspace that the caller key belongs to. */
     public Optional<WorkspaceSpec> workspaceForKey(String key) {
-        return Optional.ofNullable(keys.get(key)).map(workspaces::get);
+        return callerKeys.workspaceOf(key).map(workspaces::get);
     }
 
     /** Returns the memory for running requests of one upstream of each model service, in tokens. */
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -132,7 +132,7 @@
             return RoutingDecision.denied(
                     route, RefusalCode.UNKNOWN_SERVICE, "no route matches the host and path");
         }
-        if (route.get().anonymous() || current.workspaces().isEmpty()) {
+        if (route.get().anonymous() || !current.callerKeys().areUsed()) {
             return new RoutingDecision(route, Optional.empty(), Optional.empty());
         }
         Optional<WorkspaceSpec> workspace = request.callerKey().flatMap(current::workspaceForKey);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.TestControlThread;
+import io.damaskyoke.control.direct.CallerKeys;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.direct.EngineSpec;
 import io.damaskyoke.control.direct.ModelSpec;
@@ -94,7 +95,7 @@
                         List.of(),
                         Map.of(SimulatedEngine.SERVICE, service),
                         Map.of(),
-                        Map.of(),
+                        CallerKeys.NOT_USED,
                         HttpLimits.defaults());
         routers.forEach(each -> each.configurationChanged(configuration));
         engines.forEach(this::sendHeartbeat);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -1,6 +1,7 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.cold.RequestLimit;
+import io.damaskyoke.control.direct.CallerKeys;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OrderOutcome;
@@ -89,7 +90,13 @@
     public DirectConfiguration configuration(byte[] value, long revision) {
         long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
         return new DirectConfiguration(
-                version, revision, List.of(), Map.of(), Map.of(), Map.of(), HttpLimits.defaults());
+                version,
+                revision,
+                List.of(),
+                Map.of(),
+                Map.of(),
+                CallerKeys.NOT_USED,
+                HttpLimits.defaults());
     }
 
     @Override
