Workspaces may have names of any characters

Cause: the name was taken for an id. Ids.check throws for any character outside [A-Za-z0-9._:/-], and one name that it refused kept the whole configuration from being read.

Why it works: an id is made of the name by an escape that no two names share and that leaves names alone that could be ids, so rows of rates stay under their keys. Upstreams get the name in UTF-8, or, where no header holds it, an escaped form that no other name equals; a line break never becomes a second header.

--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -4,6 +4,7 @@
 import io.damaskyoke.control.crashes.RequestIdentity;
 import io.damaskyoke.control.direct.AllowedRegions;
 import io.damaskyoke.control.direct.Route;
+import io.damaskyoke.control.direct.WorkspaceSpec;
 import io.damaskyoke.control.upstreams.ModelRef;
 import io.damaskyoke.control.upstreams.TokenUsage;
 import io.damaskyoke.control.upstreams.Upstream;
@@ -78,7 +79,7 @@
      * @param refundTokens refunds the charged tokens if the request does not run
      */
     record Admission(
-            Optional<WorkspaceId> workspace,
+            Optional<WorkspaceSpec> workspace,
             AllowedRegions allowedRegions,
             int priority,
             Instant arrivedAt,
@@ -149,7 +150,7 @@
     /** Returns what the request is recognized by, whichever id it comes with. */
     RequestIdentity identity() {
         if (identity == null) {
-            String workspace = admission.workspace().map(WorkspaceId::value).orElse("");
+            String workspace = workspace().map(WorkspaceId::value).orElse("");
             identity =
                     new RequestIdentity(
                             CrashSuspect.request(call.target(), workspace, call.body().nioBuffer()),
@@ -215,7 +216,7 @@
 
     @Override
     public Optional<WorkspaceId> workspace() {
-        return admission.workspace();
+        return admission.workspace().map(spec -> spec.workspace().id());
     }
 
     @Override
@@ -287,7 +288,11 @@
 
     ForwardingMetadata forwardingMetadata(UpstreamId to, Instant now) {
         return new ForwardingMetadata(
-                to, remainingTime(now), admission.workspace(), priority(), lastEventId);
+                to,
+                remainingTime(now),
+                admission.workspace().map(WorkspaceSpec::name),
+                priority(),
+                lastEventId);
     }
 
     @Override
@@ -575,7 +580,7 @@
         text.append("request=").append(request.attemptId());
         text.append(" route=").append(route.name());
         request.model().ifPresent(model -> text.append(" model=").append(model));
-        admission.workspace().ifPresent(id -> text.append(" workspace=").append(id));
+        workspace().ifPresent(id -> text.append(" workspace=").append(id));
         text.append(" tokens=").append(admission.chargedTokens());
         text.append(" admitted_ms=").append(admission.admissionTime().toMillis());
         text.append(" sends=").append(sendCount);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -201,7 +201,7 @@
         request.model().ifPresent(inFlight.dispatcher()::recordArrival);
         ForwardedRequest.Admission admission =
                 new ForwardedRequest.Admission(
-                        workspace.map(spec -> spec.workspace().id()),
+                        workspace,
                         allowedRegions(route, workspace),
                         priority(route, workspace),
                         arrivedAt,
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RateAdmission.java
@@ -285,7 +285,7 @@
         Map<WorkspaceId, RateInput.ShareRow> rows = new HashMap<>();
         for (KeyValueStore.Entry entry : entries) {
             try {
-                WorkspaceId workspace = WorkspaceId.of(entry.key().substring(prefix.length()));
+                WorkspaceId workspace = new WorkspaceId(entry.key().substring(prefix.length()));
                 ShareTable table = ShareTable.parse(entry.value());
                 rows.put(workspace, new RateInput.ShareRow(table, entry.modRevision()));
             } catch (IllegalArgumentException e) {
--- a/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/rates/RatePeers.java
@@ -107,7 +107,7 @@
             rates.feed(
                     new RateInput.TokensRequested(
                             from,
-                            WorkspaceId.of(request.getWorkspace()),
+                            new WorkspaceId(request.getWorkspace()),
                             request.getTokens(),
                             request.getRequestId(),
                             List.copyOf(request.getSpentList()),
@@ -117,7 +117,7 @@
             rates.feed(
                     new RateInput.TransferReceived(
                             from,
-                            WorkspaceId.of(transfer.getWorkspace()),
+                            new WorkspaceId(transfer.getWorkspace()),
                             transfer.getTokens(),
                             transfer.getTransferId(),
                             transfer.getQueued(),
