A part of a configuration that can't be read keeps no other from being in force

Callers saw: one entry that a router could not read kept its whole version, and each later one, from being in force: withdrawn keys worked, new ones got 401, and after a restart of all routers nothing was served.

What can't be read is listed, logged and counted, and what only it could allow is refused with 503 and Retry-After, as not run: its route, also under a shorter prefix that has one, and its keys, also where another workspace lists them. All else of the version holds, so what was taken away is taken away. It is the same at a start, as nothing is taken from an earlier version.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
@@ -10,19 +10,34 @@
 /**
  * One version of the complete configuration that operators have set.
  *
- * @param version the operators' version number, which only grows
+ * @param version the operators' version number, which only grows; {@link #UNKNOWN_VERSION} if it
+ *     can't be read
  * @param revision store revision of the configuration
+ * @param routes the routes that can be read
+ * @param unreadableRoutes where routes begin that can't be read
+ * @param services the services by name
  * @param workspaces the workspaces by id
  * @param callerKeys the caller keys, where requests need one
+ * @param unreadableParts all that can't be read
  */
 public record DirectConfiguration(
         long version,
         long revision,
         List<Route> routes,
+        List<RoutePath> unreadableRoutes,
         Map<String, ServiceSpec> services,
         Map<WorkspaceId, WorkspaceSpec> workspaces,
         CallerKeys callerKeys,
-        HttpLimits limits) {
+        HttpLimits limits,
+        List<UnreadablePart> unreadableParts) {
+    /** The version of a configuration that states none that can be read. */
+    public static final long UNKNOWN_VERSION = -1;
+
+    /** Returns the builder of a configuration that is empty and needs no keys. */
+    public static Builder builder(long version, long revision) {
+        return new Builder(version, revision);
+    }
+
     /** Returns the workspace that the caller key belongs to. */
     public Optional<WorkspaceSpec> workspaceForKey(String key) {
         return callerKeys.workspaceOf(key).map(workspaces::get);
@@ -41,4 +56,72 @@
     public List<ServiceSpec> modelServices() {
         return services.values().stream().filter(each -> each.engine().isPresent()).toList();
     }
+
+    /** Collects the parts of a configuration. */
+    public static final class Builder {
+        private final long version;
+        private final long revision;
+        private List<Route> routes = List.of();
+        private List<RoutePath> unreadableRoutes = List.of();
+        private Map<String, ServiceSpec> services = Map.of();
+        private Map<WorkspaceId, WorkspaceSpec> workspaces = Map.of();
+        private CallerKeys callerKeys = CallerKeys.NOT_USED;
+        private HttpLimits limits = HttpLimits.defaults();
+        private List<UnreadablePart> unreadableParts = List.of();
+
+        private Builder(long version, long revision) {
+            this.version = version;
+            this.revision = revision;
+        }
+
+        /**
+         * Sets the routes.
+         *
+         * @param unreadable where routes begin that can't be read
+         */
+        public Builder routes(List<Route> readable, List<RoutePath> unreadable) {
+            routes = List.copyOf(readable);
+            unreadableRoutes = List.copyOf(unreadable);
+            return this;
+        }
+
+        /** Sets the services by name. */
+        public Builder services(Map<String, ServiceSpec> byName) {
+            services = Map.copyOf(byName);
+            return this;
+        }
+
+        /** Sets the workspaces by id, and their keys. */
+        public Builder workspaces(Map<WorkspaceId, WorkspaceSpec> byId, CallerKeys keys) {
+            workspaces = Map.copyOf(byId);
+            callerKeys = keys;
+            return this;
+        }
+
+        /** Sets the limits of callers' requests. */
+        public Builder limits(HttpLimits given) {
+            limits = given;
+            return this;
+        }
+
+        /** Sets what can't be read. */
+        public Builder unreadableParts(List<UnreadablePart> parts) {
+            unreadableParts = List.copyOf(parts);
+            return this;
+        }
+
+        /** Returns the configuration. */
+        public DirectConfiguration build() {
+            return new DirectConfiguration(
+                    version,
+                    revision,
+                    routes,
+                    unreadableRoutes,
+                    services,
+                    workspaces,
+                    callerKeys,
+                    limits,
+                    unreadableParts);
+        }
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/direct/RouteTable.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/RouteTable.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.control.direct;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -8,14 +9,26 @@
 
 /** Finds the route of a request: {@code table.find("shop.example", "/orders/7")}. */
 public final class RouteTable {
-    private final Map<String, Map<String, Route>> byHost = new HashMap<>();
+    /** A path has no route here if its route can't be read; no shorter prefix takes its place. */
+    private final Map<String, Map<String, Optional<Route>>> byHost = new HashMap<>();
 
     /** Creates a table of these routes. */
     public RouteTable(List<Route> routes) {
-        for (Route route : routes) {
-            byHost.computeIfAbsent(hostOnly(route.host()), host -> new HashMap<>())
-                    .put(route.pathPrefix(), route);
-        }
+        this(routes, List.of());
+    }
+
+    /**
+     * Creates a table of these routes.
+     *
+     * @param unreadable the paths of routes that can't be read
+     */
+    public RouteTable(List<Route> routes, Collection<RoutePath> unreadable) {
+        routes.forEach(route -> put(route.host(), route.pathPrefix(), Optional.of(route)));
+        unreadable.forEach(path -> put(path.host(), path.pathPrefix(), Optional.empty()));
+    }
+
+    private void put(String host, String pathPrefix, Optional<Route> route) {
+        byHost.computeIfAbsent(hostOnly(host), any -> new HashMap<>()).put(pathPrefix, route);
     }
 
     /**
@@ -23,7 +36,16 @@
      * ignored.
      */
     public Optional<Route> find(String host, String target) {
-        Map<String, Route> routes = byHost.get(hostOnly(host));
+        return longestMatch(host, target).flatMap(route -> route);
+    }
+
+    /** Returns whether the route of the request is one that can't be read. */
+    public boolean isUnreadable(String host, String target) {
+        return longestMatch(host, target).filter(Optional::isEmpty).isPresent();
+    }
+
+    private Optional<Optional<Route>> longestMatch(String host, String target) {
+        Map<String, Optional<Route>> routes = byHost.get(hostOnly(host));
         if (routes == null) {
             return Optional.empty();
         }
@@ -31,7 +53,7 @@
         String path = query < 0 ? target : target.substring(0, query);
         int slash = path.lastIndexOf('/');
         while (slash >= 0) {
-            Route route = routes.get(path.substring(0, slash + 1));
+            Optional<Route> route = routes.get(path.substring(0, slash + 1));
             if (route != null) {
                 return Optional.of(route);
             }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
@@ -2,6 +2,8 @@
 
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.direct.RouteTable;
+import io.damaskyoke.control.direct.UnreadablePart;
+import io.damaskyoke.metrics.Metrics;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -14,12 +16,14 @@
  */
 final class ConfigurationHolder {
     private static final Logger LOG = LogManager.getLogger(ConfigurationHolder.class);
+    private static final int MAX_PARTS_LOGGED = 20;
 
     private final Dialect dialect;
     private final Consumer<DirectConfiguration> onChange;
     private DirectConfiguration current;
     private RouteTable routes = new RouteTable(List.of());
     private byte[] storedBytes = new byte[0];
+    private long unreadableRevision;
 
     ConfigurationHolder(Dialect dialect, Consumer<DirectConfiguration> onChange) {
         this.dialect = dialect;
@@ -51,7 +55,7 @@
      * @param source where it was read, for the log: the store or a peer router
      */
     void replaceIfNewer(byte[] bytes, long revision, String source) {
-        if (revision <= revision()) {
+        if (revision <= revision() || revision == unreadableRevision) {
             return;
         }
         Optional<DirectConfiguration> next = read(bytes, revision);
@@ -67,12 +71,14 @@
             return Optional.of(dialect.configuration(bytes, revision));
         } catch (RuntimeException e) {
             LOG.error("ignoring the configuration at revision {}: {}", revision, e.getMessage());
+            unreadableRevision = revision;
             return Optional.empty();
         }
     }
 
     private boolean isNewer(DirectConfiguration next) {
-        if (current == null || next.version() >= current.version()) {
+        boolean isUnknown = next.version() == DirectConfiguration.UNKNOWN_VERSION;
+        if (current == null || isUnknown || next.version() >= current.version()) {
             return true;
         }
         LOG.warn(
@@ -84,13 +90,42 @@
     private void putInForce(DirectConfiguration next, byte[] bytes, String source) {
         current = next;
         storedBytes = bytes;
-        routes = new RouteTable(next.routes());
+        routes = new RouteTable(next.routes(), next.unreadableRoutes());
+        unreadableRevision = 0;
         LOG.info(
                 "configuration version={} revision={} from={} routes={} in force",
                 next.version(),
                 next.revision(),
                 source,
                 next.routes().size());
+        logUnreadable(next);
         onChange.accept(next);
     }
+
+    private static void logUnreadable(DirectConfiguration configuration) {
+        List<UnreadablePart> parts = configuration.unreadableParts();
+        parts.stream()
+                .limit(MAX_PARTS_LOGGED)
+                .forEach(
+                        part ->
+                                LOG.error(
+                                        "{} of configuration version={} revision={} can't be read,"
+                                                + " and what needs it is refused: {}",
+                                        part.path(),
+                                        configuration.version(),
+                                        configuration.revision(),
+                                        part.reason()));
+        if (parts.size() > MAX_PARTS_LOGGED) {
+            LOG.error("{} more parts can't be read", parts.size() - MAX_PARTS_LOGGED);
+        }
+    }
+
+    void registerGauges(Metrics metrics) {
+        metrics.gauge(
+                "configuration_version", () -> current().map(each -> each.version()).orElse(0L));
+        metrics.gauge(
+                "configuration_unreadable_parts",
+                () -> current().map(each -> each.unreadableParts().size()).orElse(0));
+        metrics.gauge("configuration_unreadable_revision", () -> unreadableRevision);
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -485,6 +485,7 @@
         metrics.gauge("direct_unread_bytes", callers::unreadBytes);
         metrics.gauge("direct_closed_slow_readers", callers::slowReadersClosed);
         metrics.gauge("large_routers", () -> members.largeRouters().size());
+        configuration.registerGauges(metrics);
         crashes.registerGauges();
         new DrainProgress(upstreams).registerGauges(metrics);
         limits.registerGauges(metrics);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -128,6 +128,9 @@
     private RoutingDecision decide(
             HttpCall call, CallerRequest request, DirectConfiguration current) {
         Optional<Route> route = configuration.routes().find(request.host(), call.target());
+        if (configuration.routes().isUnreadable(request.host(), call.target())) {
+            return RoutingDecision.unreadable(route, "route");
+        }
         if (route.isEmpty()) {
             return RoutingDecision.denied(
                     route, RefusalCode.UNKNOWN_SERVICE, "no route matches the host and path");
@@ -136,6 +139,9 @@
             return new RoutingDecision(route, Optional.empty(), Optional.empty());
         }
         Optional<WorkspaceSpec> workspace = request.callerKey().flatMap(current::workspaceForKey);
+        if (request.callerKey().filter(current.callerKeys()::isUnreadable).isPresent()) {
+            return RoutingDecision.unreadable(route, "workspace");
+        }
         if (workspace.isEmpty()) {
             RefusalCode code =
                     request.callerKey().isEmpty()
@@ -263,5 +269,14 @@
             return new RoutingDecision(
                     route, Optional.empty(), Optional.of(Refusal.notRun(code, message)));
         }
+
+        static RoutingDecision unreadable(Optional<Route> route, String what) {
+            Refusal refusal =
+                    Refusal.notRun(
+                                    RefusalCode.CONFIGURATION_UNREADABLE,
+                                    "the configuration of this " + what + " can't be read")
+                            .retryAfter(RETRY_AFTER);
+            return new RoutingDecision(route, Optional.empty(), Optional.of(refusal));
+        }
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/exchange/RefusalCode.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/exchange/RefusalCode.java
@@ -52,6 +52,8 @@
     STOPPING(503, "server_error"),
     /** This process can't confirm that its configuration is the newest. */
     CONFIGURATION_UNCONFIRMED(503, "server_error"),
+    /** The part of the configuration that this request needs can't be read. */
+    CONFIGURATION_UNREADABLE(503, "server_error"),
     /** The platform's store, which this request needs, is unreachable. */
     STORE_UNAVAILABLE(503, "server_error"),
     /** The deadline passed while the request waited or ran. */
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
@@ -2,7 +2,6 @@
 
 import io.damaskyoke.control.ControlThread;
 import io.damaskyoke.control.TestControlThread;
-import io.damaskyoke.control.direct.CallerKeys;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.direct.EngineSpec;
 import io.damaskyoke.control.direct.ModelSpec;
@@ -15,7 +14,6 @@
 import io.damaskyoke.control.upstreams.Upstream;
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
-import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.id.VmId;
 import java.time.Duration;
 import java.time.Instant;
@@ -89,14 +87,9 @@
         ServiceSpec service =
                 new ServiceSpec(SimulatedEngine.SERVICE, 1, Duration.ZERO, 0, Optional.of(spec));
         DirectConfiguration configuration =
-                new DirectConfiguration(
-                        1,
-                        1,
-                        List.of(),
-                        Map.of(SimulatedEngine.SERVICE, service),
-                        Map.of(),
-                        CallerKeys.NOT_USED,
-                        HttpLimits.defaults());
+                DirectConfiguration.builder(1, 1)
+                        .services(Map.of(SimulatedEngine.SERVICE, service))
+                        .build();
         routers.forEach(each -> each.configurationChanged(configuration));
         engines.forEach(this::sendHeartbeat);
         world.every(DEMAND_PERIOD, this::reportDemand);
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/TestDialect.java
@@ -1,7 +1,6 @@
 package io.damaskyoke.direct;
 
 import io.damaskyoke.control.cold.RequestLimit;
-import io.damaskyoke.control.direct.CallerKeys;
 import io.damaskyoke.control.direct.DirectConfiguration;
 import io.damaskyoke.control.loads.LoadInput;
 import io.damaskyoke.control.loads.OrderOutcome;
@@ -9,7 +8,6 @@
 import io.damaskyoke.control.upstreams.UpstreamFacts;
 import io.damaskyoke.control.upstreams.UpstreamId;
 import io.damaskyoke.http.Endpoint;
-import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.http.RetryAfter;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -89,14 +87,7 @@
     @Override
     public DirectConfiguration configuration(byte[] value, long revision) {
         long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
-        return new DirectConfiguration(
-                version,
-                revision,
-                List.of(),
-                Map.of(),
-                Map.of(),
-                CallerKeys.NOT_USED,
-                HttpLimits.defaults());
+        return DirectConfiguration.builder(version, revision).build();
     }
 
     @Override
