What upstreams load is planned by the newest configuration, what they hold by the one that it was loaded under

Cause: EngineState kept the configuration in force when its upstream was first listed. A model that it did not know counted as large as all memory, and the answer to an order for one ended in an exception.

ChangedModelsTest on the code before, without the test that needs the record: 5 of 6 red.

Why it works: KnownModels has both what the newest configuration says, which counts for what is loaded next, and the largest size that any has stated, which counts for what is held but for models that this leader ordered itself, whose size it knows. ModelSizeRecord keeps the largest sizes in the store, so that a router that knows only the newest configuration does not take what is held for smaller than it is, also after a restart of all routers right after that configuration.

After: ChangedModelsTest 7 of 7.

--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -50,7 +50,11 @@
     /** A heartbeat and the list's delay: how late an entry may name the models that are held. */
     private static final Duration MAX_ENTRY_DELAY = Duration.ofSeconds(3);
 
-    private final EngineSpec spec;
+    private final KnownModels models;
+
+    /** The sizes of models that this leader ordered to load; for any other, the largest counts. */
+    private final Map<String, Double> loadedSizes = new HashMap<>();
+
     private final Map<ModelRef, Instant> lastUsedAt = new HashMap<>();
     private final Map<ModelRef, Instant> loadingAdapters = new TreeMap<>();
     private final Map<String, Instant> loadedAt = new HashMap<>();
@@ -120,8 +124,8 @@
         }
     }
 
-    EngineState(EngineSpec spec, UpstreamFacts facts) {
-        this.spec = spec;
+    EngineState(KnownModels models, UpstreamFacts facts) {
+        this.models = models;
         this.facts = facts;
         this.incarnation = facts.held().startedAt();
         this.held = facts.held();
@@ -136,8 +140,24 @@
         return facts;
     }
 
+    /** Returns what the newest configuration says of the engine's service. */
     EngineSpec spec() {
-        return spec;
+        return models.newest();
+    }
+
+    /** Takes in that the models of the service may have other sizes from now on. */
+    void modelsConfigured() {
+        loadedSizes.replaceAll(
+                (model, size) ->
+                        isSurelyLoaded(model) || !models.isConfigured(model)
+                                ? size
+                                : Math.max(size, models.nextMb(model)));
+    }
+
+    private boolean isSurelyLoaded(String model) {
+        boolean isOrdered = pending != null && pending.model().isModel(model);
+        boolean isAssumed = assumedLoaded != null && assumedLoaded.model().isModel(model);
+        return holds(model) && !isOrdered && !isAssumed;
     }
 
     HeldModels held() {
@@ -157,7 +177,8 @@
 
     /** Reserves all memory and adapter slots, as an order of any size may still be carried out. */
     void reserveAll() {
-        reservation = new UnansweredLoadOrders.Reservation(spec.weightsMb(), spec.adapterSlots());
+        reservation =
+                new UnansweredLoadOrders.Reservation(spec().weightsMb(), spec().adapterSlots());
     }
 
     /**
@@ -166,8 +187,8 @@
      */
     boolean wouldFitAfterRestart(ModelRef model) {
         int slots = model.hasAdapter() ? 1 : 0;
-        return sizeMb(model) + reservationAfterRestart.megabytes() <= spec.weightsMb()
-                && slots + reservationAfterRestart.adapterSlots() <= spec.adapterSlots();
+        return sizeMb(model) + reservationAfterRestart.megabytes() <= spec().weightsMb()
+                && slots + reservationAfterRestart.adapterSlots() <= spec().adapterSlots();
     }
 
     PendingOrder pending() {
@@ -244,6 +265,7 @@
         assumedLoaded = null;
         plannedLoad = null;
         reportRequestedAt = Instant.MIN;
+        loadedSizes.clear();
     }
 
     /** Returns how long the current order will still take, or zero if that is not known. */
@@ -438,6 +460,10 @@
 
     void orderSent(PendingOrder order) {
         pending = order;
+        if (order.operation() == OrderOperation.LOAD && !order.model().hasAdapter()) {
+            String model = order.model().model();
+            loadedSizes.put(model, models.nextMb(model));
+        }
         orderSequence = held.sequence();
         needsReportToFinish = false;
     }
@@ -461,9 +487,16 @@
         held = new HeldModels(held.startedAt(), sequence, held.adapters());
     }
 
+    /** Records that the engine already holds the model, which some other order has loaded. */
+    void foundLoaded(ModelRef model, Instant now) {
+        loadedSizes.remove(model.model());
+        loaded(model, now);
+    }
+
     void unloaded(ModelRef model) {
         held = held.without(model, held.sequence());
         if (!model.hasAdapter()) {
+            loadedSizes.remove(model.model());
             loadingAdapters.keySet().removeIf(each -> each.model().equals(model.model()));
         }
     }
@@ -549,7 +582,7 @@
     double freeMb() {
         double used = 0;
         for (Map.Entry<String, Set<String>> entry : held.adapters().entrySet()) {
-            used += modelMb(entry.getKey()) + entry.getValue().size() * adapterMb(entry.getKey());
+            used += heldMb(entry.getKey()) + entry.getValue().size() * adapterMb(entry.getKey());
         }
         for (ModelRef adapter : loadingAdapters.keySet()) {
             used += adapterMb(adapter.model());
@@ -557,9 +590,10 @@
         if (pending != null
                 && pending.operation() == OrderOperation.LOAD
                 && !held.contains(pending.model())) {
-            used += sizeMb(pending.model());
+            ModelRef loading = pending.model();
+            used += loading.hasAdapter() ? adapterMb(loading.model()) : heldMb(loading.model());
         }
-        return spec.weightsMb() - used - reservation.megabytes();
+        return spec().weightsMb() - used - reservation.megabytes();
     }
 
     /** Returns the adapters that are loaded, being loaded, or may still be loaded. */
@@ -567,20 +601,35 @@
         return held.adapterCount() + loadingAdapters.size() + reservation.adapterSlots();
     }
 
-    /** Returns the memory that the model or adapter takes, in MB. */
+    /** Returns the memory that the model or adapter takes if it is loaded next, in MB. */
     double sizeMb(ModelRef model) {
         return model.hasAdapter() ? adapterMb(model.model()) : modelMb(model.model());
     }
 
-    /** Returns the size of the model, in MB; all memory if the model is not configured. */
+    /** Returns the most memory that the model or adapter may take, whenever it is loaded, in MB. */
+    double largestMb(ModelRef model) {
+        return model.hasAdapter() ? adapterMb(model.model()) : models.largestMb(model.model());
+    }
+
+    /** Returns the size at which the model is loaded next, in MB. */
     double modelMb(String model) {
-        ModelSpec known = spec.models().get(model);
-        return known == null ? spec.weightsMb() : known.weightsMb();
+        return models.nextMb(model);
+    }
+
+    /** Returns the size of a model that is held or on its way, in MB. */
+    double heldMb(String model) {
+        Double size = loadedSizes.get(model);
+        return size == null ? models.largestMb(model) : size;
     }
 
     double adapterMb(String model) {
-        ModelSpec known = spec.models().get(model);
-        return known == null ? 0 : known.adapterMb();
+        return models.largestAdapterMb(model);
+    }
+
+    /** Returns the time that the load takes; zero if no configuration has named the model. */
+    Duration loadTime(String model, LoadSource source) {
+        ModelSpec stated = models.lastStated(model);
+        return stated == null ? Duration.ZERO : source.loadTime(stated);
     }
 
     /** Returns the expected time to load an adapter of the model, with a margin. */
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EvictionPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EvictionPlanner.java
@@ -218,6 +218,6 @@
 
     private static double freedMb(EngineState engine, String model) {
         int adapters = engine.held().adapters().get(model).size();
-        return engine.modelMb(model) + adapters * engine.adapterMb(model);
+        return engine.heldMb(model) + adapters * engine.adapterMb(model);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadInput.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadInput.java
@@ -20,6 +20,13 @@
      */
     record ServicesConfigured(Map<String, EngineSpec> engines) implements LoadInput {}
 
+    /**
+     * Sizes of models were read that earlier configurations stated.
+     *
+     * @param sizes the largest sizes, by service and model
+     */
+    record SizesRecorded(Map<String, Map<String, ModelSize>> sizes) implements LoadInput {}
+
     /** An upstream of a model service appeared in the list or changed there. */
     record UpstreamListed(UpstreamFacts facts) implements LoadInput {}
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -70,6 +70,8 @@
     private final OrderAnswers orderAnswers;
     private final Map<String, MemoryFragmentation> fragmentationByService = new HashMap<>();
     private final OversubscribedServices oversubscribed = new OversubscribedServices();
+    private final Map<String, KnownModels> knownModels = new HashMap<>();
+    private Map<String, Map<String, ModelSize>> recordedSizes = Map.of();
     private Map<String, EngineSpec> specs = new HashMap<>();
     private Set<String> drainedZones = Set.of();
     private long lastOrderNumber;
@@ -139,6 +141,9 @@
     private void applyInput(LoadInput input, Instant now, List<LoadAction> actions) {
         if (input instanceof LoadInput.ServicesConfigured configured) {
             servicesConfigured(configured.engines());
+        } else if (input instanceof LoadInput.SizesRecorded recorded) {
+            recordedSizes = recorded.sizes();
+            takeRecordedSizes();
         } else if (input instanceof LoadInput.UpstreamListed listed) {
             upstreamListed(listed, now);
         } else if (input instanceof LoadInput.UpstreamRemoved removed) {
@@ -201,17 +206,42 @@
     private void servicesConfigured(Map<String, EngineSpec> engines) {
         specs = engines;
         fragmentationByService.clear();
+        engines.forEach(
+                (service, spec) ->
+                        knownModels
+                                .computeIfAbsent(service, any -> new KnownModels(spec))
+                                .configured(spec));
+        takeRecordedSizes();
+        this.engines.values().forEach(EngineState::modelsConfigured);
         engines.forEach(
                 (service, spec) ->
                         fragmentationByService.put(service, MemoryFragmentation.of(spec)));
         Map<String, Double> weights = new HashMap<>();
         for (EngineSpec spec : engines.values()) {
-            spec.models().forEach((name, model) -> weights.put(name, model.weightsMb()));
+            spec.models()
+                    .forEach((name, model) -> weights.merge(name, model.weightsMb(), Math::max));
         }
         demand.setModelSizes(weights);
         oversubscribed.update(specs, this.engines.values());
     }
 
+    private void takeRecordedSizes() {
+        recordedSizes.forEach(
+                (service, sizes) -> {
+                    KnownModels known = knownModels.get(service);
+                    if (known != null) {
+                        known.recorded(sizes);
+                    }
+                });
+    }
+
+    /** Returns the largest size that any configuration has stated, by service and model. */
+    public Map<String, Map<String, ModelSize>> largestSizes() {
+        Map<String, Map<String, ModelSize>> sizes = new TreeMap<>();
+        knownModels.forEach((service, known) -> sizes.put(service, known.largestSizes()));
+        return sizes;
+    }
+
     private void upstreamListed(LoadInput.UpstreamListed listed, Instant now) {
         EngineSpec spec = specs.get(listed.facts().service());
         if (spec == null) {
@@ -219,8 +249,8 @@
         }
         forgottenOrders.upstreamSeen(listed.facts().id(), listed.facts().held().startedAt(), now);
         EngineState engine = engines.get(listed.facts().id());
-        if (engine == null) {
-            engine = new EngineState(spec, listed.facts());
+        if (engine == null || !engine.facts().service().equals(listed.facts().service())) {
+            engine = new EngineState(knownModels.get(listed.facts().service()), listed.facts());
             engines.put(engine.id(), engine);
             engine.setZoneDrained(isDrained(engine));
             oversubscribed.update(specs, engines.values());
@@ -308,7 +338,7 @@
     }
 
     private void recordStoreLoad(EngineState engine, EngineState.PendingOrder load, Instant now) {
-        Duration undisturbed = engine.spec().models().get(load.model().model()).storeLoadTime();
+        Duration undisturbed = engine.loadTime(load.model().model(), LoadSource.STORE);
         storeLoadLimiter.recordRunning(StoreLoadLimiter.countRunning(engines.values()), now);
         storeLoadLimiter.loadFinished(
                 load.number(), undisturbed, Duration.between(load.sentAt(), now));
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/OrderAnswers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/OrderAnswers.java
@@ -107,7 +107,7 @@
             engine.orderFinished();
             return;
         }
-        Duration loadTime = pending.source().loadTime(engine.spec().models().get(model.model()));
+        Duration loadTime = engine.loadTime(model.model(), pending.source());
         engine.orderAccepted(now.plus(loadTime));
     }
 
@@ -119,7 +119,7 @@
             engine.setSequence(engine.held().sequence() + 1);
             engine.unloaded(pending.model());
         } else {
-            engine.loaded(pending.model(), now);
+            engine.foundLoaded(pending.model(), now);
         }
         actions.add(new LoadAction.AnnounceHeldModels(engine.id(), engine.held()));
     }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/UnansweredLoadOrders.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/UnansweredLoadOrders.java
@@ -109,7 +109,7 @@
         for (Entry entry : entries) {
             UnansweredLoadOrder order = entry.order();
             if (counted.test(order)) {
-                megabytes.merge(order.sequence(), engine.sizeMb(order.model()), Math::max);
+                megabytes.merge(order.sequence(), engine.largestMb(order.model()), Math::max);
                 adapterSlots.merge(order.sequence(), order.model().hasAdapter() ? 1 : 0, Math::max);
             }
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/ModelRef.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/upstreams/ModelRef.java
@@ -19,6 +19,11 @@
         return !adapter.isEmpty();
     }
 
+    /** Returns whether this is that model itself, and no adapter of it. */
+    public boolean isModel(String name) {
+        return !hasAdapter() && model.equals(name);
+    }
+
     /** Returns the model without its adapter. */
     public ModelRef base() {
         return hasAdapter() ? new ModelRef(model, "") : this;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -148,7 +148,15 @@
         this.statements = createStatementHandler();
         UpstreamClient calls = new UpstreamClient(client, dialect, control, statements);
         this.coordinator =
-                new LoadCoordinator(control, upstreams, lease, calls, self, peers, control.clock());
+                new LoadCoordinator(
+                        control,
+                        upstreams,
+                        lease,
+                        calls,
+                        self,
+                        peers,
+                        control.clock(),
+                        sizeRecord());
         this.configuration = new ConfigurationHolder(dialect, this::applyConfiguration);
         this.upstreamFollower = upstreamFollower();
         this.drains = zoneDrains();
@@ -441,6 +449,10 @@
         return new RateAdmission(parts, self, incarnation, RateSettings.direct());
     }
 
+    private ModelSizeRecord sizeRecord() {
+        return new ModelSizeRecord(control, store, members.modelSizesKey(), members::modelSizes);
+    }
+
     private PeerNetwork network(Timeline timeline) {
         return PeerNetwork.builder()
                 .settings(settings.peer())
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LoadCoordinator.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LoadCoordinator.java
@@ -65,6 +65,7 @@
     private final VmId self;
     private final LeaderAnnouncements announcements;
     private final InstantSource roundClock;
+    private final ModelSizeRecord sizeRecord;
     private final LoadPlanner planner = new LoadPlanner(LoadSettings.defaults());
     private final Map<UpstreamId, HeldModels> changedModels = new HashMap<>();
     private Runnable onTableChanged = () -> {};
@@ -77,6 +78,7 @@
      * Creates a coordinator.
      *
      * @param roundClock measures how long planning rounds take
+     * @param sizeRecord the sizes of models that earlier configurations stated
      */
     LoadCoordinator(
             ControlThread control,
@@ -85,7 +87,8 @@
             OrderClient client,
             VmId self,
             LeaderAnnouncements announcements,
-            InstantSource roundClock) {
+            InstantSource roundClock,
+            ModelSizeRecord sizeRecord) {
         this.control = control;
         this.upstreams = upstreams;
         this.lease = lease;
@@ -93,6 +96,7 @@
         this.self = self;
         this.announcements = announcements;
         this.roundClock = roundClock;
+        this.sizeRecord = sizeRecord;
     }
 
     /**
@@ -125,6 +129,7 @@
             engines.put(service.name(), service.engine().orElseThrow());
         }
         feed(new LoadInput.ServicesConfigured(engines));
+        recordSizes();
         upstreams.all().forEach(each -> upstreamListed(each.facts()));
     }
 
@@ -175,7 +180,14 @@
         // Through the store alone the others would learn of the election most of a second later,
         // and would report their demand to nobody until then.
         announcements.announceHeldModels(lease.fencing(), Map.of());
+        feed(new LoadInput.SizesRecorded(sizeRecord.sizes()));
         feed(new LoadInput.Elected(mayFollowOthers));
+        recordSizes();
+    }
+
+    private void recordSizes() {
+        sizeRecord.update(
+                () -> lease.held() ? Optional.of(planner.largestSizes()) : Optional.empty());
     }
 
     // A long round on a weak VM is followed by a rest, so that requests get processed in between.
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -49,6 +49,8 @@
     /** Stays for good once a fleet has had a leader. */
     private static final String FIRST_LEADER = FLEET + "first-leader";
 
+    private static final String MODEL_SIZES = FLEET + "model-sizes";
+
     private static final Duration FETCH_TIME = Duration.ofMillis(300);
 
     /** How long a router that registers again may be off its list. */
@@ -71,6 +73,7 @@
     private Optional<Instant> missingSince = Optional.empty();
     private boolean everListed;
     private boolean hadLeader;
+    private Optional<Entry> modelSizes = Optional.empty();
 
     Membership(
             ControlThread control,
@@ -142,6 +145,16 @@
         return hadLeader;
     }
 
+    /** Returns the key of the {@link ModelSizeRecord}. */
+    String modelSizesKey() {
+        return prefix + MODEL_SIZES;
+    }
+
+    /** Returns the entry of the {@link ModelSizeRecord}, if there is one. */
+    Optional<Entry> modelSizes() {
+        return modelSizes;
+    }
+
     /** Returns the VM id of this router. */
     VmId self() {
         return self.vm();
@@ -291,6 +304,7 @@
         public void entriesRead(List<Entry> entries, long revision, Duration silence) {
             routers.clear();
             leader = Optional.empty();
+            modelSizes = Optional.empty();
             unreadable.keepOnly(entries);
             registration.entrySeen(ownEntry(entries), revision);
             entries.forEach(entry -> put(entry.key(), Optional.of(entry)));
@@ -344,6 +358,10 @@
                 hadLeader = true;
                 return;
             }
+            if (key.equals(modelSizesKey())) {
+                modelSizes = entry;
+                return;
+            }
             if (key.equals(leaderKey())) {
                 hadLeader |= entry.isPresent();
                 putLeader(entry);
--- a/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnansweredLoadOrdersTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/control/loads/UnansweredLoadOrdersTest.java
@@ -113,7 +113,7 @@
                                 "small", new ModelSpec("small", 30, time, time, time, 2),
                                 "large", new ModelSpec("large", 40, time, time, time, 2)));
         return new EngineState(
-                spec,
+                new KnownModels(spec),
                 new UpstreamFacts(
                         ONE,
                         1,
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LoadOrderSafetyTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LoadOrderSafetyTest.java
@@ -39,6 +39,19 @@
         assertEquals("", firstOf(overloads), overloads.size() + " in all");
     }
 
+    // Guards against sizes that are read once, or forgotten with the configuration that stated them
+    // while upstreams hold models that were loaded then.
+    @Test
+    void noUpstreamIsOverloadedThoughModelsChangeTheirSizes() {
+        List<String> overloads = new ArrayList<>();
+        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            OrderSimulation simulation = new OrderSimulation(seed, true);
+            OrderFaults.withConfigurations(simulation, seed).play();
+            overloads.addAll(overloads(simulation, seed));
+        }
+        assertEquals("", firstOf(overloads), overloads.size() + " in all");
+    }
+
     // Guards against the fault that each of these seeds has shown.
     @ParameterizedTest
     @CsvSource({
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderFaults.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderFaults.java
@@ -13,6 +13,7 @@
     private static final int LONGEST_ROUTER_DOWN_MILLIS = 3_500;
     private static final int KINDS = 8;
     private static final int KINDS_WITH_RESTARTS = 12;
+    private static final int KINDS_WITH_CONFIGURATIONS = 15;
 
     private final OrderSimulation simulation;
     private final Random random;
@@ -33,6 +34,11 @@
         return new OrderFaults(simulation, seed, KINDS_WITH_RESTARTS);
     }
 
+    /** The same, with configurations that change the sizes of models. */
+    static OrderFaults withConfigurations(OrderSimulation simulation, long seed) {
+        return new OrderFaults(simulation, seed, KINDS_WITH_CONFIGURATIONS);
+    }
+
     void play() {
         simulation.advance(Duration.ofSeconds(2));
         for (int each = 0; each < FAULTS; each++) {
@@ -55,7 +61,12 @@
             case 7 -> resignOrPartition(router);
             case 8, 9 -> restart(router);
             case 10 -> simulation.routers().forEach(this::restart);
-            default -> restartUpstreamAndLeader();
+            case 11 -> restartUpstreamAndLeader();
+            case 12, 13 -> simulation.resizeModels();
+            default -> {
+                simulation.resizeModels();
+                simulation.routers().forEach(this::restart);
+            }
         }
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/OrderSimulation.java
@@ -61,7 +61,7 @@
 
     private final TestControlThread world = new TestControlThread();
     private final Random random;
-    private final EngineSpec spec;
+    private EngineSpec spec;
     private final InstantSource roundClock;
     private final List<SimulatedEngine> engines = new ArrayList<>();
     private final List<SimulatedOrderRouter> routers = new ArrayList<>();
@@ -70,7 +70,7 @@
     private final Instant startedAt = world.clock().instant();
     private final Map<UpstreamId, UpstreamFacts> entries = new TreeMap<>(ID_ORDER);
     private final LeasedStore store;
-    private final DirectConfiguration configuration;
+    private DirectConfiguration configuration;
     private double lateFraction;
     private double lostFraction;
     private long revision = 1;
@@ -90,13 +90,7 @@
         for (int each = 0; each < ROUTERS; each++) {
             routers.add(new SimulatedOrderRouter("router-" + each, world, store, this));
         }
-        ServiceSpec service =
-                new ServiceSpec(SimulatedEngine.SERVICE, 1, Duration.ZERO, 0, Optional.of(spec));
-        configuration =
-                DirectConfiguration.builder(1, 1)
-                        .services(Map.of(SimulatedEngine.SERVICE, service))
-                        .build();
-        routers.forEach(each -> each.configurationChanged(configuration));
+        configure();
         engines.forEach(this::sendHeartbeat);
         world.every(DEMAND_PERIOD, this::reportDemand);
     }
@@ -105,19 +99,40 @@
         Map<String, ModelSpec> models = new TreeMap<>();
         for (int each = 0; each < MODELS; each++) {
             String name = "m" + each;
-            models.put(
-                    name,
-                    new ModelSpec(
-                            name,
-                            LEAST_MODEL_MB + random.nextDouble() * MODEL_MB_RANGE,
-                            Duration.ofMillis(1_500),
-                            Duration.ofMillis(250),
-                            Duration.ofMillis(400),
-                            ADAPTER_MB));
+            models.put(name, model(name));
         }
         return new EngineSpec(SLOTS, 1_000, MEMORY_MB, ADAPTER_SLOTS, LOADS_PER_SECOND, models);
     }
 
+    private ModelSpec model(String name) {
+        return new ModelSpec(
+                name,
+                LEAST_MODEL_MB + random.nextDouble() * MODEL_MB_RANGE,
+                Duration.ofMillis(1_500),
+                Duration.ofMillis(250),
+                Duration.ofMillis(400),
+                ADAPTER_MB);
+    }
+
+    private void configure() {
+        ServiceSpec service =
+                new ServiceSpec(SimulatedEngine.SERVICE, 1, Duration.ZERO, 0, Optional.of(spec));
+        configuration =
+                DirectConfiguration.builder(1, 1)
+                        .services(Map.of(SimulatedEngine.SERVICE, service))
+                        .build();
+        routers.forEach(each -> each.configurationChanged(configuration));
+    }
+
+    /** From now on models have other sizes; upstreams keep what they hold as they loaded it. */
+    void resizeModels() {
+        Map<String, ModelSpec> models = new TreeMap<>(spec.models());
+        models.replaceAll((name, model) -> random.nextBoolean() ? model(name) : model);
+        spec = new EngineSpec(SLOTS, 1_000, MEMORY_MB, ADAPTER_SLOTS, LOADS_PER_SECOND, models);
+        recordEvent("models have other sizes: " + models.values());
+        configure();
+    }
+
     /** Returns the overloads of upstreams, one line each. */
     List<String> overloads() {
         return overloads;
@@ -172,7 +187,7 @@
     void restart(SimulatedOrderRouter router, Duration down) {
         recordEvent(router.vm() + " is killed, down for " + down.toMillis());
         int index = routers.indexOf(router);
-        router.suspend();
+        router.kill();
         world.after(down, () -> startAgain(index, router));
     }
 
@@ -243,17 +258,18 @@
     }
 
     private void send(SimulatedEngine engine, Dialect.Order order, Answer<OrderOutcome> answer) {
+        EngineSpec sizes = spec;
         if (random.nextDouble() < lateFraction) {
             Duration later =
                     Duration.ofMillis(EARLIEST_LATE_MILLIS + random.nextInt(LATE_RANGE_MILLIS));
             recordEvent(engine.id() + " gets late, in " + later.toMillis() + ": " + order);
-            world.after(later, () -> engine.takeOrder(order));
+            world.after(later, () -> engine.takeOrder(order, sizes));
             return;
         }
         boolean lost = random.nextDouble() < lostFraction;
         deliver(
                 () -> {
-                    Optional<OrderOutcome> outcome = engine.takeOrder(order);
+                    Optional<OrderOutcome> outcome = engine.takeOrder(order, sizes);
                     recordEvent(
                             engine.id() + " " + outcome + (lost ? " (lost)" : "") + ": " + order);
                     outcome.filter(any -> !lost).ifPresent(o -> deliver(() -> answer.complete(o)));
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedEngine.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedEngine.java
@@ -47,6 +47,7 @@
     private final Consumer<String> onOverload;
     private final Set<String> cachedOnDisk = new HashSet<>();
     private final List<State> history = new ArrayList<>();
+    private final Map<String, Double> loadedMb = new TreeMap<>();
     private Map<String, Set<String>> held = new TreeMap<>();
     private Map<ModelRef, Boolean> loadingAdapters = new HashMap<>();
     private Optional<ModelRef> loading = Optional.empty();
@@ -110,8 +111,12 @@
                 Set.copyOf(cachedOnDisk));
     }
 
-    /** Carries out an order; empty if the upstream is down. */
-    Optional<OrderOutcome> takeOrder(Dialect.Order order) {
+    /**
+     * Carries out an order; empty if the upstream is down.
+     *
+     * @param sizes the configuration at the time at which the order was sent
+     */
+    Optional<OrderOutcome> takeOrder(Dialect.Order order, EngineSpec sizes) {
         if (!up) {
             return Optional.empty();
         }
@@ -130,7 +135,7 @@
             return Optional.of(OrderOutcome.REFUSED);
         }
         sequence++;
-        OrderOutcome outcome = load ? load(order.model()) : unload(order.model());
+        OrderOutcome outcome = load ? load(order.model(), sizes) : unload(order.model());
         recordState();
         return Optional.of(outcome);
     }
@@ -182,8 +187,8 @@
         return new HeldModels(0, 0, held).contains(model);
     }
 
-    private OrderOutcome load(ModelRef model) {
-        if (!fits(model)) {
+    private OrderOutcome load(ModelRef model, EngineSpec sizes) {
+        if (!fits(model, sizes)) {
             onOverload.accept(id + " has no capacity for " + model + ", holds " + held);
             restart(Duration.ofSeconds(1));
             return OrderOutcome.ACCEPTED;
@@ -194,6 +199,7 @@
             return OrderOutcome.ACCEPTED;
         }
         loading = Optional.of(model);
+        loadedMb.put(model.model(), sizes.models().get(model.model()).weightsMb());
         busy = true;
         Duration time =
                 cachedOnDisk.contains(model.model())
@@ -217,11 +223,11 @@
         return OrderOutcome.DONE;
     }
 
-    private boolean fits(ModelRef model) {
+    private boolean fits(ModelRef model, EngineSpec sizes) {
         if (model.hasAdapter() && adapterCount() >= spec.adapterSlots()) {
             return false;
         }
-        return usedMb() + weightMb(model) <= spec.weightsMb();
+        return usedMb() + weightMb(model, sizes) <= spec.weightsMb();
     }
 
     private int adapterCount() {
@@ -231,17 +237,17 @@
     private double usedMb() {
         double used = 0;
         for (Map.Entry<String, Set<String>> entry : held.entrySet()) {
-            used += spec.models().get(entry.getKey()).weightsMb();
+            used += loadedMb.get(entry.getKey());
             used += entry.getValue().size() * spec.models().get(entry.getKey()).adapterMb();
         }
         for (ModelRef each : loadingAdapters.keySet()) {
-            used += weightMb(each);
+            used += weightMb(each, spec);
         }
         return used;
     }
 
-    private double weightMb(ModelRef model) {
-        var known = spec.models().get(model.model());
+    private static double weightMb(ModelRef model, EngineSpec sizes) {
+        var known = sizes.models().get(model.model());
         return model.hasAdapter() ? known.adapterMb() : known.weightsMb();
     }
 
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedOrderRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedOrderRouter.java
@@ -27,6 +27,7 @@
     private final UpstreamTable upstreams = new UpstreamTable();
     private final LeaderLease lease;
     private final LoadCoordinator leader;
+    private boolean killed;
 
     SimulatedOrderRouter(
             String name, ControlThread world, LeasedStore leased, OrderSimulation engines) {
@@ -52,7 +53,9 @@
                         engines.callsOf(control),
                         vm,
                         engines.announcementsOf(vm),
-                        engines.roundClock());
+                        engines.roundClock(),
+                        new ModelSizeRecord(
+                                control, store, members.modelSizesKey(), members::modelSizes));
         members.start(() -> {});
         leader.start(() -> {});
     }
@@ -106,11 +109,19 @@
     }
 
     void resume() {
-        if (control.frozen()) {
-            control.unfreeze();
+        if (!killed) {
+            if (control.frozen()) {
+                control.unfreeze();
+            }
         }
     }
 
+    /** Ends this life of the router for good. */
+    void kill() {
+        killed = true;
+        suspend();
+    }
+
     void setPartitioned(boolean value) {
         store.cut(value);
     }
