--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -51,9 +51,7 @@
     private static final Duration MAX_ENTRY_DELAY = Duration.ofSeconds(3);
 
     private final KnownModels models;
-
-    /** The sizes of models that this leader ordered to load; for any other, the largest counts. */
-    private final Map<String, Double> loadedSizes = new HashMap<>();
+    private final LoadedSizes loadedSizes;
 
     private final Map<ModelRef, Instant> lastUsedAt = new HashMap<>();
     private final Map<ModelRef, Instant> loadingAdapters = new TreeMap<>();
@@ -126,6 +124,7 @@
 
     EngineState(KnownModels models, UpstreamFacts facts) {
         this.models = models;
+        this.loadedSizes = new LoadedSizes(models);
         this.facts = facts;
         this.incarnation = facts.held().startedAt();
         this.held = facts.held();
@@ -147,11 +146,7 @@
 
     /** Takes in that the models of the service may have other sizes from now on. */
     void modelsConfigured() {
-        loadedSizes.replaceAll(
-                (model, size) ->
-                        isSurelyLoaded(model) || !models.isConfigured(model)
-                                ? size
-                                : Math.max(size, models.nextMb(model)));
+        loadedSizes.configured(this::isSurelyLoaded);
     }
 
     private boolean isSurelyLoaded(String model) {
@@ -461,8 +456,7 @@
     void orderSent(PendingOrder order) {
         pending = order;
         if (order.operation() == OrderOperation.LOAD && !order.model().hasAdapter()) {
-            String model = order.model().model();
-            loadedSizes.put(model, models.nextMb(model));
+            loadedSizes.ordered(order.model().model());
         }
         orderSequence = held.sequence();
         needsReportToFinish = false;
@@ -489,14 +483,14 @@
 
     /** Records that the engine already holds the model, which some other order has loaded. */
     void foundLoaded(ModelRef model, Instant now) {
-        loadedSizes.remove(model.model());
+        loadedSizes.forget(model.model());
         loaded(model, now);
     }
 
     void unloaded(ModelRef model) {
         held = held.without(model, held.sequence());
         if (!model.hasAdapter()) {
-            loadedSizes.remove(model.model());
+            loadedSizes.forget(model.model());
             loadingAdapters.keySet().removeIf(each -> each.model().equals(model.model()));
         }
     }
@@ -618,8 +612,7 @@
 
     /** Returns the size of a model that is held or on its way, in MB. */
     double heldMb(String model) {
-        Double size = loadedSizes.get(model);
-        return size == null ? models.largestMb(model) : size;
+        return loadedSizes.megabytes(model);
     }
 
     double adapterMb(String model) {
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -9,7 +9,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -68,11 +67,8 @@
     private final ModelPlacer placer;
     private final AdapterPlanner adapters;
     private final OrderAnswers orderAnswers;
-    private final Map<String, MemoryFragmentation> fragmentationByService = new HashMap<>();
+    private final ConfiguredServices services = new ConfiguredServices();
     private final OversubscribedServices oversubscribed = new OversubscribedServices();
-    private final Map<String, KnownModels> knownModels = new HashMap<>();
-    private Map<String, Map<String, ModelSize>> recordedSizes = Map.of();
-    private Map<String, EngineSpec> specs = new HashMap<>();
     private Set<String> drainedZones = Set.of();
     private long lastOrderNumber;
     private boolean active;
@@ -142,14 +138,13 @@
         if (input instanceof LoadInput.ServicesConfigured configured) {
             servicesConfigured(configured.engines());
         } else if (input instanceof LoadInput.SizesRecorded recorded) {
-            recordedSizes = recorded.sizes();
-            takeRecordedSizes();
+            services.recorded(recorded.sizes());
         } else if (input instanceof LoadInput.UpstreamListed listed) {
             upstreamListed(listed, now);
         } else if (input instanceof LoadInput.UpstreamRemoved removed) {
             engines.remove(removed.upstream());
             forgottenOrders.upstreamRemoved(removed.upstream(), now);
-            oversubscribed.update(specs, engines.values());
+            oversubscribed.update(services.specs(), engines.values());
         } else if (input instanceof LoadInput.DrainedZonesChanged zonesChanged) {
             drainedZonesChanged(zonesChanged.zones());
         } else if (input instanceof LoadInput.DemandReported report) {
@@ -203,57 +198,30 @@
         return false;
     }
 
-    private void servicesConfigured(Map<String, EngineSpec> engines) {
-        specs = engines;
-        fragmentationByService.clear();
-        engines.forEach(
-                (service, spec) ->
-                        knownModels
-                                .computeIfAbsent(service, any -> new KnownModels(spec))
-                                .configured(spec));
-        takeRecordedSizes();
-        this.engines.values().forEach(EngineState::modelsConfigured);
-        engines.forEach(
-                (service, spec) ->
-                        fragmentationByService.put(service, MemoryFragmentation.of(spec)));
-        Map<String, Double> weights = new HashMap<>();
-        for (EngineSpec spec : engines.values()) {
-            spec.models()
-                    .forEach((name, model) -> weights.merge(name, model.weightsMb(), Math::max));
-        }
-        demand.setModelSizes(weights);
-        oversubscribed.update(specs, this.engines.values());
-    }
-
-    private void takeRecordedSizes() {
-        recordedSizes.forEach(
-                (service, sizes) -> {
-                    KnownModels known = knownModels.get(service);
-                    if (known != null) {
-                        known.recorded(sizes);
-                    }
-                });
+    private void servicesConfigured(Map<String, EngineSpec> specs) {
+        services.configure(specs);
+        engines.values().forEach(EngineState::modelsConfigured);
+        demand.setModelSizes(services.modelSizes());
+        oversubscribed.update(specs, engines.values());
     }
 
     /** Returns the largest size that any configuration has stated, by service and model. */
     public Map<String, Map<String, ModelSize>> largestSizes() {
-        Map<String, Map<String, ModelSize>> sizes = new TreeMap<>();
-        knownModels.forEach((service, known) -> sizes.put(service, known.largestSizes()));
-        return sizes;
+        return services.largestSizes();
     }
 
     private void upstreamListed(LoadInput.UpstreamListed listed, Instant now) {
-        EngineSpec spec = specs.get(listed.facts().service());
-        if (spec == null) {
+        Optional<KnownModels> models = services.modelsOf(listed.facts().service());
+        if (models.isEmpty()) {
             return;
         }
         forgottenOrders.upstreamSeen(listed.facts().id(), listed.facts().held().startedAt(), now);
         EngineState engine = engines.get(listed.facts().id());
         if (engine == null || !engine.facts().service().equals(listed.facts().service())) {
-            engine = new EngineState(knownModels.get(listed.facts().service()), listed.facts());
+            engine = new EngineState(models.get(), listed.facts());
             engines.put(engine.id(), engine);
             engine.setZoneDrained(isDrained(engine));
-            oversubscribed.update(specs, engines.values());
+            oversubscribed.update(services.specs(), engines.values());
             return;
         }
         engine.applyFacts(listed.facts());
@@ -362,7 +330,7 @@
             completeModelLoad(engine, now, actions);
             followUp(engine, now, actions);
         }
-        for (Map.Entry<String, EngineSpec> entry : specs.entrySet()) {
+        for (Map.Entry<String, EngineSpec> entry : services.specs().entrySet()) {
             plan(entry.getKey(), entry.getValue(), now, actions);
         }
         if (!now.isBefore(nextLoadAheadAt)) {
@@ -446,7 +414,7 @@
             Instant now,
             List<LoadAction> actions) {
         Optional<EvictionPlanner.Plan> plan =
-                new EvictionPlanner(demand, fleet, fragmentation(engine))
+                new EvictionPlanner(demand, fleet, services.fragmentation(engine))
                         .plan(engine, model, 1 + demand.arrivalsPerSecond(model), now);
         if (plan.isEmpty()) {
             return;
@@ -464,15 +432,10 @@
         sendOrder(engine, OrderOperation.LOAD, new ModelRef(model, ""), source, now, actions);
     }
 
-    private MemoryFragmentation fragmentation(EngineState engine) {
-        return fragmentationByService.computeIfAbsent(
-                engine.facts().service(), any -> MemoryFragmentation.of(engine.spec()));
-    }
-
     private void plan(String service, EngineSpec spec, Instant now, List<LoadAction> actions) {
         boolean ahead = !now.isBefore(nextLoadAheadAt);
         List<EngineState> serviceEngines = enginesOf(service);
-        MemoryFragmentation fragmentation = fragmentationByService.get(service);
+        MemoryFragmentation fragmentation = services.fragmentation(service);
         for (ModelPlacer.Placement placement :
                 placer.plan(
                         spec,
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LoadOrderSafetyTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LoadOrderSafetyTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -19,37 +20,21 @@
     // Guards against orders that are carried out late, in a state that they were not planned for.
     @Test
     void noUpstreamIsOrderedToHoldMoreThanItsCapacity() {
-        List<String> overloads = new ArrayList<>();
-        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
-            overloads.addAll(overloadsWithSeed(seed, true));
-        }
-        assertEquals("", firstOf(overloads), overloads.size() + " in all");
+        assertNoOverload(OrderFaults::new);
     }
 
     // Guards against a router that starts again, leads, and knows no order of its earlier life that
     // may still be carried out.
     @Test
     void noUpstreamIsOverloadedThoughRoutersStartAgain() {
-        List<String> overloads = new ArrayList<>();
-        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
-            OrderSimulation simulation = new OrderSimulation(seed, true);
-            OrderFaults.withRouterRestarts(simulation, seed).play();
-            overloads.addAll(overloads(simulation, seed));
-        }
-        assertEquals("", firstOf(overloads), overloads.size() + " in all");
+        assertNoOverload(OrderFaults::withRouterRestarts);
     }
 
     // Guards against sizes that are read once, or forgotten with the configuration that stated them
     // while upstreams hold models that were loaded then.
     @Test
     void noUpstreamIsOverloadedThoughModelsChangeTheirSizes() {
-        List<String> overloads = new ArrayList<>();
-        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
-            OrderSimulation simulation = new OrderSimulation(seed, true);
-            OrderFaults.withConfigurations(simulation, seed).play();
-            overloads.addAll(overloads(simulation, seed));
-        }
-        assertEquals("", firstOf(overloads), overloads.size() + " in all");
+        assertNoOverload(OrderFaults::withConfigurations);
     }
 
     // Guards against the fault that each of these seeds has shown.
@@ -76,17 +61,26 @@
         assertTrue(overloads > 0, "no upstream was overloaded");
     }
 
-    private static List<String> overloadsWithSeed(long seed, boolean checksSequences) {
-        OrderSimulation simulation = new OrderSimulation(seed, checksSequences);
-        new OrderFaults(simulation, seed).play();
-        return overloads(simulation, seed);
+    private static void assertNoOverload(BiFunction<OrderSimulation, Long, OrderFaults> faults) {
+        List<String> overloads = new ArrayList<>();
+        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            overloads.addAll(overloadsWithSeed(seed, true, faults));
+        }
+        String first =
+                String.join("; ", overloads.subList(0, Math.min(MAX_SHOWN, overloads.size())));
+        assertEquals("", first, overloads.size() + " in all");
     }
 
-    private static String firstOf(List<String> overloads) {
-        return String.join("; ", overloads.subList(0, Math.min(MAX_SHOWN, overloads.size())));
+    private static List<String> overloadsWithSeed(long seed, boolean checksSequences) {
+        return overloadsWithSeed(seed, checksSequences, OrderFaults::new);
     }
 
-    private static List<String> overloads(OrderSimulation simulation, long seed) {
+    private static List<String> overloadsWithSeed(
+            long seed,
+            boolean checksSequences,
+            BiFunction<OrderSimulation, Long, OrderFaults> faults) {
+        OrderSimulation simulation = new OrderSimulation(seed, checksSequences);
+        faults.apply(simulation, seed).play();
         return simulation.overloads().isEmpty()
                 ? List.of()
                 : List.of("seed " + seed + ": " + String.join("\n", simulation.events()) + '\n');
