--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -483,7 +483,9 @@
 
     /** Records that the engine already holds the model, which some other order has loaded. */
     void foundLoaded(ModelRef model, Instant now) {
-        loadedSizes.forget(model.model());
+        if (!model.hasAdapter()) {
+            loadedSizes.forget(model.model());
+        }
         loaded(model, now);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ForgottenOrders.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ForgottenOrders.java
@@ -80,6 +80,7 @@
     /** Records that an upstream went off the list; it may come back under its id. */
     void upstreamRemoved(UpstreamId upstream, Instant now) {
         sightings.computeIfPresent(upstream, (id, sighting) -> sighting.removed(now));
+        removeExpired(now);
     }
 
     /**
@@ -93,8 +94,8 @@
         hadEarlierLeaders = mayFollowOthers;
     }
 
-    /** Forgets upstreams that are off the list and can have no orders any more. */
-    void removeExpired(Instant now) {
+    // An upstream that has been off the list for as long can have no orders any more.
+    private void removeExpired(Instant now) {
         sightings
                 .values()
                 .removeIf(
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -317,7 +317,6 @@
         demandChanged = false;
         demand.aggregate(now);
         unansweredOrders.removeExpired(now);
-        forgottenOrders.removeExpired(now);
         storeLoadLimiter.recordRunning(StoreLoadLimiter.countRunning(engines.values()), now);
         for (EngineState engine : engines.values()) {
             engine.setReservations(unansweredOrders);
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -128,12 +128,13 @@
     private RoutingDecision decide(
             HttpCall call, CallerRequest request, DirectConfiguration current) {
         Optional<Route> route = configuration.routes().find(request.host(), call.target());
-        if (configuration.routes().isUnreadable(request.host(), call.target())) {
-            return RoutingDecision.unreadable(route, "route");
-        }
         if (route.isEmpty()) {
-            return RoutingDecision.denied(
-                    route, RefusalCode.UNKNOWN_SERVICE, "no route matches the host and path");
+            return configuration.routes().isUnreadable(request.host(), call.target())
+                    ? RoutingDecision.unreadable(route, "route")
+                    : RoutingDecision.denied(
+                            route,
+                            RefusalCode.UNKNOWN_SERVICE,
+                            "no route matches the host and path");
         }
         if (route.get().anonymous() || !current.callerKeys().areUsed()) {
             return new RoutingDecision(route, Optional.empty(), Optional.empty());
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Membership.java
@@ -173,6 +173,7 @@
     /** Records that a router announced itself as leader, before the store's change arrives. */
     void leaderAnnounced(VmId router) {
         leader = Optional.of(router);
+        hadLeader = true;
         LOG.info("leader: {} (by its own announcement)", router);
     }
 
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ModelSizeRecord.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ModelSizeRecord.java
@@ -73,14 +73,17 @@
                         .<Condition>map(found -> new Condition.Unchanged(key, found.modRevision()))
                         .orElse(new Condition.Absent(key));
         store.commit(List.of(condition), List.of(new Write.Put(key, toJson(wanted.get()), 0)))
-                .whenComplete(
-                        (result, failure) ->
-                                control.after(
-                                        RETRY_AFTER,
-                                        () -> {
-                                            writing = false;
-                                            update(sizes);
-                                        }));
+                .whenComplete((result, failure) -> control.run(() -> written(sizes)));
+    }
+
+    // Looks again once the entry, as written by this router or another one, has been read.
+    private void written(Supplier<Optional<Map<String, Map<String, ModelSize>>>> sizes) {
+        control.after(
+                RETRY_AFTER,
+                () -> {
+                    writing = false;
+                    update(sizes);
+                });
     }
 
     private static byte[] toJson(Map<String, Map<String, ModelSize>> sizes) {
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/LeaderLeaseTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/LeaderLeaseTest.java
@@ -22,6 +22,7 @@
     private final TestControlThread control = new TestControlThread();
     private final FakeStore store = new FakeStore(control);
     private final List<String> events = new ArrayList<>();
+    private final List<String> firsts = new ArrayList<>();
 
     @Test
     void onlyOneRouterAtATimeIsLeader() {
@@ -93,6 +94,25 @@
         assertTrue(two.held());
     }
 
+    // Guards against a leader that reckons with no order of those before it, as it takes itself for
+    // the first one.
+    @Test
+    void onlyTheFirstLeaderOfAFleetFollowsNobody() {
+        LeaderLease one = router("one");
+        advance(1_000);
+        one.close();
+        advance(5_000);
+        LeaderLease oneAgain = router("one");
+        advance(6_000);
+        assertTrue(oneAgain.held());
+        oneAgain.close();
+        advance(5_000);
+        LeaderLease two = router("two");
+        advance(6_000);
+        assertTrue(two.held());
+        assertEquals(List.of("one"), firsts);
+    }
+
     @Test
     void aRouterThatResignedLetsOthersBeElectedFirst() {
         // A slow leader resigns and there is no other router. Elected again at once, it would
@@ -167,6 +187,9 @@
                     @Override
                     public void won(boolean mayFollowOthers) {
                         events.add(name + " won");
+                        if (!mayFollowOthers) {
+                            firsts.add(name);
+                        }
                     }
 
                     @Override
