--- a/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
@@ -1,5 +1,6 @@
 package io.damaskyoke.control.direct;
 
+import io.damaskyoke.control.configuration.Workspace;
 import io.damaskyoke.http.HttpLimits;
 import io.damaskyoke.id.WorkspaceId;
 import java.util.List;
@@ -43,6 +44,14 @@
         return callerKeys.workspaceOf(key).map(workspaces::get);
     }
 
+    /** Returns the workspaces that have a rate limit, by id. */
+    public Map<WorkspaceId, Workspace> rateLimitedWorkspaces() {
+        return workspaces.values().stream()
+                .filter(WorkspaceSpec::hasRateLimit)
+                .map(WorkspaceSpec::workspace)
+                .collect(Collectors.toMap(Workspace::id, each -> each));
+    }
+
     /** Returns the memory for running requests of one upstream of each model service, in tokens. */
     public Map<String, Long> tokenMemory() {
         return modelServices().stream()
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/EngineState.java
@@ -10,7 +10,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,17 +20,6 @@
  * it carries out, and the memory that this leaves. Whatever may be in memory counts as held.
  */
 final class EngineState {
-    /** Time to load an adapter from the store: 5 ms for the smallest, 9.7 ms for the largest. */
-    private static final double ADAPTER_BASE_MILLIS = 4;
-
-    private static final double ADAPTER_MILLIS_PER_MB = 0.09;
-
-    /**
-     * Added to the expected load time of an adapter, so that a request does not arrive before the
-     * adapter is ready.
-     */
-    private static final double ADAPTER_MARGIN_MILLIS = 5;
-
     /**
      * Added to the configured time of a load from disk or main memory, so that a request does not
      * arrive before the model is ready.
@@ -56,8 +44,7 @@
     private final Map<ModelRef, Instant> lastUsedAt = new HashMap<>();
     private final Map<ModelRef, Instant> loadingAdapters = new TreeMap<>();
     private final Map<String, Instant> loadedAt = new HashMap<>();
-    private final Set<String> inMemory = new HashSet<>();
-    private final Set<String> onDisk = new HashSet<>();
+    private final ModelCopies copies = new ModelCopies();
     private UpstreamFacts facts;
     private long incarnation;
     private HeldModels held;
@@ -89,26 +76,6 @@
     private UnansweredLoadOrders.Reservation reservationAfterRestart =
             UnansweredLoadOrders.Reservation.NONE;
 
-    /** An order that was sent and is not finished. */
-    record PendingOrder(
-            long number,
-            OrderOperation operation,
-            ModelRef model,
-            LoadSource source,
-            Instant sentAt,
-            boolean accepted,
-            Instant dueAt) {
-        boolean loadsFromStore() {
-            return operation == OrderOperation.LOAD
-                    && source == LoadSource.STORE
-                    && !model.hasAdapter();
-        }
-
-        PendingOrder asAccepted(Instant due) {
-            return new PendingOrder(number, operation, model, source, sentAt, true, due);
-        }
-    }
-
     /**
      * A model that is to be loaded on this engine once there is room. Until then no other model is
      * loaded here.
@@ -128,7 +95,7 @@
         this.facts = facts;
         this.incarnation = facts.held().startedAt();
         this.held = facts.held();
-        updateCopies(facts.inMemory(), facts.onDisk());
+        copies.update(facts.inMemory(), facts.onDisk());
     }
 
     UpstreamId id() {
@@ -324,7 +291,7 @@
      */
     void applyFacts(UpstreamFacts given) {
         facts = given;
-        updateCopies(given.inMemory(), given.onDisk());
+        copies.update(given.inMemory(), given.onDisk());
         if (isNewIncarnation(given.held().startedAt())) {
             restarted(given.held());
         }
@@ -352,7 +319,7 @@
         if (isNewIncarnation(report.held().startedAt())) {
             restarted(report.held());
         }
-        updateCopies(report.inMemory(), report.onDisk());
+        copies.update(report.inMemory(), report.onDisk());
         if (isOutdated(report.held())) {
             return false;
         }
@@ -503,8 +470,7 @@
         lastUsedAt.put(model, now);
         if (!model.hasAdapter()) {
             loadedAt.put(model.model(), now);
-            inMemory.add(model.model());
-            onDisk.add(model.model());
+            copies.add(model.model());
         }
     }
 
@@ -557,21 +523,16 @@
     }
 
     boolean hasCopy(String model) {
-        return inMemory.contains(model) || onDisk.contains(model);
+        return copies.has(model);
     }
 
     /** Returns the models that the engine can load without the weight store. */
     Set<String> modelsWithCopy() {
-        Set<String> all = new HashSet<>(onDisk);
-        all.addAll(inMemory);
-        return all;
+        return copies.all();
     }
 
     LoadSource loadSource(String model) {
-        if (inMemory.contains(model)) {
-            return LoadSource.MEMORY;
-        }
-        return onDisk.contains(model) ? LoadSource.DISK : LoadSource.STORE;
+        return copies.source(model);
     }
 
     /** Returns the free memory, in MB, counting everything that may be in memory. */
@@ -629,19 +590,6 @@
 
     /** Returns the expected time to load an adapter of the model, with a margin. */
     Duration adapterLoadTime(String model) {
-        double millis =
-                ADAPTER_BASE_MILLIS
-                        + adapterMb(model) * ADAPTER_MILLIS_PER_MB
-                        + ADAPTER_MARGIN_MILLIS;
-        return Duration.ofNanos((long) (millis * 1e6));
-    }
-
-    private void updateCopies(Set<String> memory, Set<String> disk) {
-        if (!memory.isEmpty() || !disk.isEmpty()) {
-            inMemory.clear();
-            onDisk.clear();
-            inMemory.addAll(memory);
-            onDisk.addAll(disk);
-        }
+        return models.adapterLoadTime(model);
     }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/FleetView.java
@@ -51,7 +51,7 @@
     }
 
     private void count(EngineState engine, Instant now) {
-        EngineState.PendingOrder pending = engine.pending();
+        PendingOrder pending = engine.pending();
         if (engine.plannedLoad() != null) {
             count(engine.plannedLoad().model(), pending, now);
         } else if (pending != null
@@ -61,7 +61,7 @@
         }
     }
 
-    private void count(String model, EngineState.PendingOrder pending, Instant now) {
+    private void count(String model, PendingOrder pending, Instant now) {
         arriving.merge(model, 1, Integer::sum);
         if (!takesLong(pending, now)) {
             arrivingSoon.merge(model, 1, Integer::sum);
@@ -70,7 +70,7 @@
 
     // A load from the store takes seconds. An unload that is not finished by now waits for a
     // running request, and nobody knows when that ends.
-    private static boolean takesLong(EngineState.PendingOrder pending, Instant now) {
+    private static boolean takesLong(PendingOrder pending, Instant now) {
         if (pending == null) {
             return false;
         }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/KnownModels.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/KnownModels.java
@@ -2,6 +2,7 @@
 
 import io.damaskyoke.control.direct.EngineSpec;
 import io.damaskyoke.control.direct.ModelSpec;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -13,6 +14,17 @@
  * when a later one states another. So both sizes count at the same time.
  */
 final class KnownModels {
+    /** Time to load an adapter from the store: 5 ms for the smallest, 9.7 ms for the largest. */
+    private static final double ADAPTER_BASE_MILLIS = 4;
+
+    private static final double ADAPTER_MILLIS_PER_MB = 0.09;
+
+    /**
+     * Added to the expected load time of an adapter, so that a request does not arrive before the
+     * adapter is ready.
+     */
+    private static final double ADAPTER_MARGIN_MILLIS = 5;
+
     private final Map<String, ModelSpec> lastStated = new HashMap<>();
     private final Map<String, ModelSize> largestSizes = new HashMap<>();
     private EngineSpec newest;
@@ -73,4 +85,13 @@
         ModelSize size = largestSizes.get(model);
         return size == null ? 0 : size.adapterMb();
     }
+
+    /** Returns the expected time to load an adapter of the model, with a margin. */
+    Duration adapterLoadTime(String model) {
+        double millis =
+                ADAPTER_BASE_MILLIS
+                        + largestAdapterMb(model) * ADAPTER_MILLIS_PER_MB
+                        + ADAPTER_MARGIN_MILLIS;
+        return Duration.ofNanos((long) (millis * 1e6));
+    }
 }
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadPlanner.java
@@ -285,7 +285,7 @@
     // An accepted order is finished once the upstream is no longer busy, whether or not it
     // succeeded.
     private void finishIfDone(EngineState engine, HeldModels seen, Instant now) {
-        EngineState.PendingOrder pending = engine.pending();
+        PendingOrder pending = engine.pending();
         if (pending == null || !pending.accepted()) {
             return;
         }
@@ -305,7 +305,7 @@
         }
     }
 
-    private void recordStoreLoad(EngineState engine, EngineState.PendingOrder load, Instant now) {
+    private void recordStoreLoad(EngineState engine, PendingOrder load, Instant now) {
         Duration undisturbed = engine.loadTime(load.model().model(), LoadSource.STORE);
         storeLoadLimiter.recordRunning(StoreLoadLimiter.countRunning(engines.values()), now);
         storeLoadLimiter.loadFinished(
@@ -349,7 +349,7 @@
 
     /** Requests the reports that are due and takes the next step of a planned load. */
     private void followUp(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
+        PendingOrder pending = engine.pending();
         if (engine.isContradictedByEntry(now)) {
             engine.requireReport();
         }
@@ -381,10 +381,7 @@
     }
 
     private void followUpOrder(
-            EngineState engine,
-            EngineState.PendingOrder pending,
-            Instant now,
-            List<LoadAction> actions) {
+            EngineState engine, PendingOrder pending, Instant now, List<LoadAction> actions) {
         boolean due = pending.accepted() && !now.isBefore(pending.dueAt());
         if (due && engine.isReportDue(now, MIN_REPORT_INTERVAL)) {
             requestReport(engine, now, actions);
@@ -473,8 +470,7 @@
         long sequence = engine.held().sequence();
         double freeMb = engine.freeMb();
         engine.orderSent(
-                new EngineState.PendingOrder(
-                        lastOrderNumber, operation, model, source, now, false, now));
+                new PendingOrder(lastOrderNumber, operation, model, source, now, false, now));
         if (operation == OrderOperation.LOAD) {
             unansweredOrders.addSent(
                     lastOrderNumber,
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/OrderAnswers.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/OrderAnswers.java
@@ -74,7 +74,7 @@
     }
 
     private void conflicted(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
+        PendingOrder pending = engine.pending();
         storeLoadLimiter.loadCanceled(pending.number());
         engine.orderFinished();
         engine.pauseUntil(now.plus(PAUSE_AFTER_CONFLICT));
@@ -93,7 +93,7 @@
     }
 
     private static void accepted(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
+        PendingOrder pending = engine.pending();
         ModelRef model = pending.model();
         if (pending.operation() == OrderOperation.UNLOAD) {
             engine.orderAccepted(now);
@@ -112,7 +112,7 @@
     }
 
     private static void done(EngineState engine, Instant now, List<LoadAction> actions) {
-        EngineState.PendingOrder pending = engine.pending();
+        PendingOrder pending = engine.pending();
         engine.orderFinished();
         engine.confirmAssumedLoad();
         if (pending.operation() == OrderOperation.UNLOAD) {
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/DirectRouter.java
@@ -5,7 +5,6 @@
 import io.damaskyoke.control.cold.EvenShare;
 import io.damaskyoke.control.configuration.Workspace;
 import io.damaskyoke.control.direct.DirectConfiguration;
-import io.damaskyoke.control.direct.WorkspaceSpec;
 import io.damaskyoke.control.rates.RateSettings;
 import io.damaskyoke.control.upstreams.DrainedZones;
 import io.damaskyoke.control.upstreams.Upstream;
@@ -41,7 +40,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -146,17 +144,7 @@
         this.limits = new DeclaredLimits(clock, upstreams, peers);
         this.departures = new AnnouncedDepartures(clock, upstreams, peers);
         this.statements = createStatementHandler();
-        UpstreamClient calls = new UpstreamClient(client, dialect, control, statements);
-        this.coordinator =
-                new LoadCoordinator(
-                        control,
-                        upstreams,
-                        lease,
-                        calls,
-                        self,
-                        peers,
-                        control.clock(),
-                        sizeRecord());
+        this.coordinator = createCoordinator();
         this.configuration = new ConfigurationHolder(dialect, this::applyConfiguration);
         this.upstreamFollower = upstreamFollower();
         this.drains = zoneDrains();
@@ -449,8 +437,16 @@
         return new RateAdmission(parts, self, incarnation, RateSettings.direct());
     }
 
-    private ModelSizeRecord sizeRecord() {
-        return new ModelSizeRecord(control, store, members.modelSizesKey(), members::modelSizes);
+    private LoadCoordinator createCoordinator() {
+        return new LoadCoordinator(
+                control,
+                upstreams,
+                lease,
+                new UpstreamClient(client, dialect, control, statements),
+                self,
+                peers,
+                control.clock(),
+                ModelSizeRecord.of(control, store, members));
     }
 
     private PeerNetwork network(Timeline timeline) {
@@ -545,12 +541,7 @@
         upstreams.setColdLimits(ColdLimits.of(now, settings.cold()));
         upstreams.setTokenMemory(now.tokenMemory());
         coordinator.configurationChanged(now);
-        Map<WorkspaceId, Workspace> limited = new HashMap<>();
-        for (WorkspaceSpec workspace : now.workspaces().values()) {
-            if (workspace.hasRateLimit()) {
-                limited.put(workspace.workspace().id(), workspace.workspace());
-            }
-        }
+        Map<WorkspaceId, Workspace> limited = now.rateLimitedWorkspaces();
         dispatcher.setFairAmongWorkspaces(!limited.isEmpty());
         rates.configured(limited);
         ingress.serveEarlyCalls();
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ForwardedRequest.java
@@ -49,7 +49,7 @@
     private final CallerRequest request;
     private final Route route;
     private final String service;
-    private final Admission admission;
+    private final AdmissionTerms admission;
     private final Instant arrivedAt;
     private final TimeBudget budget;
     private final Instant deadline;
@@ -67,33 +67,13 @@
     private RequestIdentity identity;
     private boolean trial;
 
-    /**
-     * The terms on which a request was admitted.
-     *
-     * @param workspace the workspace of the caller's key, if the route needs one
-     * @param allowedRegions the regions where the request may be served
-     * @param priority the request's priority; 0 goes first
-     * @param arrivedAt when the first byte of the request came
-     * @param admissionTime how long admission took since then
-     * @param chargedTokens the tokens charged for the request
-     * @param refundTokens refunds the charged tokens if the request does not run
-     */
-    record Admission(
-            Optional<WorkspaceSpec> workspace,
-            AllowedRegions allowedRegions,
-            int priority,
-            Instant arrivedAt,
-            Duration admissionTime,
-            long chargedTokens,
-            Runnable refundTokens) {}
-
     ForwardedRequest(
             InFlightRequests inFlight,
             HttpCall call,
             CallerRequest request,
             Route route,
             String service,
-            Admission admission) {
+            AdmissionTerms admission) {
         this.inFlight = inFlight;
         this.call = call;
         this.request = request;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/Ingress.java
@@ -206,8 +206,8 @@
             return;
         }
         request.model().ifPresent(inFlight.dispatcher()::recordArrival);
-        ForwardedRequest.Admission admission =
-                new ForwardedRequest.Admission(
+        AdmissionTerms admission =
+                new AdmissionTerms(
                         workspace,
                         allowedRegions(route, workspace),
                         priority(route, workspace),
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ModelSizeRecord.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ModelSizeRecord.java
@@ -35,13 +35,7 @@
     private final Supplier<Optional<Entry>> entry;
     private boolean writing;
 
-    /**
-     * Creates a record.
-     *
-     * @param key where it stands in the store
-     * @param entry returns the entry as it was last read from there
-     */
-    ModelSizeRecord(
+    private ModelSizeRecord(
             ControlThread control,
             KeyValueStore store,
             String key,
@@ -52,6 +46,11 @@
         this.entry = entry;
     }
 
+    /** Creates the record that stands beside the list of routers. */
+    static ModelSizeRecord of(ControlThread control, KeyValueStore store, Membership members) {
+        return new ModelSizeRecord(control, store, members.modelSizesKey(), members::modelSizes);
+    }
+
     /** Returns the recorded sizes, by service and model; none if the entry can't be read. */
     Map<String, Map<String, ModelSize>> sizes() {
         return entry.get().map(ModelSizeRecord::parse).orElse(Map.of());
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/BlockedEventLoopTest.java
@@ -249,8 +249,8 @@
                         false,
                         AllowedRegions.ANYWHERE,
                         List.of(new Route.Target(SERVICE, 1)));
-        ForwardedRequest.Admission admitted =
-                new ForwardedRequest.Admission(
+        AdmissionTerms admitted =
+                new AdmissionTerms(
                         Optional.empty(),
                         AllowedRegions.ANYWHERE,
                         1,
--- a/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedOrderRouter.java
+++ b/damaskyoke/src/test/java/io/damaskyoke/direct/SimulatedOrderRouter.java
@@ -54,8 +54,7 @@
                         vm,
                         engines.announcementsOf(vm),
                         engines.roundClock(),
-                        new ModelSizeRecord(
-                                control, store, members.modelSizesKey(), members::modelSizes));
+                        ModelSizeRecord.of(control, store, members));
         members.start(() -> {});
         leader.start(() -> {});
     }
