--- a/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/direct/DirectConfiguration.java
@@ -15,7 +15,7 @@
  *     can't be read
  * @param revision store revision of the configuration
  * @param routes the routes that can be read
- * @param unreadableRoutes where routes begin that can't be read
+ * @param unreadableRoutes hosts and prefixes of the routes that can't be read
  * @param services the services by name
  * @param workspaces the workspaces by id
  * @param callerKeys the caller keys, where requests need one
@@ -86,7 +86,7 @@
         /**
          * Sets the routes.
          *
-         * @param unreadable where routes begin that can't be read
+         * @param unreadable hosts and prefixes of the routes that can't be read
          */
         public Builder routes(List<Route> readable, List<RoutePath> unreadable) {
             routes = List.copyOf(readable);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/ForgottenOrders.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/ForgottenOrders.java
@@ -20,7 +20,10 @@
  * ordered to load nothing.
  */
 final class ForgottenOrders {
-    /** An incarnation that says it is older had no restart within {@link #expiry}. */
+    /**
+     * An incarnation that says it is older did not restart within {@link #expiry}, even if the
+     * times of day of its machine and of this one differ by seconds.
+     */
     private static final Duration SURELY_OLD = Duration.ofSeconds(30);
 
     private final Duration expiry = UnansweredLoadOrders.EXPIRY;
@@ -71,7 +74,6 @@
         }
     }
 
-    // The times of day of two machines differ by seconds at most.
     private static boolean isSurelyOld(long startedAt, Instant now) {
         return startedAt != HeldModels.UNKNOWN_START
                 && Instant.ofEpochMilli(startedAt).plus(SURELY_OLD).isBefore(now);
--- a/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadedSizes.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/control/loads/LoadedSizes.java
@@ -5,8 +5,9 @@
 import java.util.function.Predicate;
 
 /**
- * The sizes of the models that one upstream holds or loads. A model that this leader ordered has
- * the size that was configured meanwhile; any other may have the largest size ever stated.
+ * The sizes of the models that one upstream holds or loads. A model that this leader ordered counts
+ * at the largest size that was configured from the order to the end of the load. Any other one may
+ * have been loaded at any time, and counts at the largest size ever stated.
  */
 final class LoadedSizes {
     private final KnownModels models;
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/ConfigurationHolder.java
@@ -120,6 +120,7 @@
         }
     }
 
+    /** Registers the gauges for the version in force and for what of it can't be read. */
     void registerGauges(Metrics metrics) {
         metrics.gauge(
                 "configuration_version", () -> current().map(each -> each.version()).orElse(0L));
--- a/damaskyoke/src/main/java/io/damaskyoke/direct/LeaderLease.java
+++ b/damaskyoke/src/main/java/io/damaskyoke/direct/LeaderLease.java
@@ -60,7 +60,10 @@
     private Instant candidateNotBefore = Instant.MIN;
     private Instant yieldUntil = Instant.MIN;
     private Instant vacantSince = Instant.MAX;
+
+    /** Whether this router found no sign of an earlier leader when it last asked to be elected. */
     private boolean isFirst;
+
     private boolean closed;
 
     /** Is notified when this router becomes the leader, and when it no longer is. */
